--- /dev/null
+++ b/src/adapters/http_client.cpp
@@ -0,0 +1,241 @@
+#include "adapters/http_client.h"
+
+#include "core/check.h"
+
+#include <absl/strings/ascii.h>
+#include <atomic>
+#include <curl/curl.h>
+#include <mutex>
+#include <thread>
+
+namespace skylarkhitch {
+
+namespace {
+
+    constexpr long connectionsKept = 512;
+    constexpr int longestWaitMs = 500;
+    constexpr std::size_t mostBody = 64 << 20;
+
+    struct CurlFree {
+        void operator()(CURL* easy) const { curl_easy_cleanup(easy); }
+        void operator()(curl_slist* list) const { curl_slist_free_all(list); }
+    };
+
+    // One call in flight, used on the client's thread only.
+    struct Transfer {
+        std::uint64_t id = 0;
+        HttpCall call;
+        HttpCallbacks callbacks;
+        HttpResult result;
+        std::unique_ptr<CURL, CurlFree> easy;
+        std::unique_ptr<curl_slist, CurlFree> headers;
+    };
+
+    std::size_t onBody(char* data, std::size_t, std::size_t size, void* target)
+    {
+        auto& transfer = *static_cast<Transfer*>(target);
+        if (transfer.callbacks.onData) {
+            long status = 0;
+            curl_easy_getinfo(transfer.easy.get(), CURLINFO_RESPONSE_CODE, &status);
+            transfer.callbacks.onData(static_cast<int>(status), { data, size });
+            return size;
+        }
+        if (transfer.result.body.size() + size > mostBody)
+            return 0;
+        transfer.result.body.append(data, size);
+        return size;
+    }
+
+    std::size_t onHeader(char* data, std::size_t, std::size_t size, void* target)
+    {
+        auto& transfer = *static_cast<Transfer*>(target);
+        std::string line(data, size);
+        auto colon = line.find(':');
+        if (colon != std::string::npos) {
+            auto value = line.substr(colon + 1);
+            absl::StripAsciiWhitespace(&value);
+            transfer.result.headers[absl::AsciiStrToLower(line.substr(0, colon))] = value;
+        }
+        return size;
+    }
+
+    HttpEnd endOf(CURL* easy, CURLcode code)
+    {
+        if (code == CURLE_OK)
+            return HttpEnd::Whole;
+        long sent = 0;
+        curl_easy_getinfo(easy, CURLINFO_REQUEST_SIZE, &sent);
+        if (code == CURLE_COULDNT_CONNECT || sent == 0)
+            return HttpEnd::NotSent;
+        return code == CURLE_OPERATION_TIMEDOUT ? HttpEnd::TimedOut : HttpEnd::Cut;
+    }
+
+}
+
+class HttpClient::Impl {
+public:
+    Impl()
+    {
+        static const auto initialized = curl_global_init(CURL_GLOBAL_DEFAULT);
+        CALLER_CHECK(initialized == CURLE_OK) << "libcurl can not be used";
+        m_multi = curl_multi_init();
+        curl_multi_setopt(m_multi, CURLMOPT_MAXCONNECTS, connectionsKept);
+        m_thread = std::thread([this] { run(); });
+    }
+
+    ~Impl()
+    {
+        m_stopping = true;
+        curl_multi_wakeup(m_multi);
+        m_thread.join();
+        for (auto& [id, it] : m_transfers)
+            curl_multi_remove_handle(m_multi, it->easy.get());
+        m_transfers.clear();
+        curl_multi_cleanup(m_multi);
+    }
+
+    CallId start(HttpCall call, HttpCallbacks callbacks)
+    {
+        auto transfer = std::make_unique<Transfer>();
+        transfer->call = std::move(call);
+        transfer->callbacks = std::move(callbacks);
+        std::lock_guard lock(m_mutex);
+        transfer->id = ++m_lastId;
+        m_starting.push_back(std::move(transfer));
+        curl_multi_wakeup(m_multi);
+        return m_lastId;
+    }
+
+    void cancel(CallId id)
+    {
+        std::lock_guard lock(m_mutex);
+        m_cancelled.push_back(id);
+        curl_multi_wakeup(m_multi);
+    }
+
+private:
+    void run()
+    {
+        while (!m_stopping) {
+            takeOrders();
+            int running = 0;
+            curl_multi_perform(m_multi, &running);
+            finishDone();
+            curl_multi_poll(m_multi, nullptr, 0, longestWaitMs, nullptr);
+        }
+    }
+
+    void takeOrders()
+    {
+        std::vector<std::unique_ptr<Transfer>> starting;
+        std::vector<CallId> cancelled;
+        {
+            std::lock_guard lock(m_mutex);
+            starting.swap(m_starting);
+            cancelled.swap(m_cancelled);
+        }
+        for (auto& it : starting)
+            begin(std::move(it));
+        for (auto id : cancelled) {
+            auto it = m_transfers.find(id);
+            if (it == m_transfers.end())
+                continue;
+            curl_multi_remove_handle(m_multi, it->second->easy.get());
+            m_transfers.erase(it);
+        }
+    }
+
+    void begin(std::unique_ptr<Transfer> transfer)
+    {
+        transfer->easy.reset(curl_easy_init());
+        auto* easy = transfer->easy.get();
+        const auto& call = transfer->call;
+        curl_easy_setopt(easy, CURLOPT_URL, ("http://" + call.address + call.path).c_str());
+        curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, call.method.c_str());
+        curl_easy_setopt(easy, CURLOPT_NOBODY, call.method == "HEAD" ? 1L : 0L);
+        curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http");
+        curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+        curl_easy_setopt(easy, CURLOPT_PROXY, "");
+        curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, static_cast<long>(call.timeout.count()));
+        curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(std::min(call.connectTimeout, call.timeout).count()));
+        curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
+        if (call.freshConnection) {
+            curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
+            curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
+        }
+        if (call.body) {
+            curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(call.body->size()));
+            curl_easy_setopt(easy, CURLOPT_POSTFIELDS, call.body->data());
+        }
+        setHeaders(*transfer);
+        curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &onBody);
+        curl_easy_setopt(easy, CURLOPT_WRITEDATA, transfer.get());
+        curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &onHeader);
+        curl_easy_setopt(easy, CURLOPT_HEADERDATA, transfer.get());
+        curl_easy_setopt(easy, CURLOPT_PRIVATE, transfer.get());
+        curl_multi_add_handle(m_multi, easy);
+        auto id = transfer->id;
+        m_transfers[id] = std::move(transfer);
+    }
+
+    static void setHeaders(Transfer& transfer)
+    {
+        // No wait for "100 Continue" and no form type that the caller did not set.
+        auto* list = curl_slist_append(nullptr, "Expect:");
+        bool hasType = false;
+        for (const auto& it : transfer.call.headers) {
+            hasType = hasType || absl::AsciiStrToLower(it.name) == "content-type";
+            list = curl_slist_append(list, (it.name + ": " + it.value).c_str());
+        }
+        if (!hasType)
+            list = curl_slist_append(list, "Content-Type: application/json");
+        transfer.headers.reset(list);
+        curl_easy_setopt(transfer.easy.get(), CURLOPT_HTTPHEADER, list);
+    }
+
+    void finishDone()
+    {
+        int left = 0;
+        while (auto* message = curl_multi_info_read(m_multi, &left)) {
+            if (message->msg != CURLMSG_DONE)
+                continue;
+            auto* easy = message->easy_handle;
+            auto code = message->data.result;
+            Transfer* transfer = nullptr;
+            curl_easy_getinfo(easy, CURLINFO_PRIVATE, &transfer);
+            long status = 0;
+            curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
+            transfer->result.status = static_cast<int>(status);
+            transfer->result.end = endOf(easy, code);
+            curl_multi_remove_handle(m_multi, easy);
+            auto owned = std::move(m_transfers[transfer->id]);
+            m_transfers.erase(owned->id);
+            owned->callbacks.onEnd(std::move(owned->result));
+        }
+    }
+
+    CURLM* m_multi = nullptr;
+    std::thread m_thread;
+    std::atomic<bool> m_stopping = false;
+    std::mutex m_mutex;
+    std::uint64_t m_lastId = 0;
+    std::vector<std::unique_ptr<Transfer>> m_starting;
+    std::vector<CallId> m_cancelled;
+    std::map<CallId, std::unique_ptr<Transfer>> m_transfers;
+};
+
+HttpClient::HttpClient()
+    : m_impl(std::make_unique<Impl>())
+{
+}
+
+HttpClient::~HttpClient() = default;
+
+HttpClient::CallId HttpClient::start(HttpCall call, HttpCallbacks callbacks)
+{
+    return m_impl->start(std::move(call), std::move(callbacks));
+}
+
+void HttpClient::cancel(CallId id) { m_impl->cancel(id); }
+
+}
--- /dev/null
+++ b/src/adapters/http_store.cpp
@@ -0,0 +1,113 @@
+#include "adapters/http_store.h"
+
+#include <absl/strings/escaping.h>
+#include <absl/strings/str_cat.h>
+#include <nlohmann/json.hpp>
+
+namespace skylarkhitch {
+
+namespace {
+
+    using Json = nlohmann::json;
+
+    constexpr Milliseconds watchSlack { 2000 };
+
+    std::string base64(const std::string& bytes)
+    {
+        std::string text;
+        absl::Base64Escape(bytes, &text);
+        return text;
+    }
+
+    StoreItem itemFrom(const Json& json)
+    {
+        StoreItem item { json.at("Key"), {}, json.at("ModifyIndex") };
+        if (json.contains("Value") && json.at("Value").is_string())
+            absl::Base64Unescape(json.at("Value").get<std::string>(), &item.value);
+        return item;
+    }
+
+    // An answer that can not be understood is as good as none.
+    StoreReply readReply(StoreCallId id, const HttpResult& result)
+    {
+        StoreReply reply { id, StoreStatus::Unavailable, {} };
+        if (result.end != HttpEnd::Whole)
+            return reply;
+        if (result.status == 404)
+            reply.status = StoreStatus::NotFound;
+        if (result.status != 200)
+            return reply;
+        try {
+            for (const auto& it : Json::parse(result.body))
+                reply.items.push_back(itemFrom(it));
+            reply.status = StoreStatus::Ok;
+        } catch (const std::exception&) {
+            reply.items.clear();
+        }
+        return reply;
+    }
+
+    StoreReply swapReply(StoreCallId id, const std::string& key, const HttpResult& result)
+    {
+        StoreReply reply { id, StoreStatus::Unavailable, {} };
+        if (result.end != HttpEnd::Whole)
+            return reply;
+        if (result.status == 409)
+            reply.status = StoreStatus::Conflict;
+        if (result.status != 200)
+            return reply;
+        try {
+            auto json = Json::parse(result.body);
+            reply.items.push_back({ key, {}, json.at("Results").at(0).at("KV").at("ModifyIndex") });
+            reply.status = StoreStatus::Ok;
+        } catch (const std::exception&) {
+            reply.items.clear();
+        }
+        return reply;
+    }
+
+}
+
+void HttpStore::call(const StoreCall& call, Reply reply)
+{
+    switch (call.operation) {
+    case StoreOperation::Get:
+        return read(call, "", std::move(reply));
+    case StoreOperation::List:
+        return read(call, "?recurse=true", std::move(reply));
+    case StoreOperation::Watch:
+        return read(call, absl::StrCat("?index=", call.expected, "&wait=", call.timeout.count(), "ms"), std::move(reply));
+    case StoreOperation::Swap:
+        return swap(call, std::move(reply));
+    case StoreOperation::Remove:
+        return remove(call, std::move(reply));
+    }
+}
+
+void HttpStore::read(const StoreCall& call, const std::string& query, Reply reply)
+{
+    HttpCall http { .method = "GET", .address = m_address, .path = "/v1/kv/" + call.key + query, .timeout = call.timeout };
+    if (call.operation == StoreOperation::Watch)
+        http.timeout += watchSlack;
+    m_client.start(std::move(http), { .onEnd = [id = call.call, reply = std::move(reply)](const HttpResult& result) { reply(readReply(id, result)); } });
+}
+
+void HttpStore::swap(const StoreCall& call, Reply reply)
+{
+    Json operation = { { "Verb", "cas" }, { "Key", call.key }, { "Value", base64(call.value) }, { "Index", call.expected } };
+    Json body = Json::array();
+    body.push_back({ { "KV", operation } });
+    HttpCall http { .method = "PUT", .address = m_address, .path = "/v1/txn", .body = std::make_shared<const std::string>(body.dump()), .timeout = call.timeout };
+    m_client.start(std::move(http), { .onEnd = [id = call.call, key = call.key, reply = std::move(reply)](const HttpResult& result) { reply(swapReply(id, key, result)); } });
+}
+
+void HttpStore::remove(const StoreCall& call, Reply reply)
+{
+    HttpCall http { .method = "DELETE", .address = m_address, .path = "/v1/kv/" + call.key, .timeout = call.timeout };
+    m_client.start(std::move(http), { .onEnd = [id = call.call, reply = std::move(reply)](const HttpResult& result) {
+        bool done = result.end == HttpEnd::Whole && result.status == 200;
+        reply({ id, done ? StoreStatus::Ok : StoreStatus::Unavailable, {} });
+    } });
+}
+
+}
--- /dev/null
+++ b/src/adapters/http_store.h
@@ -0,0 +1,29 @@
+#pragma once
+
+// The platform's key-value service over HTTP, in the well-known form of its interface: GET /v1/kv/KEY (with ?recurse
+// and ?index=N&wait=T), PUT /v1/txn for a compare-and-swap, DELETE /v1/kv/KEY.
+
+#include "adapters/http_client.h"
+#include "ports/key_value_store.h"
+
+namespace skylarkhitch {
+
+class HttpStore final : public KeyValueStore {
+public:
+    HttpStore(HttpClient& client, std::string address)
+        : m_client(client)
+        , m_address(std::move(address))
+    {
+    }
+    void call(const StoreCall&, Reply) override;
+
+private:
+    void read(const StoreCall&, const std::string& query, Reply);
+    void swap(const StoreCall&, Reply);
+    void remove(const StoreCall&, Reply);
+
+    HttpClient& m_client;
+    std::string m_address;
+};
+
+}
--- /dev/null
+++ b/src/adapters/http_upstream_client.cpp
@@ -0,0 +1,199 @@
+#include "adapters/http_upstream_client.h"
+
+#include <absl/strings/match.h>
+#include <absl/strings/str_cat.h>
+#include <nlohmann/json.hpp>
+
+namespace skylarkhitch {
+
+namespace {
+
+    using Json = nlohmann::json;
+
+    constexpr auto streamEnd = "[DONE]";
+    // Longest line of a stream; a longer one ends the attempt as cut.
+    constexpr std::size_t mostLine = 1 << 20;
+
+    Usage usageFrom(const Json& json)
+    {
+        auto it = json.find("usage");
+        if (it == json.end() || !it->is_object())
+            return {};
+        return { it->value("prompt_tokens", std::int64_t { 0 }), it->value("completion_tokens", std::int64_t { 0 }) };
+    }
+
+    // Reads server-sent events as they come and hands their payloads on.
+    class StreamReader {
+    public:
+        StreamReader(AttemptId attempt, UpstreamClient::Sink sink)
+            : m_attempt(attempt)
+            , m_sink(std::move(sink))
+        {
+        }
+
+        void take(std::string_view bytes)
+        {
+            m_line.append(bytes);
+            std::size_t start = 0;
+            for (auto end = m_line.find('\n'); end != std::string::npos; end = m_line.find('\n', start)) {
+                takeLine(std::string_view(m_line).substr(start, end - start));
+                start = end + 1;
+            }
+            m_line.erase(0, start);
+            if (m_line.size() > mostLine)
+                m_line.clear();
+        }
+
+        bool sawEnd() const { return m_sawEnd; }
+        const Usage& usage() const { return m_usage; }
+
+    private:
+        void takeLine(std::string_view line)
+        {
+            if (!line.empty() && line.back() == '\r')
+                line.remove_suffix(1);
+            if (m_sawEnd || line.substr(0, 5) != "data:")
+                return;
+            line.remove_prefix(5);
+            if (!line.empty() && line.front() == ' ')
+                line.remove_prefix(1);
+            if (line == streamEnd) {
+                m_sawEnd = true;
+                return;
+            }
+            noteUsage(line);
+            m_sink(AttemptPiece { m_attempt, std::string(line), countTokens(line) });
+        }
+
+        // Engines send one token an event. Looking for the field is enough and costs no parse for each token.
+        static std::int64_t countTokens(std::string_view payload)
+        {
+            constexpr std::string_view field = "\"content\":\"";
+            auto at = payload.find(field);
+            return at != std::string_view::npos && payload.substr(at + field.size(), 1) != "\"" ? 1 : 0;
+        }
+
+        void noteUsage(std::string_view payload)
+        {
+            if (payload.find("\"usage\":{") == std::string_view::npos)
+                return;
+            auto json = Json::parse(payload, nullptr, false);
+            if (json.is_object())
+                m_usage = usageFrom(json);
+        }
+
+        AttemptId m_attempt;
+        UpstreamClient::Sink m_sink;
+        std::string m_line;
+        bool m_sawEnd = false;
+        Usage m_usage;
+    };
+
+    // The body as the engine should see it: its model is the version, and a resumed stream starts after what the caller has.
+    std::shared_ptr<const std::string> engineBody(const SendAttempt& attempt)
+    {
+        std::string body = absl::StrCat("{\"model\":", Json(attempt.version.value).dump());
+        if (attempt.resumeAfter > 0)
+            absl::StrAppend(&body, ",\"resume_after\":", attempt.resumeAfter);
+        // The caller's interface has taken the model out; what is left starts with a brace.
+        if (*attempt.body != "{}")
+            absl::StrAppend(&body, ",");
+        body.append(*attempt.body, 1);
+        return std::make_shared<const std::string>(std::move(body));
+    }
+
+    HttpCall callFor(const SendAttempt& attempt)
+    {
+        HttpCall call { .method = attempt.method, .address = attempt.address, .path = attempt.path, .timeout = attempt.timeout };
+        bool isChat = attempt.kind == CallKind::Chat;
+        if (isChat)
+            call.body = engineBody(attempt);
+        else if (attempt.method != "GET" && attempt.method != "HEAD")
+            call.body = attempt.body;
+        call.headers = {
+            { "Content-Type", isChat || attempt.contentType.empty() ? "application/json" : attempt.contentType },
+            { "X-Request-Id", attempt.request.value },
+            { "X-Attempt-Id", std::to_string(static_cast<std::uint64_t>(attempt.attempt)) },
+            { "X-Priority", std::to_string(attempt.priority) },
+        };
+        call.freshConnection = !attempt.mayRepeat;
+        return call;
+    }
+
+    AttemptEnd endOf(const HttpResult& result)
+    {
+        switch (result.end) {
+        case HttpEnd::NotSent:
+            return AttemptEnd::NotSent;
+        case HttpEnd::Cut:
+            return AttemptEnd::Cut;
+        case HttpEnd::TimedOut:
+            return AttemptEnd::TimedOut;
+        case HttpEnd::Whole:
+            break;
+        }
+        auto notRun = result.headers.find("x-not-run");
+        if ((result.status == 429 || result.status == 503) && notRun != result.headers.end() && notRun->second == "true")
+            return AttemptEnd::RefusedNotRun;
+        return result.status >= 500 ? AttemptEnd::UpstreamError : AttemptEnd::Completed;
+    }
+
+    AttemptFinished finishedFrom(const SendAttempt& attempt, HttpResult result, const StreamReader& stream)
+    {
+        AttemptFinished finished { .attempt = attempt.attempt, .end = endOf(result), .status = result.status, .contentType = result.headers["content-type"] };
+        finished.fingerprint = result.headers["x-build"];
+        finished.leaving = result.headers["x-leaving"] == "true";
+        if (finished.end == AttemptEnd::Completed && attempt.kind == CallKind::Chat) {
+            if (result.status >= 400) {
+                finished.end = AttemptEnd::UpstreamError;
+            } else if (attempt.streamed) {
+                // A stream without its end mark was cut, however cleanly the connection closed.
+                finished.end = stream.sawEnd() ? AttemptEnd::Completed : AttemptEnd::Cut;
+                finished.usage = stream.usage();
+            } else {
+                auto json = Json::parse(result.body, nullptr, false);
+                finished.end = json.is_object() ? AttemptEnd::Completed : AttemptEnd::Cut;
+                finished.usage = json.is_object() ? usageFrom(json) : Usage {};
+            }
+        }
+        finished.body = std::move(result.body);
+        return finished;
+    }
+
+}
+
+void HttpUpstreamClient::send(const SendAttempt& attempt)
+{
+    auto stream = std::make_shared<StreamReader>(attempt.attempt, m_sink);
+    HttpCallbacks callbacks;
+    if (attempt.kind == CallKind::Chat && attempt.streamed) {
+        callbacks.onData = [stream](int status, std::string_view bytes) {
+            if (status == 200)
+                stream->take(bytes);
+        };
+    }
+    callbacks.onEnd = [this, attempt, stream](HttpResult result) {
+        ended(attempt.attempt);
+        m_sink(finishedFrom(attempt, std::move(result), *stream));
+    };
+    std::lock_guard lock(m_mutex);
+    m_calls[attempt.attempt] = m_client.start(callFor(attempt), std::move(callbacks));
+}
+
+void HttpUpstreamClient::cancel(AttemptId attempt)
+{
+    std::lock_guard lock(m_mutex);
+    auto it = m_calls.find(attempt);
+    if (it == m_calls.end())
+        return;
+    m_client.cancel(it->second);
+    m_calls.erase(it);
+}
+
+void HttpUpstreamClient::ended(AttemptId attempt)
+{
+    std::lock_guard lock(m_mutex);
+    m_calls.erase(attempt);
+}
+
+}
--- /dev/null
+++ b/src/adapters/peer_transport.cpp
@@ -0,0 +1,460 @@
+#include "adapters/peer_transport.h"
+
+#include "adapters/http_server.h"
+#include "adapters/peer_frame.h"
+#include "core/check.h"
+
+#include <arpa/inet.h>
+#include <atomic>
+#include <cstring>
+#include <deque>
+#include <fcntl.h>
+#include <mutex>
+#include <netinet/tcp.h>
+#include <nghttp2/nghttp2.h>
+#include <poll.h>
+#include <sys/eventfd.h>
+#include <sys/socket.h>
+#include <thread>
+#include <unistd.h>
+
+namespace skylarkhitch {
+
+namespace {
+
+    constexpr std::size_t mostFrame = 4 << 20;
+    // Messages that wait for one peer before the oldest is dropped.
+    constexpr std::size_t mostQueued = 4096;
+    constexpr std::size_t mostInbound = 2048;
+    constexpr Milliseconds reconnectDelay { 200 };
+    constexpr Milliseconds inboundIdle { 60000 };
+    constexpr std::size_t readBlock = 64 * 1024;
+    constexpr int pollMs = 200;
+
+    using SteadyTime = std::chrono::steady_clock::time_point;
+
+    TimePoint wallNow()
+    {
+        return std::chrono::time_point_cast<Microseconds>(std::chrono::system_clock::now());
+    }
+
+    struct SessionFree {
+        void operator()(nghttp2_session* session) const { nghttp2_session_del(session); }
+    };
+    using SessionPtr = std::unique_ptr<nghttp2_session, SessionFree>;
+
+    class Socket {
+    public:
+        explicit Socket(int fd = -1)
+            : m_fd(fd)
+        {
+        }
+        Socket(Socket&& other) noexcept
+            : m_fd(std::exchange(other.m_fd, -1))
+        {
+        }
+        Socket& operator=(Socket&& other) noexcept
+        {
+            std::swap(m_fd, other.m_fd);
+            return *this;
+        }
+        ~Socket()
+        {
+            if (m_fd >= 0)
+                ::close(m_fd);
+        }
+        int fd() const { return m_fd; }
+
+    private:
+        int m_fd;
+    };
+
+    void makeNonBlocking(int fd)
+    {
+        fcntl(fd, F_SETFL, fcntl(fd, F_GETFL) | O_NONBLOCK);
+        int one = 1;
+        setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
+    }
+
+    nghttp2_nv headerOf(const char* name, const std::string& value)
+    {
+        return { reinterpret_cast<std::uint8_t*>(const_cast<char*>(name)), reinterpret_cast<std::uint8_t*>(const_cast<char*>(value.data())),
+            std::strlen(name), value.size(), NGHTTP2_NV_FLAG_NONE };
+    }
+
+    // One connection with its HTTP/2 session, as client or as server.
+    class Connection {
+    public:
+        Connection(Socket socket, bool isServer, std::function<void(std::string)> onFrame)
+            : m_socket(std::move(socket))
+            , m_onFrame(std::move(onFrame))
+        {
+            nghttp2_session_callbacks* callbacks = nullptr;
+            nghttp2_session_callbacks_new(&callbacks);
+            nghttp2_session_callbacks_set_on_frame_recv_callback(callbacks, &Connection::onFrameReceived);
+            nghttp2_session_callbacks_set_on_data_chunk_recv_callback(callbacks, &Connection::onChunk);
+            nghttp2_session_callbacks_set_on_stream_close_callback(callbacks, &Connection::onStreamClosed);
+            nghttp2_session* session = nullptr;
+            if (isServer)
+                nghttp2_session_server_new(&session, callbacks, this);
+            else
+                nghttp2_session_client_new(&session, callbacks, this);
+            m_session.reset(session);
+            nghttp2_session_callbacks_del(callbacks);
+            nghttp2_settings_entry settings[] = { { NGHTTP2_SETTINGS_MAX_CONCURRENT_STREAMS, 1000 }, { NGHTTP2_SETTINGS_INITIAL_WINDOW_SIZE, 1 << 20 } };
+            nghttp2_submit_settings(session, NGHTTP2_FLAG_NONE, settings, 2);
+            nghttp2_session_set_local_window_size(session, NGHTTP2_FLAG_NONE, 0, 16 << 20);
+        }
+
+        int fd() const { return m_socket.fd(); }
+        bool wantsWrite() const { return !m_out.empty() || nghttp2_session_want_write(m_session.get()); }
+        SteadyTime lastRead() const { return m_lastRead; }
+
+        void submit(std::string frame)
+        {
+            auto body = std::make_unique<Body>(Body { std::move(frame), 0 });
+            nghttp2_data_provider provider { { .ptr = body.get() }, &Connection::readBody };
+            const std::string method = "POST", scheme = "http", authority = "peer", path = "/peer";
+            nghttp2_nv headers[] = { headerOf(":method", method), headerOf(":scheme", scheme), headerOf(":authority", authority), headerOf(":path", path) };
+            auto stream = nghttp2_submit_request(m_session.get(), nullptr, headers, 4, &provider, nullptr);
+            if (stream > 0)
+                m_bodies[stream] = std::move(body);
+        }
+
+        // False when the connection is of no more use.
+        bool read()
+        {
+            std::uint8_t buf[readBlock];
+            auto n = ::recv(fd(), buf, sizeof buf, 0);
+            if (n < 0)
+                return errno == EAGAIN || errno == EINTR;
+            if (n == 0)
+                return false;
+            m_lastRead = std::chrono::steady_clock::now();
+            return nghttp2_session_mem_recv(m_session.get(), buf, static_cast<std::size_t>(n)) >= 0;
+        }
+
+        bool write()
+        {
+            for (;;) {
+                if (m_out.empty() && !fill())
+                    return false;
+                if (m_out.empty())
+                    return true;
+                auto n = ::send(fd(), m_out.data(), m_out.size(), MSG_NOSIGNAL);
+                if (n < 0)
+                    return errno == EAGAIN || errno == EINTR;
+                m_out.erase(0, static_cast<std::size_t>(n));
+            }
+        }
+
+        std::size_t openStreams() const { return m_bodies.size(); }
+
+    private:
+        struct Body {
+            std::string bytes;
+            std::size_t offset;
+        };
+
+        bool fill()
+        {
+            const std::uint8_t* data = nullptr;
+            auto n = nghttp2_session_mem_send(m_session.get(), &data);
+            if (n < 0)
+                return false;
+            m_out.assign(reinterpret_cast<const char*>(data), static_cast<std::size_t>(n));
+            return true;
+        }
+
+        static ssize_t readBody(nghttp2_session*, std::int32_t, std::uint8_t* target, std::size_t room, std::uint32_t* flags, nghttp2_data_source* source, void*)
+        {
+            auto& body = *static_cast<Body*>(source->ptr);
+            auto n = std::min(room, body.bytes.size() - body.offset);
+            std::memcpy(target, body.bytes.data() + body.offset, n);
+            body.offset += n;
+            if (body.offset == body.bytes.size())
+                *flags |= NGHTTP2_DATA_FLAG_EOF;
+            return static_cast<ssize_t>(n);
+        }
+
+        static int onChunk(nghttp2_session* session, std::uint8_t, std::int32_t stream, const std::uint8_t* data, std::size_t size, void* self)
+        {
+            auto& frame = static_cast<Connection*>(self)->m_frames[stream];
+            if (frame.size() + size > mostFrame)
+                return nghttp2_submit_rst_stream(session, NGHTTP2_FLAG_NONE, stream, NGHTTP2_ENHANCE_YOUR_CALM);
+            frame.append(reinterpret_cast<const char*>(data), size);
+            return 0;
+        }
+
+        static int onFrameReceived(nghttp2_session* session, const nghttp2_frame* frame, void* self)
+        {
+            auto& connection = *static_cast<Connection*>(self);
+            bool isRequestEnd = (frame->hd.type == NGHTTP2_DATA || frame->hd.type == NGHTTP2_HEADERS)
+                && (frame->hd.flags & NGHTTP2_FLAG_END_STREAM) && nghttp2_session_check_server_session(session);
+            if (!isRequestEnd)
+                return 0;
+            auto it = connection.m_frames.find(frame->hd.stream_id);
+            if (it != connection.m_frames.end()) {
+                connection.m_onFrame(std::move(it->second));
+                connection.m_frames.erase(it);
+            }
+            const std::string status = "204";
+            nghttp2_nv header = headerOf(":status", status);
+            nghttp2_submit_response(session, frame->hd.stream_id, &header, 1, nullptr);
+            return 0;
+        }
+
+        static int onStreamClosed(nghttp2_session*, std::int32_t stream, std::uint32_t, void* self)
+        {
+            auto& connection = *static_cast<Connection*>(self);
+            connection.m_bodies.erase(stream);
+            connection.m_frames.erase(stream);
+            return 0;
+        }
+
+        Socket m_socket;
+        std::function<void(std::string)> m_onFrame;
+        SessionPtr m_session;
+        std::string m_out;
+        std::map<std::int32_t, std::unique_ptr<Body>> m_bodies;
+        std::map<std::int32_t, std::string> m_frames;
+        SteadyTime m_lastRead = std::chrono::steady_clock::now();
+    };
+
+    // What goes to one peer.
+    struct Outbound {
+        std::string address;
+        std::deque<std::string> queue;
+        std::unique_ptr<Connection> connection;
+        SteadyTime retryAt {};
+    };
+
+}
+
+class PeerTransport::Impl {
+public:
+    Impl(PeerTransportSettings settings, Receiver receiver)
+        : m_settings(std::move(settings))
+        , m_receiver(std::move(receiver))
+        , m_sealer(m_settings.self, m_settings.secret)
+        , m_opener(m_settings.self.instance, m_settings.secret)
+        , m_wake(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC))
+    {
+        listen();
+        m_thread = std::thread([this] { run(); });
+    }
+
+    ~Impl()
+    {
+        m_stopping = true;
+        wake();
+        m_thread.join();
+    }
+
+    void send(const InstanceId& to, const PeerEnvelope& envelope)
+    {
+        std::lock_guard lock(m_mutex);
+        auto& out = m_outbound[to];
+        if (out.queue.size() >= mostQueued) {
+            out.queue.pop_front();
+            ++m_counts.dropped;
+        }
+        out.queue.push_back(m_sealer.seal(to, envelope, wallNow()));
+        ++m_counts.sent;
+        m_counts.sentBytes += out.queue.back().size();
+        wake();
+    }
+
+    void setAddress(const InstanceId& id, const std::string& address)
+    {
+        std::lock_guard lock(m_mutex);
+        auto& out = m_outbound[id];
+        if (out.address == address)
+            return;
+        out.address = address;
+        m_moved.push_back(id);
+        wake();
+    }
+
+    int port() const { return m_port; }
+
+    PeerTransportCounts counts() const
+    {
+        std::lock_guard lock(m_mutex);
+        return m_counts;
+    }
+
+private:
+    void wake() const
+    {
+        std::uint64_t one = 1;
+        static_cast<void>(::write(m_wake.fd(), &one, sizeof one));
+    }
+
+    void listen()
+    {
+        auto hostPort = parseHostPort(m_settings.listen);
+        m_listener = Socket(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+        int one = 1;
+        setsockopt(m_listener.fd(), SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
+        sockaddr_in address {};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(static_cast<std::uint16_t>(hostPort.port));
+        inet_pton(AF_INET, hostPort.host.c_str(), &address.sin_addr);
+        bool listens = bind(m_listener.fd(), reinterpret_cast<sockaddr*>(&address), sizeof address) == 0 && ::listen(m_listener.fd(), 256) == 0;
+        CALLER_CHECK(listens) << "can not listen for peers on " << m_settings.listen << ": " << std::strerror(errno);
+        socklen_t size = sizeof address;
+        getsockname(m_listener.fd(), reinterpret_cast<sockaddr*>(&address), &size);
+        m_port = ntohs(address.sin_port);
+        makeNonBlocking(m_listener.fd());
+    }
+
+    void run()
+    {
+        while (!m_stopping) {
+            startOutbound();
+            std::vector<pollfd> fds { { m_wake.fd(), POLLIN, 0 }, { m_listener.fd(), POLLIN, 0 } };
+            std::vector<Connection*> polled;
+            auto add = [&](Connection& it) {
+                fds.push_back({ it.fd(), static_cast<short>(POLLIN | (it.wantsWrite() ? POLLOUT : 0)), 0 });
+                polled.push_back(&it);
+            };
+            {
+                std::lock_guard lock(m_mutex);
+                for (auto& [id, out] : m_outbound) {
+                    if (out.connection)
+                        add(*out.connection);
+                }
+            }
+            for (auto& it : m_inbound)
+                add(*it);
+            ::poll(fds.data(), fds.size(), pollMs);
+            if (fds[0].revents)
+                drainWake();
+            std::vector<Connection*> broken;
+            for (std::size_t n = 0; n < polled.size(); ++n) {
+                if (!serve(*polled[n], fds[n + 2].revents))
+                    broken.push_back(polled[n]);
+            }
+            drop(broken);
+            if (fds[1].revents)
+                accept();
+        }
+    }
+
+    void drainWake() const
+    {
+        std::uint64_t n = 0;
+        static_cast<void>(::read(m_wake.fd(), &n, sizeof n));
+    }
+
+    static bool serve(Connection& connection, short events)
+    {
+        if ((events & (POLLIN | POLLHUP | POLLERR)) && !connection.read())
+            return false;
+        return connection.write();
+    }
+
+    void drop(const std::vector<Connection*>& broken)
+    {
+        auto isBroken = [&](const Connection* it) { return std::find(broken.begin(), broken.end(), it) != broken.end(); };
+        auto idleBefore = std::chrono::steady_clock::now() - inboundIdle;
+        std::erase_if(m_inbound, [&](const auto& it) { return isBroken(it.get()) || it->lastRead() < idleBefore; });
+        std::lock_guard lock(m_mutex);
+        for (auto& [id, out] : m_outbound) {
+            if (!out.connection || !isBroken(out.connection.get()))
+                continue;
+            // What was given to the connection may be lost; the core sends again what has to arrive.
+            out.connection.reset();
+            out.retryAt = std::chrono::steady_clock::now() + reconnectDelay;
+        }
+    }
+
+    void startOutbound()
+    {
+        std::lock_guard lock(m_mutex);
+        for (const auto& id : std::exchange(m_moved, {}))
+            m_outbound[id].connection.reset();
+        auto now = std::chrono::steady_clock::now();
+        for (auto& [id, out] : m_outbound) {
+            if (out.queue.empty() || out.address.empty())
+                continue;
+            if (!out.connection && now >= out.retryAt)
+                out.connection = connect(out.address);
+            if (!out.connection)
+                continue;
+            for (; !out.queue.empty() && out.connection->openStreams() < mostQueued; out.queue.pop_front())
+                out.connection->submit(std::move(out.queue.front()));
+        }
+    }
+
+    static std::unique_ptr<Connection> connect(const std::string& text)
+    {
+        auto hostPort = parseHostPort(text);
+        sockaddr_in address {};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(static_cast<std::uint16_t>(hostPort.port));
+        inet_pton(AF_INET, hostPort.host.c_str(), &address.sin_addr);
+        Socket socket(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+        makeNonBlocking(socket.fd());
+        if (::connect(socket.fd(), reinterpret_cast<sockaddr*>(&address), sizeof address) != 0 && errno != EINPROGRESS)
+            return nullptr;
+        return std::make_unique<Connection>(std::move(socket), false, [](const std::string&) {});
+    }
+
+    void accept()
+    {
+        for (;;) {
+            Socket socket(::accept4(m_listener.fd(), nullptr, nullptr, SOCK_CLOEXEC));
+            if (socket.fd() < 0)
+                return;
+            if (m_inbound.size() >= mostInbound)
+                continue;
+            makeNonBlocking(socket.fd());
+            m_inbound.push_back(std::make_unique<Connection>(std::move(socket), true, [this](const std::string& frame) { received(frame); }));
+        }
+    }
+
+    void received(const std::string& frame)
+    {
+        auto envelope = m_opener.open(frame, wallNow());
+        {
+            std::lock_guard lock(m_mutex);
+            ++(envelope ? m_counts.received : m_counts.refused);
+        }
+        if (envelope)
+            m_receiver(std::move(*envelope));
+    }
+
+    PeerTransportSettings m_settings;
+    Receiver m_receiver;
+    mutable std::mutex m_mutex;
+    FrameSealer m_sealer;
+    FrameOpener m_opener;
+    Socket m_wake;
+    Socket m_listener;
+    int m_port = 0;
+    std::map<InstanceId, Outbound> m_outbound;
+    std::vector<InstanceId> m_moved;
+    std::vector<std::unique_ptr<Connection>> m_inbound;
+    PeerTransportCounts m_counts;
+    std::atomic<bool> m_stopping = false;
+    std::thread m_thread;
+};
+
+PeerTransport::PeerTransport(PeerTransportSettings settings, Receiver receiver)
+    : m_impl(std::make_unique<Impl>(std::move(settings), std::move(receiver)))
+{
+}
+
+PeerTransport::~PeerTransport() = default;
+
+void PeerTransport::send(const InstanceId& to, const PeerEnvelope& envelope) { m_impl->send(to, envelope); }
+
+void PeerTransport::setAddress(const InstanceId& id, const std::string& address) { m_impl->setAddress(id, address); }
+
+int PeerTransport::port() const { return m_impl->port(); }
+
+PeerTransportCounts PeerTransport::counts() const { return m_impl->counts(); }
+
+}
--- /dev/null
+++ b/src/adapters/prometheus_metrics.h
@@ -0,0 +1,33 @@
+#pragma once
+
+// Counters and histograms by team and rank (prometheus-cpp).
+
+#include "ports/metrics_sink.h"
+
+#include <memory>
+#include <string>
+
+namespace skylarkhitch {
+
+class PrometheusMetrics final : public MetricsSink {
+public:
+    PrometheusMetrics();
+    ~PrometheusMetrics() override;
+
+    void requestEnded(const RequestSummary&) override;
+    void tokenGap(const TeamId&, const RankId&, Microseconds) override;
+    void attemptEnded(const UpstreamId&, const VersionId&, AttemptEnd) override;
+    void strayAnswer() override;
+    void retried() override;
+
+    // Sets a gauge, for what is read off when metrics are collected.
+    void setGauge(const std::string& name, double value);
+    // All metrics in the text format of Prometheus.
+    std::string text() const;
+
+private:
+    class Impl;
+    std::unique_ptr<Impl> m_impl;
+};
+
+}
--- /dev/null
+++ b/src/config/field_table.h
@@ -0,0 +1,204 @@
+#pragma once
+
+// Reads maps of a document into aggregates by tables of member pointers. A table gives for each key its member, unit, range
+// and meaning; the same table is the source of docs/CONFIGURATION.md.
+
+#include "config/document_tree.h"
+#include "core/ids.h"
+
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+#include <algorithm>
+#include <variant>
+
+namespace skylarkhitch {
+
+// Bounds of a number, both included.
+struct Range {
+    double least = 0;
+    double most = 1e15;
+};
+
+template <typename T>
+using FieldMember = std::variant<std::string T::*, double T::*, std::int64_t T::*, bool T::*, Milliseconds T::*, Seconds T::*,
+    std::vector<std::string> T::*, ModelId T::*, VersionId T::*, ServiceId T::*, DomainId T::*, InstanceId T::*>;
+
+template <typename T>
+struct Field {
+    const char* key;
+    FieldMember<T> member;
+    const char* unit;
+    Range range;
+    bool required;
+    const char* meaning;
+};
+
+namespace Internal {
+
+    // Reads one value into one member, with an error that says what was found and what was expected.
+    template <typename T>
+    class MemberReader {
+    public:
+        MemberReader(T& target, const Field<T>& field, const DocumentNode& node, std::vector<DocumentError>& errors)
+            : m_target(target)
+            , m_field(field)
+            , m_node(node)
+            , m_errors(errors)
+        {
+        }
+
+        void operator()(std::string T::*member) { text(m_target.*member); }
+        void operator()(double T::*member)
+        {
+            double value = 0;
+            if (number(value))
+                m_target.*member = value;
+        }
+        void operator()(std::int64_t T::*member) { whole(m_target.*member); }
+        void operator()(Milliseconds T::*member) { duration(m_target.*member); }
+        void operator()(Seconds T::*member) { duration(m_target.*member); }
+        void operator()(bool T::*member)
+        {
+            bool isTrue = m_node.scalar == "true";
+            if (m_node.kind != DocumentNode::Kind::Scalar || (!isTrue && m_node.scalar != "false"))
+                return fail("true or false");
+            m_target.*member = isTrue;
+        }
+        void operator()(std::vector<std::string> T::*member)
+        {
+            if (m_node.kind != DocumentNode::Kind::List)
+                return fail("a list");
+            (m_target.*member).clear();
+            for (const auto& it : m_node.items) {
+                if (it.kind != DocumentNode::Kind::Scalar)
+                    return fail("a list of texts");
+                (m_target.*member).push_back(it.scalar);
+            }
+        }
+        template <typename Tag>
+        void operator()(StrongId<Tag> T::*member)
+        {
+            text((m_target.*member).value);
+        }
+
+    private:
+        void fail(const std::string& expected)
+        {
+            const char* kinds[] = { "nothing", "", "a list", "a map" };
+            auto found = m_node.kind == DocumentNode::Kind::Scalar ? "'" + m_node.scalar + "'" : std::string(kinds[static_cast<int>(m_node.kind)]);
+            m_errors.push_back({ m_node.place, absl::StrCat(m_field.key, ": found ", found, ", expected ", expected) });
+        }
+        void text(std::string& target)
+        {
+            if (m_node.kind != DocumentNode::Kind::Scalar || m_node.scalar.empty())
+                return fail("a text");
+            target = m_node.scalar;
+        }
+        bool number(double& value)
+        {
+            bool isNumber = m_node.kind == DocumentNode::Kind::Scalar && absl::SimpleAtod(m_node.scalar, &value);
+            if (isNumber && value >= m_field.range.least && value <= m_field.range.most)
+                return true;
+            fail(absl::StrCat("a number from ", m_field.range.least, " to ", m_field.range.most));
+            return false;
+        }
+        void whole(std::int64_t& target)
+        {
+            std::int64_t value = 0;
+            bool isWhole = m_node.kind == DocumentNode::Kind::Scalar && absl::SimpleAtoi(m_node.scalar, &value);
+            auto real = static_cast<double>(value);
+            if (!isWhole || real < m_field.range.least || real > m_field.range.most)
+                return fail(absl::StrCat("a whole number from ", m_field.range.least, " to ", m_field.range.most));
+            target = value;
+        }
+        template <typename Duration>
+        void duration(Duration& target)
+        {
+            std::int64_t n = target.count();
+            whole(n);
+            target = Duration(n);
+        }
+
+        T& m_target;
+        const Field<T>& m_field;
+        const DocumentNode& m_node;
+        std::vector<DocumentError>& m_errors;
+    };
+
+}
+
+// Fills the target from a map. Unknown keys, wrong values and missing required keys go to errors.
+template <typename T, typename Table>
+void readFields(const DocumentNode& node, const Table& fields, T& target, std::vector<DocumentError>& errors)
+{
+    if (node.kind != DocumentNode::Kind::Map) {
+        errors.push_back({ node.place, "expected a map" });
+        return;
+    }
+    for (const auto& [key, child] : node.members) {
+        auto it = std::find_if(std::begin(fields), std::end(fields), [&](const auto& field) { return key == field.key; });
+        if (it == std::end(fields)) {
+            errors.push_back({ child.place, "unknown key '" + key + "'" });
+            continue;
+        }
+        std::visit(Internal::MemberReader<T>(target, *it, child, errors), it->member);
+    }
+    for (const auto& field : fields) {
+        if (field.required && !node.members.contains(field.key))
+            errors.push_back({ node.place, absl::StrCat("key '", field.key, "' is missing") });
+    }
+}
+
+// One row of the reference page.
+struct FieldDoc {
+    std::string key;
+    std::string unit;
+    std::string defaultText;
+    std::string range;
+    std::string meaning;
+};
+
+namespace Internal {
+
+    // Writes a member's value in a default-made aggregate as text.
+    template <typename T>
+    struct DefaultWriter {
+        T target {};
+        std::string operator()(std::string T::*member) const { return target.*member; }
+        std::string operator()(double T::*member) const { return absl::StrCat(target.*member); }
+        std::string operator()(std::int64_t T::*member) const { return absl::StrCat(target.*member); }
+        std::string operator()(bool T::*member) const { return target.*member ? "true" : "false"; }
+        std::string operator()(Milliseconds T::*member) const { return absl::StrCat((target.*member).count()); }
+        std::string operator()(Seconds T::*member) const { return absl::StrCat((target.*member).count()); }
+        std::string operator()(std::vector<std::string> T::*) const { return "[]"; }
+        template <typename Tag>
+        std::string operator()(StrongId<Tag> T::*member) const
+        {
+            return (target.*member).value;
+        }
+    };
+
+    template <typename T>
+    bool isNumeric(const FieldMember<T>& member)
+    {
+        return std::holds_alternative<double T::*>(member) || std::holds_alternative<std::int64_t T::*>(member)
+            || std::holds_alternative<Milliseconds T::*>(member) || std::holds_alternative<Seconds T::*>(member);
+    }
+
+}
+
+template <typename T, typename Table>
+std::vector<FieldDoc> describeFields(const Table& fields)
+{
+    std::vector<FieldDoc> docs;
+    for (const Field<T>& it : fields) {
+        auto range = Internal::isNumeric<T>(it.member) ? absl::StrCat(it.range.least, " to ", it.range.most) : std::string("-");
+        auto text = std::visit(Internal::DefaultWriter<T> {}, it.member);
+        if (it.required)
+            text = "required";
+        docs.push_back({ it.key, it.unit, text.empty() ? "-" : text, range, it.meaning });
+    }
+    return docs;
+}
+
+}
--- /dev/null
+++ b/src/config/node_settings.h
@@ -0,0 +1,48 @@
+#pragma once
+
+// The settings of one instance: who it is, where it listens, where the platform is.
+
+#include "config/field_table.h"
+
+#include <optional>
+
+namespace skylarkhitch {
+
+struct NodeSettings {
+    InstanceId instance;
+    DomainId domain;
+    std::string listen = "127.0.0.1:8080";
+    // Address that callers are told; the listening address if empty.
+    std::string entryAddress;
+    std::string operatorListen = "127.0.0.1:8081";
+    std::string peerListen = "127.0.0.1:8082";
+    // "memory" for an instance on its own, or the ip:port of the platform's services.
+    std::string platform = "memory";
+    std::string ratingAddress;
+    // Shared by all instances of a site; peers prove with it who they are.
+    std::string peerSecret;
+    // With platform "memory": the configuration to start with.
+    std::string configurationFile;
+    std::string configurationOverlay;
+    std::string logLevel = "info";
+    // Other instances to begin with, as "id=ip:port" of their peer ports; the instance list adds to them.
+    std::vector<std::string> peers;
+    Milliseconds drainGrace { 5000 };
+    Milliseconds drainLimit { 120000 };
+    Milliseconds heartbeatPeriod { 500 };
+    Milliseconds listPeriod { 1000 };
+    Milliseconds loadPeriod { 500 };
+    std::int64_t ledgerShards = 8;
+    std::int64_t storeWritesPerSecond = 240;
+    std::int64_t seed = 0;
+    std::int64_t maxConnections = 4000;
+    Milliseconds idleTimeout { 30000 };
+    Milliseconds cutOffAfter { 10000 };
+};
+
+// Nothing if there are errors, which then say where.
+std::optional<NodeSettings> parseNodeSettings(const DocumentNode&, std::vector<DocumentError>& errors);
+
+std::vector<FieldDoc> describeNodeSettings();
+
+}
--- /dev/null
+++ b/src/config/parse_configuration.cpp
@@ -0,0 +1,310 @@
+#include "config/parse_configuration.h"
+
+#include "config/field_table.h"
+#include "config/node_settings.h"
+
+#include <set>
+
+namespace skylarkhitch {
+
+namespace {
+
+    constexpr Range share { 0, 1 };
+    constexpr Range anyDuration { 1, 86400000 };
+
+    const Field<Rank> rankFields[] = {
+        { "order", &Rank::order, "-", { 0, 100 }, true, "place among the ranks; 0 is the most urgent" },
+        { "first_token_target_ms", &Rank::firstTokenTarget, "ms", anyDuration, false, "target for the first token" },
+        { "deadline_ms", &Rank::deadline, "ms", anyDuration, false, "deadline of a request that states none" },
+        { "worth", &Rank::worth, "-", { 0, 1e6 }, false, "worth of a request that met its target, for reports" },
+        { "guaranteed_share", &Rank::guaranteedShare, "share", share, false, "part of the capacity that floods of other ranks can not take" },
+    };
+
+    const Field<Model> modelFields[] = {
+        { "current", &Model::current, "version", {}, true, "version of new sessions outside a roll-out" },
+    };
+
+    const Field<Version> versionFields[] = {
+        { "model", &Version::model, "model", {}, true, "model that this is a version of" },
+        { "cost_per_input_token", &Version::costPerInputToken, "millionths", { 0, 1e9 }, false, "price of a token that is read" },
+        { "cost_per_output_token", &Version::costPerOutputToken, "millionths", { 0, 1e9 }, false, "price of a token that is generated" },
+        { "quality", &Version::quality, "rating", share, false, "expected rating of its answers" },
+        { "withdrawn", &Version::withdrawn, "-", {}, false, "true: no new work at all" },
+    };
+
+    const Field<Cascade> cascadeFields[] = {
+        { "steps", &Cascade::steps, "models", {}, true, "models to try, cheap ones first" },
+        { "quality_target", &Cascade::qualityTarget, "rating", share, false, "rating that an answer must reach" },
+    };
+
+    const Field<Team> teamFields[] = {
+        { "key_sha256", &Team::keyDigests, "hex", {}, true, "SHA-256 digests of the team's bearer keys" },
+        { "models", &Team::models, "models", {}, false, "models of which the team may use every version" },
+        { "versions", &Team::versions, "versions", {}, false, "further single versions that the team may use" },
+        { "cascades", &Team::cascades, "cascades", {}, false, "cascades that the team may use" },
+        { "services", &Team::services, "services", {}, false, "services that the team may call" },
+        { "share", &Team::share, "weight", { 0.001, 1000 }, false, "weight against other teams of the same rank" },
+        { "highest_rank", &Team::highestRank, "rank", {}, false, "most urgent rank the team may ask for; none given: any" },
+    };
+
+    const Field<Service> serviceFields[] = {
+        { "idempotent_calls", &Service::idempotentCalls, "calls", {}, false, "calls that may be repeated, as 'METHOD /path-prefix', besides GET, HEAD and OPTIONS" },
+        { "cost_per_call", &Service::costPerCall, "millionths", { 0, 1e12 }, false, "price of a call that was accepted" },
+        { "rank", &Service::rank, "rank", {}, false, "rank of a call that states none" },
+    };
+
+    const Field<Upstream> upstreamFields[] = {
+        { "address", &Upstream::address, "ip:port", {}, true, "where it listens" },
+        { "domain", &Upstream::domain, "domain", {}, false, "failure domain" },
+        { "version", &Upstream::version, "version", {}, false, "version that it serves; either this or service" },
+        { "service", &Upstream::service, "service", {}, false, "service that it is an instance of" },
+        { "slots", &Upstream::slots, "requests", { 1, 10000 }, false, "requests that it runs at the same time" },
+        { "tokens_per_second", &Upstream::tokensPerSecond, "1/s", { 0.1, 1e6 }, false, "tokens generated for one request" },
+        { "checks_fencing", &Upstream::checksFencing, "-", {}, false, "whether it refuses orders with an old fencing number" },
+    };
+
+    const Field<Rollout> rolloutFields[] = {
+        { "from", &Rollout::from, "version", {}, true, "version that is replaced" },
+        { "to", &Rollout::to, "version", {}, true, "version that replaces it" },
+        { "share", &Rollout::share, "share", share, false, "part of the new sessions on the new version" },
+        { "held", &Rollout::held, "-", {}, false, "true: the stage is not to be advanced" },
+    };
+
+    const Field<Limits> limitFields[] = {
+        { "max_body_bytes", &Limits::maxBodyBytes, "bytes", { 1024, 64 << 20 }, false, "largest request body" },
+        { "max_queued_requests", &Limits::maxQueuedRequests, "requests", { 1, 1000000 }, false, "waiting requests at one instance" },
+        { "retry_share", &Limits::retryShare, "share", share, false, "retries as a share of successes" },
+        { "rated_share", &Limits::ratedShare, "share", share, false, "answers that are rated after the fact" },
+        { "attempt_timeout_ms", &Limits::attemptTimeout, "ms", anyDuration, false, "longest time of one attempt" },
+        { "claim_timeout_ms", &Limits::claimTimeout, "ms", anyDuration, false, "longest wait for the record of a claim" },
+        { "lookup_window_s", &Limits::lookupWindow, "s", { 60, 31536000 }, false, "how long a caller's idempotency key holds" },
+        { "entry_keep_for_ms", &Limits::entryKeepFor, "ms", anyDuration, false, "how long callers may keep an entry address" },
+        { "crash_memory_s", &Limits::crashMemory, "s", { 1, 86400 }, false, "how long a request that felled upstreams is refused" },
+    };
+
+    // Reads each named entry of a section into a map of aggregates.
+    template <typename T, typename Id, typename Table>
+    void readSection(const DocumentNode& root, const char* section, const Table& fields, std::map<Id, T>& target, std::vector<DocumentError>& errors)
+    {
+        auto it = root.members.find(section);
+        if (it == root.members.end())
+            return;
+        if (it->second.kind != DocumentNode::Kind::Map) {
+            errors.push_back({ it->second.place, absl::StrCat(section, ": expected a map of names") });
+            return;
+        }
+        for (const auto& [name, child] : it->second.members) {
+            T entry {};
+            if constexpr (requires { entry.id; })
+                entry.id = Id { name };
+            else
+                entry.model = Id { name };
+            readFields(child, fields, entry, errors);
+            target.emplace(Id { name }, std::move(entry));
+        }
+    }
+
+    // Checks that every name that is used is defined.
+    class ReferenceChecker {
+    public:
+        ReferenceChecker(const Configuration& configuration, const DocumentNode& root, std::vector<DocumentError>& errors)
+            : m_configuration(configuration)
+            , m_root(root)
+            , m_errors(errors)
+        {
+        }
+
+        void check()
+        {
+            const auto& c = m_configuration;
+            if (c.ranks.empty())
+                m_errors.push_back({ m_root.place, "ranks: expected at least one rank" });
+            checkRanks();
+            for (const auto& [id, it] : c.models)
+                need(c.versions, it.current, "models", id.value, "current");
+            for (const auto& [id, it] : c.versions)
+                need(c.models, it.model, "versions", id.value, "model");
+            for (const auto& [id, it] : c.cascades)
+                needAll(c.models, it.steps, "cascades", id.value, "steps");
+            for (const auto& [id, it] : c.teams)
+                checkTeam(it);
+            for (const auto& [id, it] : c.services)
+                need(c.ranks, RankId { it.rank }, "services", id.value, "rank");
+            for (const auto& [id, it] : c.upstreams)
+                checkUpstream(it);
+            for (const auto& [id, it] : c.rollouts)
+                checkRollout(it);
+        }
+
+    private:
+        SourcePlace placeOf(const std::string& section, const std::string& name, const std::string& key) const
+        {
+            const auto& entry = m_root.members.at(section).members.at(name);
+            auto it = entry.members.find(key);
+            return it == entry.members.end() ? entry.place : it->second.place;
+        }
+        void fail(const std::string& section, const std::string& name, const std::string& key, const std::string& message)
+        {
+            m_errors.push_back({ placeOf(section, name, key), section + "." + name + "." + key + ": " + message });
+        }
+        template <typename Id, typename T>
+        void need(const std::map<Id, T>& defined, const Id& id, const char* section, const std::string& name, const char* key)
+        {
+            if (!id.empty() && !defined.contains(id))
+                fail(section, name, key, "found '" + id.value + "', which is not defined");
+        }
+        template <typename Id, typename T>
+        void needAll(const std::map<Id, T>& defined, const std::vector<std::string>& ids, const char* section, const std::string& name, const char* key)
+        {
+            for (const auto& it : ids)
+                need(defined, Id { it }, section, name, key);
+        }
+        void checkRanks()
+        {
+            std::set<std::int64_t> orders;
+            double guaranteed = 0;
+            for (const auto& [id, it] : m_configuration.ranks) {
+                if (!orders.insert(it.order).second)
+                    fail("ranks", id.value, "order", absl::StrCat("found ", it.order, ", which another rank has"));
+                guaranteed += it.guaranteedShare;
+            }
+            if (guaranteed > 1)
+                m_errors.push_back({ m_root.members.at("ranks").place, absl::StrCat("ranks: the guaranteed shares add up to ", guaranteed, ", expected at most 1") });
+        }
+        void checkTeam(const Team& team)
+        {
+            const auto& c = m_configuration;
+            const auto& name = team.id.value;
+            needAll(c.models, team.models, "teams", name, "models");
+            needAll(c.versions, team.versions, "teams", name, "versions");
+            needAll(c.cascades, team.cascades, "teams", name, "cascades");
+            needAll(c.services, team.services, "teams", name, "services");
+            need(c.ranks, RankId { team.highestRank }, "teams", name, "highest_rank");
+            for (const auto& digest : team.keyDigests) {
+                bool isDigest = digest.size() == 64 && digest.find_first_not_of("0123456789abcdef") == std::string::npos;
+                if (!isDigest)
+                    fail("teams", name, "key_sha256", "expected 64 lower-case hexadecimal digits");
+                if (!m_digests.insert(digest).second)
+                    fail("teams", name, "key_sha256", "a key digest is used twice");
+            }
+        }
+        void checkUpstream(const Upstream& upstream)
+        {
+            const auto& name = upstream.id.value;
+            need(m_configuration.versions, upstream.version, "upstreams", name, "version");
+            need(m_configuration.services, upstream.service, "upstreams", name, "service");
+            if (upstream.version.empty() == upstream.service.empty())
+                fail("upstreams", name, "version", "expected either version or service");
+            if (upstream.address.find(':') == std::string::npos)
+                fail("upstreams", name, "address", "found '" + upstream.address + "', expected ip:port");
+        }
+        void checkRollout(const Rollout& rollout)
+        {
+            const auto& name = rollout.model.value;
+            const auto& c = m_configuration;
+            if (!c.models.contains(rollout.model))
+                m_errors.push_back({ placeOf("rollouts", name, ""), "rollouts: model '" + name + "' is not defined" });
+            for (const auto& [key, id] : { std::pair { "from", rollout.from }, std::pair { "to", rollout.to } }) {
+                need(c.versions, id, "rollouts", name, key);
+                auto it = c.versions.find(id);
+                if (it != c.versions.end() && it->second.model != rollout.model)
+                    fail("rollouts", name, key, "found '" + id.value + "', a version of another model");
+            }
+        }
+
+        const Configuration& m_configuration;
+        const DocumentNode& m_root;
+        std::vector<DocumentError>& m_errors;
+        std::set<std::string> m_digests;
+    };
+
+    void checkSections(const DocumentNode& root, std::vector<DocumentError>& errors)
+    {
+        static const std::set<std::string> known { "ranks", "models", "versions", "cascades", "teams", "services", "upstreams", "rollouts", "limits" };
+        if (root.kind != DocumentNode::Kind::Map) {
+            errors.push_back({ root.place, "expected a map of sections" });
+            return;
+        }
+        for (const auto& [key, child] : root.members) {
+            if (!known.contains(key))
+                errors.push_back({ child.place, "unknown key '" + key + "'" });
+        }
+    }
+
+    ParsedConfiguration readTree(const DocumentNode& root, std::vector<DocumentError> errors)
+    {
+        ParsedConfiguration parsed;
+        checkSections(root, errors);
+        auto configuration = std::make_shared<Configuration>();
+        readSection(root, "ranks", rankFields, configuration->ranks, errors);
+        readSection(root, "models", modelFields, configuration->models, errors);
+        readSection(root, "versions", versionFields, configuration->versions, errors);
+        readSection(root, "cascades", cascadeFields, configuration->cascades, errors);
+        readSection(root, "teams", teamFields, configuration->teams, errors);
+        readSection(root, "services", serviceFields, configuration->services, errors);
+        readSection(root, "upstreams", upstreamFields, configuration->upstreams, errors);
+        readSection(root, "rollouts", rolloutFields, configuration->rollouts, errors);
+        if (auto it = root.members.find("limits"); it != root.members.end())
+            readFields(it->second, limitFields, configuration->limits, errors);
+        if (errors.empty())
+            ReferenceChecker(*configuration, root, errors).check();
+        if (errors.empty()) {
+            parsed.configuration = std::move(configuration);
+            parsed.text = toJsonText(root);
+        }
+        parsed.errors = std::move(errors);
+        return parsed;
+    }
+
+    void appendSection(std::string& page, const std::string& title, const std::string& about, const std::vector<FieldDoc>& docs)
+    {
+        absl::StrAppend(&page, "\n## ", title, "\n\n", about, "\n\n| key | unit | default | range | meaning |\n|---|---|---|---|---|\n");
+        for (const auto& it : docs)
+            absl::StrAppend(&page, "| `", it.key, "` | ", it.unit, " | ", it.defaultText, " | ", it.range, " | ", it.meaning, " |\n");
+    }
+
+}
+
+ParsedConfiguration parseConfiguration(const std::string& base, const std::string& baseName, const std::string& overlay, const std::string& overlayName)
+{
+    std::vector<DocumentError> errors;
+    auto root = parseYaml(base, baseName, errors);
+    if (!overlay.empty())
+        root = mergeTrees(std::move(root), parseYaml(overlay, overlayName, errors));
+    return readTree(root, std::move(errors));
+}
+
+ConfigurationReader makeConfigurationReader()
+{
+    return [](const ConfigurationDocument& document, std::string& error) -> ConfigurationPtr {
+        auto parsed = parseConfiguration(document.text, "revision " + std::to_string(document.revision));
+        if (!parsed.configuration) {
+            error = toString(parsed.errors.front());
+            return nullptr;
+        }
+        parsed.configuration->revision = document.revision;
+        return parsed.configuration;
+    };
+}
+
+std::string configurationReference()
+{
+    std::string page = "# Configuration\n\n"
+                       "Written by `skylarkhitch config reference`; a test holds this page equal to the code.\n\n"
+                       "Two kinds of files: the *configuration* (one base file and an overlay per site), which is the same for all instances and is\n"
+                       "applied with `skylarkhitch config apply`, and the *settings* of one instance, which `skylarkhitchd --settings` reads.\n"
+                       "Both are YAML, checked as a whole; unknown keys are errors. In an overlay a map is merged, any other value replaces, `null` removes.\n";
+    appendSection(page, "ranks.NAME", "Ranks of work.", describeFields<Rank>(rankFields));
+    appendSection(page, "models.NAME", "Models.", describeFields<Model>(modelFields));
+    appendSection(page, "versions.NAME", "Versions of models.", describeFields<Version>(versionFields));
+    appendSection(page, "cascades.NAME", "Cascades.", describeFields<Cascade>(cascadeFields));
+    appendSection(page, "teams.NAME", "Teams.", describeFields<Team>(teamFields));
+    appendSection(page, "services.NAME", "Plain services.", describeFields<Service>(serviceFields));
+    appendSection(page, "upstreams.NAME", "Upstreams.", describeFields<Upstream>(upstreamFields));
+    appendSection(page, "rollouts.MODEL", "Roll-outs under way, by model.", describeFields<Rollout>(rolloutFields));
+    appendSection(page, "limits", "Bounds and periods of every instance.", describeFields<Limits>(limitFields));
+    appendSection(page, "Settings of one instance", "The file that `skylarkhitchd --settings` reads; `--overlay` lays another one over it.", describeNodeSettings());
+    return page;
+}
+
+}
--- /dev/null
+++ b/src/core/admission.cpp
@@ -0,0 +1,273 @@
+#include "core/admission.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace skylarkhitch {
+
+namespace {
+
+    // Time constant over which the ranks' parts of the capacity are weighed.
+    constexpr double shareMemorySeconds = 2;
+    // Time constant of a pool's rate.
+    constexpr double rateMemorySeconds = 3;
+    // Work that a team of share 1 may take in one turn, in tokens.
+    constexpr double quantum = 256;
+
+    double decayFactor(TimePoint from, TimePoint to, double memorySeconds)
+    {
+        auto seconds = std::chrono::duration<double>(to - from).count();
+        return std::exp(-std::max(0.0, seconds) / memorySeconds);
+    }
+
+}
+
+void Admission::decay(Pool& pool, TimePoint now)
+{
+    auto factor = decayFactor(pool.decayedAt, now, shareMemorySeconds);
+    for (auto& [order, rank] : pool.ranks)
+        rank.given *= factor;
+    pool.decayedAt = now;
+}
+
+Admission::RankQueue& Admission::rankQueue(const WaitingRequest& request)
+{
+    auto& queue = m_pools[request.pool].ranks[request.rankOrder];
+    queue.rank = request.rank;
+    queue.guaranteedShare = request.guaranteedShare;
+    return queue;
+}
+
+void Admission::insert(WaitingRequest request, bool atHead)
+{
+    auto& rank = rankQueue(request);
+    auto& team = rank.teams[request.team];
+    team.share = request.teamShare;
+    if (team.requests.empty())
+        rank.turns.push_back(request.team);
+    rank.work += request.work;
+    team.work += request.work;
+    if (atHead)
+        team.requests.push_front(std::move(request));
+    else
+        team.requests.push_back(std::move(request));
+    ++m_size;
+}
+
+void Admission::enqueue(WaitingRequest request, TimePoint now)
+{
+    auto& pool = m_pools[request.pool];
+    if (!pool.busySince)
+        pool.busySince = now;
+    insert(std::move(request), false);
+}
+
+void Admission::putBack(WaitingRequest request)
+{
+    insert(std::move(request), true);
+}
+
+WaitingRequest Admission::takeAt(RankQueue& rank, TeamQueue& team, std::deque<WaitingRequest>::iterator it)
+{
+    auto request = std::move(*it);
+    team.requests.erase(it);
+    team.work -= request.work;
+    rank.work -= request.work;
+    --m_size;
+    if (team.requests.empty()) {
+        std::erase(rank.turns, request.team);
+        rank.teams.erase(request.team);
+    }
+    return request;
+}
+
+Admission::RankQueue* Admission::chooseRank(Pool& pool)
+{
+    double all = 0;
+    for (const auto& [order, rank] : pool.ranks)
+        all += rank.given;
+    RankQueue* first = nullptr;
+    RankQueue* mostOwed = nullptr;
+    double largestDebt = 0;
+    for (auto& [order, rank] : pool.ranks) {
+        if (rank.turns.empty())
+            continue;
+        if (!first) {
+            first = &rank;
+            continue;
+        }
+        double debt = rank.guaranteedShare * all - rank.given;
+        if (debt > largestDebt) {
+            largestDebt = debt;
+            mostOwed = &rank;
+        }
+    }
+    return mostOwed ? mostOwed : first;
+}
+
+std::optional<WaitingRequest> Admission::takeByTurns(RankQueue& rank)
+{
+    while (!rank.turns.empty()) {
+        auto& team = rank.teams[rank.turns.front()];
+        double need = team.requests.front().work;
+        if (team.deficit >= need) {
+            team.deficit -= need;
+            return takeAt(rank, team, team.requests.begin());
+        }
+        team.deficit += quantum * team.share;
+        std::rotate(rank.turns.begin(), rank.turns.begin() + 1, rank.turns.end());
+    }
+    return std::nullopt;
+}
+
+std::optional<WaitingRequest> Admission::takeOldest(Pool& pool)
+{
+    RankQueue* bestRank = nullptr;
+    TeamQueue* bestTeam = nullptr;
+    for (auto& [order, rank] : pool.ranks) {
+        for (auto& [id, team] : rank.teams) {
+            if (!bestTeam || team.requests.front().arrived < bestTeam->requests.front().arrived) {
+                bestRank = &rank;
+                bestTeam = &team;
+            }
+        }
+    }
+    if (!bestTeam)
+        return std::nullopt;
+    return takeAt(*bestRank, *bestTeam, bestTeam->requests.begin());
+}
+
+std::optional<WaitingRequest> Admission::next(const PoolId& id, TimePoint now)
+{
+    auto it = m_pools.find(id);
+    if (it == m_pools.end())
+        return std::nullopt;
+    auto& pool = it->second;
+    if (m_policy == AdmissionPolicy::FirstInFirstOut)
+        return takeOldest(pool);
+    decay(pool, now);
+    auto* rank = chooseRank(pool);
+    if (!rank)
+        return std::nullopt;
+    auto request = takeByTurns(*rank);
+    if (request)
+        rank->given += request->work;
+    if (!waits(id))
+        pool.busySince.reset();
+    return request;
+}
+
+bool Admission::remove(const PoolId& id, const RequestId& request)
+{
+    auto pool = m_pools.find(id);
+    if (pool == m_pools.end())
+        return false;
+    for (auto& [order, rank] : pool->second.ranks) {
+        for (auto& [teamId, team] : rank.teams) {
+            auto it = std::find_if(team.requests.begin(), team.requests.end(), [&](const auto& w) { return w.request == request; });
+            if (it == team.requests.end())
+                continue;
+            takeAt(rank, team, it);
+            return true;
+        }
+    }
+    return false;
+}
+
+std::vector<WaitingRequest> Admission::takeExpired(TimePoint now)
+{
+    std::vector<WaitingRequest> expired;
+    for (auto& [id, pool] : m_pools) {
+        for (auto& [order, rank] : pool.ranks) {
+            for (auto& [teamId, team] : rank.teams) {
+                for (const auto& it : team.requests) {
+                    if (it.deadline <= now)
+                        expired.push_back(it);
+                }
+            }
+        }
+    }
+    std::sort(expired.begin(), expired.end(), [](const auto& a, const auto& b) { return a.request < b.request; });
+    for (const auto& it : expired)
+        remove(it.pool, it.request);
+    return expired;
+}
+
+std::optional<WaitingRequest> Admission::takeLeastDeserving()
+{
+    RankQueue* worstRank = nullptr;
+    std::int64_t worstOrder = -1;
+    PoolId worstPool;
+    for (auto& [id, pool] : m_pools) {
+        for (auto& [order, rank] : pool.ranks) {
+            if (rank.turns.empty() || order < worstOrder || (order == worstOrder && worstPool < id))
+                continue;
+            worstRank = &rank;
+            worstOrder = order;
+            worstPool = id;
+        }
+    }
+    if (!worstRank)
+        return std::nullopt;
+    auto largest = std::max_element(worstRank->teams.begin(), worstRank->teams.end(), [](const auto& a, const auto& b) {
+        return a.second.work / a.second.share < b.second.work / b.second.share;
+    });
+    return takeAt(*worstRank, largest->second, std::prev(largest->second.requests.end()));
+}
+
+double Admission::workAhead(const WaitingRequest& request) const
+{
+    auto it = m_pools.find(request.pool);
+    if (it == m_pools.end())
+        return 0;
+    double ahead = 0;
+    for (const auto& [order, rank] : it->second.ranks) {
+        if (order < request.rankOrder)
+            ahead += rank.work;
+        if (order != request.rankOrder)
+            continue;
+        // Teams take turns, so that a team waits for the others only as long as it has work of its own before it.
+        auto own = rank.teams.find(request.team);
+        double ownWork = (own == rank.teams.end() ? 0 : own->second.work) + request.work;
+        for (const auto& [id, team] : rank.teams)
+            ahead += id == request.team ? team.work : std::min(team.work, ownWork * team.share / request.teamShare);
+    }
+    return ahead;
+}
+
+void Admission::served(const PoolId& id, double work, TimePoint now)
+{
+    auto& pool = m_pools[id];
+    pool.served = pool.served * decayFactor(pool.servedDecayedAt, now, rateMemorySeconds) + work;
+    pool.servedDecayedAt = now;
+}
+
+double Admission::rate(const PoolId& id, TimePoint now) const
+{
+    auto it = m_pools.find(id);
+    // A pool that had no queue until now was not working at its limit: its rate says nothing.
+    if (it == m_pools.end() || !it->second.busySince || now - *it->second.busySince < std::chrono::seconds(3))
+        return 0;
+    const auto& pool = it->second;
+    return pool.served * decayFactor(pool.servedDecayedAt, now, rateMemorySeconds) / rateMemorySeconds;
+}
+
+std::vector<PoolId> Admission::busyPools() const
+{
+    std::vector<PoolId> pools;
+    for (const auto& [id, pool] : m_pools) {
+        if (waits(id))
+            pools.push_back(id);
+    }
+    std::sort(pools.begin(), pools.end());
+    return pools;
+}
+
+bool Admission::waits(const PoolId& id) const
+{
+    auto it = m_pools.find(id);
+    return it != m_pools.end()
+        && std::any_of(it->second.ranks.begin(), it->second.ranks.end(), [](const auto& r) { return !r.second.turns.empty(); });
+}
+
+}
--- /dev/null
+++ b/src/core/admission.h
@@ -0,0 +1,102 @@
+#pragma once
+
+// The order in which waiting requests get a place on an upstream. A pool is what can take the place of each other:
+// the upstreams of one version or one service. Within a pool the most urgent rank goes first, but for the guaranteed
+// shares of the others; within a rank teams take turns by deficit round robin (Shreedhar and Varghese, 1995) in
+// tokens of expected work. The baseline beside it is first in, first out.
+
+#include "core/configuration.h"
+
+#include <absl/container/flat_hash_map.h>
+#include <deque>
+#include <optional>
+
+namespace skylarkhitch {
+
+using PoolId = StrongId<struct PoolTag>;
+
+struct WaitingRequest {
+    RequestId request;
+    PoolId pool;
+    RankId rank;
+    std::int64_t rankOrder = 0;
+    double guaranteedShare = 0;
+    TeamId team;
+    double teamShare = 1;
+    // Expected tokens, or the like for a service.
+    double work = 1;
+    TimePoint arrived;
+    TimePoint deadline;
+};
+
+enum class AdmissionPolicy { RankAndTeam,
+    FirstInFirstOut };
+
+class Admission {
+public:
+    explicit Admission(AdmissionPolicy policy = AdmissionPolicy::RankAndTeam)
+        : m_policy(policy)
+    {
+    }
+
+    void enqueue(WaitingRequest, TimePoint);
+    // Puts a request back at the head of its team's queue, after a place that came to nothing.
+    void putBack(WaitingRequest);
+    std::optional<WaitingRequest> next(const PoolId&, TimePoint);
+    bool remove(const PoolId&, const RequestId&);
+    // Takes out the requests whose deadline has passed.
+    std::vector<WaitingRequest> takeExpired(TimePoint);
+    // Takes out the request that should give way when the queue is full: of the least urgent rank, from the team with
+    // the most waiting work for its share, the newest.
+    std::optional<WaitingRequest> takeLeastDeserving();
+
+    // Work that goes before a new request of this rank and team, in tokens.
+    double workAhead(const WaitingRequest&) const;
+    // Tells that work was done, for the pool's rate.
+    void served(const PoolId&, double work, TimePoint);
+    // Work done a second while requests waited; 0 when not known.
+    double rate(const PoolId&, TimePoint) const;
+
+    std::size_t size() const { return m_size; }
+    std::vector<PoolId> busyPools() const;
+    bool waits(const PoolId&) const;
+
+private:
+    struct TeamQueue {
+        std::deque<WaitingRequest> requests;
+        double share = 1;
+        double deficit = 0;
+        double work = 0;
+    };
+    struct RankQueue {
+        RankId rank;
+        double guaranteedShare = 0;
+        // Work given to this rank, decaying with time.
+        double given = 0;
+        double work = 0;
+        std::map<TeamId, TeamQueue> teams;
+        // Teams with waiting requests, in the order of their turns.
+        std::deque<TeamId> turns;
+    };
+    struct Pool {
+        std::map<std::int64_t, RankQueue> ranks;
+        TimePoint decayedAt {};
+        double served = 0;
+        TimePoint servedDecayedAt {};
+        std::optional<TimePoint> busySince;
+    };
+
+    RankQueue& rankQueue(const WaitingRequest&);
+    void insert(WaitingRequest, bool atHead);
+    RankQueue* chooseRank(Pool&);
+    std::optional<WaitingRequest> takeByTurns(RankQueue&);
+    std::optional<WaitingRequest> takeOldest(Pool&);
+    WaitingRequest takeAt(RankQueue&, TeamQueue&, std::deque<WaitingRequest>::iterator);
+    static void decay(Pool&, TimePoint);
+
+    AdmissionPolicy m_policy;
+    absl::flat_hash_map<PoolId, Pool> m_pools;
+    std::size_t m_size = 0;
+};
+
+}
--- /dev/null
+++ b/src/core/chat_flow.h
@@ -0,0 +1,73 @@
+#pragma once
+
+// The path of a chat request: cascade step, version of the session, place on an upstream, whole or streamed answer, rating where it
+// pays, bill, last byte. A stream that breaks goes on at the exact token on another upstream of the same version, or
+// ends in an explicit error.
+
+#include "core/dispatcher.h"
+#include "core/session_pins.h"
+
+#include <random>
+
+namespace skylarkhitch {
+
+class ChatFlow final : public RequestFlow {
+public:
+    ChatFlow(CoreParts& parts, Dispatcher& dispatcher, std::uint64_t seed)
+        : m_parts(parts)
+        , m_dispatcher(dispatcher)
+        , m_random(seed)
+    {
+    }
+
+    void accepted(RequestState&, TimePoint, Outbox&) override;
+    std::optional<UpstreamNeed> beforeAttempt(RequestState&, TimePoint, Outbox&) override;
+    void fillAttempt(const RequestState&, SendAttempt&) const override;
+    void pieceArrived(RequestState&, AttemptPiece, TimePoint, Outbox&) override;
+    void attemptEnded(RequestState&, AttemptFinished, TimePoint, Outbox&) override;
+    void recorded(RequestState&, const AppendResult&, TimePoint, Outbox&) override;
+    void rated(RequestState&, const RatingArrived&, TimePoint, Outbox&) override;
+    void callerLeft(RequestState&, TimePoint, Outbox&) override;
+    void giveUp(RequestState&, ErrorKind, const std::string& message, TimePoint, Outbox&) override;
+    void expired(RequestState&, TimePoint, Outbox&) override;
+
+    // Learns from a rating, also one that comes after its request was answered.
+    void learnRating(const RatingArrived&, TimePoint, Outbox&);
+
+private:
+    struct RatingInFlight {
+        TeamId team;
+        std::string task;
+        VersionId version;
+        double target = 0;
+    };
+
+    bool resolveTarget(RequestState&, TimePoint, Outbox&);
+    bool versionUsable(const RequestState&, const VersionId&, TimePoint, Outbox&);
+    std::vector<PlanStep> planSteps(RequestState&, TimePoint, Outbox&);
+    void chooseStep(RequestState&, std::size_t first, TimePoint, Outbox&);
+    std::string pinKey(const RequestState&, const ModelId&) const;
+    std::string choiceKey(const RequestState&) const;
+    void pinOrQueue(RequestState&, std::uint64_t generation, TimePoint, Outbox&);
+    void pinned(RequestState&, const SessionPin&, TimePoint, Outbox&);
+    void queue(RequestState&, TimePoint, Outbox&);
+    void completed(RequestState&, TimePoint, Outbox&);
+    void failed(RequestState&, TimePoint, Outbox&);
+    bool mayTryAgain(RequestState&, TimePoint);
+    ErrorKind refusalFor(const RequestState&, TimePoint) const;
+    void startRating(RequestState&, AttemptId, Outbox&);
+    void addUsage(RequestState&, const Usage&);
+    void recordBill(RequestState&, TimePoint, Outbox&);
+    void release(RequestState&, TimePoint, Outbox&);
+    void giveHeldPieces(RequestState&, TimePoint, Outbox&);
+    void givePiece(RequestState&, std::string payload, Outbox&);
+    AnswerHead headFor(const RequestState&) const;
+
+    CoreParts& m_parts;
+    Dispatcher& m_dispatcher;
+    std::mt19937_64 m_random;
+    SessionPins m_pins;
+    absl::flat_hash_map<AttemptId, RatingInFlight> m_ratings;
+};
+
+}
--- /dev/null
+++ b/src/core/config_keeper.cpp
@@ -0,0 +1,209 @@
+#include "core/config_keeper.h"
+
+#include "core/hashing.h"
+
+#include <absl/strings/str_cat.h>
+#include <algorithm>
+
+namespace skylarkhitch {
+
+namespace {
+
+    constexpr auto configurationKey = "config/current";
+    // Edits that a document remembers.
+    constexpr std::size_t historyLength = 30;
+
+    const EditNote* findEdit(const ConfigurationDocument& document, const std::string& editId)
+    {
+        auto it = std::find_if(document.history.begin(), document.history.end(), [&](const auto& n) { return n.editId == editId; });
+        return it == document.history.end() ? nullptr : &*it;
+    }
+
+}
+
+ConfigKeeper::ConfigKeeper(Membership& membership, StoreCalls& store, ConfigurationReader reader, ConfigKeeperSettings settings)
+    : m_membership(membership)
+    , m_store(store)
+    , m_reader(std::move(reader))
+    , m_settings(settings)
+{
+}
+
+bool ConfigKeeper::adopt(const ConfigurationDocument& document, Outbox& out)
+{
+    if (document.revision == m_document.revision || (document.revision < m_document.revision && !m_takeLowerRevision))
+        return false;
+    std::string error;
+    auto configuration = m_reader(document, error);
+    if (!configuration) {
+        out.push_back(StateChanged { "configuration", absl::StrCat(document.revision), "refused: " + error });
+        return false;
+    }
+    m_document = document;
+    m_current = std::move(configuration);
+    out.push_back(StateChanged { "configuration", absl::StrCat(document.revision), "in force" });
+    return true;
+}
+
+bool ConfigKeeper::isWatcher() const
+{
+    auto order = rendezvousOrder(configurationKey, m_membership.writers());
+    order.resize(std::min(order.size(), m_settings.watchers));
+    return std::find(order.begin(), order.end(), m_membership.self().instance) != order.end();
+}
+
+void ConfigKeeper::wake(TimePoint now, Outbox& out)
+{
+    if (m_retryAt && now >= *m_retryAt)
+        m_retryAt.reset();
+    // Everyone reads once; after that only the watchers go on.
+    if (!m_watching && !m_retryAt && (isWatcher() || !m_everRead))
+        watch(out);
+    std::vector<std::uint64_t> due;
+    for (const auto& [ticket, edit] : m_edits) {
+        if (edit.retryAt && now >= *edit.retryAt)
+            due.push_back(ticket);
+    }
+    for (auto ticket : due) {
+        m_edits[ticket].retryAt.reset();
+        readForEdit(ticket, out);
+    }
+}
+
+std::optional<TimePoint> ConfigKeeper::nextWake() const
+{
+    auto next = m_retryAt;
+    for (const auto& [ticket, edit] : m_edits) {
+        if (edit.retryAt)
+            next = next ? std::min(*next, *edit.retryAt) : *edit.retryAt;
+    }
+    return next;
+}
+
+void ConfigKeeper::watch(Outbox& out)
+{
+    m_watching = true;
+    auto operation = m_everRead ? StoreOperation::Watch : StoreOperation::Get;
+    m_store.send(
+        { .operation = operation, .key = configurationKey, .expected = m_storeRevision, .timeout = m_everRead ? m_settings.watchTimeout : m_settings.storeTimeout },
+        [this](const StoreReply& reply, TimePoint now, Outbox& outbox) { watched(reply, now, outbox); }, out);
+}
+
+void ConfigKeeper::watched(const StoreReply& reply, TimePoint now, Outbox& out)
+{
+    m_watching = false;
+    if (reply.status == StoreStatus::Unavailable) {
+        m_retryAt = now + m_settings.retryDelay;
+        return;
+    }
+    m_everRead = true;
+    if (reply.status == StoreStatus::Ok && !reply.items.empty()) {
+        m_storeRevision = reply.items.front().revision;
+        if (auto document = decodeDocument(reply.items.front().value))
+            adopt(*document, out);
+    }
+    if (isWatcher())
+        watch(out);
+}
+
+void ConfigKeeper::heardRevision(const InstanceId& from, Revision revision, TimePoint, Outbox& out)
+{
+    if (revision > m_document.revision)
+        out.push_back(SendPeer { from, { m_membership.self(), ConfigurationPull {} } });
+}
+
+void ConfigKeeper::onPull(const InstanceId& from, Outbox& out) const
+{
+    if (m_document.revision > 0)
+        out.push_back(SendPeer { from, { m_membership.self(), ConfigurationPush { m_document } } });
+}
+
+void ConfigKeeper::edit(EditRequested request, TimePoint now, Outbox& out)
+{
+    auto ticket = request.ticket;
+    std::string error;
+    if (!m_reader(request.document, error)) {
+        out.push_back(EditAnswered { ticket, ErrorKind::MalformedRequest, m_document.revision, error });
+        return;
+    }
+    m_edits[ticket] = { std::move(request), now + m_settings.editTimeout };
+    readForEdit(ticket, out);
+}
+
+void ConfigKeeper::readForEdit(std::uint64_t ticket, Outbox& out)
+{
+    m_store.send(
+        { .operation = StoreOperation::Get, .key = configurationKey, .timeout = m_settings.storeTimeout },
+        [this, ticket](const StoreReply& reply, TimePoint now, Outbox& outbox) { wasReadForEdit(ticket, reply, now, outbox); }, out);
+}
+
+void ConfigKeeper::wasReadForEdit(std::uint64_t ticket, const StoreReply& reply, TimePoint now, Outbox& out)
+{
+    if (reply.status == StoreStatus::Unavailable)
+        return retryEdit(ticket, now, out);
+    ConfigurationDocument stored;
+    std::uint64_t storeRevision = 0;
+    if (reply.status == StoreStatus::Ok) {
+        storeRevision = reply.items.front().revision;
+        auto document = decodeDocument(reply.items.front().value);
+        if (!document)
+            return answerEdit(ticket, ErrorKind::Internal, "the stored configuration is damaged; it was left as it is", out);
+        stored = *document;
+    }
+    adopt(stored, out);
+    auto& edit = m_edits.at(ticket);
+    if (const auto* note = findEdit(stored, edit.request.document.editId)) {
+        edit.request.document.revision = note->revision;
+        return answerEdit(ticket, {}, "in force", out);
+    }
+    if (stored.revision != edit.request.base)
+        return answerEdit(ticket, ErrorKind::EditConflict, absl::StrCat("revision ", stored.revision, " by ", stored.author, " came first; your edit started from revision ", edit.request.base, ". Compare with 'config diff' and apply again"), out);
+    swapEdit(ticket, stored, storeRevision, out);
+}
+
+void ConfigKeeper::swapEdit(std::uint64_t ticket, const ConfigurationDocument& stored, std::uint64_t storeRevision, Outbox& out)
+{
+    auto& edit = m_edits.at(ticket);
+    edit.swapSent = true;
+    auto& document = edit.request.document;
+    document.revision = stored.revision + 1;
+    document.history = stored.history;
+    document.history.push_back({ document.revision, document.editId, document.author, document.at });
+    if (document.history.size() > historyLength)
+        document.history.erase(document.history.begin());
+    m_store.send(
+        { .operation = StoreOperation::Swap, .key = configurationKey, .value = encodeDocument(document), .expected = storeRevision, .timeout = m_settings.storeTimeout },
+        [this, ticket](const StoreReply& reply, TimePoint now, Outbox& outbox) { editSwapped(ticket, reply, now, outbox); }, out);
+}
+
+void ConfigKeeper::editSwapped(std::uint64_t ticket, const StoreReply& reply, TimePoint now, Outbox& out)
+{
+    if (reply.status == StoreStatus::Ok) {
+        adopt(m_edits.at(ticket).request.document, out);
+        return answerEdit(ticket, {}, "in force", out);
+    }
+    if (reply.status == StoreStatus::Conflict)
+        return readForEdit(ticket, out);
+    retryEdit(ticket, now, out);
+}
+
+void ConfigKeeper::retryEdit(std::uint64_t ticket, TimePoint now, Outbox& out)
+{
+    auto& edit = m_edits.at(ticket);
+    if (now < edit.deadline) {
+        edit.retryAt = now + m_settings.retryDelay;
+        return;
+    }
+    auto message = edit.swapSent ? "the store did not answer; the edit may still take effect. Look at 'config show' before applying again"
+                                 : "the store can not be reached; nothing was changed. Apply again later";
+    answerEdit(ticket, ErrorKind::StoreUnavailable, message, out);
+}
+
+void ConfigKeeper::answerEdit(std::uint64_t ticket, std::error_code ec, std::string message, Outbox& out)
+{
+    auto revision = ec ? m_document.revision : m_edits.at(ticket).request.document.revision;
+    out.push_back(EditAnswered { ticket, ec, revision, std::move(message) });
+    m_edits.erase(ticket);
+}
+
+}
--- /dev/null
+++ b/src/core/entry_choice.cpp
@@ -0,0 +1,68 @@
+#include "core/entry_choice.h"
+
+#include "core/hashing.h"
+
+#include <algorithm>
+
+namespace skylarkhitch {
+
+namespace {
+
+    // Instances named besides the first.
+    constexpr std::size_t mostAlternatives = 3;
+    // Load over the mean at which an instance is passed over, with a floor in requests.
+    constexpr double loadBound = 1.25;
+    constexpr double loadFloor = 8;
+
+    struct Candidate {
+        InstanceId id;
+        std::string address;
+        DomainId domain;
+        double load = 0;
+    };
+
+    double loadOf(const Heartbeat& heartbeat)
+    {
+        std::int64_t sum = 0;
+        for (const auto& [id, n] : heartbeat.upstreams)
+            sum += n.inFlight;
+        return static_cast<double>(sum);
+    }
+
+    std::vector<Candidate> candidates(const Membership& membership, bool selfLeaving, std::int64_t ownInFlight)
+    {
+        std::vector<Candidate> all;
+        if (!selfLeaving)
+            all.push_back({ membership.self().instance, membership.entryAddress(), membership.domain(), static_cast<double>(ownInFlight) });
+        for (const auto& [id, member] : membership.members()) {
+            if (member.state == MemberState::Live)
+                all.push_back({ id, member.heartbeat.entryAddress, member.heartbeat.domain, loadOf(member.heartbeat) });
+        }
+        return all;
+    }
+
+}
+
+EntryAnswer chooseEntry(const Membership& membership, const EntryQuestion& question, bool selfLeaving, std::int64_t ownInFlight)
+{
+    auto all = candidates(membership, selfLeaving, ownInFlight);
+    if (all.empty())
+        return { membership.entryAddress(), {} };
+    double mean = 0;
+    for (const auto& it : all)
+        mean += it.load / static_cast<double>(all.size());
+    double bound = std::max(loadFloor, loadBound * mean);
+    // Near and not overloaded first, then by rendezvous weight.
+    std::sort(all.begin(), all.end(), [&](const auto& a, const auto& b) {
+        auto rankOf = [&](const Candidate& it) {
+            return std::tuple(it.load > bound, !question.domain.empty() && it.domain != question.domain, ~hashOf(question.key, it.id.value));
+        };
+        return rankOf(a) < rankOf(b);
+    });
+    EntryAnswer answer { all.front().address, {} };
+    for (std::size_t n = 1; n < all.size() && n <= mostAlternatives; ++n)
+        answer.alternatives.push_back(all[n].address);
+    return answer;
+}
+
+}
--- /dev/null
+++ b/src/core/ledger.cpp
@@ -0,0 +1,183 @@
+#include "core/ledger.h"
+
+#include "core/hashing.h"
+
+#include <absl/strings/str_cat.h>
+#include <algorithm>
+
+namespace skylarkhitch {
+
+namespace {
+
+    // Sends to peers before this instance writes the record itself; the swap keeps that safe.
+    constexpr int sendsBeforeOwnWrite = 2;
+
+}
+
+Ledger::Ledger(Incarnation self, LedgerSettings settings, Membership& membership, StoreCalls& store)
+    : m_self(std::move(self))
+    , m_settings(settings)
+    , m_membership(membership)
+{
+    auto prefix = absl::StrCat(m_self.instance.value, "/", m_self.number);
+    for (std::uint32_t n = 0; n < m_settings.shards; ++n)
+        m_shards.push_back(std::make_unique<LedgerShard>(n, prefix, m_settings.shard, store));
+}
+
+std::uint32_t Ledger::shardOf(const std::string& key) const
+{
+    return static_cast<std::uint32_t>(hashOf(key) % m_settings.shards);
+}
+
+InstanceId Ledger::writerOf(std::uint32_t shard, int sends) const
+{
+    if (sends >= sendsBeforeOwnWrite)
+        return m_self.instance;
+    return rendezvousOrder(absl::StrCat("shard/", shard), m_membership.writers()).front();
+}
+
+AppendTicket Ledger::append(LedgerRecord record, bool mayBeHeld, TimePoint now, Outbox& out)
+{
+    auto ticket = ++m_nextTicket;
+    auto shard = shardOf(record.key);
+    auto& pending = m_pending[ticket] = { std::move(record), shard, mayBeHeld };
+    pending.since = now;
+    send(ticket, pending, now, out);
+    return ticket;
+}
+
+void Ledger::send(AppendTicket ticket, Pending& pending, TimePoint now, Outbox& out)
+{
+    auto writer = writerOf(pending.shard, pending.sends);
+    pending.sentAt = now;
+    // What this instance writes itself stays with its shard, which goes on until the store answers.
+    if (pending.writer == m_self.instance)
+        return;
+    pending.writer = writer;
+    ++pending.sends;
+    if (writer == m_self.instance)
+        m_shards[pending.shard]->append(ticket, pending.record, now, out);
+    else
+        out.push_back(SendPeer { writer, { m_self, AppendRequest { ticket, pending.shard, pending.record } } });
+}
+
+bool Ledger::withdraw(AppendTicket ticket)
+{
+    auto it = m_pending.find(ticket);
+    if (it == m_pending.end())
+        return false;
+    bool neverTaken = it->second.writer == m_self.instance && it->second.sends == 1 && m_shards[it->second.shard]->withdraw(ticket);
+    m_pending.erase(it);
+    return neverTaken;
+}
+
+void Ledger::askToHold(AppendTicket ticket, Pending& pending, Outbox& out)
+{
+    auto peer = m_membership.peerInOtherDomain(pending.record.key);
+    if (!peer)
+        return;
+    pending.holdAsked = true;
+    out.push_back(SendPeer { *peer, { m_self, HoldRequest { ticket, pending.record } } });
+}
+
+void Ledger::onPeer(const Incarnation& from, const AppendRequest& request, TimePoint now, Outbox& out)
+{
+    if (request.shard >= m_shards.size())
+        return;
+    auto ticket = ++m_nextTicket;
+    m_forPeers[ticket] = { from, request.ticket };
+    m_shards[request.shard]->append(ticket, request.record, now, out);
+}
+
+void Ledger::onPeer(const AppendReply& reply, TimePoint, Outbox&)
+{
+    std::error_code ec;
+    if (reply.error != 0)
+        ec = static_cast<ErrorKind>(reply.error);
+    m_arrived.push_back({ reply.ticket, ec, reply.existing });
+}
+
+void Ledger::onPeer(const Incarnation& from, const HoldRequest& request, TimePoint now, Outbox& out)
+{
+    // The record is this instance's own from here on: it is written when the store is back, once by its key.
+    auto ticket = append(request.record, false, now, out);
+    m_pending[ticket].answered = true;
+    out.push_back(SendPeer { from.instance, { m_self, HoldReply { request.ticket } } });
+}
+
+void Ledger::onPeer(const HoldReply& reply, TimePoint)
+{
+    auto it = m_pending.find(reply.ticket);
+    if (it == m_pending.end() || it->second.answered)
+        return;
+    m_arrived.push_back({ .ticket = reply.ticket, .heldByPeer = true });
+}
+
+void Ledger::wake(TimePoint now, Outbox& out)
+{
+    for (auto& it : m_shards)
+        it->wake(now, out);
+    for (auto& [ticket, pending] : m_pending) {
+        if (now >= pending.sentAt + m_settings.resendAfter)
+            send(ticket, pending, now, out);
+        if (pending.mayBeHeld && !pending.answered && !pending.holdAsked && now >= pending.since + m_settings.holdAfter)
+            askToHold(ticket, pending, out);
+    }
+}
+
+std::optional<TimePoint> Ledger::nextWake() const
+{
+    std::optional<TimePoint> next;
+    auto consider = [&](TimePoint at) { next = next ? std::min(*next, at) : at; };
+    for (const auto& it : m_shards) {
+        if (auto at = it->nextWake())
+            consider(*at);
+    }
+    for (const auto& [ticket, pending] : m_pending) {
+        if (pending.writer != m_self.instance)
+            consider(pending.sentAt + m_settings.resendAfter);
+        if (pending.mayBeHeld && !pending.answered && !pending.holdAsked)
+            consider(pending.since + m_settings.holdAfter);
+    }
+    return next;
+}
+
+void Ledger::settle(const AppendResult& result, std::vector<AppendResult>& results)
+{
+    auto it = m_pending.find(result.ticket);
+    if (it == m_pending.end())
+        return;
+    if (!it->second.answered)
+        results.push_back(result);
+    it->second.answered = true;
+    // A record that a peer holds is still to be written by this instance as well.
+    if (!result.heldByPeer)
+        m_pending.erase(it);
+}
+
+std::vector<AppendResult> Ledger::takeResults(TimePoint, Outbox& out)
+{
+    std::vector<AppendResult> results;
+    for (const auto& it : std::exchange(m_arrived, {}))
+        settle(it, results);
+    for (auto& shard : m_shards) {
+        for (auto& it : shard->takeResults()) {
+            auto peer = m_forPeers.find(it.ticket);
+            if (peer == m_forPeers.end()) {
+                settle(it, results);
+                continue;
+            }
+            out.push_back(SendPeer { peer->second.from.instance,
+                { m_self, AppendReply { peer->second.ticket, static_cast<int>(kindOf(it.ec)), it.existing } } });
+            m_forPeers.erase(peer);
+        }
+    }
+    return results;
+}
+
+std::size_t Ledger::heldRecords() const
+{
+    return std::count_if(m_pending.begin(), m_pending.end(), [](const auto& it) { return it.second.answered; });
+}
+
+}
--- /dev/null
+++ b/src/core/ledger_index.h
@@ -0,0 +1,56 @@
+#pragma once
+
+// What the records of a shard say about each key: who claimed a call, how it ended, what was billed, which version a
+// session keeps. Decides whether a new record may be appended.
+
+#include "core/error_kind.h"
+#include "core/ledger_record.h"
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
+#include <map>
+
+namespace skylarkhitch {
+
+// What stands against a new record, if anything.
+struct AppendVerdict {
+    enum class Kind { Append,
+        // The record, or one as good, is there already.
+        AlreadyThere,
+        // Another record won; existing holds it.
+        Refused };
+    Kind kind = Kind::Append;
+    std::error_code ec;
+    std::optional<LedgerRecord> existing;
+};
+
+class LedgerIndex {
+public:
+    void add(const LedgerRecord&);
+    void clear();
+
+    // Judges a record against everything that was added so far.
+    AppendVerdict judge(const LedgerRecord&) const;
+
+    // Sum of the bills of each team; a bill counts once for its key.
+    const std::map<TeamId, Bill>& totals() const { return m_totals; }
+    std::size_t size() const { return m_keys.size(); }
+
+private:
+    struct KeyState {
+        std::optional<LedgerRecord> claim;
+        std::optional<LedgerRecord> outcome;
+        std::optional<LedgerRecord> pin;
+        bool billed = false;
+    };
+    AppendVerdict judgeClaim(const KeyState&, const Claim&) const;
+
+    absl::flat_hash_map<std::string, KeyState> m_keys;
+    absl::flat_hash_set<std::string> m_released;
+    std::map<TeamId, Bill> m_totals;
+};
+
+// Adds the amounts of one bill to a sum.
+void addTo(Bill& sum, const Bill&);
+
+}
--- /dev/null
+++ b/src/core/ledger_shard.cpp
@@ -0,0 +1,297 @@
+#include "core/ledger_shard.h"
+
+#include "core/check.h"
+
+#include <absl/strings/str_format.h>
+#include <algorithm>
+
+namespace skylarkhitch {
+
+namespace {
+
+    bool holdsBatch(const std::vector<LedgerBatch>& batches, const std::string& id)
+    {
+        return std::any_of(batches.begin(), batches.end(), [&](const auto& it) { return it.id == id; });
+    }
+
+}
+
+LedgerShard::LedgerShard(std::uint32_t shard, std::string batchPrefix, LedgerShardSettings settings, StoreCalls& store)
+    : m_shard(shard)
+    , m_batchPrefix(std::move(batchPrefix))
+    , m_settings(settings)
+    , m_store(store)
+{
+}
+
+std::string LedgerShard::prefix() const
+{
+    return absl::StrFormat("ledger/%02d/", m_shard);
+}
+
+std::string LedgerShard::segmentKey(std::uint64_t segment) const
+{
+    return absl::StrFormat("%s%010d", prefix(), segment);
+}
+
+void LedgerShard::append(AppendTicket ticket, LedgerRecord record, TimePoint now, Outbox& out)
+{
+    Wish wish { ticket, std::move(record) };
+    // Claims go ahead of everything else: a caller waits for them before its call is even sent.
+    if (std::holds_alternative<Claim>(wish.record.entry)) {
+        auto it = std::find_if(m_waiting.begin(), m_waiting.end(), [](const auto& w) { return !std::holds_alternative<Claim>(w.record.entry); });
+        m_waiting.insert(it, std::move(wish));
+    } else {
+        m_waiting.push_back(std::move(wish));
+    }
+    goOn(now, out);
+}
+
+bool LedgerShard::withdraw(AppendTicket ticket)
+{
+    auto it = std::find_if(m_waiting.begin(), m_waiting.end(), [&](const auto& w) { return w.ticket == ticket; });
+    if (it == m_waiting.end())
+        return false;
+    m_waiting.erase(it);
+    return true;
+}
+
+void LedgerShard::wake(TimePoint now, Outbox& out)
+{
+    if (m_retryAt && now >= *m_retryAt) {
+        m_retryAt.reset();
+        if (m_state == State::ReadingBack)
+            return readBack(now, out);
+        if (m_state == State::Opening)
+            return openNextSegment(now, out);
+    }
+    goOn(now, out);
+}
+
+std::optional<TimePoint> LedgerShard::nextWake() const
+{
+    if (m_retryAt)
+        return m_retryAt;
+    if (m_state == State::Ready && !m_waiting.empty())
+        return m_lastSwap + m_settings.swapInterval;
+    return std::nullopt;
+}
+
+std::vector<AppendResult> LedgerShard::takeResults()
+{
+    return std::exchange(m_results, {});
+}
+
+void LedgerShard::goOn(TimePoint now, Outbox& out)
+{
+    if (m_retryAt || m_waiting.empty())
+        return;
+    if (m_state == State::Unloaded)
+        load(now, out);
+    else if (m_state == State::Ready && now >= m_lastSwap + m_settings.swapInterval)
+        swapNext(now, out);
+}
+
+void LedgerShard::retryLater(State state, TimePoint now)
+{
+    m_state = state;
+    m_retryDelay = std::clamp(m_retryDelay * 2, m_settings.firstRetry, m_settings.longestRetry);
+    m_retryAt = now + m_retryDelay;
+}
+
+void LedgerShard::load(TimePoint, Outbox& out)
+{
+    m_state = State::Loading;
+    m_store.send(
+        { .operation = StoreOperation::List, .key = prefix(), .timeout = m_settings.storeTimeout },
+        [this](const StoreReply& reply, TimePoint now, Outbox& outbox) { loaded(reply, now, outbox); }, out);
+}
+
+void LedgerShard::loaded(const StoreReply& reply, TimePoint now, Outbox& out)
+{
+    if (reply.status == StoreStatus::Unavailable)
+        return retryLater(State::Unloaded, now);
+    m_retryDelay = {};
+    m_index.clear();
+    m_segment = 0;
+    m_bytes.clear();
+    m_revision = 0;
+    bool sealed = false;
+    auto items = reply.items;
+    std::sort(items.begin(), items.end(), [](const auto& a, const auto& b) { return a.key < b.key; });
+    for (const auto& it : items) {
+        auto batches = decodeSegment(it.value);
+        // A damaged segment must not be written over; the shard stays closed and says so by not answering.
+        if (!batches)
+            return retryLater(State::Unloaded, now);
+        for (const auto& batch : *batches)
+            for (const auto& record : batch.records)
+                m_index.add(record);
+        m_segment = std::stoull(it.key.substr(prefix().size()));
+        m_bytes = it.value;
+        m_revision = it.revision;
+        sealed = !batches->empty() && batches->back().seals;
+    }
+    m_state = State::Ready;
+    m_freshAt = now;
+    if (sealed)
+        return openNextSegment(now, out);
+    goOn(now, out);
+}
+
+void LedgerShard::composeBatch()
+{
+    m_batchId = absl::StrFormat("%s/%d", m_batchPrefix, ++m_batchNumber);
+    LedgerBatch batch { m_batchId, {}, false };
+    absl::flat_hash_set<std::string> keys;
+    std::deque<Wish> later;
+    for (auto& wish : m_waiting) {
+        // Two records of one key are judged one after the other: the second waits for the next batch.
+        if (keys.contains(wish.record.key)) {
+            later.push_back(std::move(wish));
+            continue;
+        }
+        auto verdict = m_index.judge(wish.record);
+        if (verdict.kind != AppendVerdict::Kind::Append) {
+            m_results.push_back({ wish.ticket, verdict.ec, std::move(verdict.existing) });
+            continue;
+        }
+        keys.insert(wish.record.key);
+        batch.records.push_back(wish.record);
+        m_batch.push_back(std::move(wish));
+    }
+    m_waiting = std::move(later);
+    m_nextBytes = m_bytes + encodeBatch(batch);
+    m_batchSeals = m_nextBytes.size() > m_settings.segmentBytes;
+    if (m_batchSeals) {
+        batch.seals = true;
+        m_nextBytes = m_bytes + encodeBatch(batch);
+    }
+}
+
+bool LedgerShard::wouldRefuse() const
+{
+    return std::any_of(m_waiting.begin(), m_waiting.end(), [&](const auto& it) {
+        return m_index.judge(it.record).kind == AppendVerdict::Kind::Refused;
+    });
+}
+
+void LedgerShard::verify(Outbox& out)
+{
+    m_state = State::Verifying;
+    m_store.send(
+        { .operation = StoreOperation::Get, .key = segmentKey(m_segment), .timeout = m_settings.storeTimeout },
+        [this](const StoreReply& reply, TimePoint now, Outbox& outbox) { verified(reply, now, outbox); }, out);
+}
+
+void LedgerShard::verified(const StoreReply& reply, TimePoint now, Outbox& out)
+{
+    if (reply.status == StoreStatus::Unavailable)
+        return retryLater(State::Ready, now);
+    bool same = reply.status == StoreStatus::Ok ? reply.items.front().revision == m_revision : m_revision == 0;
+    if (!same)
+        return load(now, out);
+    m_state = State::Ready;
+    m_freshAt = now;
+    goOn(now, out);
+}
+
+void LedgerShard::swapNext(TimePoint now, Outbox& out)
+{
+    if (now >= m_freshAt + m_settings.indexAge && wouldRefuse())
+        return verify(out);
+    composeBatch();
+    if (m_batch.empty())
+        return;
+    sendSwap(now, out);
+}
+
+void LedgerShard::sendSwap(TimePoint now, Outbox& out)
+{
+    m_state = State::Swapping;
+    m_lastSwap = now;
+    ++m_swaps;
+    m_store.send(
+        { .operation = StoreOperation::Swap, .key = segmentKey(m_segment), .value = m_nextBytes, .expected = m_revision, .timeout = m_settings.storeTimeout },
+        [this](const StoreReply& reply, TimePoint at, Outbox& outbox) { swapped(reply, at, outbox); }, out);
+}
+
+void LedgerShard::swapped(const StoreReply& reply, TimePoint now, Outbox& out)
+{
+    if (reply.status == StoreStatus::Ok) {
+        commitBatch(reply.items.front().revision, now);
+        if (m_batchSeals)
+            return openNextSegment(now, out);
+        return goOn(now, out);
+    }
+    readBack(now, out);
+}
+
+void LedgerShard::commitBatch(std::uint64_t revision, TimePoint now)
+{
+    m_freshAt = now;
+    m_retryDelay = {};
+    m_bytes = std::move(m_nextBytes);
+    m_revision = revision;
+    m_state = State::Ready;
+    for (auto& wish : m_batch) {
+        m_index.add(wish.record);
+        m_results.push_back({ wish.ticket, {}, {} });
+    }
+    m_batch.clear();
+}
+
+void LedgerShard::readBack(TimePoint, Outbox& out)
+{
+    m_state = State::ReadingBack;
+    m_store.send(
+        { .operation = StoreOperation::Get, .key = segmentKey(m_segment), .timeout = m_settings.storeTimeout },
+        [this](const StoreReply& reply, TimePoint now, Outbox& outbox) { wasReadBack(reply, now, outbox); }, out);
+}
+
+void LedgerShard::wasReadBack(const StoreReply& reply, TimePoint now, Outbox& out)
+{
+    if (reply.status == StoreStatus::Unavailable)
+        return retryLater(State::ReadingBack, now);
+    if (reply.status == StoreStatus::Ok) {
+        auto batches = decodeSegment(reply.items.front().value);
+        if (batches && holdsBatch(*batches, m_batchId)) {
+            // The swap took effect; others may have appended since, so the index is read anew.
+            for (auto& wish : m_batch)
+                m_results.push_back({ wish.ticket, {}, {} });
+            m_batch.clear();
+        }
+    }
+    // Not there. The swap may still be on its way, but it names the old revision: either it lands before the next
+    // swap, which then fails and is read back, or the next swap makes it fail.
+    putBatchBack();
+    m_state = State::Unloaded;
+    load(now, out);
+}
+
+void LedgerShard::putBatchBack()
+{
+    for (auto it = m_batch.rbegin(); it != m_batch.rend(); ++it)
+        m_waiting.push_front(std::move(*it));
+    m_batch.clear();
+}
+
+void LedgerShard::openNextSegment(TimePoint, Outbox& out)
+{
+    m_state = State::Opening;
+    // An empty batch opens the segment; appending to it needs its revision.
+    auto bytes = encodeBatch({ absl::StrFormat("%s/%d", m_batchPrefix, ++m_batchNumber), {}, false });
+    m_store.send(
+        { .operation = StoreOperation::Swap, .key = segmentKey(m_segment + 1), .value = std::move(bytes), .expected = 0, .timeout = m_settings.storeTimeout },
+        [this](const StoreReply& reply, TimePoint now, Outbox& outbox) { opened(reply, now, outbox); }, out);
+}
+
+void LedgerShard::opened(const StoreReply& reply, TimePoint now, Outbox& out)
+{
+    if (reply.status == StoreStatus::Unavailable)
+        return retryLater(State::Opening, now);
+    m_state = State::Unloaded;
+    load(now, out);
+}
+
+}
--- /dev/null
+++ b/src/core/membership.cpp
@@ -0,0 +1,108 @@
+#include "core/membership.h"
+
+#include "core/hashing.h"
+
+#include <algorithm>
+
+namespace skylarkhitch {
+
+Membership::Membership(Incarnation self, DomainId domain, std::string entryAddress, MembershipSettings settings)
+    : m_self(std::move(self))
+    , m_domain(std::move(domain))
+    , m_entryAddress(std::move(entryAddress))
+    , m_settings(settings)
+{
+}
+
+bool Membership::heard(const Incarnation& from, const Heartbeat& heartbeat, TimePoint now, Outbox& out)
+{
+    auto it = m_members.find(from.instance);
+    if (it != m_members.end()) {
+        const auto& known = it->second;
+        if (from.number < known.incarnation.number)
+            return false;
+        if (from.number == known.incarnation.number && heartbeat.sequence <= known.heartbeat.sequence)
+            return false;
+    }
+    auto state = heartbeat.leaving ? MemberState::Leaving : MemberState::Live;
+    if (it == m_members.end() || it->second.state != state)
+        out.push_back(StateChanged { "member", from.instance.value, heartbeat.leaving ? "leaving" : "live" });
+    m_members[from.instance] = { from, state, heartbeat, now };
+    return true;
+}
+
+void Membership::wake(TimePoint now, Outbox& out)
+{
+    for (auto it = m_members.begin(); it != m_members.end();) {
+        auto silence = now - it->second.heardAt;
+        if (silence >= m_settings.removeAfter) {
+            out.push_back(StateChanged { "member", it->first.value, "removed" });
+            it = m_members.erase(it);
+            continue;
+        }
+        if (silence >= m_settings.suspectAfter && it->second.state == MemberState::Live) {
+            it->second.state = MemberState::Suspected;
+            out.push_back(StateChanged { "member", it->first.value, "suspected" });
+        }
+        ++it;
+    }
+}
+
+void Membership::expect(const InstanceId& id)
+{
+    if (id != m_self.instance && std::find(m_expected.begin(), m_expected.end(), id) == m_expected.end())
+        m_expected.push_back(id);
+}
+
+std::vector<InstanceId> Membership::writers() const
+{
+    std::vector<InstanceId> ids { m_self.instance };
+    for (const auto& [id, member] : m_members) {
+        if (member.state == MemberState::Live)
+            ids.push_back(id);
+    }
+    return ids;
+}
+
+std::vector<InstanceId> Membership::peers() const
+{
+    auto ids = m_expected;
+    for (const auto& [id, member] : m_members) {
+        if (std::find(ids.begin(), ids.end(), id) == ids.end())
+            ids.push_back(id);
+    }
+    return ids;
+}
+
+std::optional<InstanceId> Membership::peerInOtherDomain(const std::string& key) const
+{
+    std::vector<InstanceId> others;
+    for (const auto& [id, member] : m_members) {
+        if (member.state == MemberState::Live && member.heartbeat.domain != m_domain)
+            others.push_back(id);
+    }
+    if (others.empty())
+        return std::nullopt;
+    return rendezvousOrder(key, others).front();
+}
+
+double Membership::heardShare() const
+{
+    auto known = peers();
+    if (known.empty())
+        return 1;
+    auto heard = std::count_if(known.begin(), known.end(), [&](const auto& id) {
+        auto it = m_members.find(id);
+        return it != m_members.end() && it->second.state != MemberState::Suspected;
+    });
+    return static_cast<double>(heard) / static_cast<double>(known.size());
+}
+
+bool Membership::peersReachStore() const
+{
+    return std::any_of(m_members.begin(), m_members.end(), [](const auto& it) {
+        return it.second.state != MemberState::Suspected && it.second.heartbeat.storeReachable;
+    });
+}
+
+}
--- /dev/null
+++ b/src/core/membership.h
@@ -0,0 +1,67 @@
+#pragma once
+
+// Which entry instances are there. An instance is a member while its heartbeats come; one that falls silent is first
+// suspected (it gets no new callers) and later removed. Leaving instances serve on but are not handed out.
+
+#include "core/messages.h"
+
+#include <map>
+
+namespace skylarkhitch {
+
+struct MembershipSettings {
+    Milliseconds heartbeatPeriod { 500 };
+    Milliseconds suspectAfter { 1600 };
+    Milliseconds removeAfter { 5000 };
+};
+
+enum class MemberState { Live,
+    Suspected,
+    Leaving };
+
+struct Member {
+    Incarnation incarnation;
+    MemberState state = MemberState::Live;
+    Heartbeat heartbeat;
+    TimePoint heardAt;
+};
+
+class Membership {
+public:
+    Membership(Incarnation self, DomainId, std::string entryAddress, MembershipSettings);
+
+    // Takes a heartbeat; false if it is older than one already taken.
+    bool heard(const Incarnation&, const Heartbeat&, TimePoint, Outbox&);
+
+    // Moves silent members on.
+    void wake(TimePoint, Outbox&);
+
+    // Names an instance to send heartbeats to before it was ever heard.
+    void expect(const InstanceId&);
+
+    // Live instances, this one included; never empty.
+    std::vector<InstanceId> writers() const;
+    // Every instance that heartbeats go to.
+    std::vector<InstanceId> peers() const;
+    std::optional<InstanceId> peerInOtherDomain(const std::string& key) const;
+    // Part of the other known instances that was heard lately, 0 to 1; 1 when there is no other.
+    double heardShare() const;
+    // Whether any heard peer says that the store can be reached.
+    bool peersReachStore() const;
+
+    const std::map<InstanceId, Member>& members() const { return m_members; }
+    const Incarnation& self() const { return m_self; }
+    const DomainId& domain() const { return m_domain; }
+    const std::string& entryAddress() const { return m_entryAddress; }
+    const MembershipSettings& settings() const { return m_settings; }
+
+private:
+    Incarnation m_self;
+    DomainId m_domain;
+    std::string m_entryAddress;
+    MembershipSettings m_settings;
+    std::map<InstanceId, Member> m_members;
+    std::vector<InstanceId> m_expected;
+};
+
+}
--- /dev/null
+++ b/src/core/peer_message.cpp
@@ -0,0 +1,162 @@
+#include "core/peer_message.h"
+
+#include <nlohmann/json.hpp>
+
+namespace skylarkhitch {
+
+namespace {
+
+    using Json = nlohmann::json;
+
+    // Position of each kind in PeerMessage; part of the protocol between instances.
+    template <typename Message, std::size_t index = 0>
+    constexpr std::size_t tagOf()
+    {
+        if constexpr (std::is_same_v<Message, std::variant_alternative_t<index, PeerMessage>>)
+            return index;
+        else
+            return tagOf<Message, index + 1>();
+    }
+
+    Json binary(const std::string& bytes) { return Json::binary({ bytes.begin(), bytes.end() }); }
+
+    std::string bytesOf(const Json& json)
+    {
+        const auto& bytes = json.get_binary();
+        return { bytes.begin(), bytes.end() };
+    }
+
+    LedgerRecord recordFrom(const Json& json)
+    {
+        auto record = decodeRecord(bytesOf(json));
+        if (!record)
+            throw std::invalid_argument("damaged record");
+        return *std::move(record);
+    }
+
+    Json timeToJson(TimePoint at) { return at.time_since_epoch().count(); }
+
+    TimePoint timeFrom(const Json& json) { return TimePoint { Microseconds { json.get<std::int64_t>() } }; }
+
+    Json documentToJson(const ConfigurationDocument& it)
+    {
+        Json history = Json::array();
+        for (const auto& note : it.history)
+            history.push_back(Json::array({ note.revision, note.editId, note.author, timeToJson(note.at) }));
+        return Json::array({ it.revision, it.editId, it.author, timeToJson(it.at), it.text, history });
+    }
+
+    ConfigurationDocument documentFrom(const Json& json)
+    {
+        ConfigurationDocument document { json.at(0), json.at(1), json.at(2), timeFrom(json.at(3)), json.at(4), {} };
+        for (const auto& it : json.at(5))
+            document.history.push_back({ it.at(0), it.at(1), it.at(2), timeFrom(it.at(3)) });
+        return document;
+    }
+
+    // Writes the fields of each kind as an array.
+    struct MessageWriter {
+        Json operator()(const Heartbeat& it) const
+        {
+            Json upstreams = Json::array();
+            for (const auto& [id, n] : it.upstreams)
+                upstreams.push_back(Json::array({ id.value, n.inFlight, n.done, n.failed, n.crashed }));
+            Json versions = Json::array();
+            for (const auto& [id, n] : it.versions)
+                versions.push_back(Json::array({ id.value, n.done, n.failed, n.rated, n.ratingThousandths }));
+            Json crashes = Json::array();
+            for (const auto& [fingerprint, n] : it.crashes)
+                crashes.push_back(Json::array({ fingerprint, n }));
+            return Json::array({ it.domain.value, it.entryAddress, it.peerAddress, it.revision, it.leaving, it.storeReachable, it.sequence,
+                upstreams, versions, crashes });
+        }
+        Json operator()(const AppendRequest& it) const { return Json::array({ it.ticket, it.shard, binary(encodeRecord(it.record)) }); }
+        Json operator()(const AppendReply& it) const
+        {
+            return Json::array({ it.ticket, it.error, it.existing ? binary(encodeRecord(*it.existing)) : Json() });
+        }
+        Json operator()(const HoldRequest& it) const { return Json::array({ it.ticket, binary(encodeRecord(it.record)) }); }
+        Json operator()(const HoldReply& it) const { return Json::array({ it.ticket }); }
+        Json operator()(const ConfigurationPull&) const { return Json::array(); }
+        Json operator()(const ConfigurationPush& it) const { return Json::array({ documentToJson(it.document) }); }
+    };
+
+    Heartbeat heartbeatFrom(const Json& json)
+    {
+        Heartbeat beat { DomainId { json.at(0) }, json.at(1), json.at(2), json.at(3), json.at(4), json.at(5), json.at(6), {}, {}, {} };
+        for (const auto& it : json.at(7))
+            beat.upstreams[UpstreamId { it.at(0) }] = { it.at(1), it.at(2), it.at(3), it.at(4) };
+        for (const auto& it : json.at(8))
+            beat.versions[VersionId { it.at(0) }] = { it.at(1), it.at(2), it.at(3), it.at(4) };
+        for (const auto& it : json.at(9))
+            beat.crashes[it.at(0)] = it.at(1);
+        return beat;
+    }
+
+    PeerMessage messageFrom(std::size_t tag, const Json& json)
+    {
+        switch (tag) {
+        case tagOf<Heartbeat>():
+            return heartbeatFrom(json);
+        case tagOf<AppendRequest>():
+            return AppendRequest { json.at(0), json.at(1), recordFrom(json.at(2)) };
+        case tagOf<AppendReply>(): {
+            AppendReply reply { json.at(0), json.at(1), {} };
+            if (!json.at(2).is_null())
+                reply.existing = recordFrom(json.at(2));
+            return reply;
+        }
+        case tagOf<HoldRequest>():
+            return HoldRequest { json.at(0), recordFrom(json.at(1)) };
+        case tagOf<HoldReply>():
+            return HoldReply { json.at(0) };
+        case tagOf<ConfigurationPull>():
+            return ConfigurationPull {};
+        case tagOf<ConfigurationPush>():
+            return ConfigurationPush { documentFrom(json.at(0)) };
+        default:
+            throw std::invalid_argument("unknown message tag");
+        }
+    }
+
+    std::string cborOf(const Json& json)
+    {
+        std::string bytes;
+        Json::to_cbor(json, bytes);
+        return bytes;
+    }
+
+}
+
+std::string encodeEnvelope(const PeerEnvelope& envelope)
+{
+    return cborOf(Json::array({ envelope.from.instance.value, envelope.from.number, envelope.message.index(),
+        std::visit(MessageWriter {}, envelope.message) }));
+}
+
+std::optional<PeerEnvelope> decodeEnvelope(const std::string& bytes)
+{
+    try {
+        auto json = Json::from_cbor(bytes);
+        Incarnation from { InstanceId { json.at(0) }, json.at(1) };
+        return PeerEnvelope { std::move(from), messageFrom(json.at(2).get<std::size_t>(), json.at(3)) };
+    } catch (const std::exception&) {
+        return std::nullopt;
+    }
+}
+
+std::string encodeDocument(const ConfigurationDocument& document)
+{
+    return cborOf(documentToJson(document));
+}
+
+std::optional<ConfigurationDocument> decodeDocument(const std::string& bytes)
+{
+    try {
+        return documentFrom(Json::from_cbor(bytes));
+    } catch (const std::exception&) {
+        return std::nullopt;
+    }
+}
+
+}
--- /dev/null
+++ b/src/core/router.cpp
@@ -0,0 +1,325 @@
+#include "core/router.h"
+
+#include <algorithm>
+
+namespace skylarkhitch {
+
+namespace {
+
+    // How often deadlines are looked at while requests are in flight.
+    constexpr Milliseconds sweepPeriod { 20 };
+    constexpr double mostPeersShare = 0.5;
+
+}
+
+struct Router::EventVisitor {
+    Router& router;
+    TimePoint now;
+    Outbox& out;
+
+    template <typename T>
+    void operator()(T&& event) { router.on(std::forward<T>(event), now, out); }
+};
+
+Router::Router(RouterSettings settings, ConfigurationReader reader, MetricsSink& metrics)
+    : m_settings(std::move(settings))
+    , m_metrics(metrics)
+    , m_membership(m_settings.self, m_settings.domain, m_settings.entryAddress, m_settings.membership)
+    , m_keeper(m_membership, m_store, std::move(reader), m_settings.keeper)
+    , m_ledger(m_settings.self, m_settings.ledger, m_membership, m_store)
+    , m_requests(metrics)
+    , m_admission(m_settings.admission)
+    , m_upstreams(m_settings.domain, m_settings.upstreams, m_settings.seed)
+    , m_evidence(m_settings.evidence)
+    , m_parts { m_membership, m_keeper, m_ledger, m_requests, m_admission, m_upstreams, m_evidence, m_passes, m_crashes, m_retries, metrics, m_settings.cascade, m_settings.mutations }
+    , m_dispatcher(m_parts)
+    , m_chat(m_parts, m_dispatcher, m_settings.seed + 1)
+    , m_service(m_parts, m_dispatcher)
+{
+    m_keeper.mutateForTest(m_settings.mutations.takeLowerRevision);
+    m_requests.mutateForTest(m_settings.mutations.falseNotRun);
+}
+
+void Router::handle(Event event, TimePoint now, Outbox& out)
+{
+    std::visit(EventVisitor { *this, now, out }, std::move(event));
+    deliverRecords(now, out);
+    if (m_keeper.current() != m_applied)
+        configurationChanged();
+    if (m_keeper.current())
+        m_dispatcher.run(now, out);
+}
+
+void Router::configurationChanged()
+{
+    m_applied = m_keeper.current();
+    m_upstreams.configure(m_applied);
+    m_evidence.configure(m_applied);
+    m_teamsByKey.clear();
+    for (const auto& [id, team] : m_applied->teams) {
+        for (const auto& digest : team.keyDigests)
+            m_teamsByKey[digest] = id;
+    }
+}
+
+bool Router::findTeam(RequestState& state, TimePoint now, Outbox& out)
+{
+    auto it = m_teamsByKey.find(state.request.keyDigest);
+    if (it == m_teamsByKey.end()) {
+        m_requests.refuse(state, ErrorKind::UnknownKey, "the bearer key belongs to no team", now, out);
+        return false;
+    }
+    state.team = it->second;
+    return true;
+}
+
+bool Router::findRank(RequestState& state, TimePoint now, Outbox& out)
+{
+    const auto& ranks = m_parts.configuration().ranks;
+    const auto& team = m_parts.configuration().teams.at(state.team);
+    auto wanted = state.request.rank;
+    if (wanted.empty() && state.request.kind == CallKind::Service) {
+        auto service = m_parts.configuration().services.find(ServiceId { state.request.target });
+        if (service != m_parts.configuration().services.end())
+            wanted = service->second.rank;
+    }
+    // A chat that names no rank is of the least urgent one.
+    auto least = std::max_element(ranks.begin(), ranks.end(), [](const auto& a, const auto& b) { return a.second.order < b.second.order; });
+    auto it = wanted.empty() ? least : ranks.find(RankId { wanted });
+    if (it == ranks.end()) {
+        m_requests.refuse(state, ErrorKind::BadHeader, "X-Rank: no rank is named '" + wanted + "'", now, out);
+        return false;
+    }
+    auto highest = ranks.find(RankId { team.highestRank });
+    if (!state.request.rank.empty() && highest != ranks.end() && it->second.order < highest->second.order) {
+        m_requests.refuse(state, ErrorKind::NotAllowed, "team '" + team.id.value + "' may not ask for rank '" + wanted + "'", now, out);
+        return false;
+    }
+    state.rank = it->first;
+    state.rankOrder = it->second.order;
+    state.deadline = state.arrivedAt + state.request.deadline.value_or(it->second.deadline);
+    return true;
+}
+
+bool Router::passesCommonChecks(RequestState& state, TimePoint now, Outbox& out)
+{
+    if (!m_keeper.current()) {
+        m_requests.refuse(state, ErrorKind::NotConfigured, "no configuration is known yet", now, out);
+        return false;
+    }
+    if (m_cutOff) {
+        m_requests.refuse(state, ErrorKind::InstanceCutOff, "this instance reaches neither the store nor most of its peers; ask GET /v1/entry elsewhere", now, out);
+        return false;
+    }
+    bool graceOver = m_drainingSince && (now >= *m_drainingSince + m_settings.drainGrace || m_settings.mutations.closeOnDrain);
+    if (graceOver) {
+        m_requests.refuse(state, ErrorKind::InstanceDraining, "this instance is stopping; ask GET /v1/entry for another", now, out);
+        return false;
+    }
+    return findTeam(state, now, out) && findRank(state, now, out);
+}
+
+void Router::on(RequestArrived event, TimePoint now, Outbox& out)
+{
+    auto& state = m_requests.add(std::move(event.request), now);
+    if (!passesCommonChecks(state, now, out))
+        return;
+    state.flow = state.request.kind == CallKind::Chat ? static_cast<RequestFlow*>(&m_chat) : &m_service;
+    state.flow->accepted(state, now, out);
+}
+
+void Router::on(const CallerLeft& event, TimePoint now, Outbox& out)
+{
+    if (auto* state = m_requests.find(event.request))
+        state->flow->callerLeft(*state, now, out);
+}
+
+void Router::on(AttemptPiece event, TimePoint now, Outbox& out)
+{
+    auto* state = m_requests.findByAttempt(event.attempt);
+    if (!state)
+        return m_metrics.strayAnswer();
+    state->flow->pieceArrived(*state, std::move(event), now, out);
+}
+
+void Router::on(AttemptFinished event, TimePoint now, Outbox& out)
+{
+    auto* state = m_requests.findByAttempt(event.attempt);
+    if (!state)
+        return m_metrics.strayAnswer();
+    m_dispatcher.attemptEnded(*state, event, now, out);
+    state->flow->attemptEnded(*state, std::move(event), now, out);
+}
+
+void Router::on(const RatingArrived& event, TimePoint now, Outbox& out)
+{
+    m_chat.learnRating(event, now, out);
+    if (auto* state = m_requests.find(event.request))
+        state->flow->rated(*state, event, now, out);
+}
+
+void Router::on(const StoreReply& event, TimePoint now, Outbox& out)
+{
+    m_store.reply(event, now, out);
+}
+
+void Router::on(const LoadReported& event, TimePoint now, Outbox& out)
+{
+    m_upstreams.loadReported(event, now, out);
+    if (event.reachable)
+        m_crashes.stillUp(event.upstream);
+}
+
+void Router::on(const InstancesListed& event, TimePoint, Outbox& out)
+{
+    m_upstreams.listed(event.instances, out);
+    for (const auto& it : event.instances) {
+        if (it.role == InstanceRole::Entry)
+            m_membership.expect({ it.id });
+    }
+}
+
+void Router::heard(const Incarnation& from, const Heartbeat& heartbeat, TimePoint now, Outbox& out)
+{
+    if (!m_membership.heard(from, heartbeat, now, out))
+        return;
+    m_upstreams.learn(from.instance, heartbeat.upstreams);
+    m_evidence.learn(from, heartbeat.versions, now, out);
+    m_crashes.learn(from.instance, heartbeat.crashes, now);
+    m_keeper.heardRevision(from.instance, heartbeat.revision, now, out);
+}
+
+void Router::on(PeerArrived event, TimePoint now, Outbox& out)
+{
+    auto& [from, message] = event.envelope;
+    if (from.instance == m_settings.self.instance)
+        return;
+    if (const auto* heartbeat = std::get_if<Heartbeat>(&message))
+        heard(from, *heartbeat, now, out);
+    else if (const auto* append = std::get_if<AppendRequest>(&message))
+        m_ledger.onPeer(from, *append, now, out);
+    else if (const auto* appended = std::get_if<AppendReply>(&message))
+        m_ledger.onPeer(*appended, now, out);
+    else if (const auto* hold = std::get_if<HoldRequest>(&message))
+        m_ledger.onPeer(from, *hold, now, out);
+    else if (const auto* held = std::get_if<HoldReply>(&message))
+        m_ledger.onPeer(*held, now);
+    else if (std::holds_alternative<ConfigurationPull>(message))
+        m_keeper.onPull(from.instance, out);
+    else if (const auto* push = std::get_if<ConfigurationPush>(&message))
+        m_keeper.adopt(push->document, out);
+}
+
+void Router::on(EditRequested event, TimePoint now, Outbox& out)
+{
+    m_keeper.edit(std::move(event), now, out);
+}
+
+void Router::sendHeartbeats(TimePoint now, Outbox& out)
+{
+    m_nextHeartbeat = now + m_settings.membership.heartbeatPeriod;
+    Heartbeat heartbeat { .domain = m_settings.domain, .entryAddress = m_settings.entryAddress, .revision = m_keeper.revision(), .leaving = m_draining, .storeReachable = m_store.reachable(), .sequence = ++m_sequence };
+    heartbeat.upstreams = m_upstreams.own();
+    heartbeat.versions = m_evidence.own();
+    heartbeat.crashes = m_crashes.own();
+    for (const auto& it : m_membership.peers())
+        out.push_back(SendPeer { it, { m_settings.self, heartbeat } });
+}
+
+void Router::expireRequests(TimePoint now, Outbox& out)
+{
+    m_nextSweep = now + sweepPeriod;
+    auto claimTimeout = m_keeper.current() ? m_parts.configuration().limits.claimTimeout : Milliseconds(0);
+    for (const auto& id : m_requests.ids()) {
+        auto* state = m_requests.find(id);
+        if (!state)
+            continue;
+        bool claimIsLate = state->phase == Phase::Claiming && now >= state->claimSince + claimTimeout;
+        if (now >= state->deadline || claimIsLate)
+            state->flow->expired(*state, now, out);
+        else if (state->lookAgainAt && now >= *state->lookAgainAt)
+            state->flow->lookAgain(*state, now, out);
+    }
+    if (m_keeper.current())
+        m_crashes.forget(now - m_parts.configuration().limits.crashMemory);
+}
+
+void Router::checkCutOff(TimePoint now, Outbox& out)
+{
+    bool isolated = m_membership.heardShare() < mostPeersShare && !m_store.reachable();
+    if (!isolated)
+        m_isolatedSince.reset();
+    else if (!m_isolatedSince)
+        m_isolatedSince = now;
+    bool cutOff = m_isolatedSince && now >= *m_isolatedSince + m_settings.cutOffAfter;
+    if (cutOff != m_cutOff)
+        out.push_back(StateChanged { "instance", m_settings.self.instance.value, cutOff ? "cut off" : "connected" });
+    m_cutOff = cutOff;
+}
+
+void Router::on(const TimerFired&, TimePoint now, Outbox& out)
+{
+    m_membership.wake(now, out);
+    m_keeper.wake(now, out);
+    m_ledger.wake(now, out);
+    checkCutOff(now, out);
+    if (now >= m_nextHeartbeat)
+        sendHeartbeats(now, out);
+    if (now >= m_nextSweep)
+        expireRequests(now, out);
+}
+
+void Router::on(const DrainRequested&, TimePoint now, Outbox& out)
+{
+    if (m_draining)
+        return;
+    m_draining = true;
+    m_drainingSince = now;
+    out.push_back(StateChanged { "instance", m_settings.self.instance.value, "draining" });
+    sendHeartbeats(now, out);
+}
+
+void Router::deliverRecords(TimePoint now, Outbox& out)
+{
+    // A delivered record can append another whose result is there at once.
+    for (auto results = m_ledger.takeResults(now, out); !results.empty(); results = m_ledger.takeResults(now, out)) {
+        for (const auto& it : results) {
+            if (auto* state = m_requests.findByTicket(it.ticket))
+                state->flow->recorded(*state, it, now, out);
+        }
+    }
+}
+
+TimePoint Router::nextWake(TimePoint now) const
+{
+    auto next = std::min(m_nextHeartbeat, now + m_settings.membership.heartbeatPeriod);
+    if (m_requests.size() > 0)
+        next = std::min(next, m_nextSweep);
+    if (auto at = m_ledger.nextWake())
+        next = std::min(next, *at);
+    if (auto at = m_keeper.nextWake())
+        next = std::min(next, *at);
+    return std::max(next, now);
+}
+
+EntryAnswer Router::chooseEntry(const EntryQuestion& question) const
+{
+    return skylarkhitch::chooseEntry(m_membership, question, m_draining || m_cutOff, static_cast<std::int64_t>(m_requests.size()));
+}
+
+const Team* Router::teamByKey(const std::string& digest) const
+{
+    auto it = m_teamsByKey.find(digest);
+    return it == m_teamsByKey.end() ? nullptr : &m_applied->teams.at(it->second);
+}
+
+bool Router::drained(TimePoint now) const
+{
+    if (!m_drainingSince)
+        return false;
+    if (m_settings.mutations.closeOnDrain)
+        return true;
+    return now >= *m_drainingSince + m_settings.drainGrace && m_requests.size() == 0 && m_ledger.unsettled() == 0;
+}
+
+}
--- /dev/null
+++ b/src/core/router.h
@@ -0,0 +1,112 @@
+#pragma once
+
+// The core: one event machine that one thread owns. It takes an event and its time and appends the actions that
+// follow. It reads no clock, opens no socket and starts no thread, so tests drive it with virtual time.
+
+#include "core/chat_flow.h"
+#include "core/entry_choice.h"
+#include "core/service_flow.h"
+
+namespace skylarkhitch {
+
+struct RouterSettings {
+    Incarnation self;
+    DomainId domain;
+    std::string entryAddress;
+    std::uint64_t seed = 1;
+    MembershipSettings membership;
+    LedgerSettings ledger;
+    ConfigKeeperSettings keeper;
+    UpstreamSettings upstreams;
+    EvidenceSettings evidence;
+    AdmissionPolicy admission = AdmissionPolicy::RankAndTeam;
+    CascadePolicy cascade = CascadePolicy::LeastExpectedCost;
+    // Time without store and most peers after which an instance takes no new work: it could not hear of a withdrawal.
+    Milliseconds cutOffAfter { 10000 };
+    // Time for which a draining instance still serves callers that kept its address.
+    Milliseconds drainGrace { 5000 };
+    Mutations mutations;
+};
+
+class Router {
+public:
+    Router(RouterSettings, ConfigurationReader, MetricsSink&);
+
+    void handle(Event, TimePoint, Outbox&);
+    // When TimerFired should come next.
+    TimePoint nextWake(TimePoint) const;
+
+    EntryAnswer chooseEntry(const EntryQuestion&) const;
+    // The team that a bearer key's digest belongs to, or null.
+    const Team* teamByKey(const std::string& digest) const;
+
+    bool ready() const { return m_keeper.current() != nullptr && !m_draining; }
+    bool draining() const { return m_draining; }
+    // All callers are answered and all records kept: the process may end.
+    bool drained(TimePoint) const;
+    bool cutOff() const { return m_cutOff; }
+
+    const Membership& membership() const { return m_membership; }
+    const ConfigKeeper& keeper() const { return m_keeper; }
+    const Ledger& ledger() const { return m_ledger; }
+    const UpstreamTable& upstreams() const { return m_upstreams; }
+    const VersionEvidence& evidence() const { return m_evidence; }
+    const StoreCalls& store() const { return m_store; }
+    std::size_t requestsInFlight() const { return m_requests.size(); }
+    std::size_t requestsWaiting() const { return m_admission.size(); }
+
+private:
+    struct EventVisitor;
+
+    void on(RequestArrived, TimePoint, Outbox&);
+    void on(const CallerLeft&, TimePoint, Outbox&);
+    void on(AttemptPiece, TimePoint, Outbox&);
+    void on(AttemptFinished, TimePoint, Outbox&);
+    void on(const RatingArrived&, TimePoint, Outbox&);
+    void on(const StoreReply&, TimePoint, Outbox&);
+    void on(const LoadReported&, TimePoint, Outbox&);
+    void on(const InstancesListed&, TimePoint, Outbox&);
+    void on(PeerArrived, TimePoint, Outbox&);
+    void on(EditRequested, TimePoint, Outbox&);
+    void on(const TimerFired&, TimePoint, Outbox&);
+    void on(const DrainRequested&, TimePoint, Outbox&);
+    void heard(const Incarnation&, const Heartbeat&, TimePoint, Outbox&);
+
+    bool passesCommonChecks(RequestState&, TimePoint, Outbox&);
+    bool findTeam(RequestState&, TimePoint, Outbox&);
+    bool findRank(RequestState&, TimePoint, Outbox&);
+    void configurationChanged();
+    void sendHeartbeats(TimePoint, Outbox&);
+    void expireRequests(TimePoint, Outbox&);
+    void checkCutOff(TimePoint, Outbox&);
+    void deliverRecords(TimePoint, Outbox&);
+
+    RouterSettings m_settings;
+    MetricsSink& m_metrics;
+    StoreCalls m_store;
+    Membership m_membership;
+    ConfigKeeper m_keeper;
+    Ledger m_ledger;
+    RequestTable m_requests;
+    Admission m_admission;
+    UpstreamTable m_upstreams;
+    VersionEvidence m_evidence;
+    PassEstimates m_passes;
+    CrashGuard m_crashes;
+    RetryBudget m_retries;
+    CoreParts m_parts;
+    Dispatcher m_dispatcher;
+    ChatFlow m_chat;
+    ServiceFlow m_service;
+    ConfigurationPtr m_applied;
+    absl::flat_hash_map<std::string, TeamId> m_teamsByKey;
+    std::uint64_t m_sequence = 0;
+    TimePoint m_nextHeartbeat {};
+    TimePoint m_nextSweep {};
+    std::optional<TimePoint> m_isolatedSince;
+    std::optional<TimePoint> m_drainingSince;
+    bool m_draining = false;
+    bool m_cutOff = false;
+};
+
+}
--- /dev/null
+++ b/src/core/service_flow.cpp
@@ -0,0 +1,252 @@
+#include "core/service_flow.h"
+
+#include <absl/strings/match.h>
+#include <absl/strings/str_cat.h>
+#include <algorithm>
+
+namespace skylarkhitch {
+
+namespace {
+
+    constexpr int mostAttempts = 3;
+    // Work of a call for the turns among teams, in tokens.
+    constexpr double callWork = 64;
+    // Answers up to this many bytes are kept whole for a later call with the same key.
+    constexpr std::size_t mostKeptBody = 16 * 1024;
+    // How often an outcome that another instance is to write is looked for.
+    constexpr Milliseconds lookAgainPeriod { 200 };
+
+    // Whether a call may be repeated: by its method (RFC 9110, section 9.2.2) or by the service's settings, which name
+    // a method and the start of a path.
+    bool mayRepeat(const Service& service, const CallerRequest& request)
+    {
+        if (request.method == "GET" || request.method == "HEAD" || request.method == "OPTIONS")
+            return true;
+        auto call = request.method + " " + request.path;
+        return std::any_of(service.idempotentCalls.begin(), service.idempotentCalls.end(), [&](const auto& it) {
+            return absl::StartsWith(call, it);
+        });
+    }
+
+}
+
+bool ServiceFlow::needsClaim(const RequestState& state) const
+{
+    return !state.mayRepeat && !state.request.idempotencyKey.empty();
+}
+
+std::string ServiceFlow::callKey(const RequestState& state) const
+{
+    const auto& request = state.request;
+    return absl::StrCat("call/", state.team.value, "/", request.target, "/", needsClaim(state) ? request.idempotencyKey : request.id.value);
+}
+
+void ServiceFlow::accepted(RequestState& state, TimePoint now, Outbox& out)
+{
+    const auto& configuration = m_parts.configuration();
+    const auto& team = configuration.teams.at(state.team);
+    const auto& target = state.request.target;
+    auto service = configuration.services.find(ServiceId { target });
+    if (service == configuration.services.end())
+        return m_parts.requests.refuse(state, ErrorKind::UnknownTarget, "no service is named '" + target + "'", now, out);
+    if (std::find(team.services.begin(), team.services.end(), target) == team.services.end())
+        return m_parts.requests.refuse(state, ErrorKind::NotAllowed, "team '" + team.id.value + "' may not use service '" + target + "'", now, out);
+    state.mayRepeat = mayRepeat(service->second, state.request);
+    if (needsClaim(state) && !m_parts.mutations.skipClaim)
+        return claim(state, now, out);
+    queue(state, now, out);
+}
+
+void ServiceFlow::claim(RequestState& state, TimePoint now, Outbox& out)
+{
+    state.phase = Phase::Claiming;
+    state.claimSince = now;
+    LedgerRecord record { callKey(state), now, Claim { state.request.bodyDigest, m_parts.membership.self(), state.request.id } };
+    m_parts.requests.awaitRecord(state, m_parts.ledger.append(std::move(record), false, now, out));
+}
+
+void ServiceFlow::claimAnswered(RequestState& state, const AppendResult& result, TimePoint now, Outbox& out)
+{
+    state.ticket.reset();
+    if (!result.ec) {
+        state.claimed = true;
+        return queue(state, now, out);
+    }
+    if (result.existing && kindOf(result.ec) == ErrorKind::CallInFlight)
+        return foundEarlierCall(state, *result.existing, now, out);
+    auto message = kindOf(result.ec) == ErrorKind::IdempotencyKeyReused ? "the Idempotency-Key was used before with another body" : "the call could not be claimed";
+    m_parts.requests.refuse(state, kindOf(result.ec), message, now, out);
+}
+
+bool ServiceFlow::ownerMayStillAnswer(const Claim& claim) const
+{
+    const auto& self = m_parts.membership.self();
+    if (claim.owner == self)
+        return m_parts.requests.find(claim.request) != nullptr;
+    const auto& members = m_parts.membership.members();
+    auto it = members.find(claim.owner.instance);
+    return it != members.end() && it->second.incarnation == claim.owner;
+}
+
+void ServiceFlow::foundEarlierCall(RequestState& state, const LedgerRecord& existing, TimePoint now, Outbox& out)
+{
+    state.ran.mayHaveRunElsewhere();
+    if (const auto* outcome = std::get_if<Outcome>(&existing.entry))
+        return replay(state, *outcome, now, out);
+    if (!ownerMayStillAnswer(std::get<Claim>(existing.entry)))
+        return m_parts.requests.refuse(state, ErrorKind::OutcomeUnknown, "an earlier call with this key was sent and its outcome is not known", now, out);
+    state.phase = Phase::AwaitingOutcome;
+    state.lookAgainAt = now + lookAgainPeriod;
+}
+
+void ServiceFlow::lookAgain(RequestState& state, TimePoint now, Outbox& out)
+{
+    state.lookAgainAt.reset();
+    claim(state, now, out);
+}
+
+void ServiceFlow::replay(RequestState& state, const Outcome& outcome, TimePoint now, Outbox& out)
+{
+    if (outcome.status == 0)
+        return m_parts.requests.refuse(state, ErrorKind::OutcomeUnknown, "an earlier call with this key was sent and its outcome is not known", now, out);
+    AnswerHead head { .status = outcome.status, .contentType = outcome.contentType, .ran = Ran::Yes };
+    head.cost = outcome.bill ? outcome.bill->cost : 0;
+    m_parts.requests.answer(state, std::move(head), outcome.bodyKept ? outcome.body : std::string(), now, out);
+}
+
+void ServiceFlow::queue(RequestState& state, TimePoint now, Outbox& out)
+{
+    ServiceId service { state.request.target };
+    UpstreamNeed need { .service = service, .tried = &state.tried };
+    m_dispatcher.enqueue(state, poolOf(service), need, callWork, now, out);
+}
+
+std::optional<UpstreamNeed> ServiceFlow::beforeAttempt(RequestState& state, TimePoint now, Outbox& out)
+{
+    const auto& configuration = m_parts.configuration();
+    auto team = configuration.teams.find(state.team);
+    const auto& target = state.request.target;
+    bool allowed = team != configuration.teams.end() && configuration.services.contains(ServiceId { target })
+        && std::find(team->second.services.begin(), team->second.services.end(), target) != team->second.services.end();
+    if (allowed)
+        return UpstreamNeed { .service = ServiceId { target } };
+    giveUp(state, ErrorKind::NotAllowed, "the team may no longer use this service", now, out);
+    return std::nullopt;
+}
+
+void ServiceFlow::fillAttempt(const RequestState& state, SendAttempt& attempt) const
+{
+    attempt.method = state.request.method;
+    attempt.path = state.request.path;
+}
+
+void ServiceFlow::attemptEnded(RequestState& state, AttemptFinished finished, TimePoint now, Outbox& out)
+{
+    state.result = std::move(finished);
+    if (state.result.end == AttemptEnd::Completed)
+        return completed(state, now, out);
+    failed(state, now, out);
+}
+
+void ServiceFlow::completed(RequestState& state, TimePoint now, Outbox& out)
+{
+    const auto& result = state.result;
+    auto service = m_parts.configuration().services.find(ServiceId { state.request.target });
+    state.bill.team = state.team;
+    bool accepted = result.status < 400;
+    if (service != m_parts.configuration().services.end() && accepted)
+        state.bill.cost = service->second.costPerCall;
+    bool keepBody = result.body.size() <= mostKeptBody;
+    state.phase = Phase::Recording;
+    LedgerRecord record { callKey(state), now, Outcome { result.status, result.contentType, keepBody ? result.body : std::string(), keepBody, state.bill } };
+    if (!needsClaim(state))
+        record.entry = state.bill;
+    if (m_parts.mutations.billTwice) {
+        auto copy = record;
+        copy.key += "/again";
+        m_parts.ledger.append(copy, true, now, out);
+    }
+    m_parts.requests.awaitRecord(state, m_parts.ledger.append(std::move(record), true, now, out));
+}
+
+void ServiceFlow::failed(RequestState& state, TimePoint now, Outbox& out)
+{
+    auto end = state.result.end;
+    bool notRun = end == AttemptEnd::NotSent || end == AttemptEnd::RefusedNotRun;
+    bool wasQueued = state.phase == Phase::Queued;
+    bool mayGoOn = state.attempts < mostAttempts && now < state.deadline && !wasQueued;
+    if (mayGoOn && (notRun || m_parts.mutations.retryNonIdempotent || (state.mayRepeat && m_parts.retries.take())))
+        return queue(state, now, out);
+    if (notRun && state.ran.verdict() != Ran::Unknown)
+        return giveUp(state, end == AttemptEnd::RefusedNotRun ? ErrorKind::Overloaded : ErrorKind::NoHealthyUpstream, "no upstream of the service took the call", now, out);
+    if (!state.mayRepeat)
+        recordUnknownOutcome(state, now, out);
+    m_parts.requests.refuse(state, state.mayRepeat ? ErrorKind::UpstreamFailed : ErrorKind::OutcomeUnknown, "the call was sent and no whole answer came back", now, out);
+}
+
+void ServiceFlow::recordUnknownOutcome(const RequestState& state, TimePoint now, Outbox& out)
+{
+    if (needsClaim(state))
+        m_parts.ledger.append({ callKey(state), now, Outcome {} }, true, now, out);
+}
+
+void ServiceFlow::releaseClaim(const RequestState& state, TimePoint now, Outbox& out)
+{
+    m_parts.ledger.append({ callKey(state), now, Release { state.request.id } }, false, now, out);
+}
+
+void ServiceFlow::giveUp(RequestState& state, ErrorKind kind, const std::string& message, TimePoint now, Outbox& out)
+{
+    // The claim must not stand in a resend's way.
+    if (state.claimed)
+        releaseClaim(state, now, out);
+    m_parts.requests.refuse(state, kind, message, now, out);
+}
+
+void ServiceFlow::recorded(RequestState& state, const AppendResult& result, TimePoint now, Outbox& out)
+{
+    if (state.phase == Phase::Claiming)
+        return claimAnswered(state, result, now, out);
+    if (state.phase != Phase::Recording)
+        return;
+    AnswerHead head { .status = state.result.status, .contentType = state.result.contentType, .cost = state.bill.cost, .ran = Ran::Yes };
+    m_parts.requests.answer(state, std::move(head), std::move(state.result.body), now, out);
+}
+
+void ServiceFlow::callerLeft(RequestState& state, TimePoint now, Outbox& out)
+{
+    state.callerLeft = true;
+    // A call that was sent is seen through to its outcome, so that the caller's next one learns of it.
+    if (state.phase == Phase::Queued) {
+        m_dispatcher.unqueue(state);
+        return giveUp(state, ErrorKind::DeadlineUnreachable, "the caller left", now, out);
+    }
+    if (state.phase == Phase::AwaitingOutcome)
+        m_parts.requests.dropSilently(state);
+}
+
+void ServiceFlow::expired(RequestState& state, TimePoint now, Outbox& out)
+{
+    switch (state.phase) {
+    case Phase::Claiming: {
+        bool mayStillLand = state.ticket && !m_parts.ledger.withdraw(*state.ticket);
+        if (mayStillLand)
+            releaseClaim(state, now, out);
+        return m_parts.requests.refuse(state, ErrorKind::StoreUnavailable, "the call could not be claimed in time, so this request was not sent", now, out);
+    }
+    case Phase::AwaitingOutcome:
+        return m_parts.requests.refuse(state, ErrorKind::CallInFlight, "an earlier call with this key is still running", now, out);
+    case Phase::Queued:
+        m_dispatcher.unqueue(state);
+        return giveUp(state, ErrorKind::DeadlineUnreachable, "no place became free before the deadline", now, out);
+    case Phase::Running:
+        m_dispatcher.cancelAttempt(state, out);
+        state.result.end = AttemptEnd::TimedOut;
+        state.attempts = mostAttempts;
+        return failed(state, now, out);
+    default:
+        return m_parts.requests.refuse(state, ErrorKind::StoreUnavailable, "the outcome could not be written before the deadline", now, out);
+    }
+}
+
+}
--- /dev/null
+++ b/src/core/upstream_table.cpp
@@ -0,0 +1,259 @@
+#include "core/upstream_table.h"
+
+#include "core/check.h"
+
+#include <algorithm>
+
+namespace skylarkhitch {
+
+namespace {
+
+    std::string poolKey(const VersionId& version, const ServiceId& service)
+    {
+        return service.empty() ? "v/" + version.value : "s/" + service.value;
+    }
+
+    // Smallest and step of the adaptive limit of requests in flight, in places.
+    constexpr double smallestLimit = 1;
+    constexpr double limitDecrease = 0.7;
+
+}
+
+UpstreamTable::UpstreamTable(DomainId own, UpstreamSettings settings, std::uint64_t seed)
+    : m_domain(std::move(own))
+    , m_settings(settings)
+    , m_random(seed)
+{
+}
+
+void UpstreamTable::configure(const ConfigurationPtr& configuration)
+{
+    m_configuration = configuration;
+    m_pools.clear();
+    absl::erase_if(m_states, [&](const auto& it) { return !configuration->upstreams.contains(it.first) && it.second.own == 0 && it.second.peers == 0; });
+    for (auto& [id, state] : m_states)
+        state.settings = nullptr;
+    for (const auto& [id, upstream] : configuration->upstreams) {
+        auto& state = m_states[id];
+        state.settings = &upstream;
+        if (state.limit == 0)
+            state.limit = static_cast<double>(upstream.slots);
+        m_pools[poolKey(upstream.version, upstream.service)].push_back(id);
+    }
+}
+
+bool UpstreamTable::usable(const State& state, TimePoint now) const
+{
+    return state.settings && !state.leavingByWord && !state.leavingByList && state.ejectedUntil <= now;
+}
+
+double UpstreamTable::load(const State& state)
+{
+    auto known = state.own + state.peers;
+    // A report knows of requests that heartbeats do not show yet, but not of what this instance sent after it.
+    auto reported = state.reportedRunning + state.reportedWaiting + std::max<std::int64_t>(0, state.own - state.ownAtReport);
+    return static_cast<double>(std::max(known, reported));
+}
+
+bool UpstreamTable::hasPlace(const State& state)
+{
+    if (static_cast<double>(state.own) >= state.limit)
+        return false;
+    return load(state) < state.limit;
+}
+
+std::vector<UpstreamId> UpstreamTable::candidates(const UpstreamNeed& need, TimePoint now, bool needPlace) const
+{
+    std::vector<UpstreamId> ids;
+    auto pool = m_pools.find(poolKey(need.version, need.service));
+    if (pool == m_pools.end())
+        return ids;
+    for (const auto& id : pool->second) {
+        const auto& state = m_states.at(id);
+        if (!usable(state, now) || (need.tried && need.tried->contains(id)))
+            continue;
+        if (!needPlace || hasPlace(state))
+            ids.push_back(id);
+    }
+    return ids;
+}
+
+double UpstreamTable::expectedWait(const UpstreamId& id) const
+{
+    const auto& state = m_states.at(id);
+    double wait = load(state) / std::max(1.0, static_cast<double>(state.settings->slots));
+    if (state.settings->domain != m_domain)
+        wait += std::chrono::duration<double>(m_settings.domainHop).count();
+    return wait;
+}
+
+UpstreamId UpstreamTable::pick(std::vector<UpstreamId>& ids)
+{
+    auto shorter = [&](const UpstreamId& a, const UpstreamId& b) { return expectedWait(a) < expectedWait(b); };
+    if (m_settings.policy == ChoicePolicy::RoundRobin)
+        return ids[m_turn++ % ids.size()];
+    if (m_settings.policy == ChoicePolicy::LeastLoaded || ids.size() <= 2)
+        return *std::min_element(ids.begin(), ids.end(), shorter);
+    std::swap(ids[0], ids[m_random() % ids.size()]);
+    std::swap(ids[1], ids[1 + m_random() % (ids.size() - 1)]);
+    return shorter(ids[1], ids[0]) ? ids[1] : ids[0];
+}
+
+std::optional<UpstreamId> UpstreamTable::choose(const UpstreamNeed& need, TimePoint now)
+{
+    auto ids = candidates(need, now, true);
+    if (ids.empty())
+        return std::nullopt;
+    return pick(ids);
+}
+
+bool UpstreamTable::anyUsable(const UpstreamNeed& need, TimePoint now) const
+{
+    return !candidates(need, now, false).empty();
+}
+
+double UpstreamTable::usableSlots(const UpstreamNeed& need, TimePoint now) const
+{
+    double slots = 0;
+    for (const auto& id : candidates(need, now, false))
+        slots += m_states.at(id).limit;
+    return slots;
+}
+
+double UpstreamTable::nominalRate(const UpstreamNeed& need, TimePoint now) const
+{
+    double rate = 0;
+    for (const auto& id : candidates(need, now, false)) {
+        const auto& state = m_states.at(id);
+        rate += state.limit * state.settings->tokensPerSecond;
+    }
+    return rate;
+}
+
+void UpstreamTable::attemptStarted(const UpstreamId& id)
+{
+    ++m_states[id].own;
+    m_own[id].inFlight = m_states[id].own;
+}
+
+void UpstreamTable::eject(const UpstreamId& id, State& state, TimePoint now, Outbox& out)
+{
+    auto length = std::min(m_settings.firstEjection * (1 << std::min(state.ejections, 10)), m_settings.longestEjection);
+    ++state.ejections;
+    state.ejectedUntil = now + length;
+    state.failuresInRow = 0;
+    out.push_back(StateChanged { "upstream", id.value, "ejected" });
+}
+
+void UpstreamTable::attemptEnded(const UpstreamId& id, AttemptEnd end, TimePoint now, Outbox& out)
+{
+    auto& state = m_states[id];
+    INTERNAL_CHECK(state.own > 0) << "an attempt on " << id.value << " ended that never started";
+    --state.own;
+    auto& counters = m_own[id];
+    counters.inFlight = state.own;
+    if (end == AttemptEnd::Completed) {
+        ++counters.done;
+        state.failuresInRow = 0;
+        state.ejections = 0;
+        if (state.settings)
+            state.limit = std::min(state.limit + 1 / state.limit, static_cast<double>(state.settings->slots));
+        return;
+    }
+    ++counters.failed;
+    if (end == AttemptEnd::Cut)
+        ++counters.crashed;
+    if (end == AttemptEnd::RefusedNotRun || end == AttemptEnd::TimedOut)
+        state.limit = std::max(smallestLimit, state.limit * limitDecrease);
+    ++state.failuresInRow;
+    // A refused connection needs no second opinion.
+    if (end == AttemptEnd::NotSent || state.failuresInRow >= m_settings.failuresToEject)
+        eject(id, state, now, out);
+}
+
+void UpstreamTable::attemptCancelled(const UpstreamId& id)
+{
+    auto& state = m_states[id];
+    INTERNAL_CHECK(state.own > 0) << "an attempt on " << id.value << " was cancelled that never started";
+    --state.own;
+    m_own[id].inFlight = state.own;
+}
+
+void UpstreamTable::setLeaving(const UpstreamId& id, State& state, bool byWord, bool byList, Outbox& out)
+{
+    bool before = state.leavingByWord || state.leavingByList;
+    state.leavingByWord = byWord;
+    state.leavingByList = byList;
+    if (before != (byWord || byList))
+        out.push_back(StateChanged { "upstream", id.value, byWord || byList ? "leaving" : "back" });
+}
+
+void UpstreamTable::loadReported(const LoadReported& report, TimePoint now, Outbox& out)
+{
+    auto it = m_states.find(report.upstream);
+    if (it == m_states.end())
+        return;
+    auto& state = it->second;
+    if (!report.reachable) {
+        if (state.ejectedUntil <= now)
+            eject(it->first, state, now, out);
+        return;
+    }
+    state.reportedRunning = report.running;
+    state.reportedWaiting = report.waiting;
+    state.ownAtReport = state.own;
+    setLeaving(it->first, state, report.leaving, state.leavingByList, out);
+}
+
+void UpstreamTable::listed(const std::vector<ListedInstance>& instances, Outbox& out)
+{
+    absl::flat_hash_map<std::string, bool> leavingByAddress;
+    for (const auto& it : instances)
+        leavingByAddress[it.address] = it.leaving;
+    for (auto& [id, state] : m_states) {
+        if (!state.settings)
+            continue;
+        auto it = leavingByAddress.find(state.settings->address);
+        setLeaving(id, state, state.leavingByWord, it != leavingByAddress.end() && it->second, out);
+    }
+}
+
+void UpstreamTable::learn(const InstanceId& from, const std::map<UpstreamId, UpstreamCounters>& upstreams)
+{
+    auto& last = m_peers[from];
+    for (const auto& [id, n] : last)
+        m_states[id].peers -= n.inFlight;
+    last = upstreams;
+    for (const auto& [id, n] : last)
+        m_states[id].peers += n.inFlight;
+}
+
+void UpstreamTable::forget(const InstanceId& peer)
+{
+    learn(peer, {});
+}
+
+bool UpstreamTable::leaving(const UpstreamId& id) const
+{
+    auto it = m_states.find(id);
+    return it != m_states.end() && (it->second.leavingByWord || it->second.leavingByList);
+}
+
+std::int64_t UpstreamTable::inFlight(const UpstreamId& id) const
+{
+    auto it = m_states.find(id);
+    return it == m_states.end() ? 0 : it->second.own;
+}
+
+std::int64_t UpstreamTable::inFlightOn(const VersionId& version) const
+{
+    auto pool = m_pools.find(poolKey(version, {}));
+    if (pool == m_pools.end())
+        return 0;
+    std::int64_t sum = 0;
+    for (const auto& id : pool->second)
+        sum += m_states.at(id).own;
+    return sum;
+}
+
+}
--- /dev/null
+++ b/src/core/upstream_table.h
@@ -0,0 +1,107 @@
+#pragma once
+
+// What this instance knows of each upstream, and the choice of one for an attempt. Load is this instance's own
+// requests in flight, the other instances' by heartbeat, and the upstream's own report. Two upstreams are sampled
+// and the one with the shorter expected wait is taken (Mitzenmacher, 2001); baselines are round robin and a full scan.
+
+#include "core/configuration.h"
+#include "core/messages.h"
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
+#include <random>
+
+namespace skylarkhitch {
+
+enum class ChoicePolicy { TwoChoices,
+    RoundRobin,
+    LeastLoaded };
+
+struct UpstreamSettings {
+    ChoicePolicy policy = ChoicePolicy::TwoChoices;
+    // Failures in a row after which an upstream is left alone for a while.
+    int failuresToEject = 3;
+    Milliseconds firstEjection { 500 };
+    Milliseconds longestEjection { 15000 };
+    // Extra wait that is accepted before a request leaves its failure domain.
+    Milliseconds domainHop { 5 };
+};
+
+// What an attempt needs of its upstream.
+struct UpstreamNeed {
+    VersionId version;
+    ServiceId service;
+    // Upstreams that this request has tried already.
+    const absl::flat_hash_set<UpstreamId>* tried = nullptr;
+};
+
+class UpstreamTable {
+public:
+    UpstreamTable(DomainId own, UpstreamSettings, std::uint64_t seed);
+
+    void configure(const ConfigurationPtr&);
+
+    // The best upstream with a free place, or none.
+    std::optional<UpstreamId> choose(const UpstreamNeed&, TimePoint);
+    // Whether any upstream could serve this need at all, now or when a place becomes free.
+    bool anyUsable(const UpstreamNeed&, TimePoint) const;
+
+    void attemptStarted(const UpstreamId&);
+    void attemptEnded(const UpstreamId&, AttemptEnd, TimePoint, Outbox&);
+    // The attempt was given up here; this says nothing about the upstream.
+    void attemptCancelled(const UpstreamId&);
+    void loadReported(const LoadReported&, TimePoint, Outbox&);
+    void listed(const std::vector<ListedInstance>&, Outbox&);
+    void learn(const InstanceId& from, const std::map<UpstreamId, UpstreamCounters>&);
+    void forget(const InstanceId&);
+
+    const std::map<UpstreamId, UpstreamCounters>& own() const { return m_own; }
+    // Places of all usable upstreams of a pool.
+    double usableSlots(const UpstreamNeed&, TimePoint) const;
+    // Work a second that the usable upstreams of a pool can do together by their settings.
+    double nominalRate(const UpstreamNeed&, TimePoint) const;
+    bool leaving(const UpstreamId&) const;
+    std::int64_t inFlight(const UpstreamId&) const;
+    // Requests of this instance in flight on all upstreams of a version.
+    std::int64_t inFlightOn(const VersionId&) const;
+
+private:
+    struct State {
+        const Upstream* settings = nullptr;
+        std::int64_t own = 0;
+        // In flight from the other instances, by their heartbeats.
+        std::int64_t peers = 0;
+        std::int64_t reportedRunning = 0;
+        std::int64_t reportedWaiting = 0;
+        // Own requests in flight when the last report came, to see what it can not know of.
+        std::int64_t ownAtReport = 0;
+        double limit = 0;
+        bool leavingByWord = false;
+        bool leavingByList = false;
+        int failuresInRow = 0;
+        int ejections = 0;
+        TimePoint ejectedUntil {};
+    };
+
+    std::vector<UpstreamId> candidates(const UpstreamNeed&, TimePoint, bool needPlace) const;
+    bool usable(const State&, TimePoint) const;
+    static bool hasPlace(const State&);
+    static double load(const State&);
+    double expectedWait(const UpstreamId&) const;
+    void eject(const UpstreamId&, State&, TimePoint, Outbox&);
+    void setLeaving(const UpstreamId&, State&, bool byWord, bool byList, Outbox&);
+    UpstreamId pick(std::vector<UpstreamId>&);
+
+    DomainId m_domain;
+    UpstreamSettings m_settings;
+    std::mt19937_64 m_random;
+    std::uint64_t m_turn = 0;
+    ConfigurationPtr m_configuration;
+    absl::flat_hash_map<UpstreamId, State> m_states;
+    absl::flat_hash_map<std::string, std::vector<UpstreamId>> m_pools;
+    std::map<UpstreamId, UpstreamCounters> m_own;
+    // What each peer said last, so that its part can be taken out of the sums again.
+    absl::flat_hash_map<InstanceId, std::map<UpstreamId, UpstreamCounters>> m_peers;
+};
+
+}
--- /dev/null
+++ b/src/core/version_evidence.cpp
@@ -0,0 +1,139 @@
+#include "core/version_evidence.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace skylarkhitch {
+
+namespace {
+
+    // Weight of a new rating in the running mean.
+    constexpr double meanStep = 0.02;
+
+}
+
+void VersionEvidence::configure(const ConfigurationPtr& configuration)
+{
+    for (const auto& [id, version] : configuration->versions) {
+        auto [it, isNew] = m_states.try_emplace(id);
+        if (isNew)
+            it->second.meanRating = version.quality;
+        it->second.quality = version.quality;
+    }
+}
+
+void VersionEvidence::attemptEnded(const VersionId& id, AttemptEnd end, TimePoint now, Outbox& out)
+{
+    // A full or unreachable upstream says nothing about the version it runs.
+    if (end == AttemptEnd::NotSent || end == AttemptEnd::RefusedNotRun)
+        return;
+    bool good = end == AttemptEnd::Completed;
+    auto& counters = m_own[id];
+    ++(good ? counters.done : counters.failed);
+    observe(id, good ? 1 : 0, good ? 0 : 1, now, out);
+}
+
+void VersionEvidence::rated(const VersionId& id, double rating, TimePoint now, Outbox& out)
+{
+    auto& counters = m_own[id];
+    ++counters.rated;
+    counters.ratingThousandths += std::llround(rating * 1000);
+    observeRatings(id, 1, rating, now, out);
+}
+
+void VersionEvidence::learn(const Incarnation& from, const std::map<VersionId, VersionCounters>& counters, TimePoint now, Outbox& out)
+{
+    auto [peer, isNew] = m_peers.try_emplace(from.instance);
+    // What a peer saw before this instance heard of it is old: it is a base, not news.
+    bool isBase = isNew || peer->second.incarnation != from.number;
+    peer->second.incarnation = from.number;
+    for (const auto& [id, n] : counters) {
+        auto& last = peer->second.counters[id];
+        if (!isBase) {
+            observe(id, std::max<std::int64_t>(0, n.done - last.done), std::max<std::int64_t>(0, n.failed - last.failed), now, out);
+            auto rated = std::max<std::int64_t>(0, n.rated - last.rated);
+            observeRatings(id, rated, static_cast<double>(n.ratingThousandths - last.ratingThousandths) / 1000, now, out);
+        }
+        last = n;
+    }
+}
+
+void VersionEvidence::observe(const VersionId& id, std::int64_t done, std::int64_t failed, TimePoint now, Outbox& out)
+{
+    auto& state = m_states[id];
+    // Log-likelihood ratio of one success and one failure under the bad against the healthy rate.
+    double success = std::log((1 - m_settings.badFailureRate) / (1 - m_settings.healthyFailureRate));
+    double failure = std::log(m_settings.badFailureRate / m_settings.healthyFailureRate);
+    auto sum = state.failureSum + static_cast<double>(done) * success + static_cast<double>(failed) * failure;
+    state.failureSum = std::max(0.0, sum);
+    if (state.health == VersionHealth::Probation)
+        state.goodProbes += done;
+    judge(id, state, now, out);
+}
+
+void VersionEvidence::observeRatings(const VersionId& id, std::int64_t n, double sum, TimePoint now, Outbox& out)
+{
+    if (n <= 0)
+        return;
+    auto& state = m_states[id];
+    auto count = static_cast<double>(n);
+    auto mean = sum / count;
+    state.meanRating += (1 - std::pow(1 - meanStep, count)) * (mean - state.meanRating);
+    double gain = m_settings.ratingDrop / (m_settings.ratingSpread * m_settings.ratingSpread);
+    state.ratingSum = std::max(0.0, state.ratingSum + count * gain * (state.quality - m_settings.ratingDrop / 2 - mean));
+    judge(id, state, now, out);
+}
+
+void VersionEvidence::judge(const VersionId& id, State& state, TimePoint now, Outbox& out)
+{
+    if (state.health != VersionHealth::Quarantined && std::max(state.failureSum, state.ratingSum) >= m_settings.threshold)
+        return quarantine(id, state, now, out);
+    if (state.health == VersionHealth::Probation && state.goodProbes >= m_settings.goodProbes) {
+        state.health = VersionHealth::Healthy;
+        state.quarantines = 0;
+        out.push_back(StateChanged { "version", id.value, "healthy" });
+    }
+}
+
+void VersionEvidence::quarantine(const VersionId& id, State& state, TimePoint now, Outbox& out)
+{
+    state.health = VersionHealth::Quarantined;
+    state.until = now + std::min(m_settings.firstQuarantine * (1 << std::min(state.quarantines, 10)), m_settings.longestQuarantine);
+    ++state.quarantines;
+    state.goodProbes = 0;
+    out.push_back(StateChanged { "version", id.value, "quarantined" });
+}
+
+bool VersionEvidence::mayRun(const VersionId& id, std::int64_t inFlight, TimePoint now, Outbox& out)
+{
+    auto it = m_states.find(id);
+    if (it == m_states.end())
+        return true;
+    auto& state = it->second;
+    if (state.health == VersionHealth::Healthy)
+        return true;
+    if (state.health == VersionHealth::Quarantined) {
+        if (now < state.until)
+            return false;
+        state.health = VersionHealth::Probation;
+        // Half-way to the threshold: a version that is still bad is found out by a few probes.
+        state.failureSum = m_settings.threshold / 2;
+        state.ratingSum = m_settings.threshold / 2;
+        out.push_back(StateChanged { "version", id.value, "probation" });
+    }
+    return inFlight < m_settings.probesInFlight;
+}
+
+VersionHealth VersionEvidence::health(const VersionId& id) const
+{
+    auto it = m_states.find(id);
+    return it == m_states.end() ? VersionHealth::Healthy : it->second.health;
+}
+
+double VersionEvidence::meanRating(const VersionId& id) const
+{
+    auto it = m_states.find(id);
+    return it == m_states.end() ? 0.5 : it->second.meanRating;
+}
+
+}
--- /dev/null
+++ b/src/daemon/caller_api.h
@@ -0,0 +1,44 @@
+#pragma once
+
+// What callers see: checks the form of each request, turns it into a CallerRequest, and turns the core's answers into HTTP.
+
+#include "adapters/http_server.h"
+#include "daemon/control_loop.h"
+
+#include <atomic>
+#include <mutex>
+
+namespace skylarkhitch {
+
+class CallerApi {
+public:
+    CallerApi(ControlLoop& control, Incarnation self)
+        : m_control(control)
+        , m_self(std::move(self))
+    {
+    }
+
+    // Serves one request; runs on the server's threads.
+    void serve(HttpRequest, std::shared_ptr<HttpReply>);
+
+    // Carry out the core's answers; run on the control thread.
+    void carryOut(CallerAnswer);
+    void carryOut(const CallerStreamStart&);
+    void carryOut(const CallerStreamData&);
+    void carryOut(const CallerStreamEnd&);
+
+private:
+    void serveEntry(const HttpRequest&, const std::shared_ptr<HttpReply>&);
+    void serveModels(const HttpRequest&, const std::shared_ptr<HttpReply>&);
+    void serveCall(HttpRequest, const std::shared_ptr<HttpReply>&, CallKind);
+    std::shared_ptr<HttpReply> find(const RequestId&, bool take);
+    RequestId newId();
+
+    ControlLoop& m_control;
+    Incarnation m_self;
+    std::atomic<std::uint64_t> m_lastRequest = 0;
+    std::mutex m_mutex;
+    std::map<RequestId, std::shared_ptr<HttpReply>> m_replies;
+};
+
+}
--- /dev/null
+++ b/src/daemon/control_loop.h
@@ -0,0 +1,46 @@
+#pragma once
+
+// The one control thread: takes events and questions from the traffic threads, drives the core, and hands its actions
+// to the adapters.
+
+#include "core/router.h"
+
+#include <condition_variable>
+#include <deque>
+#include <functional>
+#include <mutex>
+#include <thread>
+
+namespace skylarkhitch {
+
+using ActionSink = std::function<void(Action)>;
+// Runs on the control thread, with the core to look at.
+using Question = std::function<void(Router&, TimePoint, Outbox&)>;
+
+class ControlLoop {
+public:
+    ControlLoop(RouterSettings, ConfigurationReader, MetricsSink&);
+    ~ControlLoop();
+
+    // The sink runs on the control thread and must not block.
+    void start(ActionSink);
+    void stop();
+    void post(Event);
+    void ask(Question);
+
+private:
+    using Order = std::variant<Event, Question>;
+    void run();
+    void push(Order);
+    void carryOut(Order, TimePoint, Outbox&);
+
+    Router m_router;
+    ActionSink m_sink;
+    std::mutex m_mutex;
+    std::condition_variable m_changed;
+    std::deque<Order> m_orders;
+    bool m_stopping = false;
+    std::thread m_thread;
+};
+
+}
--- /dev/null
+++ b/src/daemon/daemon.cpp
@@ -0,0 +1,298 @@
+#include "daemon/daemon.h"
+
+#include "adapters/http_store.h"
+#include "adapters/http_upstream_client.h"
+#include "adapters/log.h"
+#include "adapters/memory_store.h"
+#include "config/parse_configuration.h"
+#include "core/check.h"
+#include "daemon/caller_api.h"
+#include "daemon/operator_api.h"
+#include "daemon/platform_poller.h"
+
+#include <arpa/inet.h>
+#include <csignal>
+#include <fstream>
+#include <iostream>
+#include <nlohmann/json.hpp>
+#include <sstream>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace skylarkhitch {
+
+namespace {
+
+    constexpr Milliseconds ratingTimeout { 3000 };
+    constexpr Milliseconds drainCheckPeriod { 20 };
+    constexpr std::size_t mostBodyBytes = 8 << 20;
+
+    std::string readFile(const std::string& path)
+    {
+        std::ifstream in(path);
+        CALLER_CHECK(in.good()) << "can not read file '" << path << "'";
+        std::ostringstream text;
+        text << in.rdbuf();
+        return text.str();
+    }
+
+    RouterSettings routerSettings(const NodeSettings& node)
+    {
+        RouterSettings settings;
+        auto startedAt = std::chrono::time_point_cast<Microseconds>(std::chrono::system_clock::now());
+        // A later life of an instance has a higher number, since it starts later.
+        settings.self = { node.instance, static_cast<std::uint64_t>(startedAt.time_since_epoch().count()) };
+        settings.domain = node.domain;
+        settings.entryAddress = node.entryAddress;
+        settings.seed = node.seed != 0 ? static_cast<std::uint64_t>(node.seed) : settings.self.number;
+        settings.membership.heartbeatPeriod = node.heartbeatPeriod;
+        settings.membership.suspectAfter = node.heartbeatPeriod * 3 + Milliseconds(100);
+        settings.membership.removeAfter = node.heartbeatPeriod * 10;
+        settings.ledger.shards = static_cast<std::uint32_t>(node.ledgerShards);
+        // All shards together keep the site's budget, since each has one writer at a time.
+        settings.ledger.shard.swapInterval = Microseconds(1000000 * node.ledgerShards / node.storeWritesPerSecond);
+        settings.drainGrace = node.drainGrace;
+        settings.cutOffAfter = node.cutOffAfter;
+        return settings;
+    }
+
+    LogLevel levelOf(const StateChanged& change)
+    {
+        bool bad = change.detail == "quarantined" || change.detail == "removed" || change.detail == "cut off" || change.detail == "ejected";
+        return bad ? LogLevel::Warning : LogLevel::Info;
+    }
+
+    // Carries the core's actions out; each overload hands one kind to its adapter.
+    class Daemon {
+    public:
+        explicit Daemon(const NodeSettings& node)
+            : m_node(node)
+            , m_settings(routerSettings(node))
+            , m_control(m_settings, makeConfigurationReader(), m_metrics)
+            , m_upstreams(m_client, [this](Event event) { m_control.post(std::move(event)); })
+            , m_callers(m_control, m_settings.self)
+        {
+            makeStore();
+            if (node.platform != "memory")
+                makePeers();
+            m_operators = std::make_unique<OperatorApi>(m_control, *m_store, m_metrics, m_peers.get(), [this] { m_control.post(DrainRequested {}); });
+        }
+
+        void start()
+        {
+            m_control.start([this](Action action) { std::visit([this](auto&& it) { carryOut(std::forward<decltype(it)>(it)); }, std::move(action)); });
+            if (m_node.platform == "memory")
+                adoptFile();
+            else
+                addPeers();
+            m_operatorServer = std::make_unique<HttpServer>(HttpServerSettings { .listen = m_node.operatorListen, .maxBodyBytes = mostBodyBytes, .maxConnections = 64 },
+                [this](const HttpRequest& request, const std::shared_ptr<HttpReply>& reply) { m_operators->serve(request, reply); });
+            m_poller = std::make_unique<PlatformPoller>(PollerSettings { m_node.platform == "memory" ? "" : m_node.platform, m_node.listPeriod, m_node.loadPeriod }, m_client, m_control, m_peers.get());
+            HttpServerSettings http { .listen = m_node.listen, .maxBodyBytes = mostBodyBytes, .maxConnections = static_cast<unsigned int>(m_node.maxConnections) };
+            http.idleTimeout = std::chrono::duration_cast<Seconds>(m_node.idleTimeout);
+            m_callerServer = std::make_unique<HttpServer>(http,
+                [this](HttpRequest request, std::shared_ptr<HttpReply> reply) { m_callers.serve(std::move(request), std::move(reply)); });
+            logChange(LogLevel::Info, "instance", m_node.instance.value, "listening on " + m_node.listen);
+        }
+
+        void drain() { m_control.post(DrainRequested {}); }
+
+        bool drained()
+        {
+            std::mutex mutex;
+            std::condition_variable answered;
+            std::optional<bool> result;
+            m_control.ask([&](Router& router, TimePoint now, Outbox&) {
+                std::lock_guard lock(mutex);
+                result = router.drained(now);
+                answered.notify_one();
+            });
+            std::unique_lock lock(mutex);
+            answered.wait(lock, [&] { return result.has_value(); });
+            return *result;
+        }
+
+        void stop()
+        {
+            m_poller.reset();
+            m_callerServer.reset();
+            m_operatorServer.reset();
+            m_control.stop();
+            m_peers.reset();
+            logChange(LogLevel::Info, "instance", m_node.instance.value, "stopped");
+        }
+
+    private:
+        void makeStore()
+        {
+            if (m_node.platform == "memory")
+                m_store = std::make_unique<MemoryStore>();
+            else
+                m_store = std::make_unique<HttpStore>(m_storeClient, m_node.platform);
+        }
+
+        void makePeers()
+        {
+            m_peers = std::make_unique<PeerTransport>(PeerTransportSettings { m_settings.self, m_node.peerListen, m_node.peerSecret },
+                [this](PeerEnvelope envelope) { m_control.post(PeerArrived { std::move(envelope) }); });
+        }
+
+        void addPeers()
+        {
+            InstancesListed listed;
+            for (const auto& it : m_node.peers) {
+                auto equals = it.find('=');
+                CALLER_CHECK(equals != std::string::npos) << "peers: found '" << it << "', expected id=ip:port";
+                m_peers->setAddress({ it.substr(0, equals) }, it.substr(equals + 1));
+                listed.instances.push_back({ it.substr(0, equals), InstanceRole::Entry, "", false });
+            }
+            if (!listed.instances.empty())
+                m_control.post(std::move(listed));
+        }
+
+        void adoptFile()
+        {
+            if (m_node.configurationFile.empty())
+                return;
+            auto overlay = m_node.configurationOverlay.empty() ? std::string() : readFile(m_node.configurationOverlay);
+            auto parsed = parseConfiguration(readFile(m_node.configurationFile), m_node.configurationFile, overlay, m_node.configurationOverlay);
+            std::string all;
+            for (const auto& it : parsed.errors)
+                all += "\n  " + toString(it);
+            CALLER_CHECK(parsed.configuration) << "the configuration is not valid:" << all;
+            EditRequested edit;
+            edit.document.editId = "start";
+            edit.document.author = m_node.instance.value;
+            edit.document.text = parsed.text;
+            m_control.post(std::move(edit));
+        }
+
+        void carryOut(const SendAttempt& action) { m_upstreams.send(action); }
+        void carryOut(const CancelAttempt& action) { m_upstreams.cancel(action.attempt); }
+        void carryOut(CallerAnswer action) { m_callers.carryOut(std::move(action)); }
+        void carryOut(const CallerStreamStart& action) { m_callers.carryOut(action); }
+        void carryOut(const CallerStreamData& action) { m_callers.carryOut(action); }
+        void carryOut(const CallerStreamEnd& action) { m_callers.carryOut(action); }
+        void carryOut(const StoreCall& action)
+        {
+            m_store->call(action, [this](StoreReply reply) { m_control.post(std::move(reply)); });
+        }
+        void carryOut(const SendPeer& action)
+        {
+            if (m_peers)
+                m_peers->send(action.to, action.envelope);
+        }
+        void carryOut(const EditAnswered& action) { m_operators->carryOut(action); }
+        void carryOut(const StateChanged& action) { logChange(levelOf(action), action.what, action.subject, action.detail); }
+        void carryOut(const RateAnswer& action)
+        {
+            if (m_node.ratingAddress.empty()) {
+                m_control.post(RatingArrived { action.request, action.attempt, ErrorKind::UpstreamFailed, 0 });
+                return;
+            }
+            nlohmann::json body = { { "request_id", action.request.value }, { "version", action.version.value }, { "task", action.task }, { "answer", action.answer } };
+            auto text = body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+            HttpCall call { .method = "POST", .address = m_node.ratingAddress, .path = "/v1/ratings", .body = std::make_shared<const std::string>(std::move(text)), .timeout = ratingTimeout };
+            m_client.start(std::move(call), { .onEnd = [this, request = action.request, attempt = action.attempt](const HttpResult& result) { rated(request, attempt, result); } });
+        }
+
+        void rated(const RequestId& request, AttemptId attempt, const HttpResult& result)
+        {
+            auto json = nlohmann::json::parse(result.body, nullptr, false);
+            bool valid = result.end == HttpEnd::Whole && result.status == 200 && json.is_object() && json.value("rating", nlohmann::json()).is_number();
+            std::error_code ec;
+            if (!valid)
+                ec = ErrorKind::UpstreamFailed;
+            m_control.post(RatingArrived { request, attempt, ec, valid ? json["rating"].get<double>() : 0 });
+        }
+
+        NodeSettings m_node;
+        RouterSettings m_settings;
+        PrometheusMetrics m_metrics;
+        ControlLoop m_control;
+        std::unique_ptr<KeyValueStore> m_store;
+        std::unique_ptr<PeerTransport> m_peers;
+        // The store has a client of its own, so that its calls never wait behind the traffic of streams.
+        HttpClient m_storeClient;
+        HttpClient m_client;
+        HttpUpstreamClient m_upstreams;
+        CallerApi m_callers;
+        std::unique_ptr<OperatorApi> m_operators;
+        std::unique_ptr<PlatformPoller> m_poller;
+        std::unique_ptr<HttpServer> m_operatorServer;
+        std::unique_ptr<HttpServer> m_callerServer;
+    };
+
+    // A port that nobody listens on at this moment; for tests and the quick start, which run many instances on one machine.
+    int freePort(const std::string& host)
+    {
+        sockaddr_in address {};
+        address.sin_family = AF_INET;
+        inet_pton(AF_INET, host.c_str(), &address.sin_addr);
+        int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        socklen_t size = sizeof address;
+        bool bound = ::bind(fd, reinterpret_cast<sockaddr*>(&address), size) == 0 && ::getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size) == 0;
+        ::close(fd);
+        CALLER_CHECK(bound) << "no free port on " << host;
+        return ntohs(address.sin_port);
+    }
+
+    sigset_t stopSignals()
+    {
+        sigset_t set;
+        sigemptyset(&set);
+        sigaddset(&set, SIGTERM);
+        sigaddset(&set, SIGINT);
+        return set;
+    }
+
+    bool signalWithin(const sigset_t& set, Milliseconds time)
+    {
+        timespec wait { time.count() / 1000, time.count() % 1000 * 1000000 };
+        return sigtimedwait(&set, nullptr, &wait) > 0;
+    }
+
+}
+
+void takeFreePorts(NodeSettings& node)
+{
+    for (auto* address : { &node.listen, &node.operatorListen, &node.peerListen, &node.entryAddress }) {
+        auto hostPort = parseHostPort(*address);
+        if (hostPort.port != 0)
+            continue;
+        // The entry address follows the listening one.
+        *address = address == &node.entryAddress ? node.listen : hostPort.host + ":" + std::to_string(freePort(hostPort.host));
+    }
+}
+
+int runDaemon(const NodeSettings& node)
+{
+    // Blocked before any thread starts, so that only this thread takes them.
+    auto signals = stopSignals();
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    std::signal(SIGPIPE, SIG_IGN);
+    startLog(node.logLevel, node.instance.value);
+    Daemon daemon(node);
+    daemon.start();
+    std::cout << "ready callers=" << node.listen << " operators=" << node.operatorListen << " peers=" << node.peerListen << std::endl;
+    // An operator's drain ends the process as a signal does.
+    while (!signalWithin(signals, drainCheckPeriod)) {
+        if (daemon.drained())
+            break;
+    }
+    daemon.drain();
+    auto limit = std::chrono::steady_clock::now() + node.drainLimit;
+    bool inTime = true;
+    while (!daemon.drained()) {
+        bool second = signalWithin(signals, drainCheckPeriod);
+        if (second || std::chrono::steady_clock::now() >= limit) {
+            logChange(LogLevel::Error, "instance", node.instance.value, second ? "stopped by a second signal before the drain was over" : "the drain took longer than drain_limit_ms");
+            inTime = false;
+            break;
+        }
+    }
+    daemon.stop();
+    return inTime ? 0 : 1;
+}
+
+}
--- /dev/null
+++ b/src/daemon/main.cpp
@@ -0,0 +1,99 @@
+// skylarkhitchd: one entry instance.
+
+#include "core/check.h"
+#include "daemon/daemon.h"
+
+#include <fstream>
+#include <iostream>
+#include <popt.h>
+#include <sstream>
+
+namespace {
+
+using namespace skylarkhitch;
+
+constexpr int exitUsage = 2;
+constexpr int exitSettings = 3;
+
+struct Arguments {
+    char* settings = nullptr;
+    char* overlay = nullptr;
+    int check = 0;
+    int version = 0;
+};
+
+bool readText(const char* path, std::string& text)
+{
+    std::ifstream in(path);
+    std::ostringstream buf;
+    buf << in.rdbuf();
+    text = buf.str();
+    return in.good();
+}
+
+std::optional<NodeSettings> loadSettings(const Arguments& arguments, std::vector<DocumentError>& errors)
+{
+    DocumentNode root;
+    for (const char* path : { arguments.settings, arguments.overlay }) {
+        if (!path)
+            continue;
+        std::string text;
+        if (!readText(path, text)) {
+            errors.push_back({ { path, 0 }, "can not be read" });
+            return std::nullopt;
+        }
+        auto tree = parseYaml(text, path, errors);
+        root = path == arguments.settings ? tree : mergeTrees(root, tree);
+    }
+    if (!errors.empty())
+        return std::nullopt;
+    return parseNodeSettings(root, errors);
+}
+
+int run(const Arguments& arguments)
+{
+    std::vector<DocumentError> errors;
+    auto settings = loadSettings(arguments, errors);
+    if (!settings) {
+        for (const auto& it : errors)
+            std::cerr << toString(it) << "\n";
+        return exitSettings;
+    }
+    if (arguments.check) {
+        std::cout << "the settings are valid\n";
+        return 0;
+    }
+    takeFreePorts(*settings);
+    return runDaemon(*settings);
+}
+
+}
+
+int main(int argc, const char** argv)
+{
+    Arguments arguments;
+    poptOption options[] = {
+        { "settings", 's', POPT_ARG_STRING, &arguments.settings, 0, "settings of this instance (YAML)", "FILE" },
+        { "overlay", 'o', POPT_ARG_STRING, &arguments.overlay, 0, "settings laid over them", "FILE" },
+        { "check", 'c', POPT_ARG_NONE, &arguments.check, 0, "only check the settings", nullptr },
+        { "version", 'V', POPT_ARG_NONE, &arguments.version, 0, "print the version", nullptr },
+        POPT_AUTOHELP POPT_TABLEEND
+    };
+    auto* context = poptGetContext("skylarkhitchd", argc, argv, options, 0);
+    auto result = poptGetNextOpt(context);
+    bool extra = poptPeekArg(context) != nullptr;
+    if (arguments.version) {
+        std::cout << "skylarkhitchd 0.1.0\n";
+        return 0;
+    }
+    if (result < -1 || extra || !arguments.settings) {
+        std::cerr << "usage: skylarkhitchd --settings FILE [--overlay FILE]; see --help\n";
+        return exitUsage;
+    }
+    try {
+        return run(arguments);
+    } catch (const std::exception& e) {
+        std::cerr << "skylarkhitchd: " << e.what() << "\n";
+        return exitSettings;
+    }
+}
