--- /dev/null
+++ b/src/daemon/operator_api.cpp
@@ -0,0 +1,246 @@
+#include "daemon/operator_api.h"
+
+#include <nlohmann/json.hpp>
+
+namespace skylarkhitch {
+
+namespace {
+
+    using Json = nlohmann::json;
+
+    constexpr Milliseconds storeTimeout { 5000 };
+
+    void respondJson(HttpReply& reply, int status, const Json& json)
+    {
+        reply.respond(status, { { "Content-Type", "application/json" } }, json.dump());
+    }
+
+    const char* nameOf(MemberState state)
+    {
+        switch (state) {
+        case MemberState::Live:
+            return "live";
+        case MemberState::Suspected:
+            return "suspected";
+        case MemberState::Leaving:
+            break;
+        }
+        return "leaving";
+    }
+
+    const char* nameOf(VersionHealth health)
+    {
+        switch (health) {
+        case VersionHealth::Healthy:
+            return "healthy";
+        case VersionHealth::Quarantined:
+            return "quarantined";
+        case VersionHealth::Probation:
+            break;
+        }
+        return "probation";
+    }
+
+    Json membersJson(const Router& router)
+    {
+        Json members = Json::array();
+        for (const auto& [id, it] : router.membership().members())
+            members.push_back({ { "instance", id.value }, { "state", nameOf(it.state) }, { "domain", it.heartbeat.domain.value },
+                { "address", it.heartbeat.entryAddress }, { "revision", it.heartbeat.revision }, { "store_reachable", it.heartbeat.storeReachable } });
+        return members;
+    }
+
+    Json upstreamsJson(const Router& router)
+    {
+        Json upstreams = Json::array();
+        if (!router.keeper().current())
+            return upstreams;
+        for (const auto& [id, it] : router.keeper().current()->upstreams) {
+            UpstreamCounters n;
+            if (auto own = router.upstreams().own().find(id); own != router.upstreams().own().end())
+                n = own->second;
+            upstreams.push_back({ { "upstream", id.value }, { "address", it.address }, { "serves", it.version.empty() ? it.service.value : it.version.value },
+                { "domain", it.domain.value }, { "in_flight", n.inFlight }, { "done", n.done }, { "failed", n.failed }, { "leaving", router.upstreams().leaving(id) } });
+        }
+        return upstreams;
+    }
+
+    Json versionsJson(const Router& router)
+    {
+        Json versions = Json::array();
+        if (!router.keeper().current())
+            return versions;
+        for (const auto& [id, it] : router.keeper().current()->versions)
+            versions.push_back({ { "version", id.value }, { "model", it.model.value }, { "withdrawn", it.withdrawn },
+                { "health", nameOf(router.evidence().health(id)) }, { "mean_rating", router.evidence().meanRating(id) } });
+        return versions;
+    }
+
+    Json statusJson(const Router& router)
+    {
+        const auto& self = router.membership().self();
+        return {
+            { "instance", self.instance.value },
+            { "incarnation", self.number },
+            { "domain", router.membership().domain().value },
+            { "address", router.membership().entryAddress() },
+            { "revision", router.keeper().revision() },
+            { "draining", router.draining() },
+            { "cut_off", router.cutOff() },
+            { "store_reachable", router.store().reachable() },
+            { "requests_in_flight", router.requestsInFlight() },
+            { "requests_waiting", router.requestsWaiting() },
+            { "records_unsettled", router.ledger().unsettled() },
+            { "records_held", router.ledger().heldRecords() },
+            { "members", membersJson(router) },
+            { "upstreams", upstreamsJson(router) },
+            { "versions", versionsJson(router) },
+        };
+    }
+
+    Json historyJson(const ConfigurationDocument& document)
+    {
+        Json history = Json::array();
+        for (const auto& it : document.history)
+            history.push_back({ { "revision", it.revision }, { "edit_id", it.editId }, { "author", it.author },
+                { "at_ms", std::chrono::duration_cast<Milliseconds>(it.at.time_since_epoch()).count() } });
+        return history;
+    }
+
+    // Sums the bills of every segment; a key counts once, wherever its copies are.
+    Json billsJson(const StoreReply& reply)
+    {
+        LedgerIndex index;
+        for (const auto& item : reply.items) {
+            auto batches = decodeSegment(item.value);
+            if (!batches)
+                continue;
+            for (const auto& batch : *batches) {
+                for (const auto& record : batch.records)
+                    index.add(record);
+            }
+        }
+        Json teams = Json::array();
+        for (const auto& [id, sum] : index.totals())
+            teams.push_back({ { "team", id.value }, { "cost_micros", sum.cost }, { "input_tokens", sum.inputTokens }, { "output_tokens", sum.outputTokens } });
+        return { { "teams", teams } };
+    }
+
+}
+
+OperatorApi::OperatorApi(ControlLoop& control, KeyValueStore& store, PrometheusMetrics& metrics, const PeerTransport* peers, std::function<void()> drain)
+    : m_control(control)
+    , m_store(store)
+    , m_metrics(metrics)
+    , m_peers(peers)
+    , m_drain(std::move(drain))
+{
+}
+
+void OperatorApi::serve(const HttpRequest& request, const std::shared_ptr<HttpReply>& reply)
+{
+    const auto& path = request.path;
+    bool isGet = request.method == "GET";
+    if (path == "/metrics" && isGet)
+        return serveMetrics(reply);
+    if (path == "/healthz" && isGet)
+        return respondJson(*reply, 200, { { "status", "ok" } });
+    if (path == "/admin/status" && isGet)
+        return serveStatus(reply);
+    if (path == "/admin/config" && isGet)
+        return serveConfiguration(reply);
+    if (path == "/admin/config" && request.method == "POST")
+        return serveEdit(request, reply);
+    if (path == "/admin/bills" && isGet)
+        return serveBills(reply);
+    if (path == "/admin/drain" && request.method == "POST") {
+        m_drain();
+        return respondJson(*reply, 202, { { "draining", true } });
+    }
+    respondJson(*reply, 404, { { "error", "no such path" } });
+}
+
+void OperatorApi::serveStatus(const std::shared_ptr<HttpReply>& reply)
+{
+    m_control.ask([reply](Router& router, TimePoint, Outbox&) { respondJson(*reply, 200, statusJson(router)); });
+}
+
+void OperatorApi::serveMetrics(const std::shared_ptr<HttpReply>& reply)
+{
+    m_control.ask([this, reply](Router& router, TimePoint, Outbox&) {
+        m_metrics.setGauge("revision", static_cast<double>(router.keeper().revision()));
+        m_metrics.setGauge("requests_in_flight", static_cast<double>(router.requestsInFlight()));
+        m_metrics.setGauge("requests_waiting", static_cast<double>(router.requestsWaiting()));
+        m_metrics.setGauge("records_unsettled", static_cast<double>(router.ledger().unsettled()));
+        m_metrics.setGauge("records_held", static_cast<double>(router.ledger().heldRecords()));
+        m_metrics.setGauge("store_calls", static_cast<double>(router.store().sent()));
+        m_metrics.setGauge("members", static_cast<double>(router.membership().members().size() + 1));
+        if (m_peers) {
+            auto counts = m_peers->counts();
+            m_metrics.setGauge("peer_messages_sent", static_cast<double>(counts.sent));
+            m_metrics.setGauge("peer_bytes_sent", static_cast<double>(counts.sentBytes));
+            m_metrics.setGauge("peer_frames_refused", static_cast<double>(counts.refused));
+            m_metrics.setGauge("peer_messages_dropped", static_cast<double>(counts.dropped));
+        }
+        reply->respond(200, { { "Content-Type", "text/plain; version=0.0.4" } }, m_metrics.text());
+    });
+}
+
+void OperatorApi::serveConfiguration(const std::shared_ptr<HttpReply>& reply)
+{
+    m_control.ask([reply](Router& router, TimePoint, Outbox&) {
+        const auto& document = router.keeper().document();
+        Json json = { { "revision", document.revision }, { "author", document.author }, { "history", historyJson(document) } };
+        json["configuration"] = document.text.empty() ? Json() : Json::parse(document.text, nullptr, false);
+        respondJson(*reply, 200, json);
+    });
+}
+
+void OperatorApi::serveEdit(const HttpRequest& request, const std::shared_ptr<HttpReply>& reply)
+{
+    auto json = Json::parse(request.body, nullptr, false);
+    bool valid = json.is_object() && json.value("edit_id", Json()).is_string() && json.value("base", Json()).is_number_unsigned() && json.value("configuration", Json()).is_object();
+    if (!valid)
+        return respondJson(*reply, 400, { { "error", "expected an object with edit_id, base and configuration" } });
+    EditRequested edit;
+    edit.base = json["base"];
+    edit.document.editId = json["edit_id"];
+    edit.document.author = json.value("author", "");
+    edit.document.text = json["configuration"].dump();
+    {
+        std::lock_guard lock(m_mutex);
+        edit.ticket = ++m_lastTicket;
+        m_edits[edit.ticket] = reply;
+    }
+    m_control.ask([edit = std::move(edit)](Router& router, TimePoint now, Outbox& out) mutable {
+        edit.document.at = now;
+        router.handle(std::move(edit), now, out);
+    });
+}
+
+void OperatorApi::carryOut(const EditAnswered& answer)
+{
+    std::shared_ptr<HttpReply> reply;
+    {
+        std::lock_guard lock(m_mutex);
+        auto it = m_edits.find(answer.ticket);
+        if (it == m_edits.end())
+            return;
+        reply = it->second;
+        m_edits.erase(it);
+    }
+    auto kind = kindOf(answer.ec);
+    respondJson(*reply, answerFor(kind).httpStatus, { { "result", answerFor(kind).name }, { "revision", answer.revision }, { "message", answer.message } });
+}
+
+void OperatorApi::serveBills(const std::shared_ptr<HttpReply>& reply)
+{
+    StoreCall call { .operation = StoreOperation::List, .key = "ledger/", .timeout = storeTimeout };
+    m_store.call(call, [reply](const StoreReply& answer) {
+        if (answer.status == StoreStatus::Unavailable)
+            return respondJson(*reply, 503, { { "error", "the store can not be reached; ask again later" } });
+        respondJson(*reply, 200, billsJson(answer));
+    });
+}
+
+}
--- /dev/null
+++ b/src/daemon/platform_poller.cpp
@@ -0,0 +1,105 @@
+#include "daemon/platform_poller.h"
+
+#include <nlohmann/json.hpp>
+
+namespace skylarkhitch {
+
+namespace {
+
+    using Json = nlohmann::json;
+
+    constexpr Milliseconds listTimeout { 2000 };
+    constexpr Milliseconds loadTimeout { 1000 };
+
+    LoadReported reportFrom(const UpstreamId& id, const HttpResult& result)
+    {
+        LoadReported report { .upstream = id, .reachable = result.end == HttpEnd::Whole };
+        auto json = Json::parse(result.body, nullptr, false);
+        if (!json.is_object())
+            return report;
+        report.running = json.value("running", std::int64_t { 0 });
+        report.waiting = json.value("waiting", std::int64_t { 0 });
+        report.leaving = json.value("leaving", false);
+        return report;
+    }
+
+}
+
+PlatformPoller::PlatformPoller(PollerSettings settings, HttpClient& client, ControlLoop& control, PeerTransport* peers)
+    : m_settings(std::move(settings))
+    , m_client(client)
+    , m_control(control)
+    , m_peers(peers)
+    , m_thread([this] { run(); })
+{
+}
+
+PlatformPoller::~PlatformPoller()
+{
+    {
+        std::lock_guard lock(m_mutex);
+        m_stopping = true;
+    }
+    m_stop.notify_one();
+    m_thread.join();
+}
+
+void PlatformPoller::run()
+{
+    using Clock = std::chrono::steady_clock;
+    auto nextList = Clock::now();
+    auto nextLoad = nextList;
+    std::unique_lock lock(m_mutex);
+    while (!m_stopping) {
+        auto now = Clock::now();
+        if (now >= nextList && !m_settings.listAddress.empty()) {
+            nextList = now + m_settings.listPeriod;
+            askList();
+        }
+        if (now >= nextLoad) {
+            nextLoad = now + m_settings.loadPeriod;
+            askLoads();
+        }
+        auto next = m_settings.listAddress.empty() ? nextLoad : std::min(nextList, nextLoad);
+        m_stop.wait_until(lock, next, [&] { return m_stopping; });
+    }
+}
+
+void PlatformPoller::askList()
+{
+    HttpCall call { .address = m_settings.listAddress, .path = "/v1/instances", .timeout = listTimeout };
+    m_client.start(std::move(call), { .onEnd = [this](const HttpResult& result) { listAnswered(result); } });
+}
+
+void PlatformPoller::listAnswered(const HttpResult& result)
+{
+    auto json = Json::parse(result.body, nullptr, false);
+    if (result.end != HttpEnd::Whole || !json.is_array())
+        return;
+    InstancesListed listed;
+    for (const auto& it : json) {
+        if (!it.is_object())
+            continue;
+        bool isEntry = it.value("role", "") == "entry";
+        ListedInstance instance { it.value("id", ""), isEntry ? InstanceRole::Entry : InstanceRole::Upstream, it.value("address", ""), it.value("state", "") == "leaving" };
+        auto peerAddress = it.value("peer_address", "");
+        if (isEntry && m_peers && !peerAddress.empty())
+            m_peers->setAddress({ instance.id }, peerAddress);
+        listed.instances.push_back(std::move(instance));
+    }
+    m_control.post(std::move(listed));
+}
+
+void PlatformPoller::askLoads()
+{
+    m_control.ask([this](Router& router, TimePoint, Outbox&) {
+        if (!router.keeper().current())
+            return;
+        for (const auto& [id, upstream] : router.keeper().current()->upstreams) {
+            HttpCall call { .address = upstream.address, .path = "/v1/load", .timeout = loadTimeout, .connectTimeout = loadTimeout };
+            m_client.start(std::move(call), { .onEnd = [this, id = id](const HttpResult& result) { m_control.post(reportFrom(id, result)); } });
+        }
+    });
+}
+
+}
--- /dev/null
+++ b/src/daemon/platform_poller.h
@@ -0,0 +1,42 @@
+#pragma once
+
+// Asks the platform for the instance list and the upstreams for their load, each at a fixed period, and tells the core.
+
+#include "adapters/http_client.h"
+#include "adapters/peer_transport.h"
+#include "daemon/control_loop.h"
+
+#include <atomic>
+#include <condition_variable>
+
+namespace skylarkhitch {
+
+struct PollerSettings {
+    // Empty for an instance without a platform.
+    std::string listAddress;
+    Milliseconds listPeriod;
+    Milliseconds loadPeriod;
+};
+
+class PlatformPoller {
+public:
+    PlatformPoller(PollerSettings, HttpClient&, ControlLoop&, PeerTransport*);
+    ~PlatformPoller();
+
+private:
+    void run();
+    void askList();
+    void listAnswered(const HttpResult&);
+    void askLoads();
+
+    PollerSettings m_settings;
+    HttpClient& m_client;
+    ControlLoop& m_control;
+    PeerTransport* m_peers;
+    std::mutex m_mutex;
+    std::condition_variable m_stop;
+    bool m_stopping = false;
+    std::thread m_thread;
+};
+
+}
--- /dev/null
+++ b/src/tool/admin_client.h
@@ -0,0 +1,40 @@
+#pragma once
+
+// Calls the operator port of an instance and waits for the answer.
+
+#include "adapters/http_client.h"
+
+#include <nlohmann/json.hpp>
+
+namespace skylarkhitch {
+
+// Raised when an instance can not be reached; the message says what to do next.
+class UnreachableError : public std::runtime_error {
+public:
+    using std::runtime_error::runtime_error;
+};
+
+struct AdminAnswer {
+    int status = 0;
+    nlohmann::json json;
+};
+
+class AdminClient {
+public:
+    explicit AdminClient(std::string address)
+        : m_address(std::move(address))
+    {
+    }
+    AdminAnswer get(const std::string& path);
+    AdminAnswer post(const std::string& path, const nlohmann::json& body);
+    // Sends any call to any address, for the `request` command.
+    HttpResult send(HttpCall);
+
+private:
+    AdminAnswer call(HttpCall);
+
+    std::string m_address;
+    HttpClient m_client;
+};
+
+}
--- /dev/null
+++ b/src/tool/commands.cpp
@@ -0,0 +1,221 @@
+#include "tool/commands.h"
+
+#include "tool/config_commands.h"
+
+#include <absl/strings/str_format.h>
+#include <absl/strings/str_join.h>
+#include <iostream>
+
+namespace skylarkhitch {
+
+namespace {
+
+    using Json = nlohmann::json;
+
+    // Prints a list of objects as a table with the columns in the order of the first object's keys.
+    void printTable(const Json& rows)
+    {
+        if (rows.empty()) {
+            std::cout << "(none)\n";
+            return;
+        }
+        auto textOf = [](const Json& it) { return it.is_string() ? it.get<std::string>() : it.dump(); };
+        std::vector<std::string> columns;
+        std::vector<std::size_t> widths;
+        for (const auto& [key, value] : rows.front().items()) {
+            columns.push_back(key);
+            widths.push_back(key.size());
+            for (const auto& row : rows)
+                widths.back() = std::max(widths.back(), textOf(row.at(key)).size());
+        }
+        for (std::size_t n = 0; n < columns.size(); ++n)
+            std::cout << absl::StreamFormat("%-*s  ", static_cast<int>(widths[n]), columns[n]);
+        std::cout << "\n";
+        for (const auto& row : rows) {
+            for (std::size_t n = 0; n < columns.size(); ++n)
+                std::cout << absl::StreamFormat("%-*s  ", static_cast<int>(widths[n]), textOf(row.at(columns[n])));
+            std::cout << "\n";
+        }
+    }
+
+    Exit showPart(const ToolOptions& options, const char* part)
+    {
+        auto status = AdminClient(options.operatorAddress).get("/admin/status").json;
+        if (options.json)
+            std::cout << status.at(part).dump(2) << "\n";
+        else
+            printTable(status.at(part));
+        return Exit::Ok;
+    }
+
+    Exit showStatus(const ToolOptions& options, const Words&)
+    {
+        auto status = AdminClient(options.operatorAddress).get("/admin/status").json;
+        if (options.json) {
+            std::cout << status.dump(2) << "\n";
+            return Exit::Ok;
+        }
+        for (const auto& [key, value] : status.items()) {
+            if (!value.is_array())
+                std::cout << absl::StreamFormat("%-20s %s\n", key, value.dump());
+        }
+        std::cout << "\nmembers\n";
+        printTable(status.at("members"));
+        return Exit::Ok;
+    }
+
+    Exit showUpstreams(const ToolOptions& options, const Words&) { return showPart(options, "upstreams"); }
+
+    Exit showVersions(const ToolOptions& options, const Words&) { return showPart(options, "versions"); }
+
+    Exit showBills(const ToolOptions& options, const Words&)
+    {
+        auto answer = AdminClient(options.operatorAddress).get("/admin/bills");
+        if (answer.status != 200) {
+            std::cerr << answer.json.value("error", "the bills can not be read") << "\n";
+            return Exit::Unreachable;
+        }
+        if (options.json)
+            std::cout << answer.json.dump(2) << "\n";
+        else
+            printTable(answer.json.at("teams"));
+        return Exit::Ok;
+    }
+
+    Exit drainInstance(const ToolOptions& options, const Words&)
+    {
+        AdminClient(options.operatorAddress).post("/admin/drain", Json::object());
+        std::cout << "draining; the process ends when its last request is answered\n";
+        return Exit::Ok;
+    }
+
+    std::vector<HttpHeader> callerHeaders(const ToolOptions& options)
+    {
+        std::vector<HttpHeader> headers { { "Authorization", "Bearer " + options.key }, { "Content-Type", "application/json" } };
+        auto add = [&](const char* name, const std::string& value) {
+            if (!value.empty())
+                headers.push_back({ name, value });
+        };
+        add("X-Rank", options.rank);
+        add("X-Session", options.session);
+        add("Idempotency-Key", options.idempotencyKey);
+        return headers;
+    }
+
+    // Asks the system which entry to use, as every caller does.
+    std::string chooseEntry(const ToolOptions& options, AdminClient& client)
+    {
+        HttpCall call { .address = options.entry, .path = "/v1/entry?session=" + options.session, .headers = callerHeaders(options) };
+        auto result = client.send(std::move(call));
+        auto json = Json::parse(result.body, nullptr, false);
+        if (result.end != HttpEnd::Whole || !json.is_object())
+            throw UnreachableError("no answer from the entry " + options.entry + "; name a running instance with --entry");
+        return json.at("address");
+    }
+
+    Exit printAnswer(const HttpResult& result)
+    {
+        for (const auto* name : { "x-request-id", "x-model", "x-version", "x-cost-micros", "x-ran" }) {
+            if (auto it = result.headers.find(name); it != result.headers.end())
+                std::cout << name << ": " << it->second << "\n";
+        }
+        std::cout << result.body << "\n";
+        return result.end == HttpEnd::Whole && result.status < 400 ? Exit::Ok : Exit::Failed;
+    }
+
+    Exit sendChat(const ToolOptions& options, const Words& words)
+    {
+        AdminClient client(options.operatorAddress);
+        Json message = { { "role", "user" }, { "content", words[1] } };
+        Json body = { { "model", words[0] }, { "messages", Json::array({ message }) }, { "stream", options.stream } };
+        HttpCall call { .method = "POST", .address = chooseEntry(options, client), .path = "/v1/chat/completions", .headers = callerHeaders(options), .body = std::make_shared<const std::string>(body.dump()), .timeout = Seconds(options.timeoutSeconds) };
+        std::cout << "entry: " << call.address << "\n";
+        return printAnswer(client.send(std::move(call)));
+    }
+
+    Exit sendCall(const ToolOptions& options, const Words& words)
+    {
+        AdminClient client(options.operatorAddress);
+        HttpCall call { .method = words[1], .address = chooseEntry(options, client), .path = "/services/" + words[0] + words[2], .headers = callerHeaders(options), .timeout = Seconds(options.timeoutSeconds) };
+        if (words.size() > 3)
+            call.body = std::make_shared<const std::string>(words[3]);
+        std::cout << "entry: " << call.address << "\n";
+        return printAnswer(client.send(std::move(call)));
+    }
+
+    struct Command {
+        std::vector<std::string> name;
+        const char* arguments;
+        std::size_t least;
+        std::size_t most;
+        Exit (*run)(const ToolOptions&, const Words&);
+        const char* help;
+    };
+
+    const Command commands[] = {
+        { { "config", "check" }, "BASE [OVERLAY]", 1, 2, &configCheck, "check files without applying them" },
+        { { "config", "show" }, "", 0, 0, &configShow, "print the configuration in force" },
+        { { "config", "diff" }, "BASE [OVERLAY]", 1, 2, &configDiff, "compare files with the configuration in force" },
+        { { "config", "apply" }, "BASE [OVERLAY]", 1, 2, &configApply, "put files in force; --wait until every live instance has them" },
+        { { "config", "history" }, "", 0, 0, &configHistory, "list the newest edits" },
+        { { "config", "reference" }, "", 0, 0, &configReference, "print every key with unit, default and range" },
+        { { "status" }, "", 0, 0, &showStatus, "show an instance and its peers" },
+        { { "upstreams" }, "", 0, 0, &showUpstreams, "list upstreams" },
+        { { "versions" }, "", 0, 0, &showVersions, "list versions and their health" },
+        { { "withdraw" }, "VERSION", 1, 1, &withdrawVersion, "give a version no new work" },
+        { { "rollout", "start" }, "MODEL FROM TO SHARE", 4, 4, &rolloutStart, "start a roll-out with a share of the sessions" },
+        { { "rollout", "advance" }, "MODEL SHARE", 2, 2, &rolloutAdvance, "change the share of a roll-out" },
+        { { "rollout", "hold" }, "MODEL", 1, 1, &rolloutHold, "keep a roll-out at its share" },
+        { { "rollout", "back" }, "MODEL", 1, 1, &rolloutBack, "give new sessions the old version again" },
+        { { "drain" }, "", 0, 0, &drainInstance, "stop an instance without cutting a request" },
+        { { "bills" }, "", 0, 0, &showBills, "sum the bills of each team" },
+        { { "request", "chat" }, "MODEL TEXT", 2, 2, &sendChat, "send a chat request (--entry, --key, --stream, --session, --rank)" },
+        { { "request", "call" }, "SERVICE METHOD PATH [BODY]", 3, 4, &sendCall, "call a service (--entry, --key, --idempotency-key)" },
+    };
+
+    const Command* findCommand(const Words& words)
+    {
+        for (const auto& it : commands) {
+            if (words.size() >= it.name.size() && std::equal(it.name.begin(), it.name.end(), words.begin()))
+                return &it;
+        }
+        return nullptr;
+    }
+
+}
+
+std::string commandHelp()
+{
+    std::string help = "commands:\n";
+    for (const auto& it : commands) {
+        auto call = absl::StrJoin(it.name, " ") + " " + it.arguments;
+        help += absl::StrFormat("  %-44s %s\n", call, it.help);
+    }
+    return help;
+}
+
+Exit runCommand(const ToolOptions& options, const std::vector<std::string>& words)
+{
+    const auto* command = findCommand(words);
+    if (!command) {
+        std::cerr << "unknown command '" << absl::StrJoin(words, " ") << "'\n"
+                  << commandHelp();
+        return Exit::Usage;
+    }
+    Words arguments(words.begin() + static_cast<std::ptrdiff_t>(command->name.size()), words.end());
+    if (arguments.size() < command->least || arguments.size() > command->most) {
+        std::cerr << "usage: skylarkhitch " << absl::StrJoin(command->name, " ") << " " << command->arguments << "\n";
+        return Exit::Usage;
+    }
+    try {
+        return command->run(options, arguments);
+    } catch (const UnreachableError& e) {
+        std::cerr << e.what() << "\n";
+        return Exit::Unreachable;
+    } catch (const std::exception& e) {
+        std::cerr << "the answer can not be understood: " << e.what() << "\n";
+        return Exit::Failed;
+    }
+}
+
+}
--- /dev/null
+++ b/src/tool/config_commands.cpp
@@ -0,0 +1,258 @@
+#include "tool/config_commands.h"
+
+#include "config/parse_configuration.h"
+
+#include <algorithm>
+#include <fstream>
+#include <functional>
+#include <iostream>
+#include <random>
+#include <sstream>
+#include <thread>
+
+namespace skylarkhitch {
+
+namespace {
+
+    using Json = nlohmann::json;
+
+    constexpr Milliseconds waitPeriod { 100 };
+
+    std::string readFile(const std::string& path, std::vector<DocumentError>& errors)
+    {
+        std::ifstream in(path);
+        if (!in.good())
+            errors.push_back({ { path, 0 }, "can not be read" });
+        std::ostringstream text;
+        text << in.rdbuf();
+        return text.str();
+    }
+
+    ParsedConfiguration parseFiles(const Words& files)
+    {
+        std::vector<DocumentError> errors;
+        auto base = readFile(files[0], errors);
+        auto overlay = files.size() > 1 ? readFile(files[1], errors) : std::string();
+        if (!errors.empty())
+            return { nullptr, {}, errors };
+        return parseConfiguration(base, files[0], overlay, files.size() > 1 ? files[1] : "");
+    }
+
+    Exit reportErrors(const std::vector<DocumentError>& errors)
+    {
+        for (const auto& it : errors)
+            std::cerr << toString(it) << "\n";
+        std::cerr << errors.size() << " error(s); nothing was applied\n";
+        return Exit::InvalidConfiguration;
+    }
+
+    // Names an edit, so that a lost reply can be settled by looking for it.
+    std::string newEditId()
+    {
+        std::random_device device;
+        std::ostringstream id;
+        id << std::hex << device() << device();
+        return id.str();
+    }
+
+    // Instances whose newest word is an older revision.
+    std::vector<std::string> instancesBehind(AdminClient& client, Revision revision)
+    {
+        std::vector<std::string> behind;
+        auto status = client.get("/admin/status").json;
+        if (status.at("revision").get<Revision>() < revision)
+            behind.push_back(status.at("instance"));
+        for (const auto& it : status.at("members")) {
+            if (it.at("revision").get<Revision>() < revision)
+                behind.push_back(it.at("instance").get<std::string>() + " (" + it.at("state").get<std::string>() + ")");
+        }
+        return behind;
+    }
+
+    Exit waitForAll(const ToolOptions& options, AdminClient& client, Revision revision)
+    {
+        auto end = std::chrono::steady_clock::now() + Seconds(options.timeoutSeconds);
+        auto behind = instancesBehind(client, revision);
+        while (!behind.empty() && std::chrono::steady_clock::now() < end) {
+            std::this_thread::sleep_for(waitPeriod);
+            behind = instancesBehind(client, revision);
+        }
+        if (behind.empty()) {
+            std::cout << "revision " << revision << " is in force on every live instance\n";
+            return Exit::Ok;
+        }
+        std::cerr << "revision " << revision << " is accepted, but not yet reported by:";
+        for (const auto& it : behind)
+            std::cerr << " " << it;
+        std::cerr << "\nlook at 'skylarkhitch status' of these instances\n";
+        return Exit::Failed;
+    }
+
+    Exit postEdit(const ToolOptions& options, AdminClient& client, const Json& configuration, Revision base)
+    {
+        auto answer = client.post("/admin/config", { { "edit_id", newEditId() }, { "base", base }, { "author", options.author }, { "configuration", configuration } });
+        auto message = answer.json.is_object() ? answer.json.value("message", answer.json.value("error", "")) : std::string();
+        if (answer.status == 409) {
+            std::cerr << "conflict: " << message << "\n";
+            return Exit::Conflict;
+        }
+        if (answer.status != 200) {
+            std::cerr << "not applied: " << message << "\n";
+            return answer.status == 503 ? Exit::Unreachable : Exit::Failed;
+        }
+        auto revision = answer.json.at("revision").get<Revision>();
+        std::cout << "accepted as revision " << revision << "\n";
+        return options.wait ? waitForAll(options, client, revision) : Exit::Ok;
+    }
+
+    // Changes one part of the configuration in force.
+    Exit editCurrent(const ToolOptions& options, const std::function<std::string(Json&)>& change)
+    {
+        AdminClient client(options.operatorAddress);
+        auto current = client.get("/admin/config").json;
+        auto configuration = current.at("configuration");
+        auto error = configuration.is_object() ? change(configuration) : "no configuration is in force; begin with 'config apply'";
+        if (!error.empty()) {
+            std::cerr << error << "\n";
+            return Exit::Failed;
+        }
+        return postEdit(options, client, configuration, current.at("revision"));
+    }
+
+    std::string changeRollout(Json& configuration, const std::string& model, const std::function<void(Json&)>& change)
+    {
+        if (!configuration.contains("rollouts") || !configuration["rollouts"].contains(model))
+            return "no roll-out of model '" + model + "' is under way; see 'rollout start'";
+        change(configuration["rollouts"][model]);
+        return {};
+    }
+
+    // Flattens a document to lines "path: value", which compare well.
+    void flatten(const Json& json, const std::string& path, std::map<std::string, std::string>& lines)
+    {
+        if (!json.is_object()) {
+            lines[path] = json.dump();
+            return;
+        }
+        for (const auto& [key, child] : json.items())
+            flatten(child, path.empty() ? key : path + "." + key, lines);
+    }
+
+}
+
+Exit configCheck(const ToolOptions&, const Words& files)
+{
+    auto parsed = parseFiles(files);
+    if (!parsed.errors.empty())
+        return reportErrors(parsed.errors);
+    std::cout << "valid: " << parsed.configuration->teams.size() << " teams, " << parsed.configuration->versions.size() << " versions, "
+              << parsed.configuration->upstreams.size() << " upstreams\n";
+    return Exit::Ok;
+}
+
+Exit configReference(const ToolOptions&, const Words&)
+{
+    std::cout << configurationReference();
+    return Exit::Ok;
+}
+
+Exit configShow(const ToolOptions& options, const Words&)
+{
+    auto answer = AdminClient(options.operatorAddress).get("/admin/config").json;
+    if (!options.json)
+        std::cout << "# revision " << answer.at("revision") << " by " << answer.at("author").get<std::string>() << "\n";
+    std::cout << (options.json ? answer : answer.at("configuration")).dump(2) << "\n";
+    return Exit::Ok;
+}
+
+Exit configDiff(const ToolOptions& options, const Words& files)
+{
+    auto parsed = parseFiles(files);
+    if (!parsed.errors.empty())
+        return reportErrors(parsed.errors);
+    auto current = AdminClient(options.operatorAddress).get("/admin/config").json.at("configuration");
+    std::map<std::string, std::string> before;
+    std::map<std::string, std::string> after;
+    if (current.is_object())
+        flatten(current, "", before);
+    flatten(Json::parse(parsed.text), "", after);
+    for (const auto& [path, value] : before) {
+        if (!after.contains(path) || after[path] != value)
+            std::cout << "- " << path << ": " << value << "\n";
+    }
+    for (const auto& [path, value] : after) {
+        if (!before.contains(path) || before[path] != value)
+            std::cout << "+ " << path << ": " << value << "\n";
+    }
+    return Exit::Ok;
+}
+
+Exit configApply(const ToolOptions& options, const Words& files)
+{
+    auto parsed = parseFiles(files);
+    if (!parsed.errors.empty())
+        return reportErrors(parsed.errors);
+    AdminClient client(options.operatorAddress);
+    auto base = client.get("/admin/config").json.at("revision").get<Revision>();
+    return postEdit(options, client, Json::parse(parsed.text), base);
+}
+
+Exit configHistory(const ToolOptions& options, const Words&)
+{
+    auto history = AdminClient(options.operatorAddress).get("/admin/config").json.at("history");
+    if (options.json) {
+        std::cout << history.dump(2) << "\n";
+        return Exit::Ok;
+    }
+    for (const auto& it : history)
+        std::cout << "revision " << it.at("revision") << "  " << it.at("author").get<std::string>() << "  edit " << it.at("edit_id").get<std::string>() << "\n";
+    return Exit::Ok;
+}
+
+Exit withdrawVersion(const ToolOptions& options, const Words& words)
+{
+    return editCurrent(options, [&](Json& configuration) -> std::string {
+        auto versions = configuration.find("versions");
+        if (versions == configuration.end() || !versions->contains(words[0]))
+            return "no version is named '" + words[0] + "'; see 'skylarkhitch versions'";
+        (*versions)[words[0]]["withdrawn"] = "true";
+        return {};
+    });
+}
+
+Exit rolloutStart(const ToolOptions& options, const Words& words)
+{
+    return editCurrent(options, [&](Json& configuration) -> std::string {
+        configuration["rollouts"][words[0]] = { { "from", words[1] }, { "to", words[2] }, { "share", words[3] } };
+        return {};
+    });
+}
+
+Exit rolloutAdvance(const ToolOptions& options, const Words& words)
+{
+    return editCurrent(options, [&](Json& configuration) -> std::string {
+        bool held = false;
+        auto error = changeRollout(configuration, words[0], [&](Json& rollout) {
+            held = rollout.value("held", "false") == "true";
+            if (!held)
+                rollout["share"] = words[1];
+        });
+        return held ? "the roll-out is held; end the hold with 'rollout start' or go 'rollout back'" : error;
+    });
+}
+
+Exit rolloutHold(const ToolOptions& options, const Words& words)
+{
+    return editCurrent(options, [&](Json& configuration) {
+        return changeRollout(configuration, words[0], [](Json& rollout) { rollout["held"] = "true"; });
+    });
+}
+
+Exit rolloutBack(const ToolOptions& options, const Words& words)
+{
+    return editCurrent(options, [&](Json& configuration) {
+        return changeRollout(configuration, words[0], [](Json& rollout) { rollout["share"] = "0"; });
+    });
+}
+
+}
--- /dev/null
+++ b/test/correctness/decisions_test.cpp
@@ -0,0 +1,215 @@
+#include "core/cascade_plan.h"
+#include "core/crash_guard.h"
+#include "core/entry_choice.h"
+#include "core/error_kind.h"
+#include "core/ran_verdict.h"
+#include "core/version_evidence.h"
+
+#include <catch2/catch.hpp>
+
+using namespace skylarkhitch;
+
+namespace {
+
+const TimePoint start { Seconds(1000) };
+
+ConfigurationPtr oneVersion(double quality)
+{
+    auto configuration = std::make_shared<Configuration>();
+    configuration->versions[{ "v" }] = { .id = { "v" }, .model = { "m" }, .quality = quality };
+    return configuration;
+}
+
+}
+
+TEST_CASE("a cascade starts where the expected cost is least")
+{
+    std::vector<PlanStep> steps { { { "cheap" }, 0.6, 10, true }, { { "dear" }, 0.95, 100, true } };
+    SECTION("a cheap model that often suffices goes first and is checked")
+    {
+        auto choice = chooseCascadeStep(steps, 0, 1);
+        CHECK(choice.step == 0);
+        CHECK(choice.check);
+        CHECK(choice.expectedCost == Approx(10 + 1 + 0.4 * 100));
+    }
+    SECTION("a cheap model that hardly ever suffices is passed over")
+    {
+        steps[0].passProbability = 0.05;
+        CHECK(chooseCascadeStep(steps, 0, 1).step == 1);
+    }
+    SECTION("a model that is sure to suffice is not checked")
+    {
+        steps[0].passProbability = 0.99;
+        CHECK_FALSE(chooseCascadeStep(steps, 0, 1).check);
+    }
+    SECTION("steps that can not run are left out, and none at all is said so")
+    {
+        steps[0].usable = false;
+        CHECK(chooseCascadeStep(steps, 0, 1).step == 1);
+        steps[1].usable = false;
+        CHECK(chooseCascadeStep(steps, 0, 1).step == steps.size());
+    }
+    SECTION("the baselines take the first or the last")
+    {
+        CHECK(chooseCascadeStep(steps, 0, 1, CascadePolicy::AlwaysLast).step == 1);
+        CHECK(chooseCascadeStep(steps, 0, 1, CascadePolicy::AlwaysFirst).step == 0);
+    }
+}
+
+TEST_CASE("evidence tells a bad version from a healthy one")
+{
+    VersionEvidence evidence;
+    Outbox out;
+    const VersionId version { "v" };
+    evidence.configure(oneVersion(0.8));
+    auto fail = [&](int n) {
+        for (int k = 0; k < n; ++k)
+            evidence.attemptEnded(version, AttemptEnd::UpstreamError, start, out);
+    };
+
+    SECTION("single failures among many successes change nothing")
+    {
+        for (int n = 0; n < 5000; ++n)
+            evidence.attemptEnded(version, n % 50 == 0 ? AttemptEnd::UpstreamError : AttemptEnd::Completed, start, out);
+        CHECK(evidence.health(version) == VersionHealth::Healthy);
+    }
+    SECTION("a run of failures quarantines it")
+    {
+        fail(6);
+        CHECK(evidence.health(version) == VersionHealth::Quarantined);
+        CHECK_FALSE(evidence.mayRun(version, 0, start, out));
+
+        SECTION("later it is probed by few requests and let back when they go well")
+        {
+            auto later = start + Seconds(31);
+            CHECK(evidence.mayRun(version, 0, later, out));
+            CHECK_FALSE(evidence.mayRun(version, 1, later, out));
+            for (int n = 0; n < 20; ++n)
+                evidence.attemptEnded(version, AttemptEnd::Completed, later, out);
+            CHECK(evidence.health(version) == VersionHealth::Healthy);
+        }
+        SECTION("or quarantined for longer when they fail")
+        {
+            auto later = start + Seconds(31);
+            CHECK(evidence.mayRun(version, 0, later, out));
+            for (int n = 0; n < 6; ++n)
+                evidence.attemptEnded(version, AttemptEnd::UpstreamError, later, out);
+            CHECK_FALSE(evidence.mayRun(version, 0, later + Seconds(31), out));
+        }
+    }
+    SECTION("a fall of its ratings quarantines it")
+    {
+        for (int n = 0; n < 200; ++n)
+            evidence.rated(version, 0.8, start, out);
+        CHECK(evidence.health(version) == VersionHealth::Healthy);
+        for (int n = 0; n < 12; ++n)
+            evidence.rated(version, 0.4, start, out);
+        CHECK(evidence.health(version) == VersionHealth::Quarantined);
+    }
+    SECTION("a full or unreachable upstream says nothing of its version")
+    {
+        for (int n = 0; n < 100; ++n)
+            evidence.attemptEnded(version, AttemptEnd::NotSent, start, out);
+        CHECK(evidence.health(version) == VersionHealth::Healthy);
+    }
+    SECTION("evidence of peers counts by its growth only")
+    {
+        Incarnation peer { { "b" }, 1 };
+        evidence.learn(peer, { { version, { .done = 0, .failed = 500 } } }, start, out);
+        CHECK(evidence.health(version) == VersionHealth::Healthy);
+        evidence.learn(peer, { { version, { .done = 0, .failed = 500 } } }, start, out);
+        CHECK(evidence.health(version) == VersionHealth::Healthy);
+        evidence.learn(peer, { { version, { .done = 0, .failed = 510 } } }, start, out);
+        CHECK(evidence.health(version) == VersionHealth::Quarantined);
+    }
+}
+
+TEST_CASE("a request that fells upstreams is refused after the second")
+{
+    CrashGuard guard;
+    guard.fell("body", { "u1" }, start);
+    CHECK_FALSE(guard.refuses("body"));
+
+    SECTION("also when the second fall was seen by another instance")
+    {
+        guard.learn({ "b" }, { { "body", 1 } }, start);
+        CHECK(guard.refuses("body"));
+    }
+    SECTION("but not when the first upstream turns out to be up")
+    {
+        guard.stillUp({ "u1" });
+        guard.fell("body", { "u2" }, start);
+        CHECK_FALSE(guard.refuses("body"));
+    }
+    SECTION("and it is forgotten in the end")
+    {
+        guard.fell("body", { "u2" }, start);
+        CHECK(guard.refuses("body"));
+        guard.forget(start + Seconds(1));
+        CHECK_FALSE(guard.refuses("body"));
+    }
+}
+
+TEST_CASE("a refusal says that a request was not run only when that is sure")
+{
+    RanVerdict ran;
+    CHECK(ran.verdict() == Ran::No);
+    ran.attemptSent();
+    CHECK(ran.verdict() == Ran::Unknown);
+    SECTION("nothing was sent")
+    {
+        ran.attemptEnded(AttemptEnd::NotSent);
+        CHECK(ran.verdict() == Ran::No);
+    }
+    SECTION("the upstream said that it did not run it")
+    {
+        ran.attemptEnded(AttemptEnd::RefusedNotRun);
+        CHECK(ran.verdict() == Ran::No);
+    }
+    SECTION("any other end leaves it open, whatever follows")
+    {
+        auto end = GENERATE(AttemptEnd::Cut, AttemptEnd::TimedOut, AttemptEnd::UpstreamError);
+        ran.attemptEnded(end);
+        ran.attemptSent();
+        ran.attemptEnded(AttemptEnd::NotSent);
+        CHECK(ran.verdict() == Ran::Unknown);
+    }
+}
+
+TEST_CASE("every error kind has one answer")
+{
+    for (int n = 0; n <= static_cast<int>(ErrorKind::Internal); ++n) {
+        const auto& answer = answerFor(static_cast<ErrorKind>(n));
+        CHECK(answer.httpStatus >= 200);
+        CHECK(make_error_code(answer.kind).message() == answer.name);
+    }
+}
+
+TEST_CASE("callers are sent to a live instance of their own failure domain")
+{
+    Outbox out;
+    Membership membership({ { "a" }, 1 }, { "d1" }, "addr-a", {});
+    auto hear = [&](const char* id, const char* domain, bool leaving, std::int64_t load) {
+        Heartbeat beat { .domain = { domain }, .entryAddress = std::string("addr-") + id, .leaving = leaving, .sequence = 1 };
+        beat.upstreams[{ "u" }].inFlight = load;
+        membership.heard({ { id }, 1 }, beat, start, out);
+    };
+    hear("b", "d2", false, 0);
+    hear("c", "d2", true, 0);
+
+    SECTION("a leaving instance is not handed out")
+    {
+        for (int n = 0; n < 20; ++n)
+            CHECK(chooseEntry(membership, { "s" + std::to_string(n), { "d2" } }, false, 0).address == "addr-b");
+    }
+    SECTION("an overloaded instance is passed over")
+    {
+        hear("e", "d2", false, 100);
+        for (int n = 0; n < 20; ++n)
+            CHECK(chooseEntry(membership, { "s" + std::to_string(n), { "d2" } }, false, 0).address == "addr-b");
+    }
+    SECTION("one that is itself leaving names another")
+    {
+        CHECK(chooseEntry(membership, { "s", { "d1" } }, true, 0).address == "addr-b");
+    }
+}
--- /dev/null
+++ b/test/correctness/ledger_test.cpp
@@ -0,0 +1,198 @@
+#include "core/ledger_shard.h"
+
+#include "adapters/memory_store.h"
+
+#include <catch2/catch.hpp>
+
+using namespace skylarkhitch;
+
+namespace {
+
+// Runs a shard's store calls against a store in memory, with faults for single calls.
+class ShardRunner {
+public:
+    ShardRunner(MemoryStore& memory, const std::string& writer, LedgerShardSettings settings = {})
+        : m_memory(memory)
+        , shard(0, writer, settings, calls)
+    {
+    }
+
+    void append(AppendTicket ticket, LedgerRecord record)
+    {
+        shard.append(ticket, std::move(record), now, out);
+        settle();
+    }
+
+    // Carries out waiting calls and timers until nothing is left to do.
+    void settle()
+    {
+        for (int n = 0; n < 1000; ++n) {
+            auto actions = std::exchange(out, {});
+            for (auto& it : actions)
+                carryOut(std::get<StoreCall>(it));
+            for (auto& it : shard.takeResults())
+                results[it.ticket] = it;
+            if (!out.empty())
+                continue;
+            auto wake = shard.nextWake();
+            if (!wake)
+                return;
+            now = std::max(now, *wake);
+            shard.wake(now, out);
+        }
+        FAIL("the shard did not settle");
+    }
+
+    void carryOut(const StoreCall& call)
+    {
+        StoreReply reply;
+        bool isSwap = call.operation == StoreOperation::Swap;
+        if (isSwap && swapsLost > 0) {
+            --swapsLost;
+            reply = { call.call, StoreStatus::Unavailable, {} };
+        } else {
+            m_memory.call(call, [&](StoreReply it) { reply = std::move(it); });
+            if (isSwap && repliesLost > 0) {
+                --repliesLost;
+                reply = { call.call, StoreStatus::Unavailable, {} };
+            }
+        }
+        now += Milliseconds(3);
+        calls.reply(reply, now, out);
+    }
+
+    MemoryStore& m_memory;
+    StoreCalls calls;
+    LedgerShard shard;
+    Outbox out;
+    TimePoint now { Seconds(1000) };
+    int swapsLost = 0;
+    int repliesLost = 0;
+    std::map<AppendTicket, AppendResult> results;
+};
+
+LedgerRecord claim(const std::string& key, const std::string& request, const std::string& digest = "d")
+{
+    return { key, {}, Claim { digest, { { "a" }, 1 }, { request } } };
+}
+
+LedgerRecord bill(const std::string& key, CostMicros cost)
+{
+    return { key, {}, Bill { { "team" }, cost, 1, 2, { "v" } } };
+}
+
+}
+
+TEST_CASE("a shard's writer keeps records in the store")
+{
+    MemoryStore memory;
+    ShardRunner first(memory, "first/1");
+
+    SECTION("the first claim of a key wins and later ones learn of it")
+    {
+        first.append(1, claim("k", "r1"));
+        CHECK_FALSE(first.results[1].ec);
+        first.append(2, claim("k", "r2"));
+        CHECK(first.results[2].ec == make_error_code(ErrorKind::CallInFlight));
+        REQUIRE(first.results[2].existing);
+
+        SECTION("with another body they are refused as a reused key")
+        {
+            first.append(3, claim("k", "r3", "other"));
+            CHECK(first.results[3].ec == make_error_code(ErrorKind::IdempotencyKeyReused));
+        }
+        SECTION("after the outcome they get the outcome")
+        {
+            first.append(3, { "k", {}, Outcome { .status = 201, .body = "done" } });
+            first.append(4, claim("k", "r4"));
+            REQUIRE(first.results[4].existing);
+            CHECK(std::get<Outcome>(first.results[4].existing->entry).body == "done");
+        }
+        SECTION("after a release the next one wins, and the released request can not come back")
+        {
+            first.append(3, { "k", {}, Release { { "r1" } } });
+            first.append(4, claim("k", "r4"));
+            CHECK_FALSE(first.results[4].ec);
+            first.append(5, claim("other", "r1"));
+            CHECK(first.results[5].ec);
+        }
+    }
+    SECTION("two writers that both believe in themselves do not both win a claim")
+    {
+        ShardRunner second(memory, "second/1");
+        second.append(1, bill("warm", 1));
+        first.append(1, claim("k", "r1"));
+        second.append(2, claim("k", "r2"));
+        CHECK_FALSE(first.results[1].ec);
+        CHECK(second.results[2].ec == make_error_code(ErrorKind::CallInFlight));
+
+        SECTION("and a writer with an old view learns of an outcome before it refuses")
+        {
+            first.append(3, { "k", {}, Outcome { .status = 201 } });
+            second.now += Seconds(1);
+            second.append(4, claim("k", "r4"));
+            REQUIRE(second.results[4].existing);
+            CHECK(std::holds_alternative<Outcome>(second.results[4].existing->entry));
+        }
+    }
+    SECTION("a swap whose reply is lost after it took effect is found by its batch id and not written again")
+    {
+        first.repliesLost = 1;
+        first.append(1, bill("b", 5));
+        CHECK_FALSE(first.results[1].ec);
+        CHECK(first.shard.swaps() == 1);
+        CHECK(first.shard.index().totals().at({ "team" }).cost == 5);
+    }
+    SECTION("a swap that was lost on its way is sent again")
+    {
+        first.swapsLost = 2;
+        first.append(1, bill("b", 5));
+        CHECK_FALSE(first.results[1].ec);
+        CHECK(first.shard.swaps() == 3);
+    }
+    SECTION("any number of copies of a bill count once")
+    {
+        first.append(1, bill("b", 5));
+        first.append(2, bill("b", 5));
+        ShardRunner second(memory, "second/1");
+        second.append(1, bill("b", 5));
+        second.append(2, bill("c", 7));
+        CHECK_FALSE(second.results[1].ec);
+        CHECK(second.shard.index().totals().at({ "team" }).cost == 12);
+    }
+    SECTION("full segments are sealed and the chain goes on, also for a writer that comes later")
+    {
+        LedgerShardSettings small;
+        small.segmentBytes = 300;
+        ShardRunner writer(memory, "writer/1", small);
+        for (AppendTicket n = 1; n <= 40; ++n)
+            writer.append(n, bill("b" + std::to_string(n), 1));
+        CHECK(writer.shard.index().totals().at({ "team" }).cost == 40);
+        ShardRunner later(memory, "later/1", small);
+        later.append(1, bill("b1", 1));
+        later.append(2, bill("new", 1));
+        CHECK(later.shard.index().totals().at({ "team" }).cost == 41);
+    }
+    SECTION("a pin is kept until a higher generation replaces it")
+    {
+        first.append(1, { "p", {}, SessionPin { { "v1" }, 0 } });
+        first.append(2, { "p", {}, SessionPin { { "v2" }, 0 } });
+        REQUIRE(first.results[2].existing);
+        CHECK(std::get<SessionPin>(first.results[2].existing->entry).version.value == "v1");
+        first.append(3, { "p", {}, SessionPin { { "v2" }, 1 } });
+        CHECK_FALSE(first.results[3].existing);
+    }
+}
+
+TEST_CASE("a busy shard keeps the store's budget of writes")
+{
+    MemoryStore memory;
+    ShardRunner runner(memory, "w/1");
+    auto begin = runner.now;
+    for (AppendTicket n = 1; n <= 300; ++n)
+        runner.shard.append(n, bill("b" + std::to_string(n), 1), runner.now, runner.out);
+    runner.settle();
+    CHECK(runner.results.size() == 300);
+    auto seconds = std::chrono::duration<double>(runner.now - begin).count();
+    CHECK(static_cast<double>(runner.shard.swaps()) <= 1 + seconds / 0.033);
+}
--- /dev/null
+++ b/test/correctness/messages_test.cpp
@@ -0,0 +1,145 @@
+#include "adapters/digest.h"
+#include "adapters/peer_frame.h"
+#include "daemon/request_parser.h"
+
+#include <catch2/catch.hpp>
+
+using namespace skylarkhitch;
+
+namespace {
+
+const TimePoint now { Seconds(1000000) };
+
+PeerEnvelope heartbeat(std::uint64_t incarnation)
+{
+    Heartbeat beat { .domain = { "d" }, .entryAddress = "127.0.0.1:1", .revision = 4, .sequence = 9 };
+    beat.upstreams[{ "u" }] = { 1, 2, 3, 4 };
+    beat.versions[{ "v" }] = { 5, 6, 7, 8 };
+    beat.crashes["f"] = 2;
+    return { { { "a" }, incarnation }, beat };
+}
+
+HttpRequest chat(const std::string& body)
+{
+    HttpRequest request { .method = "POST", .path = "/v1/chat/completions", .body = body };
+    request.headers["authorization"] = "Bearer key";
+    return request;
+}
+
+const std::string goodBody = R"({"model":"m","messages":[{"role":"user","content":"hi"}],"temperature":0.5,"max_tokens":7})";
+
+}
+
+TEST_CASE("instances exchange authenticated frames")
+{
+    FrameSealer sealer({ { "a" }, 1 }, "secret");
+    FrameOpener opener({ "b" }, "secret");
+    auto frame = sealer.seal({ "b" }, heartbeat(1), now);
+
+    SECTION("a frame arrives whole")
+    {
+        auto envelope = opener.open(frame, now);
+        REQUIRE(envelope);
+        const auto& beat = std::get<Heartbeat>(envelope->message);
+        CHECK(beat.upstreams.at({ "u" }).crashed == 4);
+        CHECK(beat.versions.at({ "v" }).ratingThousandths == 8);
+        CHECK(beat.crashes.at("f") == 2);
+
+        SECTION("and only once")
+        {
+            CHECK_FALSE(opener.open(frame, now));
+            CHECK(opener.open(sealer.seal({ "b" }, heartbeat(1), now), now));
+        }
+        SECTION("and not from an earlier life after a later one")
+        {
+            FrameSealer later({ { "a" }, 2 }, "secret");
+            CHECK(opener.open(later.seal({ "b" }, heartbeat(2), now), now));
+            CHECK_FALSE(opener.open(sealer.seal({ "b" }, heartbeat(1), now), now));
+        }
+    }
+    SECTION("a frame for another instance, with another secret, damaged, cut or old is refused")
+    {
+        CHECK_FALSE(FrameOpener({ "c" }, "secret").open(frame, now));
+        CHECK_FALSE(FrameOpener({ "b" }, "guess").open(frame, now));
+        CHECK_FALSE(opener.open(frame.substr(0, 40), now));
+        CHECK_FALSE(opener.open(frame, now + Seconds(31)));
+        for (std::size_t n = 0; n < frame.size(); ++n) {
+            auto damaged = frame;
+            damaged[n] = static_cast<char>(damaged[n] ^ 1);
+            REQUIRE_FALSE(opener.open(damaged, now));
+        }
+    }
+}
+
+TEST_CASE("records and documents survive their encoding")
+{
+    Outcome outcome { 201, "application/json", std::string("\0\xff", 2), true, Bill { { "t" }, 5, 6, 7, { "v" } } };
+    for (const LedgerEntry& entry : { LedgerEntry(Claim { "d", { { "i" }, 3 }, { "r" } }), LedgerEntry(Release { { "r" } }), LedgerEntry(outcome), LedgerEntry(*outcome.bill), LedgerEntry(SessionPin { { "v" }, 2 }) }) {
+        auto again = decodeRecord(encodeRecord({ "key", now, entry }));
+        REQUIRE(again);
+        CHECK(again->entry.index() == entry.index());
+        CHECK(encodeRecord(*again) == encodeRecord({ "key", now, entry }));
+    }
+    CHECK_FALSE(decodeRecord("garbage"));
+    CHECK_FALSE(decodeSegment("garbage"));
+    ConfigurationDocument document { 3, "e", "author", now, "{}", { { 3, "e", "author", now } } };
+    CHECK(decodeDocument(encodeDocument(document))->history.size() == 1);
+}
+
+TEST_CASE("a caller's request is checked before the core sees it")
+{
+    SECTION("a good one passes, with its fields untouched but for the model")
+    {
+        auto parsed = parseCallerRequest(chat(goodBody), CallKind::Chat);
+        REQUIRE(parsed.error == ErrorKind::None);
+        CHECK(parsed.request.target == "m");
+        CHECK(parsed.request.maxTokens == 7);
+        CHECK(parsed.request.keyDigest == sha256Hex("key"));
+        CHECK(*parsed.request.body == R"({"messages":[{"role":"user","content":"hi"}],"temperature":0.5,"max_tokens":7})");
+    }
+    SECTION("a bad one names the field")
+    {
+        struct Case {
+            std::string body;
+            std::string field;
+        };
+        auto it = GENERATE(Case { "{", "body" }, Case { "[]", "body" }, Case { R"({"messages":[1]})", "model" }, Case { R"({"model":"m"})", "messages" },
+            Case { R"({"model":"m","messages":[]})", "messages" }, Case { R"({"model":"m","messages":[1],"stream":1})", "stream" },
+            Case { R"({"model":"m","messages":[1],"max_tokens":-1})", "max_tokens" }, Case { R"({"model":"m","messages":[1],"max_tokens":1e300})", "max_tokens" });
+        auto parsed = parseCallerRequest(chat(it.body), CallKind::Chat);
+        CHECK(parsed.error == ErrorKind::MalformedRequest);
+        CHECK_THAT(parsed.message, Catch::StartsWith(it.field));
+    }
+    SECTION("bad headers name the header")
+    {
+        struct Case {
+            std::string name;
+            std::string value;
+        };
+        auto it = GENERATE(Case { "x-deadline-ms", "soon" }, Case { "x-deadline-ms", "0" }, Case { "x-session", "a/b" }, Case { "idempotency-key", std::string(129, 'k') }, Case { "x-rank", "\x01" });
+        auto request = chat(goodBody);
+        request.headers[it.name] = it.value;
+        auto parsed = parseCallerRequest(request, CallKind::Chat);
+        CHECK(parsed.error == ErrorKind::BadHeader);
+        CHECK_THAT(parsed.message, Catch::StartsWith(it.name));
+    }
+    SECTION("no key and an oversize body are refused")
+    {
+        auto request = chat(goodBody);
+        request.headers.clear();
+        CHECK(parseCallerRequest(request, CallKind::Chat).error == ErrorKind::UnknownKey);
+        request.tooLarge = true;
+        CHECK(parseCallerRequest(request, CallKind::Chat).error == ErrorKind::RequestTooLarge);
+    }
+    SECTION("a call to a service keeps method, path and query")
+    {
+        HttpRequest request { .method = "PUT", .path = "/services/orders/slots/4", .body = "b" };
+        request.headers["authorization"] = "Bearer key";
+        request.query["at"] = "2 pm";
+        auto parsed = parseCallerRequest(request, CallKind::Service);
+        REQUIRE(parsed.error == ErrorKind::None);
+        CHECK(parsed.request.target == "orders");
+        CHECK(parsed.request.path == "/slots/4?at=2%20pm");
+        CHECK(parsed.request.method == "PUT");
+    }
+}
--- /dev/null
+++ b/test/fakes/engine_standin.cpp
@@ -0,0 +1,177 @@
+// A model engine: answers chat requests token by token, whole or streamed, with a limited number of places.
+// Faults: crash_on (text in the body ends the process), stall, cut_after (tokens, next N with cut_times), wrong, draining,
+// busy, errors (next N), quality (thousandths), load_lag_ms.
+
+#include "fakes/standin.h"
+
+#include <atomic>
+#include <cstdlib>
+#include <deque>
+#include <nlohmann/json.hpp>
+
+namespace skylarkhitch::standin {
+
+namespace {
+
+    using Json = nlohmann::json;
+
+    constexpr std::int64_t mostTokens = 24;
+
+    // One answer on its way; freed when its last token is sent.
+    struct Generation {
+        std::shared_ptr<HttpReply> reply;
+        std::string version;
+        bool streamed = false;
+        std::int64_t next = 0;
+        std::int64_t last = 0;
+        std::int64_t promptTokens = 0;
+        std::int64_t cutAfter = -1;
+        std::int64_t quality = 0;
+        std::int64_t generated = 0;
+    };
+
+    class Engine final : public Standin {
+    public:
+        Engine(std::string version, int quality, Milliseconds perToken, int slots)
+            : m_version(std::move(version))
+            , m_perToken(perToken)
+            , m_slots(slots)
+        {
+            faults.set("quality", std::to_string(quality));
+        }
+
+        void serve(const HttpRequest& request, const std::shared_ptr<HttpReply>& reply) override
+        {
+            if (request.path == "/v1/load")
+                return serveLoad(reply);
+            if (request.path == "/stats")
+                return respondText(*reply, 200, Json { { "started", m_started.load() }, { "generated", m_generated.load() } }.dump());
+            if (request.path != "/v1/chat/completions")
+                return respondText(*reply, 404, "{}");
+            if (faults.number("draining"))
+                return respondText(*reply, 503, "{}", { { "X-Not-Run", "true" }, { "X-Leaving", "true" } });
+            if (faults.number("busy"))
+                return respondText(*reply, 429, "{}", { { "X-Not-Run", "true" } });
+            auto crashOn = faults.text("crash_on");
+            if (!crashOn.empty() && request.body.find(crashOn) != std::string::npos)
+                std::_Exit(1);
+            ++m_started;
+            if (faults.number("stall"))
+                return;
+            if (faults.takeOne("errors"))
+                return respondText(*reply, 500, "{}");
+            accept(request, reply);
+        }
+
+    private:
+        void serveLoad(const std::shared_ptr<HttpReply>& reply)
+        {
+            std::lock_guard lock(m_mutex);
+            auto now = std::chrono::steady_clock::now();
+            m_loads.emplace_back(now, Json { { "running", m_running }, { "waiting", m_waiting.size() }, { "leaving", faults.number("draining") != 0 } });
+            auto then = now - Milliseconds(faults.number("load_lag_ms"));
+            while (m_loads.size() > 1 && m_loads[1].first <= then)
+                m_loads.pop_front();
+            respondText(*reply, 200, m_loads.front().second.dump());
+        }
+
+        void accept(const HttpRequest& request, const std::shared_ptr<HttpReply>& reply)
+        {
+            auto json = Json::parse(request.body, nullptr, false);
+            if (!json.is_object())
+                return respondText(*reply, 400, "{\"error\":\"not JSON\"}");
+            auto generation = std::make_shared<Generation>();
+            generation->reply = reply;
+            generation->version = json.value("model", m_version);
+            generation->streamed = json.value("stream", false);
+            generation->next = json.value("resume_after", std::int64_t { 0 });
+            generation->last = std::min(mostTokens, json.value("max_tokens", mostTokens));
+            generation->promptTokens = static_cast<std::int64_t>(request.body.size()) / 4;
+            generation->quality = faults.number("quality");
+            if (faults.takeOne("cut_times"))
+                generation->cutAfter = faults.number("cut_after");
+            std::lock_guard lock(m_mutex);
+            m_waiting.push_back(generation);
+            startWaiting();
+        }
+
+        void startWaiting()
+        {
+            while (m_running < m_slots && !m_waiting.empty()) {
+                auto generation = m_waiting.front();
+                m_waiting.pop_front();
+                ++m_running;
+                if (generation->streamed)
+                    generation->reply->startStream(200, { { "Content-Type", "text/event-stream" }, { "X-Build", "b1" } });
+                timer.after(m_perToken, [this, generation] { step(generation); });
+            }
+        }
+
+        std::string tokenText(const Generation& it) const
+        {
+            auto text = "t" + std::to_string(it.next) + " ";
+            return it.next == 0 ? "quality=" + std::to_string(it.quality) + " " + text : text;
+        }
+
+        void step(const std::shared_ptr<Generation>& it)
+        {
+            if (it->cutAfter >= 0 && it->generated >= it->cutAfter) {
+                it->reply->abort();
+                return end();
+            }
+            if (it->next >= it->last) {
+                finish(*it);
+                return end();
+            }
+            if (it->streamed) {
+                Json piece = { { "id", "x" }, { "object", "chat.completion.chunk" }, { "choices", Json::array({ { { "index", 0 }, { "delta", { { "content", tokenText(*it) } } } } }) } };
+                it->reply->write("data: " + piece.dump() + "\n\n");
+            }
+            ++it->next;
+            ++it->generated;
+            ++m_generated;
+            timer.after(m_perToken, [this, it] { step(it); });
+        }
+
+        void finish(const Generation& it)
+        {
+            Json usage = { { "prompt_tokens", it.promptTokens }, { "completion_tokens", it.generated } };
+            if (it.streamed) {
+                Json piece = { { "object", "chat.completion.chunk" }, { "choices", Json::array() }, { "usage", usage } };
+                it.reply->write("data: " + piece.dump() + "\n\ndata: [DONE]\n\n");
+                return it.reply->finish();
+            }
+            std::string text = "quality=" + std::to_string(it.quality) + " ";
+            for (std::int64_t n = 0; n < it.last; ++n)
+                text += "t" + std::to_string(n) + " ";
+            Json choice = { { "index", 0 }, { "finish_reason", "stop" }, { "message", { { "role", "assistant" }, { "content", text } } } };
+            Json answer = { { "object", "chat.completion" }, { "model", it.version }, { "choices", Json::array({ choice }) }, { "usage", usage } };
+            respondText(*it.reply, 200, faults.number("wrong") ? "{\"choices\":" : answer.dump(), { { "X-Build", "b1" } });
+        }
+
+        void end()
+        {
+            std::lock_guard lock(m_mutex);
+            --m_running;
+            startWaiting();
+        }
+
+        std::string m_version;
+        Milliseconds m_perToken;
+        int m_slots;
+        std::mutex m_mutex;
+        int m_running = 0;
+        std::deque<std::shared_ptr<Generation>> m_waiting;
+        std::deque<std::pair<std::chrono::steady_clock::time_point, Json>> m_loads;
+        std::atomic<std::uint64_t> m_started = 0;
+        std::atomic<std::uint64_t> m_generated = 0;
+    };
+
+}
+
+std::unique_ptr<Standin> makeEngine(const std::string& version, int qualityThousandths, Milliseconds perToken, int slots)
+{
+    return std::make_unique<Engine>(version, qualityThousandths, perToken, slots);
+}
+
+}
--- /dev/null
+++ b/test/fakes/service_standin.cpp
@@ -0,0 +1,61 @@
+// A plain service: every POST is one booking that is run and counted; GET /log lists what was run.
+// Faults: cut_after_run (next N are run, their answers cut), not_run (next N are refused), slow_ms, errors (next N).
+
+#include "fakes/standin.h"
+
+#include <nlohmann/json.hpp>
+
+namespace skylarkhitch::standin {
+
+namespace {
+
+    using Json = nlohmann::json;
+
+    class Service final : public Standin {
+    public:
+        void serve(const HttpRequest& request, const std::shared_ptr<HttpReply>& reply) override
+        {
+            if (request.path == "/v1/load")
+                return respondText(*reply, 200, "{\"running\":0,\"waiting\":0,\"leaving\":false}");
+            if (request.path == "/log")
+                return serveLog(*reply);
+            if (request.method == "GET")
+                return respondText(*reply, 200, "{\"status\":\"open\"}");
+            if (faults.takeOne("not_run"))
+                return respondText(*reply, 503, "{}", { { "X-Not-Run", "true" } });
+            if (auto slow = faults.number("slow_ms"); slow > 0)
+                return timer.after(Milliseconds(slow), [=, this] { book(request, *reply); });
+            book(request, *reply);
+        }
+
+    private:
+        void serveLog(HttpReply& reply)
+        {
+            std::lock_guard lock(m_mutex);
+            respondText(reply, 200, Json(m_bookings).dump());
+        }
+
+        void book(const HttpRequest& request, HttpReply& reply)
+        {
+            std::size_t number = 0;
+            {
+                std::lock_guard lock(m_mutex);
+                m_bookings.push_back(request.body);
+                number = m_bookings.size();
+            }
+            if (faults.takeOne("cut_after_run"))
+                return reply.abort();
+            if (faults.takeOne("errors"))
+                return respondText(reply, 500, "{}");
+            respondText(reply, 201, Json { { "booking", number }, { "body", request.body } }.dump());
+        }
+
+        std::mutex m_mutex;
+        std::vector<std::string> m_bookings;
+    };
+
+}
+
+std::unique_ptr<Standin> makeService() { return std::make_unique<Service>(); }
+
+}
--- /dev/null
+++ b/test/test_main.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
--- /dev/null
+++ b/tools/quickstart.sh
@@ -0,0 +1,82 @@
+#!/usr/bin/env bash
+# Does all set-up on a fresh machine, then runs the main job: a stand-in platform, two stand-in engines of unlike cost,
+# one plain service and three entry daemons as plain processes; a chat request through a cascade, whole and streamed,
+# and a booking. Ends only the processes that it started.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+tools/setup.sh release
+bin=$PWD/build/release
+work=$(mktemp -d)
+pids=()
+finish() {
+    for it in "${pids[@]}"; do kill -TERM "$it" 2>/dev/null || true; done
+    for it in "${pids[@]}"; do wait "$it" 2>/dev/null || true; done
+    rm -rf "$work"
+}
+trap finish EXIT
+
+# Starts a stand-in and puts its port into $port.
+standin() {
+    local out="$work/standin-${#pids[@]}"
+    "$bin/test/skylarkhitch-standin" "$@" >"$out" &
+    pids+=("$!")
+    for _ in $(seq 100); do [ -s "$out" ] && break; sleep 0.05; done
+    port=$(head -1 "$out")
+}
+
+standin platform; platform=127.0.0.1:$port
+standin engine --version small-1 --quality 600; small=127.0.0.1:$port
+standin engine --version large-1 --quality 900; large=127.0.0.1:$port
+standin service; orders=127.0.0.1:$port
+
+digest=$(printf design-key | sha256sum | cut -d' ' -f1)
+cat >"$work/overlay.yaml" <<YAML
+services:
+  orders: { cost_per_call: 5000, rank: urgent }
+teams:
+  design: { key_sha256: [$digest], cascades: [draft], models: [small, large], services: [orders] }
+upstreams:
+  engine-small: { address: "$small", domain: halle-a, version: small-1 }
+  engine-large: { address: "$large", domain: halle-b, version: large-1 }
+  orders-1: { address: "$orders", domain: kontor, service: orders }
+YAML
+
+domains=(halle-a halle-b kontor)
+callers=() operators=() 
+for n in 0 1 2; do
+    cat >"$work/entry-$n.yaml" <<YAML
+instance: entry-$n
+domain: ${domains[$n]}
+listen: 127.0.0.1:0
+operator_listen: 127.0.0.1:0
+peer_listen: 127.0.0.1:0
+platform: $platform
+peer_secret: quick-start
+drain_grace_ms: 200
+YAML
+    "$bin/skylarkhitchd" --settings "$work/entry-$n.yaml" >"$work/ready-$n" 2>"$work/log-$n" &
+    pids+=("$!")
+    for _ in $(seq 100); do grep -q '^ready' "$work/ready-$n" && break; sleep 0.05; done
+    read -r _ caller operator peer <"$work/ready-$n"
+    callers+=("${caller#callers=}") operators+=("${operator#operators=}")
+    curl -sf -X POST "http://$platform/v1/instances" -o /dev/null \
+        -d "{\"id\":\"entry-$n\",\"role\":\"entry\",\"address\":\"${caller#callers=}\",\"peer_address\":\"${peer#peers=}\",\"state\":\"live\"}"
+done
+
+tool() { "$bin/skylarkhitch" --operator "${operators[0]}" "$@"; }
+ask() { tool --entry "${callers[0]}" --key design-key "$@"; }
+
+echo "== configuration: base file and overlay, in force on every instance"
+tool --wait config apply deploy/base.yaml "$work/overlay.yaml"
+echo; echo "== a chat request through the cascade 'draft'"
+ask request chat draft "draft a pattern card for a fir label"
+echo; echo "== the same, streamed"
+ask --stream request chat draft "review the care label wording"
+echo; echo "== a booking; sent twice with one key, it runs once"
+ask --idempotency-key slot-17 request call orders POST /slots '{"loom":4}'
+ask --idempotency-key slot-17 request call orders POST /slots '{"loom":4}'
+echo "bookings that the service ran: $(curl -sf "http://$orders/log")"
+echo; echo "== bills"
+tool bills
+echo; echo "== status of one instance"
+tool status
--- /dev/null
+++ b/tools/setup.sh
@@ -0,0 +1,20 @@
+#!/usr/bin/env bash
+# Installs what the build needs (Debian packages) and builds a preset: tools/setup.sh [PRESET]
+set -euo pipefail
+cd "$(dirname "$0")/.."
+preset=${1:-release}
+packages=(g++ cmake ninja-build pkg-config clang-format clang-tidy curl libabsl-dev libnghttp2-dev prometheus-cpp-dev libmicrohttpd-dev
+    libcurl4-openssl-dev libpopt-dev libboost-log-dev catch2 libyaml-cpp-dev nlohmann-json3-dev librapidcheck-dev libxxhash-dev
+    libbenchmark-dev libssl-dev)
+missing=()
+for it in "${packages[@]}"; do
+    dpkg-query -W -f='${Status}' "$it" 2>/dev/null | grep -q 'ok installed' || missing+=("$it")
+done
+if [ "${#missing[@]}" -gt 0 ]; then
+    run=()
+    [ "$(id -u)" = 0 ] || run=(sudo)
+    "${run[@]}" apt-get update -qq
+    DEBIAN_FRONTEND=noninteractive "${run[@]}" apt-get install -y -qq --no-install-recommends "${missing[@]}" >/dev/null
+fi
+cmake --preset "$preset" >/dev/null
+cmake --build --preset "$preset"
