--- a/src/adapters/http_client.cpp
+++ b/src/adapters/http_client.cpp
@@ -13,6 +13,8 @@
 namespace {
 
     constexpr long connectionsKept = 512;
+    // Receive buffer of one call in flight.
+    constexpr long receiveBytes = 4096;
     constexpr int longestWaitMs = 500;
     constexpr std::size_t mostBody = 64 << 20;
 
@@ -168,6 +170,7 @@
         curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, static_cast<long>(call.timeout.count()));
         curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(std::min(call.connectTimeout, call.timeout).count()));
         curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
+        curl_easy_setopt(easy, CURLOPT_BUFFERSIZE, receiveBytes);
         if (call.freshConnection) {
             curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
             curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
--- a/src/adapters/http_server.cpp
+++ b/src/adapters/http_server.cpp
@@ -21,9 +21,10 @@
 
     // Bytes of a streamed answer that wait for a slow reader before it is cut off.
     constexpr std::size_t mostBuffered = std::size_t { 8 } << 20;
-    constexpr std::size_t streamBlock = std::size_t { 16 } * 1024;
-    // Memory for the head of one request.
-    constexpr std::size_t connectionMemory = std::size_t { 32 } * 1024;
+    // Taken for each stream as long as it is open; one event of an engine is a few hundred bytes.
+    constexpr std::size_t streamBlock = std::size_t { 2 } * 1024;
+    // Taken for each connection; bounds the head of a request.
+    constexpr std::size_t connectionMemory = std::size_t { 12 } * 1024;
     constexpr Milliseconds leaveCheckPeriod { 200 };
 
     class Reply;
--- a/src/core/admission.cpp
+++ b/src/core/admission.cpp
@@ -9,8 +9,8 @@
 
     // Time constant over which the ranks' parts of the capacity are weighed.
     constexpr double shareMemorySeconds = 2;
-    // Time constant of a pool's rate.
-    constexpr double rateMemorySeconds = 3;
+    // Time for which a rank must have waited before its rate tells anything.
+    constexpr Seconds rateMemory { 2 };
     // Work that a team of share 1 may take in one turn, in tokens.
     constexpr double quantum = 256;
 
@@ -43,6 +43,8 @@
     auto& rank = rankQueue(request);
     auto& team = rank.teams[request.team];
     team.share = request.teamShare;
+    if (!rank.waitingSince)
+        rank.waitingSince = request.arrived;
     if (team.requests.empty())
         rank.turns.push_back(request.team);
     rank.work += request.work;
@@ -54,11 +56,8 @@
     ++m_size;
 }
 
-void Admission::enqueue(const WaitingRequest& request, TimePoint now)
+void Admission::enqueue(const WaitingRequest& request)
 {
-    auto& pool = m_pools[request.pool];
-    if (!pool.busySince)
-        pool.busySince = now;
     insert(request, false);
 }
 
@@ -78,6 +77,8 @@
         std::erase(rank.turns, request.team);
         rank.teams.erase(request.team);
     }
+    if (rank.turns.empty())
+        rank.waitingSince.reset();
     return request;
 }
 
@@ -152,8 +153,6 @@
     auto request = takeByTurns(*rank);
     if (request)
         rank->given += request->work;
-    if (!waits(id))
-        pool.busySince.reset();
     return request;
 }
 
@@ -181,7 +180,7 @@
         for (auto& [order, rank] : pool.ranks) {
             for (auto& [teamId, team] : rank.teams) {
                 for (const auto& it : team.requests) {
-                    if (it.deadline <= now)
+                    if (it.latestStart <= now)
                         expired.push_back(it);
                 }
             }
@@ -215,41 +214,48 @@
     return takeAt(*worstRank, largest->second, std::prev(largest->second.requests.end()));
 }
 
+double Admission::workAheadInRank(const RankQueue& rank, const WaitingRequest& request)
+{
+    // Teams take turns, so that a team waits for the others only as long as it has work of its own before it.
+    auto own = rank.teams.find(request.team);
+    double ownWork = (own == rank.teams.end() ? 0 : own->second.work) + request.work;
+    double ahead = 0;
+    for (const auto& [id, team] : rank.teams)
+        ahead += id == request.team ? team.work : std::min(team.work, ownWork * team.share / request.teamShare);
+    return ahead;
+}
+
 double Admission::workAhead(const WaitingRequest& request) const
 {
     auto it = m_pools.find(request.pool);
     if (it == m_pools.end())
         return 0;
-    double ahead = 0;
+    double inRank = 0;
+    double moreUrgent = 0;
     for (const auto& [order, rank] : it->second.ranks) {
         if (order < request.rankOrder)
-            ahead += rank.work;
-        if (order != request.rankOrder)
-            continue;
-        // Teams take turns, so that a team waits for the others only as long as it has work of its own before it.
-        auto own = rank.teams.find(request.team);
-        double ownWork = (own == rank.teams.end() ? 0 : own->second.work) + request.work;
-        for (const auto& [id, team] : rank.teams)
-            ahead += id == request.team ? team.work : std::min(team.work, ownWork * team.share / request.teamShare);
+            moreUrgent += rank.work;
+        if (order == request.rankOrder)
+            inRank = workAheadInRank(rank, request);
     }
-    return ahead;
+    // More urgent work goes first, but it can not take this rank's guaranteed share.
+    double withinShare = request.guaranteedShare > 0 ? inRank / request.guaranteedShare : inRank + moreUrgent;
+    return std::min(inRank + moreUrgent, withinShare);
 }
 
-void Admission::served(const PoolId& id, double work, TimePoint now)
+double Admission::expectedWait(const WaitingRequest& request, double rate, TimePoint now) const
 {
-    auto& pool = m_pools[id];
-    pool.served = pool.served * decayFactor(pool.servedDecayedAt, now, rateMemorySeconds) + work;
-    pool.servedDecayedAt = now;
-}
-
-double Admission::rate(const PoolId& id, TimePoint now) const
-{
-    auto it = m_pools.find(id);
-    // A pool that had no queue until now was not working at its limit: its rate says nothing.
-    if (it == m_pools.end() || !it->second.busySince || now - *it->second.busySince < std::chrono::seconds(3))
-        return 0;
-    const auto& pool = it->second;
-    return pool.served * decayFactor(pool.servedDecayedAt, now, rateMemorySeconds) / rateMemorySeconds;
+    double byPool = workAhead(request) / rate;
+    auto it = m_pools.find(request.pool);
+    if (it == m_pools.end())
+        return byPool;
+    auto rank = it->second.ranks.find(request.rankOrder);
+    bool waitsLong = rank != it->second.ranks.end() && rank->second.waitingSince && now >= *rank->second.waitingSince + rateMemory;
+    if (!waitsLong)
+        return byPool;
+    double given = rank->second.given * decayFactor(it->second.decayedAt, now, shareMemorySeconds) / shareMemorySeconds;
+    double least = request.guaranteedShare * rate;
+    return workAheadInRank(rank->second, request) / std::max({ given, least, 1.0 });
 }
 
 std::vector<PoolId> Admission::busyPools() const
--- a/src/core/admission.h
+++ b/src/core/admission.h
@@ -27,6 +27,8 @@
     double work = 1;
     TimePoint arrived;
     TimePoint deadline;
+    // After this time it could not be done by its deadline; the deadline itself if not set.
+    TimePoint latestStart = deadline;
 };
 
 enum class AdmissionPolicy { RankAndTeam,
@@ -39,12 +41,12 @@
     {
     }
 
-    void enqueue(const WaitingRequest&, TimePoint);
+    void enqueue(const WaitingRequest&);
     // Puts a request back at the head of its team's queue, after a place that came to nothing.
     void putBack(const WaitingRequest&);
     std::optional<WaitingRequest> next(const PoolId&, TimePoint);
     bool remove(const PoolId&, const RequestId&);
-    // Takes out the requests whose deadline has passed.
+    // Takes out the requests that can not start in time any more.
     std::vector<WaitingRequest> takeExpired(TimePoint);
     // Takes out the request that should give way when the queue is full: of the least urgent rank, from the team with
     // the most waiting work for its share, the newest.
@@ -52,10 +54,9 @@
 
     // Work that goes before a new request of this rank and team, in tokens.
     double workAhead(const WaitingRequest&) const;
-    // Tells that work was done, for the pool's rate.
-    void served(const PoolId&, double work, TimePoint);
-    // Work done a second while requests waited; 0 when not known.
-    double rate(const PoolId&, TimePoint) const;
+    // Seconds until a new request would get a place, when the pool does `rate` tokens of work a second. A rank that has
+    // waited for a while is reckoned by the work that it was given lately: it also shows what more urgent work will take.
+    double expectedWait(const WaitingRequest&, double rate, TimePoint now) const;
 
     std::size_t size() const { return m_size; }
     std::vector<PoolId> busyPools() const;
@@ -74,6 +75,7 @@
         // Work given to this rank, decaying with time.
         double given = 0;
         double work = 0;
+        std::optional<TimePoint> waitingSince;
         std::map<TeamId, TeamQueue> teams;
         // Teams with waiting requests, in the order of their turns.
         std::deque<TeamId> turns;
@@ -81,12 +83,10 @@
     struct Pool {
         std::map<std::int64_t, RankQueue> ranks;
         TimePoint decayedAt {};
-        double served = 0;
-        TimePoint servedDecayedAt {};
-        std::optional<TimePoint> busySince;
     };
 
     RankQueue& rankQueue(const WaitingRequest&);
+    static double workAheadInRank(const RankQueue&, const WaitingRequest&);
     void insert(const WaitingRequest&, bool atHead);
     RankQueue* chooseRank(Pool&);
     std::optional<WaitingRequest> takeByTurns(RankQueue&);
--- a/src/core/chat_flow.cpp
+++ b/src/core/chat_flow.cpp
@@ -434,7 +434,7 @@
         m_dispatcher.unqueue(state);
         return m_parts.requests.refuse(state, ErrorKind::DeadlineUnreachable, "no place became free before the deadline", now, out);
     case Phase::Running:
-        m_dispatcher.cancelAttempt(state, out);
+        m_dispatcher.expireAttempt(state, now, out);
         return m_parts.requests.refuse(state, ErrorKind::DeadlineExceeded, "the answer was not whole at the deadline", now, out);
     case Phase::Rating:
         return giveHeldPieces(state, now, out);
--- a/src/core/dispatcher.cpp
+++ b/src/core/dispatcher.cpp
@@ -1,5 +1,7 @@
 #include "core/dispatcher.h"
 
+#include <cmath>
+
 namespace skylarkhitch {
 
 namespace {
@@ -7,6 +9,22 @@
     // Work of a service call, in tokens, for the turns among teams.
     constexpr double serviceWork = 64;
 
+    // Work that a place does in a second until answers have shown it; generous, so that nothing is refused on a guess.
+    constexpr double firstSpeed = 150;
+    constexpr double speedStep = 0.05;
+    // Over the expected wait, since more urgent work may still come.
+    constexpr double waitMargin = 1.1;
+    // Times of the usual time that a request must have left when it starts; one that starts later would only waste its place.
+    constexpr double serviceMargin = 1.15;
+    // Times of the usual time after which an attempt counts as stalled.
+    constexpr double stallFactor = 3;
+    // Time after the deadline at which a transport gives an attempt up by itself; the core is first.
+    constexpr Milliseconds timeoutSlack { 500 };
+    // Times of the announced demand at which it is announced again before the next heartbeat is due.
+    constexpr std::int64_t demandGrowth = 3;
+    // Age at which this instance's part of a pool is worked out anew.
+    constexpr Milliseconds sharePeriod { 50 };
+
     double workOf(const CallerRequest& request)
     {
         return request.kind == CallKind::Chat ? static_cast<double>(request.maxTokens) : serviceWork;
@@ -24,16 +42,95 @@
 
 PoolId poolOf(const ServiceId& service) { return { "service/" + service.value }; }
 
-Microseconds Dispatcher::predictedWait(const WaitingRequest& waiting, const UpstreamNeed& need, TimePoint now) const
+double Dispatcher::serviceSeconds(const PoolId& id, double work) const
+{
+    auto it = m_pools.find(id);
+    if (it != m_pools.end() && it->second.speed > 0)
+        return work / it->second.speed;
+    return work / firstSpeed;
+}
+
+void Dispatcher::learnSpeed(const RequestState& state, TimePoint now)
+{
+    auto seconds = std::chrono::duration<double>(now - state.attemptAt).count();
+    if (seconds <= 0)
+        return;
+    auto& speed = m_pools[poolOf(state)].speed;
+    double seen = workOf(state.request) / seconds;
+    speed = speed == 0 ? seen : speed + speedStep * (seen - speed);
+}
+
+std::vector<PoolDemand> Dispatcher::takeDemands()
+{
+    std::map<std::tuple<PoolId, std::int64_t, TeamId>, std::int64_t> counts;
+    for (const auto& id : m_parts.requests.ids()) {
+        const auto& state = *m_parts.requests.find(id);
+        if (state.phase == Phase::Queued || state.phase == Phase::Running)
+            ++counts[{ poolOf(state), state.rankOrder, state.team }];
+    }
+    m_ownDemands.clear();
+    m_announced = 0;
+    for (const auto& [key, n] : counts) {
+        m_ownDemands.push_back({ std::get<0>(key).value, std::get<1>(key), std::get<2>(key), n });
+        m_announced += n;
+    }
+    m_sharesDirty = true;
+    return m_ownDemands;
+}
+
+bool Dispatcher::demandGrew() const
+{
+    auto now = static_cast<std::int64_t>(m_parts.requests.size());
+    return now > demandGrowth * (m_announced + 1);
+}
+
+std::vector<ShareDemand> Dispatcher::demandsFor(const std::string& pool) const
 {
-    double measured = m_parts.admission.rate(waiting.pool, now);
-    auto instances = static_cast<double>(m_parts.membership.writers().size());
-    double nominal = m_parts.upstreams.nominalRate(need, now);
-    double rate = measured > 0 ? measured : nominal / instances;
-    if (rate <= 0)
+    const auto& configuration = m_parts.configuration();
+    absl::flat_hash_map<std::int64_t, double> guaranteed;
+    for (const auto& [id, rank] : configuration.ranks)
+        guaranteed[rank.order] = rank.guaranteedShare;
+    std::vector<ShareDemand> demands;
+    auto add = [&](const PoolDemand& it, bool isOwn) {
+        auto team = configuration.teams.find(it.team);
+        if (it.pool == pool && team != configuration.teams.end())
+            demands.push_back({ isOwn, it.rankOrder, guaranteed[it.rankOrder], it.team, team->second.share, static_cast<double>(it.requests) });
+    };
+    // What was announced, not what is here by now: the others reckon with the same numbers. A sudden flood gets the even
+    // part of what is free until it is announced.
+    for (const auto& it : m_ownDemands)
+        add(it, true);
+    for (const auto& [id, member] : m_parts.membership.members()) {
+        for (const auto& it : member.heartbeat.demands)
+            add(it, false);
+    }
+    return demands;
+}
+
+double Dispatcher::placesFor(const PoolId& id, const UpstreamNeed& need, TimePoint now)
+{
+    auto& pool = m_pools[id];
+    if (std::exchange(m_sharesDirty, false)) {
+        for (auto& [other, it] : m_pools)
+            it.placesAt = {};
+    }
+    if (now >= pool.placesAt + sharePeriod) {
+        double capacity = m_parts.upstreams.usableSlots(need, now);
+        pool.places = shareOfCapacity(capacity, demandsFor(id.value), m_parts.membership.writers().size());
+        pool.placesAt = now;
+    }
+    return std::max(1.0, std::round(pool.places));
+}
+
+Microseconds Dispatcher::predictedWait(const WaitingRequest& waiting, const UpstreamNeed& need, TimePoint now)
+{
+    double places = placesFor(waiting.pool, need, now);
+    auto running = static_cast<double>(m_pools[waiting.pool].running);
+    if (running < places && !m_parts.admission.waits(waiting.pool))
         return Microseconds::zero();
-    auto seconds = std::chrono::duration<double>(m_parts.admission.workAhead(waiting) / rate);
-    return std::chrono::duration_cast<Microseconds>(seconds);
+    double rate = places / serviceSeconds(waiting.pool, 1);
+    double seconds = m_parts.admission.expectedWait(waiting, rate, now) * waitMargin;
+    return std::chrono::duration_cast<Microseconds>(std::chrono::duration<double>(seconds));
 }
 
 void Dispatcher::enqueue(RequestState& state, const PoolId& pool, const UpstreamNeed& need, double work, TimePoint now, Outbox& out)
@@ -42,10 +139,12 @@
     const auto& rank = configuration.ranks.at(state.rank);
     const auto& team = configuration.teams.at(state.team);
     WaitingRequest waiting { state.request.id, pool, state.rank, rank.order, rank.guaranteedShare, state.team, team.share, work, now, state.deadline };
-    if (now + predictedWait(waiting, need, now) > state.deadline)
+    auto service = std::chrono::duration<double>(serviceSeconds(pool, work) * serviceMargin);
+    waiting.latestStart = state.deadline - std::chrono::duration_cast<Microseconds>(service);
+    if (now + predictedWait(waiting, need, now) > waiting.latestStart)
         return state.flow->giveUp(state, ErrorKind::DeadlineUnreachable, "the work waiting before this request takes longer than its deadline allows", now, out);
     state.phase = Phase::Queued;
-    m_parts.admission.enqueue(waiting, now);
+    m_parts.admission.enqueue(waiting);
     makeRoom(now, out);
 }
 
@@ -70,6 +169,11 @@
 void Dispatcher::runPool(const PoolId& pool, TimePoint now, Outbox& out)
 {
     while (auto waiting = m_parts.admission.next(pool, now)) {
+        if (now > waiting->latestStart) {
+            if (auto* state = m_parts.requests.find(waiting->request))
+                state->flow->giveUp(*state, ErrorKind::DeadlineUnreachable, "no place became free in time for the deadline", now, out);
+            continue;
+        }
         if (start(*waiting, now, out) != Start::NoPlace)
             continue;
         m_parts.admission.putBack(*waiting);
@@ -86,6 +190,10 @@
     if (!need)
         return Start::Answered;
     need->tried = &state->tried;
+    double places = placesFor(waiting.pool, *need, now);
+    if (static_cast<double>(m_pools[waiting.pool].running) >= places && m_parts.upstreams.anyUsable(*need, now))
+        return Start::NoPlace;
+    need->ownPart = std::min(1.0, places / std::max(1.0, m_parts.upstreams.usableSlots(*need, now)));
     auto upstream = m_parts.upstreams.choose(*need, now);
     if (!upstream && m_parts.upstreams.anyUsable(*need, now))
         return Start::NoPlace;
@@ -104,6 +212,7 @@
     const auto& limits = m_parts.configuration().limits;
     state.phase = Phase::Running;
     state.upstream = upstream;
+    state.attemptAt = now;
     state.tried.insert(upstream);
     if (!state.startedAt)
         state.startedAt = now;
@@ -111,9 +220,10 @@
     attempt.contentType = state.request.contentType;
     attempt.priority = state.rankOrder;
     attempt.mayRepeat = state.mayRepeat;
-    attempt.timeout = std::min(limits.attemptTimeout, toMilliseconds(state.deadline - now));
+    attempt.timeout = std::min(limits.attemptTimeout, toMilliseconds(state.deadline - now) + timeoutSlack);
     state.flow->fillAttempt(state, attempt);
     m_parts.upstreams.attemptStarted(upstream);
+    ++m_pools[poolOf(state)].running;
     out.push_back(std::move(attempt));
 }
 
@@ -121,15 +231,16 @@
 {
     m_parts.requests.endAttempt(state);
     state.ran.attemptEnded(finished.end);
+    --m_pools[poolOf(state)].running;
     m_parts.upstreams.attemptEnded(state.upstream, finished.end, now, out);
     m_parts.metrics.attemptEnded(state.upstream, state.version, finished.end);
     if (finished.leaving)
         m_parts.upstreams.loadReported({ .upstream = state.upstream, .leaving = true }, now, out);
     if (!state.version.empty())
-        m_parts.evidence.attemptEnded(state.version, finished.end, now, out);
+        m_parts.evidence.attemptEnded(state.version, state.upstream, finished.end, now, out);
     if (finished.end == AttemptEnd::Completed) {
         m_parts.retries.succeeded(m_parts.configuration().limits.retryShare);
-        m_parts.admission.served(poolOf(state), workOf(state.request), now);
+        learnSpeed(state, now);
     }
     if (finished.end == AttemptEnd::Cut && state.request.kind == CallKind::Chat)
         m_parts.crashes.fell(state.request.bodyDigest, state.upstream, now);
@@ -144,6 +255,17 @@
     state.ran.attemptEnded(AttemptEnd::TimedOut);
     // The place is free again; a cancelled attempt says nothing about its upstream.
     m_parts.upstreams.attemptCancelled(state.upstream);
+    --m_pools[poolOf(state)].running;
+}
+
+void Dispatcher::expireAttempt(RequestState& state, TimePoint now, Outbox& out)
+{
+    auto ran = std::chrono::duration<double>(now - state.attemptAt).count();
+    bool stalled = ran > stallFactor * serviceSeconds(poolOf(state), workOf(state.request));
+    if (!stalled || !state.attempt)
+        return cancelAttempt(state, out);
+    out.push_back(CancelAttempt { *state.attempt });
+    attemptEnded(state, { .attempt = *state.attempt, .end = AttemptEnd::TimedOut, .status = 0 }, now, out);
 }
 
 void Dispatcher::unqueue(RequestState& state)
--- a/src/core/dispatcher.h
+++ b/src/core/dispatcher.h
@@ -3,6 +3,7 @@
 // Brings waiting requests to upstreams: asks the admission order for the next one, chooses its upstream, sends the
 // attempt, and does the accounting when it ends.
 
+#include "core/capacity_share.h"
 #include "core/request_flow.h"
 
 namespace skylarkhitch {
@@ -21,8 +22,17 @@
     void run(TimePoint, Outbox&);
     void attemptEnded(RequestState&, const AttemptFinished&, TimePoint, Outbox&);
     void cancelAttempt(RequestState&, Outbox&);
+    // Ends an attempt whose request is past its deadline. That speaks against the upstream only if the attempt had several
+    // times its usual time.
+    void expireAttempt(RequestState&, TimePoint, Outbox&);
     // Takes a request out of its queue.
     void unqueue(RequestState&);
+    // What waits and runs here, for the heartbeats; also works out this instance's parts anew.
+    std::vector<PoolDemand> takeDemands();
+    // Whether so much has come since the last heartbeat that the others should hear of it at once.
+    bool demandGrew() const;
+    // Another instance's demand has changed.
+    void demandsChanged() { m_sharesDirty = true; }
 
 private:
     enum class Start { Started,
@@ -31,10 +41,29 @@
     Start start(const WaitingRequest&, TimePoint, Outbox&);
     void runPool(const PoolId&, TimePoint, Outbox&);
     void makeRoom(TimePoint, Outbox&);
-    Microseconds predictedWait(const WaitingRequest&, const UpstreamNeed&, TimePoint) const;
+    Microseconds predictedWait(const WaitingRequest&, const UpstreamNeed&, TimePoint);
+    // Seconds that this much work takes on one place.
+    double serviceSeconds(const PoolId&, double work) const;
+    void learnSpeed(const RequestState&, TimePoint);
+    // Places of the pool that this instance may fill.
+    double placesFor(const PoolId&, const UpstreamNeed&, TimePoint);
+    std::vector<ShareDemand> demandsFor(const std::string& pool) const;
     void send(RequestState&, const UpstreamId&, TimePoint, Outbox&);
 
+    struct PoolState {
+        std::int64_t running = 0;
+        // Work that a place does in a second, learned from whole answers; 0 until the first.
+        double speed = 0;
+        double places = 0;
+        TimePoint placesAt {};
+    };
+
     CoreParts& m_parts;
+    absl::flat_hash_map<PoolId, PoolState> m_pools;
+    // As announced by the last heartbeat.
+    std::vector<PoolDemand> m_ownDemands;
+    std::int64_t m_announced = 0;
+    bool m_sharesDirty = true;
 };
 
 // The pool of a version's or a service's upstreams.
--- a/src/core/ledger_index.cpp
+++ b/src/core/ledger_index.cpp
@@ -12,68 +12,64 @@
 
 void LedgerIndex::add(const LedgerRecord& record)
 {
-    auto& state = m_keys[record.key];
     if (std::holds_alternative<Claim>(record.entry)) {
-        state.claim = record;
+        m_claims[record.key] = record;
     } else if (const auto* release = std::get_if<Release>(&record.entry)) {
         m_released.insert(release->request.value);
-        if (state.claim && std::get<Claim>(state.claim->entry).request == release->request)
-            state.claim.reset();
+        auto claim = m_claims.find(record.key);
+        if (claim != m_claims.end() && std::get<Claim>(claim->second.entry).request == release->request)
+            m_claims.erase(claim);
     } else if (const auto* outcome = std::get_if<Outcome>(&record.entry)) {
-        if (!state.outcome && outcome->bill)
+        bool isNew = m_outcomes.try_emplace(record.key, record).second;
+        if (isNew && outcome->bill)
             addTo(m_totals[outcome->bill->team], *outcome->bill);
-        if (!state.outcome)
-            state.outcome = record;
     } else if (const auto* bill = std::get_if<Bill>(&record.entry)) {
-        if (!state.billed)
+        if (m_billed.insert(record.key).second)
             addTo(m_totals[bill->team], *bill);
-        state.billed = true;
     } else if (const auto* pin = std::get_if<SessionPin>(&record.entry)) {
-        if (!state.pin || std::get<SessionPin>(state.pin->entry).generation < pin->generation)
-            state.pin = record;
+        auto [known, isNew] = m_pins.try_emplace(record.key, record);
+        if (!isNew && std::get<SessionPin>(known->second.entry).generation < pin->generation)
+            known->second = record;
     }
 }
 
 void LedgerIndex::clear()
 {
-    m_keys.clear();
-    m_released.clear();
-    m_totals.clear();
+    *this = {};
 }
 
-AppendVerdict LedgerIndex::judgeClaim(const KeyState& state, const Claim& claim) const
+AppendVerdict LedgerIndex::judgeClaim(const LedgerRecord& record, const Claim& claim) const
 {
     using Kind = AppendVerdict::Kind;
     if (m_released.contains(claim.request.value))
         return { Kind::Refused, ErrorKind::StoreUnavailable, {} };
-    if (!state.claim)
+    auto known = m_claims.find(record.key);
+    if (known == m_claims.end())
         return {};
-    const auto& winner = std::get<Claim>(state.claim->entry);
+    const auto& winner = std::get<Claim>(known->second.entry);
     if (winner.request == claim.request)
         return { Kind::AlreadyThere, {}, {} };
     if (winner.bodyDigest != claim.bodyDigest)
-        return { Kind::Refused, ErrorKind::IdempotencyKeyReused, state.claim };
-    return { Kind::Refused, ErrorKind::CallInFlight, state.outcome ? state.outcome : state.claim };
+        return { Kind::Refused, ErrorKind::IdempotencyKeyReused, known->second };
+    auto outcome = m_outcomes.find(record.key);
+    return { Kind::Refused, ErrorKind::CallInFlight, outcome == m_outcomes.end() ? known->second : outcome->second };
 }
 
 AppendVerdict LedgerIndex::judge(const LedgerRecord& record) const
 {
     using Kind = AppendVerdict::Kind;
-    auto it = m_keys.find(record.key);
-    static const KeyState empty;
-    const auto& state = it == m_keys.end() ? empty : it->second;
+    auto unlessThere = [](bool there) { return AppendVerdict { there ? Kind::AlreadyThere : Kind::Append, {}, {} }; };
     if (const auto* claim = std::get_if<Claim>(&record.entry))
-        return judgeClaim(state, *claim);
+        return judgeClaim(record, *claim);
     if (const auto* release = std::get_if<Release>(&record.entry))
-        return { m_released.contains(release->request.value) ? Kind::AlreadyThere : Kind::Append, {}, {} };
+        return unlessThere(m_released.contains(release->request.value));
     if (std::holds_alternative<Outcome>(record.entry))
-        return { state.outcome ? Kind::AlreadyThere : Kind::Append, {}, {} };
+        return unlessThere(m_outcomes.contains(record.key));
     if (std::holds_alternative<Bill>(record.entry))
-        return { state.billed ? Kind::AlreadyThere : Kind::Append, {}, {} };
-    const auto& pin = std::get<SessionPin>(record.entry);
-    if (state.pin && std::get<SessionPin>(state.pin->entry).generation >= pin.generation)
-        return { Kind::AlreadyThere, {}, state.pin };
-    return {};
+        return unlessThere(m_billed.contains(record.key));
+    auto known = m_pins.find(record.key);
+    bool keeps = known != m_pins.end() && std::get<SessionPin>(known->second.entry).generation >= std::get<SessionPin>(record.entry).generation;
+    return keeps ? AppendVerdict { Kind::AlreadyThere, {}, known->second } : AppendVerdict {};
 }
 
 }
--- a/src/core/ledger_index.h
+++ b/src/core/ledger_index.h
@@ -34,18 +34,16 @@
 
     // Sum of the bills of each team; a bill counts once for its key.
     const std::map<TeamId, Bill>& totals() const { return m_totals; }
-    std::size_t size() const { return m_keys.size(); }
 
 private:
-    struct KeyState {
-        std::optional<LedgerRecord> claim;
-        std::optional<LedgerRecord> outcome;
-        std::optional<LedgerRecord> pin;
-        bool billed = false;
-    };
-    AppendVerdict judgeClaim(const KeyState&, const Claim&) const;
-
-    absl::flat_hash_map<std::string, KeyState> m_keys;
+    using Records = absl::flat_hash_map<std::string, LedgerRecord>;
+    AppendVerdict judgeClaim(const LedgerRecord&, const Claim&) const;
+
+    // A key has few kinds of record, most often a bill alone, so that each kind has a map of its own.
+    Records m_claims;
+    Records m_outcomes;
+    Records m_pins;
+    absl::flat_hash_set<std::string> m_billed;
     absl::flat_hash_set<std::string> m_released;
     std::map<TeamId, Bill> m_totals;
 };
--- a/src/core/ledger_shard.h
+++ b/src/core/ledger_shard.h
@@ -27,7 +27,7 @@
     // Bytes after which a segment is sealed.
     std::size_t segmentBytes = std::size_t { 64 } * 1024;
     // Shortest time between two swaps of a busy shard; keeps the store's budget of writes.
-    Microseconds swapInterval { 33000 };
+    Microseconds swapInterval { 33334 };
     // Waits before the store is asked again after it could not be reached.
     Microseconds firstRetry { 50000 };
     Microseconds longestRetry { 1000000 };
--- a/src/core/peer_message.cpp
+++ b/src/core/peer_message.cpp
@@ -67,8 +67,11 @@
             Json crashes = Json::array();
             for (const auto& [fingerprint, n] : it.crashes)
                 crashes.push_back(Json::array({ fingerprint, n }));
+            Json demands = Json::array();
+            for (const auto& demand : it.demands)
+                demands.push_back(Json::array({ demand.pool, demand.rankOrder, demand.team.value, demand.requests }));
             return Json::array({ it.domain.value, it.entryAddress, it.peerAddress, it.revision, it.leaving, it.storeReachable, it.sequence,
-                upstreams, versions, crashes });
+                upstreams, versions, crashes, demands });
         }
         Json operator()(const AppendRequest& it) const { return Json::array({ it.ticket, it.shard, binary(encodeRecord(it.record)) }); }
         Json operator()(const AppendReply& it) const
@@ -83,13 +86,15 @@
 
     Heartbeat heartbeatFrom(const Json& json)
     {
-        Heartbeat beat { DomainId { json.at(0) }, json.at(1), json.at(2), json.at(3), json.at(4), json.at(5), json.at(6), {}, {}, {} };
+        Heartbeat beat { DomainId { json.at(0) }, json.at(1), json.at(2), json.at(3), json.at(4), json.at(5), json.at(6), {}, {}, {}, {} };
         for (const auto& it : json.at(7))
             beat.upstreams[UpstreamId { it.at(0) }] = { it.at(1), it.at(2), it.at(3), it.at(4) };
         for (const auto& it : json.at(8))
             beat.versions[VersionId { it.at(0) }] = { it.at(1), it.at(2), it.at(3), it.at(4) };
         for (const auto& it : json.at(9))
             beat.crashes[it.at(0)] = it.at(1);
+        for (const auto& it : json.at(10))
+            beat.demands.push_back({ it.at(0), it.at(1), TeamId { it.at(2) }, it.at(3) });
         return beat;
     }
 
--- a/src/core/peer_message.h
+++ b/src/core/peer_message.h
@@ -53,6 +53,14 @@
     std::int64_t ratingThousandths = 0;
 };
 
+// Requests of one team and rank, waiting and running, for the upstreams of one pool.
+struct PoolDemand {
+    std::string pool;
+    std::int64_t rankOrder = 0;
+    TeamId team;
+    std::int64_t requests = 0;
+};
+
 // Sent to every peer at a fixed period.
 struct Heartbeat {
     DomainId domain;
@@ -67,6 +75,7 @@
     std::map<VersionId, VersionCounters> versions;
     // Fingerprints of requests that felled an upstream, with the number of upstreams.
     std::map<std::string, std::int64_t> crashes;
+    std::vector<PoolDemand> demands;
 };
 
 // Asks the writer of a shard to append a record.
--- a/src/core/request_table.h
+++ b/src/core/request_table.h
@@ -47,6 +47,7 @@
 
     // The attempt in flight, if any, and those before it.
     std::optional<AttemptId> attempt;
+    TimePoint attemptAt;
     UpstreamId upstream;
     VersionId version;
     int attempts = 0;
--- a/src/core/router.cpp
+++ b/src/core/router.cpp
@@ -9,6 +9,8 @@
     // How often deadlines are looked at while requests are in flight.
     constexpr Milliseconds sweepPeriod { 20 };
     constexpr double mostPeersShare = 0.5;
+    // Shortest time between heartbeats when demand grows fast.
+    constexpr Milliseconds earlyHeartbeat { 100 };
 
 }
 
@@ -126,6 +128,8 @@
         return;
     state.flow = state.request.kind == CallKind::Chat ? static_cast<RequestFlow*>(&m_chat) : &m_service;
     state.flow->accepted(state, now, out);
+    if (m_dispatcher.demandGrew())
+        m_nextHeartbeat = std::min(m_nextHeartbeat, std::max(now, m_lastHeartbeat + earlyHeartbeat));
 }
 
 void Router::on(const CallerLeft& event, TimePoint now, Outbox& out)
@@ -185,7 +189,12 @@
 {
     if (!m_membership.heard(from, heartbeat, now, out))
         return;
-    m_upstreams.learn(from.instance, heartbeat.upstreams);
+    for (const auto& id : m_upstreams.learn(from.instance, heartbeat.upstreams)) {
+        auto upstream = m_applied ? m_applied->upstreams.find(id) : std::map<UpstreamId, Upstream>::const_iterator();
+        if (m_applied && upstream != m_applied->upstreams.end() && !upstream->second.version.empty())
+            m_evidence.upstreamFell(upstream->second.version, id, now, out);
+    }
+    m_dispatcher.demandsChanged();
     m_evidence.learn(from, heartbeat.versions, now, out);
     m_crashes.learn(from.instance, heartbeat.crashes, now);
     m_keeper.heardRevision(from.instance, heartbeat.revision, now, out);
@@ -219,11 +228,14 @@
 
 void Router::sendHeartbeats(TimePoint now, Outbox& out)
 {
+    m_lastHeartbeat = now;
     m_nextHeartbeat = now + m_settings.membership.heartbeatPeriod;
     Heartbeat heartbeat { .domain = m_settings.domain, .entryAddress = m_settings.entryAddress, .revision = m_keeper.revision(), .leaving = m_draining, .storeReachable = m_store.reachable(), .sequence = ++m_sequence };
     heartbeat.upstreams = m_upstreams.own();
     heartbeat.versions = m_evidence.own();
     heartbeat.crashes = m_crashes.own();
+    if (m_keeper.current())
+        heartbeat.demands = m_dispatcher.takeDemands();
     for (const auto& it : m_membership.peers())
         out.push_back(SendPeer { it, { m_settings.self, heartbeat } });
 }
--- a/src/core/router.h
+++ b/src/core/router.h
@@ -101,6 +101,7 @@
     ConfigurationPtr m_applied;
     absl::flat_hash_map<std::string, TeamId> m_teamsByKey;
     std::uint64_t m_sequence = 0;
+    TimePoint m_lastHeartbeat {};
     TimePoint m_nextHeartbeat {};
     TimePoint m_nextSweep {};
     std::optional<TimePoint> m_isolatedSince;
--- a/src/core/service_flow.cpp
+++ b/src/core/service_flow.cpp
@@ -156,6 +156,9 @@
     bool accepted = result.status < 400;
     if (service != m_parts.configuration().services.end() && accepted)
         state.bill.cost = service->second.costPerCall;
+    // Without a charge and a claim there is nothing to keep: a status check must not wait for the store.
+    if (!needsClaim(state) && state.bill.cost == 0)
+        return giveAnswer(state, now, out);
     bool keepBody = result.body.size() <= mostKeptBody;
     state.phase = Phase::Recording;
     LedgerRecord record { callKey(state), now, Outcome { result.status, result.contentType, keepBody ? result.body : std::string(), keepBody, state.bill } };
@@ -207,8 +210,12 @@
 {
     if (state.phase == Phase::Claiming)
         return claimAnswered(state, result, now, out);
-    if (state.phase != Phase::Recording)
-        return;
+    if (state.phase == Phase::Recording)
+        giveAnswer(state, now, out);
+}
+
+void ServiceFlow::giveAnswer(RequestState& state, TimePoint now, Outbox& out)
+{
     AnswerHead head { .status = state.result.status, .contentType = state.result.contentType, .cost = state.bill.cost, .ran = Ran::Yes };
     m_parts.requests.answer(state, std::move(head), std::move(state.result.body), now, out);
 }
@@ -240,7 +247,7 @@
         m_dispatcher.unqueue(state);
         return giveUp(state, ErrorKind::DeadlineUnreachable, "no place became free before the deadline", now, out);
     case Phase::Running:
-        m_dispatcher.cancelAttempt(state, out);
+        m_dispatcher.expireAttempt(state, now, out);
         state.result.end = AttemptEnd::TimedOut;
         state.attempts = mostAttempts;
         return failed(state, now, out);
--- a/src/core/service_flow.h
+++ b/src/core/service_flow.h
@@ -38,6 +38,7 @@
     void queue(RequestState&, TimePoint, Outbox&);
     void completed(RequestState&, TimePoint, Outbox&);
     void failed(RequestState&, TimePoint, Outbox&);
+    void giveAnswer(RequestState&, TimePoint, Outbox&);
     void recordUnknownOutcome(const RequestState&, TimePoint, Outbox&);
     void releaseClaim(const RequestState&, TimePoint, Outbox&);
 
--- a/src/core/upstream_table.cpp
+++ b/src/core/upstream_table.cpp
@@ -3,6 +3,7 @@
 #include "core/check.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace skylarkhitch {
 
@@ -16,6 +17,8 @@
     // Smallest and step of the adaptive limit of requests in flight, in places.
     constexpr double smallestLimit = 1;
     constexpr double limitDecrease = 0.7;
+    // Load over the limit at which an upstream is taken to be full, whatever this instance's part.
+    constexpr double loadSlack = 1.5;
 
 }
 
@@ -55,11 +58,12 @@
     return static_cast<double>(std::max(known, reported));
 }
 
-bool UpstreamTable::hasPlace(const State& state)
+bool UpstreamTable::hasPlace(const State& state, double ownPart)
 {
-    if (static_cast<double>(state.own) >= state.limit)
+    // The instances' parts add up to the whole; what others have in flight is known late, so it only bounds roughly.
+    if (static_cast<double>(state.own) >= std::ceil(state.limit * ownPart) + 1)
         return false;
-    return load(state) < state.limit;
+    return static_cast<double>(state.own) < state.limit && load(state) < state.limit * loadSlack;
 }
 
 std::vector<UpstreamId> UpstreamTable::candidates(const UpstreamNeed& need, TimePoint now, bool needPlace) const
@@ -72,7 +76,7 @@
         const auto& state = m_states.at(id);
         if (!usable(state, now) || (need.tried && need.tried->contains(id)))
             continue;
-        if (!needPlace || hasPlace(state))
+        if (!needPlace || hasPlace(state, need.ownPart))
             ids.push_back(id);
     }
     return ids;
@@ -89,14 +93,11 @@
 
 UpstreamId UpstreamTable::pick(std::vector<UpstreamId>& ids)
 {
-    auto shorter = [&](const UpstreamId& a, const UpstreamId& b) { return expectedWait(a) < expectedWait(b); };
-    if (m_settings.policy == ChoicePolicy::RoundRobin)
+    if (m_settings.policy == ChoicePolicy::RoundRobin || ids.size() == 1)
         return ids[m_turn++ % ids.size()];
-    if (m_settings.policy == ChoicePolicy::LeastLoaded || ids.size() <= 2)
-        return *std::min_element(ids.begin(), ids.end(), shorter);
     std::swap(ids[0], ids[m_random() % ids.size()]);
     std::swap(ids[1], ids[1 + m_random() % (ids.size() - 1)]);
-    return shorter(ids[1], ids[0]) ? ids[1] : ids[0];
+    return expectedWait(ids[1]) < expectedWait(ids[0]) ? ids[1] : ids[0];
 }
 
 std::optional<UpstreamId> UpstreamTable::choose(const UpstreamNeed& need, TimePoint now)
@@ -218,14 +219,21 @@
     }
 }
 
-void UpstreamTable::learn(const InstanceId& from, const std::map<UpstreamId, UpstreamCounters>& upstreams)
+std::vector<UpstreamId> UpstreamTable::learn(const InstanceId& from, const std::map<UpstreamId, UpstreamCounters>& upstreams)
 {
     auto& last = m_peers[from];
+    std::vector<UpstreamId> fallen;
+    for (const auto& [id, n] : upstreams) {
+        auto known = last.find(id);
+        if (known != last.end() && n.crashed > known->second.crashed)
+            fallen.push_back(id);
+    }
     for (const auto& [id, n] : last)
         m_states[id].peers -= n.inFlight;
     last = upstreams;
     for (const auto& [id, n] : last)
         m_states[id].peers += n.inFlight;
+    return fallen;
 }
 
 void UpstreamTable::forget(const InstanceId& peer)
--- a/src/core/upstream_table.h
+++ b/src/core/upstream_table.h
@@ -1,8 +1,9 @@
 #pragma once
 
 // What this instance knows of each upstream, and the choice of one for an attempt. Load is this instance's own
-// requests in flight, the other instances' by heartbeat, and the upstream's own report. Two upstreams are sampled
-// and the one with the shorter expected wait is taken (Mitzenmacher, 2001); baselines are round robin and a full scan.
+// requests in flight, the other instances' by heartbeat, and the upstream's own report. Upstreams that have a place for
+// this instance take turns. The choice of the less loaded of two sampled ones (Mitzenmacher, 2001) stands beside it: what is
+// known of the others' load is late, and in every case that was measured taking turns did as well or better.
 
 #include "core/configuration.h"
 #include "core/messages.h"
@@ -13,12 +14,11 @@
 
 namespace skylarkhitch {
 
-enum class ChoicePolicy { TwoChoices,
-    RoundRobin,
-    LeastLoaded };
+enum class ChoicePolicy { RoundRobin,
+    TwoChoices };
 
 struct UpstreamSettings {
-    ChoicePolicy policy = ChoicePolicy::TwoChoices;
+    ChoicePolicy policy = ChoicePolicy::RoundRobin;
     // Failures in a row after which an upstream is left alone for a while.
     int failuresToEject = 3;
     Milliseconds firstEjection { 500 };
@@ -33,6 +33,8 @@
     ServiceId service;
     // Upstreams that this request has tried already.
     const absl::flat_hash_set<UpstreamId>* tried = nullptr;
+    // Part of each upstream's places that this instance may fill, 0 to 1.
+    double ownPart = 1;
 };
 
 class UpstreamTable {
@@ -52,7 +54,8 @@
     void attemptCancelled(const UpstreamId&);
     void loadReported(const LoadReported&, TimePoint, Outbox&);
     void listed(const std::vector<ListedInstance>&, Outbox&);
-    void learn(const InstanceId& from, const std::map<UpstreamId, UpstreamCounters>&);
+    // Takes a peer's counters; returns the upstreams on which it saw new cuts.
+    std::vector<UpstreamId> learn(const InstanceId& from, const std::map<UpstreamId, UpstreamCounters>&);
     void forget(const InstanceId&);
 
     const std::map<UpstreamId, UpstreamCounters>& own() const { return m_own; }
@@ -85,7 +88,7 @@
 
     std::vector<UpstreamId> candidates(const UpstreamNeed&, TimePoint, bool needPlace) const;
     bool usable(const State&, TimePoint) const;
-    static bool hasPlace(const State&);
+    static bool hasPlace(const State&, double ownPart);
     static double load(const State&);
     double expectedWait(const UpstreamId&) const;
     void eject(const UpstreamId&, State&, TimePoint, Outbox&);
--- a/src/core/version_evidence.cpp
+++ b/src/core/version_evidence.cpp
@@ -9,6 +9,8 @@
 
     // Weight of a new rating in the running mean.
     constexpr double meanStep = 0.02;
+    // Cuts on one upstream within this time are one fall; heartbeats bring the other instances' view of it later.
+    constexpr Seconds oneFall { 5 };
 
 }
 
@@ -22,17 +24,28 @@
     }
 }
 
-void VersionEvidence::attemptEnded(const VersionId& id, AttemptEnd end, TimePoint now, Outbox& out)
+void VersionEvidence::attemptEnded(const VersionId& id, const UpstreamId& upstream, AttemptEnd end, TimePoint now, Outbox& out)
 {
     // A full or unreachable upstream says nothing about the version it runs.
     if (end == AttemptEnd::NotSent || end == AttemptEnd::RefusedNotRun)
         return;
+    if (end == AttemptEnd::Cut)
+        return upstreamFell(id, upstream, now, out);
     bool good = end == AttemptEnd::Completed;
     auto& counters = m_own[id];
     ++(good ? counters.done : counters.failed);
     observe(id, good ? 1 : 0, good ? 0 : 1, now, out);
 }
 
+void VersionEvidence::upstreamFell(const VersionId& id, const UpstreamId& upstream, TimePoint now, Outbox& out)
+{
+    auto [it, isNew] = m_lastFalls.try_emplace(upstream, now);
+    if (!isNew && now < it->second + oneFall)
+        return;
+    it->second = now;
+    observe(id, 0, 1, now, out);
+}
+
 void VersionEvidence::rated(const VersionId& id, double rating, TimePoint now, Outbox& out)
 {
     auto& counters = m_own[id];
--- a/src/core/version_evidence.h
+++ b/src/core/version_evidence.h
@@ -40,7 +40,9 @@
     }
 
     void configure(const ConfigurationPtr&);
-    void attemptEnded(const VersionId&, AttemptEnd, TimePoint, Outbox&);
+    void attemptEnded(const VersionId&, const UpstreamId&, AttemptEnd, TimePoint, Outbox&);
+    // An upstream went down with what it ran, here or as a peer saw it. Counts as one failure, however many requests it had.
+    void upstreamFell(const VersionId&, const UpstreamId&, TimePoint, Outbox&);
     void rated(const VersionId&, double rating, TimePoint, Outbox&);
     // Takes the counters of another instance; only their growth since the last ones is new evidence.
     void learn(const Incarnation& from, const std::map<VersionId, VersionCounters>&, TimePoint, Outbox&);
@@ -71,6 +73,7 @@
 
     EvidenceSettings m_settings;
     absl::flat_hash_map<VersionId, State> m_states;
+    absl::flat_hash_map<UpstreamId, TimePoint> m_lastFalls;
     std::map<VersionId, VersionCounters> m_own;
     struct PeerCounters {
         std::uint64_t incarnation = 0;
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -51,6 +51,9 @@
         settings.ledger.shards = static_cast<std::uint32_t>(node.ledgerShards);
         // All shards together keep the site's budget, since each has one writer at a time.
         settings.ledger.shard.swapInterval = Microseconds(1000000 * node.ledgerShards / node.storeWritesPerSecond);
+        // A store in the instance's own memory has no budget.
+        if (node.platform == "memory")
+            settings.ledger.shard.swapInterval = Microseconds(0);
         settings.drainGrace = node.drainGrace;
         settings.cutOffAfter = node.cutOffAfter;
         return settings;
--- a/test/correctness/admission_test.cpp
+++ b/test/correctness/admission_test.cpp
@@ -1,4 +1,5 @@
 #include "core/admission.h"
+#include "core/capacity_share.h"
 
 #include <catch2/catch.hpp>
 
@@ -11,7 +12,7 @@
 
 WaitingRequest waiting(const std::string& id, std::int64_t order, const std::string& team, double work = 100, double guaranteed = 0)
 {
-    return { { id }, pool, { "rank" + std::to_string(order) }, order, guaranteed, { team }, 1, work, start, start + Seconds(10) };
+    return { { id }, pool, { "rank" + std::to_string(order) }, order, guaranteed, { team }, 1, work, start, start + Seconds(10), start + Seconds(10) };
 }
 
 }
@@ -23,8 +24,8 @@
 
     SECTION("the most urgent rank goes first")
     {
-        admission.enqueue(waiting("late", 2, "a"), start);
-        admission.enqueue(waiting("soon", 0, "a"), start);
+        admission.enqueue(waiting("late", 2, "a"));
+        admission.enqueue(waiting("soon", 0, "a"));
         CHECK(next() == "soon");
         CHECK(next() == "late");
         CHECK_FALSE(admission.next(pool, start));
@@ -32,8 +33,8 @@
     SECTION("a flood of the most urgent rank leaves the others their guaranteed share")
     {
         for (int n = 0; n < 1000; ++n) {
-            admission.enqueue(waiting("u" + std::to_string(n), 0, "a", 100, 0.3), start);
-            admission.enqueue(waiting("l" + std::to_string(n), 2, "a", 100, 0.2), start);
+            admission.enqueue(waiting("u" + std::to_string(n), 0, "a", 100, 0.3));
+            admission.enqueue(waiting("l" + std::to_string(n), 2, "a", 100, 0.2));
         }
         int later = 0;
         for (int n = 0; n < 500; ++n)
@@ -44,9 +45,9 @@
     SECTION("teams of one rank take turns by work, however much one of them asks for")
     {
         for (int n = 0; n < 400; ++n)
-            admission.enqueue(waiting("big" + std::to_string(n), 1, "big"), start);
+            admission.enqueue(waiting("big" + std::to_string(n), 1, "big"));
         for (int n = 0; n < 40; ++n)
-            admission.enqueue(waiting("small" + std::to_string(n), 1, "small"), start);
+            admission.enqueue(waiting("small" + std::to_string(n), 1, "small"));
         int small = 0;
         for (int n = 0; n < 60; ++n)
             small += next()[0] == 's' ? 1 : 0;
@@ -54,16 +55,16 @@
     }
     SECTION("a full queue gives up the newest request of the rank and team with the least claim")
     {
-        admission.enqueue(waiting("urgent", 0, "a"), start);
-        admission.enqueue(waiting("later1", 2, "big"), start);
-        admission.enqueue(waiting("later2", 2, "big"), start);
-        admission.enqueue(waiting("later3", 2, "small"), start);
+        admission.enqueue(waiting("urgent", 0, "a"));
+        admission.enqueue(waiting("later1", 2, "big"));
+        admission.enqueue(waiting("later2", 2, "big"));
+        admission.enqueue(waiting("later3", 2, "small"));
         CHECK(admission.takeLeastDeserving()->request.value == "later2");
         CHECK(admission.size() == 3);
     }
     SECTION("requests past their deadline are taken out")
     {
-        admission.enqueue(waiting("a", 1, "t"), start);
+        admission.enqueue(waiting("a", 1, "t"));
         CHECK(admission.takeExpired(start + Seconds(9)).empty());
         CHECK(admission.takeExpired(start + Seconds(10)).size() == 1);
         CHECK(admission.size() == 0);
@@ -71,7 +72,7 @@
     SECTION("the work ahead of a small team does not grow with a large team's queue")
     {
         for (int n = 0; n < 1000; ++n)
-            admission.enqueue(waiting("big" + std::to_string(n), 1, "big"), start);
+            admission.enqueue(waiting("big" + std::to_string(n), 1, "big"));
         CHECK(admission.workAhead(waiting("x", 1, "small")) <= 200);
         CHECK(admission.workAhead(waiting("x", 1, "big")) >= 100000);
     }
@@ -82,7 +83,63 @@
     Admission admission(AdmissionPolicy::FirstInFirstOut);
     auto first = waiting("first", 2, "a");
     first.arrived = start - Seconds(1);
-    admission.enqueue(waiting("second", 0, "a"), start);
-    admission.enqueue(first, start);
+    admission.enqueue(waiting("second", 0, "a"));
+    admission.enqueue(first);
     CHECK(admission.next(pool, start)->request.value == "first");
 }
+
+TEST_CASE("a new request's wait is foreseen")
+{
+    Admission admission;
+    for (int n = 0; n < 100; ++n)
+        admission.enqueue(waiting("u" + std::to_string(n), 0, "a", 100, 0.3));
+    auto later = waiting("l", 2, "a", 100, 0.1);
+    SECTION("more urgent work goes first, but not into the guaranteed share")
+    {
+        CHECK(admission.expectedWait(waiting("x", 2, "a", 100, 0), 1000, start) == Approx(10));
+        admission.enqueue(later);
+        CHECK(admission.expectedWait(later, 1000, start) == Approx(1));
+    }
+    SECTION("a rank that has waited for long is reckoned by what it was given")
+    {
+        admission.enqueue(later);
+        auto now = start + Seconds(3);
+        for (int n = 0; n < 20; ++n)
+            admission.next(pool, now);
+        // 2,000 tokens in the last moments, over a memory of 2 s, are 1,000 tokens a second; 8,000 wait.
+        CHECK(admission.expectedWait(waiting("x", 0, "a", 100, 0), 100000, now) == Approx(8).epsilon(0.1));
+    }
+}
+
+TEST_CASE("instances split a pool's places by the same reckoning")
+{
+    auto demand = [](bool own, std::int64_t rank, const char* team, double n) { return ShareDemand { own, rank, rank == 2 ? 0.1 : 0.3, { team }, 1, n }; };
+    SECTION("what nobody asks for is spread evenly")
+    {
+        CHECK(shareOfCapacity(56, {}, 8) == Approx(7));
+    }
+    SECTION("a flood of the lowest rank elsewhere leaves urgent work here its places")
+    {
+        CHECK(shareOfCapacity(56, { demand(true, 0, "a", 10), demand(false, 2, "b", 1000) }, 8) == Approx(10));
+    }
+    SECTION("a flood of the most urgent rank leaves the lowest its guaranteed share")
+    {
+        CHECK(shareOfCapacity(56, { demand(true, 2, "a", 100), demand(false, 0, "b", 1000) }, 8) == Approx(5.6));
+    }
+    SECTION("a large team's demand at one instance does not take a small team's part at another")
+    {
+        CHECK(shareOfCapacity(56, { demand(true, 1, "small", 20), demand(false, 1, "large", 1000) }, 8) == Approx(20));
+        CHECK(shareOfCapacity(56, { demand(true, 1, "small", 40), demand(false, 1, "large", 1000) }, 8) == Approx(28));
+    }
+    SECTION("all parts add up to the whole")
+    {
+        std::vector<ShareDemand> demands { demand(false, 0, "a", 12), demand(false, 1, "b", 300), demand(false, 2, "c", 70), demand(false, 1, "d", 9) };
+        double sum = 0;
+        for (auto& it : demands) {
+            it.isOwn = true;
+            sum += shareOfCapacity(56, demands, 4);
+            it.isOwn = false;
+        }
+        CHECK(sum == Approx(56));
+    }
+}
--- a/test/correctness/decisions_test.cpp
+++ b/test/correctness/decisions_test.cpp
@@ -64,13 +64,13 @@
     evidence.configure(oneVersion(0.8));
     auto fail = [&](int n) {
         for (int k = 0; k < n; ++k)
-            evidence.attemptEnded(version, AttemptEnd::UpstreamError, start, out);
+            evidence.attemptEnded(version, { "u" }, AttemptEnd::UpstreamError, start, out);
     };
 
     SECTION("single failures among many successes change nothing")
     {
         for (int n = 0; n < 5000; ++n)
-            evidence.attemptEnded(version, n % 50 == 0 ? AttemptEnd::UpstreamError : AttemptEnd::Completed, start, out);
+            evidence.attemptEnded(version, { "u" }, n % 50 == 0 ? AttemptEnd::UpstreamError : AttemptEnd::Completed, start, out);
         CHECK(evidence.health(version) == VersionHealth::Healthy);
     }
     SECTION("a run of failures quarantines it")
@@ -85,7 +85,7 @@
             CHECK(evidence.mayRun(version, 0, later, out));
             CHECK_FALSE(evidence.mayRun(version, 1, later, out));
             for (int n = 0; n < 20; ++n)
-                evidence.attemptEnded(version, AttemptEnd::Completed, later, out);
+                evidence.attemptEnded(version, { "u" }, AttemptEnd::Completed, later, out);
             CHECK(evidence.health(version) == VersionHealth::Healthy);
         }
         SECTION("or quarantined for longer when they fail")
@@ -93,10 +93,23 @@
             auto later = start + Seconds(31);
             CHECK(evidence.mayRun(version, 0, later, out));
             for (int n = 0; n < 6; ++n)
-                evidence.attemptEnded(version, AttemptEnd::UpstreamError, later, out);
+                evidence.attemptEnded(version, { "u" }, AttemptEnd::UpstreamError, later, out);
             CHECK_FALSE(evidence.mayRun(version, 0, later + Seconds(31), out));
         }
     }
+    SECTION("an upstream that falls with many requests is one failure of its version, whoever saw it")
+    {
+        for (int n = 0; n < 50; ++n)
+            evidence.attemptEnded(version, { "u" }, AttemptEnd::Cut, start, out);
+        CHECK(evidence.health(version) == VersionHealth::Healthy);
+
+        SECTION("but many upstreams that fall one after the other speak against it")
+        {
+            for (int n = 0; n < 6; ++n)
+                evidence.upstreamFell(version, { "u" + std::to_string(n) }, start, out);
+            CHECK(evidence.health(version) == VersionHealth::Quarantined);
+        }
+    }
     SECTION("a fall of its ratings quarantines it")
     {
         for (int n = 0; n < 200; ++n)
@@ -109,7 +122,7 @@
     SECTION("a full or unreachable upstream says nothing of its version")
     {
         for (int n = 0; n < 100; ++n)
-            evidence.attemptEnded(version, AttemptEnd::NotSent, start, out);
+            evidence.attemptEnded(version, { "u" }, AttemptEnd::NotSent, start, out);
         CHECK(evidence.health(version) == VersionHealth::Healthy);
     }
     SECTION("evidence of peers counts by its growth only")
--- a/test/fakes/simulated_site.cpp
+++ b/test/fakes/simulated_site.cpp
@@ -139,6 +139,9 @@
     settings.entryAddress = idOf(n).value;
     settings.seed = m_options.seed * 100 + n;
     settings.mutations = m_options.mutations;
+    settings.admission = m_options.admission;
+    settings.cascade = m_options.cascade;
+    settings.upstreams.policy = m_options.choice;
     settings.drainGrace = Milliseconds(2000);
     entry.router = std::make_unique<Router>(settings, makeConfigurationReader(), *this);
     entry.frozen = false;
@@ -528,7 +531,7 @@
 void SimulatedSite::on(std::size_t entry, const RateAnswer& rate)
 {
     note(entry, absl::StrCat("rating > ", rate.request.value, " ", rate.version.value));
-    deliverAfter(callTime, entry, m_entries[entry].incarnation, RatingArrived { rate.request, rate.attempt, {}, versionQuality[rate.version] });
+    deliverAfter(callTime, entry, m_entries[entry].incarnation, RatingArrived { rate.request, rate.attempt, {}, rating ? rating(rate.request, rate.version) : versionQuality[rate.version] });
 }
 
 void SimulatedSite::on(std::size_t entry, const EditAnswered& answer)
@@ -557,9 +560,16 @@
     });
 }
 
-void SimulatedSite::on(std::size_t, const CancelAttempt&)
+void SimulatedSite::on(std::size_t entry, const CancelAttempt& cancel)
 {
-    // The upstream goes on and its answer comes late: the core must drop it.
+    // An upstream without places goes on and its answer comes late: the core must drop it.
+    for (const auto& it : m_attempts) {
+        bool isThis = it->entry == entry && it->incarnation == m_entries[entry].incarnation && it->send.attempt == cancel.attempt;
+        if (!isThis || it->ended || upstreams[it->send.upstream].slots == 0)
+            continue;
+        it->ended = true;
+        freeSlot(it);
+    }
 }
 
 void SimulatedSite::beginAttempt(const std::shared_ptr<Attempt>& attempt)
@@ -595,10 +605,51 @@
         });
         return;
     }
+    if (upstream.slots > 0)
+        return takeSlot(attempt);
     attempt->next = send.resumeAfter;
     after(tokenTime + upstream.extraDelay, [this, attempt] { nextToken(attempt); });
 }
 
+void SimulatedSite::takeSlot(const std::shared_ptr<Attempt>& attempt)
+{
+    auto& engine = m_engines[attempt->send.upstream];
+    if (engine.running < upstreams[attempt->send.upstream].slots)
+        return runWhole(attempt);
+    auto at = std::find_if(engine.waiting.begin(), engine.waiting.end(), [&](const auto& it) { return it->send.priority > attempt->send.priority; });
+    engine.waiting.insert(at, attempt);
+}
+
+// A whole answer takes its tokens' time; its steps are of no interest under load.
+void SimulatedSite::runWhole(const std::shared_ptr<Attempt>& attempt)
+{
+    const auto& send = attempt->send;
+    const auto& upstream = upstreams[send.upstream];
+    ++m_engines[send.upstream].running;
+    attempt->holdsSlot = true;
+    auto tokens = callers[m_callerOf.at(send.request)].request.maxTokens;
+    after(upstream.perToken * tokens + upstream.extraDelay, [this, attempt, tokens] {
+        AttemptFinished done { .attempt = attempt->send.attempt, .end = AttemptEnd::Completed, .status = 200, .contentType = "application/json" };
+        done.usage = { 20, tokens };
+        done.body = "{\"answer\":\"" + attempt->send.request.value + "\"}";
+        finishAttempt(attempt, std::move(done));
+    });
+}
+
+void SimulatedSite::freeSlot(const std::shared_ptr<Attempt>& attempt)
+{
+    if (!std::exchange(attempt->holdsSlot, false))
+        return;
+    auto& engine = m_engines[attempt->send.upstream];
+    --engine.running;
+    while (engine.running < upstreams[attempt->send.upstream].slots && !engine.waiting.empty()) {
+        auto next = engine.waiting.front();
+        engine.waiting.pop_front();
+        if (!next->ended)
+            runWhole(next);
+    }
+}
+
 void SimulatedSite::nextToken(const std::shared_ptr<Attempt>& attempt)
 {
     const auto& send = attempt->send;
@@ -630,6 +681,7 @@
     if (attempt->ended)
         return;
     attempt->ended = true;
+    freeSlot(attempt);
     step(Step::LastByte, attempt->send.request);
     const char* names[] = { "completed", "not sent", "refused, not run", "error", "cut", "timed out" };
     note(attempt->entry, absl::StrCat("upstream < ", attempt->send.upstream.value, " ", attempt->send.request.value, " ", names[static_cast<int>(finished.end)]));
@@ -643,7 +695,7 @@
             LoadReported report { .upstream = id, .askedAt = m_now, .leaving = upstream.draining, .reachable = !upstream.down };
             for (const auto& it : m_attempts)
                 report.running += it->send.upstream == id && !it->ended ? 1 : 0;
-            deliver(n, m_entries[n].incarnation, report);
+            deliverAfter(m_options.loadLag, n, m_entries[n].incarnation, report);
         }
     }
     after(loadPeriod, [this] { reportLoads(); });
--- a/test/fakes/simulated_site.h
+++ b/test/fakes/simulated_site.h
@@ -62,6 +62,9 @@
     int cutNext = 0;
     int errorsNext = 0;
     Milliseconds extraDelay { 0 };
+    // Requests that run at the same time; 0 means any number. What waits is started by priority.
+    std::size_t slots = 0;
+    Milliseconds perToken { 10 };
     TimePoint drainingSince {};
     double quality = 0.8;
     std::string crashOn;
@@ -87,6 +90,11 @@
         std::uint64_t seed = 1;
         Mutations mutations;
         std::string configuration;
+        AdmissionPolicy admission = AdmissionPolicy::RankAndTeam;
+        CascadePolicy cascade = CascadePolicy::LeastExpectedCost;
+        ChoicePolicy choice = ChoicePolicy::RoundRobin;
+        // Age of the load reports.
+        Milliseconds loadLag { 0 };
     };
     explicit SimulatedSite(Options);
     ~SimulatedSite() override;
@@ -124,6 +132,8 @@
     SimulatedStore store;
     std::map<UpstreamId, SimulatedUpstream> upstreams;
     std::map<VersionId, double> versionQuality;
+    // The rating of one answer; by default its version's quality.
+    std::function<double(const RequestId&, const VersionId&)> rating;
     double peerLoss = 0;
     std::vector<CallerView> callers;
     std::vector<UpstreamRun> runs;
@@ -179,6 +189,11 @@
         SendAttempt send;
         bool ended = false;
         std::int64_t next = 0;
+        bool holdsSlot = false;
+    };
+    struct EngineQueue {
+        std::size_t running = 0;
+        std::deque<std::shared_ptr<Attempt>> waiting;
     };
 
     void start(std::size_t entry);
@@ -205,6 +220,9 @@
     StoreReply applyStore(const StoreCall&);
     void wakeWatches(const std::string& key);
     void beginAttempt(const std::shared_ptr<Attempt>&);
+    void runWhole(const std::shared_ptr<Attempt>&);
+    void takeSlot(const std::shared_ptr<Attempt>&);
+    void freeSlot(const std::shared_ptr<Attempt>&);
     void nextToken(const std::shared_ptr<Attempt>&);
     void finishAttempt(const std::shared_ptr<Attempt>&, AttemptFinished);
     void reportLoads();
@@ -219,6 +237,7 @@
     std::set<std::pair<std::size_t, std::size_t>> m_cuts;
     std::map<RequestId, std::size_t> m_callerOf;
     std::vector<std::shared_ptr<Attempt>> m_attempts;
+    std::map<UpstreamId, EngineQueue> m_engines;
     struct Watch {
         std::size_t entry;
         std::uint64_t incarnation;
--- /dev/null
+++ b/test/performance/core_benchmark.cpp
@@ -0,0 +1,194 @@
+// Processor time of the core's decisions and messages at several sizes (Google Benchmark), and memory of its state.
+
+#include "core/admission.h"
+#include "core/ledger_shard.h"
+#include "core/membership.h"
+#include "core/session_pins.h"
+#include "core/upstream_table.h"
+#include "core/version_evidence.h"
+
+#include <benchmark/benchmark.h>
+#include <malloc.h>
+
+using namespace skylarkhitch;
+
+namespace {
+
+const TimePoint start { Seconds(1000) };
+
+ConfigurationPtr siteOf(int upstreams, int versions)
+{
+    auto configuration = std::make_shared<Configuration>();
+    for (int n = 0; n < versions; ++n) {
+        VersionId id { "version-" + std::to_string(n) };
+        configuration->versions[id] = { .id = id, .model = { "m" } };
+    }
+    for (int n = 0; n < upstreams; ++n) {
+        UpstreamId id { "upstream-" + std::to_string(n) };
+        configuration->upstreams[id] = { .id = id, .address = "10.0.0.1:1", .domain = { "d" + std::to_string(n % 6) }, .version = { "version-" + std::to_string(n % versions) } };
+    }
+    return configuration;
+}
+
+// The choice of an upstream, with an attempt begun and ended.
+void chooseUpstream(benchmark::State& state)
+{
+    UpstreamTable table({ "d0" }, {}, 1);
+    auto configuration = siteOf(static_cast<int>(state.range(0)), 7);
+    table.configure(configuration);
+    Outbox out;
+    UpstreamNeed need { .version = { "version-3" } };
+    for (auto _ : state) {
+        auto id = table.choose(need, start);
+        table.attemptStarted(*id);
+        table.attemptEnded(*id, AttemptEnd::Completed, start, out);
+    }
+    state.SetComplexityN(state.range(0));
+}
+BENCHMARK(chooseUpstream)->Arg(10)->Arg(100)->Arg(455)->Arg(910)->Complexity();
+
+Heartbeat heartbeatOf(int upstreams)
+{
+    Heartbeat beat { .domain = { "d0" }, .entryAddress = "10.0.0.1:8080", .revision = 9, .sequence = 1 };
+    for (int n = 0; n < upstreams; ++n)
+        beat.upstreams[{ "upstream-" + std::to_string(n) }] = { n % 8, 100000 + n, n % 50, 0 };
+    for (int n = 0; n < 7; ++n)
+        beat.versions[{ "version-" + std::to_string(n) }] = { 100000, 50, 10000, 8000000 };
+    return beat;
+}
+
+// Encoding a heartbeat, decoding it and taking it in.
+void takeHeartbeat(benchmark::State& state)
+{
+    UpstreamTable table({ "d0" }, {}, 1);
+    auto configuration = siteOf(910, 7);
+    table.configure(configuration);
+    VersionEvidence evidence;
+    evidence.configure(configuration);
+    Membership membership({ { "self" }, 1 }, { "d0" }, "a", {});
+    Outbox out;
+    auto beat = heartbeatOf(static_cast<int>(state.range(0)));
+    std::size_t bytes = 0;
+    for (auto _ : state) {
+        ++beat.sequence;
+        auto frame = encodeEnvelope({ { { "peer" }, 1 }, beat });
+        bytes = frame.size();
+        auto envelope = decodeEnvelope(frame);
+        const auto& taken = std::get<Heartbeat>(envelope->message);
+        membership.heard(envelope->from, taken, start, out);
+        table.learn(envelope->from.instance, taken.upstreams);
+        evidence.learn(envelope->from, taken.versions, start, out);
+        out.clear();
+    }
+    state.counters["bytes"] = static_cast<double>(bytes);
+    state.SetComplexityN(state.range(0));
+}
+BENCHMARK(takeHeartbeat)->Arg(10)->Arg(100)->Arg(455)->Arg(910)->Complexity();
+
+void admit(benchmark::State& state)
+{
+    Admission admission;
+    auto waiting = [](int n) {
+        return WaitingRequest { { "r" + std::to_string(n) }, { "p" }, { "r" }, n % 3, 0.1, { "team-" + std::to_string(n % 100) }, 1, 256, start, start + Seconds(10), start + Seconds(10) };
+    };
+    for (int n = 0; n < state.range(0); ++n)
+        admission.enqueue(waiting(n));
+    int next = 0;
+    for (auto _ : state) {
+        auto request = waiting(next++);
+        benchmark::DoNotOptimize(admission.workAhead(request));
+        admission.enqueue(request);
+        benchmark::DoNotOptimize(admission.next({ "p" }, start));
+    }
+}
+BENCHMARK(admit)->Arg(10)->Arg(1000);
+
+void encodeBill(benchmark::State& state)
+{
+    LedgerBatch batch { "entry-1/1/1", {}, false };
+    for (int n = 0; n < state.range(0); ++n)
+        batch.records.push_back({ "bill/team/r-entry-1-661c5bdd8d6f2-" + std::to_string(n), start, Bill { { "team" }, 1000, 100, 200, { "version-1" } } });
+    std::size_t bytes = 0;
+    for (auto _ : state) {
+        auto text = encodeBatch(batch);
+        bytes = text.size();
+        benchmark::DoNotOptimize(text);
+    }
+    state.counters["bytes_each"] = static_cast<double>(bytes) / static_cast<double>(state.range(0));
+    state.counters["us_each"] = benchmark::Counter(static_cast<double>(state.range(0)), benchmark::Counter::kIsIterationInvariantRate | benchmark::Counter::kInvert);
+}
+BENCHMARK(encodeBill)->Arg(1)->Arg(60);
+
+double heapBytes()
+{
+    return static_cast<double>(mallinfo2().uordblks + mallinfo2().hblkhd);
+}
+
+// Memory of one item, read off the heap; the time is of no interest.
+template <typename Fill>
+void memoryOf(benchmark::State& state, Fill fill)
+{
+    constexpr int items = 20000;
+    for (auto _ : state) {
+        auto before = heapBytes();
+        auto kept = fill(items);
+        state.counters["bytes_each"] = (heapBytes() - before) / items;
+        benchmark::DoNotOptimize(kept);
+    }
+}
+
+void sessionMemory(benchmark::State& state)
+{
+    memoryOf(state, [](int items) {
+        auto pins = std::make_unique<SessionPins>();
+        for (int n = 0; n < items; ++n)
+            pins->learn("pin/team/session-" + std::to_string(n) + "/model", { { "version-1" }, 0 });
+        return pins;
+    });
+}
+BENCHMARK(sessionMemory)->Iterations(1);
+
+void ledgerKeyMemory(benchmark::State& state)
+{
+    memoryOf(state, [](int items) {
+        auto index = std::make_unique<LedgerIndex>();
+        for (int n = 0; n < items; ++n)
+            index->add({ "bill/team/r-entry-1-661c5bdd8d6f2-" + std::to_string(n), start, Bill { { "team" }, 1000, 100, 200, { "version-1" } } });
+        return index;
+    });
+}
+BENCHMARK(ledgerKeyMemory)->Iterations(1);
+
+void upstreamMemory(benchmark::State& state)
+{
+    memoryOf(state, [](int items) {
+        auto table = std::make_unique<UpstreamTable>(DomainId { "d0" }, UpstreamSettings {}, 1);
+        table->configure(siteOf(items, 7));
+        return table;
+    });
+}
+BENCHMARK(upstreamMemory)->Iterations(1);
+
+void memberMemory(benchmark::State& state)
+{
+    constexpr int members = 350;
+    for (auto _ : state) {
+        auto before = heapBytes();
+        UpstreamTable table({ "d0" }, {}, 1);
+        auto configuration = siteOf(910, 7);
+        table.configure(configuration);
+        Membership membership({ { "self" }, 1 }, { "d0" }, "a", {});
+        Outbox out;
+        for (int n = 0; n < members; ++n) {
+            auto beat = heartbeatOf(static_cast<int>(state.range(0)));
+            membership.heard({ { "entry-" + std::to_string(n) }, 1 }, beat, start, out);
+            table.learn({ "entry-" + std::to_string(n) }, beat.upstreams);
+        }
+        state.counters["bytes_each"] = (heapBytes() - before) / members;
+    }
+}
+BENCHMARK(memberMemory)->Arg(10)->Arg(50)->Arg(910)->Iterations(1);
+
+}
+
+BENCHMARK_MAIN();
--- /dev/null
+++ b/test/performance/decision_cases.cpp
@@ -0,0 +1,372 @@
+// The decisions under load and faults, policy beside baseline in one run, on virtual time with at least ten seeds a case.
+// Prints one line for each case and policy: medians over the seeds, with the lowest and the highest.
+
+#include "core/hashing.h"
+#include "fakes/simulated_site.h"
+
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_format.h>
+#include <algorithm>
+#include <cmath>
+#include <cstdio>
+#include <future>
+#include <thread>
+
+using namespace skylarkhitch;
+
+namespace {
+
+constexpr int seeds = 10;
+constexpr Milliseconds warmUp { 3000 };
+constexpr int loadSeconds = 30;
+constexpr std::int64_t answerTokens = 50;
+constexpr Milliseconds perToken { 20 };
+constexpr std::size_t slotsEach = 8;
+constexpr int smallWorkers = 7;
+constexpr int largeWorkers = 3;
+// Requests a second that all workers together can run, with the cascade's share of second tries.
+constexpr double capacity = 50;
+constexpr int teams = 10;
+constexpr double target = 0.7;
+
+struct Policy {
+    const char* name;
+    AdmissionPolicy admission;
+    CascadePolicy cascade;
+    ChoicePolicy choice;
+};
+
+const Policy policies[] = {
+    { "ours", AdmissionPolicy::RankAndTeam, CascadePolicy::LeastExpectedCost, ChoicePolicy::RoundRobin },
+    { "first in, first out", AdmissionPolicy::FirstInFirstOut, CascadePolicy::LeastExpectedCost, ChoicePolicy::RoundRobin },
+    { "always the best model", AdmissionPolicy::RankAndTeam, CascadePolicy::AlwaysLast, ChoicePolicy::RoundRobin },
+    { "two choices", AdmissionPolicy::RankAndTeam, CascadePolicy::LeastExpectedCost, ChoicePolicy::TwoChoices },
+};
+
+// One stream of arrivals.
+struct Arrivals {
+    double perSecond = 0;
+    int rank = 0;
+    // -1 takes any team.
+    int team = -1;
+    const char* target = "small";
+};
+
+struct Case {
+    const char* name;
+    std::vector<Arrivals> arrivals;
+    void (*prepare)(SimulatedSite&);
+    Milliseconds loadLag { 0 };
+};
+
+const char* rankNames[] = { "urgent", "standard", "later" };
+
+// The usual mix at a part of the capacity.
+std::vector<Arrivals> mix(double part)
+{
+    return { { capacity * part * 0.2, 0 }, { capacity * part * 0.4, 1 }, { capacity * part * 0.4, 2 } };
+}
+
+std::vector<Arrivals> with(std::vector<Arrivals> base, const Arrivals& more)
+{
+    base.push_back(more);
+    return base;
+}
+
+void nothing(SimulatedSite&) { }
+
+void patchErrors(SimulatedSite& site)
+{
+    site.after(Seconds(8), [&site] {
+        for (auto& [id, it] : site.upstreams) {
+            if (id.value[0] == 's')
+                it.errorsNext = 1000000;
+        }
+    });
+}
+
+void workersLeave(SimulatedSite& site)
+{
+    for (int n = 0; n < 3; ++n) {
+        site.after(Seconds(6 + 4 * n), [&site, n] {
+            UpstreamId id { "s" + std::to_string(n) };
+            site.crash(id);
+            site.after(Seconds(6), [&site, id] { site.upstreams[id].down = false; });
+        });
+    }
+}
+
+void halfOfHeartbeats(SimulatedSite& site) { site.peerLoss = 0.5; }
+
+void cascadePatched(SimulatedSite& site)
+{
+    site.after(Seconds(8), [&site] { site.versionQuality[{ "small-1" }] = 0.15; });
+}
+
+const std::vector<Case>& cases()
+{
+    static const std::vector<Case> list {
+        { "steady, 0.6 of capacity", mix(0.6), &nothing },
+        { "steady cascade, 0.4 of capacity", { { capacity * 0.4, 1, -1, "draft" } }, &nothing },
+        { "flood of the lowest rank, 10 times", with(mix(0.6), { capacity * 10, 2 }), &nothing },
+        { "flood of the most urgent rank, 10 times", with(mix(0.6), { capacity * 10, 0 }), &nothing },
+        { "one team asks for 20 times its share", with(mix(0.6), { capacity * 2, 1, 0 }), &nothing },
+        { "load 1.5 times capacity", mix(1.5), &nothing },
+        { "load reports 5 s late", mix(0.6), &nothing, Milliseconds(5000) },
+        { "half of the heartbeats lost", mix(0.6), &halfOfHeartbeats },
+        { "workers crash and come back", mix(0.6), &workersLeave },
+        { "a patch raises errors, cascade", { { capacity * 0.4, 1, -1, "draft" } }, &patchErrors },
+        { "a patch lowers quality, cascade", { { capacity * 0.4, 1, -1, "draft" } }, &cascadePatched },
+        { "flood of the lowest rank and half of the heartbeats lost", with(mix(0.6), { capacity * 10, 2 }), &halfOfHeartbeats },
+    };
+    return list;
+}
+
+std::string keyDigest(int team) { return absl::StrFormat("%064x", team + 1); }
+
+std::string siteConfiguration()
+{
+    std::string text = R"(ranks:
+  urgent: { order: 0, deadline_ms: 5000, guaranteed_share: 0.3 }
+  standard: { order: 1, deadline_ms: 10000, guaranteed_share: 0.2 }
+  later: { order: 2, deadline_ms: 20000, guaranteed_share: 0.1 }
+models:
+  small: { current: small-1 }
+  large: { current: large-1 }
+versions:
+  small-1: { model: small, cost_per_input_token: 1, cost_per_output_token: 2, quality: 0.75 }
+  large-1: { model: large, cost_per_input_token: 10, cost_per_output_token: 20, quality: 0.95 }
+cascades:
+  draft: { steps: [small, large], quality_target: 0.7 }
+limits: { rated_share: 0.1 }
+teams:
+)";
+    for (int n = 0; n < teams; ++n)
+        absl::StrAppend(&text, "  team-", n, ": { key_sha256: ['", keyDigest(n), "'], models: [small, large], cascades: [draft] }\n");
+    text += "upstreams:\n";
+    for (int n = 0; n < smallWorkers + largeWorkers; ++n) {
+        bool isSmall = n < smallWorkers;
+        absl::StrAppend(&text, "  ", isSmall ? "s" : "l", n, ": { address: \"10.0.0.", n + 1, ":1\", domain: d", n % 3, ", version: ", isSmall ? "small-1" : "large-1", ", slots: ", slotsEach, ", tokens_per_second: 50 }\n");
+    }
+    return text;
+}
+
+// Whether an answer meets the target depends on the request and the version alone, so that an oracle could know it.
+double ratingOf(const SimulatedSite& site, const RequestId& request, const VersionId& version)
+{
+    double passes = version.value == "large-1" ? 0.95 : site.versionQuality.at(version);
+    return unitHash(request.value, version.value) < passes ? 0.9 : 0.4;
+}
+
+void arrive(SimulatedSite& site, const Arrivals& arrivals, std::shared_ptr<std::mt19937_64> random, TimePoint end)
+{
+    std::exponential_distribution<double> gap(arrivals.perSecond);
+    site.after(Milliseconds(1 + static_cast<int>(gap(*random) * 1000)), [&site, arrivals, random, end] {
+        if (site.now() >= end)
+            return;
+        auto request = chatRequest(arrivals.target, false);
+        request.rank = rankNames[arrivals.rank];
+        request.maxTokens = answerTokens;
+        auto team = arrivals.team >= 0 ? arrivals.team : static_cast<int>((*random)() % teams);
+        request.keyDigest = keyDigest(team);
+        site.send((*random)() % 8, request);
+        arrive(site, arrivals, random, end);
+    });
+}
+
+struct Figures {
+    double costPerGood = 0;
+    double oracleRatio = 0;
+    double p99[3] {};
+    double goodput[3] {};
+    double goodputAll = 0;
+    double smallTeams = 0;
+    double jain = 0;
+    double refusalP50 = 0;
+    double lateRefusals = 0;
+    double onBad = 0;
+    double retriesEach = 0;
+};
+
+double percentile(std::vector<double> values, double part)
+{
+    if (values.empty())
+        return 0;
+    std::sort(values.begin(), values.end());
+    return values[std::min(values.size() - 1, static_cast<std::size_t>(part * static_cast<double>(values.size())))];
+}
+
+int indexOf(const std::string& rank)
+{
+    return static_cast<int>(std::find(std::begin(rankNames), std::end(rankNames), rank) - std::begin(rankNames));
+}
+
+int teamOf(const CallerRequest& request) { return static_cast<int>(std::stol(request.keyDigest.substr(56), nullptr, 16)) - 1; }
+
+Figures readFigures(const SimulatedSite& site)
+{
+    Figures figures;
+    std::vector<double> times[3];
+    std::vector<double> refusals;
+    std::vector<double> byTeam(teams, 0);
+    double cost = 0;
+    double oracle = 0;
+    int good = 0;
+    for (const auto& it : site.callers) {
+        auto ms = std::chrono::duration<double, std::milli>(it.endedAt.value_or(site.now()) - it.sentAt).count();
+        if (!it.succeeded()) {
+            refusals.push_back(ms);
+            continue;
+        }
+        auto rank = indexOf(it.request.rank);
+        times[rank].push_back(ms);
+        ++figures.goodput[rank];
+        byTeam[static_cast<std::size_t>(teamOf(it.request))] += 1;
+        cost += static_cast<double>(it.head.cost);
+        bool meetsTarget = ratingOf(site, it.request.id, { it.head.version }) >= target;
+        good += meetsTarget ? 1 : 0;
+        bool cheapSuffices = ratingOf(site, it.request.id, { "small-1" }) >= target;
+        oracle += cheapSuffices ? 20 + 2 * answerTokens : 200 + 20 * answerTokens;
+    }
+    for (int rank = 0; rank < 3; ++rank) {
+        figures.p99[rank] = percentile(times[rank], 0.99);
+        figures.goodput[rank] /= loadSeconds;
+        figures.goodputAll += figures.goodput[rank];
+    }
+    figures.costPerGood = good > 0 ? cost / good : 0;
+    figures.oracleRatio = oracle > 0 ? cost / oracle : 0;
+    double sum = 0;
+    double squares = 0;
+    for (int n = 1; n < teams; ++n) {
+        sum += byTeam[static_cast<std::size_t>(n)];
+        squares += byTeam[static_cast<std::size_t>(n)] * byTeam[static_cast<std::size_t>(n)];
+    }
+    figures.smallTeams = sum / (teams - 1) / loadSeconds;
+    figures.jain = squares > 0 ? sum * sum / ((teams - 1) * squares) : 0;
+    figures.refusalP50 = percentile(refusals, 0.5);
+    auto late = std::count_if(refusals.begin(), refusals.end(), [](double ms) { return ms > 50; });
+    figures.lateRefusals = refusals.empty() ? 0 : static_cast<double>(late) / static_cast<double>(refusals.size());
+    double bad = 0;
+    for (const auto& run : site.runs)
+        bad += run.version.value == "small-1" && run.at > TimePoint { Seconds(1000000) } + warmUp + Seconds(8) ? 1 : 0;
+    figures.onBad = bad;
+    figures.retriesEach = static_cast<double>(site.retries) / static_cast<double>(std::max<std::size_t>(1, site.callers.size()));
+    return figures;
+}
+
+Figures runCase(const Case& it, const Policy& policy, std::uint64_t seed)
+{
+    SimulatedSite::Options options { .entries = 8, .seed = seed, .configuration = siteConfiguration() };
+    options.admission = policy.admission;
+    options.cascade = policy.cascade;
+    options.choice = policy.choice;
+    options.loadLag = it.loadLag;
+    SimulatedSite site(options);
+    site.rating = [&site](const RequestId& request, const VersionId& version) { return ratingOf(site, request, version); };
+    for (auto& [id, upstream] : site.upstreams) {
+        upstream.slots = slotsEach;
+        upstream.perToken = perToken;
+    }
+    site.run(warmUp);
+    it.prepare(site);
+    auto random = std::make_shared<std::mt19937_64>(seed);
+    for (const auto& arrivals : it.arrivals)
+        arrive(site, arrivals, random, site.now() + Seconds(loadSeconds));
+    site.run(Seconds(loadSeconds + 25));
+    return readFigures(site);
+}
+
+// Median, lowest and highest over the seeds.
+std::string spread(const std::vector<Figures>& all, const std::function<double(const Figures&)>& of, const char* format)
+{
+    std::vector<double> values;
+    for (const auto& it : all)
+        values.push_back(of(it));
+    std::sort(values.begin(), values.end());
+    char buf[96];
+    std::snprintf(buf, sizeof buf, format, values[values.size() / 2], values.front(), values.back());
+    return buf;
+}
+
+void print(const Case& it, const Policy& policy, const std::vector<Figures>& all)
+{
+    const char* ms = "%.0f (%.0f..%.0f)";
+    std::printf("%-56s %-22s cost/good %s oracle x%s | p99 ms urgent %s standard %s later %s | goodput/s %s: %s %s %s | small team/s %s Jain %s | refusal p50 ms %s, after 50 ms %s | runs on small-1 after 8 s %s | retries each %s\n",
+        it.name, policy.name, spread(
+                                  all, [](const auto& f) { return f.costPerGood; }, ms)
+                                  .c_str(),
+        spread(
+            all, [](const auto& f) { return f.oracleRatio; }, "%.2f (%.2f..%.2f)")
+            .c_str(),
+        spread(
+            all, [](const auto& f) { return f.p99[0]; }, ms)
+            .c_str(),
+        spread(
+            all, [](const auto& f) { return f.p99[1]; }, ms)
+            .c_str(),
+        spread(
+            all, [](const auto& f) { return f.p99[2]; }, ms)
+            .c_str(),
+        spread(
+            all, [](const auto& f) { return f.goodputAll; }, "%.1f (%.1f..%.1f)")
+            .c_str(),
+        spread(
+            all, [](const auto& f) { return f.goodput[0]; }, "%.1f (%.1f..%.1f)")
+            .c_str(),
+        spread(
+            all, [](const auto& f) { return f.goodput[1]; }, "%.1f (%.1f..%.1f)")
+            .c_str(),
+        spread(
+            all, [](const auto& f) { return f.goodput[2]; }, "%.1f (%.1f..%.1f)")
+            .c_str(),
+        spread(
+            all, [](const auto& f) { return f.smallTeams; }, "%.2f (%.2f..%.2f)")
+            .c_str(),
+        spread(
+            all, [](const auto& f) { return f.jain; }, "%.3f (%.3f..%.3f)")
+            .c_str(),
+        spread(
+            all, [](const auto& f) { return f.refusalP50; }, ms)
+            .c_str(),
+        spread(
+            all, [](const auto& f) { return f.lateRefusals; }, "%.3f (%.3f..%.3f)")
+            .c_str(),
+        spread(
+            all, [](const auto& f) { return f.onBad; }, "%.0f (%.0f..%.0f)")
+            .c_str(),
+        spread(
+            all, [](const auto& f) { return f.retriesEach; }, "%.4f (%.4f..%.4f)")
+            .c_str());
+}
+
+}
+
+// Arguments: nothing for all cases, or a part of a case's name.
+int main(int argc, char** argv)
+{
+    std::string wanted = argc > 1 ? argv[1] : "";
+    for (const auto& it : cases()) {
+        if (std::string(it.name).find(wanted) == std::string::npos)
+            continue;
+        for (const auto& policy : policies) {
+            // Without a cascade there is no model to choose.
+            bool hasCascade = it.arrivals.front().target == std::string("draft");
+            if (policy.cascade == CascadePolicy::AlwaysLast && !hasCascade)
+                continue;
+            std::vector<Figures> all(seeds);
+            std::atomic<int> next = 0;
+            std::vector<std::future<void>> workers;
+            for (unsigned n = 0; n < std::max(1U, std::thread::hardware_concurrency()); ++n) {
+                workers.push_back(std::async(std::launch::async, [&] {
+                    for (int at = next++; at < seeds; at = next++)
+                        all[static_cast<std::size_t>(at)] = runCase(it, policy, static_cast<std::uint64_t>(at) + 1);
+                }));
+            }
+            for (auto& worker : workers)
+                worker.get();
+            print(it, policy, all);
+            std::fflush(stdout);
+        }
+    }
+    return 0;
+}
--- /dev/null
+++ b/test/performance/site_measure.cpp
@@ -0,0 +1,104 @@
+// Measures how the instances act together, on virtual time: store calls, commit times, spread of a configuration,
+// heartbeat bytes. Prints one line for each figure.
+
+#include "fakes/simulated_site.h"
+
+#include <absl/strings/str_replace.h>
+#include <algorithm>
+#include <cstdio>
+
+using namespace skylarkhitch;
+
+namespace {
+
+double percentile(std::vector<double> values, double part)
+{
+    if (values.empty())
+        return 0;
+    std::sort(values.begin(), values.end());
+    return values[std::min(values.size() - 1, static_cast<std::size_t>(part * static_cast<double>(values.size())))];
+}
+
+void measureStoreCalls(std::size_t entries, int requestsPerSecond)
+{
+    // Upstreams with places enough, so that nothing waits but for the ledger.
+    auto configuration = absl::StrReplaceAll(sampleConfiguration(), { { "version: small-1 }", "version: small-1, slots: 1000 }" }, { "service: orders }", "service: orders, slots: 1000 }" } });
+    SimulatedSite site({ .entries = entries, .seed = 1, .configuration = configuration });
+    site.run(Milliseconds(5000));
+    auto calls = site.store.calls;
+    auto swaps = site.store.swaps;
+    auto messages = site.peerMessages;
+    auto bytes = site.peerBytes;
+    constexpr int seconds = 10;
+    int total = requestsPerSecond * seconds;
+    for (int n = 0; n < total; ++n) {
+        site.after(Milliseconds(1000LL * n / requestsPerSecond), [&site, n, entries] {
+            auto entry = static_cast<std::size_t>(n) % entries;
+            // Nine chats to one booking with a key.
+            site.send(entry, n % 10 == 0 ? bookingRequest("k" + std::to_string(n), "b" + std::to_string(n)) : chatRequest("small", false));
+        });
+    }
+    site.run(Milliseconds(1000LL * seconds));
+    auto over = [&](std::uint64_t from, std::uint64_t to) { return static_cast<double>(to - from) / seconds; };
+    std::printf("entries %2zu, %4d requests/s: store calls %6.1f/s, swaps that took effect %6.1f/s, peer messages %7.1f/s an entry, %6.2f KB/s an entry\n",
+        entries, requestsPerSecond, over(calls, site.store.calls), over(swaps, site.store.swaps),
+        over(messages, site.peerMessages) / static_cast<double>(entries), over(bytes, site.peerBytes) / static_cast<double>(entries) / 1024);
+    site.run(Milliseconds(3000));
+    std::vector<double> chats;
+    std::vector<double> bookings;
+    for (const auto& it : site.callers) {
+        if (!it.endedAt || !it.succeeded())
+            continue;
+        auto ms = std::chrono::duration<double, std::milli>(*it.endedAt - it.sentAt).count();
+        // What an answer takes without the ledger: 92 ms for a chat of this engine, 7 ms for a call.
+        if (it.request.kind == CallKind::Chat)
+            chats.push_back(ms - 92);
+        else
+            bookings.push_back(ms - 7);
+    }
+    if (requestsPerSecond > 1)
+        std::printf("    bill commit p50 %.1f ms, p99 %.1f ms; claim and outcome commit together p50 %.1f ms, p99 %.1f ms; answered %zu of %d\n",
+            percentile(chats, 0.5), percentile(chats, 0.99), percentile(bookings, 0.5), percentile(bookings, 0.99), chats.size() + bookings.size(), total);
+}
+
+void measureSpread(std::size_t entries, bool storeFailsAfterSwap)
+{
+    std::vector<double> times;
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        SimulatedSite site({ .entries = entries, .seed = seed });
+        site.run(Milliseconds(5000));
+        auto begin = site.now();
+        auto text = sampleConfiguration();
+        site.edit(seed % entries, text + "rollouts:\n  small: { from: small-1, to: small-2, share: 0.5 }\n", 1);
+        if (storeFailsAfterSwap)
+            site.after(Milliseconds(6), [&] { site.store.down = true; });
+        site.run(Milliseconds(20000));
+        double last = 0;
+        std::size_t reached = 0;
+        for (const auto& it : site.inForce) {
+            if (it.revision != 2)
+                continue;
+            ++reached;
+            last = std::max(last, std::chrono::duration<double>(it.at - begin).count());
+        }
+        if (reached == entries)
+            times.push_back(last);
+    }
+    std::printf("entries %2zu, configuration in force everywhere%s: median %.3f s, longest %.3f s, in %zu of 10 runs\n", entries,
+        storeFailsAfterSwap ? " with the store down after the swap" : "", percentile(times, 0.5), percentile(times, 1), times.size());
+}
+
+}
+
+int main()
+{
+    for (std::size_t entries : { 8, 16, 24 })
+        measureStoreCalls(entries, 1);
+    for (std::size_t entries : { 8, 24 })
+        measureStoreCalls(entries, 1000);
+    for (std::size_t entries : { 8, 24 }) {
+        measureSpread(entries, false);
+        measureSpread(entries, true);
+    }
+    return 0;
+}
--- /dev/null
+++ b/tools/measure-daemon.sh
@@ -0,0 +1,76 @@
+#!/usr/bin/env bash
+# Measures one daemon against the bare stand-in in the same run: added latency, requests a second, streams, memory.
+# Prints one line for each figure. Ends only the processes that it started.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+tools/setup.sh release >/dev/null
+bin=$PWD/build/release
+work=$(mktemp -d)
+pids=()
+finish() { for it in "${pids[@]}"; do kill -TERM "$it" 2>/dev/null || true; done; wait 2>/dev/null || true; rm -rf "$work"; }
+trap finish EXIT
+
+standin() {
+    local out="$work/standin-${#pids[@]}"
+    "$bin/test/skylarkhitch-standin" "$@" >"$out" &
+    pids+=("$!")
+    for _ in $(seq 100); do [ -s "$out" ] && break; sleep 0.05; done
+    port=$(head -1 "$out")
+}
+standin engine --version small-1 --per-token-ms 0 --slots 4000; engine=127.0.0.1:$port
+standin engine --version slow-1 --per-token-ms 200 --slots 4000; slow=127.0.0.1:$port
+standin service --threads 2; service=127.0.0.1:$port
+
+digest=$(printf key | sha256sum | cut -d' ' -f1)
+cat >"$work/base.yaml" <<YAML
+ranks: { later: { order: 0 } }
+models: { small: { current: small-1 }, slow: { current: slow-1 } }
+versions: { small-1: { model: small }, slow-1: { model: slow } }
+services: { status: { rank: later } }
+teams: { team: { key_sha256: [$digest], models: [small, slow], services: [status] } }
+upstreams:
+  e: { address: "$engine", version: small-1, slots: 4000 }
+  w: { address: "$slow", version: slow-1, slots: 4000 }
+  s: { address: "$service", service: status, slots: 4000 }
+limits: { rated_share: 0 }
+YAML
+cat >"$work/entry.yaml" <<YAML
+instance: one
+domain: d
+listen: 127.0.0.1:0
+operator_listen: 127.0.0.1:0
+configuration_file: $work/base.yaml
+drain_grace_ms: 1
+YAML
+taskset -c 0,1 "$bin/skylarkhitchd" --settings "$work/entry.yaml" >"$work/ready" 2>/dev/null &
+daemon=$!
+pids+=("$daemon")
+for _ in $(seq 100); do grep -q '^ready' "$work/ready" && break; sleep 0.05; done
+read -r _ caller _ <"$work/ready"
+caller=${caller#callers=}
+load() { taskset -c 2-5 "$bin/test/skylarkhitch-load" "$@"; }
+memory() { awk '/VmRSS/ { print $2 / 1024 " MB" }' "/proc/$daemon/status"; }
+cpu() { awk '{ print ($14 + $15) / 100 }' "/proc/$daemon/stat"; }
+
+echo "memory at rest: $(memory)"
+echo "status call, 1 connection, bare:    $(load -a "$service" --method GET --path /x -c 1 -n 3000)"
+echo "status call, 1 connection, through: $(load -a "$caller" --method GET --path /services/status/x -c 1 -n 3000)"
+echo "chat, 1 connection, bare:           $(load -a "$engine" -c 1 -n 2000)"
+echo "chat, 1 connection, through:        $(load -a "$caller" -c 1 -n 2000)"
+echo "stream of 16, 8 connections, bare:    $(load -a "$engine" --stream --tokens 16 -c 8 -n 2000)"
+echo "stream of 16, 8 connections, through: $(load -a "$caller" --stream --tokens 16 -c 8 -n 2000)"
+for n in 16 64; do
+    before=$(cpu)
+    echo "status calls, $n connections, bare:    $(load -a "$service" --method GET --path /x -c "$n" -n 40000)"
+    echo "status calls, $n connections, through: $(load -a "$caller" --method GET --path /services/status/x -c "$n" -n 40000)"
+    echo "  daemon's processor seconds: $(awk -v a="$before" -v b="$(cpu)" 'BEGIN { print b - a }')"
+done
+before=$(cpu)
+echo "chats, 64 connections, through: $(load -a "$caller" -c 64 -n 20000)"
+echo "  daemon's processor seconds: $(awk -v a="$before" -v b="$(cpu)" 'BEGIN { print b - a }')"
+load -a "$caller" --model slow --stream --tokens 24 -c 1000 -n 1000 >"$work/streams" &
+streams=$!
+sleep 3
+echo "memory with 1000 open streams: $(memory)"
+wait "$streams"
+echo "1000 streams: $(cat "$work/streams")"
