Fold old segments of the ledger into sums

Cause: segments were kept for ever: whoever takes a shard over reads them all, and the index of bills grows without bound.

Ruled out: a total for each append (one more write a batch); dropping segments by age alone (loses charges and the outcomes that callers may still ask for).

A bill that is not newer than the folded records is taken as contained.

--- a/src/core/chat_flow.cpp
+++ b/src/core/chat_flow.cpp
@@ -326,8 +326,9 @@
         state.lastPiece = streamEnd;
     }
     // A key of the caller's makes a resend count once; without one each request is its own.
-    const auto& own = state.request.idempotencyKey.empty() ? state.request.id.value : state.request.idempotencyKey;
-    LedgerRecord record { absl::StrCat("bill/", state.team.value, "/", own), now, state.bill };
+    const auto& own = state.request.idempotencyKey;
+    auto key = own.empty() ? billKeyForRequest(state.team, state.request.id) : billKeyForCaller(state.team, own);
+    LedgerRecord record { std::move(key), now, state.bill };
     if (m_parts.mutations.billTwice) {
         auto copy = record;
         copy.key += "/again";
--- a/src/core/ledger.cpp
+++ b/src/core/ledger.cpp
@@ -62,6 +62,12 @@
         out.push_back(SendPeer { writer, { m_self, AppendRequest { ticket, pending.shard, pending.record } } });
 }
 
+void Ledger::setLookupWindow(Seconds window)
+{
+    for (auto& it : m_shards)
+        it->setLookupWindow(window);
+}
+
 bool Ledger::withdraw(AppendTicket ticket)
 {
     auto it = m_pending.find(ticket);
--- a/src/core/ledger.h
+++ b/src/core/ledger.h
@@ -33,6 +33,9 @@
     // also counts as kept once this instance and a peer in another failure domain have it.
     AppendTicket append(LedgerRecord, bool mayBeHeld, TimePoint, Outbox&);
 
+    // How long claims, outcomes and pins are kept.
+    void setLookupWindow(Seconds);
+
     // Gives up waiting. False if the record may still take effect.
     bool withdraw(AppendTicket);
 
--- /dev/null
+++ b/src/core/ledger_fold.cpp
@@ -0,0 +1,135 @@
+#include "core/ledger_fold.h"
+
+#include <absl/strings/str_format.h>
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace skylarkhitch {
+
+namespace {
+
+    using Json = nlohmann::json;
+
+    // A record that only shows that its key was used.
+    LedgerRecord withoutCharge(LedgerRecord record)
+    {
+        if (auto* outcome = std::get_if<Outcome>(&record.entry))
+            outcome->bill.reset();
+        if (auto* bill = std::get_if<Bill>(&record.entry))
+            *bill = { .team = bill->team };
+        return record;
+    }
+
+    const Bill* billOf(const LedgerRecord& record)
+    {
+        if (const auto* bill = std::get_if<Bill>(&record.entry))
+            return bill;
+        const auto* outcome = std::get_if<Outcome>(&record.entry);
+        return outcome && outcome->bill ? &*outcome->bill : nullptr;
+    }
+
+}
+
+void addTo(Bill& sum, const Bill& bill)
+{
+    sum.team = bill.team;
+    sum.cost += bill.cost;
+    sum.inputTokens += bill.inputTokens;
+    sum.outputTokens += bill.outputTokens;
+}
+
+std::string encodeTotals(const LedgerTotals& totals)
+{
+    Json teams = Json::array();
+    for (const auto& [id, it] : totals.teams)
+        teams.push_back(Json::array({ id.value, it.cost, it.inputTokens, it.outputTokens }));
+    Json through = totals.foldedThrough ? Json(*totals.foldedThrough) : Json();
+    std::string bytes;
+    Json::to_cbor(Json::array({ through, totals.foldedBefore.time_since_epoch().count(), teams }), bytes);
+    return bytes;
+}
+
+std::optional<LedgerTotals> decodeTotals(const std::string& bytes)
+{
+    try {
+        auto json = Json::from_cbor(bytes);
+        LedgerTotals totals;
+        if (!json.at(0).is_null())
+            totals.foldedThrough = json.at(0).get<std::uint64_t>();
+        totals.foldedBefore = TimePoint { Microseconds { json.at(1).get<std::int64_t>() } };
+        for (const auto& it : json.at(2))
+            totals.teams[TeamId { it.at(0) }] = { TeamId { it.at(0) }, it.at(1), it.at(2), it.at(3), {} };
+        return totals;
+    } catch (const std::exception&) {
+        return std::nullopt;
+    }
+}
+
+std::string shardPrefix(std::uint32_t shard)
+{
+    return absl::StrFormat("ledger/%02d/", shard);
+}
+
+std::string totalsKey(std::uint32_t shard)
+{
+    return shardPrefix(shard) + "!totals";
+}
+
+std::string segmentKey(std::uint32_t shard, std::uint64_t segment)
+{
+    return absl::StrFormat("%s%010d", shardPrefix(shard), segment);
+}
+
+std::optional<ShardContents> readShard(std::uint32_t shard, std::vector<StoreItem> items)
+{
+    std::sort(items.begin(), items.end(), [](const auto& a, const auto& b) { return a.key < b.key; });
+    ShardContents contents;
+    for (auto& it : items) {
+        if (it.key == totalsKey(shard)) {
+            auto totals = decodeTotals(it.value);
+            if (!totals)
+                return std::nullopt;
+            contents.totals = *std::move(totals);
+            contents.totalsRevision = it.revision;
+            continue;
+        }
+        auto number = std::stoull(it.key.substr(shardPrefix(shard).size()));
+        // A fold was broken off before its last step.
+        if (contents.totals.foldedThrough && number <= *contents.totals.foldedThrough)
+            continue;
+        auto batches = decodeSegment(it.value);
+        if (!batches)
+            return std::nullopt;
+        bool sealed = !batches->empty() && batches->back().seals;
+        contents.segments.push_back({ number, std::move(it), *std::move(batches), sealed });
+    }
+    return contents;
+}
+
+bool isFoldable(const LedgerSegment& segment, const FoldWindows& windows, TimePoint now)
+{
+    for (const auto& batch : segment.batches) {
+        for (const auto& record : batch.records) {
+            if (record.at > now - windows.bills)
+                return false;
+        }
+    }
+    return segment.sealed;
+}
+
+void foldInto(FoldPlan& plan, const LedgerSegment& segment, const FoldWindows& windows, TimePoint now)
+{
+    plan.totals.foldedThrough = segment.number;
+    for (const auto& batch : segment.batches) {
+        for (const auto& record : batch.records) {
+            plan.totals.foldedBefore = std::max(plan.totals.foldedBefore, record.at);
+            if (const auto* bill = billOf(record))
+                addTo(plan.totals.teams[bill->team], *bill);
+            bool isPlainBill = std::holds_alternative<Bill>(record.entry) && !isCallersBill(record.key);
+            if (!isPlainBill && record.at > now - windows.lookups)
+                plan.carried.push_back(withoutCharge(record));
+        }
+    }
+}
+
+}
--- a/src/core/ledger_index.cpp
+++ b/src/core/ledger_index.cpp
@@ -2,14 +2,6 @@
 
 namespace skylarkhitch {
 
-void addTo(Bill& sum, const Bill& bill)
-{
-    sum.team = bill.team;
-    sum.cost += bill.cost;
-    sum.inputTokens += bill.inputTokens;
-    sum.outputTokens += bill.outputTokens;
-}
-
 void LedgerIndex::add(const LedgerRecord& record)
 {
     if (std::holds_alternative<Claim>(record.entry)) {
@@ -38,6 +30,31 @@
     *this = {};
 }
 
+void LedgerIndex::begin(const LedgerTotals& totals)
+{
+    m_totals = totals.teams;
+    m_foldedBefore = totals.foldedBefore;
+}
+
+void LedgerIndex::forget(const LedgerSegment& segment, const LedgerTotals& totals)
+{
+    for (const auto& batch : segment.batches) {
+        for (const auto& record : batch.records) {
+            if (std::holds_alternative<Bill>(record.entry))
+                m_billed.erase(record.key);
+            else if (const auto* release = std::get_if<Release>(&record.entry))
+                m_released.erase(release->request.value);
+            else if (std::holds_alternative<Claim>(record.entry))
+                m_claims.erase(record.key);
+            else if (std::holds_alternative<Outcome>(record.entry))
+                m_outcomes.erase(record.key);
+            else
+                m_pins.erase(record.key);
+        }
+    }
+    m_foldedBefore = totals.foldedBefore;
+}
+
 AppendVerdict LedgerIndex::judgeClaim(const LedgerRecord& record, const Claim& claim) const
 {
     using Kind = AppendVerdict::Kind;
@@ -66,7 +83,7 @@
     if (std::holds_alternative<Outcome>(record.entry))
         return unlessThere(m_outcomes.contains(record.key));
     if (std::holds_alternative<Bill>(record.entry))
-        return unlessThere(m_billed.contains(record.key));
+        return unlessThere(record.at <= m_foldedBefore || m_billed.contains(record.key));
     auto known = m_pins.find(record.key);
     bool keeps = known != m_pins.end() && std::get<SessionPin>(known->second.entry).generation >= std::get<SessionPin>(record.entry).generation;
     return keeps ? AppendVerdict { Kind::AlreadyThere, {}, known->second } : AppendVerdict {};
--- a/src/core/ledger_index.h
+++ b/src/core/ledger_index.h
@@ -4,7 +4,7 @@
 // session keeps. Decides whether a new record may be appended.
 
 #include "core/error_kind.h"
-#include "core/ledger_record.h"
+#include "core/ledger_fold.h"
 
 #include <absl/container/flat_hash_map.h>
 #include <absl/container/flat_hash_set.h>
@@ -28,6 +28,10 @@
 public:
     void add(const LedgerRecord&);
     void clear();
+    // Starts from the sums of the folded segments.
+    void begin(const LedgerTotals&);
+    // Forgets the records of a segment that was folded, but for those that were carried on.
+    void forget(const LedgerSegment&, const LedgerTotals&);
 
     // Judges a record against everything that was added so far.
     AppendVerdict judge(const LedgerRecord&) const;
@@ -46,9 +50,7 @@
     absl::flat_hash_set<std::string> m_billed;
     absl::flat_hash_set<std::string> m_released;
     std::map<TeamId, Bill> m_totals;
+    TimePoint m_foldedBefore = TimePoint::min();
 };
 
-// Adds the amounts of one bill to a sum.
-void addTo(Bill& sum, const Bill&);
-
 }
--- a/src/core/ledger_record.cpp
+++ b/src/core/ledger_record.cpp
@@ -92,6 +92,23 @@
 
 }
 
+std::string billKeyForRequest(const TeamId& team, const RequestId& request)
+{
+    return "bill/" + team.value + "/r/" + request.value;
+}
+
+std::string billKeyForCaller(const TeamId& team, const std::string& idempotencyKey)
+{
+    return "bill/" + team.value + "/k/" + idempotencyKey;
+}
+
+bool isCallersBill(const std::string& key)
+{
+    // Neither keys nor request ids contain a slash.
+    auto last = key.rfind('/');
+    return last != std::string::npos && last >= 2 && key.compare(last - 2, 2, "/k") == 0;
+}
+
 std::string encodeBatch(const LedgerBatch& batch)
 {
     Json records = Json::array();
--- a/src/core/ledger_record.h
+++ b/src/core/ledger_record.h
@@ -67,6 +67,11 @@
     LedgerEntry entry;
 };
 
+// Keys of bills. One under a caller's own key is remembered for the lookup window, since the caller may send it again.
+std::string billKeyForRequest(const TeamId&, const RequestId&);
+std::string billKeyForCaller(const TeamId&, const std::string& idempotencyKey);
+bool isCallersBill(const std::string& key);
+
 // Records that were appended by one swap.
 struct LedgerBatch {
     std::string id;
--- a/src/core/ledger_shard.cpp
+++ b/src/core/ledger_shard.cpp
@@ -9,6 +9,9 @@
 
 namespace {
 
+    // Segments folded by one change of the sums.
+    constexpr std::size_t mostFolded = 16;
+
     bool holdsBatch(const std::vector<LedgerBatch>& batches, const std::string& id)
     {
         return std::any_of(batches.begin(), batches.end(), [&](const auto& it) { return it.id == id; });
@@ -24,16 +27,6 @@
 {
 }
 
-std::string LedgerShard::prefix() const
-{
-    return absl::StrFormat("ledger/%02d/", m_shard);
-}
-
-std::string LedgerShard::segmentKey(std::uint64_t segment) const
-{
-    return absl::StrFormat("%s%010d", prefix(), segment);
-}
-
 void LedgerShard::append(AppendTicket ticket, LedgerRecord record, TimePoint now, Outbox& out)
 {
     Wish wish { ticket, std::move(record) };
@@ -74,6 +67,8 @@
         return m_retryAt;
     if (m_state == State::Ready && !m_waiting.empty())
         return m_lastSwap + m_settings.swapInterval;
+    if (m_state == State::Ready && !m_sealed.empty())
+        return m_lookedForFold + m_settings.foldPeriod;
     return std::nullopt;
 }
 
@@ -84,7 +79,11 @@
 
 void LedgerShard::goOn(TimePoint now, Outbox& out)
 {
-    if (m_retryAt || m_waiting.empty())
+    if (m_retryAt)
+        return;
+    if (m_state == State::Ready && startFold(now, out))
+        return;
+    if (m_waiting.empty())
         return;
     if (m_state == State::Unloaded)
         load(now, out);
@@ -103,7 +102,7 @@
 {
     m_state = State::Loading;
     m_store.send(
-        { .operation = StoreOperation::List, .key = prefix(), .timeout = m_settings.storeTimeout },
+        { .operation = StoreOperation::List, .key = shardPrefix(m_shard), .timeout = m_settings.storeTimeout },
         [this](const StoreReply& reply, TimePoint now, Outbox& outbox) { loaded(reply, now, outbox); }, out);
 }
 
@@ -116,21 +115,27 @@
     m_segment = 0;
     m_bytes.clear();
     m_revision = 0;
+    auto contents = readShard(m_shard, reply.items);
+    // A damaged segment must not be written over; the shard stays closed and says so by not answering.
+    if (!contents)
+        return retryLater(State::Unloaded, now);
+    m_fold.reset();
+    m_sealed.clear();
+    m_totals = contents->totals;
+    m_totalsRevision = contents->totalsRevision;
+    m_index.begin(m_totals);
+    m_segment = m_totals.foldedThrough ? *m_totals.foldedThrough + 1 : 0;
     bool sealed = false;
-    auto items = reply.items;
-    std::sort(items.begin(), items.end(), [](const auto& a, const auto& b) { return a.key < b.key; });
-    for (const auto& it : items) {
-        auto batches = decodeSegment(it.value);
-        // A damaged segment must not be written over; the shard stays closed and says so by not answering.
-        if (!batches)
-            return retryLater(State::Unloaded, now);
-        for (const auto& batch : *batches)
+    for (auto& it : contents->segments) {
+        for (const auto& batch : it.batches)
             for (const auto& record : batch.records)
                 m_index.add(record);
-        m_segment = std::stoull(it.key.substr(prefix().size()));
-        m_bytes = it.value;
-        m_revision = it.revision;
-        sealed = !batches->empty() && batches->back().seals;
+        m_segment = it.number;
+        m_bytes = it.item.value;
+        m_revision = it.item.revision;
+        sealed = it.sealed;
+        if (sealed)
+            m_sealed.push_back(std::move(it));
     }
     m_state = State::Ready;
     m_freshAt = now;
@@ -180,7 +185,7 @@
 {
     m_state = State::Verifying;
     m_store.send(
-        { .operation = StoreOperation::Get, .key = segmentKey(m_segment), .timeout = m_settings.storeTimeout },
+        { .operation = StoreOperation::Get, .key = segmentKey(m_shard, m_segment), .timeout = m_settings.storeTimeout },
         [this](const StoreReply& reply, TimePoint now, Outbox& outbox) { verified(reply, now, outbox); }, out);
 }
 
@@ -212,7 +217,7 @@
     m_lastSwap = now;
     ++m_swaps;
     m_store.send(
-        { .operation = StoreOperation::Swap, .key = segmentKey(m_segment), .value = m_nextBytes, .expected = m_revision, .timeout = m_settings.storeTimeout },
+        { .operation = StoreOperation::Swap, .key = segmentKey(m_shard, m_segment), .value = m_nextBytes, .expected = m_revision, .timeout = m_settings.storeTimeout },
         [this](const StoreReply& reply, TimePoint at, Outbox& outbox) { swapped(reply, at, outbox); }, out);
 }
 
@@ -220,6 +225,11 @@
 {
     if (reply.status == StoreStatus::Ok) {
         commitBatch(reply.items.front().revision, now);
+        if (m_batchSeals)
+            m_sealed.push_back({ m_segment, { {}, m_bytes, m_revision }, *decodeSegment(m_bytes), true });
+        // Carried records are safe now, so that the sums may take their segment's place.
+        if (m_fold)
+            return swapTotals(out);
         if (m_batchSeals)
             return openNextSegment(now, out);
         return goOn(now, out);
@@ -245,7 +255,7 @@
 {
     m_state = State::ReadingBack;
     m_store.send(
-        { .operation = StoreOperation::Get, .key = segmentKey(m_segment), .timeout = m_settings.storeTimeout },
+        { .operation = StoreOperation::Get, .key = segmentKey(m_shard, m_segment), .timeout = m_settings.storeTimeout },
         [this](const StoreReply& reply, TimePoint now, Outbox& outbox) { wasReadBack(reply, now, outbox); }, out);
 }
 
@@ -276,13 +286,72 @@
     m_batch.clear();
 }
 
+bool LedgerShard::startFold(TimePoint now, Outbox& out)
+{
+    if (m_sealed.empty() || now < m_lookedForFold + m_settings.foldPeriod)
+        return false;
+    m_lookedForFold = now;
+    FoldPlan plan { m_totals, {} };
+    m_folding = 0;
+    while (m_folding < std::min(mostFolded, m_sealed.size()) && isFoldable(m_sealed[m_folding], m_settings.fold, now))
+        foldInto(plan, m_sealed[m_folding++], m_settings.fold, now);
+    if (m_folding == 0)
+        return false;
+    m_fold = std::move(plan);
+    if (m_fold->carried.empty()) {
+        swapTotals(out);
+        return true;
+    }
+    m_batchId = absl::StrFormat("%s/%d", m_batchPrefix, ++m_batchNumber);
+    m_nextBytes = m_bytes + encodeBatch({ m_batchId, m_fold->carried, false });
+    m_batchSeals = m_nextBytes.size() > m_settings.segmentBytes;
+    if (m_batchSeals)
+        m_nextBytes = m_bytes + encodeBatch({ m_batchId, m_fold->carried, true });
+    sendSwap(now, out);
+    return true;
+}
+
+void LedgerShard::swapTotals(Outbox& out)
+{
+    m_state = State::Summing;
+    m_store.send(
+        { .operation = StoreOperation::Swap, .key = totalsKey(m_shard), .value = encodeTotals(m_fold->totals), .expected = m_totalsRevision, .timeout = m_settings.storeTimeout },
+        [this](const StoreReply& reply, TimePoint now, Outbox& outbox) { totalsSwapped(reply, now, outbox); }, out);
+}
+
+void LedgerShard::totalsSwapped(const StoreReply& reply, TimePoint now, Outbox& out)
+{
+    if (reply.status != StoreStatus::Ok) {
+        // Whether these sums were taken or another writer's: the store has what is true.
+        m_state = State::Unloaded;
+        return load(now, out);
+    }
+    m_totals = m_fold->totals;
+    m_totalsRevision = reply.items.front().revision;
+    for (; m_folding > 0; --m_folding) {
+        m_index.forget(m_sealed.front(), m_totals);
+        // A segment that stays all the same is passed over by its number.
+        m_store.send(
+            { .operation = StoreOperation::Remove, .key = segmentKey(m_shard, m_sealed.front().number), .timeout = m_settings.storeTimeout },
+            [](const StoreReply&, TimePoint, Outbox&) {}, out);
+        m_sealed.pop_front();
+    }
+    for (const auto& it : m_fold->carried)
+        m_index.add(it);
+    m_fold.reset();
+    m_state = State::Ready;
+    if (m_batchSeals && !m_sealed.empty() && m_sealed.back().number == m_segment)
+        return openNextSegment(now, out);
+    goOn(now, out);
+}
+
 void LedgerShard::openNextSegment(TimePoint, Outbox& out)
 {
     m_state = State::Opening;
     // An empty batch opens the segment; appending to it needs its revision.
     auto bytes = encodeBatch({ absl::StrFormat("%s/%d", m_batchPrefix, ++m_batchNumber), {}, false });
     m_store.send(
-        { .operation = StoreOperation::Swap, .key = segmentKey(m_segment + 1), .value = std::move(bytes), .expected = 0, .timeout = m_settings.storeTimeout },
+        { .operation = StoreOperation::Swap, .key = segmentKey(m_shard, m_segment + 1), .value = std::move(bytes), .expected = 0, .timeout = m_settings.storeTimeout },
         [this](const StoreReply& reply, TimePoint now, Outbox& outbox) { opened(reply, now, outbox); }, out);
 }
 
--- a/src/core/ledger_shard.h
+++ b/src/core/ledger_shard.h
@@ -32,6 +32,9 @@
     Microseconds firstRetry { 50000 };
     Microseconds longestRetry { 1000000 };
     Milliseconds storeTimeout { 1000 };
+    FoldWindows fold;
+    // How often a writer looks for a segment to fold.
+    Seconds foldPeriod { 10 };
     // Age after which the index is checked against the store before a record is refused on its word.
     Microseconds indexAge { 200000 };
 };
@@ -51,6 +54,7 @@
     std::optional<TimePoint> nextWake() const;
 
     std::vector<AppendResult> takeResults();
+    void setLookupWindow(Seconds window) { m_settings.fold.lookups = window; }
     const LedgerIndex& index() const { return m_index; }
     std::uint64_t swaps() const { return m_swaps; }
 
@@ -61,7 +65,9 @@
         Swapping,
         ReadingBack,
         Verifying,
-        Opening };
+        Opening,
+        // The sums of a fold are on their way.
+        Summing };
     struct Wish {
         AppendTicket ticket;
         LedgerRecord record;
@@ -82,10 +88,11 @@
     void openNextSegment(TimePoint, Outbox&);
     void opened(const StoreReply&, TimePoint, Outbox&);
     void putBatchBack();
+    bool startFold(TimePoint, Outbox&);
+    void swapTotals(Outbox&);
+    void totalsSwapped(const StoreReply&, TimePoint, Outbox&);
     void retryLater(State, TimePoint);
     void goOn(TimePoint, Outbox&);
-    std::string segmentKey(std::uint64_t segment) const;
-    std::string prefix() const;
 
     std::uint32_t m_shard;
     std::string m_batchPrefix;
@@ -102,6 +109,14 @@
     std::string m_bytes;
     std::string m_nextBytes;
     std::uint64_t m_revision = 0;
+    // Sealed segments that are not folded yet, oldest first.
+    std::deque<LedgerSegment> m_sealed;
+    LedgerTotals m_totals;
+    std::uint64_t m_totalsRevision = 0;
+    std::optional<FoldPlan> m_fold;
+    // Segments that the plan contains, from the oldest on.
+    std::size_t m_folding = 0;
+    TimePoint m_lookedForFold {};
     TimePoint m_lastSwap {};
     // When the index was last known to be the store's whole truth.
     TimePoint m_freshAt {};
--- a/src/core/router.cpp
+++ b/src/core/router.cpp
@@ -57,6 +57,7 @@
     m_applied = m_keeper.current();
     m_upstreams.configure(m_applied);
     m_evidence.configure(m_applied);
+    m_ledger.setLookupWindow(m_applied->limits.lookupWindow);
     m_teamsByKey.clear();
     for (const auto& [id, team] : m_applied->teams) {
         for (const auto& digest : team.keyDigests)
--- a/src/daemon/operator_api.cpp
+++ b/src/daemon/operator_api.cpp
@@ -9,6 +9,7 @@
     using Json = nlohmann::json;
 
     constexpr Milliseconds storeTimeout { 5000 };
+    constexpr std::string_view ledgerPrefix = "ledger/";
 
     void respondJson(HttpReply& reply, int status, const Json& json)
     {
@@ -117,21 +118,28 @@
         return history;
     }
 
-    // Sums the bills of every segment; a key counts once, wherever its copies are.
+    // Sums the bills of every shard; a key counts once, wherever its copies are.
     Json billsJson(const StoreReply& reply)
     {
-        LedgerIndex index;
-        for (const auto& item : reply.items) {
-            auto batches = decodeSegment(item.value);
-            if (!batches)
+        std::map<std::uint32_t, std::vector<StoreItem>> shards;
+        for (const auto& item : reply.items)
+            shards[static_cast<std::uint32_t>(std::stoul(item.key.substr(ledgerPrefix.size(), 2)))].push_back(item);
+        std::map<TeamId, Bill> sums;
+        for (auto& [shard, items] : shards) {
+            auto contents = readShard(shard, std::move(items));
+            if (!contents)
                 continue;
-            for (const auto& batch : *batches) {
-                for (const auto& record : batch.records)
-                    index.add(record);
-            }
+            LedgerIndex index;
+            index.begin(contents->totals);
+            for (const auto& segment : contents->segments)
+                for (const auto& batch : segment.batches)
+                    for (const auto& record : batch.records)
+                        index.add(record);
+            for (const auto& [id, sum] : index.totals())
+                addTo(sums[id], sum);
         }
         Json teams = Json::array();
-        for (const auto& [id, sum] : index.totals())
+        for (const auto& [id, sum] : sums)
             teams.push_back({ { "team", id.value }, { "cost_micros", sum.cost }, { "input_tokens", sum.inputTokens }, { "output_tokens", sum.outputTokens } });
         return { { "teams", teams } };
     }
@@ -245,7 +253,7 @@
 
 void OperatorApi::serveBills(const std::shared_ptr<HttpReply>& reply)
 {
-    StoreCall call { .operation = StoreOperation::List, .key = "ledger/", .timeout = storeTimeout };
+    StoreCall call { .operation = StoreOperation::List, .key = std::string(ledgerPrefix), .timeout = storeTimeout };
     m_store.call(call, [reply](const StoreReply& answer) {
         if (answer.status == StoreStatus::Unavailable)
             return respondJson(*reply, 503, { { "error", "the store can not be reached; ask again later" } });
--- a/test/correctness/ledger_test.cpp
+++ b/test/correctness/ledger_test.cpp
@@ -19,6 +19,8 @@
 
     void append(AppendTicket ticket, LedgerRecord record)
     {
+        if (record.at == TimePoint {})
+            record.at = now;
         shard.append(ticket, std::move(record), now, out);
         settle();
     }
@@ -35,7 +37,8 @@
             if (!out.empty())
                 continue;
             auto wake = shard.nextWake();
-            if (!wake)
+            // A look for something to fold comes again and again; only nearer work is waited for.
+            if (!wake || *wake > now + Seconds(2))
                 return;
             now = std::max(now, *wake);
             shard.wake(now, out);
@@ -184,6 +187,88 @@
     }
 }
 
+TEST_CASE("old segments are folded into sums")
+{
+    MemoryStore memory;
+    LedgerShardSettings settings;
+    settings.segmentBytes = 300;
+    settings.fold = { Seconds(100), Seconds(1000) };
+    ShardRunner writer(memory, "writer/1", settings);
+    auto at = [&](LedgerRecord record) {
+        record.at = writer.now;
+        return record;
+    };
+    AppendTicket ticket = 0;
+    writer.append(++ticket, at(claim("call", "r1")));
+    writer.append(++ticket, at({ "call", {}, Outcome { .status = 201, .body = "done", .bill = Bill { { "team" }, 100, 0, 0, {} } } }));
+    for (int n = 0; n < 60; ++n)
+        writer.append(++ticket, at(bill("b" + std::to_string(n), 1)));
+    auto segments = [&] {
+        std::size_t n = 0;
+        memory.call({ .operation = StoreOperation::List, .key = "ledger/00/" }, [&](const StoreReply& it) { n = it.items.size(); });
+        return n;
+    };
+    auto costFor = [&](const char* name) {
+        ShardRunner reader(memory, name, settings);
+        reader.now = writer.now;
+        reader.append(1, { "probe", reader.now, SessionPin { { "v" }, 0 } });
+        return reader.shard.index().totals().at({ "team" }).cost;
+    };
+    auto before = segments();
+    std::string sizes;
+    memory.call({ .operation = StoreOperation::List, .key = "ledger/00/" }, [&](const StoreReply& it) {
+        for (const auto& item : it.items)
+            sizes += item.key + "=" + std::to_string(item.value.size()) + " ";
+    });
+    INFO(sizes);
+    REQUIRE(before > 3);
+    CHECK(costFor("first/1") == 160);
+    auto old = at(bill("b60", 1));
+    writer.append(++ticket, old);
+    auto keyed = at(bill(billKeyForCaller({ "team" }, "own"), 1));
+    writer.append(++ticket, keyed);
+    writer.now += Seconds(200);
+    // What loses its way at any step of the fold is made good by the next one.
+    auto lost = GENERATE(0, 1, 2, 3);
+    writer.swapsLost = lost == 1 || lost == 3 ? 1 : 0;
+    writer.repliesLost = lost >= 2 ? 2 : 0;
+    for (int n = 0; n < 4; ++n) {
+        writer.append(++ticket, at(bill("late" + std::to_string(n), 1)));
+        writer.now += Seconds(20);
+    }
+    writer.append(++ticket, at(bill("last", 1)));
+    CHECK(segments() < before);
+    CHECK(writer.shard.index().totals().at({ "team" }).cost == 167);
+    CHECK(costFor("second/1") == 167);
+
+    SECTION("a copy of a folded bill counts no more")
+    {
+        writer.append(++ticket, old);
+        CHECK_FALSE(writer.results[ticket].ec);
+        CHECK(costFor("third/1") == 167);
+    }
+    SECTION("nor does a later request under a key of its caller's")
+    {
+        keyed.at = writer.now;
+        writer.append(++ticket, keyed);
+        CHECK(costFor("third/1") == 167);
+    }
+    SECTION("the outcome of a call is still found, and after the window it is not")
+    {
+        writer.append(++ticket, at(claim("call", "r2")));
+        REQUIRE(writer.results[ticket].existing);
+        CHECK(std::get<Outcome>(writer.results[ticket].existing->entry).body == "done");
+        writer.now += Seconds(2000);
+        for (int n = 0; n < 30; ++n) {
+            writer.append(++ticket, at(bill("more" + std::to_string(n), 1)));
+            writer.now += Seconds(20);
+        }
+        writer.append(++ticket, at(claim("call", "r3")));
+        CHECK_FALSE(writer.results[ticket].ec);
+        CHECK(costFor("fourth/1") == 197);
+    }
+}
+
 TEST_CASE("a busy shard keeps the store's budget of writes")
 {
     MemoryStore memory;
--- a/test/fakes/simulated_site.cpp
+++ b/test/fakes/simulated_site.cpp
@@ -705,6 +705,8 @@
 {
     std::vector<LedgerRecord> all;
     for (auto it = store.items.lower_bound("ledger/"); it != store.items.end() && absl::StartsWith(it->first, "ledger/"); ++it) {
+        if (absl::EndsWith(it->first, "!totals"))
+            continue;
         auto batches = decodeSegment(it->second.value);
         if (!batches)
             throw CallerError("damaged segment " + it->first);
