Count as given only what got a place, so that refusals come at once

Cause, found by the cases under load: half of the refusals of a flood came after 18.9 s (first in, first out: at once). The work 'given' to a rank, from which the expected wait is reckoned, was counted when a request was taken from the queue, also when it was put back or given up; the wait looked short, too much was let in and expired.

Ruled out: the speed of a place (right after the first answers), the margin on the wait.

Change: work counts as given when the attempt starts.

Conclusion: what is still late is overtaken by more urgent work after it was let in.

--- a/src/core/admission.cpp
+++ b/src/core/admission.cpp
@@ -150,10 +150,12 @@
     auto* rank = chooseRank(pool);
     if (!rank)
         return std::nullopt;
-    auto request = takeByTurns(*rank);
-    if (request)
-        rank->given += request->work;
-    return request;
+    return takeByTurns(*rank);
+}
+
+void Admission::started(const WaitingRequest& request)
+{
+    rankQueue(request).given += request.work;
 }
 
 bool Admission::remove(const PoolId& id, const RequestId& request)
--- a/src/core/admission.h
+++ b/src/core/admission.h
@@ -45,6 +45,8 @@
     // Puts a request back at the head of its team's queue, after a place that came to nothing.
     void putBack(const WaitingRequest&);
     std::optional<WaitingRequest> next(const PoolId&, TimePoint);
+    // The request got its place. Only this counts as given to its rank: one that was put back or given up got nothing.
+    void started(const WaitingRequest&);
     bool remove(const PoolId&, const RequestId&);
     // Takes out the requests that can not start in time any more.
     std::vector<WaitingRequest> takeExpired(TimePoint);
--- a/src/core/dispatcher.cpp
+++ b/src/core/dispatcher.cpp
@@ -202,6 +202,7 @@
         state->flow->attemptEnded(*state, std::move(none), now, out);
         return Start::Answered;
     }
+    m_parts.admission.started(waiting);
     send(*state, *upstream, now, out);
     return Start::Started;
 }
--- a/test/correctness/admission_test.cpp
+++ b/test/correctness/admission_test.cpp
@@ -20,7 +20,11 @@
 TEST_CASE("waiting requests get places in the order of rank and team")
 {
     Admission admission;
-    auto next = [&] { return admission.next(pool, start)->request.value; };
+    auto next = [&] {
+        auto request = *admission.next(pool, start);
+        admission.started(request);
+        return request.request.value;
+    };
 
     SECTION("the most urgent rank goes first")
     {
@@ -100,12 +104,19 @@
         admission.enqueue(later);
         CHECK(admission.expectedWait(later, 1000, start) == Approx(1));
     }
+    SECTION("what was taken and given up or put back was not given")
+    {
+        auto now = start + Seconds(3);
+        for (int n = 0; n < 20; ++n)
+            admission.putBack(*admission.next(pool, now));
+        CHECK(admission.expectedWait(waiting("x", 0, "a", 100, 0), 1000, now) > 100);
+    }
     SECTION("a rank that has waited for long is reckoned by what it was given")
     {
         admission.enqueue(later);
         auto now = start + Seconds(3);
         for (int n = 0; n < 20; ++n)
-            admission.next(pool, now);
+            admission.started(*admission.next(pool, now));
         // 2,000 tokens in the last moments, over a memory of 2 s, are 1,000 tokens a second; 8,000 wait.
         CHECK(admission.expectedWait(waiting("x", 0, "a", 100, 0), 100000, now) == Approx(8).epsilon(0.1));
     }
