--- a/test/fakes/simulated_site.cpp
+++ b/test/fakes/simulated_site.cpp
@@ -34,6 +34,12 @@
     return names[static_cast<int>(step)];
 }
 
+const char* nameOf(ConfigurationStep step)
+{
+    const char* names[] = { "read", "swapped", "answered", "spread", "in force everywhere" };
+    return names[static_cast<int>(step)];
+}
+
 bool CallerView::succeeded() const
 {
     if (request.streamed)
@@ -197,10 +203,7 @@
     }
     Outbox out;
     entry.router->handle(std::move(event), m_now, out);
-    if (entry.router->keeper().revision() != entry.revision) {
-        entry.revision = entry.router->keeper().revision();
-        inForce.push_back({ n, entry.revision, m_now });
-    }
+    noteInForce(n);
     for (auto& it : out)
         carryOut(n, std::move(it));
     if (entry.router && entry.router->drained(m_now)) {
@@ -248,6 +251,31 @@
         });
 }
 
+void SimulatedSite::step(ConfigurationStep step)
+{
+    if (onConfigurationStep)
+        after(Milliseconds(0), [this, step] {
+            if (onConfigurationStep)
+                onConfigurationStep(step);
+        });
+}
+
+void SimulatedSite::noteInForce(std::size_t n)
+{
+    auto& entry = m_entries[n];
+    if (entry.router->keeper().revision() == entry.revision)
+        return;
+    entry.revision = entry.router->keeper().revision();
+    inForce.push_back({ n, entry.revision, m_now });
+    if (entry.revision < 2)
+        return;
+    auto reached = std::count_if(m_entries.begin(), m_entries.end(), [](const auto& it) { return it.revision >= 2; });
+    if (reached == 2)
+        step(ConfigurationStep::Spread);
+    if (reached == static_cast<std::ptrdiff_t>(m_entries.size()))
+        step(ConfigurationStep::InForceEverywhere);
+}
+
 std::size_t SimulatedSite::send(std::size_t entry, CallerRequest request)
 {
     request.id = { "r" + std::to_string(++m_lastRequest) };
@@ -452,8 +480,10 @@
         store.items[call.key] = { call.key, call.value, ++store.revision };
         ++store.swaps;
         reply.items.push_back({ call.key, {}, store.revision });
-        if (call.key == "config/current")
+        if (call.key == "config/current") {
             newestDocument = *decodeDocument(call.value);
+            step(ConfigurationStep::Swapped);
+        }
         stepsOfSwap(call, true);
         wakeWatches(call.key);
         break;
@@ -477,6 +507,8 @@
     note(entry, absl::StrCat("store > ", names[static_cast<int>(call.operation)], " ", call.key));
     if (call.operation == StoreOperation::Swap)
         stepsOfSwap(call, false);
+    if (call.operation == StoreOperation::Get && call.key == "config/current")
+        step(ConfigurationStep::Read);
     bool reachable = !store.down && !m_entries[entry].storeCut;
     if (!reachable)
         return deliverAfter(call.timeout, entry, incarnation, StoreReply { call.call, StoreStatus::Unavailable, {} });
@@ -538,6 +570,7 @@
 {
     note(entry, absl::StrCat("operator < edit ", answer.ticket, " ", answer.ec ? answer.ec.message() : "accepted", " revision ", answer.revision));
     edits.push_back(answer);
+    step(ConfigurationStep::Answered);
 }
 
 void SimulatedSite::on(std::size_t entry, const StateChanged& change)
--- a/test/fakes/simulated_site.h
+++ b/test/fakes/simulated_site.h
@@ -26,6 +26,15 @@
 
 const char* nameOf(Step);
 
+// Points on the way of an edit of the configuration.
+enum class ConfigurationStep { Read,
+    Swapped,
+    Answered,
+    Spread,
+    InForceEverywhere };
+
+const char* nameOf(ConfigurationStep);
+
 // What a caller sent and saw of one request.
 struct CallerView {
     std::size_t entry = 0;
@@ -128,6 +137,8 @@
     // Calls back at each step of the watched request.
     std::function<void(Step)> onStep;
     RequestId watched;
+    // Calls back at each step of the first edit.
+    std::function<void(ConfigurationStep)> onConfigurationStep;
 
     SimulatedStore store;
     std::map<UpstreamId, SimulatedUpstream> upstreams;
@@ -201,6 +212,8 @@
     void deliverAfter(Milliseconds, std::size_t entry, std::uint64_t incarnation, Event);
     void scheduleWake(std::size_t entry);
     void step(Step, const RequestId&);
+    void step(ConfigurationStep);
+    void noteInForce(std::size_t entry);
     void note(std::size_t entry, const std::string& line);
 
     void carryOut(std::size_t entry, Action);
--- /dev/null
+++ b/test/matrix/configuration_matrix_test.cpp
@@ -0,0 +1,87 @@
+// Every fault at every step of an edit of the configuration.
+
+#include "matrix/fault_table.h"
+#include "matrix/site_checks.h"
+
+#include <catch2/catch.hpp>
+#include <cstdio>
+
+using namespace skylarkhitch;
+
+namespace {
+
+constexpr int steps = 5;
+constexpr Seconds changeBound { 16 };
+
+struct EditRun {
+    bool struck = false;
+    std::unique_ptr<SimulatedSite> site;
+};
+
+EditRun runEdit(const Fault& fault, ConfigurationStep at, std::uint64_t seed)
+{
+    EditRun run;
+    run.site = std::make_unique<SimulatedSite>(SimulatedSite::Options { .entries = 3, .seed = seed });
+    auto& site = *run.site;
+    site.run(Milliseconds(3000));
+    FaultPlace place { static_cast<std::size_t>(seed % 3) };
+    site.watched = { "r1" };
+    site.onConfigurationStep = [&](ConfigurationStep step) {
+        if (run.struck || step != at)
+            return;
+        run.struck = true;
+        fault.strike(site, place);
+    };
+    site.edit(place.entry, sampleConfiguration() + "rollouts:\n  small: { from: small-1, to: small-2, share: 1 }\n", 1);
+    site.run(Milliseconds(25000));
+    site.onConfigurationStep = nullptr;
+    for (std::size_t n = 0; n < 3; ++n)
+        site.restart(n);
+    site.run(changeBound + Seconds(4));
+    return run;
+}
+
+// What must hold of edits besides the invariants of every site.
+std::string checkEdit(SimulatedSite& site)
+{
+    std::string failures;
+    for (const auto& it : checkSite(site))
+        failures += it.invariant + ": " + it.what + "; ";
+    for (const auto& it : site.edits) {
+        bool accepted = !it.ec;
+        bool inHistory = false;
+        for (const auto& note : site.newestDocument.history)
+            inHistory = inHistory || note.editId == "edit-" + std::to_string(it.ticket);
+        if (accepted && !inHistory)
+            failures += "an accepted edit is lost; ";
+        if (kindOf(it.ec) == ErrorKind::EditConflict && inHistory)
+            failures += "an edit that took effect was answered as a conflict; ";
+    }
+    for (std::size_t n = 0; n < 3; ++n) {
+        if (site.alive(n) && site.router(n).keeper().revision() != site.newestDocument.revision)
+            failures += "entry " + std::to_string(n) + " is at revision " + std::to_string(site.router(n).keeper().revision()) + " of " + std::to_string(site.newestDocument.revision) + "; ";
+    }
+    return failures;
+}
+
+}
+
+TEST_CASE("every fault at every step of an edit leaves one configuration in force everywhere")
+{
+    int run = 0;
+    int notRun = 0;
+    int failing = 0;
+    for (const auto& fault : faultTable()) {
+        for (int step = 0; step < steps; ++step) {
+            for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+                auto result = runEdit(fault, static_cast<ConfigurationStep>(step), seed);
+                ++(result.struck ? run : notRun);
+                auto failures = checkEdit(*result.site);
+                failing += failures.empty() ? 0 : 1;
+                INFO(fault.name << " at '" << nameOf(static_cast<ConfigurationStep>(step)) << "' seed " << seed << ": " << failures);
+                CHECK(failures.empty());
+            }
+        }
+    }
+    std::printf("configuration matrix: %d cells run, %d not run, %d failing\n", run, notRun, failing);
+}
--- a/tools/measure-daemon.sh
+++ b/tools/measure-daemon.sh
@@ -58,7 +58,9 @@
 echo "chat, 1 connection, bare:           $(load -a "$engine" -c 1 -n 2000)"
 echo "chat, 1 connection, through:        $(load -a "$caller" -c 1 -n 2000)"
 echo "stream of 16, 8 connections, bare:    $(load -a "$engine" --stream --tokens 16 -c 8 -n 2000)"
+before=$(cpu)
 echo "stream of 16, 8 connections, through: $(load -a "$caller" --stream --tokens 16 -c 8 -n 2000)"
+echo "  daemon's processor seconds for 32000 tokens: $(awk -v a="$before" -v b="$(cpu)" 'BEGIN { print b - a }')"
 for n in 16 64; do
     before=$(cpu)
     echo "status calls, $n connections, bare:    $(load -a "$service" --method GET --path /x -c "$n" -n 40000)"
