--- a/src/adapters/http_server.cpp
+++ b/src/adapters/http_server.cpp
@@ -24,7 +24,7 @@
     // Taken for each stream as long as it is open; one event of an engine is a few hundred bytes.
     constexpr std::size_t streamBlock = std::size_t { 2 } * 1024;
     // Taken for each connection; bounds the head of a request.
-    constexpr std::size_t connectionMemory = std::size_t { 12 } * 1024;
+    constexpr std::size_t connectionMemory = std::size_t { 8 } * 1024;
     constexpr Milliseconds leaveCheckPeriod { 200 };
 
     class Reply;
--- a/src/config/parse_configuration.cpp
+++ b/src/config/parse_configuration.cpp
@@ -14,9 +14,9 @@
 
     const Field<Rank> rankFields[] = {
         { "order", &Rank::order, "-", { 0, 100 }, true, "place among the ranks; 0 is the most urgent" },
-        { "first_token_target_ms", &Rank::firstTokenTarget, "ms", anyDuration, false, "target for the first token" },
+        { "first_token_target_ms", &Rank::firstTokenTarget, "ms", anyDuration, false, "target for the first token; for reports, no decision uses it yet" },
         { "deadline_ms", &Rank::deadline, "ms", anyDuration, false, "deadline of a request that states none" },
-        { "worth", &Rank::worth, "-", { 0, 1e6 }, false, "worth of a request that met its target, for reports" },
+        { "worth", &Rank::worth, "-", { 0, 1e6 }, false, "worth of a request that met its target; for reports, no decision uses it yet" },
         { "guaranteed_share", &Rank::guaranteedShare, "share", share, false, "part of the capacity that floods of other ranks can not take" },
     };
 
@@ -60,14 +60,14 @@
         { "service", &Upstream::service, "service", {}, false, "service that it is an instance of" },
         { "slots", &Upstream::slots, "requests", { 1, 10000 }, false, "requests that it runs at the same time" },
         { "tokens_per_second", &Upstream::tokensPerSecond, "1/s", { 0.1, 1e6 }, false, "tokens generated for one request" },
-        { "checks_fencing", &Upstream::checksFencing, "-", {}, false, "whether it refuses orders with an old fencing number" },
+        { "checks_fencing", &Upstream::checksFencing, "-", {}, false, "whether it refuses orders with an old fencing number; no orders are sent yet" },
     };
 
     const Field<Rollout> rolloutFields[] = {
         { "from", &Rollout::from, "version", {}, true, "version that is replaced" },
         { "to", &Rollout::to, "version", {}, true, "version that replaces it" },
         { "share", &Rollout::share, "share", share, false, "part of the new sessions on the new version" },
-        { "held", &Rollout::held, "-", {}, false, "true: the stage is not to be advanced" },
+        { "held", &Rollout::held, "-", {}, false, "true: the tool does not advance the stage" },
     };
 
     const Field<Limits> limitFields[] = {
--- a/src/core/membership.cpp
+++ b/src/core/membership.cpp
@@ -31,12 +31,14 @@
     return true;
 }
 
-void Membership::wake(TimePoint now, Outbox& out)
+std::vector<InstanceId> Membership::wake(TimePoint now, Outbox& out)
 {
+    std::vector<InstanceId> removed;
     for (auto it = m_members.begin(); it != m_members.end();) {
         auto silence = now - it->second.heardAt;
         if (silence >= m_settings.removeAfter) {
             out.push_back(StateChanged { "member", it->first.value, "removed" });
+            removed.push_back(it->first);
             it = m_members.erase(it);
             continue;
         }
@@ -46,12 +48,14 @@
         }
         ++it;
     }
+    return removed;
 }
 
 void Membership::expect(const std::vector<InstanceId>& ids)
 {
     m_expected = ids;
     std::erase(m_expected, m_self.instance);
+    m_listed = true;
 }
 
 std::vector<InstanceId> Membership::unheard() const
@@ -107,11 +111,4 @@
     return static_cast<double>(heard) / static_cast<double>(known.size());
 }
 
-bool Membership::peersReachStore() const
-{
-    return std::any_of(m_members.begin(), m_members.end(), [](const auto& it) {
-        return it.second.state != MemberState::Suspected && it.second.heartbeat.storeReachable;
-    });
-}
-
 }
--- a/src/core/membership.h
+++ b/src/core/membership.h
@@ -33,11 +33,13 @@
     // Takes a heartbeat; false if it is older than one already taken.
     bool heard(const Incarnation&, const Heartbeat&, TimePoint, Outbox&);
 
-    // Moves silent members on.
-    void wake(TimePoint, Outbox&);
+    // Moves silent members on; returns those that were removed.
+    std::vector<InstanceId> wake(TimePoint, Outbox&);
 
     // Names the instances that the platform lists; heartbeats go to them before they were ever heard.
     void expect(const std::vector<InstanceId>&);
+    // Whether the platform's list was read at all: before that nobody knows who is missing.
+    bool listed() const { return m_listed; }
     // Listed instances of which nothing was heard, or nothing lately enough.
     std::vector<InstanceId> unheard() const;
 
@@ -49,8 +51,6 @@
     std::vector<InstanceId> peersInOtherDomains(const std::string& key) const;
     // Part of the other known instances that was heard lately, 0 to 1; 1 when there is no other.
     double heardShare() const;
-    // Whether any heard peer says that the store can be reached.
-    bool peersReachStore() const;
 
     const std::map<InstanceId, Member>& members() const { return m_members; }
     const Incarnation& self() const { return m_self; }
@@ -65,6 +65,7 @@
     MembershipSettings m_settings;
     std::map<InstanceId, Member> m_members;
     std::vector<InstanceId> m_expected;
+    bool m_listed = false;
 };
 
 }
--- a/src/core/peer_message.cpp
+++ b/src/core/peer_message.cpp
@@ -70,7 +70,7 @@
             Json demands = Json::array();
             for (const auto& demand : it.demands)
                 demands.push_back(Json::array({ demand.pool, demand.rankOrder, demand.team.value, demand.requests }));
-            return Json::array({ it.domain.value, it.entryAddress, it.peerAddress, it.revision, it.leaving, it.storeReachable, it.sequence,
+            return Json::array({ it.domain.value, it.entryAddress, it.revision, it.leaving, it.storeReachable, it.sequence,
                 upstreams, versions, crashes, demands });
         }
         Json operator()(const AppendRequest& it) const { return Json::array({ it.ticket, it.shard, binary(encodeRecord(it.record)) }); }
@@ -86,14 +86,14 @@
 
     Heartbeat heartbeatFrom(const Json& json)
     {
-        Heartbeat beat { DomainId { json.at(0) }, json.at(1), json.at(2), json.at(3), json.at(4), json.at(5), json.at(6), {}, {}, {}, {} };
-        for (const auto& it : json.at(7))
+        Heartbeat beat { DomainId { json.at(0) }, json.at(1), json.at(2), json.at(3), json.at(4), json.at(5), {}, {}, {}, {} };
+        for (const auto& it : json.at(6))
             beat.upstreams[UpstreamId { it.at(0) }] = { it.at(1), it.at(2), it.at(3), it.at(4) };
-        for (const auto& it : json.at(8))
+        for (const auto& it : json.at(7))
             beat.versions[VersionId { it.at(0) }] = { it.at(1), it.at(2), it.at(3), it.at(4) };
-        for (const auto& it : json.at(9))
+        for (const auto& it : json.at(8))
             beat.crashes[it.at(0)] = it.at(1);
-        for (const auto& it : json.at(10))
+        for (const auto& it : json.at(9))
             beat.demands.push_back({ it.at(0), it.at(1), TeamId { it.at(2) }, it.at(3) });
         return beat;
     }
--- a/src/core/peer_message.h
+++ b/src/core/peer_message.h
@@ -65,7 +65,6 @@
 struct Heartbeat {
     DomainId domain;
     std::string entryAddress;
-    std::string peerAddress;
     Revision revision = 0;
     bool leaving = false;
     bool storeReachable = true;
--- a/src/core/router.cpp
+++ b/src/core/router.cpp
@@ -119,6 +119,11 @@
         m_requests.refuse(state, ErrorKind::InstanceDraining, "this instance is stopping; ask GET /v1/entry for another", now, out);
         return false;
     }
+    auto mostBytes = static_cast<std::size_t>(m_parts.configuration().limits.maxBodyBytes);
+    if (state.request.body && state.request.body->size() > mostBytes) {
+        m_requests.refuse(state, ErrorKind::RequestTooLarge, "the body is larger than limits.max_body_bytes allows", now, out);
+        return false;
+    }
     return findTeam(state, now, out) && findRank(state, now, out);
 }
 
@@ -274,7 +279,10 @@
 
 void Router::on(const TimerFired&, TimePoint now, Outbox& out)
 {
-    m_membership.wake(now, out);
+    for (const auto& gone : m_membership.wake(now, out)) {
+        m_upstreams.forget(gone);
+        m_dispatcher.demandsChanged();
+    }
     m_keeper.wake(now, out);
     m_ledger.wake(now, out);
     checkCutOff(now, out);
--- a/src/core/session_pins.h
+++ b/src/core/session_pins.h
@@ -14,7 +14,6 @@
     const SessionPin* find(const std::string& key) const;
     // Keeps a pin unless a higher generation is known.
     void learn(const std::string& key, const SessionPin&);
-    std::size_t size() const { return m_pins.size(); }
 
 private:
     // Pins kept before the oldest are dropped; about 150 bytes each.
--- a/src/core/upstream_table.cpp
+++ b/src/core/upstream_table.cpp
@@ -121,16 +121,6 @@
     return slots;
 }
 
-double UpstreamTable::nominalRate(const UpstreamNeed& need, TimePoint now) const
-{
-    double rate = 0;
-    for (const auto& id : candidates(need, now, false)) {
-        const auto& state = m_states.at(id);
-        rate += state.limit * state.settings->tokensPerSecond;
-    }
-    return rate;
-}
-
 void UpstreamTable::attemptStarted(const UpstreamId& id)
 {
     ++m_states[id].own;
@@ -247,12 +237,6 @@
     return it != m_states.end() && (it->second.leavingByWord || it->second.leavingByList);
 }
 
-std::int64_t UpstreamTable::inFlight(const UpstreamId& id) const
-{
-    auto it = m_states.find(id);
-    return it == m_states.end() ? 0 : it->second.own;
-}
-
 std::int64_t UpstreamTable::inFlightOn(const VersionId& version) const
 {
     auto pool = m_pools.find(poolKey(version, {}));
--- a/src/core/upstream_table.h
+++ b/src/core/upstream_table.h
@@ -56,15 +56,13 @@
     void listed(const std::vector<ListedInstance>&, Outbox&);
     // Takes a peer's counters; returns the upstreams on which it saw new cuts.
     std::vector<UpstreamId> learn(const InstanceId& from, const std::map<UpstreamId, UpstreamCounters>&);
+    // A peer is gone; what it had in flight counts no more.
     void forget(const InstanceId&);
 
     const std::map<UpstreamId, UpstreamCounters>& own() const { return m_own; }
     // Places of all usable upstreams of a pool.
     double usableSlots(const UpstreamNeed&, TimePoint) const;
-    // Work a second that the usable upstreams of a pool can do together by their settings.
-    double nominalRate(const UpstreamNeed&, TimePoint) const;
     bool leaving(const UpstreamId&) const;
-    std::int64_t inFlight(const UpstreamId&) const;
     // Requests of this instance in flight on all upstreams of a version.
     std::int64_t inFlightOn(const VersionId&) const;
 
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -84,10 +84,13 @@
         void start()
         {
             m_control.start([this](Action action) { std::visit([this](auto&& it) { carryOut(std::forward<decltype(it)>(it)); }, std::move(action)); });
-            if (m_node.platform == "memory")
+            if (m_node.platform == "memory") {
+                // Nobody else is there.
+                m_control.post(InstancesListed {});
                 adoptFile();
-            else
+            } else {
                 addPeers();
+            }
             m_operatorServer = std::make_unique<HttpServer>(HttpServerSettings { .listen = m_node.operatorListen, .maxBodyBytes = mostBodyBytes, .maxConnections = 64 },
                 [this](const HttpRequest& request, const std::shared_ptr<HttpReply>& reply) { m_operators->serve(request, reply); });
             m_poller = std::make_unique<PlatformPoller>(PollerSettings { m_node.platform == "memory" ? "" : m_node.platform, m_node.listPeriod, m_node.loadPeriod }, m_client, m_control, m_peers.get());
--- a/src/daemon/operator_api.cpp
+++ b/src/daemon/operator_api.cpp
@@ -104,6 +104,7 @@
             { "records_held", router.ledger().heldRecords() },
             { "members", membersJson(router) },
             { "unheard", unheardJson(router) },
+            { "instances_listed", router.membership().listed() },
             { "upstreams", upstreamsJson(router) },
             { "versions", versionsJson(router) },
         };
--- a/src/tool/config_commands.cpp
+++ b/src/tool/config_commands.cpp
@@ -18,6 +18,8 @@
     using Json = nlohmann::json;
 
     constexpr Milliseconds waitPeriod { 100 };
+    // Time for which nobody may be behind: longer than an instance takes to read the list and to hear of a new one.
+    constexpr Milliseconds settleTime { 1500 };
 
     std::string readFile(const std::string& path, std::vector<DocumentError>& errors)
     {
@@ -67,8 +69,10 @@
             if (it.at("revision").get<Revision>() < revision)
                 behind.push_back(absl::StrCat(it.at("instance").get<std::string>(), " (", it.at("state").get<std::string>(), ")"));
         }
+        if (!status.at("instances_listed").get<bool>())
+            behind.emplace_back("(the instance list was not read yet)");
         for (const auto& it : status.at("unheard"))
-            behind.push_back(it.get<std::string>() + " (not heard)");
+            behind.push_back(absl::StrCat(it.get<std::string>(), " (not heard)"));
         return behind;
     }
 
@@ -76,9 +80,12 @@
     {
         auto end = std::chrono::steady_clock::now() + Seconds(options.timeoutSeconds);
         auto behind = instancesBehind(client, revision);
-        while (!behind.empty() && std::chrono::steady_clock::now() < end) {
+        auto settledSince = std::chrono::steady_clock::now();
+        for (auto now = settledSince; now < end && now < settledSince + settleTime; now = std::chrono::steady_clock::now()) {
             std::this_thread::sleep_for(waitPeriod);
             behind = instancesBehind(client, revision);
+            if (!behind.empty())
+                settledSince = std::chrono::steady_clock::now();
         }
         if (behind.empty()) {
             std::cout << "revision " << revision << " is in force on every live instance\n";
@@ -138,7 +145,7 @@
             return;
         }
         for (const auto& [key, child] : json.items())
-            flatten(child, path.empty() ? key : path + "." + key, lines);
+            flatten(child, path.empty() ? key : absl::StrCat(path, ".", key), lines);
     }
 
 }
--- /dev/null
+++ b/test/correctness/router_test.cpp
@@ -0,0 +1,57 @@
+// What the core does as a whole, where no single module shows it.
+
+#include "fakes/simulated_site.h"
+
+#include <absl/strings/str_replace.h>
+#include <catch2/catch.hpp>
+
+using namespace skylarkhitch;
+
+namespace {
+
+SimulatedSite::Options patientSite()
+{
+    return { .entries = 2, .seed = 1, .configuration = absl::StrReplaceAll(sampleConfiguration(), { { "attempt_timeout_ms: 3000", "attempt_timeout_ms: 60000, max_body_bytes: 2000" } }) };
+}
+
+CallerRequest slowChat()
+{
+    auto request = chatRequest("small", false);
+    request.deadline = Seconds(60);
+    return request;
+}
+
+}
+
+TEST_CASE("an instance that is gone leaves its places to the others")
+{
+    SimulatedSite site(patientSite());
+    for (auto& [id, it] : site.upstreams)
+        it.extraDelay = Seconds(30);
+    site.run(Seconds(3));
+    // Two upstreams of eight places each serve the version.
+    for (int n = 0; n < 16; ++n)
+        site.send(1, slowChat());
+    site.run(Seconds(2));
+    REQUIRE(site.runs.size() == 16);
+    site.kill(1);
+    // Until what the upstreams still run for it has ended.
+    site.run(Seconds(70));
+    for (int n = 0; n < 16; ++n)
+        site.send(0, slowChat());
+    site.run(Seconds(3));
+    CHECK(site.runs.size() == 32);
+}
+
+TEST_CASE("a body over the site's bound is refused")
+{
+    SimulatedSite site(patientSite());
+    site.run(Seconds(3));
+    auto request = slowChat();
+    request.body = std::make_shared<const std::string>(2001, 'x');
+    auto caller = site.send(0, request);
+    site.run(Seconds(1));
+    CHECK(site.callers[caller].errorKind() == "request_too_large");
+    CHECK(site.callers[caller].errorRan() == "no");
+    CHECK(site.runs.empty());
+}
--- a/test/lessons.sh
+++ b/test/lessons.sh
@@ -6,32 +6,7 @@
 lessons=$(cd "$(dirname "$0")/../docs/lessons" && pwd)
 export PATH="$bin:$PATH"
 work=$(mktemp -d)
-pids=()
-finish() {
-    for it in "${pids[@]}"; do kill -TERM "$it" 2>/dev/null || true; done
-    wait 2>/dev/null || true
-    rm -rf "$work"
-}
-trap finish EXIT
-
-# Waits for the first line of a file.
-first_line() {
-    for _ in $(seq 200); do [ -s "$1" ] && break; sleep 0.05; done
-    head -1 "$1"
-}
-start_standin() {
-    "$bin/test/skylarkhitch-standin" "$@" >"$work/standin-${#pids[@]}" &
-    pids+=("$!")
-    address=127.0.0.1:$(first_line "$work/standin-$((${#pids[@]} - 1))")
-}
-start_instance() {
-    local out="$work/ready-${#pids[@]}"
-    skylarkhitchd --settings "$1" >"$out" 2>/dev/null &
-    pids+=("$!")
-    read -r _ CALLERS OPERATORS _ <<<"$(first_line "$out")"
-    CALLERS=${CALLERS#callers=} OPERATORS=${OPERATORS#operators=}
-    for _ in $(seq 200); do curl -sf "http://$CALLERS/readyz" >/dev/null && break; sleep 0.05; done
-}
+source "$(dirname "$0")/../tools/processes.sh"
 
 start_standin engine --version small-1; ENGINE=$address
 start_standin service; SERVICE=$address
--- a/tools/measure-daemon.sh
+++ b/tools/measure-daemon.sh
@@ -6,20 +6,11 @@
 tools/setup.sh release >/dev/null
 bin=$PWD/build/release
 work=$(mktemp -d)
-pids=()
-finish() { for it in "${pids[@]}"; do kill -TERM "$it" 2>/dev/null || true; done; wait 2>/dev/null || true; rm -rf "$work"; }
-trap finish EXIT
+source tools/processes.sh
 
-standin() {
-    local out="$work/standin-${#pids[@]}"
-    "$bin/test/skylarkhitch-standin" "$@" >"$out" &
-    pids+=("$!")
-    for _ in $(seq 100); do [ -s "$out" ] && break; sleep 0.05; done
-    port=$(head -1 "$out")
-}
-standin engine --version small-1 --per-token-ms 0 --slots 4000; engine=127.0.0.1:$port
-standin engine --version slow-1 --per-token-ms 200 --slots 4000; slow=127.0.0.1:$port
-standin service --threads 2; service=127.0.0.1:$port
+start_standin engine --version small-1 --per-token-ms 0 --slots 4000; engine=$address
+start_standin engine --version slow-1 --per-token-ms 200 --slots 4000; slow=$address
+start_standin service --threads 2; service=$address
 
 digest=$(printf key | sha256sum | cut -d' ' -f1)
 cat >"$work/base.yaml" <<YAML
@@ -42,12 +33,9 @@
 configuration_file: $work/base.yaml
 drain_grace_ms: 1
 YAML
-taskset -c 0,1 "$bin/skylarkhitchd" --settings "$work/entry.yaml" >"$work/ready" 2>/dev/null &
-daemon=$!
-pids+=("$daemon")
-for _ in $(seq 100); do grep -q '^ready' "$work/ready" && break; sleep 0.05; done
-read -r _ caller _ <"$work/ready"
-caller=${caller#callers=}
+start_instance "$work/entry.yaml" taskset -c 0,1
+daemon=${pids[-1]}
+caller=$CALLERS
 load() { taskset -c 2-5 "$bin/test/skylarkhitch-load" "$@"; }
 memory() { awk '/VmRSS/ { print $2 / 1024 " MB" }' "/proc/$daemon/status"; }
 cpu() { awk '{ print ($14 + $15) / 100 }' "/proc/$daemon/stat"; }
--- a/tools/quickstart.sh
+++ b/tools/quickstart.sh
@@ -7,27 +7,12 @@
 tools/setup.sh release
 bin=$PWD/build/release
 work=$(mktemp -d)
-pids=()
-finish() {
-    for it in "${pids[@]}"; do kill -TERM "$it" 2>/dev/null || true; done
-    for it in "${pids[@]}"; do wait "$it" 2>/dev/null || true; done
-    rm -rf "$work"
-}
-trap finish EXIT
+source tools/processes.sh
 
-# Starts a stand-in and puts its port into $port.
-standin() {
-    local out="$work/standin-${#pids[@]}"
-    "$bin/test/skylarkhitch-standin" "$@" >"$out" &
-    pids+=("$!")
-    for _ in $(seq 100); do [ -s "$out" ] && break; sleep 0.05; done
-    port=$(head -1 "$out")
-}
-
-standin platform; platform=127.0.0.1:$port
-standin engine --version small-1 --quality 600; small=127.0.0.1:$port
-standin engine --version large-1 --quality 900; large=127.0.0.1:$port
-standin service; orders=127.0.0.1:$port
+start_standin platform; platform=$address
+start_standin engine --version small-1 --quality 600; small=$address
+start_standin engine --version large-1 --quality 900; large=$address
+start_standin service; orders=$address
 
 digest=$(printf design-key | sha256sum | cut -d' ' -f1)
 cat >"$work/overlay.yaml" <<YAML
@@ -42,7 +27,7 @@
 YAML
 
 domains=(halle-a halle-b kontor)
-callers=() operators=() 
+callers=() operators=()
 for n in 0 1 2; do
     cat >"$work/entry-$n.yaml" <<YAML
 instance: entry-$n
@@ -54,13 +39,10 @@
 peer_secret: quick-start
 drain_grace_ms: 200
 YAML
-    "$bin/skylarkhitchd" --settings "$work/entry-$n.yaml" >"$work/ready-$n" 2>"$work/log-$n" &
-    pids+=("$!")
-    for _ in $(seq 100); do grep -q '^ready' "$work/ready-$n" && break; sleep 0.05; done
-    read -r _ caller operator peer <"$work/ready-$n"
-    callers+=("${caller#callers=}") operators+=("${operator#operators=}")
+    start_instance "$work/entry-$n.yaml"
+    callers+=("$CALLERS") operators+=("$OPERATORS")
     curl -sf -X POST "http://$platform/v1/instances" -o /dev/null \
-        -d "{\"id\":\"entry-$n\",\"role\":\"entry\",\"address\":\"${caller#callers=}\",\"peer_address\":\"${peer#peers=}\",\"state\":\"live\"}"
+        -d "{\"id\":\"entry-$n\",\"role\":\"entry\",\"address\":\"$CALLERS\",\"peer_address\":\"$PEERS\",\"state\":\"live\"}"
 done
 
 tool() { "$bin/skylarkhitch" --operator "${operators[0]}" "$@"; }
