--- a/src/core/router.h
+++ b/src/core/router.h
@@ -5,6 +5,7 @@
 
 #include "core/chat_flow.h"
 #include "core/entry_choice.h"
+#include "core/explain.h"
 #include "core/service_flow.h"
 
 namespace skylarkhitch {
@@ -37,6 +38,7 @@
     TimePoint nextWake(TimePoint) const;
 
     EntryAnswer chooseEntry(const EntryQuestion&) const;
+    std::vector<std::string> explain(const ExplainQuestion& question, TimePoint now) const { return explainRequest(m_parts, question, now); }
     // The team that a bearer key's digest belongs to, or null.
     const Team* teamByKey(const std::string& digest) const;
 
--- a/src/daemon/operator_api.cpp
+++ b/src/daemon/operator_api.cpp
@@ -172,6 +172,8 @@
         return serveEdit(request, reply);
     if (path == "/admin/bills" && isGet)
         return serveBills(reply);
+    if (path == "/admin/explain" && isGet)
+        return serveExplanation(request, reply);
     if (path == "/admin/drain" && request.method == "POST") {
         m_drain();
         return respondJson(*reply, 202, { { "draining", true } });
@@ -252,6 +254,14 @@
     respondJson(*reply, answerFor(kind).httpStatus, { { "result", answerFor(kind).name }, { "revision", answer.revision }, { "message", answer.message } });
 }
 
+void OperatorApi::serveExplanation(const HttpRequest& request, const std::shared_ptr<HttpReply>& reply)
+{
+    ExplainQuestion question { { request.queryValue("team") }, request.queryValue("target"), { request.queryValue("session") } };
+    m_control.ask([reply, question](Router& router, TimePoint now, Outbox&) {
+        respondJson(*reply, 200, { { "steps", router.explain(question, now) } });
+    });
+}
+
 void OperatorApi::serveBills(const std::shared_ptr<HttpReply>& reply)
 {
     StoreCall call { .operation = StoreOperation::List, .key = std::string(ledgerPrefix), .timeout = storeTimeout };
--- a/src/daemon/operator_api.h
+++ b/src/daemon/operator_api.h
@@ -22,6 +22,7 @@
     void serveMetrics(const std::shared_ptr<HttpReply>&);
     void serveConfiguration(const std::shared_ptr<HttpReply>&);
     void serveEdit(const HttpRequest&, const std::shared_ptr<HttpReply>&);
+    void serveExplanation(const HttpRequest&, const std::shared_ptr<HttpReply>&);
     void serveBills(const std::shared_ptr<HttpReply>&);
 
     ControlLoop& m_control;
--- a/src/tool/commands.cpp
+++ b/src/tool/commands.cpp
@@ -82,6 +82,18 @@
         return Exit::Ok;
     }
 
+    Exit explain(const ToolOptions& options, const Words& words)
+    {
+        auto answer = AdminClient(options.operatorAddress).get("/admin/explain?team=" + words[0] + "&target=" + words[1] + "&session=" + options.session).json;
+        if (options.json) {
+            std::cout << answer.dump(2) << "\n";
+            return Exit::Ok;
+        }
+        for (const auto& it : answer.at("steps"))
+            std::cout << it.get<std::string>() << "\n";
+        return Exit::Ok;
+    }
+
     Exit drainInstance(const ToolOptions& options, const Words&)
     {
         AdminClient(options.operatorAddress).post("/admin/drain", Json::object());
@@ -167,6 +179,7 @@
         { { "rollout", "advance" }, "MODEL SHARE", 2, 2, &rolloutAdvance, "change the share of a roll-out" },
         { { "rollout", "hold" }, "MODEL", 1, 1, &rolloutHold, "keep a roll-out at its share" },
         { { "rollout", "back" }, "MODEL", 1, 1, &rolloutBack, "give new sessions the old version again" },
+        { { "explain" }, "TEAM MODEL", 2, 2, &explain, "say where a request would land now, and why (--session)" },
         { { "drain" }, "", 0, 0, &drainInstance, "stop an instance without cutting a request" },
         { { "bills" }, "", 0, 0, &showBills, "sum the bills of each team" },
         { { "request", "chat" }, "MODEL TEXT", 2, 2, &sendChat, "send a chat request (--entry, --key, --stream, --session, --rank)" },
--- a/test/correctness/router_test.cpp
+++ b/test/correctness/router_test.cpp
@@ -55,3 +55,20 @@
     CHECK(site.callers[caller].errorRan() == "no");
     CHECK(site.runs.empty());
 }
+
+TEST_CASE("where a request would land is explained")
+{
+    SimulatedSite site(patientSite());
+    site.run(Seconds(3));
+    auto explained = [&](const char* team, const char* target) {
+        std::string all;
+        for (const auto& it : site.router(0).explain({ { team }, target }, site.now()))
+            all += it + "\n";
+        return all;
+    };
+    CHECK_THAT(explained("weavers", "small"), Catch::Contains("chosen for a new request: small-1"));
+    CHECK_THAT(explained("weavers", "draft"), Catch::Contains("quality target 0.7"));
+    CHECK_THAT(explained("guests", "large"), Catch::Contains("refused as not_allowed"));
+    CHECK_THAT(explained("guests", "none"), Catch::Contains("refused as unknown_target"));
+    CHECK_THAT(explained("nobody", "small"), Catch::Contains("no team is named 'nobody'"));
+}
