--- a/src/core/chat_flow.cpp
+++ b/src/core/chat_flow.cpp
@@ -157,7 +157,7 @@
 void ChatFlow::queue(RequestState& state, TimePoint now, Outbox& out)
 {
     UpstreamNeed need { .version = state.version, .tried = &state.tried };
-    m_dispatcher.enqueue(state, poolOf(state.version), need, static_cast<double>(state.request.maxTokens), now, out);
+    m_dispatcher.enqueue(state, poolOf(state.version), need, now, out);
 }
 
 std::optional<UpstreamNeed> ChatFlow::beforeAttempt(RequestState& state, TimePoint now, Outbox& out)
--- a/src/core/dispatcher.cpp
+++ b/src/core/dispatcher.cpp
@@ -25,11 +25,6 @@
     // Age at which this instance's part of a pool is worked out anew.
     constexpr Milliseconds sharePeriod { 50 };
 
-    double workOf(const CallerRequest& request)
-    {
-        return request.kind == CallKind::Chat ? static_cast<double>(request.maxTokens) : serviceWork;
-    }
-
     PoolId poolOf(const RequestState& state)
     {
         return state.request.kind == CallKind::Chat ? skylarkhitch::poolOf(state.version)
@@ -38,6 +33,11 @@
 
 }
 
+double workOf(const CallerRequest& request)
+{
+    return request.kind == CallKind::Chat ? static_cast<double>(request.maxTokens) : serviceWork;
+}
+
 PoolId poolOf(const VersionId& version) { return { "version/" + version.value }; }
 
 PoolId poolOf(const ServiceId& service) { return { "service/" + service.value }; }
@@ -133,8 +133,9 @@
     return std::chrono::duration_cast<Microseconds>(std::chrono::duration<double>(seconds));
 }
 
-void Dispatcher::enqueue(RequestState& state, const PoolId& pool, const UpstreamNeed& need, double work, TimePoint now, Outbox& out)
+void Dispatcher::enqueue(RequestState& state, const PoolId& pool, const UpstreamNeed& need, TimePoint now, Outbox& out)
 {
+    double work = workOf(state.request);
     const auto& configuration = m_parts.configuration();
     const auto& rank = configuration.ranks.at(state.rank);
     const auto& team = configuration.teams.at(state.team);
--- a/src/core/dispatcher.h
+++ b/src/core/dispatcher.h
@@ -16,7 +16,7 @@
     }
 
     // Puts a request into its pool's queue, or refuses it at once when its deadline can not be met.
-    void enqueue(RequestState&, const PoolId&, const UpstreamNeed&, double work, TimePoint, Outbox&);
+    void enqueue(RequestState&, const PoolId&, const UpstreamNeed&, TimePoint, Outbox&);
 
     // Starts every waiting request that finds a place.
     void run(TimePoint, Outbox&);
@@ -66,6 +66,9 @@
     bool m_sharesDirty = true;
 };
 
+// Expected work of a request in tokens, for the turns among teams and the expected wait.
+double workOf(const CallerRequest&);
+
 // The pool of a version's or a service's upstreams.
 PoolId poolOf(const VersionId&);
 PoolId poolOf(const ServiceId&);
--- a/src/core/explain.cpp
+++ b/src/core/explain.cpp
@@ -9,19 +9,6 @@
 
 namespace {
 
-    const char* nameOf(VersionHealth health)
-    {
-        switch (health) {
-        case VersionHealth::Healthy:
-            return "healthy";
-        case VersionHealth::Quarantined:
-            return "quarantined";
-        case VersionHealth::Probation:
-            break;
-        }
-        return "on probation";
-    }
-
     class Explainer {
     public:
         Explainer(const CoreParts& parts, const ExplainQuestion& question, TimePoint now)
@@ -69,7 +56,7 @@
             UpstreamNeed need { .version = version.id };
             auto places = static_cast<std::int64_t>(m_parts.upstreams.usableSlots(need, m_now));
             say("  version '", version.id.value, "': ", mayUse(team, version) ? "allowed" : "not allowed", version.withdrawn ? ", withdrawn" : "", ", ",
-                nameOf(m_parts.evidence.health(version.id)), ", mean rating ", m_parts.evidence.meanRating(version.id), ", ", places, " places on usable upstreams, up to ",
+                healthName(m_parts.evidence.health(version.id)), ", mean rating ", m_parts.evidence.meanRating(version.id), ", ", places, " places on usable upstreams, up to ",
                 m_question.maxTokens * version.costPerOutputToken, " millionths for ", m_question.maxTokens, " tokens");
         }
 
--- a/src/core/service_flow.cpp
+++ b/src/core/service_flow.cpp
@@ -9,8 +9,6 @@
 namespace {
 
     constexpr int mostAttempts = 3;
-    // Work of a call for the turns among teams, in tokens.
-    constexpr double callWork = 64;
     // Answers up to this many bytes are kept whole for a later call with the same key.
     constexpr std::size_t mostKeptBody = std::size_t { 16 } * 1024;
     // How often an outcome that another instance is to write is looked for.
@@ -118,7 +116,7 @@
 {
     ServiceId service { state.request.target };
     UpstreamNeed need { .service = service, .tried = &state.tried };
-    m_dispatcher.enqueue(state, poolOf(service), need, callWork, now, out);
+    m_dispatcher.enqueue(state, poolOf(service), need, now, out);
 }
 
 std::optional<UpstreamNeed> ServiceFlow::beforeAttempt(RequestState& state, TimePoint now, Outbox& out)
--- a/src/core/version_evidence.cpp
+++ b/src/core/version_evidence.cpp
@@ -14,6 +14,19 @@
 
 }
 
+const char* healthName(VersionHealth health)
+{
+    switch (health) {
+    case VersionHealth::Healthy:
+        return "healthy";
+    case VersionHealth::Quarantined:
+        return "quarantined";
+    case VersionHealth::Probation:
+        break;
+    }
+    return "probation";
+}
+
 void VersionEvidence::configure(const ConfigurationPtr& configuration)
 {
     for (const auto& [id, version] : configuration->versions) {
--- a/src/core/version_evidence.h
+++ b/src/core/version_evidence.h
@@ -32,6 +32,8 @@
     Quarantined,
     Probation };
 
+const char* healthName(VersionHealth);
+
 class VersionEvidence {
 public:
     explicit VersionEvidence(EvidenceSettings settings = {})
--- a/src/daemon/operator_api.cpp
+++ b/src/daemon/operator_api.cpp
@@ -29,19 +29,6 @@
         return "leaving";
     }
 
-    const char* nameOf(VersionHealth health)
-    {
-        switch (health) {
-        case VersionHealth::Healthy:
-            return "healthy";
-        case VersionHealth::Quarantined:
-            return "quarantined";
-        case VersionHealth::Probation:
-            break;
-        }
-        return "probation";
-    }
-
     Json membersJson(const Router& router)
     {
         Json members = Json::array();
@@ -82,7 +69,7 @@
             return versions;
         for (const auto& [id, it] : router.keeper().current()->versions)
             versions.push_back({ { "version", id.value }, { "model", it.model.value }, { "withdrawn", it.withdrawn },
-                { "health", nameOf(router.evidence().health(id)) }, { "mean_rating", router.evidence().meanRating(id) } });
+                { "health", healthName(router.evidence().health(id)) }, { "mean_rating", router.evidence().meanRating(id) } });
         return versions;
     }
 
