--- a/src/adapters/log.cpp
+++ b/src/adapters/log.cpp
@@ -2,23 +2,52 @@
 
 #include "core/check.h"
 
+#include <atomic>
+#include <boost/core/null_deleter.hpp>
 #include <boost/log/attributes/constant.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
+#include <boost/log/sinks/async_frontend.hpp>
+#include <boost/log/sinks/bounded_fifo_queue.hpp>
+#include <boost/log/sinks/text_ostream_backend.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/log/sources/severity_logger.hpp>
 #include <boost/log/support/date_time.hpp>
 #include <boost/log/utility/setup/common_attributes.hpp>
-#include <boost/log/utility/setup/console.hpp>
 #include <iostream>
-#include <mutex>
 
 namespace skylarkhitch {
 
 namespace {
 
+    namespace sinks = boost::log::sinks;
+
+    // Lines that wait for the writer: some seconds of a flood of requests.
+    constexpr std::size_t mostQueuedLines = 2048;
     constexpr const char* levelNames[] = { "debug", "info", "warning", "error" };
 
+    std::atomic<std::uint64_t> droppedLines = 0;
+
+    // Drops a line that finds the queue full.
+    struct DropAndCount {
+        template <typename Lock>
+        static bool on_overflow(const boost::log::record_view&, Lock&) // NOLINT(readability-identifier-naming): Boost.Log's name
+        {
+            ++droppedLines;
+            return false;
+        }
+        static void on_queue_space_available() { } // NOLINT(readability-identifier-naming): Boost.Log's name
+        static void interrupt() { }
+    };
+
+    using Sink = sinks::asynchronous_sink<sinks::text_ostream_backend, sinks::bounded_fifo_queue<mostQueuedLines, DropAndCount>>;
+
+    boost::shared_ptr<Sink>& sink()
+    {
+        static boost::shared_ptr<Sink> instance;
+        return instance;
+    }
+
     LogLevel levelFrom(const std::string& name)
     {
         for (int n = 0; n < 4; ++n) {
@@ -29,16 +58,21 @@
         return LogLevel::Info;
     }
 
-    // Quotes a value, so that a line stays one line.
-    std::string quoted(std::string_view text)
+    // Quotes a value where it needs it, so that a line stays one line.
+    void appendValue(std::string& line, std::string_view text)
     {
-        std::string result = "\"";
+        constexpr std::string_view plain = "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_.:/+";
+        if (!text.empty() && text.find_first_not_of(plain) == std::string_view::npos) {
+            line += text;
+            return;
+        }
+        line += '"';
         for (char c : text) {
             if (c == '"' || c == '\\')
-                result += '\\';
-            result += c == '\n' ? ' ' : c;
+                line += '\\';
+            line += static_cast<unsigned char>(c) < ' ' ? ' ' : c;
         }
-        return result + '"';
+        line += '"';
     }
 
     using Logger = boost::log::sources::severity_logger_mt<LogLevel>;
@@ -57,23 +91,72 @@
     return out << levelNames[static_cast<int>(level)];
 }
 
-void startLog(const std::string& level, const std::string& instance)
+void startLog(const std::string& level, const std::string& instance, LogTarget target)
 {
     namespace expr = boost::log::expressions;
-    auto least = levelFrom(level);
+    setLogLevel(level);
     boost::log::add_common_attributes();
     boost::log::core::get()->add_global_attribute("Instance", boost::log::attributes::constant<std::string>(instance));
-    boost::log::add_console_log(std::cerr,
-        boost::log::keywords::auto_flush = true,
-        boost::log::keywords::format = (expr::stream << "time=" << expr::format_date_time<boost::posix_time::ptime>("TimeStamp", "%Y-%m-%dT%H:%M:%S.%f")
-                                                     << " level=" << expr::attr<LogLevel>("Severity")
-                                                     << " instance=" << expr::attr<std::string>("Instance") << " " << expr::smessage));
-    boost::log::core::get()->set_filter(expr::attr<LogLevel>("Severity") >= least);
+    auto backend = boost::make_shared<sinks::text_ostream_backend>();
+    backend->add_stream(boost::shared_ptr<std::ostream>(target == LogTarget::StandardOutput ? &std::cout : &std::cerr, boost::null_deleter()));
+    backend->auto_flush(true);
+    sink() = boost::make_shared<Sink>(backend);
+    sink()->set_formatter(expr::stream << "time=" << expr::format_date_time<boost::posix_time::ptime>("TimeStamp", "%Y-%m-%dT%H:%M:%S.%f")
+                                       << " level=" << expr::attr<LogLevel>("Severity")
+                                       << " instance=" << expr::attr<std::string>("Instance") << " " << expr::smessage);
+    boost::log::core::get()->add_sink(sink());
+}
+
+void setLogLevel(const std::string& level)
+{
+    boost::log::core::get()->set_filter(boost::log::expressions::attr<LogLevel>("Severity") >= levelFrom(level));
+}
+
+void stopLog()
+{
+    if (!sink())
+        return;
+    boost::log::core::get()->remove_sink(sink());
+    sink()->stop();
+    sink()->flush();
+    sink().reset();
+}
+
+std::uint64_t droppedLogLines() { return droppedLines; }
+
+LogLine::LogLine(LogLevel level, std::string_view what)
+    : m_level(level)
+    , m_text("what=")
+{
+    m_text += what;
+}
+
+LogLine::~LogLine()
+{
+    BOOST_LOG_SEV(logger(), m_level) << m_text;
+}
+
+LogLine& LogLine::with(std::string_view name, std::string_view value)
+{
+    m_text += ' ';
+    m_text += name;
+    m_text += '=';
+    appendValue(m_text, value);
+    return *this;
+}
+
+LogLine& LogLine::with(std::string_view name, std::int64_t value)
+{
+    m_text += ' ';
+    m_text += name;
+    m_text += '=';
+    m_text += std::to_string(value);
+    return *this;
 }
 
 void logChange(LogLevel level, std::string_view what, std::string_view subject, std::string_view detail)
 {
-    BOOST_LOG_SEV(logger(), level) << "what=" << what << " subject=" << quoted(subject) << " detail=" << quoted(detail);
+    LogLine(level, what).with("subject", subject).with("detail", detail);
 }
 
 }
--- a/src/core/crash_guard.cpp
+++ b/src/core/crash_guard.cpp
@@ -9,22 +9,33 @@
     auto& trace = m_traces[fingerprint];
     ++trace.own;
     trace.at = now;
-    m_suspicions[upstream] = { fingerprint, now };
+    m_suspicions[upstream].push_back({ fingerprint, now });
 }
 
 void CrashGuard::stillUp(const UpstreamId& upstream, TimePoint askedAt)
 {
     auto it = m_suspicions.find(upstream);
-    if (it == m_suspicions.end() || askedAt <= it->second.at)
+    if (it == m_suspicions.end())
         return;
-    auto trace = m_traces.find(it->second.fingerprint);
-    if (trace != m_traces.end())
-        trace->second.own = std::max<std::int64_t>(0, trace->second.own - 1);
-    m_suspicions.erase(it);
+    std::erase_if(it->second, [&](const Suspicion& suspicion) {
+        if (askedAt <= suspicion.at)
+            return false;
+        auto trace = m_traces.find(suspicion.fingerprint);
+        if (trace != m_traces.end())
+            trace->second.own = std::max<std::int64_t>(0, trace->second.own - 1);
+        return true;
+    });
+    if (it->second.empty())
+        m_suspicions.erase(it);
 }
 
 void CrashGuard::learn(const InstanceId& from, const std::map<std::string, std::int64_t>& crashes, TimePoint now)
 {
+    // What the peer does not name any more it has taken back.
+    for (auto& [fingerprint, trace] : m_traces) {
+        if (!crashes.contains(fingerprint))
+            trace.peers.erase(from);
+    }
     for (const auto& [fingerprint, n] : crashes) {
         auto& trace = m_traces[fingerprint];
         trace.peers[from] = n;
@@ -61,6 +72,9 @@
 void CrashGuard::forget(TimePoint olderThan)
 {
     absl::erase_if(m_traces, [&](const auto& it) { return it.second.at < olderThan; });
+    for (auto& [upstream, suspicions] : m_suspicions)
+        std::erase_if(suspicions, [&](const Suspicion& it) { return it.at < olderThan; });
+    absl::erase_if(m_suspicions, [](const auto& it) { return it.second.empty(); });
 }
 
 }
--- a/src/core/crash_guard.h
+++ b/src/core/crash_guard.h
@@ -8,6 +8,7 @@
 #include <absl/container/flat_hash_map.h>
 #include <map>
 #include <string>
+#include <vector>
 
 namespace skylarkhitch {
 
@@ -35,12 +36,12 @@
         TimePoint at;
     };
     absl::flat_hash_map<std::string, Trace> m_traces;
-    // The newest suspicion on each upstream.
+    // A cut that an answer of the upstream may yet explain otherwise.
     struct Suspicion {
         std::string fingerprint;
         TimePoint at;
     };
-    absl::flat_hash_map<UpstreamId, Suspicion> m_suspicions;
+    absl::flat_hash_map<UpstreamId, std::vector<Suspicion>> m_suspicions;
 };
 
 }
--- a/src/core/error_kind.cpp
+++ b/src/core/error_kind.cpp
@@ -35,6 +35,7 @@
         ErrorAnswer { ErrorKind::InstanceDraining, "instance_draining", 503, 100ms },
         ErrorAnswer { ErrorKind::InstanceCutOff, "instance_cut_off", 503, 100ms },
         ErrorAnswer { ErrorKind::RequestCrashesUpstreams, "request_crashes_upstreams", 422, 600000ms },
+        ErrorAnswer { ErrorKind::RequestQuarantined, "request_quarantined", 503, 10000ms },
         ErrorAnswer { ErrorKind::EditConflict, "edit_conflict", 409, 0ms },
         ErrorAnswer { ErrorKind::NotConfigured, "not_configured", 503, 2000ms },
         ErrorAnswer { ErrorKind::Internal, "internal", 500, 0ms },
--- a/src/core/error_kind.h
+++ b/src/core/error_kind.h
@@ -34,6 +34,7 @@
     InstanceDraining,
     InstanceCutOff,
     RequestCrashesUpstreams,
+    RequestQuarantined,
     EditConflict,
     NotConfigured,
     Internal,
--- a/src/core/ids.h
+++ b/src/core/ids.h
@@ -39,6 +39,14 @@
 using SessionId = StrongId<struct SessionTag>;
 using RequestId = StrongId<struct RequestTag>;
 
+// The instance that wrote a record, in one of its lives.
+struct Incarnation {
+    InstanceId instance;
+    std::uint64_t number = 0;
+    friend bool operator==(const Incarnation&, const Incarnation&) = default;
+    friend auto operator<=>(const Incarnation&, const Incarnation&) = default;
+};
+
 // One try of a request on one upstream; unique within one incarnation of an instance.
 enum class AttemptId : std::uint64_t {};
 
--- a/src/core/ledger_record.h
+++ b/src/core/ledger_record.h
@@ -12,14 +12,6 @@
 
 namespace skylarkhitch {
 
-// The instance that wrote a record, in one of its lives.
-struct Incarnation {
-    InstanceId instance;
-    std::uint64_t number = 0;
-    friend bool operator==(const Incarnation&, const Incarnation&) = default;
-    friend auto operator<=>(const Incarnation&, const Incarnation&) = default;
-};
-
 // Written before a non-idempotent call is sent; the first one for a key wins.
 struct Claim {
     std::string bodyDigest;
--- /dev/null
+++ b/src/core/limits/repeat_budget.cpp
@@ -0,0 +1,33 @@
+#include "core/limits/repeat_budget.h"
+
+#include <algorithm>
+
+namespace skylarkhitch {
+
+void RepeatBudget::requestArrived(TimePoint now)
+{
+    forget(now);
+    m_requests.push_back(now);
+}
+
+bool RepeatBudget::take(std::size_t liveInstances, TimePoint now)
+{
+    forget(now);
+    auto headroom = m_settings.siteHeadroom / static_cast<double>(std::max<std::size_t>(1, liveInstances));
+    auto allowed = safety * (m_settings.ratio * static_cast<double>(m_requests.size()) + headroom);
+    if (static_cast<double>(m_repeats.size()) + 1 > allowed)
+        return false;
+    m_repeats.push_back(now);
+    return true;
+}
+
+void RepeatBudget::forget(TimePoint now)
+{
+    auto old = now - m_settings.window;
+    while (!m_requests.empty() && m_requests.front() < old)
+        m_requests.pop_front();
+    while (!m_repeats.empty() && m_repeats.front() < old)
+        m_repeats.pop_front();
+}
+
+}
--- /dev/null
+++ b/src/core/membership/store_mirror.cpp
@@ -0,0 +1,89 @@
+#include "core/membership/store_mirror.h"
+
+#include <set>
+
+namespace skylarkhitch {
+
+bool StoreMirror::take(const MirrorUpdate& update)
+{
+    if (update.revision <= m_revision && m_revision != 0)
+        return false;
+    if (update.isWhole)
+        replace(update);
+    else {
+        for (const auto& it : update.changes)
+            apply(it);
+    }
+    m_revision = update.revision;
+    return true;
+}
+
+MirrorUpdate StoreMirror::since(std::int64_t revision) const
+{
+    MirrorUpdate update { m_revision, false, {} };
+    if (revision > 0 && revision >= m_historyAfter) {
+        for (const auto& it : m_history) {
+            if (it.revision > revision)
+                update.changes.push_back(it);
+        }
+        return update;
+    }
+    update.isWhole = true;
+    for (const auto& [key, item] : m_items)
+        update.changes.push_back({ key, item.revision, item.value });
+    return update;
+}
+
+const StoreMirror::Item* StoreMirror::find(const std::string& key) const
+{
+    auto it = m_items.find(key);
+    return it == m_items.end() ? nullptr : &it->second;
+}
+
+void StoreMirror::apply(const StoreChange& change)
+{
+    if (change.revision <= m_revision)
+        return;
+    auto it = m_items.find(change.key);
+    // A full read may have shown this change already; peers still need it.
+    bool isNew = it == m_items.end() || it->second.revision < change.revision;
+    if (isNew && change.value) {
+        auto& item = m_items[change.key];
+        item = { *change.value, change.revision };
+        m_observer(change.key, &item);
+    } else if (isNew && it != m_items.end()) {
+        m_items.erase(it);
+        m_observer(change.key, nullptr);
+    }
+    m_history.push_back(change);
+    if (m_history.size() > mostHistory) {
+        m_historyAfter = m_history.front().revision;
+        m_history.pop_front();
+    }
+}
+
+void StoreMirror::replace(const MirrorUpdate& update)
+{
+    std::set<std::string> kept;
+    for (const auto& it : update.changes) {
+        kept.insert(it.key);
+        auto& item = m_items[it.key];
+        if (item.revision >= it.revision || !it.value)
+            continue;
+        item = { *it.value, it.revision };
+        m_observer(it.key, &item);
+    }
+    for (auto it = m_items.begin(); it != m_items.end();) {
+        if (kept.contains(it->first)) {
+            ++it;
+            continue;
+        }
+        auto key = it->first;
+        it = m_items.erase(it);
+        m_observer(key, nullptr);
+    }
+    m_history.clear();
+    m_historyAfter = update.revision;
+}
+
+}
--- /dev/null
+++ b/src/core/requests/event_stream.cpp
@@ -0,0 +1,61 @@
+#include "core/requests/event_stream.h"
+
+#include <absl/strings/numbers.h>
+#include <absl/strings/string_view.h>
+
+namespace skylarkhitch {
+
+namespace {
+
+    // The number in the event's "id" line, or nothing.
+    std::optional<std::int64_t> eventNumber(std::string_view event)
+    {
+        for (std::size_t start = 0; start < event.size();) {
+            auto end = event.find('\n', start);
+            auto line = event.substr(start, end - start);
+            if (line.substr(0, 3) == "id:") {
+                std::int64_t n = 0;
+                auto text = line.substr(3);
+                return absl::SimpleAtoi(absl::string_view(text.data(), text.size()), &n) ? std::optional(n) : std::nullopt;
+            }
+            start = end == std::string_view::npos ? event.size() : end + 1;
+        }
+        return std::nullopt;
+    }
+
+    // Length of the first event with the blank line that ends it, or 0 if it is not whole.
+    std::size_t firstEventLength(std::string_view bytes)
+    {
+        auto plain = bytes.find("\n\n");
+        auto withReturns = bytes.find("\r\n\r\n");
+        if (withReturns < plain)
+            return withReturns + 4;
+        return plain == std::string_view::npos ? 0 : plain + 2;
+    }
+
+}
+
+EventStream::Piece EventStream::feed(std::string_view bytes)
+{
+    m_rest.append(bytes);
+    Piece piece;
+    std::size_t start = 0;
+    for (;;) {
+        auto rest = std::string_view(m_rest).substr(start);
+        auto n = firstEventLength(rest);
+        if (n == 0)
+            break;
+        start += n;
+        auto number = eventNumber(rest.substr(0, n));
+        if (number && m_last && *number <= *m_last)
+            continue;
+        if (number)
+            m_last = number;
+        piece.bytes.append(rest.substr(0, n));
+        ++piece.events;
+    }
+    m_rest.erase(0, start);
+    return piece;
+}
+
+}
--- /dev/null
+++ b/src/core/routing/upstream_board.cpp
@@ -0,0 +1,182 @@
+#include "core/routing/upstream_board.h"
+
+#include "core/hashing.h"
+
+#include <algorithm>
+
+namespace skylarkhitch {
+
+namespace {
+
+    // The part of a prompt that is most worth finding in an engine's memory: the last one that other requests share.
+    const PromptPart* lastSharedPart(const RoutedRequest& request)
+    {
+        auto n = request.promptParts.size();
+        return n < 2 ? nullptr : &request.promptParts[n - 2];
+    }
+
+    // Orders engines for a prompt part by highest random weight, the same at every instance.
+    void orderFor(std::string_view part, std::vector<const UpstreamEntry*>& engines)
+    {
+        std::sort(engines.begin(), engines.end(), [&](const auto* a, const auto* b) { return hashOf(part, a->id.value) > hashOf(part, b->id.value); });
+    }
+
+    // Load at which another failure domain is as good as the own one with this much more.
+    constexpr double otherDomainLoad = 0.08;
+    // Spreads instances that see the same loads.
+    constexpr double loadJitter = 0.1;
+
+}
+
+const UpstreamEntry* UpstreamBoard::choose(const UpstreamQuestion& question, TimePoint now)
+{
+    auto open = candidates(question, now);
+    if (open.empty())
+        return nullptr;
+    return question.service->engine ? chooseEngine(question, open) : choosePlain(question, open, now);
+}
+
+std::vector<const UpstreamEntry*> UpstreamBoard::candidates(const UpstreamQuestion& question, TimePoint now) const
+{
+    std::vector<const UpstreamEntry*> open, ejected;
+    for (const auto* it : question.allowed) {
+        if (std::find(question.tried->begin(), question.tried->end(), it->id) != question.tried->end())
+            continue;
+        (isEjected(it->id, now) ? ejected : open).push_back(it);
+    }
+    // One that failed lately is better than none.
+    return open.empty() ? ejected : open;
+}
+
+const UpstreamEntry* UpstreamBoard::chooseEngine(const UpstreamQuestion& question, const std::vector<const UpstreamEntry*>& open)
+{
+    std::int64_t sum = 0;
+    for (const auto* it : open)
+        sum += workOn(it->id);
+    auto mean = static_cast<double>(sum) / static_cast<double>(open.size());
+    auto bound = mean * m_settings.localityRatio + static_cast<double>(m_settings.localitySlack);
+    auto engines = open;
+    const auto* part = lastSharedPart(*question.request);
+    orderFor(part ? part->id : question.request->id.value, engines);
+    for (const auto* it : engines) {
+        if (static_cast<double>(workOn(it->id)) <= bound && requestsOn(it->id) < it->places)
+            return it;
+    }
+    return *std::min_element(engines.begin(), engines.end(), [&](const auto* a, const auto* b) { return workOn(a->id) < workOn(b->id); });
+}
+
+const UpstreamEntry* UpstreamBoard::choosePlain(const UpstreamQuestion& question, const std::vector<const UpstreamEntry*>& open, TimePoint now)
+{
+    std::uniform_real_distribution<double> jitter(0, loadJitter);
+    const UpstreamEntry* best = nullptr;
+    double bestLoad = 0;
+    for (const auto* it : open) {
+        auto load = plainLoad(*it, now) + jitter(m_random) + (it->domain == question.ownDomain ? 0 : otherDomainLoad);
+        if (!best || load < bestLoad) {
+            best = it;
+            bestLoad = load;
+        }
+    }
+    return best;
+}
+
+double UpstreamBoard::plainLoad(const UpstreamEntry& entry, TimePoint now) const
+{
+    auto requests = requestsOn(entry.id);
+    auto it = m_states.find(entry.id);
+    if (it != m_states.end() && now - it->second.reportedAt <= m_settings.reportTime)
+        requests = std::max(requests, it->second.report.running + it->second.report.waiting);
+    return static_cast<double>(requests) / static_cast<double>(entry.places);
+}
+
+void UpstreamBoard::sent(const UpstreamId& id, std::int64_t promptTokens)
+{
+    auto& own = m_states[id].own;
+    ++own.requests;
+    own.waitingTokens += promptTokens;
+}
+
+void UpstreamBoard::begun(const UpstreamId& id, std::int64_t promptTokens)
+{
+    m_states[id].own.waitingTokens -= promptTokens;
+}
+
+void UpstreamBoard::ended(const UpstreamId& id, std::int64_t promptTokens, bool wasBegun)
+{
+    auto& own = m_states[id].own;
+    --own.requests;
+    if (!wasBegun)
+        own.waitingTokens -= promptTokens;
+}
+
+void UpstreamBoard::reported(const UpstreamId& id, const ReportedLoad& load, TimePoint now)
+{
+    auto& state = m_states[id];
+    state.report = load;
+    state.reportedAt = now;
+}
+
+void UpstreamBoard::succeeded(const UpstreamId& id)
+{
+    auto& state = m_states[id];
+    state.failuresInRow = 0;
+    state.ejections = 0;
+}
+
+bool UpstreamBoard::failed(const UpstreamId& id, TimePoint now)
+{
+    auto& state = m_states[id];
+    if (++state.failuresInRow < m_settings.failuresToEject)
+        return false;
+    auto time = m_settings.firstEjection * (1 << std::min(state.ejections, 8));
+    state.ejectedUntil = now + std::min(time, m_settings.longestEjection);
+    ++state.ejections;
+    state.failuresInRow = 0;
+    return true;
+}
+
+void UpstreamBoard::learnPeerWork(absl::flat_hash_map<UpstreamId, UpstreamWork> work)
+{
+    m_peerWork = std::move(work);
+}
+
+std::map<UpstreamId, UpstreamWork> UpstreamBoard::ownWork() const
+{
+    std::map<UpstreamId, UpstreamWork> work;
+    for (const auto& [id, it] : m_states) {
+        if (it.own.requests > 0)
+            work[id] = it.own;
+    }
+    return work;
+}
+
+void UpstreamBoard::keepOnly(const std::vector<UpstreamEntry>& entries)
+{
+    absl::erase_if(m_states, [&](const auto& it) {
+        bool isKnown = std::any_of(entries.begin(), entries.end(), [&](const auto& entry) { return entry.id == it.first; });
+        return !isKnown && it.second.own.requests == 0;
+    });
+}
+
+bool UpstreamBoard::isEjected(const UpstreamId& id, TimePoint now) const
+{
+    auto it = m_states.find(id);
+    return it != m_states.end() && it->second.ejectedUntil > now;
+}
+
+std::int64_t UpstreamBoard::requestsOn(const UpstreamId& id) const
+{
+    auto own = m_states.find(id);
+    auto peers = m_peerWork.find(id);
+    return (own == m_states.end() ? 0 : own->second.own.requests) + (peers == m_peerWork.end() ? 0 : peers->second.requests);
+}
+
+std::int64_t UpstreamBoard::workOn(const UpstreamId& id) const
+{
+    auto own = m_states.find(id);
+    auto peers = m_peerWork.find(id);
+    auto tokens = (own == m_states.end() ? 0 : own->second.own.waitingTokens) + (peers == m_peerWork.end() ? 0 : peers->second.waitingTokens);
+    return tokens + requestsOn(id) * m_settings.requestWork;
+}
+
+}
--- /dev/null
+++ b/src/core/routing/upstream_roster.cpp
@@ -0,0 +1,64 @@
+#include "core/routing/upstream_roster.h"
+
+#include <algorithm>
+
+namespace skylarkhitch {
+
+bool UpstreamRoster::registered(const UpstreamEntry& entry)
+{
+    auto& state = m_upstreams[entry.id];
+    bool same = state.entry == entry && !state.goneAt;
+    state.entry = entry;
+    state.goneAt.reset();
+    return !same;
+}
+
+void UpstreamRoster::removed(const UpstreamId& id, bool mayHaveLapsed, TimePoint now)
+{
+    auto it = m_upstreams.find(id);
+    if (it == m_upstreams.end())
+        return;
+    if (!mayHaveLapsed || !it->second.entry.takesWork) {
+        m_upstreams.erase(it);
+        return;
+    }
+    it->second.goneAt = now + returnTime;
+}
+
+void UpstreamRoster::leaves(const UpstreamId& id, std::int64_t born)
+{
+    auto it = m_upstreams.find(id);
+    if (it != m_upstreams.end())
+        it->second.leftBorn = std::max(it->second.leftBorn, born);
+}
+
+void UpstreamRoster::storeAway(TimePoint now)
+{
+    for (auto& [id, state] : m_upstreams) {
+        if (state.goneAt)
+            state.goneAt = now + returnTime;
+    }
+}
+
+bool UpstreamRoster::wake(TimePoint now)
+{
+    return std::erase_if(m_upstreams, [&](const auto& it) { return it.second.goneAt && *it.second.goneAt <= now; }) > 0;
+}
+
+std::vector<UpstreamEntry> UpstreamRoster::usable() const
+{
+    std::vector<UpstreamEntry> entries;
+    for (const auto& [id, state] : m_upstreams) {
+        if (state.entry.takesWork && state.entry.born > state.leftBorn)
+            entries.push_back(state.entry);
+    }
+    return entries;
+}
+
+const UpstreamEntry* UpstreamRoster::find(const UpstreamId& id) const
+{
+    auto it = m_upstreams.find(id);
+    return it == m_upstreams.end() ? nullptr : &it->second.entry;
+}
+
+}
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -298,6 +298,7 @@
         }
     }
     daemon.stop();
+    stopLog();
     return inTime ? 0 : 1;
 }
 
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -1,7 +1,9 @@
 // skylarkhitchd: one entry instance.
 
+#include "adapters/log.h"
 #include "core/check.h"
 #include "daemon/daemon.h"
+#include "edge/edge_daemon.h"
 
 #include <fstream>
 #include <iostream>
@@ -31,7 +33,7 @@
     return in.good();
 }
 
-std::optional<NodeSettings> loadSettings(const Arguments& arguments, std::vector<DocumentError>& errors)
+DocumentNode loadDocument(const Arguments& arguments, std::vector<DocumentError>& errors)
 {
     DocumentNode root;
     for (const char* path : { arguments.settings, arguments.overlay }) {
@@ -40,31 +42,51 @@
         std::string text;
         if (!readText(path, text)) {
             errors.push_back({ { path, 0 }, "can not be read" });
-            return std::nullopt;
+            return root;
         }
         auto tree = parseYaml(text, path, errors);
         root = path == arguments.settings ? tree : mergeTrees(root, tree);
     }
-    if (!errors.empty())
-        return std::nullopt;
-    return parseNodeSettings(root, errors);
+    return root;
+}
+
+int report(const std::vector<DocumentError>& errors)
+{
+    for (const auto& it : errors)
+        std::cerr << toString(it) << "\n";
+    return exitSettings;
+}
+
+// Reads the settings of a running instance again; errors go to the log, and the settings in force stay.
+std::optional<EdgeSettings> reloadEdge(const Arguments& arguments)
+{
+    std::vector<DocumentError> errors;
+    auto root = loadDocument(arguments, errors);
+    auto settings = errors.empty() ? parseEdgeSettings(root, errors) : std::nullopt;
+    for (const auto& it : errors)
+        LogLine(LogLevel::Error, "settings_invalid").with("error", toString(it));
+    return settings;
 }
 
 int run(const Arguments& arguments)
 {
     std::vector<DocumentError> errors;
-    auto settings = loadSettings(arguments, errors);
-    if (!settings) {
-        for (const auto& it : errors)
-            std::cerr << toString(it) << "\n";
-        return exitSettings;
-    }
+    auto root = loadDocument(arguments, errors);
+    if (!errors.empty())
+        return report(errors);
+    bool isEdge = isEdgeDocument(root);
+    auto edge = isEdge ? parseEdgeSettings(root, errors) : std::nullopt;
+    auto node = isEdge ? std::nullopt : parseNodeSettings(root, errors);
+    if (!errors.empty())
+        return report(errors);
     if (arguments.check) {
         std::cout << "the settings are valid\n";
         return 0;
     }
-    takeFreePorts(*settings);
-    return runDaemon(*settings);
+    if (edge)
+        return runEdge(*edge, [&] { return reloadEdge(arguments); });
+    takeFreePorts(*node);
+    return runDaemon(*node);
 }
 
 }
--- /dev/null
+++ b/src/edge/control_plane.cpp
@@ -0,0 +1,585 @@
+#include "edge/control_plane.h"
+
+#include "adapters/log.h"
+
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+#include <nlohmann/json.hpp>
+
+namespace skylarkhitch {
+
+namespace {
+
+    // Pause after each answer of a watch: every beat of an upstream is a change, and every answer is priced.
+    constexpr Milliseconds watchPause { 300 };
+    // Pause after a call that the store did not take.
+    constexpr Milliseconds failurePause { 300 };
+    // Silence of the store after which it counts as away.
+    constexpr Milliseconds storeAwayAfter { 900 };
+    // Own silence of the store after which changes are fetched from peers.
+    constexpr Milliseconds catchUpAfter { 500 };
+    constexpr Milliseconds catchUpTime { 800 };
+    // Lease of the instance's entry in the store, and how often it is renewed.
+    constexpr Milliseconds listLease { 10000 };
+    constexpr Milliseconds listRenewal { 3000 };
+    // Part of a roll-out's time after which the old release is not waited for any more.
+    constexpr double oldReleasePatience = 0.92;
+    constexpr std::size_t mostDatagram = std::size_t { 64 } * 1024;
+    constexpr std::size_t mostMirrorBytes = std::size_t { 64 } << 20;
+    constexpr const char* mirrorPath = "/mirror?after=";
+
+    using Json = nlohmann::json;
+
+    std::string encodeUpdate(const MirrorUpdate& update)
+    {
+        Json changes = Json::array();
+        for (const auto& it : update.changes)
+            changes.push_back(Json::array({ it.key, it.revision, it.value ? Json::binary({ it.value->begin(), it.value->end() }) : Json() }));
+        auto bytes = Json::to_cbor(Json::array({ update.revision, update.isWhole, changes }));
+        return { bytes.begin(), bytes.end() };
+    }
+
+    std::optional<MirrorUpdate> decodeUpdate(const std::string& bytes)
+    {
+        try {
+            auto json = Json::from_cbor(bytes);
+            MirrorUpdate update { json.at(0), json.at(1), {} };
+            for (const auto& it : json.at(2)) {
+                StoreChange change { it.at(0), it.at(1), {} };
+                if (!it.at(2).is_null()) {
+                    const auto& value = it.at(2).get_binary();
+                    change.value = std::string(value.begin(), value.end());
+                }
+                update.changes.push_back(std::move(change));
+            }
+            return update;
+        } catch (const Json::exception&) {
+            return std::nullopt;
+        }
+    }
+
+    TimePoint wallNow()
+    {
+        return std::chrono::time_point_cast<Microseconds>(std::chrono::system_clock::now());
+    }
+
+    std::shared_ptr<ServerState> internalServer(RequestHandler handler)
+    {
+        auto state = std::make_shared<ServerState>();
+        state->handler = std::move(handler);
+        state->limits = [] { return CallerLimits {}; };
+        return state;
+    }
+
+    const char* nameOf(RolloutStage stage)
+    {
+        constexpr const char* names[] = { "canary", "half", "full", "completed", "reverted" };
+        return names[static_cast<int>(stage)];
+    }
+
+}
+
+ControlPlane::ControlPlane(EventLoop& loop, const EdgeSettings& settings, Incarnation self, EdgeMetrics& metrics, Outputs outputs)
+    : m_loop(loop)
+    , m_settings(settings)
+    , m_self(std::move(self))
+    , m_metrics(metrics)
+    , m_outputs(std::move(outputs))
+    , m_store(loop, settings.store, metrics)
+    , m_mirror([this](const std::string& key, const StoreMirror::Item* item) { itemChanged(key, item); })
+    , m_fleet(m_self, settings.peerListen)
+    , m_beatSocket(loop, udpEndpoint(settings.peerListen))
+{
+    m_beatSocket.non_blocking(true);
+    expectSeeds(settings.seeds);
+}
+
+void ControlPlane::start()
+{
+    m_peerListener = std::make_unique<HttpListener>(m_loop, m_settings.peerListen, internalServer([this](std::shared_ptr<CallerConnection> connection, ReceivedRequest request) { return servePeer(std::move(connection), std::move(request)); }));
+    m_metricsListener = std::make_unique<HttpListener>(m_loop, m_settings.metricsListen, internalServer([this](std::shared_ptr<CallerConnection> connection, ReceivedRequest request) { return serveMetrics(std::move(connection), std::move(request)); }));
+    asio::co_spawn(m_loop, receiveBeats(), asio::detached);
+    asio::co_spawn(m_loop, followStore(), asio::detached);
+    asio::co_spawn(m_loop, listSelf(), asio::detached);
+}
+
+void ControlPlane::expectSeeds(const std::vector<std::string>& seeds)
+{
+    auto port = m_settings.peerListen.substr(m_settings.peerListen.rfind(':'));
+    for (const auto& it : seeds)
+        m_fleet.expect(it.substr(0, it.rfind(':')) + port);
+}
+
+Awaitable<void> ControlPlane::followStore()
+{
+    bool needsWhole = true;
+    for (;;) {
+        StoreLink::WatchResult result;
+        if (needsWhole)
+            result = co_await m_store.readAll();
+        else
+            result = co_await m_store.watch(m_mirror.revision());
+        bool isOk = result.update.has_value();
+        if (isOk) {
+            m_mirror.take(*result.update);
+            needsWhole = false;
+            publish(bootNow());
+        } else if (result.status == 410) {
+            LogLine(LogLevel::Warning, "store_history_lost").with("revision", m_mirror.revision());
+            needsWhole = true;
+            continue;
+        }
+        co_await sleepFor(m_loop, isOk ? watchPause : failurePause);
+    }
+}
+
+Awaitable<void> ControlPlane::listSelf()
+{
+    std::int64_t lease = 0;
+    for (;;) {
+        if (lease != 0) {
+            auto renewed = co_await m_store.call(platform::renewLease(lease), "renew");
+            // Without an answer the lease may still hold; the next renewal tells.
+            if (renewed.status == 404)
+                lease = 0;
+        }
+        if (lease == 0) {
+            auto granted = co_await m_store.call(platform::grantLease(listLease), "lease");
+            lease = granted.isOk() ? platform::decodeLease(granted.body).value_or(0) : 0;
+            if (lease != 0) {
+                auto listed = co_await m_store.call(platform::commit(platform::listInstance(m_self.instance, m_settings.peerListen, lease)), "list");
+                if (!listed.isOk())
+                    LogLine(LogLevel::Warning, "not_listed").with("status", listed.status);
+            }
+        }
+        co_await sleepFor(m_loop, listRenewal);
+    }
+}
+
+void ControlPlane::itemChanged(const std::string& key, const StoreMirror::Item* item)
+{
+    auto document = platform::decodeKey(key);
+    switch (document.kind) {
+    case platform::DocumentKind::Configuration:
+        return configurationChanged(item);
+    case platform::DocumentKind::Upstream:
+        return upstreamChanged(document.name, item);
+    case platform::DocumentKind::RolloutOrder:
+        return orderChanged(document.name, item);
+    case platform::DocumentKind::RolloutRecord:
+        return recordChanged(document.name, item);
+    case platform::DocumentKind::Instance:
+        return instancesChanged();
+    case platform::DocumentKind::Other:
+        return;
+    }
+}
+
+void ControlPlane::configurationChanged(const StoreMirror::Item* item)
+{
+    if (!item)
+        return;
+    platform::DecodeError error;
+    auto configuration = platform::decodeConfiguration(item->value, error);
+    if (!configuration) {
+        LogLine(LogLevel::Error, "configuration_unreadable").with("revision", item->revision).with("error", error.message);
+        return;
+    }
+    // A version never goes back while the process lives, whatever store or peer say.
+    if (m_configuration && configuration->version <= m_configuration->version)
+        return;
+    LogLine(LogLevel::Info, "configuration").with("version", configuration->version).with("revision", item->revision).with("routes", static_cast<std::int64_t>(configuration->routes.size()));
+    m_configuration = std::make_shared<const RoutingConfiguration>(*std::move(configuration));
+    m_changed = true;
+}
+
+void ControlPlane::upstreamChanged(const std::string& id, const StoreMirror::Item* item)
+{
+    auto now = bootNow();
+    if (!item) {
+        bool mayHaveLapsed = m_storeAwayAt && now - *m_storeAwayAt < UpstreamRoster::awayMemory;
+        LogLine(LogLevel::Info, "upstream_removed").with("upstream", id).with("kept_for_return", mayHaveLapsed ? "yes" : "no");
+        m_upstreams.removed({ id }, mayHaveLapsed, now);
+        m_changed = true;
+        return;
+    }
+    platform::DecodeError error;
+    auto entry = platform::decodeUpstream(id, item->value, error);
+    if (!entry) {
+        LogLine(LogLevel::Warning, "upstream_unreadable").with("upstream", id).with("error", error.message);
+        return;
+    }
+    if (!m_upstreams.registered(*entry))
+        return;
+    LogLine(LogLevel::Info, "upstream").with("upstream", id).with("service", entry->service.value).with("address", entry->address).with("release", entry->release).with("takes_work", entry->takesWork ? "yes" : "no").with("born", entry->born);
+    m_changed = true;
+}
+
+void ControlPlane::orderChanged(const std::string& service, const StoreMirror::Item* item)
+{
+    m_changed = true;
+    if (!item) {
+        m_orders.erase({ service });
+        return;
+    }
+    platform::DecodeError error;
+    auto order = platform::decodeRolloutOrder(service, item->revision, item->value, error);
+    if (!order) {
+        LogLine(LogLevel::Error, "rollout_order_unreadable").with("service", service).with("error", error.message);
+        return;
+    }
+    LogLine(LogLevel::Info, "rollout_ordered").with("service", service).with("target", order->target).with("ms", order->duration.count()).with("revision", order->revision);
+    bool seenLive = m_mirror.revision() > 0;
+    m_orders[{ service }] = { *order, seenLive ? std::optional(bootNow()) : std::nullopt, false };
+}
+
+void ControlPlane::recordChanged(const std::string& service, const StoreMirror::Item* item)
+{
+    m_changed = true;
+    if (!item) {
+        m_records.erase({ service });
+        return;
+    }
+    platform::DecodeError error;
+    auto record = platform::decodeRolloutRecord(item->value, error);
+    if (!record) {
+        LogLine(LogLevel::Error, "rollout_record_unreadable").with("service", service).with("error", error.message);
+        return;
+    }
+    LogLine(LogLevel::Info, "rollout_stage").with("service", service).with("target", record->target).with("stage", nameOf(record->stage)).with("order", record->orderRevision);
+    m_records[{ service }] = { *record, item->revision };
+}
+
+void ControlPlane::instancesChanged()
+{
+    std::set<std::string> addresses;
+    for (const auto& [key, item] : m_mirror.items()) {
+        if (platform::decodeKey(key).kind == platform::DocumentKind::Instance)
+            addresses.insert(item.value);
+    }
+    m_fleet.list(std::move(addresses));
+}
+
+Awaitable<void> ControlPlane::receiveBeats()
+{
+    std::string buf(mostDatagram, '\0');
+    for (;;) {
+        asio::ip::udp::endpoint from;
+        boost::system::error_code ec;
+        auto n = co_await m_beatSocket.async_receive_from(asio::buffer(buf), from, asio::redirect_error(asio::use_awaitable, ec));
+        // A refused datagram to a peer that is down is reported here; it says nothing about the next one.
+        if (!ec)
+            heard(buf.substr(0, n));
+    }
+}
+
+void ControlPlane::heard(const std::string& bytes)
+{
+    auto beat = decodeBeat(bytes);
+    if (!beat) {
+        LogLine(LogLevel::Warning, "beat_unreadable").with("bytes", static_cast<std::int64_t>(bytes.size()));
+        return;
+    }
+    m_metrics.peerBeat("received");
+    auto now = bootNow();
+    if (!m_fleet.heard(*beat, now))
+        return;
+    catchUp(now);
+}
+
+// Fetches changes from a peer that is ahead, while the store does not tell them.
+void ControlPlane::catchUp(TimePoint now)
+{
+    bool storeTells = now - m_store.answeredAt() < catchUpAfter;
+    const auto* peer = m_fleet.aheadOf(m_mirror.revision(), now);
+    if (m_catchingUp || storeTells || !peer)
+        return;
+    m_catchingUp = true;
+    asio::co_spawn(m_loop, catchUpFrom(peer->beat.addresses.peers, peer->beat.from.instance.value), asio::detached);
+}
+
+Awaitable<void> ControlPlane::catchUpFrom(std::string peerAddress, std::string name)
+{
+    auto connection = std::make_shared<UpstreamConnection>(m_loop);
+    std::optional<MirrorUpdate> update;
+    if (co_await connection->open(peerAddress, catchUpTime)) {
+        connection->endAfter(catchUpTime);
+        auto head = absl::StrCat("GET ", mirrorPath, m_mirror.revision(), " HTTP/1.1\r\nHost: ", peerAddress, "\r\nConnection: close\r\n\r\n");
+        ResponseHead answer;
+        bool isSent = co_await connection->send(head, nullptr);
+        if (isSent && co_await connection->readHead(answer) == TransferEnd::Ok && answer.status == 200) {
+            auto body = co_await connection->readWholeBody(mostMirrorBytes);
+            if (body.end == TransferEnd::Ok)
+                update = decodeUpdate(body.bytes);
+        }
+    }
+    connection->close();
+    m_catchingUp = false;
+    LogLine(update ? LogLevel::Info : LogLevel::Warning, "caught_up").with("peer", name).with("from", m_mirror.revision()).with("to", update ? update->revision : 0);
+    if (update && m_mirror.take(*update))
+        publish(bootNow());
+}
+
+Awaitable<void> ControlPlane::servePeer(std::shared_ptr<CallerConnection> connection, ReceivedRequest request)
+{
+    std::int64_t after = 0;
+    constexpr std::string_view prefix = mirrorPath;
+    bool isMirror = request.target.rfind(prefix, 0) == 0 && absl::SimpleAtoi(request.target.substr(prefix.size()), &after);
+    AnswerToCaller answer { .status = isMirror && m_mirror.revision() > 0 ? 200 : 404 };
+    if (answer.status == 200)
+        answer.body = encodeUpdate(m_mirror.since(after));
+    co_await connection->respond(std::move(answer));
+}
+
+Awaitable<void> ControlPlane::serveMetrics(std::shared_ptr<CallerConnection> connection, ReceivedRequest)
+{
+    m_metrics.setState("log_lines_dropped", static_cast<double>(droppedLogLines()));
+    m_metrics.setState("store_revision", static_cast<double>(m_mirror.revision()));
+    m_metrics.setState("configuration_version", m_configuration ? static_cast<double>(m_configuration->version) : 0);
+    m_metrics.setState("live_peers", static_cast<double>(m_fleet.live(bootNow()).size()));
+    m_metrics.setState("upstreams", static_cast<double>(m_upstreams.size()));
+    AnswerToCaller answer { .fields = { { "Content-Type", "text/plain; version=0.0.4" } }, .body = m_metrics.text() };
+    co_await connection->respond(std::move(answer));
+}
+
+void ControlPlane::report(TrafficReport report)
+{
+    auto now = bootNow();
+    m_changed = m_changed || report.ready != m_report.ready;
+    m_report = std::move(report);
+    noteStoreState(now);
+    sendBeat(now);
+    catchUp(now);
+    if (m_upstreams.wake(now))
+        m_changed = true;
+    advanceRollouts(now);
+    auto live = m_fleet.live(now);
+    std::size_t ready = 0;
+    for (const auto* it : live)
+        ready += it->beat.ready ? 1 : 0;
+    m_changed = m_changed || ready + live.size() * 1000 != m_liveBefore;
+    m_liveBefore = ready + live.size() * 1000;
+    m_outputs.tell(news(now));
+    publish(now);
+}
+
+void ControlPlane::leave()
+{
+    m_leaving = true;
+    m_report.ready = false;
+    m_changed = true;
+    sendBeat(bootNow());
+    publish(bootNow());
+}
+
+void ControlPlane::sendBeat(TimePoint now)
+{
+    FleetBeat beat;
+    beat.from = m_self;
+    beat.domain = m_settings.domain;
+    beat.addresses = { m_settings.entryListen, m_settings.peerListen };
+    beat.sequence = ++m_sequence;
+    beat.ready = m_report.ready && !m_leaving;
+    beat.leaving = m_leaving;
+    beat.storeRevision = m_mirror.revision();
+    if (m_store.answeredAt() != TimePoint {})
+        beat.storeAge = toMilliseconds(now - m_store.answeredAt());
+    if (m_storeAwayAt)
+        beat.sinceStoreAway = toMilliseconds(now - *m_storeAwayAt);
+    beat.work = m_report.work;
+    beat.evidence = m_report.evidence;
+    beat.crashes = m_report.crashes;
+    beat.sessions = m_report.sessions;
+    for (const auto* it : m_fleet.live(now))
+        beat.known.push_back(it->beat.addresses.peers);
+    auto bytes = encodeBeat(beat);
+    for (const auto& it : m_fleet.receivers(now)) {
+        boost::system::error_code ec;
+        m_beatSocket.send_to(asio::buffer(bytes), udpEndpoint(it), 0, ec);
+        // A beat that cannot be sent is lost like one on the way; the next one says the same.
+        m_metrics.peerBeat(ec ? "not_sent" : "sent");
+    }
+}
+
+void ControlPlane::noteStoreState(TimePoint now)
+{
+    bool isAway = now - m_store.answeredAt() > storeAwayAfter;
+    for (const auto* it : m_fleet.live(now))
+        isAway = isAway && (it->beat.storeAge < Milliseconds(0) || it->beat.storeAge > storeAwayAfter);
+    if (isAway && m_mirror.revision() > 0) {
+        m_storeAwayAt = now;
+        m_upstreams.storeAway(now);
+    }
+    for (const auto* it : m_fleet.live(now)) {
+        if (it->beat.sinceStoreAway)
+            m_storeAwayAt = std::max(m_storeAwayAt.value_or(TimePoint {}), it->heardAt - *it->beat.sinceStoreAway);
+    }
+}
+
+void ControlPlane::advanceRollouts(TimePoint now)
+{
+    for (auto& [service, order] : m_orders)
+        advance(service, order, now);
+}
+
+void ControlPlane::advance(const ServiceId& service, Order& order, TimePoint now)
+{
+    auto record = m_records.find(service);
+    bool hasRecord = record != m_records.end() && record->second.record.orderRevision == order.order.revision;
+    auto revision = record == m_records.end() ? 0 : record->second.revision;
+    bool mayWrite = isCoordinator(now) && !m_writing.contains(service);
+    if (!hasRecord) {
+        if (mayWrite) {
+            m_writing.insert(service);
+            asio::co_spawn(m_loop, writeRecord(service, { order.order.revision, order.order.target, RolloutStage::Canary, wallNow() }, revision), asio::detached);
+        }
+        return;
+    }
+    const auto& current = record->second.record;
+    if (isFinal(current.stage))
+        return;
+    auto verdict = judgeRelease(order.order, mergedEvidence());
+    if (verdict.isBad && !order.suspended) {
+        order.suspended = true;
+        m_changed = true;
+        LogLine(LogLevel::Warning, "release_bad").with("service", service.value).with("target", order.order.target).with("reason", verdict.reason).with("answers", verdict.answers);
+    }
+    if (order.suspended)
+        verdict.isBad = true;
+    auto sinceStart = toMilliseconds(order.seenAt ? now - *order.seenAt : wallNow() - current.startedAt);
+    bool oldIsIdle = oldReleaseIsIdle(order.order) || static_cast<double>(sinceStart.count()) > oldReleasePatience * static_cast<double>(order.order.duration.count());
+    auto stage = nextStage(order.order, current, verdict, sinceStart, oldIsIdle);
+    if (stage == current.stage || !mayWrite)
+        return;
+    LogLine(LogLevel::Info, "rollout_decision").with("service", service.value).with("target", order.order.target).with("from", nameOf(current.stage)).with("to", nameOf(stage)).with("ms", sinceStart.count()).with("answers", verdict.answers);
+    auto next = current;
+    next.stage = stage;
+    m_writing.insert(service);
+    asio::co_spawn(m_loop, writeRecord(service, next, revision), asio::detached);
+}
+
+Awaitable<void> ControlPlane::writeRecord(ServiceId service, RolloutRecord record, std::int64_t recordRevision)
+{
+    auto answer = co_await m_store.call(platform::commit(platform::writeRollout(service, record, recordRevision)), "rollout");
+    // A conflict, or no answer: the watch shows what is in force, and the next turn decides anew.
+    if (!answer.isOk())
+        LogLine(LogLevel::Warning, "rollout_not_written").with("service", service.value).with("stage", nameOf(record.stage)).with("status", answer.status);
+    co_await sleepFor(m_loop, watchPause);
+    m_writing.erase(service);
+}
+
+// The live instance with the least name among those that have the store writes; the condition of the write guards against two.
+bool ControlPlane::isCoordinator(TimePoint now) const
+{
+    if (m_leaving || now - m_store.answeredAt() > storeAwayAfter)
+        return false;
+    for (const auto* it : m_fleet.live(now)) {
+        bool hasStore = it->beat.storeAge >= Milliseconds(0) && it->beat.storeAge < storeAwayAfter && !it->beat.leaving;
+        if (hasStore && it->beat.from.instance < m_self.instance)
+            return false;
+    }
+    return true;
+}
+
+bool ControlPlane::oldReleaseIsIdle(const RolloutOrder& order) const
+{
+    auto isOld = [&](const UpstreamId& id) {
+        const auto* entry = m_upstreams.find(id);
+        return entry && entry->service == order.service && entry->release != order.target;
+    };
+    for (const auto& [id, work] : m_report.work) {
+        if (work.requests > 0 && isOld(id))
+            return false;
+    }
+    for (const auto& [id, work] : peerWork(bootNow())) {
+        if (work.requests > 0 && isOld(id))
+            return false;
+    }
+    return true;
+}
+
+ReleaseEvidence ControlPlane::mergedEvidence() const
+{
+    auto evidence = m_report.evidence;
+    for (const auto& [id, peer] : m_fleet.peers()) {
+        for (const auto& [key, it] : peer.beat.evidence) {
+            auto& sum = evidence[key];
+            sum.done += it.done;
+            sum.failed += it.failed;
+            sum.latency += it.latency;
+        }
+    }
+    return evidence;
+}
+
+absl::flat_hash_map<UpstreamId, UpstreamWork> ControlPlane::peerWork(TimePoint now) const
+{
+    absl::flat_hash_map<UpstreamId, UpstreamWork> sum;
+    for (const auto* peer : m_fleet.live(now)) {
+        for (const auto& [id, work] : peer->beat.work) {
+            sum[id].requests += work.requests;
+            sum[id].waitingTokens += work.waitingTokens;
+        }
+    }
+    return sum;
+}
+
+PeerNews ControlPlane::news(TimePoint now) const
+{
+    PeerNews news;
+    news.work = peerWork(now);
+    for (const auto* peer : m_fleet.live(now)) {
+        news.crashes[peer->beat.from.instance] = peer->beat.crashes;
+        for (auto it : peer->beat.sessions) {
+            it.age += toMilliseconds(now - peer->heardAt);
+            news.sessions.push_back(it);
+        }
+    }
+    return news;
+}
+
+std::vector<EntryInstance> ControlPlane::entries(TimePoint now) const
+{
+    std::vector<EntryInstance> entries;
+    if (m_report.ready && !m_leaving)
+        entries.push_back({ m_self.instance, m_settings.domain, m_settings.entryListen });
+    for (const auto* it : m_fleet.live(now)) {
+        if (it->beat.ready && !it->beat.leaving)
+            entries.push_back({ it->beat.from.instance, it->beat.domain, it->beat.addresses.entry });
+    }
+    return entries;
+}
+
+TimePoint ControlPlane::freshAt(TimePoint now) const
+{
+    auto fresh = m_store.answeredAt();
+    for (const auto* it : m_fleet.live(now)) {
+        if (it->beat.storeAge >= Milliseconds(0) && it->beat.storeRevision <= m_mirror.revision())
+            fresh = std::max(fresh, it->heardAt - it->beat.storeAge);
+    }
+    return fresh;
+}
+
+void ControlPlane::publish(TimePoint now)
+{
+    if (!m_changed)
+        return;
+    m_changed = false;
+    auto view = std::make_shared<FleetView>();
+    view->configuration = m_configuration;
+    for (auto& it : m_upstreams.usable())
+        view->upstreams[it.service].push_back(it);
+    for (const auto& [service, order] : m_orders) {
+        auto record = m_records.find(service);
+        bool hasRecord = record != m_records.end() && record->second.record.orderRevision == order.order.revision;
+        auto stage = hasRecord ? record->second.record.stage : RolloutStage::Canary;
+        view->rollouts[service] = { order.order.target, stage, !hasRecord || (order.suspended && !isFinal(stage)) };
+    }
+    view->entries = entries(now);
+    view->liveInstances = m_fleet.live(now).size() + 1;
+    view->storeRevision = m_mirror.revision();
+    view->freshAt = freshAt(now);
+    m_outputs.publish(view);
+}
+
+}
--- /dev/null
+++ b/src/edge/control_plane.h
@@ -0,0 +1,101 @@
+#pragma once
+
+// The control thread of an entry instance: keeps the copy of the store, the roster of instances and the roll-outs, and
+// gives the traffic thread a new view whenever something changed.
+
+#include "config/edge_settings.h"
+#include "core/membership/fleet_roster.h"
+#include "core/routing/upstream_roster.h"
+#include "edge/caller_connection.h"
+#include "edge/fleet_view.h"
+#include "edge/store_link.h"
+
+namespace skylarkhitch {
+
+class ControlPlane {
+public:
+    // Both are called on the control thread.
+    struct Outputs {
+        std::function<void(FleetViewPtr)> publish;
+        std::function<void(PeerNews)> tell;
+    };
+
+    ControlPlane(EventLoop&, const EdgeSettings&, Incarnation, EdgeMetrics&, Outputs);
+
+    void start();
+    // Takes the traffic thread's counts and sends a beat.
+    void report(TrafficReport);
+    // The instance stops: callers are sent elsewhere from now on.
+    void leave();
+    // New seeds from a changed settings file.
+    void expectSeeds(const std::vector<std::string>& seeds);
+
+private:
+    struct Order {
+        RolloutOrder order;
+        // When this instance first saw it; nothing if it was there before.
+        std::optional<TimePoint> seenAt;
+        bool suspended = false;
+    };
+    struct Record {
+        RolloutRecord record;
+        std::int64_t revision = 0;
+    };
+
+    Awaitable<void> followStore();
+    Awaitable<void> listSelf();
+    Awaitable<void> receiveBeats();
+    Awaitable<void> catchUpFrom(std::string peerAddress, std::string name);
+    Awaitable<void> servePeer(std::shared_ptr<CallerConnection>, ReceivedRequest);
+    Awaitable<void> serveMetrics(std::shared_ptr<CallerConnection>, ReceivedRequest);
+    Awaitable<void> writeRecord(ServiceId, RolloutRecord, std::int64_t recordRevision);
+
+    void itemChanged(const std::string& key, const StoreMirror::Item*);
+    void configurationChanged(const StoreMirror::Item*);
+    void upstreamChanged(const std::string& id, const StoreMirror::Item*);
+    void orderChanged(const std::string& service, const StoreMirror::Item*);
+    void recordChanged(const std::string& service, const StoreMirror::Item*);
+    void instancesChanged();
+
+    void sendBeat(TimePoint now);
+    void heard(const std::string& bytes);
+    void catchUp(TimePoint now);
+    void noteStoreState(TimePoint now);
+    void advanceRollouts(TimePoint now);
+    void advance(const ServiceId&, Order&, TimePoint now);
+    bool isCoordinator(TimePoint now) const;
+    bool oldReleaseIsIdle(const RolloutOrder&) const;
+    ReleaseEvidence mergedEvidence() const;
+    absl::flat_hash_map<UpstreamId, UpstreamWork> peerWork(TimePoint now) const;
+    void publish(TimePoint now);
+    PeerNews news(TimePoint now) const;
+    std::vector<EntryInstance> entries(TimePoint now) const;
+    TimePoint freshAt(TimePoint now) const;
+
+    EventLoop& m_loop;
+    EdgeSettings m_settings;
+    Incarnation m_self;
+    EdgeMetrics& m_metrics;
+    Outputs m_outputs;
+    StoreLink m_store;
+    StoreMirror m_mirror;
+    UpstreamRoster m_upstreams;
+    FleetRoster m_fleet;
+    asio::ip::udp::socket m_beatSocket;
+    std::unique_ptr<HttpListener> m_peerListener;
+    std::unique_ptr<HttpListener> m_metricsListener;
+    RoutingConfigurationPtr m_configuration;
+    std::map<ServiceId, Order> m_orders;
+    std::map<ServiceId, Record> m_records;
+    std::set<ServiceId> m_writing;
+    TrafficReport m_report;
+    std::uint64_t m_sequence = 0;
+    // When neither this instance nor a live peer had the store.
+    std::optional<TimePoint> m_storeAwayAt;
+    bool m_catchingUp = false;
+    bool m_leaving = false;
+    bool m_changed = true;
+    std::size_t m_liveBefore = 0;
+};
+
+}
--- /dev/null
+++ b/src/edge/edge_daemon.cpp
@@ -0,0 +1,224 @@
+#include "edge/edge_daemon.h"
+
+#include "adapters/log.h"
+#include "edge/control_plane.h"
+#include "edge/request_run.h"
+#include "edge/traffic.h"
+#include "platform/request_codec.h"
+
+#include <boost/asio/signal_set.hpp>
+#include <csignal>
+#include <thread>
+
+namespace skylarkhitch {
+
+namespace {
+
+    // Callers keep addresses for up to three times as long as they were told; afterwards nobody connects any more.
+    constexpr int longestKeepFactor = 3;
+    // Before the platform kills the process: time to close what could not be finished, so that callers may resume.
+    constexpr Milliseconds stopMargin { 400 };
+    constexpr Milliseconds stopCheckPeriod { 50 };
+    // Settings may change without a signal.
+    constexpr Milliseconds settingsCheckPeriod { 2000 };
+    // With at least this many entries in a caller's own failure domain, others are not named.
+    constexpr std::size_t enoughEntries = 2;
+    // The platform counts at most 64 addresses.
+    constexpr std::size_t mostEntries = 64;
+    constexpr int noAnswerYet = 503;
+
+    std::uint64_t incarnationNumber()
+    {
+        // A later life of an instance has a higher number, since it starts later.
+        auto startedAt = std::chrono::time_point_cast<Microseconds>(std::chrono::system_clock::now());
+        return static_cast<std::uint64_t>(startedAt.time_since_epoch().count());
+    }
+
+    class EdgeDaemon {
+    public:
+        EdgeDaemon(const EdgeSettings& settings, const SettingsReader& reader)
+            : m_settings(settings)
+            , m_readSettings(reader)
+            , m_self { settings.instance, incarnationNumber() }
+            , m_traffic(m_trafficLoop, { settings.domain, m_self.number, settings.sessionTime(), { settings.repeatRatio, settings.repeatHeadroom, settings.repeatWindow() } }, m_metrics)
+            , m_control(m_controlLoop, settings, m_self, m_metrics, outputs())
+            , m_signals(m_trafficLoop, SIGTERM, SIGINT, SIGHUP)
+        {
+        }
+
+        int run()
+        {
+            m_control.start();
+            m_entryState = server([this](std::shared_ptr<CallerConnection> connection, ReceivedRequest request) { return serveCaller(std::move(connection), std::move(request)); });
+            m_questionState = server([this](std::shared_ptr<CallerConnection> connection, ReceivedRequest request) { return answerQuestion(std::move(connection), std::move(request)); });
+            HttpListener entry(m_trafficLoop, m_settings.entryListen, m_entryState);
+            HttpListener ready(m_trafficLoop, m_settings.readyListen, m_questionState);
+            HttpListener directory(m_trafficLoop, m_settings.directoryListen, m_questionState);
+            m_entry = &entry;
+            asio::co_spawn(m_trafficLoop, reportLoop(), asio::detached);
+            asio::co_spawn(m_trafficLoop, watchSettings(), asio::detached);
+            awaitSignal();
+            auto work = asio::make_work_guard(m_controlLoop);
+            std::thread controlThread([this] { m_controlLoop.run(); });
+            LogLine(LogLevel::Info, "start").with("entry", m_settings.entryListen).with("peers", m_settings.peerListen).with("store", m_settings.store).with("domain", m_settings.domain.value);
+            m_trafficLoop.run();
+            m_controlLoop.stop();
+            controlThread.join();
+            return 0;
+        }
+
+    private:
+        ControlPlane::Outputs outputs()
+        {
+            return {
+                [this](FleetViewPtr view) { asio::post(m_trafficLoop, [this, view = std::move(view)] { m_traffic.adopt(view); }); },
+                [this](PeerNews news) { asio::post(m_trafficLoop, [this, news = std::move(news)]() mutable { m_traffic.learn(std::move(news)); }); },
+            };
+        }
+
+        std::shared_ptr<ServerState> server(RequestHandler handler)
+        {
+            auto state = std::make_shared<ServerState>();
+            state->handler = std::move(handler);
+            state->limits = [this] {
+                const auto& view = m_traffic.view();
+                return view && view->configuration ? view->configuration->limits : CallerLimits {};
+            };
+            return state;
+        }
+
+        Awaitable<void> serveCaller(std::shared_ptr<CallerConnection> connection, ReceivedRequest request)
+        {
+            auto run = std::make_shared<RequestRun>(m_traffic, std::move(connection), std::move(request));
+            co_await run->run();
+        }
+
+        Awaitable<void> answerQuestion(std::shared_ptr<CallerConnection> connection, ReceivedRequest request)
+        {
+            AnswerToCaller answer { .status = 404 };
+            if (platform::isReadyQuestion(request.target))
+                answer.status = m_traffic.isReady() ? 200 : noAnswerYet;
+            else if (platform::isEntryQuestion(request.target))
+                answer = entryAnswer(platform::decodeEntryQuery(request.target).domain);
+            co_await connection->respond(std::move(answer));
+        }
+
+        AnswerToCaller entryAnswer(const DomainId& domain) const
+        {
+            std::vector<std::string> near, all;
+            if (m_traffic.view()) {
+                for (const auto& it : m_traffic.view()->entries) {
+                    if (it.domain == domain)
+                        near.push_back(it.address);
+                    all.push_back(it.address);
+                }
+            }
+            auto& chosen = near.size() >= enoughEntries ? near : all;
+            if (chosen.size() > mostEntries)
+                chosen.resize(mostEntries);
+            if (chosen.empty())
+                return { .status = noAnswerYet };
+            return { .status = 200, .fields = { { "Content-Type", "application/json" } }, .body = platform::encodeEntryAnswer(chosen, m_settings.entryKeep()) };
+        }
+
+        Awaitable<void> reportLoop()
+        {
+            for (;;) {
+                asio::post(m_controlLoop, [this, report = m_traffic.report()]() mutable { m_control.report(std::move(report)); });
+                co_await sleepFor(m_trafficLoop, FleetRoster::beatPeriod);
+            }
+        }
+
+        void awaitSignal()
+        {
+            m_signals.async_wait([this](const boost::system::error_code& ec, int signal) {
+                if (ec)
+                    return;
+                if (signal == SIGHUP)
+                    reload();
+                else
+                    asio::co_spawn(m_trafficLoop, stop(), asio::detached);
+                awaitSignal();
+            });
+        }
+
+        Awaitable<void> watchSettings()
+        {
+            for (;;) {
+                co_await sleepFor(m_trafficLoop, settingsCheckPeriod);
+                reload();
+            }
+        }
+
+        // Addresses hold for the life of a process; seeds and the level of the log may change.
+        void reload()
+        {
+            auto settings = m_readSettings();
+            if (!settings)
+                return;
+            bool same = settings->seeds == m_settings.seeds && settings->logLevel == m_settings.logLevel;
+            if (same)
+                return;
+            LogLine(LogLevel::Info, "reload").with("seeds", static_cast<std::int64_t>(settings->seeds.size())).with("log_level", settings->logLevel);
+            setLogLevel(settings->logLevel);
+            m_settings.seeds = settings->seeds;
+            m_settings.logLevel = settings->logLevel;
+            asio::post(m_controlLoop, [this, seeds = settings->seeds] { m_control.expectSeeds(seeds); });
+        }
+
+        // Sends callers elsewhere, serves those that still come, and ends once nobody does.
+        Awaitable<void> stop()
+        {
+            if (m_traffic.isStopping()) {
+                m_trafficLoop.stop();
+                co_return;
+            }
+            auto begunAt = bootNow();
+            LogLine(LogLevel::Info, "stop").with("requests", m_entryState->requests).with("connections", m_entryState->connections);
+            m_traffic.stop();
+            m_entryState->closing = true;
+            asio::post(m_controlLoop, [this] { m_control.leave(); });
+            auto limit = begunAt + m_settings.stopGrace() - stopMargin;
+            auto nobodyComes = begunAt + m_settings.entryKeep() * longestKeepFactor + stopMargin;
+            while (bootNow() < limit) {
+                if (bootNow() >= nobodyComes) {
+                    m_entry->stop();
+                    if (m_entryState->requests == 0)
+                        break;
+                }
+                co_await sleepFor(m_trafficLoop, stopCheckPeriod);
+            }
+            LogLine(LogLevel::Info, "stopped").with("cut", m_entryState->requests).with("ms", toMilliseconds(bootNow() - begunAt).count());
+            m_trafficLoop.stop();
+        }
+
+        EdgeSettings m_settings;
+        SettingsReader m_readSettings;
+        Incarnation m_self;
+        EdgeMetrics m_metrics;
+        EventLoop m_trafficLoop { 1 };
+        EventLoop m_controlLoop { 1 };
+        Traffic m_traffic;
+        ControlPlane m_control;
+        asio::signal_set m_signals;
+        std::shared_ptr<ServerState> m_entryState;
+        std::shared_ptr<ServerState> m_questionState;
+        HttpListener* m_entry = nullptr;
+    };
+
+}
+
+int runEdge(const EdgeSettings& settings, const SettingsReader& reader)
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    startLog(settings.logLevel, settings.instance.value, LogTarget::StandardOutput);
+    auto status = 0;
+    {
+        EdgeDaemon daemon(settings, reader);
+        status = daemon.run();
+    }
+    stopLog();
+    return status;
+}
+
+}
--- /dev/null
+++ b/src/edge/edge_metrics.cpp
@@ -0,0 +1,75 @@
+#include "edge/edge_metrics.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+namespace skylarkhitch {
+
+namespace {
+
+    // Upper bounds in seconds, from a plain call on an idle upstream to the longest time limit of a stream.
+    const prometheus::Histogram::BucketBoundaries latencyBounds { 0.01, 0.03, 0.1, 0.2, 0.5, 1, 2, 5, 10, 30 };
+
+    double inSeconds(Microseconds time) { return std::chrono::duration<double>(time).count(); }
+
+}
+
+class EdgeMetrics::Impl {
+public:
+    prometheus::Registry registry;
+    prometheus::Family<prometheus::Histogram>& whole = prometheus::BuildHistogram().Name("skylarkhitch_edge_request_seconds").Help("time from a request to the end of its answer").Register(registry);
+    prometheus::Family<prometheus::Histogram>& first = prometheus::BuildHistogram().Name("skylarkhitch_edge_first_byte_seconds").Help("time from a request to the first part of its answer").Register(registry);
+    prometheus::Family<prometheus::Counter>& requests = prometheus::BuildCounter().Name("skylarkhitch_edge_requests_total").Help("requests by how they ended").Register(registry);
+    prometheus::Family<prometheus::Counter>& attempts = prometheus::BuildCounter().Name("skylarkhitch_edge_attempts_total").Help("sends to upstreams by how they ended").Register(registry);
+    prometheus::Family<prometheus::Counter>& storeCalls = prometheus::BuildCounter().Name("skylarkhitch_edge_store_calls_total").Help("calls to the platform's store; status 0 is no answer").Register(registry);
+    prometheus::Family<prometheus::Counter>& beats = prometheus::BuildCounter().Name("skylarkhitch_edge_beats_total").Help("beats sent and received").Register(registry);
+    prometheus::Family<prometheus::Gauge>& state = prometheus::BuildGauge().Name("skylarkhitch_edge_state").Help("state of the process").Register(registry);
+};
+
+EdgeMetrics::EdgeMetrics()
+    : m_impl(std::make_unique<Impl>())
+{
+}
+
+EdgeMetrics::~EdgeMetrics() = default;
+
+void EdgeMetrics::requestEnded(const TeamId& team, std::int64_t rank, const std::string& error, Microseconds whole)
+{
+    m_impl->requests.Add({ { "team", team.value }, { "rank", std::to_string(rank) }, { "error", error } }).Increment();
+    m_impl->whole.Add({ { "team", team.value }, { "rank", std::to_string(rank) } }, latencyBounds).Observe(inSeconds(whole));
+}
+
+void EdgeMetrics::firstByte(const TeamId& team, std::int64_t rank, Microseconds time)
+{
+    m_impl->first.Add({ { "team", team.value }, { "rank", std::to_string(rank) } }, latencyBounds).Observe(inSeconds(time));
+}
+
+void EdgeMetrics::attemptEnded(const std::string& service, const std::string& end)
+{
+    m_impl->attempts.Add({ { "service", service }, { "end", end } }).Increment();
+}
+
+void EdgeMetrics::storeCall(const std::string& call, int status)
+{
+    m_impl->storeCalls.Add({ { "call", call }, { "status", std::to_string(status) } }).Increment();
+}
+
+void EdgeMetrics::peerBeat(const std::string& direction)
+{
+    m_impl->beats.Add({ { "direction", direction } }).Increment();
+}
+
+void EdgeMetrics::setState(const std::string& name, double value)
+{
+    m_impl->state.Add({ { "name", name } }).Set(value);
+}
+
+std::string EdgeMetrics::text() const
+{
+    return prometheus::TextSerializer().Serialize(m_impl->registry.Collect());
+}
+
+}
--- /dev/null
+++ b/src/edge/event_loop.cpp
@@ -0,0 +1,135 @@
+#include "edge/event_loop.h"
+
+#include "core/check.h"
+
+#include <absl/strings/numbers.h>
+#include <ctime>
+#include <netinet/tcp.h>
+#include <optional>
+#include <sys/socket.h>
+
+namespace skylarkhitch {
+
+namespace {
+
+    // Unacknowledged data ends a connection after this time: below the time in which the platform expects an instance to be in touch again.
+    constexpr int unacknowledgedMs = 2000;
+    // An idle connection is probed after this many seconds, at this interval, and ends after this many lost probes.
+    constexpr int probeAfterSeconds = 1;
+    constexpr int probeIntervalSeconds = 1;
+    constexpr int lostProbes = 2;
+
+    using SteadyClock = std::chrono::steady_clock;
+
+    std::pair<asio::ip::address, std::uint16_t> splitAddress(const std::string& text)
+    {
+        auto colon = text.rfind(':');
+        int port = 0;
+        boost::system::error_code ec;
+        auto host = asio::ip::make_address(text.substr(0, colon), ec);
+        bool valid = colon != std::string::npos && !ec && absl::SimpleAtoi(text.substr(colon + 1), &port) && port >= 0 && port <= 65535;
+        CALLER_CHECK(valid) << "found address '" << text << "', expected ip:port";
+        return { host, static_cast<std::uint16_t>(port) };
+    }
+
+}
+
+TimePoint bootNow()
+{
+    timespec time {};
+    clock_gettime(CLOCK_BOOTTIME, &time);
+    return TimePoint { Seconds(time.tv_sec) + Microseconds(time.tv_nsec / 1000) };
+}
+
+Awaitable<void> sleepFor(EventLoop& loop, Milliseconds time)
+{
+    asio::steady_timer timer(loop, time);
+    boost::system::error_code ec;
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+}
+
+asio::ip::tcp::endpoint tcpEndpoint(const std::string& address)
+{
+    auto [host, port] = splitAddress(address);
+    return { host, port };
+}
+
+asio::ip::udp::endpoint udpEndpoint(const std::string& address)
+{
+    auto [host, port] = splitAddress(address);
+    return { host, port };
+}
+
+void setConnectionOptions(TcpSocket& socket)
+{
+    // A socket that is closed already reports its error with the next read.
+    boost::system::error_code ec;
+    socket.set_option(asio::ip::tcp::no_delay(true), ec);
+    socket.set_option(asio::socket_base::keep_alive(true), ec);
+    auto fd = socket.native_handle();
+    setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacknowledgedMs, sizeof unacknowledgedMs);
+    setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &probeAfterSeconds, sizeof probeAfterSeconds);
+    setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &probeIntervalSeconds, sizeof probeIntervalSeconds);
+    setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &lostProbes, sizeof lostProbes);
+}
+
+struct DeadlineWatch::State : std::enable_shared_from_this<State> {
+    State(EventLoop& loop, std::function<void()> callback)
+        : timer(loop)
+        , onExpiry(std::move(callback))
+    {
+    }
+
+    void arm()
+    {
+        armedFor = *at;
+        timer.expires_at(*at);
+        timer.async_wait([self = shared_from_this()](const boost::system::error_code& ec) {
+            if (!ec)
+                self->fired();
+        });
+    }
+
+    void fired()
+    {
+        armedFor.reset();
+        if (!at)
+            return;
+        if (SteadyClock::now() < *at) {
+            arm();
+            return;
+        }
+        at.reset();
+        if (onExpiry)
+            onExpiry();
+    }
+
+    asio::steady_timer timer;
+    std::function<void()> onExpiry;
+    std::optional<SteadyClock::time_point> at;
+    // When the timer fires, which may be before the deadline.
+    std::optional<SteadyClock::time_point> armedFor;
+};
+
+DeadlineWatch::DeadlineWatch(EventLoop& loop, std::function<void()> onExpiry)
+    : m_state(std::make_shared<State>(loop, std::move(onExpiry)))
+{
+}
+
+DeadlineWatch::~DeadlineWatch()
+{
+    m_state->onExpiry = nullptr;
+    m_state->at.reset();
+    m_state->timer.cancel();
+}
+
+void DeadlineWatch::set(Milliseconds fromNow)
+{
+    m_state->at = SteadyClock::now() + fromNow;
+    if (!m_state->armedFor || *m_state->at < *m_state->armedFor)
+        m_state->arm();
+}
+
+void DeadlineWatch::clear() { m_state->at.reset(); }
+
+}
--- /dev/null
+++ b/src/edge/request_reader.cpp
@@ -0,0 +1,135 @@
+#include "edge/request_reader.h"
+
+#include <absl/strings/ascii.h>
+#include <absl/strings/string_view.h>
+#include <boost/asio/buffer.hpp>
+
+namespace skylarkhitch {
+
+namespace {
+
+    namespace http = boost::beast::http;
+
+    constexpr int badRequest = 400;
+    constexpr int bodyTooLarge = 413;
+    constexpr int headTooLarge = 431;
+    constexpr std::string_view endOfHead = "\r\n\r\n";
+
+    // Whether every line ends in CR LF, and none goes on in the next one or has a space before its colon.
+    bool hasStrictLines(std::string_view head)
+    {
+        bool isFirst = true;
+        for (std::size_t start = 0; start < head.size();) {
+            auto end = head.find('\n', start);
+            if (end == std::string_view::npos)
+                return head.find('\r', start) == std::string_view::npos || head.find('\r', start) == head.size() - 1;
+            if (end == start || head[end - 1] != '\r')
+                return false;
+            auto line = head.substr(start, end - start - 1);
+            if (line.find('\r') != std::string_view::npos)
+                return false;
+            bool folds = !line.empty() && (line.front() == ' ' || line.front() == '\t');
+            auto colon = line.find(':');
+            bool spaced = !isFirst && colon != std::string_view::npos && colon > 0 && (line[colon - 1] == ' ' || line[colon - 1] == '\t');
+            if (folds || spaced)
+                return false;
+            isFirst = line.empty() && isFirst;
+            start = end + 1;
+        }
+        return true;
+    }
+
+}
+
+RequestReader::RequestReader(std::size_t mostHeadBytes, std::size_t mostBodyBytes)
+    : m_mostHeadBytes(mostHeadBytes)
+{
+    m_parser.eager(true);
+    m_parser.header_limit(static_cast<std::uint32_t>(mostHeadBytes + endOfHead.size()));
+    m_parser.body_limit(mostBodyBytes);
+}
+
+RequestReader::State RequestReader::feed(std::string& in)
+{
+    if (m_state == State::NeedsHead)
+        feedHead(in);
+    if (m_state == State::NeedsBody)
+        feedBody(in);
+    return m_state;
+}
+
+RequestReader::State RequestReader::fail(int status)
+{
+    m_failure = status;
+    return m_state = State::Failed;
+}
+
+RequestReader::State RequestReader::feedHead(std::string& in)
+{
+    // Empty lines before a request are allowed.
+    while (in.size() >= 2 && in.compare(0, 2, "\r\n") == 0)
+        in.erase(0, 2);
+    auto end = in.find(endOfHead);
+    auto head = std::string_view(in).substr(0, end == std::string::npos ? in.size() : end + endOfHead.size());
+    if (!hasStrictLines(head))
+        return fail(badRequest);
+    if (head.size() > m_mostHeadBytes)
+        return fail(headTooLarge);
+    if (end == std::string::npos)
+        return m_state;
+    boost::system::error_code ec;
+    auto size = head.size();
+    m_parser.put(boost::asio::buffer(in.data(), size), ec);
+    if (ec == http::error::header_limit)
+        return fail(headTooLarge);
+    if (ec == http::error::body_limit)
+        return fail(bodyTooLarge);
+    if ((ec && ec != http::error::need_more) || !m_parser.is_header_done() || !isUnambiguous())
+        return fail(badRequest);
+    in.erase(0, size);
+    return m_state = m_parser.is_done() ? State::Done : State::NeedsBody;
+}
+
+RequestReader::State RequestReader::feedBody(std::string& in)
+{
+    while (!in.empty() && !m_parser.is_done()) {
+        boost::system::error_code ec;
+        auto n = m_parser.put(boost::asio::buffer(in), ec);
+        in.erase(0, n);
+        if (ec == http::error::body_limit)
+            return fail(bodyTooLarge);
+        if (ec && ec != http::error::need_more)
+            return fail(badRequest);
+        if (n == 0)
+            break;
+    }
+    if (m_parser.is_done())
+        m_state = State::Done;
+    return m_state;
+}
+
+bool RequestReader::isUnambiguous() const
+{
+    const auto& message = m_parser.get();
+    auto lengths = message.count(http::field::content_length);
+    auto encodings = message.count(http::field::transfer_encoding);
+    if (lengths > 1 || encodings > 1 || (lengths > 0 && encodings > 0) || message.count(http::field::host) > 1)
+        return false;
+    auto encoding = message[http::field::transfer_encoding];
+    return encodings == 0 || absl::AsciiStrToLower(absl::string_view(encoding.data(), encoding.size())) == "chunked";
+}
+
+bool RequestReader::expectsContinue() const
+{
+    return m_parser.get().count(http::field::expect) > 0;
+}
+
+HeaderFields RequestReader::fields() const
+{
+    HeaderFields result;
+    for (const auto& it : m_parser.get())
+        result.push_back({ std::string(it.name_string()), std::string(it.value()) });
+    return result;
+}
+
+}
--- /dev/null
+++ b/src/edge/request_reader.h
@@ -0,0 +1,49 @@
+#pragma once
+
+// Reads one HTTP/1.1 request out of a growing buffer, strictly: anything that two readers could take differently is an error.
+
+#include "core/requests/header_field.h"
+
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <optional>
+
+namespace skylarkhitch {
+
+class RequestReader {
+public:
+    enum class State { NeedsHead,
+        NeedsBody,
+        Done,
+        Failed };
+
+    RequestReader(std::size_t mostHeadBytes, std::size_t mostBodyBytes);
+
+    // Takes what it can from the front of the buffer.
+    State feed(std::string& in);
+
+    State state() const { return m_state; }
+    // Status for the caller once the state is Failed.
+    int failure() const { return m_failure; }
+    // The caller waits for a word before it sends the body.
+    bool expectsContinue() const;
+    bool keepsAlive() const { return m_parser.get().keep_alive(); }
+    bool isHttp11() const { return m_parser.get().version() == 11; }
+    std::string method() const { return std::string(m_parser.get().method_string()); }
+    std::string target() const { return std::string(m_parser.get().target()); }
+    HeaderFields fields() const;
+    std::string takeBody() { return std::move(m_parser.get().body()); }
+
+private:
+    State fail(int status);
+    State feedHead(std::string& in);
+    State feedBody(std::string& in);
+    bool isUnambiguous() const;
+
+    std::size_t m_mostHeadBytes;
+    State m_state = State::NeedsHead;
+    int m_failure = 0;
+    boost::beast::http::request_parser<boost::beast::http::string_body> m_parser;
+};
+
+}
--- /dev/null
+++ b/src/edge/request_run.cpp
@@ -0,0 +1,397 @@
+#include "edge/request_run.h"
+
+#include "adapters/log.h"
+#include "core/hashing.h"
+#include "platform/request_codec.h"
+
+#include <absl/strings/str_cat.h>
+
+namespace skylarkhitch {
+
+namespace {
+
+    // Time to connect: a healthy upstream takes some milliseconds, one without power never answers.
+    constexpr Milliseconds connectTime { 300 };
+    // Answers that are not event streams are held whole, so that one that breaks can be fetched anew.
+    constexpr std::size_t mostWholeAnswer = std::size_t { 8 } << 20;
+    // Upstreams that are tried for one request though none could be reached.
+    constexpr std::size_t mostUnreached = 6;
+    // An upstream that has not answered within this multiple of the target has probably lost the request.
+    constexpr double answerPatience = 2.5;
+    constexpr double firstEventPatience = 1.5;
+    constexpr Milliseconds leastFirstEventPatience { 2000 };
+    constexpr double gapPatience = 2;
+    constexpr Milliseconds leastGapPatience { 1500 };
+    // Shortest time in which another upstream could still answer.
+    constexpr Milliseconds leastUsefulTime { 30 };
+    // Assumed of a caller that does not say how long it waits.
+    constexpr Milliseconds patienceUnstated { 10000 };
+    // Part of its remaining time that a caller is asked to wait at most; callers ignore longer requests.
+    constexpr int longestWaitPart = 3;
+    constexpr Milliseconds leastWait { 50 };
+    // Urgency of the engines' ten steps for each rank.
+    constexpr std::int64_t urgencyPerRank = 3;
+    constexpr std::int64_t leastUrgent = 9;
+
+    Milliseconds scaled(Milliseconds time, double factor)
+    {
+        return Milliseconds(static_cast<std::int64_t>(static_cast<double>(time.count()) * factor));
+    }
+
+    const char* nameOf(AttemptEnd end)
+    {
+        constexpr const char* names[] = { "completed", "not_sent", "refused_not_run", "upstream_error", "cut", "timed_out" };
+        return names[static_cast<int>(end)];
+    }
+
+    AttemptEnd endOf(TransferEnd end)
+    {
+        return end == TransferEnd::TimedOut ? AttemptEnd::TimedOut : AttemptEnd::Cut;
+    }
+
+    // Whether a status tells the caller that the request was not run.
+    bool promisesNotRun(int status) { return status == 408 || status == 421 || status == 429 || status == 503; }
+
+    AnswerToCaller answerOf(UpstreamAnswer answer, std::string body = {})
+    {
+        return { answer.status, std::move(answer.reason), std::move(answer.passedOn), std::move(body) };
+    }
+
+}
+
+RequestRun::RequestRun(Traffic& traffic, std::shared_ptr<CallerConnection> caller, ReceivedRequest received)
+    : m_traffic(traffic)
+    , m_caller(std::move(caller))
+    , m_received(std::move(received))
+    , m_view(traffic.view())
+{
+}
+
+Awaitable<void> RequestRun::run()
+{
+    auto self = shared_from_this();
+    auto error = admit();
+    if (error != ErrorKind::None) {
+        co_await refuse(error);
+        co_return;
+    }
+    m_caller->onLeft([this] {
+        if (m_upstream)
+            m_upstream->close();
+    });
+    co_await serve();
+}
+
+ErrorKind RequestRun::admit()
+{
+    m_request.method = m_received.method;
+    m_request.target = m_received.target;
+    m_request.body = m_received.body;
+    bool hasIdentity = platform::decodeRequest(m_received.fields, m_request);
+    m_deadline = m_received.at + m_request.patience.value_or(patienceUnstated);
+    if (!m_view || !m_view->configuration)
+        return ErrorKind::NotConfigured;
+    m_route = m_view->configuration->findRoute(m_request.host, pathOf(m_request));
+    if (!m_route)
+        return ErrorKind::UnknownTarget;
+    m_rank = m_route->rank;
+    m_deadline = std::min(m_deadline, m_received.at + m_route->timeout);
+    if (auto error = findTeam(); error != ErrorKind::None)
+        return error;
+    if (!hasIdentity)
+        return ErrorKind::BadHeader;
+    m_events = EventStream(m_request.lastEvent);
+    const auto* service = chooseService(*m_route, m_request.session.empty() ? m_request.id.value : m_request.session);
+    m_service = service ? m_view->configuration->findService(*service) : nullptr;
+    if (!m_service)
+        return ErrorKind::NoHealthyUpstream;
+    m_serviceId = m_service->name;
+    m_traffic.requestArrived(m_serviceId, m_received.at);
+    return m_traffic.crashes().refuses(fingerprint()) ? ErrorKind::RequestQuarantined : ErrorKind::None;
+}
+
+ErrorKind RequestRun::findTeam()
+{
+    const auto& configuration = *m_view->configuration;
+    const auto* holder = configuration.findHolder(m_request.key);
+    if (!holder)
+        return configuration.hasTeams && !m_route->anonymous ? ErrorKind::UnknownKey : ErrorKind::None;
+    m_team = holder->team;
+    m_rank = holder->rank.value_or(m_rank);
+    return ErrorKind::None;
+}
+
+Awaitable<void> RequestRun::serve()
+{
+    for (;;) {
+        auto now = bootNow();
+        if (timeLeft() < leastUsefulTime) {
+            co_await refuse(ErrorKind::DeadlineExceeded);
+            co_return;
+        }
+        const auto* upstream = chooseUpstream(now);
+        if (!upstream) {
+            co_await refuse(ErrorKind::NoHealthyUpstream);
+            co_return;
+        }
+        auto result = co_await sendTo(*upstream);
+        if (m_caller->hasLeft()) {
+            logEnd("caller_left", 0);
+            co_return;
+        }
+        if (result.isFinal)
+            co_return;
+        if (!mayRepeat(result, bootNow())) {
+            co_await refuse(errorAfter(result));
+            co_return;
+        }
+    }
+}
+
+const UpstreamEntry* RequestRun::chooseUpstream(TimePoint now)
+{
+    // The newest view counts: an upstream may have left since the request came.
+    m_view = m_traffic.view();
+    auto placement = m_traffic.place(m_serviceId, m_request, now);
+    if (!placement.service)
+        return nullptr;
+    m_service = placement.service;
+    return m_traffic.board().choose({ &m_request, m_service, placement.allowed, &m_tried, m_traffic.settings().domain }, now);
+}
+
+Awaitable<RequestRun::SendResult> RequestRun::sendTo(UpstreamEntry upstream)
+{
+    m_tried.push_back(upstream.id);
+    // A call that may run once only gets a connection that nobody used: on a kept one its end could be an older answer's.
+    auto connection = m_route->kind == RouteKind::NonIdempotent ? nullptr : m_traffic.connections().take(upstream, bootNow());
+    bool isOpen = connection != nullptr;
+    if (!connection)
+        connection = m_traffic.connections().make();
+    m_upstream = connection;
+    if (!isOpen && !co_await connection->open(upstream.address, std::min(connectTime, timeLeft()))) {
+        if (!m_caller->hasLeft())
+            upstreamFailed(upstream, AttemptEnd::NotSent);
+        co_return SendResult { AttemptEnd::NotSent, false };
+    }
+    if (m_caller->hasLeft())
+        co_return SendResult { AttemptEnd::NotSent, true };
+    m_sentAt = bootNow();
+    m_promptRead = false;
+    m_verdict.attemptSent();
+    m_traffic.board().sent(upstream.id, m_request.promptTokens);
+    auto result = co_await converse(upstream, connection);
+    m_traffic.board().ended(upstream.id, m_request.promptTokens, m_promptRead);
+    m_verdict.attemptEnded(result.end);
+    m_upstream = nullptr;
+    if (result.end != AttemptEnd::NotSent)
+        ++m_arrivals;
+    m_traffic.metrics().attemptEnded(m_serviceId.value, nameOf(result.end));
+    bool isBroken = result.end == AttemptEnd::Cut || result.end == AttemptEnd::TimedOut || result.end == AttemptEnd::NotSent;
+    if (isBroken) {
+        connection->close();
+        if (!m_caller->hasLeft())
+            upstreamFailed(upstream, result.end);
+    }
+    co_return result;
+}
+
+Awaitable<RequestRun::SendResult> RequestRun::converse(const UpstreamEntry& upstream, std::shared_ptr<UpstreamConnection> connection)
+{
+    connection->endAfter(patienceFor(m_route->mayRepeat() && m_runs + 1 < m_route->maxAttempts));
+    if (!co_await connection->send(requestHead(upstream), m_request.body))
+        co_return SendResult { AttemptEnd::NotSent, false };
+    ResponseHead head;
+    auto end = co_await connection->readHead(head);
+    if (end != TransferEnd::Ok)
+        co_return SendResult { endOf(end), false };
+    auto answer = platform::decodeAnswer(head.status, std::move(head.reason), head.fields);
+    if (answer.load)
+        m_traffic.board().reported(upstream.id, *answer.load, bootNow());
+    // An answer that does not say whose it is could be a late one to another request.
+    if (answer.answers != m_request.id && !answer.notRun)
+        co_return SendResult { AttemptEnd::Cut, false };
+    if (answer.wrongInstance)
+        m_traffic.avoid(upstream);
+    if (answer.notRun) {
+        auto rest = co_await connection->readWholeBody(mostWholeAnswer);
+        if (rest.end == TransferEnd::Ok)
+            m_traffic.connections().giveBack(upstream, connection, answer.keepsIdle, bootNow());
+        co_return SendResult { AttemptEnd::RefusedNotRun, false };
+    }
+    ++m_runs;
+    bool isStream = m_route->kind == RouteKind::Streaming && answer.isEventStream && answer.status < 300;
+    if (isStream)
+        co_return co_await passStream(upstream, connection, std::move(answer));
+    co_return co_await passWhole(upstream, connection, std::move(answer));
+}
+
+Awaitable<RequestRun::SendResult> RequestRun::passWhole(const UpstreamEntry& upstream, std::shared_ptr<UpstreamConnection> connection, UpstreamAnswer answer)
+{
+    auto body = co_await connection->readWholeBody(mostWholeAnswer);
+    if (body.end != TransferEnd::Ok)
+        co_return SendResult { endOf(body.end), false };
+    auto now = bootNow();
+    m_traffic.connections().giveBack(upstream, connection, answer.keepsIdle, now);
+    bool isGood = answer.status < 500;
+    m_traffic.count({ m_serviceId, upstream.release, m_route->name }, isGood, toMilliseconds(now - m_sentAt));
+    if (isGood)
+        upstreamWorked(upstream);
+    else
+        m_traffic.board().failed(upstream.id, now);
+    SendResult result { isGood ? AttemptEnd::Completed : AttemptEnd::UpstreamError, true };
+    // A stream that was begun cannot take another answer's head.
+    if (m_caller->hasBegun())
+        co_return SendResult { AttemptEnd::UpstreamError, false };
+    if (!isGood && mayRepeat({ AttemptEnd::UpstreamError, false }, now))
+        co_return SendResult { AttemptEnd::UpstreamError, false };
+    auto status = answer.status;
+    m_traffic.metrics().firstByte(m_team.value_or(TeamId {}), m_rank, now - m_received.at);
+    co_await m_caller->respond(answerOf(std::move(answer), std::move(body.bytes)));
+    logEnd(isGood ? "none" : "upstream_error", status);
+    co_return result;
+}
+
+Awaitable<RequestRun::SendResult> RequestRun::passStream(const UpstreamEntry& upstream, std::shared_ptr<UpstreamConnection> connection, UpstreamAnswer answer)
+{
+    m_events.restart();
+    auto keepsIdle = answer.keepsIdle;
+    for (;;) {
+        auto piece = co_await connection->readBody();
+        if (m_caller->hasLeft())
+            co_return SendResult { AttemptEnd::Cut, true };
+        auto events = m_events.feed(piece.bytes);
+        if (events.events > 0 && !m_promptRead) {
+            auto now = bootNow();
+            m_promptRead = true;
+            m_traffic.board().begun(upstream.id, m_request.promptTokens);
+            m_traffic.count({ m_serviceId, upstream.release, m_route->name }, true, toMilliseconds(now - m_sentAt));
+            m_traffic.sessionServed(m_request, upstream.release, now);
+            upstreamWorked(upstream);
+        }
+        bool isWhole = piece.isLast && !m_events.hasPartialEvent();
+        if (!m_caller->hasBegun() && (events.events > 0 || isWhole)) {
+            m_traffic.metrics().firstByte(m_team.value_or(TeamId {}), m_rank, bootNow() - m_received.at);
+            co_await m_caller->beginBody(answerOf(std::move(answer)));
+        }
+        co_await m_caller->writeBody(events.bytes);
+        if (isWhole) {
+            m_traffic.connections().giveBack(upstream, connection, keepsIdle, bootNow());
+            co_await m_caller->endBody();
+            logEnd("none", 200);
+            co_return SendResult { AttemptEnd::Completed, true };
+        }
+        if (piece.end != TransferEnd::Ok || piece.isLast)
+            co_return SendResult { endOf(piece.end), false };
+        auto gap = std::max(leastGapPatience, scaled(m_route->targetGap, gapPatience));
+        connection->endAfter(m_promptRead ? std::min(gap, timeLeft()) : patienceFor(m_runs < m_route->maxAttempts));
+    }
+}
+
+std::string RequestRun::requestHead(const UpstreamEntry& upstream) const
+{
+    platform::SendOrders orders { .upstream = upstream.id, .patience = timeLeft(), .team = m_team, .lastEvent = m_events.last() };
+    if (m_service->engine)
+        orders.urgency = std::min(leastUrgent, m_rank * urgencyPerRank);
+    if (m_request.anyModel && !m_route->models.empty())
+        orders.model = m_route->models.back();
+    return platform::encodeRequestHead(m_request, orders);
+}
+
+bool RequestRun::mayRepeat(const SendResult& result, TimePoint now)
+{
+    if (timeLeft() < leastUsefulTime || m_tried.size() >= mostUnreached + static_cast<std::size_t>(m_route->maxAttempts))
+        return false;
+    // Nothing arrived anywhere: the next send is still the first.
+    if (result.end == AttemptEnd::NotSent && m_arrivals == 0)
+        return true;
+    bool mayHaveRun = result.end != AttemptEnd::NotSent && result.end != AttemptEnd::RefusedNotRun;
+    if (mayHaveRun && !m_route->mayRepeat())
+        return false;
+    if (m_runs >= m_route->maxAttempts || m_traffic.crashes().refuses(fingerprint()))
+        return false;
+    return m_traffic.takeRepeat(m_serviceId, now);
+}
+
+ErrorKind RequestRun::errorAfter(const SendResult& result) const
+{
+    if (timeLeft() < leastUsefulTime)
+        return ErrorKind::DeadlineExceeded;
+    if (result.end == AttemptEnd::NotSent)
+        return ErrorKind::NoHealthyUpstream;
+    return result.end == AttemptEnd::RefusedNotRun ? ErrorKind::Overloaded : ErrorKind::UpstreamFailed;
+}
+
+Awaitable<void> RequestRun::refuse(ErrorKind kind)
+{
+    const auto& row = answerFor(kind);
+    if (m_caller->hasBegun()) {
+        m_caller->abort();
+        logEnd(row.name, 0);
+        co_return;
+    }
+    auto verdict = m_verdict.verdict();
+    AnswerToCaller answer { .status = row.httpStatus };
+    if (verdict != Ran::No && promisesNotRun(answer.status))
+        answer.status = answerFor(ErrorKind::UpstreamFailed).httpStatus;
+    // A deadline that passed before anything was sent is a refusal that the caller may act on.
+    if (verdict == Ran::No && kind == ErrorKind::DeadlineExceeded)
+        answer.status = answerFor(ErrorKind::NoHealthyUpstream).httpStatus;
+    if (promisesNotRun(answer.status)) {
+        auto wait = std::max(leastWait, std::min(row.retryAfter, Milliseconds(timeLeft() / longestWaitPart)));
+        answer.fields.push_back({ "Retry-After", absl::StrCat(static_cast<double>(wait.count()) / 1000) });
+    }
+    logEnd(row.name, answer.status);
+    co_await m_caller->respond(std::move(answer));
+}
+
+void RequestRun::upstreamFailed(const UpstreamEntry& upstream, AttemptEnd end)
+{
+    auto now = bootNow();
+    if (end != AttemptEnd::NotSent)
+        m_traffic.count({ m_serviceId, upstream.release, m_route->name }, false, {});
+    if (end == AttemptEnd::Cut)
+        m_traffic.crashes().fell(fingerprint(), upstream.id, now);
+    if (m_traffic.board().failed(upstream.id, now))
+        LogLine(LogLevel::Warning, "upstream_ejected").with("id", m_request.id.value).with("upstream", upstream.id.value).with("service", m_serviceId.value).with("last_end", nameOf(end));
+}
+
+void RequestRun::upstreamWorked(const UpstreamEntry& upstream)
+{
+    m_traffic.board().succeeded(upstream.id);
+    m_traffic.crashes().stillUp(upstream.id, m_sentAt);
+}
+
+void RequestRun::logEnd(std::string_view error, int status) const
+{
+    auto now = bootNow();
+    m_traffic.metrics().requestEnded(m_team.value_or(TeamId {}), m_rank, std::string(error), now - m_received.at);
+    LogLine line(error == "none" || error == "caller_left" ? LogLevel::Info : LogLevel::Warning, "request");
+    line.with("id", m_request.id.value).with("status", status).with("error", error).with("route", m_route ? m_route->name : "").with("team", m_team ? m_team->value : "");
+    line.with("service", m_serviceId.value).with("upstream", m_tried.empty() ? "" : m_tried.back().value).with("tried", static_cast<std::int64_t>(m_tried.size()));
+    line.with("arrivals", m_arrivals).with("ran", m_verdict.verdict() == Ran::No ? "no" : "maybe").with("ms", toMilliseconds(now - m_received.at).count());
+    if (m_view && m_view->configuration)
+        line.with("configuration", m_view->configuration->version).with("view_age_ms", toMilliseconds(now - m_view->freshAt).count());
+}
+
+Milliseconds RequestRun::timeLeft() const
+{
+    return std::max(Milliseconds(0), toMilliseconds(m_deadline - bootNow()));
+}
+
+Milliseconds RequestRun::patienceFor(bool mayTryAnother) const
+{
+    if (!mayTryAnother)
+        return timeLeft();
+    auto patience = m_route->kind == RouteKind::Streaming
+        ? std::max(leastFirstEventPatience, scaled(m_route->targetLatency, firstEventPatience))
+        : scaled(m_route->targetLatency, answerPatience);
+    return std::min(patience, timeLeft());
+}
+
+std::string RequestRun::fingerprint() const
+{
+    auto caller = hashOf(m_request.key, m_request.target);
+    return absl::StrCat(absl::Hex(caller ^ hashOf(m_request.method, *m_request.body)));
+}
+
+}
--- /dev/null
+++ b/src/edge/request_run.h
@@ -0,0 +1,71 @@
+#pragma once
+
+// The life of one request at this instance: checked, sent to an upstream, sent again where that is safe, its answer
+// passed on byte for byte, and one line logged about how it ended.
+
+#include "core/ran_verdict.h"
+#include "core/requests/event_stream.h"
+#include "core/requests/upstream_answer.h"
+#include "edge/caller_connection.h"
+#include "edge/traffic.h"
+
+namespace skylarkhitch {
+
+class RequestRun : public std::enable_shared_from_this<RequestRun> {
+public:
+    RequestRun(Traffic&, std::shared_ptr<CallerConnection>, ReceivedRequest);
+
+    Awaitable<void> run();
+
+private:
+    // How one send ended, and whether the request's answer is final with it.
+    struct SendResult {
+        AttemptEnd end = AttemptEnd::NotSent;
+        bool isFinal = false;
+    };
+
+    ErrorKind admit();
+    ErrorKind findTeam();
+    Awaitable<void> serve();
+    const UpstreamEntry* chooseUpstream(TimePoint now);
+    Awaitable<SendResult> sendTo(UpstreamEntry);
+    Awaitable<SendResult> converse(const UpstreamEntry&, std::shared_ptr<UpstreamConnection>);
+    Awaitable<SendResult> passWhole(const UpstreamEntry&, std::shared_ptr<UpstreamConnection>, UpstreamAnswer);
+    Awaitable<SendResult> passStream(const UpstreamEntry&, std::shared_ptr<UpstreamConnection>, UpstreamAnswer);
+    std::string requestHead(const UpstreamEntry&) const;
+    bool mayRepeat(const SendResult&, TimePoint now);
+    // Failure that follows from a send that was not final.
+    ErrorKind errorAfter(const SendResult&) const;
+    Awaitable<void> refuse(ErrorKind);
+    void upstreamFailed(const UpstreamEntry&, AttemptEnd);
+    void upstreamWorked(const UpstreamEntry&);
+    void logEnd(std::string_view error, int status) const;
+    Milliseconds timeLeft() const;
+    Milliseconds patienceFor(bool mayTryAnother) const;
+    std::string fingerprint() const;
+
+    Traffic& m_traffic;
+    std::shared_ptr<CallerConnection> m_caller;
+    ReceivedRequest m_received;
+    RoutedRequest m_request;
+    FleetViewPtr m_view;
+    const Route* m_route = nullptr;
+    const RoutedService* m_service = nullptr;
+    ServiceId m_serviceId;
+    std::optional<TeamId> m_team;
+    std::int64_t m_rank = 0;
+    TimePoint m_deadline {};
+    RanVerdict m_verdict;
+    EventStream m_events;
+    std::shared_ptr<UpstreamConnection> m_upstream;
+    std::vector<UpstreamId> m_tried;
+    // Sends that reached an upstream, whether it ran them or not.
+    std::int64_t m_arrivals = 0;
+    std::int64_t m_runs = 0;
+    std::optional<ModelId> m_model;
+    bool m_promptRead = false;
+    TimePoint m_sentAt {};
+    TimePoint m_lastFall {};
+};
+
+}
--- /dev/null
+++ b/src/edge/store_link.cpp
@@ -0,0 +1,117 @@
+#include "edge/store_link.h"
+
+#include "adapters/log.h"
+
+#include <absl/strings/str_cat.h>
+
+namespace skylarkhitch {
+
+namespace {
+
+    // The store answers in some milliseconds; a slow one takes a multiple of that.
+    constexpr Milliseconds callTime { 1500 };
+    constexpr Milliseconds connectTime { 500 };
+    // How long a watch waits for a first change, and how much longer its answer may take.
+    constexpr Milliseconds watchTime { 1500 };
+    constexpr Milliseconds watchMargin { 700 };
+    constexpr std::size_t mostAnswerBytes = std::size_t { 16 } << 20;
+    // Every key is mirrored.
+    constexpr const char* everyKey = "";
+
+    bool isAnswer(int status) { return status != 0 && status != 429 && status != 503; }
+
+}
+
+StoreLink::StoreLink(EventLoop& loop, std::string address, EdgeMetrics& metrics)
+    : m_loop(loop)
+    , m_address(std::move(address))
+    , m_metrics(metrics)
+{
+}
+
+Awaitable<StoreAnswer> StoreLink::exchange(platform::StoreRequest request, std::shared_ptr<UpstreamConnection>& kept, Milliseconds timeout, const char* name)
+{
+    auto connection = std::move(kept);
+    kept = nullptr;
+    StoreAnswer answer;
+    bool isOpen = connection && connection->isReusable();
+    if (!isOpen) {
+        connection = std::make_shared<UpstreamConnection>(m_loop);
+        isOpen = co_await connection->open(m_address, connectTime);
+    }
+    if (isOpen) {
+        connection->endAfter(timeout);
+        auto head = absl::StrCat(request.method, " ", request.target, " HTTP/1.1\r\nHost: ", m_address, "\r\n");
+        if (!request.body.empty())
+            absl::StrAppend(&head, "Content-Type: application/json\r\n");
+        if (request.method != "GET")
+            absl::StrAppend(&head, "Content-Length: ", request.body.size(), "\r\n");
+        ResponseHead answerHead;
+        bool isSent = co_await connection->send(head + "\r\n", std::make_shared<const std::string>(request.body));
+        if (isSent && co_await connection->readHead(answerHead) == TransferEnd::Ok) {
+            auto body = co_await connection->readWholeBody(mostAnswerBytes);
+            if (body.end == TransferEnd::Ok)
+                answer = { answerHead.status, std::move(body.bytes) };
+        }
+    }
+    connection->clearDeadline();
+    if (answer.status != 0 && connection->isReusable())
+        kept = connection;
+    else
+        connection->close();
+    m_metrics.storeCall(name, answer.status);
+    noteAnswer(answer.status);
+    co_return answer;
+}
+
+void StoreLink::noteAnswer(int status)
+{
+    auto now = bootNow();
+    bool reached = isAnswer(status);
+    (reached ? m_answeredAt : m_failedAt.emplace()) = now;
+    if (reached == m_isReached)
+        return;
+    m_isReached = reached;
+    LogLine(reached ? LogLevel::Info : LogLevel::Warning, reached ? "store_regained" : "store_lost").with("store", m_address).with("status", status);
+}
+
+Awaitable<StoreAnswer> StoreLink::call(platform::StoreRequest request, const char* name)
+{
+    co_return co_await exchange(std::move(request), m_callConnection, callTime, name);
+}
+
+Awaitable<StoreLink::WatchResult> StoreLink::watch(std::int64_t after)
+{
+    auto answer = co_await exchange(platform::watchChanges(everyKey, after, watchTime), m_watchConnection, watchTime + watchMargin, "watch");
+    WatchResult result { answer.status, {} };
+    if (!answer.isOk())
+        co_return result;
+    result.update = platform::decodeChanges(answer.body);
+    if (!result.update)
+        LogLine(LogLevel::Error, "store_answer_unreadable").with("call", "watch").with("bytes", static_cast<std::int64_t>(answer.body.size()));
+    co_return result;
+}
+
+Awaitable<StoreLink::WatchResult> StoreLink::readAll()
+{
+    MirrorUpdate update { 0, true, {} };
+    std::string after;
+    for (;;) {
+        auto answer = co_await exchange(platform::readPage(everyKey, after), m_watchConnection, callTime, "read");
+        auto page = answer.isOk() ? platform::decodePage(answer.body) : std::nullopt;
+        if (!page) {
+            LogLine(LogLevel::Warning, "store_read_failed").with("status", answer.status).with("after", after);
+            co_return WatchResult { answer.status, {} };
+        }
+        // Later pages may show later states; the watch goes on from the first one.
+        if (update.revision == 0)
+            update.revision = page->revision;
+        update.changes.insert(update.changes.end(), page->items.begin(), page->items.end());
+        if (!page->hasMore || page->items.empty())
+            break;
+        after = page->items.back().key;
+    }
+    co_return WatchResult { 200, std::move(update) };
+}
+
+}
--- /dev/null
+++ b/src/edge/store_link.h
@@ -0,0 +1,53 @@
+#pragma once
+
+// The one client of the platform's store: keeps a copy of its keys by a watch, and makes single calls.
+
+#include "core/membership/store_mirror.h"
+#include "edge/edge_metrics.h"
+#include "edge/upstream_connection.h"
+#include "platform/store_codec.h"
+
+namespace skylarkhitch {
+
+struct StoreAnswer {
+    // HTTP status; 0 if none came, so that the call may have taken effect or may yet do so.
+    int status = 0;
+    std::string body;
+
+    bool isOk() const { return status == 200; }
+};
+
+class StoreLink {
+public:
+    StoreLink(EventLoop&, std::string address, EdgeMetrics&);
+
+    // A single call.
+    Awaitable<StoreAnswer> call(platform::StoreRequest, const char* name);
+    // The changes after a revision, waiting for the first of them; nothing if the store no longer knows them.
+    struct WatchResult {
+        int status = 0;
+        std::optional<MirrorUpdate> update;
+    };
+    Awaitable<WatchResult> watch(std::int64_t after);
+    // Every key of the store.
+    Awaitable<WatchResult> readAll();
+
+    // When the store last answered, and when it last failed to.
+    TimePoint answeredAt() const { return m_answeredAt; }
+    std::optional<TimePoint> failedAt() const { return m_failedAt; }
+
+private:
+    Awaitable<StoreAnswer> exchange(platform::StoreRequest, std::shared_ptr<UpstreamConnection>&, Milliseconds timeout, const char* name);
+    void noteAnswer(int status);
+
+    EventLoop& m_loop;
+    std::string m_address;
+    EdgeMetrics& m_metrics;
+    std::shared_ptr<UpstreamConnection> m_watchConnection;
+    std::shared_ptr<UpstreamConnection> m_callConnection;
+    TimePoint m_answeredAt {};
+    std::optional<TimePoint> m_failedAt;
+    bool m_isReached = false;
+};
+
+}
--- /dev/null
+++ b/src/edge/traffic.cpp
@@ -0,0 +1,140 @@
+#include "edge/traffic.h"
+
+#include "core/hashing.h"
+
+namespace skylarkhitch {
+
+namespace {
+
+    // Crashes are remembered for as long as a caller may send the request again.
+    constexpr Seconds crashMemory { 120 };
+
+    // What keeps its release: the session, or the request where there is none.
+    std::string_view stickyKey(const RoutedRequest& request)
+    {
+        return request.session.empty() ? std::string_view(request.id.value) : std::string_view(request.session);
+    }
+
+    constexpr std::string_view rolloutSalt = "rollout";
+
+}
+
+Traffic::Traffic(EventLoop& loop, TrafficSettings settings, EdgeMetrics& metrics)
+    : m_loop(loop)
+    , m_settings(std::move(settings))
+    , m_metrics(metrics)
+    , m_board(m_settings.seed)
+    , m_connections(loop)
+    , m_sessions(m_settings.sessionTime)
+{
+}
+
+void Traffic::adopt(FleetViewPtr view)
+{
+    m_view = std::move(view);
+    std::vector<UpstreamEntry> all;
+    for (const auto& [service, entries] : m_view->upstreams)
+        all.insert(all.end(), entries.begin(), entries.end());
+    m_board.keepOnly(all);
+}
+
+void Traffic::learn(PeerNews news)
+{
+    auto now = bootNow();
+    m_board.learnPeerWork(std::move(news.work));
+    for (const auto& [id, crashes] : news.crashes)
+        m_crashes.learn(id, crashes, now);
+    m_sessions.learn(news.sessions, now);
+}
+
+TrafficReport Traffic::report()
+{
+    auto now = bootNow();
+    m_connections.sweep(now);
+    m_sessions.forget(now);
+    m_crashes.forget(now - crashMemory);
+    return { m_board.ownWork(), m_evidence, m_crashes.own(), m_sessions.own(now), isReady() };
+}
+
+Placement Traffic::place(const ServiceId& id, const RoutedRequest& request, TimePoint now)
+{
+    Placement placement { m_view->configuration->findService(id), {} };
+    auto entries = m_view->upstreams.find(id);
+    if (!placement.service || entries == m_view->upstreams.end())
+        return placement;
+    auto rollout = m_view->rollouts.find(id);
+    std::vector<const UpstreamEntry*> otherSide;
+    for (const auto& it : entries->second) {
+        if (isAvoided(it))
+            continue;
+        bool fits = rollout == m_view->rollouts.end() || runsOn(rollout->second, it.release, request, now);
+        (fits ? placement.allowed : otherSide).push_back(&it);
+    }
+    // A release that nothing is held against may stand in for one that has no upstream left.
+    bool mayStandIn = rollout != m_view->rollouts.end() && !rollout->second.suspended && rollout->second.stage != RolloutStage::Reverted;
+    if (placement.allowed.empty() && mayStandIn)
+        placement.allowed = std::move(otherSide);
+    return placement;
+}
+
+bool Traffic::runsOn(const RolloutInForce& rollout, const std::string& release, const RoutedRequest& request, TimePoint now) const
+{
+    bool isTarget = release == rollout.target;
+    if (rollout.suspended || rollout.stage == RolloutStage::Reverted)
+        return !isTarget;
+    if (rollout.stage == RolloutStage::Full || rollout.stage == RolloutStage::Completed)
+        return isTarget;
+    auto key = stickyKey(request);
+    const auto* underWay = request.session.empty() ? nullptr : m_sessions.releaseOf(hashOf(key), now);
+    bool wantsTarget = unitHash(rolloutSalt, key) < shareOf(rollout.stage);
+    // Sessions under way stay where they are; from the second half on they may move to the target, never back.
+    if (underWay && *underWay == rollout.target)
+        wantsTarget = true;
+    else if (underWay && rollout.stage == RolloutStage::Canary)
+        wantsTarget = false;
+    return isTarget == wantsTarget;
+}
+
+void Traffic::sessionServed(const RoutedRequest& request, const std::string& release, TimePoint now)
+{
+    bool mayBeMoved = unitHash(rolloutSalt, request.session) < shareOf(RolloutStage::Canary);
+    if (!request.session.empty() && mayBeMoved)
+        m_sessions.seen(hashOf(request.session), release, now);
+}
+
+void Traffic::avoid(const UpstreamEntry& entry)
+{
+    auto& born = m_avoided.try_emplace(entry.id, entry.born).first->second;
+    born = std::max(born, entry.born);
+}
+
+bool Traffic::isAvoided(const UpstreamEntry& entry) const
+{
+    auto it = m_avoided.find(entry.id);
+    return it != m_avoided.end() && entry.born <= it->second;
+}
+
+void Traffic::requestArrived(const ServiceId& service, TimePoint now) { budgetOf(service).requestArrived(now); }
+
+bool Traffic::takeRepeat(const ServiceId& service, TimePoint now)
+{
+    return budgetOf(service).take(m_view->liveInstances, now);
+}
+
+RepeatBudget& Traffic::budgetOf(const ServiceId& service)
+{
+    return m_budgets.try_emplace(service, m_settings.repeats).first->second;
+}
+
+void Traffic::count(const ReleaseRoute& key, bool isGood, Milliseconds latency)
+{
+    auto& it = m_evidence[key];
+    if (!isGood) {
+        ++it.failed;
+        return;
+    }
+    ++it.done;
+    it.latency += latency;
+}
+
+}
--- /dev/null
+++ b/src/edge/traffic.h
@@ -0,0 +1,80 @@
+#pragma once
+
+// The traffic thread's state: what requests share. Everything here is touched by that thread only.
+
+#include "core/crash_guard.h"
+#include "core/rollout/session_releases.h"
+#include "core/routing/upstream_board.h"
+#include "edge/connection_pool.h"
+#include "edge/edge_metrics.h"
+#include "edge/fleet_view.h"
+
+namespace skylarkhitch {
+
+// Where a request may run.
+struct Placement {
+    const RoutedService* service = nullptr;
+    std::vector<const UpstreamEntry*> allowed;
+};
+
+struct TrafficSettings {
+    DomainId domain;
+    std::uint64_t seed = 1;
+    Milliseconds sessionTime { 5000 };
+    RepeatBudgetSettings repeats;
+};
+
+class Traffic {
+public:
+    Traffic(EventLoop&, TrafficSettings, EdgeMetrics&);
+
+    void adopt(FleetViewPtr);
+    void learn(PeerNews);
+    TrafficReport report();
+
+    const FleetViewPtr& view() const { return m_view; }
+    bool isReady() const { return m_view && m_view->configuration && !m_view->upstreams.empty() && !m_stopping; }
+    // No new callers are wanted any more.
+    void stop() { m_stopping = true; }
+    bool isStopping() const { return m_stopping; }
+
+    // Upstreams that may run a request of a service now, by roster and roll-out.
+    Placement place(const ServiceId&, const RoutedRequest&, TimePoint now);
+    // Remembers which release a session got.
+    void sessionServed(const RoutedRequest&, const std::string& release, TimePoint now);
+    // The upstream takes no more work: it said so, or another one has its address.
+    void avoid(const UpstreamEntry&);
+    bool isAvoided(const UpstreamEntry&) const;
+
+    void requestArrived(const ServiceId&, TimePoint now);
+    // Whether the request may be sent once more.
+    bool takeRepeat(const ServiceId&, TimePoint now);
+    void count(const ReleaseRoute&, bool isGood, Milliseconds latency);
+
+    EventLoop& loop() { return m_loop; }
+    UpstreamBoard& board() { return m_board; }
+    ConnectionPool& connections() { return m_connections; }
+    CrashGuard& crashes() { return m_crashes; }
+    EdgeMetrics& metrics() { return m_metrics; }
+    const TrafficSettings& settings() const { return m_settings; }
+
+private:
+    bool runsOn(const RolloutInForce&, const std::string& release, const RoutedRequest&, TimePoint now) const;
+    RepeatBudget& budgetOf(const ServiceId&);
+
+    EventLoop& m_loop;
+    TrafficSettings m_settings;
+    EdgeMetrics& m_metrics;
+    FleetViewPtr m_view;
+    UpstreamBoard m_board;
+    ConnectionPool m_connections;
+    CrashGuard m_crashes;
+    SessionReleases m_sessions;
+    std::map<ServiceId, RepeatBudget> m_budgets;
+    ReleaseEvidence m_evidence;
+    // Lives of upstreams up to this one take no more work.
+    absl::flat_hash_map<UpstreamId, std::int64_t> m_avoided;
+    bool m_stopping = false;
+};
+
+}
--- /dev/null
+++ b/src/edge/upstream_connection.cpp
@@ -0,0 +1,184 @@
+#include "edge/upstream_connection.h"
+
+#include <boost/asio/write.hpp>
+#include <sys/socket.h>
+
+namespace skylarkhitch {
+
+namespace {
+
+    namespace http = boost::beast::http;
+
+    constexpr std::size_t readBlock = std::size_t { 16 } * 1024;
+    constexpr std::uint32_t mostAnswerHead = 64 * 1024;
+    // Readers bound what they keep. A parser without any limit refuses every body (Beast 1.74).
+    constexpr std::uint64_t mostAnswerBody = std::uint64_t { 1 } << 40;
+    // Requests up to this size fit into the socket's buffers and are written before the answer is read.
+    constexpr std::size_t smallRequest = std::size_t { 16 } * 1024;
+
+    HeaderFields fieldsOf(const http::fields& fields)
+    {
+        HeaderFields result;
+        for (const auto& it : fields)
+            result.push_back({ std::string(it.name_string()), std::string(it.value()) });
+        return result;
+    }
+
+}
+
+UpstreamConnection::UpstreamConnection(EventLoop& loop)
+    : m_loop(loop)
+    , m_socket(loop)
+    , m_deadline(loop, [this] {
+        m_timedOut = true;
+        close();
+    })
+{
+}
+
+Awaitable<bool> UpstreamConnection::open(const std::string& address, Milliseconds timeout)
+{
+    auto self = shared_from_this();
+    endAfter(timeout);
+    boost::system::error_code ec;
+    co_await m_socket.async_connect(tcpEndpoint(address), asio::redirect_error(asio::use_awaitable, ec));
+    clearDeadline();
+    if (ec || m_broken)
+        co_return false;
+    setConnectionOptions(m_socket);
+    co_return true;
+}
+
+Awaitable<bool> UpstreamConnection::send(std::string head, std::shared_ptr<const std::string> body)
+{
+    auto self = shared_from_this();
+    auto shared = std::make_shared<const std::string>(std::move(head));
+    auto size = shared->size() + (body ? body->size() : 0);
+    if (size > smallRequest) {
+        m_sending = true;
+        asio::co_spawn(m_loop, sendRest(self, shared, body), asio::detached);
+        co_return true;
+    }
+    boost::system::error_code ec;
+    std::vector<asio::const_buffer> buffers { asio::buffer(*shared) };
+    if (body)
+        buffers.push_back(asio::buffer(*body));
+    auto n = co_await asio::async_write(m_socket, buffers, asio::redirect_error(asio::use_awaitable, ec));
+    if (ec && n == 0)
+        m_broken = true;
+    co_return !ec || n > 0;
+}
+
+Awaitable<void> UpstreamConnection::sendRest(std::shared_ptr<UpstreamConnection> self, std::shared_ptr<const std::string> head, std::shared_ptr<const std::string> body)
+{
+    boost::system::error_code ec;
+    std::vector<asio::const_buffer> buffers { asio::buffer(*head) };
+    if (body)
+        buffers.push_back(asio::buffer(*body));
+    co_await asio::async_write(self->m_socket, buffers, asio::redirect_error(asio::use_awaitable, ec));
+    self->m_sending = false;
+    // An answer may have come all the same; the reader finds out.
+    if (ec)
+        self->m_broken = true;
+}
+
+Awaitable<TransferEnd> UpstreamConnection::readHead(ResponseHead& head)
+{
+    auto self = shared_from_this();
+    for (;;) {
+        m_parser.emplace();
+        m_parser->eager(true);
+        m_parser->header_limit(mostAnswerHead);
+        m_parser->body_limit(mostAnswerBody);
+        while (!m_parser->is_header_done()) {
+            auto end = co_await advance();
+            if (end != TransferEnd::Ok)
+                co_return end;
+        }
+        // Interim answers say nothing that matters here.
+        if (m_parser->get().result_int() >= 200)
+            break;
+    }
+    const auto& message = m_parser->get();
+    head = { static_cast<int>(message.result_int()), std::string(message.reason()), fieldsOf(message) };
+    co_return TransferEnd::Ok;
+}
+
+Awaitable<BodyPiece> UpstreamConnection::readBody()
+{
+    auto self = shared_from_this();
+    while (m_parser->get().body().empty() && !m_parser->is_done()) {
+        auto end = co_await advance();
+        if (end != TransferEnd::Ok)
+            co_return BodyPiece { end, {}, false };
+    }
+    BodyPiece piece;
+    piece.bytes = std::exchange(m_parser->get().body(), {});
+    piece.isLast = m_parser->is_done();
+    co_return piece;
+}
+
+Awaitable<BodyPiece> UpstreamConnection::readWholeBody(std::size_t mostBytes)
+{
+    BodyPiece whole;
+    while (!whole.isLast) {
+        auto piece = co_await readBody();
+        whole.bytes += piece.bytes;
+        whole.end = piece.end;
+        whole.isLast = piece.isLast;
+        if (whole.bytes.size() > mostBytes) {
+            close();
+            whole.end = TransferEnd::Malformed;
+        }
+        if (whole.end != TransferEnd::Ok)
+            break;
+    }
+    co_return whole;
+}
+
+// Parses what was read, or reads more.
+Awaitable<TransferEnd> UpstreamConnection::advance()
+{
+    boost::system::error_code ec;
+    if (m_in.size() > 0) {
+        auto n = m_parser->put(m_in.data(), ec);
+        m_in.consume(n);
+        if (ec && ec != http::error::need_more)
+            co_return TransferEnd::Malformed;
+        if (n > 0)
+            co_return TransferEnd::Ok;
+        ec = {};
+    }
+    auto n = co_await m_socket.async_read_some(m_in.prepare(readBlock), asio::redirect_error(asio::use_awaitable, ec));
+    m_in.commit(n);
+    if (!ec)
+        co_return TransferEnd::Ok;
+    if (m_timedOut)
+        co_return TransferEnd::TimedOut;
+    // Only a clean close ends an answer that has no length of its own.
+    if (ec == asio::error::eof && m_parser->got_some()) {
+        m_parser->put_eof(ec);
+        m_broken = true;
+        co_return ec ? TransferEnd::Closed : TransferEnd::Ok;
+    }
+    co_return TransferEnd::Closed;
+}
+
+void UpstreamConnection::close()
+{
+    m_broken = true;
+    boost::system::error_code ec;
+    m_socket.close(ec);
+}
+
+bool UpstreamConnection::isReusable()
+{
+    bool isWhole = m_parser && m_parser->is_done() && !m_sending && !m_broken && m_in.size() == 0 && m_socket.is_open();
+    if (!isWhole || !m_parser->keep_alive())
+        return false;
+    // Bytes that nobody asked for, or an end, make the connection useless.
+    char byte = 0;
+    return ::recv(m_socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+}
