--- a/src/core/membership/fleet_beat.cpp
+++ b/src/core/membership/fleet_beat.cpp
@@ -62,6 +62,7 @@
         for (const auto& it : json.at(14))
             beat.sessions.push_back({ it.at(0), it.at(1), Milliseconds(it.at(2).get<std::int64_t>()) });
         beat.known = json.at(15).get<std::vector<std::string>>();
+        beat.hasStore = json.at(16);
         return beat;
     }
 
@@ -72,7 +73,7 @@
     Json away = beat.sinceStoreAway ? Json(beat.sinceStoreAway->count()) : Json();
     Json json = Json::array({ beat.from.instance.value, beat.from.number, beat.domain.value, beat.addresses.entry, beat.addresses.peers, beat.sequence,
         beat.ready, beat.leaving, beat.storeRevision, beat.storeAge.count(), away, workToJson(beat), evidenceToJson(beat), crashesToJson(beat),
-        sessionsToJson(beat), beat.known });
+        sessionsToJson(beat), beat.known, beat.hasStore });
     auto bytes = Json::to_cbor(json);
     return { bytes.begin(), bytes.end() };
 }
--- a/src/core/membership/fleet_beat.h
+++ b/src/core/membership/fleet_beat.h
@@ -65,6 +65,8 @@
     bool leaving = false;
     // Revision of the sender's copy of the store.
     std::int64_t storeRevision = 0;
+    // Whether the store took the sender's last call.
+    bool hasStore = false;
     // Time since the sender last had an answer of the store; a negative number if it never had one.
     Milliseconds storeAge { -1 };
     // Time since the store last failed to answer it; nothing if it never did.
--- a/src/core/messages.h
+++ b/src/core/messages.h
@@ -55,6 +55,8 @@
     // The connection broke after the request was sent.
     Cut,
     TimedOut,
+    // This instance dropped the answer while its caller had none of it.
+    Dropped,
 };
 
 struct Usage {
--- a/src/core/routing/upstream_board.cpp
+++ b/src/core/routing/upstream_board.cpp
@@ -21,6 +21,11 @@
         std::sort(engines.begin(), engines.end(), [&](const auto* a, const auto* b) { return hashOf(part, a->id.value) > hashOf(part, b->id.value); });
     }
 
+    // Work from which on a first event tells an engine's pace, how fast the estimate follows, and its bounds in ms a token.
+    constexpr std::int64_t leastTellingWork = 1000;
+    constexpr double paceGain = 0.05;
+    constexpr double leastPace = 0.005;
+    constexpr double mostPace = 0.5;
     // Load at which another failure domain is as good as the own one with this much more.
     constexpr double otherDomainLoad = 0.08;
     // Spreads instances that see the same loads.
@@ -109,6 +114,24 @@
         own.waitingTokens -= promptTokens;
 }
 
+void UpstreamBoard::learnPace(std::int64_t work, Milliseconds firstEvent)
+{
+    // Small prompts tell more of the way to the engine than of its pace.
+    if (work < leastTellingWork)
+        return;
+    auto pace = static_cast<double>(firstEvent.count()) / static_cast<double>(work);
+    m_pace += paceGain * (std::clamp(pace, leastPace, mostPace) - m_pace);
+}
+
+Milliseconds UpstreamBoard::expectedWait(const std::vector<const UpstreamEntry*>& engines, std::int64_t promptTokens) const
+{
+    std::int64_t sum = 0;
+    for (const auto* it : engines)
+        sum += workOn(it->id);
+    auto mean = static_cast<double>(sum) / static_cast<double>(std::max<std::size_t>(1, engines.size()));
+    return Milliseconds(static_cast<std::int64_t>((mean + static_cast<double>(promptTokens)) * m_pace));
+}
+
 void UpstreamBoard::reported(const UpstreamId& id, const ReportedLoad& load, TimePoint now)
 {
     auto& state = m_states[id];
--- a/src/core/routing/upstream_board.h
+++ b/src/core/routing/upstream_board.h
@@ -55,6 +55,11 @@
     void begun(const UpstreamId&, std::int64_t promptTokens);
     void ended(const UpstreamId&, std::int64_t promptTokens, bool wasBegun);
 
+    // A first event came after this time on an engine that had so much work, the request's own included.
+    void learnPace(std::int64_t work, Milliseconds firstEvent);
+    // Time until the first event of a prompt on the engines as they are loaded now.
+    Milliseconds expectedWait(const std::vector<const UpstreamEntry*>&, std::int64_t promptTokens) const;
+
     void reported(const UpstreamId&, const ReportedLoad&, TimePoint now);
     void succeeded(const UpstreamId&);
     // True if the upstream gets no work for a while because of this failure.
@@ -88,6 +93,8 @@
 
     UpstreamBoardSettings m_settings;
     std::mt19937_64 m_random;
+    // Milliseconds that an engine takes for one unit of work; learned, from a guess for a large model.
+    double m_pace = 0.05;
     absl::flat_hash_map<UpstreamId, State> m_states;
     absl::flat_hash_map<UpstreamId, UpstreamWork> m_peerWork;
 };
--- a/src/edge/control_plane.cpp
+++ b/src/edge/control_plane.cpp
@@ -14,10 +14,8 @@
     constexpr Milliseconds watchPause { 300 };
     // Pause after a call that the store did not take.
     constexpr Milliseconds failurePause { 300 };
-    // Silence of the store after which it counts as away.
-    constexpr Milliseconds storeAwayAfter { 900 };
-    // Own silence of the store after which changes are fetched from peers.
-    constexpr Milliseconds catchUpAfter { 500 };
+    // Time behind a peer after which its changes are fetched: the store's watch tells them sooner if it works.
+    constexpr Milliseconds catchUpAfter { 450 };
     constexpr Milliseconds catchUpTime { 800 };
     // Lease of the instance's entry in the store, and how often it is renewed.
     constexpr Milliseconds listLease { 10000 };
@@ -290,9 +288,15 @@
 // Fetches changes from a peer that is ahead, while the store does not tell them.
 void ControlPlane::catchUp(TimePoint now)
 {
-    bool storeTells = now - m_store.answeredAt() < catchUpAfter;
     const auto* peer = m_fleet.aheadOf(m_mirror.revision(), now);
-    if (m_catchingUp || storeTells || !peer)
+    if (!peer) {
+        m_behindSince.reset();
+        return;
+    }
+    m_behindSince = m_behindSince.value_or(now);
+    // Without the store or any state there is nothing to wait for.
+    bool storeMayTell = m_store.isReached() && now - *m_behindSince < catchUpAfter;
+    if (m_catchingUp || storeMayTell)
         return;
     m_catchingUp = true;
     asio::co_spawn(m_loop, catchUpFrom(peer->beat.addresses.peers, peer->beat.from.instance.value), asio::detached);
@@ -382,6 +386,7 @@
     beat.ready = m_report.ready && !m_leaving;
     beat.leaving = m_leaving;
     beat.storeRevision = m_mirror.revision();
+    beat.hasStore = m_store.isReached();
     if (m_store.answeredAt() != TimePoint {})
         beat.storeAge = toMilliseconds(now - m_store.answeredAt());
     if (m_storeAwayAt)
@@ -403,9 +408,9 @@
 
 void ControlPlane::noteStoreState(TimePoint now)
 {
-    bool isAway = now - m_store.answeredAt() > storeAwayAfter;
+    bool isAway = !m_store.isReached();
     for (const auto* it : m_fleet.live(now))
-        isAway = isAway && (it->beat.storeAge < Milliseconds(0) || it->beat.storeAge > storeAwayAfter);
+        isAway = isAway && !it->beat.hasStore;
     if (isAway && m_mirror.revision() > 0) {
         m_storeAwayAt = now;
         m_upstreams.storeAway(now);
@@ -471,11 +476,10 @@
 // The live instance with the least name among those that have the store writes; the condition of the write guards against two.
 bool ControlPlane::isCoordinator(TimePoint now) const
 {
-    if (m_leaving || now - m_store.answeredAt() > storeAwayAfter)
+    if (m_leaving || !m_store.isReached())
         return false;
     for (const auto* it : m_fleet.live(now)) {
-        bool hasStore = it->beat.storeAge >= Milliseconds(0) && it->beat.storeAge < storeAwayAfter && !it->beat.leaving;
-        if (hasStore && it->beat.from.instance < m_self.instance)
+        if (it->beat.hasStore && !it->beat.leaving && it->beat.from.instance < m_self.instance)
             return false;
     }
     return true;
--- a/src/edge/control_plane.h
+++ b/src/edge/control_plane.h
@@ -92,6 +92,8 @@
     std::uint64_t m_sequence = 0;
     // When neither this instance nor a live peer had the store.
     std::optional<TimePoint> m_storeAwayAt;
+    // Since when a peer has been ahead.
+    std::optional<TimePoint> m_behindSince;
     bool m_catchingUp = false;
     bool m_leaving = false;
     bool m_changed = true;
--- a/src/edge/request_run.cpp
+++ b/src/edge/request_run.cpp
@@ -40,7 +40,7 @@
 
     const char* nameOf(AttemptEnd end)
     {
-        constexpr const char* names[] = { "completed", "not_sent", "refused_not_run", "upstream_error", "cut", "timed_out" };
+        constexpr const char* names[] = { "completed", "not_sent", "refused_not_run", "upstream_error", "cut", "timed_out", "dropped" };
         return names[static_cast<int>(end)];
     }
 
@@ -106,6 +106,8 @@
     if (!m_service)
         return ErrorKind::NoHealthyUpstream;
     m_serviceId = m_service->name;
+    if (m_request.anyModel && !m_route->models.empty())
+        m_model = m_route->models.front();
     m_traffic.requestArrived(m_serviceId, m_received.at);
     return m_traffic.crashes().refuses(fingerprint()) ? ErrorKind::RequestQuarantined : ErrorKind::None;
 }
@@ -141,6 +143,8 @@
         }
         if (result.isFinal)
             co_return;
+        if (result.end == AttemptEnd::Dropped)
+            continue;
         if (!mayRepeat(result, bootNow())) {
             co_await refuse(errorAfter(result));
             co_return;
@@ -151,12 +155,10 @@
 const UpstreamEntry* RequestRun::chooseUpstream(TimePoint now)
 {
     // The newest view counts: an upstream may have left since the request came.
-    m_view = m_traffic.view();
-    auto placement = m_traffic.place(m_serviceId, m_request, now);
+    auto placement = m_traffic.place(m_service->name, m_request, now);
     if (!placement.service)
         return nullptr;
-    m_service = placement.service;
-    return m_traffic.board().choose({ &m_request, m_service, placement.allowed, &m_tried, m_traffic.settings().domain }, now);
+    return m_traffic.board().choose({ &m_request, placement.service, placement.allowed, &m_tried, m_traffic.settings().domain }, now);
 }
 
 Awaitable<RequestRun::SendResult> RequestRun::sendTo(UpstreamEntry upstream)
@@ -177,10 +179,12 @@
         co_return SendResult { AttemptEnd::NotSent, true };
     m_sentAt = bootNow();
     m_promptRead = false;
+    m_work = static_cast<std::int64_t>(static_cast<double>(m_request.promptTokens) * (m_model && m_service->engine ? modelWeight(*m_service->engine, *m_model) : 1));
     m_verdict.attemptSent();
-    m_traffic.board().sent(upstream.id, m_request.promptTokens);
+    m_workAhead = m_traffic.board().workOn(upstream.id);
+    m_traffic.board().sent(upstream.id, m_work);
     auto result = co_await converse(upstream, connection);
-    m_traffic.board().ended(upstream.id, m_request.promptTokens, m_promptRead);
+    m_traffic.board().ended(upstream.id, m_work, m_promptRead);
     m_verdict.attemptEnded(result.end);
     m_upstream = nullptr;
     if (result.end != AttemptEnd::NotSent)
@@ -220,6 +224,10 @@
     }
     ++m_runs;
     bool isStream = m_route->kind == RouteKind::Streaming && answer.isEventStream && answer.status < 300;
+    if (isStream && asksLargerModel(answer)) {
+        connection->close();
+        co_return SendResult { AttemptEnd::Dropped, false };
+    }
     if (isStream)
         co_return co_await passStream(upstream, connection, std::move(answer));
     co_return co_await passWhole(upstream, connection, std::move(answer));
@@ -263,7 +271,8 @@
         if (events.events > 0 && !m_promptRead) {
             auto now = bootNow();
             m_promptRead = true;
-            m_traffic.board().begun(upstream.id, m_request.promptTokens);
+            m_traffic.board().begun(upstream.id, m_work);
+            m_traffic.board().learnPace(m_workAhead + m_work, toMilliseconds(now - m_sentAt));
             m_traffic.count({ m_serviceId, upstream.release, m_route->name }, true, toMilliseconds(now - m_sentAt));
             m_traffic.sessionServed(m_request, upstream.release, now);
             upstreamWorked(upstream);
@@ -287,13 +296,31 @@
     }
 }
 
+// Whether the answer is dropped for one of a larger model, which is then the model to ask.
+bool RequestRun::asksLargerModel(const UpstreamAnswer& answer)
+{
+    if (!m_model || !answer.confidence || m_caller->hasBegun() || m_events.last() || m_runs >= m_route->maxAttempts)
+        return false;
+    const auto* larger = largerModel(*m_route, *m_model);
+    if (!larger)
+        return false;
+    auto now = bootNow();
+    auto placement = m_traffic.place(m_serviceId, m_request, now);
+    auto wait = m_traffic.board().expectedWait(placement.allowed, m_request.promptTokens);
+    auto needed = neededConfidence(wait, m_route->targetLatency - toMilliseconds(now - m_received.at));
+    if (*answer.confidence >= needed || !m_traffic.takeRepeat(m_serviceId, now))
+        return false;
+    m_model = *larger;
+    m_tried.clear();
+    return true;
+}
+
 std::string RequestRun::requestHead(const UpstreamEntry& upstream) const
 {
     platform::SendOrders orders { .upstream = upstream.id, .patience = timeLeft(), .team = m_team, .lastEvent = m_events.last() };
     if (m_service->engine)
         orders.urgency = std::min(leastUrgent, m_rank * urgencyPerRank);
-    if (m_request.anyModel && !m_route->models.empty())
-        orders.model = m_route->models.back();
+    orders.model = m_model;
     return platform::encodeRequestHead(m_request, orders);
 }
 
--- a/src/edge/request_run.h
+++ b/src/edge/request_run.h
@@ -6,6 +6,7 @@
 #include "core/ran_verdict.h"
 #include "core/requests/event_stream.h"
 #include "core/requests/upstream_answer.h"
+#include "core/routing/model_choice.h"
 #include "edge/caller_connection.h"
 #include "edge/traffic.h"
 
@@ -32,6 +33,7 @@
     Awaitable<SendResult> converse(const UpstreamEntry&, std::shared_ptr<UpstreamConnection>);
     Awaitable<SendResult> passWhole(const UpstreamEntry&, std::shared_ptr<UpstreamConnection>, UpstreamAnswer);
     Awaitable<SendResult> passStream(const UpstreamEntry&, std::shared_ptr<UpstreamConnection>, UpstreamAnswer);
+    bool asksLargerModel(const UpstreamAnswer&);
     std::string requestHead(const UpstreamEntry&) const;
     bool mayRepeat(const SendResult&, TimePoint now);
     // Failure that follows from a send that was not final.
@@ -48,6 +50,7 @@
     std::shared_ptr<CallerConnection> m_caller;
     ReceivedRequest m_received;
     RoutedRequest m_request;
+    // The view that admitted the request; route and service belong to it.
     FleetViewPtr m_view;
     const Route* m_route = nullptr;
     const RoutedService* m_service = nullptr;
@@ -63,6 +66,10 @@
     std::int64_t m_arrivals = 0;
     std::int64_t m_runs = 0;
     std::optional<ModelId> m_model;
+    // What the present send adds to its upstream's load, in prompt tokens of the dearest model.
+    std::int64_t m_work = 0;
+    // What the upstream had before it.
+    std::int64_t m_workAhead = 0;
     bool m_promptRead = false;
     TimePoint m_sentAt {};
     TimePoint m_lastFall {};
--- a/src/edge/store_link.cpp
+++ b/src/edge/store_link.cpp
@@ -66,9 +66,9 @@
 
 void StoreLink::noteAnswer(int status)
 {
-    auto now = bootNow();
     bool reached = isAnswer(status);
-    (reached ? m_answeredAt : m_failedAt.emplace()) = now;
+    if (reached)
+        m_answeredAt = bootNow();
     if (reached == m_isReached)
         return;
     m_isReached = reached;
--- a/src/edge/store_link.h
+++ b/src/edge/store_link.h
@@ -32,9 +32,10 @@
     // Every key of the store.
     Awaitable<WatchResult> readAll();
 
-    // When the store last answered, and when it last failed to.
+    // Whether the store took the last call that ended.
+    bool isReached() const { return m_isReached; }
+    // When it last did.
     TimePoint answeredAt() const { return m_answeredAt; }
-    std::optional<TimePoint> failedAt() const { return m_failedAt; }
 
 private:
     Awaitable<StoreAnswer> exchange(platform::StoreRequest, std::shared_ptr<UpstreamConnection>&, Milliseconds timeout, const char* name);
@@ -46,7 +47,6 @@
     std::shared_ptr<UpstreamConnection> m_watchConnection;
     std::shared_ptr<UpstreamConnection> m_callConnection;
     TimePoint m_answeredAt {};
-    std::optional<TimePoint> m_failedAt;
     bool m_isReached = false;
 };
 
