--- a/src/adapters/prometheus_metrics.cpp
+++ b/src/adapters/prometheus_metrics.cpp
@@ -28,6 +28,8 @@
             return "upstream_error";
         case AttemptEnd::Cut:
             return "cut";
+        case AttemptEnd::Dropped:
+            return "dropped";
         case AttemptEnd::TimedOut:
             break;
         }
--- a/src/core/chat_flow.cpp
+++ b/src/core/chat_flow.cpp
@@ -387,6 +387,7 @@
         return ErrorKind::UpstreamFailed;
     case AttemptEnd::NotSent:
     case AttemptEnd::Completed:
+    case AttemptEnd::Dropped:
         break;
     }
     return ErrorKind::NoHealthyUpstream;
--- a/src/core/membership/fleet_beat.cpp
+++ b/src/core/membership/fleet_beat.cpp
@@ -20,7 +20,7 @@
     {
         Json rows = Json::array();
         for (const auto& [key, it] : beat.evidence)
-            rows.push_back(Json::array({ key.service.value, key.release, key.route, it.done, it.failed, it.latency.count() }));
+            rows.push_back(Json::array({ key.service.value, key.release, key.route, key.model.value, it.done, it.failed, it.latency.count() }));
         return rows;
     }
 
@@ -56,7 +56,7 @@
         for (const auto& it : json.at(11))
             beat.work[UpstreamId { it.at(0) }] = { it.at(1), it.at(2) };
         for (const auto& it : json.at(12))
-            beat.evidence[{ { it.at(0) }, it.at(1), it.at(2) }] = { it.at(3), it.at(4), Milliseconds(it.at(5).get<std::int64_t>()) };
+            beat.evidence[{ { it.at(0) }, it.at(1), it.at(2), { it.at(3) } }] = { it.at(4), it.at(5), Milliseconds(it.at(6).get<std::int64_t>()) };
         for (const auto& it : json.at(13))
             beat.crashes[it.at(0)] = it.at(1);
         for (const auto& it : json.at(14))
--- a/src/core/membership/fleet_beat.h
+++ b/src/core/membership/fleet_beat.h
@@ -19,7 +19,7 @@
     std::int64_t waitingTokens = 0;
 };
 
-// How the requests of one route went on one release of a service.
+// How the requests of one route and model went on one release of a service.
 struct ReleaseCounters {
     std::int64_t done = 0;
     std::int64_t failed = 0;
@@ -33,6 +33,8 @@
     ServiceId service;
     std::string release;
     std::string route;
+    // Empty where the router does not choose the model. Models differ in speed, so their times are not compared.
+    ModelId model;
 
     friend auto operator<=>(const ReleaseRoute&, const ReleaseRoute&) = default; // NOLINT(modernize-use-nullptr): a false report on <=>
 };
--- a/src/core/rollout/release_plan.cpp
+++ b/src/core/rollout/release_plan.cpp
@@ -14,6 +14,13 @@
         ReleaseCounters others;
     };
 
+    // Times of the target beside those of the others, over all routes and models that have enough of both.
+    struct LatencyRatio {
+        double target = 0;
+        double expected = 0;
+        std::int64_t answers = 0;
+    };
+
     void add(ReleaseCounters& sum, const ReleaseCounters& it)
     {
         sum.done += it.done;
@@ -37,11 +44,33 @@
         return sides.target.failed >= settings.leastFailures && failureRate(sides.target) > failureRate(sides.others) + settings.failureMargin;
     }
 
-    bool isSlower(const Sides& sides, const RolloutSettings& settings)
+    void compare(LatencyRatio& sum, const Sides& sides, const RolloutSettings& settings)
+    {
+        if (sides.target.done < settings.leastTimed || sides.others.done < settings.leastTimed)
+            return;
+        sum.target += static_cast<double>(sides.target.latency.count());
+        sum.expected += meanLatency(sides.others) * static_cast<double>(sides.target.done);
+        sum.answers += sides.target.done;
+    }
+
+    bool isSlower(const LatencyRatio& ratio, const RolloutSettings& settings)
+    {
+        auto margin = static_cast<double>(settings.slowMargin.count() * ratio.answers);
+        return ratio.answers >= settings.leastTimedTogether && ratio.target > ratio.expected * settings.slowRatio && ratio.target > ratio.expected + margin;
+    }
+
+    using RouteModel = std::pair<std::string, ModelId>;
+
+    std::map<RouteModel, Sides> sidesOf(const RolloutOrder& order, const ReleaseEvidence& evidence)
     {
-        bool enough = sides.target.done >= settings.leastTimed && sides.others.done >= settings.leastTimed;
-        auto target = meanLatency(sides.target), others = meanLatency(sides.others);
-        return enough && target > others * settings.slowRatio && target > others + static_cast<double>(settings.slowMargin.count());
+        std::map<RouteModel, Sides> sides;
+        for (const auto& [key, it] : evidence) {
+            if (key.service != order.service)
+                continue;
+            auto& route = sides[{ key.route, key.model }];
+            add(key.release == order.target ? route.target : route.others, it);
+        }
+        return sides;
     }
 
 }
@@ -51,30 +80,41 @@
     return stageShares[static_cast<int>(stage)];
 }
 
-ReleaseVerdict judgeRelease(const RolloutOrder& order, const ReleaseEvidence& evidence, const RolloutSettings& settings)
+ReleaseVerdict judgeRelease(const RolloutOrder& order, const ReleaseEvidence& evidence, const ReleaseEvidence& baseline, const RolloutSettings& settings)
 {
-    std::map<std::string, Sides> routes;
+    auto routes = sidesOf(order, evidence);
+    auto before = sidesOf(order, baseline);
     Sides all;
-    for (const auto& [key, it] : evidence) {
-        if (key.service != order.service)
-            continue;
-        auto& route = routes[key.route];
-        add(key.release == order.target ? route.target : route.others, it);
-        add(key.release == order.target ? all.target : all.others, it);
+    LatencyRatio ratio;
+    ReleaseVerdict verdict;
+    for (auto& [key, it] : routes) {
+        if (it.others.done < settings.leastTimed)
+            add(it.others, before[key].others);
+        add(all.target, it.target);
+        add(all.others, it.others);
+        compare(ratio, it, settings);
+        if (failsMore(it, settings))
+            verdict.reason = absl::StrCat("route ", key.first, ": failed ", it.target.failed, " of ", it.target.done + it.target.failed);
     }
-    ReleaseVerdict verdict { .answers = all.target.done + all.target.failed };
+    verdict.answers = all.target.done + all.target.failed;
     if (failsMore(all, settings))
         verdict.reason = absl::StrCat("failed ", all.target.failed, " of ", verdict.answers, ", others ", all.others.failed, " of ", all.others.done + all.others.failed);
-    for (const auto& [name, it] : routes) {
-        if (failsMore(it, settings))
-            verdict.reason = absl::StrCat("route ", name, ": failed ", it.target.failed, " of ", it.target.done + it.target.failed);
-        else if (isSlower(it, settings))
-            verdict.reason = absl::StrCat("route ", name, ": mean latency ", meanLatency(it.target), " ms, others ", meanLatency(it.others), " ms");
-    }
+    else if (isSlower(ratio, settings))
+        verdict.reason = absl::StrCat("took ", ratio.target, " ms for ", ratio.answers, " answers, others would have taken ", ratio.expected);
     verdict.isBad = !verdict.reason.empty();
     return verdict;
 }
 
+ReleaseEvidence baselineOf(const RolloutOrder& order, const ReleaseEvidence& evidence)
+{
+    ReleaseEvidence baseline;
+    for (const auto& [key, it] : evidence) {
+        if (key.service == order.service && key.release != order.target)
+            baseline[key] = it;
+    }
+    return baseline;
+}
+
 RolloutStage nextStage(const RolloutOrder& order, const RolloutRecord& record, const ReleaseVerdict& verdict, Milliseconds sinceStart, bool oldIsIdle, const RolloutSettings& settings)
 {
     if (isFinal(record.stage))
--- a/src/core/rollout/release_plan.h
+++ b/src/core/rollout/release_plan.h
@@ -36,6 +36,9 @@
     RolloutStage stage = RolloutStage::Canary;
     // Wall-clock time of the order's start, for whoever goes on with it after a restart.
     TimePoint startedAt {};
+    // How the other releases did before the target got more than the canary's share: what the target is compared with
+    // once nothing runs on them, also by instances that started since.
+    ReleaseEvidence baseline;
 };
 
 // Share of sessions that go to the target in a stage.
@@ -55,8 +58,10 @@
     std::int64_t leastFailures = 3;
     // Failure rate beyond the old release's at which the target is bad.
     double failureMargin = 0.1;
-    // Answers on one route from which on latencies are compared.
-    std::int64_t leastTimed = 5;
+    // Answers of one route and model from which on latencies are compared.
+    std::int64_t leastTimed = 4;
+    // Answers of all of them together that a judgement by latency needs.
+    std::int64_t leastTimedTogether = 8;
     // Ratio of mean latencies at which the target is bad.
     double slowRatio = 2.5;
     // Differences of latency below this are never held against a release.
@@ -71,7 +76,10 @@
     std::int64_t answers = 0;
 };
 
-ReleaseVerdict judgeRelease(const RolloutOrder&, const ReleaseEvidence&, const RolloutSettings& = {});
+ReleaseVerdict judgeRelease(const RolloutOrder&, const ReleaseEvidence&, const ReleaseEvidence& baseline = {}, const RolloutSettings& = {});
+
+// What the evidence says of the service's releases beside the target.
+ReleaseEvidence baselineOf(const RolloutOrder&, const ReleaseEvidence&);
 
 // The stage that follows from the time since the start and from the evidence. Stages never go back, but to Reverted;
 // oldIsIdle says that the old release runs nothing any more.
--- a/src/edge/control_plane.cpp
+++ b/src/edge/control_plane.cpp
@@ -436,14 +436,15 @@
     if (!hasRecord) {
         if (mayWrite) {
             m_writing.insert(service);
-            asio::co_spawn(m_loop, writeRecord(service, { order.order.revision, order.order.target, RolloutStage::Canary, wallNow() }, revision), asio::detached);
+            asio::co_spawn(m_loop, writeRecord(service, { order.order.revision, order.order.target, RolloutStage::Canary, wallNow(), {} }, revision), asio::detached);
         }
         return;
     }
     const auto& current = record->second.record;
     if (isFinal(current.stage))
         return;
-    auto verdict = judgeRelease(order.order, mergedEvidence());
+    auto evidence = mergedEvidence();
+    auto verdict = judgeRelease(order.order, evidence, current.baseline);
     if (verdict.isBad && !order.suspended) {
         order.suspended = true;
         m_changed = true;
@@ -454,11 +455,15 @@
     auto sinceStart = toMilliseconds(order.seenAt ? now - *order.seenAt : wallNow() - current.startedAt);
     bool oldIsIdle = oldReleaseIsIdle(order.order) || static_cast<double>(sinceStart.count()) > oldReleasePatience * static_cast<double>(order.order.duration.count());
     auto stage = nextStage(order.order, current, verdict, sinceStart, oldIsIdle);
-    if (stage == current.stage || !mayWrite)
+    // Whoever sees that a release is bad takes it back; the write's condition keeps two from clashing.
+    bool mayRevert = stage == RolloutStage::Reverted && m_store.isReached() && !m_writing.contains(service);
+    if (stage == current.stage || (!mayWrite && !mayRevert))
         return;
     LogLine(LogLevel::Info, "rollout_decision").with("service", service.value).with("target", order.order.target).with("from", nameOf(current.stage)).with("to", nameOf(stage)).with("ms", sinceStart.count()).with("answers", verdict.answers);
     auto next = current;
     next.stage = stage;
+    if (current.stage == RolloutStage::Canary)
+        next.baseline = baselineOf(order.order, evidence);
     m_writing.insert(service);
     asio::co_spawn(m_loop, writeRecord(service, next, revision), asio::detached);
 }
--- a/src/edge/request_run.cpp
+++ b/src/edge/request_run.cpp
@@ -224,7 +224,9 @@
     }
     ++m_runs;
     bool isStream = m_route->kind == RouteKind::Streaming && answer.isEventStream && answer.status < 300;
+    auto dropped = releaseRoute(upstream);
     if (isStream && asksLargerModel(answer)) {
+        m_traffic.count(dropped, true, toMilliseconds(bootNow() - m_sentAt));
         connection->close();
         co_return SendResult { AttemptEnd::Dropped, false };
     }
@@ -241,7 +243,7 @@
     auto now = bootNow();
     m_traffic.connections().giveBack(upstream, connection, answer.keepsIdle, now);
     bool isGood = answer.status < 500;
-    m_traffic.count({ m_serviceId, upstream.release, m_route->name }, isGood, toMilliseconds(now - m_sentAt));
+    m_traffic.count(releaseRoute(upstream), isGood, toMilliseconds(now - m_sentAt));
     if (isGood)
         upstreamWorked(upstream);
     else
@@ -273,7 +275,7 @@
             m_promptRead = true;
             m_traffic.board().begun(upstream.id, m_work);
             m_traffic.board().learnPace(m_workAhead + m_work, toMilliseconds(now - m_sentAt));
-            m_traffic.count({ m_serviceId, upstream.release, m_route->name }, true, toMilliseconds(now - m_sentAt));
+            m_traffic.count(releaseRoute(upstream), true, toMilliseconds(now - m_sentAt));
             m_traffic.sessionServed(m_request, upstream.release, now);
             upstreamWorked(upstream);
         }
@@ -315,6 +317,11 @@
     return true;
 }
 
+ReleaseRoute RequestRun::releaseRoute(const UpstreamEntry& upstream) const
+{
+    return { m_serviceId, upstream.release, m_route->name, m_model.value_or(ModelId {}) };
+}
+
 std::string RequestRun::requestHead(const UpstreamEntry& upstream) const
 {
     platform::SendOrders orders { .upstream = upstream.id, .patience = timeLeft(), .team = m_team, .lastEvent = m_events.last() };
@@ -375,7 +382,7 @@
 {
     auto now = bootNow();
     if (end != AttemptEnd::NotSent)
-        m_traffic.count({ m_serviceId, upstream.release, m_route->name }, false, {});
+        m_traffic.count(releaseRoute(upstream), false, {});
     if (end == AttemptEnd::Cut)
         m_traffic.crashes().fell(fingerprint(), upstream.id, now);
     if (m_traffic.board().failed(upstream.id, now))
