--- a/src/config/edge_settings.h
+++ b/src/config/edge_settings.h
@@ -17,8 +17,10 @@
     // For UDP and TCP.
     std::string peerListen;
     std::string metricsListen;
-    // Other instances to begin with; their ip counts, and the port of peer_listen.
+    // Other instances to begin with.
     std::vector<std::string> seeds;
+    // Replaces the seeds' ports where the platform names other ones; 0 leaves them.
+    std::int64_t seedPort = 0;
     std::string store;
     std::string logLevel = "info";
     double stopGraceSeconds = 8;
--- a/src/core/rollout/release_plan.h
+++ b/src/core/rollout/release_plan.h
@@ -52,8 +52,9 @@
     double halfFrom = 0.52;
     double fullFrom = 0.62;
     double completedFrom = 0.8;
-    // Answers of the target that have to be there before it gets more than the canary's share.
-    std::int64_t leastAnswers = 15;
+    // Answers of the target that have to be there before it gets more than the canary's share: few enough for a service
+    // of some ten requests a second; the next stage tells more soon.
+    std::int64_t leastAnswers = 6;
     // Failures of the target from which on it can be called bad.
     std::int64_t leastFailures = 3;
     // Failure rate beyond the old release's at which the target is bad.
--- a/src/core/routing/upstream_board.cpp
+++ b/src/core/routing/upstream_board.cpp
@@ -15,12 +15,19 @@
         return n < 2 ? nullptr : &request.promptParts[n - 2];
     }
 
-    // Orders engines for a prompt part by highest random weight, the same at every instance.
-    void orderFor(std::string_view part, std::vector<const UpstreamEntry*>& engines)
+    // Tokens of the prompt that other requests share.
+    std::int64_t sharedTokens(const RoutedRequest& request)
     {
-        std::sort(engines.begin(), engines.end(), [&](const auto* a, const auto* b) { return hashOf(part, a->id.value) > hashOf(part, b->id.value); });
+        std::int64_t sum = 0;
+        for (std::size_t n = 0; n + 1 < request.promptParts.size(); ++n)
+            sum += request.promptParts[n].tokens;
+        return sum;
     }
 
+    // Spreads instances that see the same work, in prompt tokens.
+    constexpr double workJitter = 200;
+    // Work that an engine without a free place seems to have beside its own.
+    constexpr double fullEngineWork = 20000;
     // Work from which on a first event tells an engine's pace, how fast the estimate follows, and its bounds in ms a token.
     constexpr std::int64_t leastTellingWork = 1000;
     constexpr double paceGain = 0.05;
@@ -53,21 +60,27 @@
     return open.empty() ? ejected : open;
 }
 
+// The engine with the least work, where the shared parts of the prompt count as work that their home does not have.
 const UpstreamEntry* UpstreamBoard::chooseEngine(const UpstreamQuestion& question, const std::vector<const UpstreamEntry*>& open)
 {
-    std::int64_t sum = 0;
-    for (const auto* it : open)
-        sum += workOn(it->id);
-    auto mean = static_cast<double>(sum) / static_cast<double>(open.size());
-    auto bound = mean * m_settings.localityRatio + static_cast<double>(m_settings.localitySlack);
-    auto engines = open;
     const auto* part = lastSharedPart(*question.request);
-    orderFor(part ? part->id : question.request->id.value, engines);
-    for (const auto* it : engines) {
-        if (static_cast<double>(workOn(it->id)) <= bound && requestsOn(it->id) < it->places)
-            return it;
+    auto homeKey = part ? part->id : question.request->id.value;
+    const auto* home = *std::max_element(open.begin(), open.end(), [&](const auto* a, const auto* b) { return hashOf(homeKey, a->id.value) < hashOf(homeKey, b->id.value); });
+    auto saved = static_cast<double>(sharedTokens(*question.request)) * m_settings.homeBonus * std::max(m_settings.leastHomeWeight, question.modelWeight);
+    std::uniform_real_distribution<double> jitter(0, workJitter);
+    const UpstreamEntry* best = nullptr;
+    double bestWork = 0;
+    for (const auto* it : open) {
+        auto work = static_cast<double>(workOn(it->id)) + jitter(m_random) - (part && it == home ? saved : 0);
+        // One without a free place makes the request wait for another to end.
+        if (requestsOn(it->id) >= it->places)
+            work += fullEngineWork;
+        if (!best || work < bestWork) {
+            best = it;
+            bestWork = work;
+        }
     }
-    return *std::min_element(engines.begin(), engines.end(), [&](const auto* a, const auto* b) { return workOn(a->id) < workOn(b->id); });
+    return best;
 }
 
 const UpstreamEntry* UpstreamBoard::choosePlain(const UpstreamQuestion& question, const std::vector<const UpstreamEntry*>& open, TimePoint now)
@@ -123,13 +136,17 @@
     m_pace += paceGain * (std::clamp(pace, leastPace, mostPace) - m_pace);
 }
 
-Milliseconds UpstreamBoard::expectedWait(const std::vector<const UpstreamEntry*>& engines, std::int64_t promptTokens) const
+void UpstreamBoard::learnPrompt(std::int64_t tokens)
+{
+    m_meanPrompt += paceGain * (static_cast<double>(tokens) - m_meanPrompt);
+}
+
+double UpstreamBoard::meanWork(const std::vector<const UpstreamEntry*>& engines) const
 {
     std::int64_t sum = 0;
     for (const auto* it : engines)
         sum += workOn(it->id);
-    auto mean = static_cast<double>(sum) / static_cast<double>(std::max<std::size_t>(1, engines.size()));
-    return Milliseconds(static_cast<std::int64_t>((mean + static_cast<double>(promptTokens)) * m_pace));
+    return static_cast<double>(sum) / static_cast<double>(std::max<std::size_t>(1, engines.size()));
 }
 
 void UpstreamBoard::reported(const UpstreamId& id, const ReportedLoad& load, TimePoint now)
--- a/src/core/routing/upstream_board.h
+++ b/src/core/routing/upstream_board.h
@@ -19,11 +19,11 @@
     Milliseconds firstEjection { 1000 };
     Milliseconds longestEjection { 8000 };
     // Work of one request in the unit of prompt tokens: what its answer adds to an engine's load.
-    std::int64_t requestWork = 300;
-    // An engine that probably has a prompt's shared part is kept while its work is below this multiple of the mean and
-    // the slack beside it, in prompt tokens.
-    double localityRatio = 1.3;
-    std::int64_t localitySlack = 6000;
+    std::int64_t requestWork = 150;
+    // Worth of a shared prompt token that an engine has already, beside one that it would have to read.
+    double homeBonus = 1.5;
+    // Small models read so fast that only the price of reading a part again speaks for its home.
+    double leastHomeWeight = 0.25;
     // Reports of upstreams older than this say nothing.
     Milliseconds reportTime { 1000 };
 };
@@ -37,6 +37,8 @@
     // Those that had the request already.
     const std::vector<UpstreamId>* tried = nullptr;
     DomainId ownDomain;
+    // Work of a token on the request's model beside one on the dearest model.
+    double modelWeight = 1;
 };
 
 class UpstreamBoard {
@@ -57,8 +59,12 @@
 
     // A first event came after this time on an engine that had so much work, the request's own included.
     void learnPace(std::int64_t work, Milliseconds firstEvent);
-    // Time until the first event of a prompt on the engines as they are loaded now.
-    Milliseconds expectedWait(const std::vector<const UpstreamEntry*>&, std::int64_t promptTokens) const;
+    void learnPrompt(std::int64_t tokens);
+    // Milliseconds that an engine takes for one unit of work.
+    double pace() const { return m_pace; }
+    // Tokens of a usual prompt.
+    double meanPrompt() const { return m_meanPrompt; }
+    double meanWork(const std::vector<const UpstreamEntry*>&) const;
 
     void reported(const UpstreamId&, const ReportedLoad&, TimePoint now);
     void succeeded(const UpstreamId&);
@@ -93,8 +99,9 @@
 
     UpstreamBoardSettings m_settings;
     std::mt19937_64 m_random;
-    // Milliseconds that an engine takes for one unit of work; learned, from a guess for a large model.
+    // Both are learned, from guesses for a large model and a medium prompt.
     double m_pace = 0.05;
+    double m_meanPrompt = 2000;
     absl::flat_hash_map<UpstreamId, State> m_states;
     absl::flat_hash_map<UpstreamId, UpstreamWork> m_peerWork;
 };
--- a/src/edge/request_run.cpp
+++ b/src/edge/request_run.cpp
@@ -158,7 +158,7 @@
     auto placement = m_traffic.place(m_service->name, m_request, now);
     if (!placement.service)
         return nullptr;
-    return m_traffic.board().choose({ &m_request, placement.service, placement.allowed, &m_tried, m_traffic.settings().domain }, now);
+    return m_traffic.board().choose({ &m_request, placement.service, placement.allowed, &m_tried, m_traffic.settings().domain, weightOfModel() }, now);
 }
 
 Awaitable<RequestRun::SendResult> RequestRun::sendTo(UpstreamEntry upstream)
@@ -179,8 +179,10 @@
         co_return SendResult { AttemptEnd::NotSent, true };
     m_sentAt = bootNow();
     m_promptRead = false;
-    m_work = static_cast<std::int64_t>(static_cast<double>(m_request.promptTokens) * (m_model && m_service->engine ? modelWeight(*m_service->engine, *m_model) : 1));
+    m_work = static_cast<std::int64_t>(static_cast<double>(m_request.promptTokens) * weightOfModel());
     m_verdict.attemptSent();
+    if (m_service->engine)
+        m_traffic.board().learnPrompt(m_request.promptTokens);
     m_workAhead = m_traffic.board().workOn(upstream.id);
     m_traffic.board().sent(upstream.id, m_work);
     auto result = co_await converse(upstream, connection);
@@ -308,8 +310,9 @@
         return false;
     auto now = bootNow();
     auto placement = m_traffic.place(m_serviceId, m_request, now);
-    auto wait = m_traffic.board().expectedWait(placement.allowed, m_request.promptTokens);
-    auto needed = neededConfidence(wait, m_route->targetLatency - toMilliseconds(now - m_received.at));
+    auto& board = m_traffic.board();
+    EngineLoad load { board.meanWork(placement.allowed), m_request.promptTokens, board.meanPrompt(), board.pace() };
+    auto needed = neededConfidence(load, m_rank, m_route->targetLatency - toMilliseconds(now - m_received.at));
     if (*answer.confidence >= needed || !m_traffic.takeRepeat(m_serviceId, now))
         return false;
     m_model = *larger;
@@ -317,6 +320,11 @@
     return true;
 }
 
+double RequestRun::weightOfModel() const
+{
+    return m_model && m_service->engine ? modelWeight(*m_service->engine, *m_model) : 1;
+}
+
 ReleaseRoute RequestRun::releaseRoute(const UpstreamEntry& upstream) const
 {
     return { m_serviceId, upstream.release, m_route->name, m_model.value_or(ModelId {}) };
@@ -383,8 +391,10 @@
     auto now = bootNow();
     if (end != AttemptEnd::NotSent)
         m_traffic.count(releaseRoute(upstream), false, {});
-    if (end == AttemptEnd::Cut)
+    if (end == AttemptEnd::Cut) {
         m_traffic.crashes().fell(fingerprint(), upstream.id, now);
+        LogLine(LogLevel::Warning, "upstream_cut").with("id", m_request.id.value).with("upstream", upstream.id.value).with("fingerprint", fingerprint()).with("falls", m_traffic.crashes().fallsOf(fingerprint()));
+    }
     if (m_traffic.board().failed(upstream.id, now))
         LogLine(LogLevel::Warning, "upstream_ejected").with("id", m_request.id.value).with("upstream", upstream.id.value).with("service", m_serviceId.value).with("last_end", nameOf(end));
 }
@@ -403,6 +413,8 @@
     line.with("id", m_request.id.value).with("status", status).with("error", error).with("route", m_route ? m_route->name : "").with("team", m_team ? m_team->value : "");
     line.with("service", m_serviceId.value).with("upstream", m_tried.empty() ? "" : m_tried.back().value).with("tried", static_cast<std::int64_t>(m_tried.size()));
     line.with("arrivals", m_arrivals).with("ran", m_verdict.verdict() == Ran::No ? "no" : "maybe").with("ms", toMilliseconds(now - m_received.at).count());
+    if (error == answerFor(ErrorKind::RequestQuarantined).name)
+        line.with("fingerprint", fingerprint()).with("falls", m_traffic.crashes().fallsOf(fingerprint()));
     if (m_view && m_view->configuration)
         line.with("configuration", m_view->configuration->version).with("view_age_ms", toMilliseconds(now - m_view->freshAt).count());
 }
--- a/src/edge/request_run.h
+++ b/src/edge/request_run.h
@@ -34,6 +34,7 @@
     Awaitable<SendResult> passWhole(const UpstreamEntry&, std::shared_ptr<UpstreamConnection>, UpstreamAnswer);
     Awaitable<SendResult> passStream(const UpstreamEntry&, std::shared_ptr<UpstreamConnection>, UpstreamAnswer);
     bool asksLargerModel(const UpstreamAnswer&);
+    double weightOfModel() const;
     ReleaseRoute releaseRoute(const UpstreamEntry&) const;
     std::string requestHead(const UpstreamEntry&) const;
     bool mayRepeat(const SendResult&, TimePoint now);
--- /dev/null
+++ b/test/fakes/fleet_standin.cpp
@@ -0,0 +1,238 @@
+#include "fakes/fleet_standin.h"
+
+#include <absl/strings/escaping.h>
+#include <absl/strings/match.h>
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_replace.h>
+#include <absl/strings/strip.h>
+
+namespace skylarkhitch::standin {
+
+namespace {
+
+    using Json = nlohmann::json;
+
+    Json itemJson(const std::string& key, const std::string& value, std::int64_t revision)
+    {
+        return { { "key", key }, { "value", absl::Base64Escape(value) }, { "revision", revision }, { "createRevision", revision }, { "lease", 0 } };
+    }
+
+    std::string decodePrefix(const std::string& text) { return absl::StrReplaceAll(text, { { "%2f", "/" } }); }
+
+    HeaderFields marks(const RawRequest& request)
+    {
+        return { { "X-Attempt-Id", request.field("X-Attempt-Id") }, { "X-Server-Seal", "seal-of-" + request.field("X-Expect-Instance") }, { "X-Server-Load", "1,0,8" } };
+    }
+
+}
+
+FleetStore::FleetStore()
+    : m_server([this](const RawRequest& request, RawConnection& connection) { return serve(request, connection, m_fault); })
+    , m_otherServer([this](const RawRequest& request, RawConnection& connection) { return serve(request, connection, m_otherFault); })
+{
+}
+
+std::int64_t FleetStore::put(const std::string& key, const std::string& value)
+{
+    std::lock_guard lock(m_mutex);
+    return write(key, value);
+}
+
+void FleetStore::remove(const std::string& key)
+{
+    std::lock_guard lock(m_mutex);
+    write(key, std::nullopt);
+}
+
+std::optional<std::string> FleetStore::find(const std::string& key)
+{
+    std::lock_guard lock(m_mutex);
+    auto it = m_items.find(key);
+    return it == m_items.end() ? std::nullopt : std::optional(it->second.value);
+}
+
+void FleetStore::forgetHistory()
+{
+    std::lock_guard lock(m_mutex);
+    m_forgotten = ++m_revision;
+    m_changed.notify_all();
+}
+
+void FleetStore::setFault(StoreFault fault)
+{
+    m_fault = fault;
+    m_changed.notify_all();
+}
+
+void FleetStore::setOtherFault(StoreFault fault)
+{
+    m_otherFault = fault;
+    m_changed.notify_all();
+}
+
+std::int64_t FleetStore::write(const std::string& key, std::optional<std::string> value)
+{
+    ++m_revision;
+    if (value)
+        m_items[key] = { *value, m_revision };
+    else
+        m_items.erase(key);
+    m_history.push_back({ key, m_revision, std::move(value) });
+    m_changed.notify_all();
+    return m_revision;
+}
+
+bool FleetStore::serve(const RawRequest& request, RawConnection& connection, std::atomic<StoreFault>& fault)
+{
+    ++m_calls;
+    if (fault == StoreFault::Busy)
+        return connection.write(answerBytes(503, "{}"));
+    if (fault == StoreFault::Silent)
+        return !connection.closesWithin(std::chrono::seconds(30));
+    auto bytes = answer(request);
+    // A fault that began while a watch waited holds for its answer too.
+    if (fault == StoreFault::Silent)
+        return !connection.closesWithin(std::chrono::seconds(30));
+    if (fault == StoreFault::LosesAnswers && request.method == "POST")
+        return false;
+    return connection.write(fault == StoreFault::Busy ? answerBytes(503, "{}") : bytes);
+}
+
+std::string FleetStore::answer(const RawRequest& request)
+{
+    auto path = request.path();
+    if (path == "/-/kv-range")
+        return range(decodePrefix(request.query("prefix")));
+    if (path == "/-/kv-watch")
+        return watch(request);
+    if (path == "/-/kv-txn")
+        return commit(Json::parse(request.body));
+    std::lock_guard lock(m_mutex);
+    return answerBytes(200, Json { { "lease", ++m_leases }, { "ttlMs", 10000 } }.dump());
+}
+
+std::string FleetStore::range(const std::string& prefix)
+{
+    std::lock_guard lock(m_mutex);
+    Json items = Json::array();
+    for (const auto& [key, item] : m_items) {
+        if (absl::StartsWith(key, prefix))
+            items.push_back(itemJson(key, item.value, item.revision));
+    }
+    return answerBytes(200, Json { { "items", items }, { "morePages", false }, { "currentRev", m_revision } }.dump());
+}
+
+std::string FleetStore::watch(const RawRequest& request)
+{
+    auto after = std::stoll(request.query("after"));
+    auto until = std::chrono::steady_clock::now() + std::chrono::milliseconds(std::stoll(request.query("waitMs")));
+    std::unique_lock lock(m_mutex);
+    for (;;) {
+        if (after < m_forgotten)
+            return answerBytes(410, "{}");
+        Json events = Json::array();
+        for (const auto& it : m_history) {
+            if (it.revision <= after)
+                continue;
+            if (it.value)
+                events.push_back(itemJson(it.key, *it.value, it.revision));
+            else
+                events.push_back({ { "key", it.key }, { "revision", it.revision }, { "deleted", true } });
+        }
+        if (!events.empty() || m_changed.wait_until(lock, until) == std::cv_status::timeout)
+            return answerBytes(200, Json { { "events", events }, { "currentRev", m_revision } }.dump());
+    }
+}
+
+std::string FleetStore::commit(const Json& transaction)
+{
+    std::lock_guard lock(m_mutex);
+    for (const auto& it : transaction.at("expected")) {
+        auto item = m_items.find(it.at("key"));
+        auto revision = item == m_items.end() ? 0 : item->second.revision;
+        if (revision != it.at("revision").get<std::int64_t>())
+            return answerBytes(412, R"({"items":[]})");
+    }
+    for (const auto& it : transaction.at("puts")) {
+        std::string value;
+        absl::Base64Unescape(it.at("value").get<std::string>(), &value);
+        write(it.at("key"), value);
+    }
+    return answerBytes(200, Json { { "revision", m_revision } }.dump());
+}
+
+ScriptedUpstream::ScriptedUpstream(std::string id, Script script)
+    : m_id(std::move(id))
+    , m_script(std::move(script))
+    , m_server([this](const RawRequest& request, RawConnection& connection) {
+        Script run;
+        {
+            std::lock_guard lock(m_mutex);
+            m_received.push_back(request);
+            run = m_script;
+        }
+        return run(request, connection);
+    })
+{
+}
+
+std::string ScriptedUpstream::entry(const std::string& service, const std::string& state, const std::string& release) const
+{
+    return Json { { "backend", service }, { "address", m_server.address() }, { "zone", "halle-a" }, { "version", release }, { "capacity", 8 }, { "state", state }, { "coldRemainingMs", 0 }, { "seq", 1 }, { "born", 1 } }.dump();
+}
+
+void ScriptedUpstream::setScript(Script script)
+{
+    std::lock_guard lock(m_mutex);
+    m_script = std::move(script);
+}
+
+std::vector<RawRequest> ScriptedUpstream::received()
+{
+    std::lock_guard lock(m_mutex);
+    return m_received;
+}
+
+std::size_t ScriptedUpstream::count() { return received().size(); }
+
+ScriptedUpstream::Script answering(const std::string& body)
+{
+    return [body](const RawRequest& request, RawConnection& connection) { return connection.write(answerBytes(200, body, marks(request))); };
+}
+
+ScriptedUpstream::Script streaming(int events, std::chrono::milliseconds pause, int confidence)
+{
+    return [=](const RawRequest& request, RawConnection& connection) {
+        auto first = request.field("Last-Event-Id").empty() ? 1 : std::stoi(request.field("Last-Event-Id")) + 1;
+        std::string head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n";
+        for (const auto& it : marks(request))
+            absl::StrAppend(&head, it.name, ": ", it.value, "\r\n");
+        if (!connection.write(absl::StrCat(head, "X-Confidence: ", confidence, "\r\n\r\n")))
+            return false;
+        for (int n = first; n <= events; ++n) {
+            auto event = absl::StrCat("id: ", n, "\ndata: piece ", n, " of ", request.field("X-Model-Name"), "\n\n");
+            if (!connection.write(absl::StrCat(absl::Hex(event.size()), "\r\n", event, "\r\n")) || connection.closesWithin(pause))
+                return false;
+        }
+        return connection.write("0\r\n\r\n");
+    };
+}
+
+std::string sampleConfiguration(std::int64_t version, const std::string& key)
+{
+    auto route = [](const std::string& name, const std::string& kind, const std::string& service) {
+        return Json { { "name", name }, { "hostname", "a.example" }, { "prefix", "/" + name + "/" }, { "routeType", kind }, { "timeoutMs", 3000 }, { "targetLatencyMs", 200 }, { "priority", 1 }, { "backend", service }, { "maxAttempts", 3 }, { "anonymous", false } };
+    };
+    auto stream = route("draft", "streaming", "assist");
+    stream["streamResume"] = true;
+    stream["gapAimMs"] = 800;
+    stream["sizes"] = { "small", "medium", "large" };
+    Json engine { { "capacity", 8 }, { "kvCapacity", 100000 }, { "stride", 1 }, { "models", { { { "name", "small" }, { "cost", 0.02 } }, { { "name", "medium" }, { "cost", 0.15 } }, { { "name", "large" }, { "cost", 0.3 } } } } };
+    Json document { { "version", version }, { "routes", { route("status", "idempotent", "orders"), route("booking", "non_idempotent", "orders"), stream } },
+        { "backends", { { { "name", "orders" }, { "healthPath", "/healthz" }, { "maxConnections", 100 } }, { { "name", "assist" }, { "healthPath", "/healthz" }, { "maxConnections", 100 }, { "engine", engine } } } },
+        { "limits", { { "maxHeaderBytes", 4096 }, { "maxBodyBytes", 100000 }, { "headerTimeoutMs", 500 }, { "idleTimeoutMs", 15000 } } },
+        { "tenants", { { { "name", "design" }, { "apiKeys", { key } } } } } };
+    return document.dump();
+}
+
+}
--- /dev/null
+++ b/test/fakes/loopback_server.cpp
@@ -0,0 +1,228 @@
+#include "fakes/loopback_server.h"
+
+#include <absl/strings/match.h>
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_split.h>
+#include <absl/strings/strip.h>
+#include <arpa/inet.h>
+#include <netinet/tcp.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace skylarkhitch::standin {
+
+namespace {
+
+    constexpr std::size_t readBlock = 16384;
+
+    sockaddr_in loopback(int port)
+    {
+        sockaddr_in address {};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(static_cast<std::uint16_t>(port));
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        return address;
+    }
+
+    // Length of a chunked body with its end, or npos if it is not whole.
+    std::size_t chunkedLength(const std::string& in, std::size_t start)
+    {
+        auto end = in.find("0\r\n\r\n", start);
+        return end == std::string::npos ? end : end + 5 - start;
+    }
+
+}
+
+std::string RawRequest::field(std::string_view name) const
+{
+    const auto* it = findField(fields, name);
+    return it ? it->value : std::string();
+}
+
+std::string RawRequest::query(const std::string& name) const
+{
+    auto mark = target.find('?');
+    if (mark == std::string::npos)
+        return {};
+    for (auto it : absl::StrSplit(target.substr(mark + 1), '&')) {
+        std::pair<std::string, std::string> pair = absl::StrSplit(it, absl::MaxSplits('=', 1));
+        if (pair.first == name)
+            return pair.second;
+    }
+    return {};
+}
+
+RawConnection::~RawConnection() { ::close(m_fd); }
+
+std::unique_ptr<RawConnection> RawConnection::connect(int port)
+{
+    int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    auto address = loopback(port);
+    if (::connect(fd, reinterpret_cast<sockaddr*>(&address), sizeof address) != 0) {
+        ::close(fd);
+        return nullptr;
+    }
+    return std::make_unique<RawConnection>(fd);
+}
+
+bool RawConnection::write(std::string_view bytes)
+{
+    while (!bytes.empty()) {
+        auto n = ::send(m_fd, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+        if (n <= 0)
+            return false;
+        bytes.remove_prefix(static_cast<std::size_t>(n));
+    }
+    return true;
+}
+
+bool RawConnection::readMore(std::chrono::milliseconds time)
+{
+    pollfd it { m_fd, POLLIN, 0 };
+    if (!m_open || ::poll(&it, 1, static_cast<int>(time.count())) <= 0)
+        return false;
+    char buf[readBlock];
+    auto n = ::recv(m_fd, buf, sizeof buf, 0);
+    if (n <= 0) {
+        m_open = false;
+        return false;
+    }
+    m_in.append(buf, static_cast<std::size_t>(n));
+    return true;
+}
+
+bool RawConnection::readUntil(const std::function<bool(const std::string&)>& isEnough, std::chrono::milliseconds time)
+{
+    auto end = std::chrono::steady_clock::now() + time;
+    while (!isEnough(m_in)) {
+        auto left = std::chrono::duration_cast<std::chrono::milliseconds>(end - std::chrono::steady_clock::now());
+        if (left.count() <= 0 || !readMore(left))
+            return false;
+    }
+    return true;
+}
+
+std::optional<RawRequest> RawConnection::readRequest()
+{
+    auto hasHead = [](const std::string& in) { return in.find("\r\n\r\n") != std::string::npos; };
+    if (!readUntil(hasHead, std::chrono::seconds(60)))
+        return std::nullopt;
+    RawRequest request;
+    auto end = m_in.find("\r\n\r\n");
+    std::vector<std::string> lines = absl::StrSplit(m_in.substr(0, end), "\r\n");
+    std::vector<std::string> first = absl::StrSplit(lines[0], ' ');
+    request.method = first.at(0);
+    request.target = first.at(1);
+    for (std::size_t n = 1; n < lines.size(); ++n) {
+        std::pair<std::string, std::string> pair = absl::StrSplit(lines[n], absl::MaxSplits(": ", 1));
+        request.fields.push_back({ pair.first, pair.second });
+    }
+    std::size_t length = 0;
+    static_cast<void>(absl::SimpleAtoi(request.field("Content-Length"), &length));
+    if (!readUntil([&](const std::string& in) { return in.size() >= end + 4 + length; }, std::chrono::seconds(10)))
+        return std::nullopt;
+    request.body = m_in.substr(end + 4, length);
+    m_in.erase(0, end + 4 + length);
+    return request;
+}
+
+std::string RawConnection::readAnswer(std::chrono::milliseconds time)
+{
+    auto length = [](const std::string& in) -> std::size_t {
+        auto end = in.find("\r\n\r\n");
+        if (end == std::string::npos)
+            return end;
+        auto head = in.substr(0, end);
+        if (absl::StrContains(head, "Transfer-Encoding: chunked")) {
+            auto n = chunkedLength(in, end + 4);
+            return n == std::string::npos ? n : end + 4 + n;
+        }
+        std::size_t body = 0;
+        auto at = head.find("Content-Length: ");
+        if (at != std::string::npos)
+            body = static_cast<std::size_t>(std::strtoul(head.c_str() + at + 16, nullptr, 10));
+        return in.size() >= end + 4 + body ? end + 4 + body : std::string::npos;
+    };
+    readUntil([&](const std::string& in) { return length(in) != std::string::npos; }, time);
+    auto n = std::min(length(m_in), m_in.size());
+    auto answer = m_in.substr(0, n);
+    m_in.erase(0, n);
+    return answer;
+}
+
+bool RawConnection::closesWithin(std::chrono::milliseconds time)
+{
+    readUntil([](const std::string&) { return false; }, time);
+    return !m_open;
+}
+
+void RawConnection::reset()
+{
+    linger now { 1, 0 };
+    setsockopt(m_fd, SOL_SOCKET, SO_LINGER, &now, sizeof now);
+    // The close that resets must not free the descriptor under a reader.
+    ::shutdown(m_fd, SHUT_RD);
+    sockaddr unspecified { AF_UNSPEC, {} };
+    ::connect(m_fd, &unspecified, sizeof unspecified);
+    m_open = false;
+}
+
+void RawConnection::shutdown() { ::shutdown(m_fd, SHUT_RDWR); }
+
+std::string answerBytes(int status, const std::string& body, const HeaderFields& fields)
+{
+    std::string bytes = absl::StrCat("HTTP/1.1 ", status, " Text\r\n");
+    for (const auto& it : fields)
+        absl::StrAppend(&bytes, it.name, ": ", it.value, "\r\n");
+    absl::StrAppend(&bytes, "Content-Length: ", body.size(), "\r\n\r\n", body);
+    return bytes;
+}
+
+LoopbackServer::LoopbackServer(Handler handler)
+    : m_handler(std::move(handler))
+    , m_listener(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+{
+    auto address = loopback(0);
+    socklen_t size = sizeof address;
+    ::bind(m_listener, reinterpret_cast<sockaddr*>(&address), sizeof address);
+    ::listen(m_listener, 128);
+    ::getsockname(m_listener, reinterpret_cast<sockaddr*>(&address), &size);
+    m_port = ntohs(address.sin_port);
+    m_thread = std::thread([this] { accept(); });
+}
+
+LoopbackServer::~LoopbackServer()
+{
+    m_stopping = true;
+    ::shutdown(m_listener, SHUT_RDWR);
+    m_thread.join();
+    ::close(m_listener);
+    for (auto& it : m_workers) {
+        it.connection->shutdown();
+        it.thread.join();
+    }
+}
+
+void LoopbackServer::accept()
+{
+    while (!m_stopping) {
+        int fd = ::accept4(m_listener, nullptr, nullptr, SOCK_CLOEXEC);
+        if (fd < 0)
+            return;
+        int one = 1;
+        setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
+        auto connection = std::make_shared<RawConnection>(fd);
+        m_workers.push_back({ connection, std::thread([this, connection] {
+                                 while (!m_stopping) {
+                                     auto request = connection->readRequest();
+                                     if (!request || !m_handler(*request, *connection))
+                                         break;
+                                 }
+                                 connection->shutdown();
+                             }) });
+    }
+}
+
+}
--- /dev/null
+++ b/test/processes/child_process.cpp
@@ -0,0 +1,97 @@
+#include "processes/child_process.h"
+
+#include "core/check.h"
+
+#include <csignal>
+#include <fcntl.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <thread>
+#include <unistd.h>
+
+namespace skylarkhitch {
+
+namespace {
+
+    constexpr Milliseconds exitCheckPeriod { 30 };
+
+    // Reads up to the first line's end, bounded, so that a child that fails at once does not hang the test.
+    std::string readLine(int fd)
+    {
+        std::string line;
+        char c = 0;
+        while (line.size() < 4096 && ::read(fd, &c, 1) == 1 && c != '\n')
+            line += c;
+        return line;
+    }
+
+}
+
+ChildProcess::ChildProcess(const std::vector<std::string>& command)
+{
+    int ends[2];
+    CALLER_CHECK(pipe2(ends, O_CLOEXEC) == 0) << "no pipe";
+    start(command, ends[1]);
+    ::close(ends[1]);
+    m_output = ends[0];
+    m_firstLine = readLine(m_output);
+}
+
+ChildProcess::ChildProcess(const std::vector<std::string>& command, const std::string& outputPath)
+{
+    int file = ::open(outputPath.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
+    CALLER_CHECK(file >= 0) << "can not write " << outputPath;
+    start(command, file);
+    ::close(file);
+}
+
+void ChildProcess::start(const std::vector<std::string>& command, int output)
+{
+    std::vector<char*> words;
+    for (const auto& it : command)
+        words.push_back(const_cast<char*>(it.c_str()));
+    words.push_back(nullptr);
+    auto parent = ::getpid();
+    m_pid = fork();
+    if (m_pid != 0)
+        return;
+    // A test that is killed takes what it started with it.
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
+    if (::getppid() != parent)
+        _exit(127);
+    dup2(output, STDOUT_FILENO);
+    execv(words[0], words.data());
+    _exit(127);
+}
+
+ChildProcess::~ChildProcess()
+{
+    if (m_pid > 0) {
+        ::kill(m_pid, SIGKILL);
+        waitpid(m_pid, nullptr, 0);
+    }
+    if (m_output >= 0)
+        ::close(m_output);
+}
+
+void ChildProcess::signal(int number) const
+{
+    if (m_pid > 0)
+        ::kill(m_pid, number);
+}
+
+std::optional<int> ChildProcess::waitForExit(Seconds time)
+{
+    auto end = std::chrono::steady_clock::now() + time;
+    while (m_pid > 0 && std::chrono::steady_clock::now() < end) {
+        int status = 0;
+        if (waitpid(m_pid, &status, WNOHANG) == m_pid) {
+            m_pid = -1;
+            return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+        }
+        std::this_thread::sleep_for(exitCheckPeriod);
+    }
+    return std::nullopt;
+}
+
+}
--- /dev/null
+++ b/test/processes/edge_test.cpp
@@ -0,0 +1,539 @@
+// Entry instances as real processes on loopback, with the platform's store and upstreams as stand-ins.
+
+#include "core/hashing.h"
+#include "fakes/fleet_standin.h"
+#include "processes/process_site.h"
+
+#include <absl/strings/match.h>
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_split.h>
+#include <catch2/catch.hpp>
+#include <csignal>
+#include <fstream>
+#include <unistd.h>
+
+using namespace skylarkhitch;
+using namespace skylarkhitch::standin;
+using namespace std::chrono_literals;
+
+namespace {
+
+// A port that was free a moment ago.
+int freePort()
+{
+    LoopbackServer server([](const RawRequest&, RawConnection&) { return false; });
+    return server.port();
+}
+
+// One instance with its settings, its output in a file.
+class EdgeInstance {
+public:
+    EdgeInstance(const std::string& name, const std::string& store, const std::string& seed = {})
+        : m_entry(freePort())
+        , m_ready(freePort())
+        , m_directory(freePort())
+        , m_peers(freePort())
+        , m_metrics(freePort())
+        , m_path(absl::StrCat("/tmp/skylarkhitch-edge-", ::getpid(), "-", name))
+    {
+        std::ofstream(m_path + ".yaml") << "edge:\n  instance: " << name << "\n  domain: halle-a\n  entry_listen: 127.0.0.1:" << m_entry << "\n  ready_listen: 127.0.0.1:" << m_ready
+                                        << "\n  directory_listen: 127.0.0.1:" << m_directory << "\n  peer_listen: 127.0.0.1:" << m_peers << "\n  metrics_listen: 127.0.0.1:" << m_metrics
+                                        << "\n  store: " << store << "\n  stop_grace_s: 4\n  seeds: [ " << seed << " ]\n";
+        m_process = std::make_unique<ChildProcess>(std::vector<std::string> { SKYLARKHITCH_BINARY_DIR "/skylarkhitchd", "--settings", m_path + ".yaml" }, m_path + ".log");
+    }
+
+    ~EdgeInstance()
+    {
+        m_process.reset();
+        ::unlink((m_path + ".yaml").c_str());
+        ::unlink((m_path + ".log").c_str());
+    }
+
+    int port() const { return m_entry; }
+    std::string peers() const { return absl::StrCat("127.0.0.1:", m_peers); }
+    ChildProcess& process() { return *m_process; }
+
+    std::string get(int port, const std::string& target) const
+    {
+        auto connection = RawConnection::connect(port);
+        if (!connection)
+            return {};
+        connection->write(absl::StrCat("GET ", target, " HTTP/1.1\r\nHost: x\r\n\r\n"));
+        return connection->readAnswer(2s);
+    }
+    bool isReady() const { return absl::StartsWith(get(m_ready, "/-/readyz"), "HTTP/1.1 200"); }
+    std::string directory() const { return get(m_directory, "/-/resolve?name=a.example&zone=halle-a"); }
+    std::string metrics() const { return get(m_metrics, "/metrics"); }
+
+    // Lines of the output that hold a text.
+    std::vector<std::string> lines(const std::string& text) const
+    {
+        std::vector<std::string> found;
+        std::ifstream in(m_path + ".log");
+        for (std::string line; std::getline(in, line);) {
+            if (absl::StrContains(line, text))
+                found.push_back(line);
+        }
+        return found;
+    }
+
+private:
+    int m_entry, m_ready, m_directory, m_peers, m_metrics;
+    std::string m_path;
+    std::unique_ptr<ChildProcess> m_process;
+};
+
+template <typename Condition>
+bool within(std::chrono::milliseconds time, Condition condition)
+{
+    auto end = std::chrono::steady_clock::now() + time;
+    while (!condition()) {
+        if (std::chrono::steady_clock::now() > end)
+            return false;
+        std::this_thread::sleep_for(10ms);
+    }
+    return true;
+}
+
+std::string requestBytes(const std::string& method, const std::string& target, const std::string& id, const std::string& more = {}, const std::string& body = {})
+{
+    auto length = method == "GET" ? std::string() : absl::StrCat("Content-Length: ", body.size(), "\r\n");
+    return absl::StrCat(method, " ", target, " HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: ", id, "\r\nX-Deadline-Ms: 2500\r\nApi-Key: key-1\r\n", more, length, "\r\n", body);
+}
+
+std::string ask(const EdgeInstance& instance, const std::string& bytes)
+{
+    auto connection = RawConnection::connect(instance.port());
+    REQUIRE(connection);
+    connection->write(bytes);
+    return connection->readAnswer();
+}
+
+std::string chunk(const std::string& bytes) { return absl::StrCat(absl::Hex(bytes.size()), "\r\n", bytes, "\r\n"); }
+
+int statusOf(const std::string& answer) { return answer.size() < 12 ? 0 : std::atoi(answer.c_str() + 9); }
+
+// A store with a configuration, two upstreams of a plain service and two engines.
+struct Site {
+    FleetStore store;
+    ScriptedUpstream first { "i-1", answering("hello") };
+    ScriptedUpstream second { "i-2", answering("hello") };
+    ScriptedUpstream engine { "i-3", streaming(3, 5ms) };
+    ScriptedUpstream otherEngine { "i-4", streaming(3, 5ms) };
+
+    Site()
+    {
+        store.put("op/config", sampleConfiguration(3));
+        store.put("servers/i-1", first.entry("orders"));
+        store.put("servers/i-2", second.entry("orders"));
+        store.put("servers/i-3", engine.entry("assist"));
+        store.put("servers/i-4", otherEngine.entry("assist"));
+    }
+
+    std::size_t received() { return first.count() + second.count(); }
+    std::vector<RawRequest> all()
+    {
+        auto requests = first.received();
+        for (auto& it : second.received())
+            requests.push_back(it);
+        return requests;
+    }
+    void setScripts(const ScriptedUpstream::Script& script)
+    {
+        first.setScript(script);
+        second.setScript(script);
+    }
+    void setEngines(const ScriptedUpstream::Script& script)
+    {
+        engine.setScript(script);
+        otherEngine.setScript(script);
+    }
+};
+
+}
+
+TEST_CASE("an entry instance serves callers")
+{
+    Site site;
+    EdgeInstance instance("edge-1", site.store.address());
+    REQUIRE(within(5s, [&] { return instance.isReady(); }));
+
+    SECTION("it names itself once it is ready")
+    {
+        CHECK(within(2s, [&] { return absl::StrContains(instance.directory(), absl::StrCat("127.0.0.1:", instance.port())); }));
+    }
+    SECTION("a request goes on byte for byte, with the router's own fields")
+    {
+        auto answer = ask(instance, requestBytes("POST", "/booking/a%2Fb/../c?x=1&x=2", "id-1", "X-Other: one\r\nX-Other: two\r\nX-Tenant-Name: forged\r\nKv-From: 1.2.3.4:5/x\r\n", "the body"));
+        CHECK(statusOf(answer) == 200);
+        CHECK(absl::StrContains(answer, "X-Server-Seal: seal-of-i-"));
+        CHECK(absl::EndsWith(answer, "hello"));
+        REQUIRE(site.received() == 1);
+        auto request = site.all()[0];
+        CHECK(request.target == "/booking/a%2Fb/../c?x=1&x=2");
+        CHECK(request.body == "the body");
+        CHECK(request.field("X-Attempt-Id") == "id-1");
+        CHECK(request.field("X-Tenant-Name") == "design");
+        CHECK(request.field("Api-Key").empty());
+        CHECK(request.field("Kv-From").empty());
+        CHECK(absl::StartsWith(request.field("X-Expect-Instance"), "i-"));
+        CHECK(std::stoi(request.field("X-Deadline-Ms")) <= 2500);
+        CHECK(std::count_if(request.fields.begin(), request.fields.end(), [](const auto& it) { return it.name == "X-Other"; }) == 2);
+    }
+    SECTION("a body in chunks arrives whole")
+    {
+        auto answer = ask(instance, "POST /booking/x HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: id-2\r\nApi-Key: key-1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nthe\r\n5\r\n body\r\n0\r\n\r\n");
+        CHECK(statusOf(answer) == 200);
+        REQUIRE(site.received() == 1);
+        CHECK(site.all()[0].body == "the body");
+    }
+    SECTION("what the configuration does not allow is refused and never sent")
+    {
+        CHECK(statusOf(ask(instance, requestBytes("GET", "/nowhere/x", "id-3"))) == 404);
+        CHECK(statusOf(ask(instance, "GET /status/x HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: id-4\r\nApi-Key: stolen\r\n\r\n")) == 401);
+        CHECK(site.received() == 0);
+    }
+    SECTION("a new configuration is in force within two seconds, and an older one never again")
+    {
+        site.store.put("op/config", sampleConfiguration(8, "key-2"));
+        auto withKey = [&](const std::string& key) { return statusOf(ask(instance, absl::StrCat("GET /status/x HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: id-5\r\nApi-Key: ", key, "\r\n\r\n"))); };
+        CHECK(within(2s, [&] { return withKey("key-2") == 200 && withKey("key-1") == 401; }));
+        site.store.put("op/config", sampleConfiguration(5, "key-1"));
+        std::this_thread::sleep_for(800ms);
+        CHECK(withKey("key-1") == 401);
+    }
+    SECTION("entries that cannot be read name no upstream, and the others hold")
+    {
+        site.store.put("servers/i-5", "{\"backend\":");
+        site.store.put("servers/i-6", R"({"backend":"orders","address":7,"zone":"z","capacity":"many","state":"ready"})");
+        site.store.put("servers/i-7", R"({"backend":"orders","address":"127.0.0.1:9","zone":"z","capacity":4,"state":"melting"})");
+        REQUIRE(within(3s, [&] { return instance.lines("upstream_unreadable").size() == 3; }));
+        for (int n = 0; n < 6; ++n)
+            CHECK(statusOf(ask(instance, requestBytes("GET", "/status/x", absl::StrCat("id-6-", n)))) == 200);
+    }
+    SECTION("a leaving upstream gets nothing more after two seconds")
+    {
+        site.store.put("servers/i-1", site.first.entry("orders", "draining"));
+        std::this_thread::sleep_for(2s);
+        auto before = site.first.count();
+        for (int n = 0; n < 10; ++n)
+            CHECK(statusOf(ask(instance, requestBytes("GET", "/status/x", absl::StrCat("id-7-", n)))) == 200);
+        CHECK(site.first.count() == before);
+    }
+    SECTION("after the store forgot its history, changes are found all the same")
+    {
+        site.store.forgetHistory();
+        site.store.put("op/config", sampleConfiguration(9, "key-3"));
+        CHECK(within(3s, [&] { return !instance.lines("configuration version=9").empty(); }));
+    }
+    SECTION("metrics tell what was done")
+    {
+        ask(instance, requestBytes("GET", "/status/x", "id-8"));
+        auto metrics = instance.metrics();
+        CHECK(absl::StrContains(metrics, "skylarkhitch_edge_requests_total{error=\"none\",rank=\"1\",team=\"design\"} 1"));
+        CHECK(absl::StrContains(metrics, "skylarkhitch_edge_request_seconds_bucket"));
+    }
+}
+
+TEST_CASE("a request that two readers could take differently is refused and goes nowhere")
+{
+    Site site;
+    EdgeInstance instance("edge-1", site.store.address());
+    REQUIRE(within(5s, [&] { return instance.isReady(); }));
+    const std::string start = "POST /booking/x HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: id-1\r\nApi-Key: key-1\r\n";
+    const std::string smuggled = "GET /status/x HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: id-2\r\nApi-Key: key-1\r\n\r\n";
+    auto refused = [&](const std::string& bytes) {
+        auto connection = RawConnection::connect(instance.port());
+        REQUIRE(connection);
+        connection->write(bytes);
+        auto answer = connection->readAnswer();
+        CHECK(statusOf(answer) == 400);
+        CHECK(connection->closesWithin(1s));
+        CHECK(site.received() == 0);
+    };
+    SECTION("a length beside chunks") { refused(start + "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + smuggled); }
+    SECTION("two lengths that differ") { refused(start + "Content-Length: 4\r\nContent-Length: 40\r\n\r\nbody" + smuggled); }
+    SECTION("a space before the colon") { refused(start + "Content-Length : 4\r\n\r\nbody"); }
+    SECTION("a line that ends with a bare line feed") { refused(start + "X-Other: 1\nContent-Length: 4\r\n\r\nbody"); }
+    SECTION("a head of bare line feeds") { refused("GET /status/x HTTP/1.1\nHost: a.example\n\n"); }
+    SECTION("a folded field") { refused(start + "X-Other: 1\r\n 2\r\nContent-Length: 4\r\n\r\nbody"); }
+    SECTION("an unknown coding before chunks") { refused(start + "Transfer-Encoding: identity, chunked\r\n\r\n0\r\n\r\n" + smuggled); }
+    SECTION("a coding that only looks like chunks") { refused(start + "Transfer-Encoding: xchunked\r\n\r\n0\r\n\r\n" + smuggled); }
+    SECTION("two hosts") { refused("GET /status/x HTTP/1.1\r\nHost: a.example\r\nHost: b.example\r\nX-Attempt-Id: id-1\r\n\r\n"); }
+    SECTION("a head beyond the bound is too large")
+    {
+        auto answer = ask(instance, start + "X-Other: " + std::string(5000, 'x') + "\r\nContent-Length: 4\r\n\r\nbody");
+        CHECK(statusOf(answer) == 431);
+        CHECK(site.received() == 0);
+    }
+    SECTION("a body beyond the bound is too large")
+    {
+        auto answer = ask(instance, start + "Content-Length: 100001\r\n\r\n" + std::string(1000, 'x'));
+        CHECK(statusOf(answer) == 413);
+        CHECK(site.received() == 0);
+    }
+}
+
+TEST_CASE("a call that may run once is sent once")
+{
+    Site site;
+    EdgeInstance instance("edge-1", site.store.address());
+    REQUIRE(within(5s, [&] { return instance.isReady(); }));
+    auto book = [&] { return ask(instance, requestBytes("POST", "/booking/x", "id-1", "", "slot 7")); };
+
+    SECTION("an upstream that breaks after it has read the call leaves its end open: no promise, no second send")
+    {
+        site.setScripts([](const RawRequest&, RawConnection& connection) {
+            connection.reset();
+            return false;
+        });
+        CHECK(statusOf(book()) == 502);
+        CHECK(site.received() == 1);
+    }
+    SECTION("an upstream that says that it did not run it lets another have it")
+    {
+        std::atomic<int> refusals = 0;
+        site.setScripts([&](const RawRequest& request, RawConnection& connection) {
+            if (++refusals == 1)
+                return connection.write(answerBytes(503, "", { { "X-Not-Executed", "1" } }));
+            return answering("booked")(request, connection);
+        });
+        CHECK(absl::EndsWith(book(), "booked"));
+        CHECK(site.received() == 2);
+    }
+    SECTION("where all say so the refusal promises it, and says when to come back")
+    {
+        site.setScripts([](const RawRequest&, RawConnection& connection) { return connection.write(answerBytes(503, "", { { "X-Not-Executed", "1" } })); });
+        auto answer = book();
+        CHECK((statusOf(answer) == 503 || statusOf(answer) == 429));
+        CHECK(absl::StrContains(answer, "Retry-After: "));
+    }
+    SECTION("an answer to another request is not passed on")
+    {
+        site.setScripts([](const RawRequest&, RawConnection& connection) {
+            return connection.write(answerBytes(200, "somebody else's", { { "X-Attempt-Id", "id-0" }, { "X-Server-Seal", "s" } }));
+        });
+        auto answer = book();
+        CHECK(statusOf(answer) == 502);
+        CHECK_FALSE(absl::StrContains(answer, "somebody"));
+        CHECK(site.received() == 1);
+    }
+    SECTION("an answer that breaks off is no answer")
+    {
+        site.setScripts([](const RawRequest& request, RawConnection& connection) {
+            connection.write(absl::StrCat("HTTP/1.1 200 OK\r\nX-Attempt-Id: ", request.field("X-Attempt-Id"), "\r\nContent-Length: 100\r\n\r\nhalf"));
+            return false;
+        });
+        CHECK(statusOf(book()) == 502);
+        CHECK(site.received() == 1);
+    }
+    SECTION("an upstream's own failure goes to the caller as it is")
+    {
+        site.setScripts([](const RawRequest& request, RawConnection& connection) {
+            return connection.write(answerBytes(500, "broken", { { "X-Attempt-Id", request.field("X-Attempt-Id") }, { "X-Server-Seal", "mine" } }));
+        });
+        auto answer = book();
+        CHECK(statusOf(answer) == 500);
+        CHECK(absl::StrContains(answer, "X-Server-Seal: mine"));
+        CHECK(site.received() == 1);
+    }
+    SECTION("a second answer on a kept connection reaches nobody")
+    {
+        site.setScripts([](const RawRequest& request, RawConnection& connection) {
+            auto bytes = answerBytes(200, "one", { { "X-Attempt-Id", request.field("X-Attempt-Id") }, { "X-Server-Seal", "s" } });
+            return connection.write(bytes + bytes);
+        });
+        for (int n = 0; n < 4; ++n)
+            CHECK(absl::EndsWith(ask(instance, requestBytes("GET", "/status/x", absl::StrCat("id-", n))), "one"));
+    }
+}
+
+TEST_CASE("a call that may be repeated is repeated within bounds")
+{
+    Site site;
+    EdgeInstance instance("edge-1", site.store.address());
+    REQUIRE(within(5s, [&] { return instance.isReady(); }));
+    SECTION("a broken answer is fetched from another upstream")
+    {
+        std::atomic<int> sends = 0;
+        site.setScripts([&](const RawRequest& request, RawConnection& connection) { return ++sends > 1 && answering("hello")(request, connection); });
+        CHECK(absl::EndsWith(ask(instance, requestBytes("GET", "/status/x", "id-1")), "hello"));
+        CHECK(sends == 2);
+    }
+    SECTION("an upstream that stays silent is left for another in time")
+    {
+        std::atomic<int> sends = 0;
+        site.setScripts([&](const RawRequest& request, RawConnection& connection) {
+            if (++sends == 1)
+                return !connection.closesWithin(3s);
+            return answering("hello")(request, connection);
+        });
+        auto begun = std::chrono::steady_clock::now();
+        CHECK(absl::EndsWith(ask(instance, requestBytes("GET", "/status/x", "id-1")), "hello"));
+        CHECK(std::chrono::steady_clock::now() - begun < 1s);
+    }
+    SECTION("an instance that is not the expected one is forgotten")
+    {
+        site.first.setScript([](const RawRequest&, RawConnection& connection) { return connection.write(answerBytes(421, "", { { "X-Instance-Id", "i-99" } })); });
+        for (int n = 0; n < 10; ++n)
+            CHECK(statusOf(ask(instance, requestBytes("GET", "/status/x", absl::StrCat("id-", n)))) == 200);
+        CHECK(site.first.count() <= 1);
+    }
+}
+
+TEST_CASE("streams reach their callers whole or without an end")
+{
+    Site site;
+    EdgeInstance instance("edge-1", site.store.address());
+    REQUIRE(within(5s, [&] { return instance.isReady(); }));
+    const std::string more = "X-Model-Name: *\r\nX-Token-Count: 900,50\r\nX-Prefix-Hash: 5c1e07a2:300,91bd3f06:200,e4:400\r\n";
+    auto draft = [&](const std::string& id) { return ask(instance, requestBytes("POST", "/draft/x", id, more, "prompt")); };
+
+    SECTION("a sure small model's answer is passed on")
+    {
+        auto answer = draft("id-1");
+        CHECK(absl::StrContains(answer, "piece 3 of small"));
+        CHECK(absl::EndsWith(answer, "0\r\n\r\n"));
+    }
+    SECTION("a doubtful one is dropped for the largest model's, and the caller sees only that")
+    {
+        site.setEngines([](const RawRequest& request, RawConnection& connection) {
+            return streaming(3, 20ms, request.field("X-Model-Name") == "small" ? 5 : 90)(request, connection);
+        });
+        auto answer = draft("id-1");
+        CHECK(absl::StrContains(answer, "piece 1 of large"));
+        CHECK_FALSE(absl::StrContains(answer, "of small"));
+    }
+    SECTION("one that breaks in the middle of an event goes on elsewhere, without a gap or a repeat")
+    {
+        std::atomic<int> sends = 0;
+        site.setEngines([&](const RawRequest& request, RawConnection& connection) {
+            if (++sends > 1)
+                return streaming(4, 5ms)(request, connection);
+            connection.write(absl::StrCat("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Confidence: 100\r\nX-Server-Seal: first\r\nX-Attempt-Id: ", request.field("X-Attempt-Id"),
+                "\r\nTransfer-Encoding: chunked\r\n\r\n", chunk("id: 1\ndata: piece 1 of small\n\n"), chunk("id: 2\ndata: piece 2 of")));
+            std::this_thread::sleep_for(100ms);
+            return false;
+        });
+        auto answer = draft("id-1");
+        CHECK(sends == 2);
+        CHECK(absl::StrContains(answer, "X-Server-Seal: first"));
+        for (int n = 1; n <= 4; ++n) {
+            std::vector<std::string> parts = absl::StrSplit(answer, absl::StrCat("id: ", n, "\n"));
+            CHECK(parts.size() == 2);
+        }
+        CHECK(absl::EndsWith(answer, "0\r\n\r\n"));
+    }
+    SECTION("one that cannot go on ends without looking complete")
+    {
+        site.setEngines([&](const RawRequest& request, RawConnection& connection) {
+            connection.write(absl::StrCat("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Confidence: 100\r\nX-Attempt-Id: ", request.field("X-Attempt-Id"),
+                "\r\nTransfer-Encoding: chunked\r\n\r\n", chunk("id: 1\ndata: x\n\n")));
+            std::this_thread::sleep_for(50ms);
+            return false;
+        });
+        CHECK_FALSE(absl::EndsWith(draft("id-1"), "0\r\n\r\n"));
+    }
+    SECTION("a caller that leaves ends the work within 300 ms")
+    {
+        std::atomic<int> ended = 0;
+        std::chrono::steady_clock::time_point endedAt;
+        site.setEngines([&](const RawRequest& request, RawConnection& connection) {
+            streaming(100, 30ms)(request, connection);
+            endedAt = std::chrono::steady_clock::now();
+            ++ended;
+            return false;
+        });
+        auto connection = RawConnection::connect(instance.port());
+        connection->write(requestBytes("POST", "/draft/x", "id-1", more, "prompt"));
+        REQUIRE(connection->readUntil([](const std::string& in) { return absl::StrContains(in, "id: 2"); }));
+        auto leftAt = std::chrono::steady_clock::now();
+        connection.reset();
+        REQUIRE(within(2s, [&] { return ended == 1; }));
+        CHECK(endedAt - leftAt < 300ms);
+    }
+    SECTION("one that is running when the instance is stopped is finished, and the instance ends in time")
+    {
+        site.setEngines(streaming(40, 30ms));
+        auto connection = RawConnection::connect(instance.port());
+        connection->write(requestBytes("POST", "/draft/x", "id-1", more, "prompt"));
+        REQUIRE(connection->readUntil([](const std::string& in) { return absl::StrContains(in, "id: 2"); }));
+        instance.process().signal(SIGTERM);
+        CHECK(within(1s, [&] { return !instance.isReady(); }));
+        CHECK(absl::EndsWith(connection->readAnswer(), "0\r\n\r\n"));
+        CHECK(instance.process().waitForExit(Seconds(5)) == 0);
+        CHECK(instance.lines("what=stopped").size() == 1);
+    }
+}
+
+TEST_CASE("an instance that the store alone turns away learns from its peers")
+{
+    Site site;
+    EdgeInstance one("edge-1", site.store.address());
+    EdgeInstance two("edge-2", site.store.otherAddress(), one.peers());
+    REQUIRE(within(5s, [&] { return one.isReady() && two.isReady(); }));
+    for (auto fault : { StoreFault::Busy, StoreFault::Silent }) {
+        site.store.setOtherFault(fault);
+        auto key = fault == StoreFault::Busy ? "key-busy" : "key-silent";
+        site.store.put("op/config", sampleConfiguration(fault == StoreFault::Busy ? 20 : 30, key));
+        auto answers = [&] { return statusOf(ask(two, absl::StrCat("GET /status/x HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: id-1\r\nApi-Key: ", key, "\r\n\r\n"))) == 200; };
+        CHECK(within(2s, answers));
+    }
+    SECTION("also right after its start, from a seed alone")
+    {
+        site.store.setOtherFault(StoreFault::Busy);
+        EdgeInstance three("edge-3", site.store.otherAddress(), one.peers());
+        CHECK(within(3s, [&] { return three.isReady(); }));
+        CHECK(within(2s, [&] { return absl::StrContains(one.directory(), absl::StrCat("127.0.0.1:", three.port())); }));
+    }
+}
+
+TEST_CASE("a roll-out goes through although the store loses answers")
+{
+    Site site;
+    ScriptedUpstream fresh("i-9", streaming(3, 5ms));
+    EdgeInstance instance("edge-1", site.store.address());
+    REQUIRE(within(5s, [&] { return instance.isReady(); }));
+    site.store.setFault(StoreFault::LosesAnswers);
+    site.store.put("servers/i-9", fresh.entry("assist", "ready", "v2"));
+    site.store.put("op/rollout/assist", R"({"backend":"assist","target":"v2","durationS":4})");
+    // Every second request falls into the canary's share, so that there are answers to judge by.
+    int n = 0;
+    auto isCanary = [](int number) { return unitHash("rollout", absl::StrCat("id-", number)) < 0.05; };
+    auto state = [&] {
+        bool wantsCanary = site.engine.count() > fresh.count();
+        while (isCanary(++n) != wantsCanary) { }
+        ask(instance, requestBytes("POST", "/draft/x", absl::StrCat("id-", n), "X-Model-Name: *\r\nX-Token-Count: 10,5\r\n", "p"));
+        return site.store.find("status/rollout/assist").value_or("");
+    };
+    CHECK(within(3s, [&] { return absl::StrContains(state(), "active"); }));
+    CHECK(within(6s, [&] { return absl::StrContains(state(), "completed") || absl::StrContains(state(), "reverted"); }));
+    auto last = state();
+    for (const auto& it : instance.lines("roll"))
+        UNSCOPED_INFO(it);
+    CHECK(absl::StrContains(last, "completed"));
+}
+
+TEST_CASE("a failed request is followed from its id through the lines of two instances")
+{
+    Site site;
+    EdgeInstance one("edge-1", site.store.address());
+    EdgeInstance two("edge-2", site.store.address(), one.peers());
+    REQUIRE(within(5s, [&] { return one.isReady() && two.isReady(); }));
+    // The request fells each upstream that runs it, and its caller sends it again elsewhere.
+    site.setScripts([](const RawRequest&, RawConnection&) { return false; });
+    const std::string poison = "GET /status/poison HTTP/1.1\r\nHost: a.example\r\nX-Deadline-Ms: 2000\r\nApi-Key: key-1\r\nX-Attempt-Id: ";
+    CHECK(statusOf(ask(one, poison + "id-first\r\n\r\n")) == 502);
+    std::this_thread::sleep_for(700ms);
+    CHECK(statusOf(ask(two, poison + "id-second\r\n\r\n")) == 503);
+    REQUIRE(within(2s, [&] { return !two.lines("id=id-second").empty(); }));
+    auto last = two.lines("id=id-second").back();
+    CHECK(absl::StrContains(last, "error=request_quarantined"));
+    auto at = last.find("fingerprint=");
+    REQUIRE(at != std::string::npos);
+    auto fingerprint = last.substr(at, last.find(' ', at) - at);
+    auto falls = one.lines(fingerprint);
+    REQUIRE(falls.size() >= 2);
+    CHECK(absl::StrContains(falls.front(), "id=id-first"));
+    CHECK(absl::StrContains(falls.front(), "what=upstream_cut"));
+}
