Own domain first, longer watches, and pressure by a route's usual prompt

Change: work of another domain's engine counts 1,500 tokens more; watches wait 8 s, and the lease's renewal (a tenth of the price) shows each second whether the store answers; the pressure of long prompts is the route's.

--- a/src/core/routing/model_choice.cpp
+++ b/src/core/routing/model_choice.cpp
@@ -19,7 +19,7 @@
     auto ahead = load.work * (rank == 0 ? settings.urgentShare : 1);
     auto ownPressure = (ahead + prompt) * load.pace / static_cast<double>(std::max<std::int64_t>(1, left.count()));
     auto wait = load.work * load.pace / static_cast<double>(settings.sharedWait.count());
-    auto sharedPressure = wait * std::min(settings.longestPrompt, prompt / load.meanPrompt);
+    auto sharedPressure = wait * std::min(settings.highestRatio, load.promptRatio);
     auto room = (settings.fullFrom - std::max(ownPressure, sharedPressure)) / (settings.fullFrom - settings.idleUpTo);
     return settings.calmConfidence * std::clamp(room, 0.0, 1.0);
 }
--- a/src/core/routing/model_choice.h
+++ b/src/core/routing/model_choice.h
@@ -19,8 +19,8 @@
     // Wait on an engine that is a pressure of 1 for a prompt of usual length, whatever its own target: what a long prompt
     // takes is taken from all.
     Milliseconds sharedWait { 300 };
-    // A longer prompt counts as so many usual ones at most.
-    double longestPrompt = 2;
+    // The prompts of a route count as so many usual ones at most.
+    double highestRatio = 2;
 };
 
 // Work of a prompt token on a model beside one on the dearest model: its price is what is known of the time it takes.
@@ -30,9 +30,11 @@
 struct EngineLoad {
     // On a mean engine.
     double work = 0;
-    // Of the request itself, and of a usual one.
+    // Of the request itself.
     std::int64_t prompt = 0;
-    double meanPrompt = 1;
+    // Length of its route's usual prompt beside that of all routes. A single long prompt does not count against itself:
+    // what it takes, it is worth.
+    double promptRatio = 1;
     // Milliseconds for one of them.
     double pace = 0.05;
 };
--- a/src/core/routing/upstream_board.cpp
+++ b/src/core/routing/upstream_board.cpp
@@ -72,6 +72,7 @@
     double bestWork = 0;
     for (const auto* it : open) {
         auto work = static_cast<double>(workOn(it->id)) + jitter(m_random) - (part && it == home ? saved : 0);
+        work += it->domain == question.ownDomain ? 0 : static_cast<double>(m_settings.otherDomainWork);
         // One without a free place makes the request wait for another to end.
         if (requestsOn(it->id) >= it->places)
             work += fullEngineWork;
@@ -136,9 +137,18 @@
     m_pace += paceGain * (std::clamp(pace, leastPace, mostPace) - m_pace);
 }
 
-void UpstreamBoard::learnPrompt(std::int64_t tokens)
+void UpstreamBoard::learnPrompt(const std::string& route, std::int64_t tokens)
 {
-    m_meanPrompt += paceGain * (static_cast<double>(tokens) - m_meanPrompt);
+    auto length = static_cast<double>(tokens);
+    m_meanPrompt += paceGain * (length - m_meanPrompt);
+    auto& mean = m_routePrompts.try_emplace(route, length).first->second;
+    mean += paceGain * (length - mean);
+}
+
+double UpstreamBoard::promptRatio(const std::string& route) const
+{
+    auto it = m_routePrompts.find(route);
+    return it == m_routePrompts.end() ? 1 : it->second / m_meanPrompt;
 }
 
 double UpstreamBoard::meanWork(const std::vector<const UpstreamEntry*>& engines) const
--- a/src/core/routing/upstream_board.h
+++ b/src/core/routing/upstream_board.h
@@ -24,6 +24,8 @@
     double homeBonus = 1.5;
     // Small models read so fast that only the price of reading a part again speaks for its home.
     double leastHomeWeight = 0.25;
+    // Work that another failure domain's engine seems to have beside its own: bytes between domains are priced.
+    std::int64_t otherDomainWork = 1500;
     // Reports of upstreams older than this say nothing.
     Milliseconds reportTime { 1000 };
 };
@@ -59,11 +61,13 @@
 
     // A first event came after this time on an engine that had so much work, the request's own included.
     void learnPace(std::int64_t work, Milliseconds firstEvent);
-    void learnPrompt(std::int64_t tokens);
+    void learnPrompt(const std::string& route, std::int64_t tokens);
     // Milliseconds that an engine takes for one unit of work.
     double pace() const { return m_pace; }
     // Tokens of a usual prompt.
     double meanPrompt() const { return m_meanPrompt; }
+    // Length of a route's usual prompt beside that of all routes.
+    double promptRatio(const std::string& route) const;
     double meanWork(const std::vector<const UpstreamEntry*>&) const;
 
     void reported(const UpstreamId&, const ReportedLoad&, TimePoint now);
@@ -102,6 +106,7 @@
     // Both are learned, from guesses for a large model and a medium prompt.
     double m_pace = 0.05;
     double m_meanPrompt = 2000;
+    absl::flat_hash_map<std::string, double> m_routePrompts;
     absl::flat_hash_map<UpstreamId, State> m_states;
     absl::flat_hash_map<UpstreamId, UpstreamWork> m_peerWork;
 };
--- a/src/edge/control_plane.cpp
+++ b/src/edge/control_plane.cpp
@@ -17,9 +17,10 @@
     // Time behind a peer after which its changes are fetched: the store's watch tells them sooner if it works.
     constexpr Milliseconds catchUpAfter { 450 };
     constexpr Milliseconds catchUpTime { 800 };
-    // Lease of the instance's entry in the store, and how often it is renewed.
+    // Lease of the instance's entry in the store, and how often it is renewed: the renewal also shows whether the store
+    // answers, at a tenth of another call's price.
     constexpr Milliseconds listLease { 10000 };
-    constexpr Milliseconds listRenewal { 3000 };
+    constexpr Milliseconds listRenewal { 1000 };
     // Part of a roll-out's time after which the old release is not waited for any more.
     constexpr double oldReleasePatience = 0.92;
     constexpr std::size_t mostDatagram = std::size_t { 64 } * 1024;
--- a/src/edge/request_run.cpp
+++ b/src/edge/request_run.cpp
@@ -182,7 +182,7 @@
     m_work = static_cast<std::int64_t>(static_cast<double>(m_request.promptTokens) * weightOfModel());
     m_verdict.attemptSent();
     if (m_service->engine)
-        m_traffic.board().learnPrompt(m_request.promptTokens);
+        m_traffic.board().learnPrompt(m_route->name, m_request.promptTokens);
     m_workAhead = m_traffic.board().workOn(upstream.id);
     m_traffic.board().sent(upstream.id, m_work);
     auto result = co_await converse(upstream, connection);
@@ -311,7 +311,7 @@
     auto now = bootNow();
     auto placement = m_traffic.place(m_serviceId, m_request, now);
     auto& board = m_traffic.board();
-    EngineLoad load { board.meanWork(placement.allowed), m_request.promptTokens, board.meanPrompt(), board.pace() };
+    EngineLoad load { board.meanWork(placement.allowed), m_request.promptTokens, board.promptRatio(m_route->name), board.pace() };
     auto needed = neededConfidence(load, m_rank, m_route->targetLatency - toMilliseconds(now - m_received.at));
     if (*answer.confidence >= needed || !m_traffic.takeRepeat(m_serviceId, now))
         return false;
--- a/src/edge/store_link.cpp
+++ b/src/edge/store_link.cpp
@@ -9,10 +9,11 @@
 namespace {
 
     // The store answers in some milliseconds; a slow one takes a multiple of that.
-    constexpr Milliseconds callTime { 1500 };
+    constexpr Milliseconds callTime { 1000 };
     constexpr Milliseconds connectTime { 500 };
-    // How long a watch waits for a first change, and how much longer its answer may take.
-    constexpr Milliseconds watchTime { 1500 };
+    // How long a watch waits for a first change, and how much longer its answer may take. Every answer is priced; a store
+    // that fell silent is noticed by the lease's renewal, and its changes come from peers.
+    constexpr Milliseconds watchTime { 8000 };
     constexpr Milliseconds watchMargin { 700 };
     constexpr std::size_t mostAnswerBytes = std::size_t { 16 } << 20;
     // Every key is mirrored.
