--- a/src/core/routing/model_choice.h
+++ b/src/core/routing/model_choice.h
@@ -12,8 +12,8 @@
     // Confidence below which an answer is asked anew of a larger model while the engines are idle.
     double calmConfidence = 0.6;
     // Pressure up to which engines count as idle, and from which on every answer is taken as it is.
-    double idleUpTo = 0.5;
-    double fullFrom = 4;
+    double idleUpTo = 2.5;
+    double fullFrom = 5;
     // Part of an engine's work that is ahead of a request of the most urgent rank: engines admit by rank.
     double urgentShare = 0.4;
     // Wait on an engine that is a pressure of 1 for a prompt of usual length, whatever its own target: what a long prompt
