--- a/src/adapters/peer_frame.h
+++ b/src/adapters/peer_frame.h
@@ -2,7 +2,7 @@
 
 // The authenticated frame around a message between instances.
 
-#include "core/peer_message.h"
+#include "core/membership/peer_message.h"
 
 #include <map>
 
--- a/src/config/parse_configuration.cpp
+++ b/src/config/parse_configuration.cpp
@@ -1,5 +1,6 @@
 #include "config/parse_configuration.h"
 
+#include "config/edge_settings.h"
 #include "config/field_table.h"
 #include "config/node_settings.h"
 
@@ -304,6 +305,7 @@
     appendSection(page, "rollouts.MODEL", "Roll-outs under way, by model.", describeFields<Rollout>(rolloutFields));
     appendSection(page, "limits", "Bounds and periods of every instance.", describeFields<Limits>(limitFields));
     appendSection(page, "Settings of one instance", "The file that `skylarkhitchd --settings` reads; `--overlay` lays another one over it.", describeNodeSettings());
+    appendSection(page, "Settings of an instance on a platform that declares routes", "The map `edge` of such a file; it stands alone in it. The platform fills in `platform/settings.yaml.template`.", describeEdgeSettings());
     return page;
 }
 
--- a/src/core/config_keeper.cpp
+++ b/src/core/configuration/config_keeper.cpp
@@ -1,4 +1,4 @@
-#include "core/config_keeper.h"
+#include "core/configuration/config_keeper.h"
 
 #include "core/hashing.h"
 
--- a/src/core/config_keeper.h
+++ b/src/core/configuration/config_keeper.h
@@ -4,7 +4,7 @@
 // a new revision by heartbeat and fetch it from a peer, so that the store's calls do not grow with the fleet. A revision
 // never goes down, whatever store or peer says, and a watcher writes it back to a store that lost it. An edit is one compare-and-swap, settled by its id when the reply is lost.
 
-#include "core/membership.h"
+#include "core/membership/membership.h"
 #include "core/store_calls.h"
 
 #include <functional>
--- a/src/core/ledger.cpp
+++ b/src/core/ledger/ledger.cpp
@@ -1,4 +1,4 @@
-#include "core/ledger.h"
+#include "core/ledger/ledger.h"
 
 #include "core/hashing.h"
 
--- a/src/core/ledger.h
+++ b/src/core/ledger/ledger.h
@@ -4,8 +4,8 @@
 // on, writes them itself when no answer comes, and keeps bills and outcomes in other failure domains as well while the
 // store is down.
 
-#include "core/ledger_shard.h"
-#include "core/membership.h"
+#include "core/ledger/ledger_shard.h"
+#include "core/membership/membership.h"
 
 #include <memory>
 
--- a/src/core/ledger_fold.cpp
+++ b/src/core/ledger/ledger_fold.cpp
@@ -1,4 +1,4 @@
-#include "core/ledger_fold.h"
+#include "core/ledger/ledger_fold.h"
 
 #include <absl/strings/str_format.h>
 #include <algorithm>
--- a/src/core/ledger_index.cpp
+++ b/src/core/ledger/ledger_index.cpp
@@ -1,4 +1,4 @@
-#include "core/ledger_index.h"
+#include "core/ledger/ledger_index.h"
 
 namespace skylarkhitch {
 
--- a/src/core/ledger_index.h
+++ b/src/core/ledger/ledger_index.h
@@ -4,7 +4,7 @@
 // session keeps. Decides whether a new record may be appended.
 
 #include "core/error_kind.h"
-#include "core/ledger_fold.h"
+#include "core/ledger/ledger_fold.h"
 
 #include <absl/container/flat_hash_map.h>
 #include <absl/container/flat_hash_set.h>
--- a/src/core/ledger_record.cpp
+++ b/src/core/ledger/ledger_record.cpp
@@ -1,4 +1,4 @@
-#include "core/ledger_record.h"
+#include "core/ledger/ledger_record.h"
 
 #include <nlohmann/json.hpp>
 #include <sstream>
--- a/src/core/ledger_shard.h
+++ b/src/core/ledger/ledger_shard.h
@@ -4,7 +4,7 @@
 // compare-and-swap of the open segment decides, and a writer whose swap fails reads again before it answers.
 // A swap whose reply was lost is settled by reading the segment and looking for the batch's id.
 
-#include "core/ledger_index.h"
+#include "core/ledger/ledger_index.h"
 #include "core/store_calls.h"
 
 #include <deque>
--- a/src/core/admission.cpp
+++ b/src/core/limits/admission.cpp
@@ -1,4 +1,4 @@
-#include "core/admission.h"
+#include "core/limits/admission.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/core/admission.h
+++ b/src/core/limits/admission.h
@@ -5,7 +5,7 @@
 // shares of the others; within a rank teams take turns by deficit round robin (Shreedhar and Varghese, 1995) in
 // tokens of expected work. The baseline beside it is first in, first out.
 
-#include "core/configuration.h"
+#include "core/configuration/configuration.h"
 
 #include <absl/container/flat_hash_map.h>
 #include <deque>
--- a/src/core/capacity_share.cpp
+++ b/src/core/limits/capacity_share.cpp
@@ -1,4 +1,4 @@
-#include "core/capacity_share.h"
+#include "core/limits/capacity_share.h"
 
 #include <algorithm>
 
--- a/src/core/capacity_share.h
+++ b/src/core/limits/capacity_share.h
@@ -5,7 +5,7 @@
 // (Bertsekas and Gallager, 1992), and a team's part is split over the instances by its demand there. So instances
 // together fill the upstreams without a queue of their making, and a team gains nothing by asking at many instances.
 
-#include "core/peer_message.h"
+#include "core/membership/peer_message.h"
 
 namespace skylarkhitch {
 
--- a/src/core/crash_guard.cpp
+++ b/src/core/limits/crash_guard.cpp
@@ -1,4 +1,4 @@
-#include "core/crash_guard.h"
+#include "core/limits/crash_guard.h"
 
 #include <algorithm>
 
@@ -7,9 +7,15 @@
 void CrashGuard::fell(const std::string& fingerprint, const UpstreamId& upstream, TimePoint now)
 {
     auto& trace = m_traces[fingerprint];
-    ++trace.own;
     trace.at = now;
-    m_suspicions[upstream].push_back({ fingerprint, now });
+    auto& suspicions = m_suspicions[upstream];
+    auto known = std::find_if(suspicions.begin(), suspicions.end(), [&](const Suspicion& it) { return it.fingerprint == fingerprint; });
+    if (known != suspicions.end()) {
+        known->at = now;
+        return;
+    }
+    ++trace.own;
+    suspicions.push_back({ fingerprint, now });
 }
 
 void CrashGuard::stillUp(const UpstreamId& upstream, TimePoint askedAt)
--- a/src/core/crash_guard.h
+++ b/src/core/limits/crash_guard.h
@@ -17,6 +17,7 @@
     // Upstreams that a request may fell before it is refused.
     static constexpr std::int64_t falls = 2;
 
+    // An upstream counts once, however often the request was cut there.
     void fell(const std::string& fingerprint, const UpstreamId&, TimePoint);
     // The upstream answered a question that was asked at this time: a cut before then was not a crash.
     void stillUp(const UpstreamId&, TimePoint askedAt);
--- a/src/core/membership.cpp
+++ b/src/core/membership/membership.cpp
@@ -1,4 +1,4 @@
-#include "core/membership.h"
+#include "core/membership/membership.h"
 
 #include "core/hashing.h"
 
--- a/src/core/peer_message.cpp
+++ b/src/core/membership/peer_message.cpp
@@ -1,4 +1,4 @@
-#include "core/peer_message.h"
+#include "core/membership/peer_message.h"
 
 #include <nlohmann/json.hpp>
 
--- a/src/core/peer_message.h
+++ b/src/core/membership/peer_message.h
@@ -4,7 +4,7 @@
 // answered carries a ticket, and the answer is a message the other way.
 
 #include "core/ids.h"
-#include "core/ledger_record.h"
+#include "core/ledger/ledger_record.h"
 
 #include <map>
 #include <optional>
--- a/src/core/messages.h
+++ b/src/core/messages.h
@@ -3,10 +3,10 @@
 // What goes into the core and what comes out of it. Router::handle takes one Event and its time and appends Actions
 // to an Outbox; adapters carry the actions out. The same events with the same seed give the same actions.
 
-#include "core/configuration.h"
+#include "core/configuration/configuration.h"
 #include "core/error_kind.h"
-#include "core/ledger_record.h"
-#include "core/peer_message.h"
+#include "core/ledger/ledger_record.h"
+#include "core/membership/peer_message.h"
 
 #include <memory>
 #include <optional>
--- a/src/core/chat_flow.cpp
+++ b/src/core/requests/chat_flow.cpp
@@ -1,6 +1,6 @@
-#include "core/chat_flow.h"
+#include "core/requests/chat_flow.h"
 
-#include "core/version_choice.h"
+#include "core/routing/version_choice.h"
 
 #include <absl/strings/str_cat.h>
 #include <algorithm>
--- a/src/core/chat_flow.h
+++ b/src/core/requests/chat_flow.h
@@ -4,8 +4,8 @@
 // pays, bill, last byte. A stream that breaks goes on at the exact token on another upstream of the same version, or
 // ends in an explicit error.
 
-#include "core/dispatcher.h"
-#include "core/session_pins.h"
+#include "core/requests/dispatcher.h"
+#include "core/routing/session_pins.h"
 
 #include <random>
 
--- a/src/core/core_parts.h
+++ b/src/core/requests/core_parts.h
@@ -2,15 +2,15 @@
 
 // The parts of the core that the request flows work with, owned by the Router.
 
-#include "core/admission.h"
-#include "core/cascade_plan.h"
-#include "core/config_keeper.h"
-#include "core/crash_guard.h"
-#include "core/ledger.h"
-#include "core/request_table.h"
-#include "core/retry_budget.h"
-#include "core/upstream_table.h"
-#include "core/version_evidence.h"
+#include "core/configuration/config_keeper.h"
+#include "core/ledger/ledger.h"
+#include "core/limits/admission.h"
+#include "core/limits/crash_guard.h"
+#include "core/limits/retry_budget.h"
+#include "core/requests/request_table.h"
+#include "core/rollout/version_evidence.h"
+#include "core/routing/cascade_plan.h"
+#include "core/routing/upstream_table.h"
 
 namespace skylarkhitch {
 
--- a/src/core/dispatcher.cpp
+++ b/src/core/requests/dispatcher.cpp
@@ -1,4 +1,4 @@
-#include "core/dispatcher.h"
+#include "core/requests/dispatcher.h"
 
 #include <cmath>
 
--- a/src/core/dispatcher.h
+++ b/src/core/requests/dispatcher.h
@@ -3,8 +3,8 @@
 // Brings waiting requests to upstreams: asks the admission order for the next one, chooses its upstream, sends the
 // attempt, and does the accounting when it ends.
 
-#include "core/capacity_share.h"
-#include "core/request_flow.h"
+#include "core/limits/capacity_share.h"
+#include "core/requests/request_flow.h"
 
 namespace skylarkhitch {
 
--- a/src/core/explain.cpp
+++ b/src/core/requests/explain.cpp
@@ -1,6 +1,6 @@
-#include "core/explain.h"
+#include "core/requests/explain.h"
 
-#include "core/version_choice.h"
+#include "core/routing/version_choice.h"
 
 #include <absl/strings/str_cat.h>
 #include <algorithm>
--- a/src/core/explain.h
+++ b/src/core/requests/explain.h
@@ -2,7 +2,7 @@
 
 // Says step by step where a request would land now, and why, without sending it.
 
-#include "core/core_parts.h"
+#include "core/requests/core_parts.h"
 
 namespace skylarkhitch {
 
--- a/src/core/request_flow.h
+++ b/src/core/requests/request_flow.h
@@ -2,7 +2,7 @@
 
 // What the kinds of request do differently: how they start, and what follows an attempt, a record or a rating.
 
-#include "core/core_parts.h"
+#include "core/requests/core_parts.h"
 
 namespace skylarkhitch {
 
--- a/src/core/request_table.cpp
+++ b/src/core/requests/request_table.cpp
@@ -1,4 +1,4 @@
-#include "core/request_table.h"
+#include "core/requests/request_table.h"
 
 #include "core/check.h"
 
--- a/src/core/request_table.h
+++ b/src/core/requests/request_table.h
@@ -3,8 +3,8 @@
 // The requests that this instance has taken and not yet answered, found by their id, by an attempt or by a ledger
 // ticket. The one place that gives final answers: whole, as a stream's end, or as a refusal from the error table.
 
-#include "core/ledger.h"
-#include "core/ran_verdict.h"
+#include "core/ledger/ledger.h"
+#include "core/requests/ran_verdict.h"
 #include "ports/metrics_sink.h"
 
 #include <absl/container/flat_hash_set.h>
--- a/src/core/service_flow.cpp
+++ b/src/core/requests/service_flow.cpp
@@ -1,4 +1,4 @@
-#include "core/service_flow.h"
+#include "core/requests/service_flow.h"
 
 #include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
--- a/src/core/service_flow.h
+++ b/src/core/requests/service_flow.h
@@ -3,7 +3,7 @@
 // The path of a call to a plain service. A call that may not be repeated and has a key of its caller's is claimed in
 // the ledger before it is sent; its outcome and its charge are one record, kept before the answer is given.
 
-#include "core/dispatcher.h"
+#include "core/requests/dispatcher.h"
 
 namespace skylarkhitch {
 
--- a/src/core/version_evidence.cpp
+++ b/src/core/rollout/version_evidence.cpp
@@ -1,4 +1,4 @@
-#include "core/version_evidence.h"
+#include "core/rollout/version_evidence.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/core/version_evidence.h
+++ b/src/core/rollout/version_evidence.h
@@ -4,7 +4,7 @@
 // (CUSUM; Page, 1954) on the evidence of all instances: it fits a change that comes at an unknown time, as a vendor's
 // patch does. A bad version is quarantined, probed after a while with a few requests, and let back when they go well.
 
-#include "core/configuration.h"
+#include "core/configuration/configuration.h"
 #include "core/messages.h"
 
 #include <absl/container/flat_hash_map.h>
--- a/src/core/router.h
+++ b/src/core/router.h
@@ -3,10 +3,10 @@
 // The core: one event machine that one thread owns. It takes an event and its time and appends the actions that
 // follow. It reads no clock, opens no socket and starts no thread, so tests drive it with virtual time.
 
-#include "core/chat_flow.h"
-#include "core/entry_choice.h"
-#include "core/explain.h"
-#include "core/service_flow.h"
+#include "core/requests/chat_flow.h"
+#include "core/requests/explain.h"
+#include "core/requests/service_flow.h"
+#include "core/routing/entry_choice.h"
 
 namespace skylarkhitch {
 
--- a/src/core/cascade_plan.cpp
+++ b/src/core/routing/cascade_plan.cpp
@@ -1,4 +1,4 @@
-#include "core/cascade_plan.h"
+#include "core/routing/cascade_plan.h"
 
 #include <absl/strings/str_cat.h>
 
--- a/src/core/cascade_plan.h
+++ b/src/core/routing/cascade_plan.h
@@ -4,7 +4,7 @@
 // that meets the quality target is least. Solved backwards over the steps (dynamic programming); the chance that a step's answer
 // passes is learned for each team, task and model from ratings (a beta estimate with the configured quality as prior).
 
-#include "core/configuration.h"
+#include "core/configuration/configuration.h"
 
 #include <absl/container/flat_hash_map.h>
 
--- a/src/core/entry_choice.cpp
+++ b/src/core/routing/entry_choice.cpp
@@ -1,4 +1,4 @@
-#include "core/entry_choice.h"
+#include "core/routing/entry_choice.h"
 
 #include "core/hashing.h"
 
--- a/src/core/entry_choice.h
+++ b/src/core/routing/entry_choice.h
@@ -3,7 +3,7 @@
 // Tells a caller which entry instance to use: rendezvous hashing over the live instances, own failure domain first,
 // skipping instances that carry clearly more than their share (bounded loads; Mirrokni et al., 2018).
 
-#include "core/membership.h"
+#include "core/membership/membership.h"
 
 namespace skylarkhitch {
 
--- a/src/core/session_pins.cpp
+++ b/src/core/routing/session_pins.cpp
@@ -1,4 +1,4 @@
-#include "core/session_pins.h"
+#include "core/routing/session_pins.h"
 
 namespace skylarkhitch {
 
--- a/src/core/session_pins.h
+++ b/src/core/routing/session_pins.h
@@ -2,7 +2,7 @@
 
 // Versions that sessions keep, as far as this instance has seen them in the ledger. Only a cache: the ledger decides.
 
-#include "core/ledger_record.h"
+#include "core/ledger/ledger_record.h"
 
 #include <absl/container/flat_hash_map.h>
 #include <deque>
--- a/src/core/upstream_table.cpp
+++ b/src/core/routing/upstream_table.cpp
@@ -1,4 +1,4 @@
-#include "core/upstream_table.h"
+#include "core/routing/upstream_table.h"
 
 #include "core/check.h"
 
--- a/src/core/upstream_table.h
+++ b/src/core/routing/upstream_table.h
@@ -5,7 +5,7 @@
 // this instance take turns. The choice of the less loaded of two sampled ones (Mitzenmacher, 2001) stands beside it: what is
 // known of the others' load is late, and in every case that was measured taking turns did as well or better.
 
-#include "core/configuration.h"
+#include "core/configuration/configuration.h"
 #include "core/messages.h"
 
 #include <absl/container/flat_hash_map.h>
--- a/src/core/version_choice.cpp
+++ b/src/core/routing/version_choice.cpp
@@ -1,4 +1,4 @@
-#include "core/version_choice.h"
+#include "core/routing/version_choice.h"
 
 #include "core/hashing.h"
 
--- a/src/core/version_choice.h
+++ b/src/core/routing/version_choice.h
@@ -3,7 +3,7 @@
 // Which versions a team may use, and which one a new session or request starts on. The choice is a pure function of
 // its key and the configuration, so that instances agree without talking.
 
-#include "core/configuration.h"
+#include "core/configuration/configuration.h"
 
 #include <functional>
 #include <optional>
--- a/src/daemon/caller_api.cpp
+++ b/src/daemon/caller_api.cpp
@@ -1,6 +1,6 @@
 #include "daemon/caller_api.h"
 
-#include "core/version_choice.h"
+#include "core/routing/version_choice.h"
 #include "daemon/request_parser.h"
 
 #include <absl/strings/match.h>
--- a/src/edge/request_run.cpp
+++ b/src/edge/request_run.cpp
@@ -49,6 +49,9 @@
         return end == TransferEnd::TimedOut ? AttemptEnd::TimedOut : AttemptEnd::Cut;
     }
 
+    // One life of an upstream: one that comes back after a fall can fall again.
+    UpstreamId lifeOf(const UpstreamEntry& upstream) { return { absl::StrCat(upstream.id.value, "/", upstream.born) }; }
+
     // Whether a status tells the caller that the request was not run.
     bool promisesNotRun(int status) { return status == 408 || status == 421 || status == 429 || status == 503; }
 
@@ -267,6 +270,8 @@
 {
     m_events.restart();
     auto keepsIdle = answer.keepsIdle;
+    // A stream that goes on elsewhere keeps the head of its first upstream.
+    auto head = m_caller->hasBegun() ? std::nullopt : std::optional(answerOf(std::move(answer)));
     for (;;) {
         auto piece = co_await connection->readBody();
         if (m_caller->hasLeft())
@@ -282,9 +287,10 @@
             upstreamWorked(upstream);
         }
         bool isWhole = piece.isLast && !m_events.hasPartialEvent();
-        if (!m_caller->hasBegun() && (events.events > 0 || isWhole)) {
+        if (head && (events.events > 0 || isWhole)) {
             m_traffic.metrics().firstByte(m_team.value_or(TeamId {}), m_rank, bootNow() - m_received.at);
-            co_await m_caller->beginBody(answerOf(std::move(answer)));
+            auto begun = *std::exchange(head, std::nullopt);
+            co_await m_caller->beginBody(std::move(begun));
         }
         co_await m_caller->writeBody(events.bytes);
         if (isWhole) {
@@ -392,7 +398,7 @@
     if (end != AttemptEnd::NotSent)
         m_traffic.count(releaseRoute(upstream), false, {});
     if (end == AttemptEnd::Cut) {
-        m_traffic.crashes().fell(fingerprint(), upstream.id, now);
+        m_traffic.crashes().fell(fingerprint(), lifeOf(upstream), now);
         LogLine(LogLevel::Warning, "upstream_cut").with("id", m_request.id.value).with("upstream", upstream.id.value).with("fingerprint", fingerprint()).with("falls", m_traffic.crashes().fallsOf(fingerprint()));
     }
     if (m_traffic.board().failed(upstream.id, now))
@@ -402,7 +408,7 @@
 void RequestRun::upstreamWorked(const UpstreamEntry& upstream)
 {
     m_traffic.board().succeeded(upstream.id);
-    m_traffic.crashes().stillUp(upstream.id, m_sentAt);
+    m_traffic.crashes().stillUp(lifeOf(upstream), m_sentAt);
 }
 
 void RequestRun::logEnd(std::string_view error, int status) const
--- a/src/edge/request_run.h
+++ b/src/edge/request_run.h
@@ -3,8 +3,8 @@
 // The life of one request at this instance: checked, sent to an upstream, sent again where that is safe, its answer
 // passed on byte for byte, and one line logged about how it ended.
 
-#include "core/ran_verdict.h"
 #include "core/requests/event_stream.h"
+#include "core/requests/ran_verdict.h"
 #include "core/requests/upstream_answer.h"
 #include "core/routing/model_choice.h"
 #include "edge/caller_connection.h"
--- a/src/edge/traffic.h
+++ b/src/edge/traffic.h
@@ -2,7 +2,7 @@
 
 // The traffic thread's state: what requests share. Everything here is touched by that thread only.
 
-#include "core/crash_guard.h"
+#include "core/limits/crash_guard.h"
 #include "core/rollout/session_releases.h"
 #include "core/routing/upstream_board.h"
 #include "edge/connection_pool.h"
--- a/src/ports/peer_link.h
+++ b/src/ports/peer_link.h
@@ -3,7 +3,7 @@
 // Carries messages to other instances. A message may be lost, doubled by a resend of the core or late; it is never
 // damaged, and never from a stranger.
 
-#include "core/peer_message.h"
+#include "core/membership/peer_message.h"
 
 namespace skylarkhitch {
 
--- a/test/correctness/admission_test.cpp
+++ b/test/correctness/admission_test.cpp
@@ -1,5 +1,5 @@
-#include "core/admission.h"
-#include "core/capacity_share.h"
+#include "core/limits/admission.h"
+#include "core/limits/capacity_share.h"
 
 #include <catch2/catch.hpp>
 
--- a/test/correctness/decisions_test.cpp
+++ b/test/correctness/decisions_test.cpp
@@ -1,9 +1,9 @@
-#include "core/cascade_plan.h"
-#include "core/crash_guard.h"
-#include "core/entry_choice.h"
 #include "core/error_kind.h"
-#include "core/ran_verdict.h"
-#include "core/version_evidence.h"
+#include "core/limits/crash_guard.h"
+#include "core/requests/ran_verdict.h"
+#include "core/rollout/version_evidence.h"
+#include "core/routing/cascade_plan.h"
+#include "core/routing/entry_choice.h"
 
 #include <catch2/catch.hpp>
 
--- a/test/correctness/ledger_test.cpp
+++ b/test/correctness/ledger_test.cpp
@@ -1,4 +1,4 @@
-#include "core/ledger_shard.h"
+#include "core/ledger/ledger_shard.h"
 
 #include "adapters/memory_store.h"
 
--- a/test/correctness/routing_test.cpp
+++ b/test/correctness/routing_test.cpp
@@ -1,5 +1,6 @@
 // Where requests go: routes, upstreams, engines under load, models, repeats.
 
+#include "core/limits/crash_guard.h"
 #include "core/limits/repeat_budget.h"
 #include "core/routing/model_choice.h"
 #include "core/routing/routing_configuration.h"
@@ -290,6 +291,38 @@
     }
 }
 
+// Found in an incident: a request was cut twice by one upstream that lost answers, and was refused for two minutes.
+TEST_CASE("a request that fells upstreams is refused, one that was only unlucky is not")
+{
+    CrashGuard guard;
+    guard.fell("f", { "u1/1" }, start);
+    SECTION("two cuts by one upstream count once")
+    {
+        guard.fell("f", { "u1/1" }, start + 1s);
+        CHECK_FALSE(guard.refuses("f"));
+    }
+    SECTION("two upstreams that fell count, also two lives of one")
+    {
+        guard.fell("f", { "u1/2" }, start + 1s);
+        CHECK(guard.refuses("f"));
+    }
+    SECTION("an answer to a later question takes all suspicions on an upstream back")
+    {
+        guard.fell("g", { "u1/1" }, start + 1s);
+        guard.fell("f", { "u2/1" }, start + 1s);
+        guard.stillUp({ "u1/1" }, start + 2s);
+        CHECK_FALSE(guard.refuses("f"));
+        CHECK(guard.fallsOf("g") == 0);
+    }
+    SECTION("what a peer takes back is forgotten")
+    {
+        guard.learn({ "edge-2" }, { { "f", 1 } }, start);
+        CHECK(guard.refuses("f"));
+        guard.learn({ "edge-2" }, {}, start + 1s);
+        CHECK_FALSE(guard.refuses("f"));
+    }
+}
+
 TEST_CASE("repeats keep to the site's budget")
 {
     RepeatBudget budget({ 0.5, 10, 10000ms });
--- a/test/matrix/site_checks.cpp
+++ b/test/matrix/site_checks.cpp
@@ -1,6 +1,6 @@
 #include "matrix/site_checks.h"
 
-#include "core/version_choice.h"
+#include "core/routing/version_choice.h"
 
 #include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
--- a/test/performance/core_benchmark.cpp
+++ b/test/performance/core_benchmark.cpp
@@ -1,11 +1,11 @@
 // Processor time of the core's decisions and messages at several sizes (Google Benchmark), and memory of its state.
 
-#include "core/admission.h"
-#include "core/ledger_shard.h"
-#include "core/membership.h"
-#include "core/session_pins.h"
-#include "core/upstream_table.h"
-#include "core/version_evidence.h"
+#include "core/ledger/ledger_shard.h"
+#include "core/limits/admission.h"
+#include "core/membership/membership.h"
+#include "core/rollout/version_evidence.h"
+#include "core/routing/session_pins.h"
+#include "core/routing/upstream_table.h"
 
 #include <benchmark/benchmark.h>
 #include <malloc.h>
