--- a/src/edge/request_run.cpp
+++ b/src/edge/request_run.cpp
@@ -184,6 +184,7 @@
     m_promptRead = false;
     m_work = static_cast<std::int64_t>(static_cast<double>(m_request.promptTokens) * weightOfModel());
     m_verdict.attemptSent();
+    ++m_runs;
     if (m_service->engine)
         m_traffic.board().learnPrompt(m_route->name, m_request.promptTokens);
     m_workAhead = m_traffic.board().workOn(upstream.id);
@@ -194,6 +195,8 @@
     m_upstream = nullptr;
     if (result.end != AttemptEnd::NotSent)
         ++m_arrivals;
+    if (result.end == AttemptEnd::NotSent || result.end == AttemptEnd::RefusedNotRun)
+        --m_runs;
     m_traffic.metrics().attemptEnded(m_serviceId.value, nameOf(result.end));
     bool isBroken = result.end == AttemptEnd::Cut || result.end == AttemptEnd::TimedOut || result.end == AttemptEnd::NotSent;
     if (isBroken) {
@@ -206,7 +209,7 @@
 
 Awaitable<RequestRun::SendResult> RequestRun::converse(const UpstreamEntry& upstream, std::shared_ptr<UpstreamConnection> connection)
 {
-    connection->endAfter(patienceFor(m_route->mayRepeat() && m_runs + 1 < m_route->maxAttempts));
+    connection->endAfter(patienceFor(m_route->mayRepeat() && m_runs < m_route->maxAttempts));
     if (!co_await connection->send(requestHead(upstream), m_request.body))
         co_return SendResult { AttemptEnd::NotSent, false };
     ResponseHead head;
@@ -227,7 +230,6 @@
             m_traffic.connections().giveBack(upstream, connection, answer.keepsIdle, bootNow());
         co_return SendResult { AttemptEnd::RefusedNotRun, false };
     }
-    ++m_runs;
     bool isStream = m_route->kind == RouteKind::Streaming && answer.isEventStream && answer.status < 300;
     auto dropped = releaseRoute(upstream);
     if (isStream && asksLargerModel(answer)) {
--- a/src/edge/request_run.h
+++ b/src/edge/request_run.h
@@ -66,6 +66,7 @@
     std::vector<UpstreamId> m_tried;
     // Sends that reached an upstream, whether it ran them or not.
     std::int64_t m_arrivals = 0;
+    // Sends that run, or may have run; the present one counts.
     std::int64_t m_runs = 0;
     std::optional<ModelId> m_model;
     // What the present send adds to its upstream's load, in prompt tokens of the dearest model.
--- a/test/processes/edge_test.cpp
+++ b/test/processes/edge_test.cpp
@@ -372,6 +372,17 @@
         CHECK(absl::EndsWith(ask(instance, requestBytes("GET", "/status/x", "id-1")), "hello"));
         CHECK(std::chrono::steady_clock::now() - begun < 1s);
     }
+    SECTION("upstreams that all stay silent get it no more often than its route allows")
+    {
+        auto silent = [](const RawRequest&, RawConnection& connection) { return !connection.closesWithin(3s); };
+        site.setScripts(silent);
+        ScriptedUpstream third("i-5", silent), fourth("i-6", silent), fifth("i-7", silent);
+        for (const auto* it : { &third, &fourth, &fifth })
+            site.store.put("servers/" + it->id(), it->entry("orders"));
+        REQUIRE(within(2s, [&] { return instance.lines("what=upstream upstream=i-7").size() == 1; }));
+        CHECK(statusOf(ask(instance, requestBytes("GET", "/status/x", "id-1"))) >= 502);
+        CHECK(site.received() + third.count() + fourth.count() + fifth.count() == 3);
+    }
     SECTION("an instance that is not the expected one is forgotten")
     {
         site.first.setScript([](const RawRequest&, RawConnection& connection) { return connection.write(answerBytes(421, "", { { "X-Instance-Id", "i-99" } })); });
