End a waiting watch when the store is lost or regained, and give test processes ports of their own

The store was silent for all; every instance's watch of 8 s waited on a dead connection after its return, so that nobody was ahead of anybody and a revoked key stayed in force. Ruled out: the peers' relay (no peer knew more). Change: the watch is asked anew on either change; tests take ports from a block of their process. test_edge has the silent store (fails before, passes after).

--- a/src/edge/store_link.cpp
+++ b/src/edge/store_link.cpp
@@ -42,6 +42,8 @@
     }
     if (isOpen) {
         connection->endAfter(timeout);
+        if (&kept == &m_watchConnection)
+            m_waitingWatch = connection;
         auto head = absl::StrCat(request.method, " ", request.target, " HTTP/1.1\r\nHost: ", m_address, "\r\n");
         if (!request.body.empty())
             absl::StrAppend(&head, "Content-Type: application/json\r\n");
@@ -56,6 +58,8 @@
         }
     }
     connection->clearDeadline();
+    if (&kept == &m_watchConnection)
+        m_waitingWatch.reset();
     if (answer.status != 0 && connection->isReusable())
         kept = connection;
     else
@@ -73,9 +77,17 @@
     if (reached == m_isReached)
         return;
     m_isReached = reached;
+    // A watch from before the change may wait on a connection that never answers.
+    restartWatch();
     LogLine(reached ? LogLevel::Info : LogLevel::Warning, reached ? "store_regained" : "store_lost").with("store", m_address).with("status", status);
 }
 
+void StoreLink::restartWatch()
+{
+    if (auto connection = m_waitingWatch.lock())
+        connection->close();
+}
+
 Awaitable<StoreAnswer> StoreLink::call(platform::StoreRequest request, const char* name)
 {
     auto answer = co_await exchange(std::move(request), m_callConnection, callTime, name);
--- a/src/edge/store_link.h
+++ b/src/edge/store_link.h
@@ -40,12 +40,16 @@
 private:
     Awaitable<StoreAnswer> exchange(platform::StoreRequest, std::shared_ptr<UpstreamConnection>&, Milliseconds timeout, const char* name);
     void noteAnswer(int status);
+    // Ends a watch that waits, so that it is asked anew.
+    void restartWatch();
 
     EventLoop& m_loop;
     std::string m_address;
     EdgeMetrics& m_metrics;
     std::shared_ptr<UpstreamConnection> m_watchConnection;
     std::shared_ptr<UpstreamConnection> m_callConnection;
+    // The connection of a watch that waits for its answer.
+    std::weak_ptr<UpstreamConnection> m_waitingWatch;
     TimePoint m_answeredAt {};
     bool m_isReached = false;
 };
--- a/test/processes/edge_test.cpp
+++ b/test/processes/edge_test.cpp
@@ -18,22 +18,24 @@
 
 namespace {
 
-// A port that was free a moment ago.
-int freePort()
+// A port of this test process: tests run side by side, and a port that was free a moment ago may be another one's by now.
+// The block lies below the ports that the kernel gives to others.
+int ownPort()
 {
-    LoopbackServer server([](const RawRequest&, RawConnection&) { return false; });
-    return server.port();
+    constexpr int firstPort = 12000, blocks = 800, portsInBlock = 25;
+    static int next = 0;
+    return firstPort + static_cast<int>(::getpid() % blocks) * portsInBlock + next++ % portsInBlock;
 }
 
 // One instance with its settings, its output in a file.
 class EdgeInstance {
 public:
     EdgeInstance(const std::string& name, const std::string& store, const std::string& seed = {})
-        : m_entry(freePort())
-        , m_ready(freePort())
-        , m_directory(freePort())
-        , m_peers(freePort())
-        , m_metrics(freePort())
+        : m_entry(ownPort())
+        , m_ready(ownPort())
+        , m_directory(ownPort())
+        , m_peers(ownPort())
+        , m_metrics(ownPort())
         , m_path(absl::StrCat("/tmp/skylarkhitch-edge-", ::getpid(), "-", name))
     {
         std::ofstream(m_path + ".yaml") << "edge:\n  instance: " << name << "\n  domain: halle-a\n  entry_listen: 127.0.0.1:" << m_entry << "\n  ready_listen: 127.0.0.1:" << m_ready
@@ -499,6 +501,20 @@
     }
 }
 
+// Found by a hunted day: the watch from before the silence waited on, at every instance, and nobody learned of a change.
+TEST_CASE("after the store was silent for all, changes are known two seconds after they were made")
+{
+    Site site;
+    EdgeInstance instance("edge-1", site.store.address());
+    REQUIRE(within(5s, [&] { return instance.isReady(); }));
+    site.store.setFault(StoreFault::Silent);
+    REQUIRE(within(4s, [&] { return !instance.lines("what=store_lost").empty(); }));
+    site.store.setFault(StoreFault::None);
+    REQUIRE(within(4s, [&] { return instance.lines("what=store_regained").size() == 2; }));
+    site.store.put("op/config", sampleConfiguration(40));
+    CHECK(within(2s, [&] { return !instance.lines("configuration version=40").empty(); }));
+}
+
 TEST_CASE("a roll-out goes through although the store loses answers")
 {
     Site site;
