--- a/src/edge/store_link.cpp
+++ b/src/edge/store_link.cpp
@@ -65,7 +65,9 @@
     else
         connection->close();
     m_metrics.storeCall(name, answer.status);
-    noteAnswer(answer.status);
+    bool wasEnded = &kept == &m_watchConnection && std::exchange(m_watchEnded, false);
+    if (answer.status != 0 || !wasEnded)
+        noteAnswer(answer.status);
     co_return answer;
 }
 
@@ -84,8 +86,11 @@
 
 void StoreLink::restartWatch()
 {
-    if (auto connection = m_waitingWatch.lock())
-        connection->close();
+    auto connection = m_waitingWatch.lock();
+    if (!connection)
+        return;
+    m_watchEnded = true;
+    connection->close();
 }
 
 Awaitable<StoreAnswer> StoreLink::call(platform::StoreRequest request, const char* name)
--- a/src/edge/store_link.h
+++ b/src/edge/store_link.h
@@ -50,6 +50,8 @@
     std::shared_ptr<UpstreamConnection> m_callConnection;
     // The connection of a watch that waits for its answer.
     std::weak_ptr<UpstreamConnection> m_waitingWatch;
+    // The watch was ended here, which says nothing about the store.
+    bool m_watchEnded = false;
     TimePoint m_answeredAt {};
     bool m_isReached = false;
 };
