--- a/src/adapters/peer_transport.cpp
+++ b/src/adapters/peer_transport.cpp
@@ -2,6 +2,7 @@
 
 #include "adapters/http_server.h"
 #include "adapters/peer_frame.h"
+#include "adapters/wall_clock.h"
 #include "core/check.h"
 
 #include <arpa/inet.h>
@@ -33,11 +34,6 @@
 
     using SteadyTime = std::chrono::steady_clock::time_point;
 
-    TimePoint wallNow()
-    {
-        return std::chrono::time_point_cast<Microseconds>(std::chrono::system_clock::now());
-    }
-
     struct SessionFree {
         void operator()(nghttp2_session* session) const { nghttp2_session_del(session); }
     };
--- a/src/core/membership/store_mirror.cpp
+++ b/src/core/membership/store_mirror.cpp
@@ -1,9 +1,40 @@
 #include "core/membership/store_mirror.h"
 
+#include <nlohmann/json.hpp>
 #include <set>
 
 namespace skylarkhitch {
 
+using Json = nlohmann::json;
+
+std::string encodeUpdate(const MirrorUpdate& update)
+{
+    Json changes = Json::array();
+    for (const auto& it : update.changes)
+        changes.push_back(Json::array({ it.key, it.revision, it.value ? Json::binary({ it.value->begin(), it.value->end() }) : Json() }));
+    auto bytes = Json::to_cbor(Json::array({ update.revision, update.isWhole, changes }));
+    return { bytes.begin(), bytes.end() };
+}
+
+std::optional<MirrorUpdate> decodeUpdate(const std::string& bytes)
+{
+    try {
+        auto json = Json::from_cbor(bytes);
+        MirrorUpdate update { json.at(0), json.at(1), {} };
+        for (const auto& it : json.at(2)) {
+            StoreChange change { it.at(0), it.at(1), {} };
+            if (!it.at(2).is_null()) {
+                const auto& value = it.at(2).get_binary();
+                change.value = std::string(value.begin(), value.end());
+            }
+            update.changes.push_back(std::move(change));
+        }
+        return update;
+    } catch (const Json::exception&) {
+        return std::nullopt;
+    }
+}
+
 bool StoreMirror::take(const MirrorUpdate& update)
 {
     if (update.revision <= m_revision && m_revision != 0)
--- a/src/core/membership/store_mirror.h
+++ b/src/core/membership/store_mirror.h
@@ -28,6 +28,11 @@
     std::vector<StoreChange> changes;
 };
 
+// The form in which peers pass updates on (CBOR).
+std::string encodeUpdate(const MirrorUpdate&);
+// Nothing if the bytes are not a whole update.
+std::optional<MirrorUpdate> decodeUpdate(const std::string& bytes);
+
 class StoreMirror {
 public:
     struct Item {
--- a/src/core/requests/routed_request.h
+++ b/src/core/requests/routed_request.h
@@ -33,8 +33,6 @@
     bool anyModel = false;
     std::int64_t promptTokens = 0;
     std::int64_t mostAnswerTokens = 0;
-    // The caller's estimate of the answer's length in tokens; 0 if it gives none.
-    std::int64_t likelyAnswerTokens = 0;
     // In the order of the prompt; the last one belongs to the request or its session alone.
     std::vector<PromptPart> promptParts;
     // Fields that go to the upstream as they came.
--- a/src/core/rollout/release_plan.cpp
+++ b/src/core/rollout/release_plan.cpp
@@ -1,6 +1,7 @@
 #include "core/rollout/release_plan.h"
 
 #include <absl/strings/str_cat.h>
+#include <algorithm>
 
 namespace skylarkhitch {
 
@@ -8,6 +9,7 @@
 
     // Shares of sessions by stage; the canary's keeps a bad release far below the exposure that operators allow.
     constexpr double stageShares[] = { 0.06, 0.4, 1, 1, 0 };
+    constexpr const char* stageNames[] = { "canary", "half", "full", "completed", "reverted" };
 
     struct Sides {
         ReleaseCounters target;
@@ -81,6 +83,17 @@
 
 }
 
+const char* stageName(RolloutStage stage)
+{
+    return stageNames[static_cast<int>(stage)];
+}
+
+std::optional<RolloutStage> stageOfName(std::string_view name)
+{
+    const auto* it = std::find(std::begin(stageNames), std::end(stageNames), name);
+    return it == std::end(stageNames) ? std::nullopt : std::optional(static_cast<RolloutStage>(it - std::begin(stageNames)));
+}
+
 double shareOf(RolloutStage stage)
 {
     return stageShares[static_cast<int>(stage)];
--- a/src/core/rollout/release_plan.h
+++ b/src/core/rollout/release_plan.h
@@ -5,6 +5,8 @@
 
 #include "core/membership/fleet_beat.h"
 
+#include <string_view>
+
 namespace skylarkhitch {
 
 // An operator's order to move a service to a release.
@@ -41,6 +43,10 @@
     ReleaseEvidence baseline;
 };
 
+// The stage's name in logs and in the stored record, and the stage of a name.
+const char* stageName(RolloutStage);
+std::optional<RolloutStage> stageOfName(std::string_view);
+
 // Share of sessions that go to the target in a stage.
 double shareOf(RolloutStage);
 
--- a/src/core/routing/upstream_roster.cpp
+++ b/src/core/routing/upstream_roster.cpp
@@ -4,6 +4,18 @@
 
 namespace skylarkhitch {
 
+void EndedLives::end(const UpstreamEntry& entry)
+{
+    auto& born = m_lastBorn.try_emplace(entry.id, entry.born).first->second;
+    born = std::max(born, entry.born);
+}
+
+bool EndedLives::contains(const UpstreamEntry& entry) const
+{
+    auto it = m_lastBorn.find(entry.id);
+    return it != m_lastBorn.end() && entry.born <= it->second;
+}
+
 bool UpstreamRoster::registered(const UpstreamEntry& entry)
 {
     auto& state = m_upstreams[entry.id];
@@ -25,13 +37,6 @@
     it->second.goneAt = now + returnTime;
 }
 
-void UpstreamRoster::leaves(const UpstreamId& id, std::int64_t born)
-{
-    auto it = m_upstreams.find(id);
-    if (it != m_upstreams.end())
-        it->second.leftBorn = std::max(it->second.leftBorn, born);
-}
-
 void UpstreamRoster::storeAway(TimePoint now)
 {
     for (auto& [id, state] : m_upstreams) {
@@ -49,7 +54,7 @@
 {
     std::vector<UpstreamEntry> entries;
     for (const auto& [id, state] : m_upstreams) {
-        if (state.entry.takesWork && state.entry.born > state.leftBorn)
+        if (state.entry.takesWork)
             entries.push_back(state.entry);
     }
     return entries;
--- a/src/core/routing/upstream_roster.h
+++ b/src/core/routing/upstream_roster.h
@@ -32,6 +32,17 @@
     friend bool operator==(const UpstreamEntry&, const UpstreamEntry&) = default;
 };
 
+// Lives of upstreams that take no more work whatever their entries say: another instance answered at their address. A later
+// life under the same name is not meant.
+class EndedLives {
+public:
+    void end(const UpstreamEntry&);
+    bool contains(const UpstreamEntry&) const;
+
+private:
+    std::map<UpstreamId, std::int64_t> m_lastBorn;
+};
+
 class UpstreamRoster {
 public:
     // Time from the store's return until an entry that is still missing counts as gone; the platform's pages say "about two seconds".
@@ -43,8 +54,6 @@
     bool registered(const UpstreamEntry&);
     // An entry was removed; lapsed says that the store was away shortly before, so that the upstream may be alive.
     void removed(const UpstreamId&, bool mayHaveLapsed, TimePoint now);
-    // The upstream itself said that it leaves, or its address answers for another one.
-    void leaves(const UpstreamId&, std::int64_t born);
     // The store is away now: removals wait until it is back.
     void storeAway(TimePoint now);
     // Ends the waits that are over; true if an upstream went.
@@ -58,8 +67,6 @@
 private:
     struct State {
         UpstreamEntry entry;
-        // Lives up to this one take no new work.
-        std::int64_t leftBorn = -1;
         // Set while the entry is missing.
         std::optional<TimePoint> goneAt;
     };
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -4,6 +4,7 @@
 #include "adapters/http_upstream_client.h"
 #include "adapters/log.h"
 #include "adapters/memory_store.h"
+#include "adapters/wall_clock.h"
 #include "config/parse_configuration.h"
 #include "core/check.h"
 #include "daemon/caller_api.h"
@@ -39,9 +40,7 @@
     RouterSettings routerSettings(const NodeSettings& node)
     {
         RouterSettings settings;
-        auto startedAt = std::chrono::time_point_cast<Microseconds>(std::chrono::system_clock::now());
-        // A later life of an instance has a higher number, since it starts later.
-        settings.self = { node.instance, static_cast<std::uint64_t>(startedAt.time_since_epoch().count()) };
+        settings.self = { node.instance, lifeNumber() };
         settings.domain = node.domain;
         settings.entryAddress = node.entryAddress;
         settings.seed = node.seed != 0 ? static_cast<std::uint64_t>(node.seed) : settings.self.number;
--- a/src/edge/caller_connection.cpp
+++ b/src/edge/caller_connection.cpp
@@ -1,5 +1,6 @@
 #include "edge/caller_connection.h"
 
+#include "adapters/log.h"
 #include "edge/request_reader.h"
 
 #include <absl/strings/str_cat.h>
@@ -113,6 +114,7 @@
 Awaitable<bool> CallerConnection::refuse(int status)
 {
     m_keep = false;
+    LogLine(LogLevel::Warning, "request_malformed").with("status", status).with("bytes", static_cast<std::int64_t>(m_in.size()));
     AnswerToCaller answer { .status = status };
     co_return co_await respond(std::move(answer));
 }
@@ -253,6 +255,7 @@
         if (!m_acceptor.is_open())
             co_return;
         if (ec) {
+            LogLine(LogLevel::Error, "accept_failed").with("error", ec.message());
             co_await sleepFor(m_loop, pause);
             continue;
         }
--- a/src/edge/control_plane.cpp
+++ b/src/edge/control_plane.cpp
@@ -4,7 +4,6 @@
 
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
-#include <nlohmann/json.hpp>
 
 namespace skylarkhitch {
 
@@ -21,49 +20,12 @@
     // answers, at a tenth of another call's price.
     constexpr Milliseconds listLease { 10000 };
     constexpr Milliseconds listRenewal { 1000 };
-    // Part of a roll-out's time after which the old release is not waited for any more.
-    constexpr double oldReleasePatience = 0.92;
     // Addresses of peers in each beat: a new instance finds everybody within some beats.
     constexpr std::size_t mostKnown = 4;
     constexpr std::size_t mostDatagram = std::size_t { 64 } * 1024;
     constexpr std::size_t mostMirrorBytes = std::size_t { 64 } << 20;
     constexpr const char* mirrorPath = "/mirror?after=";
 
-    using Json = nlohmann::json;
-
-    std::string encodeUpdate(const MirrorUpdate& update)
-    {
-        Json changes = Json::array();
-        for (const auto& it : update.changes)
-            changes.push_back(Json::array({ it.key, it.revision, it.value ? Json::binary({ it.value->begin(), it.value->end() }) : Json() }));
-        auto bytes = Json::to_cbor(Json::array({ update.revision, update.isWhole, changes }));
-        return { bytes.begin(), bytes.end() };
-    }
-
-    std::optional<MirrorUpdate> decodeUpdate(const std::string& bytes)
-    {
-        try {
-            auto json = Json::from_cbor(bytes);
-            MirrorUpdate update { json.at(0), json.at(1), {} };
-            for (const auto& it : json.at(2)) {
-                StoreChange change { it.at(0), it.at(1), {} };
-                if (!it.at(2).is_null()) {
-                    const auto& value = it.at(2).get_binary();
-                    change.value = std::string(value.begin(), value.end());
-                }
-                update.changes.push_back(std::move(change));
-            }
-            return update;
-        } catch (const Json::exception&) {
-            return std::nullopt;
-        }
-    }
-
-    TimePoint wallNow()
-    {
-        return std::chrono::time_point_cast<Microseconds>(std::chrono::system_clock::now());
-    }
-
     std::shared_ptr<ServerState> internalServer(RequestHandler handler)
     {
         auto state = std::make_shared<ServerState>();
@@ -72,12 +34,6 @@
         return state;
     }
 
-    const char* nameOf(RolloutStage stage)
-    {
-        constexpr const char* names[] = { "canary", "half", "full", "completed", "reverted" };
-        return names[static_cast<int>(stage)];
-    }
-
 }
 
 ControlPlane::ControlPlane(EventLoop& loop, const EdgeSettings& settings, Incarnation self, EdgeMetrics& metrics, Outputs outputs)
@@ -88,6 +44,7 @@
     , m_outputs(std::move(outputs))
     , m_store(loop, settings.store, metrics)
     , m_mirror([this](const std::string& key, const StoreMirror::Item* item) { itemChanged(key, item); })
+    , m_rollouts(loop, m_store, [this] { m_changed = true; })
     , m_fleet(m_self, settings.domain, settings.peerListen)
     , m_beatSocket(loop, udpEndpoint(settings.peerListen))
 {
@@ -173,9 +130,9 @@
     case platform::DocumentKind::Upstream:
         return upstreamChanged(document.name, item);
     case platform::DocumentKind::RolloutOrder:
-        return orderChanged(document.name, item);
+        return m_rollouts.orderChanged({ document.name }, item, m_mirror.revision() > 0);
     case platform::DocumentKind::RolloutRecord:
-        return recordChanged(document.name, item);
+        return m_rollouts.recordChanged({ document.name }, item);
     case platform::DocumentKind::Instance:
         return instancesChanged();
     case platform::DocumentKind::Other:
@@ -223,41 +180,6 @@
     m_changed = true;
 }
 
-void ControlPlane::orderChanged(const std::string& service, const StoreMirror::Item* item)
-{
-    m_changed = true;
-    if (!item) {
-        m_orders.erase({ service });
-        return;
-    }
-    platform::DecodeError error;
-    auto order = platform::decodeRolloutOrder(service, item->revision, item->value, error);
-    if (!order) {
-        LogLine(LogLevel::Error, "rollout_order_unreadable").with("service", service).with("error", error.message);
-        return;
-    }
-    LogLine(LogLevel::Info, "rollout_ordered").with("service", service).with("target", order->target).with("ms", order->duration.count()).with("revision", order->revision);
-    bool seenLive = m_mirror.revision() > 0;
-    m_orders[{ service }] = { *order, seenLive ? std::optional(bootNow()) : std::nullopt, false };
-}
-
-void ControlPlane::recordChanged(const std::string& service, const StoreMirror::Item* item)
-{
-    m_changed = true;
-    if (!item) {
-        m_records.erase({ service });
-        return;
-    }
-    platform::DecodeError error;
-    auto record = platform::decodeRolloutRecord(item->value, error);
-    if (!record) {
-        LogLine(LogLevel::Error, "rollout_record_unreadable").with("service", service).with("error", error.message);
-        return;
-    }
-    LogLine(LogLevel::Info, "rollout_stage").with("service", service).with("target", record->target).with("stage", nameOf(record->stage)).with("order", record->orderRevision);
-    m_records[{ service }] = { *record, item->revision };
-}
-
 void ControlPlane::instancesChanged()
 {
     std::map<std::string, DomainId> peers;
@@ -372,13 +294,10 @@
     catchUp(now);
     if (m_upstreams.wake(now))
         m_changed = true;
-    advanceRollouts(now);
-    auto live = m_fleet.live(now);
-    std::size_t ready = 0;
-    for (const auto* it : live)
-        ready += it->beat.ready ? 1 : 0;
-    m_changed = m_changed || ready + live.size() * 1000 != m_liveBefore;
-    m_liveBefore = ready + live.size() * 1000;
+    m_rollouts.advance({ mergedEvidence(), isCoordinator(now), [this](const RolloutOrder& order) { return oldReleaseIsIdle(order); } }, now);
+    FleetCount count { m_fleet.size(now), entries(now).size() };
+    m_changed = m_changed || count != m_countBefore;
+    m_countBefore = count;
     m_outputs.tell(news(now));
     publish(now);
 }
@@ -409,7 +328,7 @@
         beat.sinceStoreAway = toMilliseconds(now - *m_storeAwayAt);
     beat.work = m_report.work;
     for (const auto& [key, it] : m_report.evidence) {
-        if (isRollingOut(key.service))
+        if (m_rollouts.isRollingOut(key.service))
             beat.evidence[key] = it;
     }
     beat.crashes = m_report.crashes;
@@ -426,16 +345,6 @@
     }
 }
 
-// Evidence matters to others only while a release is being judged.
-bool ControlPlane::isRollingOut(const ServiceId& service) const
-{
-    auto order = m_orders.find(service);
-    auto record = m_records.find(service);
-    if (order == m_orders.end())
-        return false;
-    return record == m_records.end() || record->second.record.orderRevision != order->second.order.revision || !isFinal(record->second.record.stage);
-}
-
 void ControlPlane::noteStoreState(TimePoint now)
 {
     bool isAway = !m_store.isReached();
@@ -451,64 +360,6 @@
     }
 }
 
-void ControlPlane::advanceRollouts(TimePoint now)
-{
-    for (auto& [service, order] : m_orders)
-        advance(service, order, now);
-}
-
-void ControlPlane::advance(const ServiceId& service, Order& order, TimePoint now)
-{
-    auto record = m_records.find(service);
-    bool hasRecord = record != m_records.end() && record->second.record.orderRevision == order.order.revision;
-    auto revision = record == m_records.end() ? 0 : record->second.revision;
-    bool mayWrite = isCoordinator(now) && !m_writing.contains(service);
-    if (!hasRecord) {
-        if (mayWrite) {
-            m_writing.insert(service);
-            asio::co_spawn(m_loop, writeRecord(service, { order.order.revision, order.order.target, RolloutStage::Canary, wallNow(), {} }, revision), asio::detached);
-        }
-        return;
-    }
-    const auto& current = record->second.record;
-    if (isFinal(current.stage))
-        return;
-    auto evidence = mergedEvidence();
-    auto verdict = judgeRelease(order.order, evidence, current.baseline);
-    if (verdict.isBad && !order.suspended) {
-        order.suspended = true;
-        m_changed = true;
-        LogLine(LogLevel::Warning, "release_bad").with("service", service.value).with("target", order.order.target).with("reason", verdict.reason).with("answers", verdict.answers);
-    }
-    if (order.suspended)
-        verdict.isBad = true;
-    auto sinceStart = toMilliseconds(order.seenAt ? now - *order.seenAt : wallNow() - current.startedAt);
-    bool oldIsIdle = oldReleaseIsIdle(order.order) || static_cast<double>(sinceStart.count()) > oldReleasePatience * static_cast<double>(order.order.duration.count());
-    auto stage = nextStage(order.order, current, verdict, sinceStart, oldIsIdle);
-    // Whoever sees that a release is bad takes it back; the write's condition keeps two from clashing.
-    bool mayRevert = stage == RolloutStage::Reverted && m_store.isReached() && !m_writing.contains(service);
-    if (stage == current.stage || (!mayWrite && !mayRevert))
-        return;
-    LogLine(LogLevel::Info, "rollout_decision").with("service", service.value).with("target", order.order.target).with("from", nameOf(current.stage)).with("to", nameOf(stage)).with("ms", sinceStart.count()).with("answers", verdict.answers).with("slowness_percent", static_cast<std::int64_t>(100 * verdict.slowness));
-    auto next = current;
-    next.stage = stage;
-    if (current.stage == RolloutStage::Canary)
-        next.baseline = baselineOf(order.order, evidence);
-    m_writing.insert(service);
-    asio::co_spawn(m_loop, writeRecord(service, next, revision), asio::detached);
-}
-
-Awaitable<void> ControlPlane::writeRecord(ServiceId service, RolloutRecord record, std::int64_t recordRevision)
-{
-    auto request = platform::commit(platform::writeRollout(service, record, recordRevision));
-    auto answer = co_await m_store.call(std::move(request), "rollout");
-    // A conflict, or no answer: the watch shows what is in force, and the next turn decides anew.
-    if (!answer.isOk())
-        LogLine(LogLevel::Warning, "rollout_not_written").with("service", service.value).with("stage", nameOf(record.stage)).with("status", answer.status);
-    co_await sleepFor(m_loop, watchPause);
-    m_writing.erase(service);
-}
-
 // The live instance with the least name among those that have the store writes; the condition of the write guards against two.
 bool ControlPlane::isCoordinator(TimePoint now) const
 {
@@ -609,12 +460,7 @@
     view->configuration = m_configuration;
     for (auto& it : m_upstreams.usable())
         view->upstreams[it.service].push_back(it);
-    for (const auto& [service, order] : m_orders) {
-        auto record = m_records.find(service);
-        bool hasRecord = record != m_records.end() && record->second.record.orderRevision == order.order.revision;
-        auto stage = hasRecord ? record->second.record.stage : RolloutStage::Canary;
-        view->rollouts[service] = { order.order.target, stage, !hasRecord || (order.suspended && !isFinal(stage)) };
-    }
+    view->rollouts = m_rollouts.inForce();
     view->entries = entries(now);
     view->liveInstances = m_fleet.size(now);
     view->storeRevision = m_mirror.revision();
--- a/src/edge/control_plane.h
+++ b/src/edge/control_plane.h
@@ -8,6 +8,7 @@
 #include "core/routing/upstream_roster.h"
 #include "edge/caller_connection.h"
 #include "edge/fleet_view.h"
+#include "edge/rollout_keeper.h"
 #include "edge/store_link.h"
 
 namespace skylarkhitch {
@@ -31,15 +32,12 @@
     void expectSeeds(const std::vector<std::string>& seeds);
 
 private:
-    struct Order {
-        RolloutOrder order;
-        // When this instance first saw it; nothing if it was there before.
-        std::optional<TimePoint> seenAt;
-        bool suspended = false;
-    };
-    struct Record {
-        RolloutRecord record;
-        std::int64_t revision = 0;
+    // Instances that are known, and those that callers may be sent to.
+    struct FleetCount {
+        std::size_t known = 0;
+        std::size_t entries = 0;
+
+        friend bool operator==(const FleetCount&, const FleetCount&) = default;
     };
 
     Awaitable<void> followStore();
@@ -48,22 +46,16 @@
     Awaitable<void> catchUpFrom(std::string peerAddress, std::string name);
     Awaitable<void> servePeer(std::shared_ptr<CallerConnection>, ReceivedRequest);
     Awaitable<void> serveMetrics(std::shared_ptr<CallerConnection>, ReceivedRequest);
-    Awaitable<void> writeRecord(ServiceId, RolloutRecord, std::int64_t recordRevision);
 
     void itemChanged(const std::string& key, const StoreMirror::Item*);
     void configurationChanged(const StoreMirror::Item*);
     void upstreamChanged(const std::string& id, const StoreMirror::Item*);
-    void orderChanged(const std::string& service, const StoreMirror::Item*);
-    void recordChanged(const std::string& service, const StoreMirror::Item*);
     void instancesChanged();
 
     void sendBeat(TimePoint now);
-    bool isRollingOut(const ServiceId&) const;
     void heard(const std::string& bytes);
     void catchUp(TimePoint now);
     void noteStoreState(TimePoint now);
-    void advanceRollouts(TimePoint now);
-    void advance(const ServiceId&, Order&, TimePoint now);
     bool isCoordinator(TimePoint now) const;
     bool oldReleaseIsIdle(const RolloutOrder&) const;
     ReleaseEvidence mergedEvidence() const;
@@ -81,14 +73,12 @@
     StoreLink m_store;
     StoreMirror m_mirror;
     UpstreamRoster m_upstreams;
+    RolloutKeeper m_rollouts;
     FleetRoster m_fleet;
     asio::ip::udp::socket m_beatSocket;
     std::unique_ptr<HttpListener> m_peerListener;
     std::unique_ptr<HttpListener> m_metricsListener;
     RoutingConfigurationPtr m_configuration;
-    std::map<ServiceId, Order> m_orders;
-    std::map<ServiceId, Record> m_records;
-    std::set<ServiceId> m_writing;
     TrafficReport m_report;
     std::uint64_t m_sequence = 0;
     std::size_t m_knownTurn = 0;
@@ -99,7 +89,7 @@
     bool m_catchingUp = false;
     bool m_leaving = false;
     bool m_changed = true;
-    std::size_t m_liveBefore = 0;
+    FleetCount m_countBefore;
 };
 
 }
--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -1,6 +1,7 @@
 #include "edge/edge_daemon.h"
 
 #include "adapters/log.h"
+#include "adapters/wall_clock.h"
 #include "edge/control_plane.h"
 #include "edge/request_run.h"
 #include "edge/traffic.h"
@@ -27,19 +28,12 @@
     constexpr std::size_t mostEntries = 64;
     constexpr int noAnswerYet = 503;
 
-    std::uint64_t incarnationNumber()
-    {
-        // A later life of an instance has a higher number, since it starts later.
-        auto startedAt = std::chrono::time_point_cast<Microseconds>(std::chrono::system_clock::now());
-        return static_cast<std::uint64_t>(startedAt.time_since_epoch().count());
-    }
-
     class EdgeDaemon {
     public:
         EdgeDaemon(const EdgeSettings& settings, const SettingsReader& reader)
             : m_settings(settings)
             , m_readSettings(reader)
-            , m_self { settings.instance, incarnationNumber() }
+            , m_self { settings.instance, lifeNumber() }
             , m_traffic(m_trafficLoop, { settings.domain, m_self.number, settings.sessionTime(), { settings.repeatRatio, settings.repeatHeadroom, settings.repeatWindow() } }, m_metrics)
             , m_control(m_controlLoop, settings, m_self, m_metrics, outputs())
             , m_signals(m_trafficLoop, SIGTERM, SIGINT, SIGHUP)
--- a/src/edge/request_run.cpp
+++ b/src/edge/request_run.cpp
@@ -52,6 +52,12 @@
     // One life of an upstream: one that comes back after a fall can fall again.
     UpstreamId lifeOf(const UpstreamEntry& upstream) { return { absl::StrCat(upstream.id.value, "/", upstream.born) }; }
 
+    // The same for every send of a request, by its caller and at any instance.
+    std::string fingerprintOf(const RoutedRequest& request)
+    {
+        return absl::StrCat(absl::Hex(hashOf(request.key, request.target) ^ hashOf(request.method, *request.body)));
+    }
+
     // Whether a status tells the caller that the request was not run.
     bool promisesNotRun(int status) { return status == 408 || status == 421 || status == 429 || status == 503; }
 
@@ -103,6 +109,7 @@
         return error;
     if (!hasIdentity)
         return ErrorKind::BadHeader;
+    m_fingerprint = fingerprintOf(m_request);
     m_events = EventStream(m_request.lastEvent);
     const auto* service = chooseService(*m_route, m_request.session.empty() ? m_request.id.value : m_request.session);
     m_service = service ? m_view->configuration->findService(*service) : nullptr;
@@ -112,7 +119,7 @@
     if (m_request.anyModel && !m_route->models.empty())
         m_model = m_route->models.front();
     m_traffic.requestArrived(m_serviceId, m_received.at);
-    return m_traffic.crashes().refuses(fingerprint()) ? ErrorKind::RequestQuarantined : ErrorKind::None;
+    return m_traffic.crashes().refuses(m_fingerprint) ? ErrorKind::RequestQuarantined : ErrorKind::None;
 }
 
 ErrorKind RequestRun::findTeam()
@@ -223,7 +230,7 @@
     if (answer.answers != m_request.id && !answer.notRun)
         co_return SendResult { AttemptEnd::Cut, false };
     if (answer.wrongInstance)
-        m_traffic.avoid(upstream);
+        m_traffic.endedLives().end(upstream);
     if (answer.notRun) {
         auto rest = co_await connection->readWholeBody(mostWholeAnswer);
         if (rest.end == TransferEnd::Ok)
@@ -232,7 +239,7 @@
     }
     bool isStream = m_route->kind == RouteKind::Streaming && answer.isEventStream && answer.status < 300;
     auto dropped = releaseRoute(upstream);
-    if (isStream && asksLargerModel(answer)) {
+    if (isStream && turnsToLargerModel(answer)) {
         m_traffic.count(dropped, true, toMilliseconds(bootNow() - m_sentAt));
         connection->close();
         co_return SendResult { AttemptEnd::Dropped, false };
@@ -309,7 +316,7 @@
 }
 
 // Whether the answer is dropped for one of a larger model, which is then the model to ask.
-bool RequestRun::asksLargerModel(const UpstreamAnswer& answer)
+bool RequestRun::turnsToLargerModel(const UpstreamAnswer& answer)
 {
     if (!m_model || !answer.confidence || m_caller->hasBegun() || m_events.last() || m_runs >= m_route->maxAttempts)
         return false;
@@ -357,7 +364,7 @@
     bool mayHaveRun = result.end != AttemptEnd::NotSent && result.end != AttemptEnd::RefusedNotRun;
     if (mayHaveRun && !m_route->mayRepeat())
         return false;
-    if (m_runs >= m_route->maxAttempts || m_traffic.crashes().refuses(fingerprint()))
+    if (m_runs >= m_route->maxAttempts || m_traffic.crashes().refuses(m_fingerprint))
         return false;
     return m_traffic.takeRepeat(m_serviceId, now);
 }
@@ -400,8 +407,8 @@
     if (end != AttemptEnd::NotSent)
         m_traffic.count(releaseRoute(upstream), false, {});
     if (end == AttemptEnd::Cut) {
-        m_traffic.crashes().fell(fingerprint(), lifeOf(upstream), now);
-        LogLine(LogLevel::Warning, "upstream_cut").with("id", m_request.id.value).with("upstream", upstream.id.value).with("fingerprint", fingerprint()).with("falls", m_traffic.crashes().fallsOf(fingerprint()));
+        m_traffic.crashes().fell(m_fingerprint, lifeOf(upstream), now);
+        LogLine(LogLevel::Warning, "upstream_cut").with("id", m_request.id.value).with("upstream", upstream.id.value).with("fingerprint", m_fingerprint).with("falls", m_traffic.crashes().fallsOf(m_fingerprint));
     }
     if (m_traffic.board().failed(upstream.id, now))
         LogLine(LogLevel::Warning, "upstream_ejected").with("id", m_request.id.value).with("upstream", upstream.id.value).with("service", m_serviceId.value).with("last_end", nameOf(end));
@@ -422,7 +429,7 @@
     line.with("service", m_serviceId.value).with("upstream", m_tried.empty() ? "" : m_tried.back().value).with("tried", static_cast<std::int64_t>(m_tried.size()));
     line.with("arrivals", m_arrivals).with("ran", m_verdict.verdict() == Ran::No ? "no" : "maybe").with("ms", toMilliseconds(now - m_received.at).count());
     if (error == answerFor(ErrorKind::RequestQuarantined).name)
-        line.with("fingerprint", fingerprint()).with("falls", m_traffic.crashes().fallsOf(fingerprint()));
+        line.with("fingerprint", m_fingerprint).with("falls", m_traffic.crashes().fallsOf(m_fingerprint));
     if (m_view && m_view->configuration)
         line.with("configuration", m_view->configuration->version).with("view_age_ms", toMilliseconds(now - m_view->freshAt).count());
 }
@@ -442,10 +449,4 @@
     return std::min(patience, timeLeft());
 }
 
-std::string RequestRun::fingerprint() const
-{
-    auto caller = hashOf(m_request.key, m_request.target);
-    return absl::StrCat(absl::Hex(caller ^ hashOf(m_request.method, *m_request.body)));
-}
-
 }
--- a/src/edge/request_run.h
+++ b/src/edge/request_run.h
@@ -33,7 +33,7 @@
     Awaitable<SendResult> converse(const UpstreamEntry&, std::shared_ptr<UpstreamConnection>);
     Awaitable<SendResult> passWhole(const UpstreamEntry&, std::shared_ptr<UpstreamConnection>, UpstreamAnswer);
     Awaitable<SendResult> passStream(const UpstreamEntry&, std::shared_ptr<UpstreamConnection>, UpstreamAnswer);
-    bool asksLargerModel(const UpstreamAnswer&);
+    bool turnsToLargerModel(const UpstreamAnswer&);
     double weightOfModel() const;
     ReleaseRoute releaseRoute(const UpstreamEntry&) const;
     std::string requestHead(const UpstreamEntry&) const;
@@ -46,12 +46,12 @@
     void logEnd(std::string_view error, int status) const;
     Milliseconds timeLeft() const;
     Milliseconds patienceFor(bool mayTryAnother) const;
-    std::string fingerprint() const;
 
     Traffic& m_traffic;
     std::shared_ptr<CallerConnection> m_caller;
     ReceivedRequest m_received;
     RoutedRequest m_request;
+    std::string m_fingerprint;
     // The view that admitted the request; route and service belong to it.
     FleetViewPtr m_view;
     const Route* m_route = nullptr;
--- /dev/null
+++ b/src/edge/rollout_keeper.cpp
@@ -0,0 +1,150 @@
+#include "edge/rollout_keeper.h"
+
+#include "adapters/log.h"
+#include "adapters/wall_clock.h"
+
+namespace skylarkhitch {
+
+namespace {
+
+    // Part of a roll-out's time after which the old release is not waited for any more.
+    constexpr double oldReleasePatience = 0.92;
+    // After a write, time for the watch to show it before the next one.
+    constexpr Milliseconds writePause { 300 };
+
+}
+
+RolloutKeeper::RolloutKeeper(EventLoop& loop, StoreLink& store, std::function<void()> onChange)
+    : m_loop(loop)
+    , m_store(store)
+    , m_onChange(std::move(onChange))
+{
+}
+
+void RolloutKeeper::orderChanged(const ServiceId& service, const StoreMirror::Item* item, bool seenLive)
+{
+    m_onChange();
+    if (!item) {
+        m_orders.erase(service);
+        return;
+    }
+    platform::DecodeError error;
+    auto order = platform::decodeRolloutOrder(service.value, item->revision, item->value, error);
+    if (!order) {
+        LogLine(LogLevel::Error, "rollout_order_unreadable").with("service", service.value).with("error", error.message);
+        return;
+    }
+    LogLine(LogLevel::Info, "rollout_ordered").with("service", service.value).with("target", order->target).with("ms", order->duration.count()).with("revision", order->revision);
+    m_orders[service] = { *order, seenLive ? std::optional(bootNow()) : std::nullopt, false };
+}
+
+void RolloutKeeper::recordChanged(const ServiceId& service, const StoreMirror::Item* item)
+{
+    m_onChange();
+    if (!item) {
+        m_records.erase(service);
+        return;
+    }
+    platform::DecodeError error;
+    auto record = platform::decodeRolloutRecord(item->value, error);
+    if (!record) {
+        LogLine(LogLevel::Error, "rollout_record_unreadable").with("service", service.value).with("error", error.message);
+        return;
+    }
+    LogLine(LogLevel::Info, "rollout_stage").with("service", service.value).with("target", record->target).with("stage", stageName(record->stage)).with("order", record->orderRevision);
+    m_records[service] = { *record, item->revision };
+}
+
+void RolloutKeeper::advance(const RolloutInputs& inputs, TimePoint now)
+{
+    for (auto& [service, order] : m_orders) {
+        const auto* record = recordOf(service, order);
+        if (!record)
+            begin(service, order, inputs);
+        else if (!isFinal(record->record.stage))
+            judge(service, order, *record, inputs, now);
+    }
+}
+
+const RolloutKeeper::Record* RolloutKeeper::recordOf(const ServiceId& service, const Order& order) const
+{
+    auto it = m_records.find(service);
+    return it != m_records.end() && it->second.record.orderRevision == order.order.revision ? &it->second : nullptr;
+}
+
+void RolloutKeeper::begin(const ServiceId& service, const Order& order, const RolloutInputs& inputs)
+{
+    if (!inputs.isCoordinator || !mayWrite(service))
+        return;
+    startWriting(service, { order.order.revision, order.order.target, RolloutStage::Canary, wallNow(), {} });
+}
+
+void RolloutKeeper::judge(const ServiceId& service, Order& order, const Record& record, const RolloutInputs& inputs, TimePoint now)
+{
+    const auto& current = record.record;
+    auto verdict = judgeRelease(order.order, inputs.evidence, current.baseline);
+    if (verdict.isBad && !order.suspended) {
+        order.suspended = true;
+        m_onChange();
+        LogLine(LogLevel::Warning, "release_bad").with("service", service.value).with("target", order.order.target).with("reason", verdict.reason).with("answers", verdict.answers);
+    }
+    verdict.isBad = order.suspended;
+    auto sinceStart = toMilliseconds(order.seenAt ? now - *order.seenAt : wallNow() - current.startedAt);
+    bool oldIsLeft = static_cast<double>(sinceStart.count()) > oldReleasePatience * static_cast<double>(order.order.duration.count());
+    auto stage = nextStage(order.order, current, verdict, sinceStart, oldIsLeft || inputs.oldIsIdle(order.order));
+    // Whoever sees that a release is bad takes it back; the write's condition keeps two from clashing.
+    bool isOurs = inputs.isCoordinator || stage == RolloutStage::Reverted;
+    if (stage == current.stage || !isOurs || !mayWrite(service))
+        return;
+    LogLine(LogLevel::Info, "rollout_decision").with("service", service.value).with("target", order.order.target).with("from", stageName(current.stage)).with("to", stageName(stage)).with("ms", sinceStart.count()).with("answers", verdict.answers).with("slowness_percent", static_cast<std::int64_t>(100 * verdict.slowness));
+    auto next = current;
+    next.stage = stage;
+    if (current.stage == RolloutStage::Canary)
+        next.baseline = baselineOf(order.order, inputs.evidence);
+    startWriting(service, std::move(next));
+}
+
+bool RolloutKeeper::mayWrite(const ServiceId& service) const
+{
+    return m_store.isReached() && !m_writing.contains(service);
+}
+
+void RolloutKeeper::startWriting(const ServiceId& service, RolloutRecord record)
+{
+    auto it = m_records.find(service);
+    m_writing.insert(service);
+    asio::co_spawn(m_loop, write(service, std::move(record), it == m_records.end() ? 0 : it->second.revision), asio::detached);
+}
+
+Awaitable<void> RolloutKeeper::write(ServiceId service, RolloutRecord record, std::int64_t recordRevision)
+{
+    auto request = platform::commit(platform::writeRollout(service, record, recordRevision));
+    auto answer = co_await m_store.call(std::move(request), "rollout");
+    // A conflict, or no answer: the watch shows what is in force, and the next turn decides anew.
+    if (!answer.isOk())
+        LogLine(LogLevel::Warning, "rollout_not_written").with("service", service.value).with("stage", stageName(record.stage)).with("status", answer.status);
+    co_await sleepFor(m_loop, writePause);
+    m_writing.erase(service);
+}
+
+bool RolloutKeeper::isRollingOut(const ServiceId& service) const
+{
+    auto order = m_orders.find(service);
+    if (order == m_orders.end())
+        return false;
+    const auto* record = recordOf(service, order->second);
+    return !record || !isFinal(record->record.stage);
+}
+
+std::map<ServiceId, RolloutInForce> RolloutKeeper::inForce() const
+{
+    std::map<ServiceId, RolloutInForce> all;
+    for (const auto& [service, order] : m_orders) {
+        const auto* record = recordOf(service, order);
+        auto stage = record ? record->record.stage : RolloutStage::Canary;
+        all[service] = { order.order.target, stage, !record || (order.suspended && !isFinal(stage)) };
+    }
+    return all;
+}
+
+}
--- a/src/edge/traffic.cpp
+++ b/src/edge/traffic.cpp
@@ -65,7 +65,7 @@
     auto rollout = m_view->rollouts.find(id);
     std::vector<const UpstreamEntry*> otherSide;
     for (const auto& it : entries->second) {
-        if (isAvoided(it))
+        if (m_endedLives.contains(it))
             continue;
         bool fits = rollout == m_view->rollouts.end() || runsOn(rollout->second, it.release, request, now);
         (fits ? placement.allowed : otherSide).push_back(&it);
@@ -102,18 +102,6 @@
         m_sessions.seen(hashOf(request.session), release, now);
 }
 
-void Traffic::avoid(const UpstreamEntry& entry)
-{
-    auto& born = m_avoided.try_emplace(entry.id, entry.born).first->second;
-    born = std::max(born, entry.born);
-}
-
-bool Traffic::isAvoided(const UpstreamEntry& entry) const
-{
-    auto it = m_avoided.find(entry.id);
-    return it != m_avoided.end() && entry.born <= it->second;
-}
-
 void Traffic::requestArrived(const ServiceId& service, TimePoint now) { budgetOf(service).requestArrived(now); }
 
 bool Traffic::takeRepeat(const ServiceId& service, TimePoint now)
--- a/src/edge/traffic.h
+++ b/src/edge/traffic.h
@@ -42,9 +42,7 @@
     Placement place(const ServiceId&, const RoutedRequest&, TimePoint now);
     // Remembers which release a session got.
     void sessionServed(const RoutedRequest&, const std::string& release, TimePoint now);
-    // The upstream takes no more work: it said so, or another one has its address.
-    void avoid(const UpstreamEntry&);
-    bool isAvoided(const UpstreamEntry&) const;
+    EndedLives& endedLives() { return m_endedLives; }
 
     void requestArrived(const ServiceId&, TimePoint now);
     // Whether the request may be sent once more.
@@ -72,8 +70,7 @@
     SessionReleases m_sessions;
     std::map<ServiceId, RepeatBudget> m_budgets;
     ReleaseEvidence m_evidence;
-    // Lives of upstreams up to this one take no more work.
-    absl::flat_hash_map<UpstreamId, std::int64_t> m_avoided;
+    EndedLives m_endedLives;
     bool m_stopping = false;
 };
 
--- a/test/correctness/routing_test.cpp
+++ b/test/correctness/routing_test.cpp
@@ -139,14 +139,18 @@
         roster.removed({ "u1" }, true, start);
         CHECK(roster.size() == 1);
     }
-    SECTION("a later life under the same name takes work again")
+    SECTION("a life whose address answers for another is over, a later one under the same name is not")
     {
-        roster.leaves({ "u1" }, 1);
-        CHECK(ids() == "u2 ");
+        EndedLives ended;
         auto later = upstream("u1");
         later.born = 2;
-        roster.registered(later);
-        CHECK(ids() == "u1 u2 ");
+        ended.end(upstream("u1"));
+        CHECK(ended.contains(upstream("u1")));
+        CHECK_FALSE(ended.contains(upstream("u2")));
+        CHECK_FALSE(ended.contains(later));
+        ended.end(later);
+        ended.end(upstream("u1"));
+        CHECK(ended.contains(later));
     }
 }
 
