Let a request wait for the first configuration, and do not cut the read that brings it

Besides, four of eight instances logged store_read_failed status=0 in the millisecond of store_regained: the first answer to another call (the lease) made StoreLink restart its "watch", which at that moment was the first read; the read was tried again 300 ms later. Change: only a watch is ended when the store comes or goes, not a read. For one second after its start an instance lets requests wait for the first configuration, at most a third of what the caller has left; later refusals are at once, as before. Tests: three sections "a start loses no time" with a store that reads slowly; the first two failed before.

--- a/src/edge/request_run.cpp
+++ b/src/edge/request_run.cpp
@@ -80,6 +80,15 @@
 {
     auto self = shared_from_this();
     auto error = admit();
+    if (error == ErrorKind::NotConfigured) {
+        co_await m_traffic.awaitConfiguration(bootNow() + timeLeft() / longestWaitPart);
+        if (m_caller->hasLeft()) {
+            logEnd("caller_left", 0);
+            co_return;
+        }
+        m_view = m_traffic.view();
+        error = admit();
+    }
     if (error != ErrorKind::None) {
         co_await refuse(error);
         co_return;
@@ -93,6 +102,7 @@
 
 ErrorKind RequestRun::admit()
 {
+    m_request = {};
     m_request.method = m_received.method;
     m_request.target = m_received.target;
     m_request.body = m_received.body;
--- a/src/edge/store_link.cpp
+++ b/src/edge/store_link.cpp
@@ -30,10 +30,9 @@
 {
 }
 
-Awaitable<StoreAnswer> StoreLink::exchange(platform::StoreRequest request, std::shared_ptr<UpstreamConnection>& kept, Milliseconds timeout, const char* name)
+Awaitable<StoreAnswer> StoreLink::exchange(platform::StoreRequest request, Manner manner)
 {
-    auto connection = std::move(kept);
-    kept = nullptr;
+    auto connection = std::exchange(*manner.kept, nullptr);
     StoreAnswer answer;
     bool isOpen = connection && connection->isReusable();
     if (!isOpen) {
@@ -41,8 +40,8 @@
         isOpen = co_await connection->open(m_address, connectTime);
     }
     if (isOpen) {
-        connection->endAfter(timeout);
-        if (&kept == &m_watchConnection)
+        connection->endAfter(manner.timeout);
+        if (manner.waitsForChange)
             m_waitingWatch = connection;
         auto head = absl::StrCat(request.method, " ", request.target, " HTTP/1.1\r\nHost: ", m_address, "\r\n");
         if (!request.body.empty())
@@ -58,14 +57,14 @@
         }
     }
     connection->clearDeadline();
-    if (&kept == &m_watchConnection)
+    if (manner.waitsForChange)
         m_waitingWatch.reset();
     if (answer.status != 0 && connection->isReusable())
-        kept = connection;
+        *manner.kept = connection;
     else
         connection->close();
-    m_metrics.storeCall(name, answer.status);
-    bool wasEnded = &kept == &m_watchConnection && std::exchange(m_watchEnded, false);
+    m_metrics.storeCall(manner.name, answer.status);
+    bool wasEnded = manner.waitsForChange && std::exchange(m_watchEnded, false);
     if (answer.status != 0 || !wasEnded)
         noteAnswer(answer.status);
     co_return answer;
@@ -95,16 +94,20 @@
 
 Awaitable<StoreAnswer> StoreLink::call(platform::StoreRequest request, const char* name)
 {
-    auto answer = co_await exchange(std::move(request), m_callConnection, callTime, name);
+    Manner manner { &m_callConnection, callTime, name };
+    auto answer = co_await exchange(std::move(request), manner);
     // The answer may be lost and the store in reach; a stale read tells at a tenth of the price.
-    if (answer.status == 0)
-        co_await exchange(platform::probe(), m_callConnection, callTime, "probe");
+    if (answer.status == 0) {
+        manner.name = "probe";
+        co_await exchange(platform::probe(), manner);
+    }
     co_return answer;
 }
 
 Awaitable<StoreLink::WatchResult> StoreLink::watch(std::int64_t after)
 {
-    auto answer = co_await exchange(platform::watchChanges(everyKey, after, watchTime), m_watchConnection, watchTime + watchMargin, "watch");
+    Manner manner { &m_watchConnection, watchTime + watchMargin, "watch", true };
+    auto answer = co_await exchange(platform::watchChanges(everyKey, after, watchTime), manner);
     WatchResult result { answer.status, {} };
     if (!answer.isOk())
         co_return result;
@@ -116,10 +119,11 @@
 
 Awaitable<StoreLink::WatchResult> StoreLink::readAll()
 {
+    Manner manner { &m_watchConnection, callTime, "read" };
     MirrorUpdate update { 0, true, {} };
     std::string after;
     for (;;) {
-        auto answer = co_await exchange(platform::readPage(everyKey, after), m_watchConnection, callTime, "read");
+        auto answer = co_await exchange(platform::readPage(everyKey, after), manner);
         auto page = answer.isOk() ? platform::decodePage(answer.body) : std::nullopt;
         if (!page) {
             LogLine(LogLevel::Warning, "store_read_failed").with("status", answer.status).with("after", after);
--- a/src/edge/store_link.h
+++ b/src/edge/store_link.h
@@ -38,7 +38,17 @@
     TimePoint answeredAt() const { return m_answeredAt; }
 
 private:
-    Awaitable<StoreAnswer> exchange(platform::StoreRequest, std::shared_ptr<UpstreamConnection>&, Milliseconds timeout, const char* name);
+    // How a call is made.
+    struct Manner {
+        // Where its connection is kept between calls.
+        std::shared_ptr<UpstreamConnection>* kept = nullptr;
+        Milliseconds timeout { 0 };
+        // In the metrics.
+        const char* name = "";
+        // The store answers once something changes; such a call is ended when the store comes or goes.
+        bool waitsForChange = false;
+    };
+    Awaitable<StoreAnswer> exchange(platform::StoreRequest, Manner);
     void noteAnswer(int status);
     // Ends a watch that waits, so that it is asked anew.
     void restartWatch();
--- a/src/edge/traffic.cpp
+++ b/src/edge/traffic.cpp
@@ -9,6 +9,10 @@
     // Crashes are remembered for as long as a caller may send the request again.
     constexpr Seconds crashMemory { 120 };
 
+    // Time after a start in which requests wait for the first configuration. The copy of the store takes some 30 ms, one that
+    // alone is turned away has it from a peer within three beats.
+    constexpr Milliseconds startWait { 1000 };
+
     // What keeps its release: the session, or the request where there is none.
     std::string_view stickyKey(const RoutedRequest& request)
     {
@@ -26,18 +30,40 @@
     , m_board(m_settings.seed)
     , m_connections(loop)
     , m_sessions(m_settings.sessionTime)
+    , m_startedAt(bootNow())
+    , m_configured(loop, asio::steady_timer::time_point::max())
 {
 }
 
 void Traffic::adopt(FleetViewPtr view)
 {
     m_view = std::move(view);
+    if (isConfigured())
+        m_configured.cancel();
     std::vector<UpstreamEntry> all;
     for (const auto& [service, entries] : m_view->upstreams)
         all.insert(all.end(), entries.begin(), entries.end());
     m_board.keepOnly(all);
 }
 
+Awaitable<void> Traffic::awaitConfiguration(TimePoint until)
+{
+    until = std::min(until, m_startedAt + startWait);
+    auto now = bootNow();
+    if (isConfigured() || now >= until)
+        co_return;
+    // Not before the time, which the loop below compares with.
+    asio::steady_timer limit(m_loop, toMilliseconds(until - now) + Milliseconds(1));
+    limit.async_wait([this](const boost::system::error_code& ec) {
+        if (!ec)
+            m_configured.cancel();
+    });
+    boost::system::error_code ec;
+    // Ends by a cancel only: the configuration came, or a request's time is over. The others wait on.
+    while (!isConfigured() && bootNow() < until)
+        co_await m_configured.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+}
+
 void Traffic::learn(PeerNews news)
 {
     auto now = bootNow();
--- a/src/edge/traffic.h
+++ b/src/edge/traffic.h
@@ -33,7 +33,11 @@
     TrafficReport report();
 
     const FleetViewPtr& view() const { return m_view; }
-    bool isReady() const { return m_view && m_view->configuration && !m_view->upstreams.empty() && !m_stopping; }
+    bool isConfigured() const { return m_view && m_view->configuration; }
+    // Suspends a request until there is a configuration or the time is over; after the first moments of the process it
+    // does not wait any more.
+    Awaitable<void> awaitConfiguration(TimePoint until);
+    bool isReady() const { return isConfigured() && !m_view->upstreams.empty() && !m_stopping; }
     // No new callers are wanted any more.
     void stop() { m_stopping = true; }
     bool isStopping() const { return m_stopping; }
@@ -72,6 +76,9 @@
     ReleaseEvidence m_evidence;
     EndedLives m_endedLives;
     bool m_stopping = false;
+    TimePoint m_startedAt;
+    // Expires when the first configuration comes; whoever waits for one waits for it.
+    asio::steady_timer m_configured;
 };
 
 }
--- a/test/fakes/fleet_standin.cpp
+++ b/test/fakes/fleet_standin.cpp
@@ -89,6 +89,8 @@
         return connection.write(answerBytes(503, "{}"));
     if (fault == StoreFault::Silent)
         return !connection.closesWithin(std::chrono::seconds(30));
+    if (fault == StoreFault::SlowReads && request.path() == "/-/kv-range")
+        std::this_thread::sleep_for(slowReadTime);
     auto bytes = answer(request);
     // A fault that began while a watch waited holds for its answer too.
     if (fault == StoreFault::Silent)
--- a/test/fakes/fleet_standin.h
+++ b/test/fakes/fleet_standin.h
@@ -18,7 +18,11 @@
     // Answers nothing.
     Silent,
     // Carries calls out and closes without an answer.
-    LosesAnswers };
+    LosesAnswers,
+    // Takes slowReadTime for each read of a range; other calls are answered at once.
+    SlowReads };
+
+constexpr std::chrono::milliseconds slowReadTime { 200 };
 
 class FleetStore {
 public:
--- a/test/processes/edge_test.cpp
+++ b/test/processes/edge_test.cpp
@@ -501,6 +501,39 @@
     }
 }
 
+TEST_CASE("a start loses no time, and a request that comes before the configuration waits for it")
+{
+    Site site;
+    site.store.setFault(StoreFault::SlowReads);
+    EdgeInstance instance("edge-1", site.store.address());
+    REQUIRE(within(2s, [&] { return !instance.lines("what=start").empty(); }));
+
+    SECTION("a request in the first moment is served")
+    {
+        CHECK(statusOf(ask(instance, requestBytes("GET", "/status/x", "id-1"))) == 200);
+    }
+    SECTION("the first answer of the store to another call does not end the read that is under way")
+    {
+        REQUIRE(within(2s, [&] { return instance.isReady(); }));
+        CHECK(instance.lines("what=store_read_failed").empty());
+    }
+    SECTION("where no configuration comes, the refusal does not wait for the caller's deadline")
+    {
+        site.store.setFault(StoreFault::Busy);
+        EdgeInstance late("edge-2", site.store.address());
+        REQUIRE(within(2s, [&] { return !late.lines("what=start").empty(); }));
+        auto begun = std::chrono::steady_clock::now();
+        auto answer = ask(late, requestBytes("GET", "/status/x", "id-2"));
+        CHECK(statusOf(answer) == 503);
+        CHECK(absl::StrContains(answer, "Retry-After: "));
+        CHECK(std::chrono::steady_clock::now() - begun < 1s);
+        std::this_thread::sleep_for(500ms);
+        begun = std::chrono::steady_clock::now();
+        CHECK(statusOf(ask(late, requestBytes("GET", "/status/x", "id-3"))) == 503);
+        CHECK(std::chrono::steady_clock::now() - begun < 100ms);
+    }
+}
+
 // Found by a hunted day: the watch from before the silence waited on, at every instance, and nobody learned of a change.
 TEST_CASE("after the store was silent for all, changes are known two seconds after they were made")
 {
