Log each decision on a request within a bound, and the process's own cost

Cause: on-call could not see from the lines why a request was sent again, or why a larger model was asked; late streams could not be told from long ones (only the whole time was logged); the volume was bounded by the queue alone, which drops failures and successes alike; processor time by thread was not known. Change: lines send_failed and model_doubted with their inputs; first_ms and model in the line request; at most 250 lines a second of each event and level, what is left out is counted and logged; a line process_state each 10 s and gauges. Tests: test_log_volume; test_edge follows a doubted answer by its id.

--- a/src/adapters/log.cpp
+++ b/src/adapters/log.cpp
@@ -1,7 +1,9 @@
 #include "adapters/log.h"
 
+#include "adapters/log_volume.h"
 #include "core/check.h"
 
+#include <absl/strings/str_cat.h>
 #include <atomic>
 #include <boost/core/null_deleter.hpp>
 #include <boost/log/attributes/constant.hpp>
@@ -15,6 +17,7 @@
 #include <boost/log/support/date_time.hpp>
 #include <boost/log/utility/setup/common_attributes.hpp>
 #include <iostream>
+#include <mutex>
 
 namespace skylarkhitch {
 
@@ -27,6 +30,9 @@
     constexpr const char* levelNames[] = { "debug", "info", "warning", "error" };
 
     std::atomic<std::uint64_t> droppedLines = 0;
+    std::atomic<std::uint64_t> suppressedLines = 0;
+    std::atomic<std::uint64_t> writtenLines = 0;
+    std::atomic<std::uint64_t> writtenBytes = 0;
 
     // Drops a line that finds the queue full.
     struct DropAndCount {
@@ -75,6 +81,49 @@
         line += '"';
     }
 
+    // Threads log side by side; the lock is held for a look-up.
+    struct GuardedVolume {
+        std::mutex mutex;
+        LogVolume volume;
+    };
+
+    GuardedVolume& guardedVolume()
+    {
+        static GuardedVolume instance;
+        return instance;
+    }
+
+    void write(LogLevel level, const std::string& text);
+
+    std::string kindOf(LogLevel level, std::string_view what)
+    {
+        std::string kind = levelNames[static_cast<int>(level)];
+        kind += '/';
+        kind += what;
+        return kind;
+    }
+
+    // A failure's line must not be lost in a flood of successes: each level of an event is a kind of its own. Counts of
+    // earlier seconds are logged before the line.
+    bool admit(LogLevel level, std::string_view what)
+    {
+        std::vector<LogVolume::Suppressed> earlier;
+        bool isAdmitted = false;
+        {
+            auto& guarded = guardedVolume();
+            std::lock_guard lock(guarded.mutex);
+            // The time of day may jump.
+            TimePoint now { std::chrono::duration_cast<Microseconds>(std::chrono::steady_clock::now().time_since_epoch()) };
+            earlier = guarded.volume.takeSuppressed(now);
+            isAdmitted = guarded.volume.admits(kindOf(level, what), now);
+        }
+        for (const auto& it : earlier)
+            write(LogLevel::Warning, absl::StrCat("what=log_suppressed kind=", it.kind, " lines=", it.lines));
+        if (!isAdmitted)
+            ++suppressedLines;
+        return isAdmitted;
+    }
+
     using Logger = boost::log::sources::severity_logger_mt<LogLevel>;
 
     Logger& logger()
@@ -91,6 +140,17 @@
     return out << levelNames[static_cast<int>(level)];
 }
 
+namespace {
+
+    void write(LogLevel level, const std::string& text)
+    {
+        ++writtenLines;
+        writtenBytes += text.size();
+        BOOST_LOG_SEV(logger(), level) << text;
+    }
+
+}
+
 void startLog(const std::string& level, const std::string& instance, LogTarget target)
 {
     namespace expr = boost::log::expressions;
@@ -122,10 +182,11 @@
     sink().reset();
 }
 
-std::uint64_t droppedLogLines() { return droppedLines; }
+LogTotals logTotals() { return { writtenLines, writtenBytes, suppressedLines, droppedLines }; }
 
 LogLine::LogLine(LogLevel level, std::string_view what)
     : m_level(level)
+    , m_isAdmitted(admit(level, what))
     , m_text("what=")
 {
     m_text += what;
@@ -133,11 +194,14 @@
 
 LogLine::~LogLine()
 {
-    BOOST_LOG_SEV(logger(), m_level) << m_text;
+    if (m_isAdmitted)
+        write(m_level, m_text);
 }
 
 LogLine& LogLine::with(std::string_view name, std::string_view value)
 {
+    if (!m_isAdmitted)
+        return *this;
     m_text += ' ';
     m_text += name;
     m_text += '=';
@@ -147,6 +211,8 @@
 
 LogLine& LogLine::with(std::string_view name, std::int64_t value)
 {
+    if (!m_isAdmitted)
+        return *this;
     m_text += ' ';
     m_text += name;
     m_text += '=';
--- a/src/adapters/log.h
+++ b/src/adapters/log.h
@@ -1,7 +1,8 @@
 #pragma once
 
 // Structured log lines (Boost.Log). A line is one event with its fields; it is written by a thread of its own from a
-// bounded queue, so that whoever logs never waits. Lines that find the queue full are counted, and the count is logged.
+// bounded queue, so that whoever logs never waits. Each kind of line has a bound for each second. Lines beyond it, or that
+// find the queue full, are counted, and the counts are logged.
 
 #include <cstdint>
 #include <string>
@@ -23,8 +24,17 @@
 void setLogLevel(const std::string& level);
 // Writes what is queued; nothing may be logged after it.
 void stopLog();
-// Lines that were dropped because the queue was full.
-std::uint64_t droppedLogLines();
+// What was logged since the start.
+struct LogTotals {
+    std::uint64_t lines = 0;
+    // Of the lines' own text.
+    std::uint64_t bytes = 0;
+    // Lines beyond the bound of their kind.
+    std::uint64_t suppressed = 0;
+    // Lines that found the queue full.
+    std::uint64_t dropped = 0;
+};
+LogTotals logTotals();
 
 // One line; it is written when the object ends.
 class LogLine {
@@ -39,6 +49,8 @@
 
 private:
     LogLevel m_level;
+    // A line beyond its kind's bound takes no fields and is not written.
+    bool m_isAdmitted;
     std::string m_text;
 };
 
--- /dev/null
+++ b/src/adapters/log_volume.cpp
@@ -0,0 +1,42 @@
+#include "adapters/log_volume.h"
+
+#include <utility>
+
+namespace skylarkhitch {
+
+bool LogVolume::admits(std::string_view kind, TimePoint now)
+{
+    auto it = m_counts.find(kind);
+    auto& count = it == m_counts.end() ? m_counts[std::string(kind)] : it->second;
+    if (now - count.begunAt >= window) {
+        count.begunAt = now;
+        count.admitted = 0;
+    }
+    if (count.admitted < mostLines) {
+        ++count.admitted;
+        return true;
+    }
+    ++count.suppressed;
+    m_hasSuppressed = true;
+    return false;
+}
+
+std::vector<LogVolume::Suppressed> LogVolume::takeSuppressed(TimePoint now)
+{
+    std::vector<Suppressed> all;
+    if (!m_hasSuppressed)
+        return all;
+    m_hasSuppressed = false;
+    for (auto& [kind, count] : m_counts) {
+        if (count.suppressed == 0)
+            continue;
+        if (now - count.begunAt < window) {
+            m_hasSuppressed = true;
+            continue;
+        }
+        all.push_back({ kind, std::exchange(count.suppressed, 0) });
+    }
+    return all;
+}
+
+}
--- a/src/edge/control_plane.cpp
+++ b/src/edge/control_plane.cpp
@@ -41,6 +41,7 @@
     , m_settings(settings)
     , m_self(std::move(self))
     , m_metrics(metrics)
+    , m_process(metrics)
     , m_outputs(std::move(outputs))
     , m_store(loop, settings.store, metrics)
     , m_mirror([this](const std::string& key, const StoreMirror::Item* item) { itemChanged(key, item); })
@@ -275,7 +276,7 @@
 
 Awaitable<void> ControlPlane::serveMetrics(std::shared_ptr<CallerConnection> connection, ReceivedRequest)
 {
-    m_metrics.setState("log_lines_dropped", static_cast<double>(droppedLogLines()));
+    m_process.publish();
     m_metrics.setState("store_revision", static_cast<double>(m_mirror.revision()));
     m_metrics.setState("configuration_version", m_configuration ? static_cast<double>(m_configuration->version) : 0);
     m_metrics.setState("live_peers", static_cast<double>(m_fleet.live(bootNow()).size()));
@@ -289,6 +290,7 @@
     auto now = bootNow();
     m_changed = m_changed || report.ready != m_report.ready;
     m_report = std::move(report);
+    m_process.note(m_report.processorTime, now);
     noteStoreState(now);
     sendBeat(now);
     catchUp(now);
--- a/src/edge/control_plane.h
+++ b/src/edge/control_plane.h
@@ -8,6 +8,7 @@
 #include "core/routing/upstream_roster.h"
 #include "edge/caller_connection.h"
 #include "edge/fleet_view.h"
+#include "edge/process_state.h"
 #include "edge/rollout_keeper.h"
 #include "edge/store_link.h"
 
@@ -69,6 +70,7 @@
     EdgeSettings m_settings;
     Incarnation m_self;
     EdgeMetrics& m_metrics;
+    ProcessState m_process;
     Outputs m_outputs;
     StoreLink m_store;
     StoreMirror m_mirror;
--- a/src/edge/fleet_view.h
+++ b/src/edge/fleet_view.h
@@ -57,6 +57,8 @@
     std::map<std::string, std::int64_t> crashes;
     std::vector<SessionSeen> sessions;
     bool ready = false;
+    // Of the traffic thread since the start.
+    Microseconds processorTime {};
 };
 
 }
--- /dev/null
+++ b/src/edge/process_state.cpp
@@ -0,0 +1,64 @@
+#include "edge/process_state.h"
+
+#include "adapters/log.h"
+
+#include <sys/resource.h>
+
+namespace skylarkhitch {
+
+namespace {
+
+    constexpr Seconds logPeriod { 10 };
+
+    Microseconds usedBy(int who)
+    {
+        rusage usage {};
+        getrusage(who, &usage);
+        return Seconds(usage.ru_utime.tv_sec + usage.ru_stime.tv_sec) + Microseconds(usage.ru_utime.tv_usec + usage.ru_stime.tv_usec);
+    }
+
+    struct ThreadTimes {
+        Microseconds traffic, control, others;
+    };
+
+    // The threads of the log and of libraries have what the two of this program do not.
+    ThreadTimes threadTimes(Microseconds traffic)
+    {
+        auto control = threadTime();
+        return { traffic, control, std::max(Microseconds(0), usedBy(RUSAGE_SELF) - traffic - control) };
+    }
+
+    double inSeconds(Microseconds time) { return std::chrono::duration<double>(time).count(); }
+
+}
+
+Microseconds threadTime() { return usedBy(RUSAGE_THREAD); }
+
+void ProcessState::note(Microseconds trafficTime, TimePoint now)
+{
+    m_trafficTime = trafficTime;
+    if (now - m_loggedAt < logPeriod)
+        return;
+    bool isFirst = m_loggedAt == TimePoint {};
+    m_loggedAt = now;
+    if (isFirst)
+        return;
+    auto times = threadTimes(m_trafficTime);
+    auto log = logTotals();
+    LogLine(LogLevel::Info, "process_state").with("traffic_cpu_ms", toMilliseconds(times.traffic).count()).with("control_cpu_ms", toMilliseconds(times.control).count()).with("other_cpu_ms", toMilliseconds(times.others).count()).with("log_lines", static_cast<std::int64_t>(log.lines)).with("log_bytes", static_cast<std::int64_t>(log.bytes)).with("log_suppressed", static_cast<std::int64_t>(log.suppressed)).with("log_dropped", static_cast<std::int64_t>(log.dropped));
+}
+
+void ProcessState::publish()
+{
+    auto times = threadTimes(m_trafficTime);
+    m_metrics.setState("traffic_thread_seconds", inSeconds(times.traffic));
+    m_metrics.setState("control_thread_seconds", inSeconds(times.control));
+    m_metrics.setState("other_threads_seconds", inSeconds(times.others));
+    auto log = logTotals();
+    m_metrics.setState("log_lines", static_cast<double>(log.lines));
+    m_metrics.setState("log_bytes", static_cast<double>(log.bytes));
+    m_metrics.setState("log_lines_suppressed", static_cast<double>(log.suppressed));
+    m_metrics.setState("log_lines_dropped", static_cast<double>(log.dropped));
+}
+
+}
--- a/src/edge/request_run.cpp
+++ b/src/edge/request_run.cpp
@@ -38,6 +38,8 @@
         return Milliseconds(static_cast<std::int64_t>(static_cast<double>(time.count()) * factor));
     }
 
+    std::int64_t percent(double part) { return static_cast<std::int64_t>(100 * part); }
+
     const char* nameOf(AttemptEnd end)
     {
         constexpr const char* names[] = { "completed", "not_sent", "refused_not_run", "upstream_error", "cut", "timed_out", "dropped" };
@@ -165,7 +167,9 @@
             co_return;
         if (result.end == AttemptEnd::Dropped)
             continue;
-        if (!mayRepeat(result, bootNow())) {
+        bool goesOn = mayRepeat(result, bootNow());
+        LogLine(LogLevel::Info, "send_failed").with("id", m_request.id.value).with("upstream", m_tried.back().value).with("end", nameOf(result.end)).with("workload_before", m_workAhead).with("sends_left", m_route->maxAttempts - m_runs).with("ms_left", timeLeft().count()).with("repeated", goesOn ? "yes" : "no");
+        if (!goesOn) {
             co_await refuse(errorAfter(result));
             co_return;
         }
@@ -279,7 +283,7 @@
     if (!isGood && mayRepeat({ AttemptEnd::UpstreamError, false }, now))
         co_return SendResult { AttemptEnd::UpstreamError, false };
     auto status = answer.status;
-    m_traffic.metrics().firstByte(m_team.value_or(TeamId {}), m_rank, now - m_received.at);
+    firstByteSent(now);
     co_await m_caller->respond(answerOf(std::move(answer), std::move(body.bytes)));
     logEnd(isGood ? "none" : "upstream_error", status);
     co_return result;
@@ -307,7 +311,7 @@
         }
         bool isWhole = piece.isLast && !m_events.hasPartialEvent();
         if (head && (events.events > 0 || isWhole)) {
-            m_traffic.metrics().firstByte(m_team.value_or(TeamId {}), m_rank, bootNow() - m_received.at);
+            firstByteSent(bootNow());
             auto begun = *std::exchange(head, std::nullopt);
             co_await m_caller->beginBody(std::move(begun));
         }
@@ -338,7 +342,11 @@
     auto& board = m_traffic.board();
     EngineLoad load { board.meanWork(placement.allowed), m_request.promptTokens, board.promptRatio(m_route->name), board.pace() };
     auto needed = neededConfidence(load, m_rank, m_route->targetLatency - toMilliseconds(now - m_received.at));
-    if (*answer.confidence >= needed || !m_traffic.takeRepeat(m_serviceId, now))
+    if (*answer.confidence >= needed)
+        return false;
+    bool mayAsk = m_traffic.takeRepeat(m_serviceId, now);
+    LogLine(LogLevel::Info, "model_doubted").with("id", m_request.id.value).with("model", m_model->value).with("confidence_percent", percent(*answer.confidence)).with("needed_percent", percent(needed)).with("mean_work", static_cast<std::int64_t>(load.work)).with("next", mayAsk ? larger->value : "none_within_budget");
+    if (!mayAsk)
         return false;
     m_model = *larger;
     m_tried.clear();
@@ -430,6 +438,12 @@
     m_traffic.crashes().stillUp(lifeOf(upstream), m_sentAt);
 }
 
+void RequestRun::firstByteSent(TimePoint now)
+{
+    m_firstByteAt = now;
+    m_traffic.metrics().firstByte(m_team.value_or(TeamId {}), m_rank, now - m_received.at);
+}
+
 void RequestRun::logEnd(std::string_view error, int status) const
 {
     auto now = bootNow();
@@ -438,6 +452,10 @@
     line.with("id", m_request.id.value).with("status", status).with("error", error).with("route", m_route ? m_route->name : "").with("team", m_team ? m_team->value : "");
     line.with("service", m_serviceId.value).with("upstream", m_tried.empty() ? "" : m_tried.back().value).with("tried", static_cast<std::int64_t>(m_tried.size()));
     line.with("arrivals", m_arrivals).with("ran", m_verdict.verdict() == Ran::No ? "no" : "maybe").with("ms", toMilliseconds(now - m_received.at).count());
+    if (m_firstByteAt)
+        line.with("first_ms", toMilliseconds(*m_firstByteAt - m_received.at).count());
+    if (m_model)
+        line.with("model", m_model->value);
     if (error == answerFor(ErrorKind::RequestQuarantined).name)
         line.with("fingerprint", m_fingerprint).with("falls", m_traffic.crashes().fallsOf(m_fingerprint));
     if (m_view && m_view->configuration)
--- a/src/edge/request_run.h
+++ b/src/edge/request_run.h
@@ -43,6 +43,7 @@
     Awaitable<void> refuse(ErrorKind);
     void upstreamFailed(const UpstreamEntry&, AttemptEnd);
     void upstreamWorked(const UpstreamEntry&);
+    void firstByteSent(TimePoint now);
     void logEnd(std::string_view error, int status) const;
     Milliseconds timeLeft() const;
     Milliseconds patienceFor(bool mayTryAnother) const;
@@ -75,7 +76,8 @@
     std::int64_t m_workAhead = 0;
     bool m_promptRead = false;
     TimePoint m_sentAt {};
-    TimePoint m_lastFall {};
+    // When the answer's first part went to the caller.
+    std::optional<TimePoint> m_firstByteAt;
 };
 
 }
--- a/src/edge/traffic.cpp
+++ b/src/edge/traffic.cpp
@@ -1,6 +1,7 @@
 #include "edge/traffic.h"
 
 #include "core/hashing.h"
+#include "edge/process_state.h"
 
 namespace skylarkhitch {
 
@@ -79,7 +80,7 @@
     m_connections.sweep(now);
     m_sessions.forget(now);
     m_crashes.forget(now - crashMemory);
-    return { m_board.ownWork(), m_evidence, m_crashes.own(), m_sessions.own(now), isReady() };
+    return { m_board.ownWork(), m_evidence, m_crashes.own(), m_sessions.own(now), isReady(), threadTime() };
 }
 
 Placement Traffic::place(const ServiceId& id, const RoutedRequest& request, TimePoint now)
--- /dev/null
+++ b/test/correctness/log_volume_test.cpp
@@ -0,0 +1,33 @@
+#include "adapters/log_volume.h"
+
+#include <catch2/catch.hpp>
+
+using namespace skylarkhitch;
+using namespace std::chrono_literals;
+
+TEST_CASE("a flood of one kind of line leaves the others their place")
+{
+    LogVolume volume;
+    TimePoint now { Microseconds(5000000) };
+    std::int64_t written = 0;
+    for (std::int64_t n = 0; n < 4 * LogVolume::mostLines; ++n)
+        written += volume.admits("info/request", now + Microseconds(n));
+    CHECK(written == LogVolume::mostLines);
+    CHECK(volume.admits("warning/request", now));
+    CHECK(volume.admits("info/configuration", now));
+
+    SECTION("what was left out is not told while it may still grow")
+    {
+        CHECK(volume.takeSuppressed(now + 500ms).empty());
+    }
+    SECTION("it is told once when its second is over")
+    {
+        std::vector<LogVolume::Suppressed> expected { { "info/request", 3 * LogVolume::mostLines } };
+        CHECK(volume.takeSuppressed(now + 1s) == expected);
+        CHECK(volume.takeSuppressed(now + 1s).empty());
+    }
+    SECTION("the next second has its own bound")
+    {
+        CHECK(volume.admits("info/request", now + 1s));
+    }
+}
--- a/test/processes/edge_test.cpp
+++ b/test/processes/edge_test.cpp
@@ -416,6 +416,9 @@
         auto answer = draft("id-1");
         CHECK(absl::StrContains(answer, "piece 1 of large"));
         CHECK_FALSE(absl::StrContains(answer, "of small"));
+        REQUIRE(within(2s, [&] { return !instance.lines("what=request id=id-1").empty(); }));
+        CHECK(instance.lines("what=model_doubted id=id-1 model=small confidence_percent=5").size() == 1);
+        CHECK(absl::StrContains(instance.lines("what=request id=id-1")[0], "model=large"));
     }
     SECTION("one that breaks in the middle of an event goes on elsewhere, without a gap or a repeat")
     {
