Add a fault soak; take a repeat from the budget once, and give callers an upstream's own failure

Doubts about a model could use the whole budget, and then an answer that broke could not be fetched again. A repeat was also taken where no other upstream was left to send to. Ruled out: planned work (no stop was under way), the route's number of sends (one of three used). Change: the grant goes along with the result; the failure at hand is kept and given if nothing better comes; doubts may use three quarters of the budget; no repeat is taken without an upstream to send to. The soak: three instances as processes, proxies before the store and each upstream, signals, kills, changes and leaving upstreams in overlapping series; it checks that calls run once, refusals are true, answers belong to their requests, streams have no gap, planned work cuts nothing, service is back in 12 s and a configuration in force in 2 s. Tests: two sections of test_edge ("a call that may be repeated"), which failed before; one of test_routing; soak.

--- a/src/core/limits/repeat_budget.cpp
+++ b/src/core/limits/repeat_budget.cpp
@@ -10,11 +10,11 @@
     m_requests.push_back(now);
 }
 
-bool RepeatBudget::take(std::size_t liveInstances, TimePoint now)
+bool RepeatBudget::take(std::size_t liveInstances, TimePoint now, double part)
 {
     forget(now);
     auto headroom = m_settings.siteHeadroom / static_cast<double>(std::max<std::size_t>(1, liveInstances));
-    auto allowed = safety * (m_settings.ratio * static_cast<double>(m_requests.size()) + headroom);
+    auto allowed = part * safety * (m_settings.ratio * static_cast<double>(m_requests.size()) + headroom);
     if (static_cast<double>(m_repeats.size()) + 1 > allowed)
         return false;
     m_repeats.push_back(now);
--- a/src/core/limits/repeat_budget.h
+++ b/src/core/limits/repeat_budget.h
@@ -22,14 +22,17 @@
     // Part of the site's allowance that is used: the instances' windows do not begin together.
     static constexpr double safety = 0.9;
 
+    // Part that sends to a larger model may use: the rest is for answers that broke, whose callers have nothing else.
+    static constexpr double partForDoubts = 0.75;
+
     explicit RepeatBudget(RepeatBudgetSettings settings)
         : m_settings(settings)
     {
     }
 
     void requestArrived(TimePoint now);
-    // Takes one repeat if the budget allows it, as one of so many live instances.
-    bool take(std::size_t liveInstances, TimePoint now);
+    // Takes one repeat if a part of the budget allows it, as one of so many live instances.
+    bool take(std::size_t liveInstances, TimePoint now, double part = 1);
 
 private:
     void forget(TimePoint now);
--- a/src/edge/request_run.cpp
+++ b/src/edge/request_run.cpp
@@ -167,7 +167,7 @@
             co_return;
         if (result.end == AttemptEnd::Dropped)
             continue;
-        bool goesOn = mayRepeat(result, bootNow());
+        bool goesOn = result.repeatTaken || mayRepeat(result, bootNow());
         LogLine(LogLevel::Info, "send_failed").with("id", m_request.id.value).with("upstream", m_tried.back().value).with("end", nameOf(result.end)).with("workload_before", m_workAhead).with("sends_left", m_route->maxAttempts - m_runs).with("ms_left", timeLeft().count()).with("repeated", goesOn ? "yes" : "no");
         if (!goesOn) {
             co_await refuse(errorAfter(result));
@@ -280,8 +280,10 @@
     // A stream that was begun cannot take another answer's head.
     if (m_caller->hasBegun())
         co_return SendResult { AttemptEnd::UpstreamError, false };
-    if (!isGood && mayRepeat({ AttemptEnd::UpstreamError, false }, now))
-        co_return SendResult { AttemptEnd::UpstreamError, false };
+    if (!isGood && mayRepeat({ AttemptEnd::UpstreamError, false }, now)) {
+        m_failureInHand = answerOf(std::move(answer), std::move(body.bytes));
+        co_return SendResult { AttemptEnd::UpstreamError, false, true };
+    }
     auto status = answer.status;
     firstByteSent(now);
     co_await m_caller->respond(answerOf(std::move(answer), std::move(body.bytes)));
@@ -344,7 +346,7 @@
     auto needed = neededConfidence(load, m_rank, m_route->targetLatency - toMilliseconds(now - m_received.at));
     if (*answer.confidence >= needed)
         return false;
-    bool mayAsk = m_traffic.takeRepeat(m_serviceId, now);
+    bool mayAsk = m_traffic.takeRepeat(m_serviceId, now, RepeatBudget::partForDoubts);
     LogLine(LogLevel::Info, "model_doubted").with("id", m_request.id.value).with("model", m_model->value).with("confidence_percent", percent(*answer.confidence)).with("needed_percent", percent(needed)).with("mean_work", static_cast<std::int64_t>(load.work)).with("next", mayAsk ? larger->value : "none_within_budget");
     if (!mayAsk)
         return false;
@@ -382,7 +384,7 @@
     bool mayHaveRun = result.end != AttemptEnd::NotSent && result.end != AttemptEnd::RefusedNotRun;
     if (mayHaveRun && !m_route->mayRepeat())
         return false;
-    if (m_runs >= m_route->maxAttempts || m_traffic.crashes().refuses(m_fingerprint))
+    if (m_runs >= m_route->maxAttempts || m_traffic.crashes().refuses(m_fingerprint) || !chooseUpstream(now))
         return false;
     return m_traffic.takeRepeat(m_serviceId, now);
 }
@@ -404,6 +406,12 @@
         logEnd(row.name, 0);
         co_return;
     }
+    if (m_failureInHand) {
+        auto answer = *std::exchange(m_failureInHand, std::nullopt);
+        logEnd("upstream_error", answer.status);
+        co_await m_caller->respond(std::move(answer));
+        co_return;
+    }
     auto verdict = m_verdict.verdict();
     AnswerToCaller answer { .status = row.httpStatus };
     if (verdict != Ran::No && promisesNotRun(answer.status))
--- a/src/edge/request_run.h
+++ b/src/edge/request_run.h
@@ -23,6 +23,8 @@
     struct SendResult {
         AttemptEnd end = AttemptEnd::NotSent;
         bool isFinal = false;
+        // The next send is taken from the budget already.
+        bool repeatTaken = false;
     };
 
     ErrorKind admit();
@@ -75,6 +77,8 @@
     // What the upstream had before it.
     std::int64_t m_workAhead = 0;
     bool m_promptRead = false;
+    // An upstream's own failure, given to the caller if no other send brings anything better.
+    std::optional<AnswerToCaller> m_failureInHand;
     TimePoint m_sentAt {};
     // When the answer's first part went to the caller.
     std::optional<TimePoint> m_firstByteAt;
--- a/src/edge/traffic.cpp
+++ b/src/edge/traffic.cpp
@@ -131,9 +131,9 @@
 
 void Traffic::requestArrived(const ServiceId& service, TimePoint now) { budgetOf(service).requestArrived(now); }
 
-bool Traffic::takeRepeat(const ServiceId& service, TimePoint now)
+bool Traffic::takeRepeat(const ServiceId& service, TimePoint now, double part)
 {
-    return budgetOf(service).take(m_view->liveInstances, now);
+    return budgetOf(service).take(m_view->liveInstances, now, part);
 }
 
 RepeatBudget& Traffic::budgetOf(const ServiceId& service)
--- a/src/edge/traffic.h
+++ b/src/edge/traffic.h
@@ -49,8 +49,8 @@
     EndedLives& endedLives() { return m_endedLives; }
 
     void requestArrived(const ServiceId&, TimePoint now);
-    // Whether the request may be sent once more.
-    bool takeRepeat(const ServiceId&, TimePoint now);
+    // Whether the request may be sent once more, out of a part of the budget.
+    bool takeRepeat(const ServiceId&, TimePoint now, double part = 1);
     void count(const ReleaseRoute&, bool isGood, Milliseconds latency);
 
     EventLoop& loop() { return m_loop; }
--- a/test/correctness/routing_test.cpp
+++ b/test/correctness/routing_test.cpp
@@ -351,4 +351,12 @@
         takeAll(1, start);
         CHECK(takeAll(1, start + 11s) == static_cast<int>(RepeatBudget::safety * 10));
     }
+    SECTION("doubts leave a part to answers that broke")
+    {
+        int doubts = 0;
+        while (budget.take(1, start, RepeatBudget::partForDoubts))
+            ++doubts;
+        CHECK(doubts == static_cast<int>(RepeatBudget::partForDoubts * RepeatBudget::safety * (0.5 * 40 + 10)));
+        CHECK(budget.take(1, start));
+    }
 }
--- a/test/fakes/fleet_standin.h
+++ b/test/fakes/fleet_standin.h
@@ -81,6 +81,7 @@
     ScriptedUpstream(std::string id, Script);
 
     const std::string& id() const { return m_id; }
+    int port() const { return m_server.port(); }
     std::string entry(const std::string& service, const std::string& state = "ready", const std::string& release = "v1") const;
     void setScript(Script);
     std::vector<RawRequest> received();
--- a/test/fakes/loopback_server.cpp
+++ b/test/fakes/loopback_server.cpp
@@ -214,15 +214,28 @@
         int one = 1;
         setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
         auto connection = std::make_shared<RawConnection>(fd);
-        m_workers.push_back({ connection, std::thread([this, connection] {
+        reap();
+        auto hasEnded = std::make_shared<std::atomic<bool>>(false);
+        m_workers.push_back({ connection, hasEnded, std::thread([this, connection, hasEnded] {
                                  while (!m_stopping) {
                                      auto request = connection->readRequest();
                                      if (!request || !m_handler(*request, *connection))
                                          break;
                                  }
                                  connection->shutdown();
+                                 *hasEnded = true;
                              }) });
     }
 }
 
+void LoopbackServer::reap()
+{
+    m_workers.remove_if([](Worker& it) {
+        if (!*it.hasEnded)
+            return false;
+        it.thread.join();
+        return true;
+    });
+}
+
 }
--- a/test/fakes/loopback_server.h
+++ b/test/fakes/loopback_server.h
@@ -79,9 +79,12 @@
 private:
     struct Worker {
         std::shared_ptr<RawConnection> connection;
+        std::shared_ptr<std::atomic<bool>> hasEnded;
         std::thread thread;
     };
     void accept();
+    // Joins the threads of connections that are closed.
+    void reap();
 
     Handler m_handler;
     int m_listener = -1;
--- a/test/processes/child_process.cpp
+++ b/test/processes/child_process.cpp
@@ -39,7 +39,7 @@
 
 ChildProcess::ChildProcess(const std::vector<std::string>& command, const std::string& outputPath)
 {
-    int file = ::open(outputPath.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
+    int file = ::open(outputPath.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
     CALLER_CHECK(file >= 0) << "can not write " << outputPath;
     start(command, file);
     ::close(file);
--- a/test/processes/child_process.h
+++ b/test/processes/child_process.h
@@ -16,7 +16,7 @@
 public:
     // Starts a program and reads the first line that it prints.
     explicit ChildProcess(const std::vector<std::string>& command);
-    // Starts a program whose output goes to a file.
+    // Starts a program whose output is appended to a file.
     ChildProcess(const std::vector<std::string>& command, const std::string& outputPath);
     ~ChildProcess();
     ChildProcess(const ChildProcess&) = delete;
--- /dev/null
+++ b/test/processes/edge_instance.cpp
@@ -0,0 +1,97 @@
+#include "processes/edge_instance.h"
+
+#include <absl/strings/match.h>
+#include <csignal>
+#include <cstdlib>
+#include <fstream>
+#include <unistd.h>
+
+namespace skylarkhitch {
+
+namespace {
+
+    constexpr std::chrono::seconds answerTime { 2 };
+
+    // A port of this test process: tests run side by side, and a port that was free a moment ago may be another one's by now.
+    // The block lies below the ports that the kernel gives to others.
+    int ownPort()
+    {
+        constexpr int firstPort = 12000, blocks = 800, portsInBlock = 25;
+        static int next = 0;
+        return firstPort + static_cast<int>(::getpid() % blocks) * portsInBlock + next++ % portsInBlock;
+    }
+
+}
+
+EdgeInstance::EdgeInstance(const std::string& name, const std::string& store, const std::string& seeds)
+    : m_entry(ownPort())
+    , m_ready(ownPort())
+    , m_directory(ownPort())
+    , m_peers(ownPort())
+    , m_metrics(ownPort())
+    , m_path(absl::StrCat("/tmp/skylarkhitch-edge-", ::getpid(), "-", name))
+{
+    std::ofstream(m_path + ".yaml") << "edge:\n  instance: " << name << "\n  domain: halle-a\n  entry_listen: 127.0.0.1:" << m_entry << "\n  ready_listen: 127.0.0.1:" << m_ready
+                                    << "\n  directory_listen: 127.0.0.1:" << m_directory << "\n  peer_listen: 127.0.0.1:" << m_peers << "\n  metrics_listen: 127.0.0.1:" << m_metrics
+                                    << "\n  store: " << store << "\n  stop_grace_s: 4\n  seeds: [ " << seeds << " ]\n";
+    ::unlink((m_path + ".log").c_str());
+    restart();
+}
+
+EdgeInstance::~EdgeInstance()
+{
+    m_process.reset();
+    ::unlink((m_path + ".yaml").c_str());
+    if (!m_keepsOutput)
+        ::unlink((m_path + ".log").c_str());
+}
+
+std::string EdgeInstance::keepOutput()
+{
+    m_keepsOutput = true;
+    return m_path + ".log";
+}
+
+void EdgeInstance::restart()
+{
+    kill();
+    m_process = std::make_unique<ChildProcess>(std::vector<std::string> { SKYLARKHITCH_BINARY_DIR "/skylarkhitchd", "--settings", m_path + ".yaml" }, m_path + ".log");
+}
+
+void EdgeInstance::kill() { m_process.reset(); }
+
+void EdgeInstance::signal(int number) const
+{
+    if (m_process)
+        m_process->signal(number);
+}
+
+std::string EdgeInstance::get(int port, const std::string& target) const
+{
+    auto connection = standin::RawConnection::connect(port);
+    if (!connection)
+        return {};
+    connection->write(absl::StrCat("GET ", target, " HTTP/1.1\r\nHost: x\r\n\r\n"));
+    return connection->readAnswer(answerTime);
+}
+
+bool EdgeInstance::isReady() const { return absl::StartsWith(get(m_ready, "/-/readyz"), "HTTP/1.1 200"); }
+
+std::string EdgeInstance::directory() const { return get(m_directory, "/-/resolve?name=a.example&zone=halle-a"); }
+
+std::string EdgeInstance::metrics() const { return get(m_metrics, "/metrics"); }
+
+std::vector<std::string> EdgeInstance::lines(const std::string& text) const
+{
+    std::vector<std::string> found;
+    std::ifstream in(m_path + ".log");
+    for (std::string line; std::getline(in, line);) {
+        if (absl::StrContains(line, text))
+            found.push_back(line);
+    }
+    return found;
+}
+
+int statusOf(const std::string& answer) { return answer.size() < 12 ? 0 : std::atoi(answer.c_str() + 9); }
+
+}
--- a/test/processes/edge_test.cpp
+++ b/test/processes/edge_test.cpp
@@ -2,15 +2,13 @@
 
 #include "core/hashing.h"
 #include "fakes/fleet_standin.h"
-#include "processes/process_site.h"
+#include "processes/edge_instance.h"
 
 #include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_split.h>
 #include <catch2/catch.hpp>
 #include <csignal>
-#include <fstream>
-#include <unistd.h>
 
 using namespace skylarkhitch;
 using namespace skylarkhitch::standin;
@@ -18,85 +16,6 @@
 
 namespace {
 
-// A port of this test process: tests run side by side, and a port that was free a moment ago may be another one's by now.
-// The block lies below the ports that the kernel gives to others.
-int ownPort()
-{
-    constexpr int firstPort = 12000, blocks = 800, portsInBlock = 25;
-    static int next = 0;
-    return firstPort + static_cast<int>(::getpid() % blocks) * portsInBlock + next++ % portsInBlock;
-}
-
-// One instance with its settings, its output in a file.
-class EdgeInstance {
-public:
-    EdgeInstance(const std::string& name, const std::string& store, const std::string& seed = {})
-        : m_entry(ownPort())
-        , m_ready(ownPort())
-        , m_directory(ownPort())
-        , m_peers(ownPort())
-        , m_metrics(ownPort())
-        , m_path(absl::StrCat("/tmp/skylarkhitch-edge-", ::getpid(), "-", name))
-    {
-        std::ofstream(m_path + ".yaml") << "edge:\n  instance: " << name << "\n  domain: halle-a\n  entry_listen: 127.0.0.1:" << m_entry << "\n  ready_listen: 127.0.0.1:" << m_ready
-                                        << "\n  directory_listen: 127.0.0.1:" << m_directory << "\n  peer_listen: 127.0.0.1:" << m_peers << "\n  metrics_listen: 127.0.0.1:" << m_metrics
-                                        << "\n  store: " << store << "\n  stop_grace_s: 4\n  seeds: [ " << seed << " ]\n";
-        m_process = std::make_unique<ChildProcess>(std::vector<std::string> { SKYLARKHITCH_BINARY_DIR "/skylarkhitchd", "--settings", m_path + ".yaml" }, m_path + ".log");
-    }
-
-    ~EdgeInstance()
-    {
-        m_process.reset();
-        ::unlink((m_path + ".yaml").c_str());
-        ::unlink((m_path + ".log").c_str());
-    }
-
-    int port() const { return m_entry; }
-    std::string peers() const { return absl::StrCat("127.0.0.1:", m_peers); }
-    ChildProcess& process() { return *m_process; }
-
-    std::string get(int port, const std::string& target) const
-    {
-        auto connection = RawConnection::connect(port);
-        if (!connection)
-            return {};
-        connection->write(absl::StrCat("GET ", target, " HTTP/1.1\r\nHost: x\r\n\r\n"));
-        return connection->readAnswer(2s);
-    }
-    bool isReady() const { return absl::StartsWith(get(m_ready, "/-/readyz"), "HTTP/1.1 200"); }
-    std::string directory() const { return get(m_directory, "/-/resolve?name=a.example&zone=halle-a"); }
-    std::string metrics() const { return get(m_metrics, "/metrics"); }
-
-    // Lines of the output that hold a text.
-    std::vector<std::string> lines(const std::string& text) const
-    {
-        std::vector<std::string> found;
-        std::ifstream in(m_path + ".log");
-        for (std::string line; std::getline(in, line);) {
-            if (absl::StrContains(line, text))
-                found.push_back(line);
-        }
-        return found;
-    }
-
-private:
-    int m_entry, m_ready, m_directory, m_peers, m_metrics;
-    std::string m_path;
-    std::unique_ptr<ChildProcess> m_process;
-};
-
-template <typename Condition>
-bool within(std::chrono::milliseconds time, Condition condition)
-{
-    auto end = std::chrono::steady_clock::now() + time;
-    while (!condition()) {
-        if (std::chrono::steady_clock::now() > end)
-            return false;
-        std::this_thread::sleep_for(10ms);
-    }
-    return true;
-}
-
 std::string requestBytes(const std::string& method, const std::string& target, const std::string& id, const std::string& more = {}, const std::string& body = {})
 {
     auto length = method == "GET" ? std::string() : absl::StrCat("Content-Length: ", body.size(), "\r\n");
@@ -113,8 +32,6 @@
 
 std::string chunk(const std::string& bytes) { return absl::StrCat(absl::Hex(bytes.size()), "\r\n", bytes, "\r\n"); }
 
-int statusOf(const std::string& answer) { return answer.size() < 12 ? 0 : std::atoi(answer.c_str() + 9); }
-
 // A store with a configuration, two upstreams of a plain service and two engines.
 struct Site {
     FleetStore store;
@@ -362,6 +279,32 @@
         CHECK(absl::EndsWith(ask(instance, requestBytes("GET", "/status/x", "id-1")), "hello"));
         CHECK(sends == 2);
     }
+    SECTION("an upstream's own failure that nobody betters goes to the caller as it is")
+    {
+        std::atomic<int> sends = 0;
+        site.setScripts([&](const RawRequest& request, RawConnection& connection) {
+            return ++sends == 1 && connection.write(answerBytes(500, "broken", { { "X-Attempt-Id", request.field("X-Attempt-Id") }, { "X-Server-Seal", "mine" } }));
+        });
+        auto answer = ask(instance, requestBytes("GET", "/status/x", "id-1"));
+        CHECK(statusOf(answer) == 500);
+        CHECK(absl::StrContains(answer, "X-Server-Seal: mine"));
+        CHECK(absl::EndsWith(answer, "broken"));
+        CHECK(sends == 2);
+    }
+    // Found by the soak: each was taken from the budget twice, and the request then failed for want of budget.
+    SECTION("a failure of an upstream's own costs one repeat of the budget for each further send")
+    {
+        std::atomic<int> sends = 0;
+        site.setScripts([&](const RawRequest& request, RawConnection& connection) {
+            ++sends;
+            return connection.write(answerBytes(500, "broken", { { "X-Attempt-Id", request.field("X-Attempt-Id") }, { "X-Server-Seal", "mine" } }));
+        });
+        // Nine of ten repeats that the settings allow beside a part of the requests are used.
+        constexpr int requests = 9;
+        for (int n = 0; n < requests; ++n)
+            CHECK(statusOf(ask(instance, requestBytes("GET", "/status/x", absl::StrCat("id-", n)))) == 500);
+        CHECK(sends == 2 * requests);
+    }
     SECTION("an upstream that stays silent is left for another in time")
     {
         std::atomic<int> sends = 0;
--- /dev/null
+++ b/test/soak/soak_site.h
@@ -0,0 +1,65 @@
+#pragma once
+
+// The site of a soak: entry instances as processes, the platform's store and upstreams as stand-ins, a proxy that can fail
+// before each of them, and callers that ask all the time.
+
+#include "fakes/fault_proxy.h"
+#include "fakes/fleet_standin.h"
+#include "processes/edge_instance.h"
+#include "soak/soak_records.h"
+
+#include <random>
+
+namespace skylarkhitch::soak {
+
+class SoakSite {
+public:
+    explicit SoakSite(std::uint64_t seed);
+    ~SoakSite();
+
+    static constexpr std::size_t instanceCount = 3;
+    static constexpr std::size_t callerCount = 4;
+
+    struct Upstream {
+        std::string service;
+        std::unique_ptr<standin::ScriptedUpstream> server;
+        std::unique_ptr<standin::FaultProxy> link;
+        std::int64_t born = 1;
+    };
+
+    // Registers an upstream; a new life has a higher `born`.
+    void enlist(Upstream&, const std::string& state = "ready");
+    // Puts a new version of the configuration with a key.
+    void configure(const std::string& key);
+    void startCallers();
+    void stopCallers();
+    // Sends one request and checks its answer; the outcome is recorded.
+    Outcome ask(Kind, std::unique_ptr<standin::RawConnection>&, std::size_t instance, std::mt19937_64&);
+    // Ends every fault; every upstream begins a new life.
+    void heal();
+
+    SoakRecords records;
+    standin::FleetStore store;
+    std::vector<std::unique_ptr<standin::FaultProxy>> storeLinks;
+    std::vector<Upstream> upstreams;
+    std::vector<std::unique_ptr<EdgeInstance>> instances;
+
+private:
+    void addUpstream(const std::string& id, const std::string& service, standin::ScriptedUpstream::Script);
+    standin::ScriptedUpstream::Script script(const std::string& id, bool isEngine);
+    bool answerPlain(const standin::RawRequest&, standin::RawConnection&, double dice);
+    bool answerStream(const standin::RawRequest&, standin::RawConnection&, double dice);
+    void call(std::uint64_t seed);
+
+    std::uint64_t m_seed;
+    std::atomic<std::uint64_t> m_nextId = 0;
+    std::atomic<std::int64_t> m_version = 1;
+    std::string m_key;
+    std::mutex m_keyMutex;
+    std::mutex m_randomMutex;
+    std::mt19937_64 m_random;
+    std::atomic<bool> m_stopping = false;
+    std::vector<std::thread> m_callers;
+};
+
+}
