Hold a broken answer against a release only if its upstream lives on

The lines release_bad said "route r-7mvni5v: failed 5 of 8" 0.2 s after 56 upstreams had crashed: the answers that they cut counted as failures of the release, which had few answers yet; the old release had crashed as much, among many more answers. Ruled out: the merging of evidence between instances (each had 40 to 54 answers); a late roll-out (it had begun). Change: an answer that breaks off or times out counts against its release once the same life of the upstream answers a request that was sent later; a crash counts against none. Failures that an upstream answers itself count as before. Test: "a crash is not held against the release of the upstreams that crashed" (release_plan_test), the module alone.

--- a/src/edge/request_run.cpp
+++ b/src/edge/request_run.cpp
@@ -431,7 +431,7 @@
 {
     auto now = bootNow();
     if (end != AttemptEnd::NotSent)
-        m_traffic.count(releaseRoute(upstream), false, {});
+        m_traffic.countBroken(lifeOf(upstream).value, releaseRoute(upstream), now);
     if (end == AttemptEnd::Cut) {
         m_traffic.crashes().fell(m_fingerprint, lifeOf(upstream), now);
         LogLine(LogLevel::Warning, "upstream_cut").with("id", m_request.id.value).with("upstream", upstream.id.value).with("fingerprint", m_fingerprint).with("falls", m_traffic.crashes().fallsOf(m_fingerprint));
@@ -444,6 +444,7 @@
 {
     m_traffic.board().succeeded(upstream.id);
     m_traffic.crashes().stillUp(lifeOf(upstream), m_sentAt);
+    m_traffic.countWorked(lifeOf(upstream).value, m_sentAt);
 }
 
 void RequestRun::firstByteSent(TimePoint now)
--- a/src/edge/traffic.cpp
+++ b/src/edge/traffic.cpp
@@ -14,6 +14,9 @@
     // alone is turned away has it from a peer within three beats.
     constexpr Milliseconds startWait { 1000 };
 
+    // Time in which an upstream that lives has answered another request.
+    constexpr Seconds brokenMemory { 10 };
+
     // What keeps its release: the session, or the request where there is none.
     std::string_view stickyKey(const RoutedRequest& request)
     {
@@ -80,6 +83,7 @@
     m_connections.sweep(now);
     m_sessions.forget(now);
     m_crashes.forget(now - crashMemory);
+    m_brokenAnswers.forget(now - brokenMemory);
     return { m_board.ownWork(), m_evidence, m_crashes.own(), m_sessions.own(now), isReady(), threadTime() };
 }
 
@@ -152,4 +156,15 @@
     it.latency += latency;
 }
 
+void Traffic::countBroken(const std::string& life, const ReleaseRoute& route, TimePoint now)
+{
+    m_brokenAnswers.broke(life, route, now);
+}
+
+void Traffic::countWorked(const std::string& life, TimePoint sentAt)
+{
+    for (const auto& it : m_brokenAnswers.worked(life, sentAt))
+        count(it, false, {});
+}
+
 }
--- a/src/edge/traffic.h
+++ b/src/edge/traffic.h
@@ -3,6 +3,7 @@
 // The traffic thread's state: what requests share. Everything here is touched by that thread only.
 
 #include "core/limits/crash_guard.h"
+#include "core/rollout/broken_answers.h"
 #include "core/rollout/session_releases.h"
 #include "core/routing/upstream_board.h"
 #include "edge/connection_pool.h"
@@ -52,6 +53,9 @@
     // Whether the request may be sent once more, out of a part of the budget.
     bool takeRepeat(const ServiceId&, TimePoint now, double part = 1);
     void count(const ReleaseRoute&, bool isGood, Milliseconds latency);
+    // An answer broke off; it counts against the release once the same life of the upstream answers a later request.
+    void countBroken(const std::string& life, const ReleaseRoute&, TimePoint now);
+    void countWorked(const std::string& life, TimePoint sentAt);
 
     EventLoop& loop() { return m_loop; }
     UpstreamBoard& board() { return m_board; }
@@ -74,6 +78,7 @@
     SessionReleases m_sessions;
     std::map<ServiceId, RepeatBudget> m_budgets;
     ReleaseEvidence m_evidence;
+    BrokenAnswers m_brokenAnswers;
     EndedLives m_endedLives;
     bool m_stopping = false;
     TimePoint m_startedAt;
--- a/test/correctness/release_plan_test.cpp
+++ b/test/correctness/release_plan_test.cpp
@@ -1,5 +1,6 @@
 // How a roll-out decides, from counters alone.
 
+#include "core/rollout/broken_answers.h"
 #include "core/rollout/release_plan.h"
 #include "core/rollout/session_releases.h"
 
@@ -174,3 +175,32 @@
         CHECK(own[0].age == 1000ms);
     }
 }
+
+// Found on a day on which half of all upstreams crashed while a good release had its first answers.
+TEST_CASE("a crash is not held against the release of the upstreams that crashed")
+{
+    BrokenAnswers answers;
+    TimePoint start { Microseconds(1000000) };
+    ReleaseRoute route { { "assist" }, "v2", "draft", { "small" } };
+    for (const auto* life : { "i-1/1", "i-2/1", "i-3/1", "i-3/1" })
+        answers.broke(life, route, start);
+
+    SECTION("an answer to an earlier request says nothing: it was on its way")
+    {
+        CHECK(answers.worked("i-3/1", start - 1ms).empty());
+    }
+    SECTION("an upstream that answers a later request broke its answers itself")
+    {
+        CHECK(answers.worked("i-3/1", start + 1ms) == std::vector<ReleaseRoute> { route, route });
+        CHECK(answers.worked("i-3/1", start + 2ms).empty());
+    }
+    SECTION("its next life has nothing to do with it")
+    {
+        CHECK(answers.worked("i-1/2", start + 1s).empty());
+    }
+    SECTION("what is not told in time is forgotten")
+    {
+        answers.forget(start + 1ms);
+        CHECK(answers.worked("i-1/1", start + 1s).empty());
+    }
+}
