Admit requests in a module of the core

Cause: request_run.cpp had grown to 520 lines and mixed what the configuration says of a request with sending it; who is let in, and on what terms, was tested through processes only. Change: core/requests/admit_request decides from the decoded request and the configuration; decodeRequest returns nothing, an empty id says that there is none (its tests check that instead). No change of behaviour.

--- /dev/null
+++ b/src/core/requests/admit_request.cpp
@@ -0,0 +1,52 @@
+#include "core/requests/admit_request.h"
+
+#include "core/hashing.h"
+
+#include <absl/strings/str_cat.h>
+
+namespace skylarkhitch {
+
+namespace {
+
+    // Assumed of a caller that does not say how long it waits.
+    constexpr Milliseconds patienceUnstated { 10000 };
+
+    std::string fingerprintOf(const RoutedRequest& request)
+    {
+        return absl::StrCat(absl::Hex(hashOf(request.key, request.target) ^ hashOf(request.method, *request.body)));
+    }
+
+    ErrorKind findTeam(AdmittedRequest& admitted)
+    {
+        const auto* holder = admitted.configuration->findHolder(admitted.request.key);
+        if (!holder)
+            return admitted.configuration->hasTeams && !admitted.route->anonymous ? ErrorKind::UnknownKey : ErrorKind::None;
+        admitted.team = holder->team;
+        admitted.rank = holder->rank.value_or(admitted.rank);
+        return ErrorKind::None;
+    }
+
+}
+
+ErrorKind admitRequest(AdmittedRequest& admitted, TimePoint receivedAt)
+{
+    const auto& request = admitted.request;
+    admitted.deadline = receivedAt + request.patience.value_or(patienceUnstated);
+    if (!admitted.configuration)
+        return ErrorKind::NotConfigured;
+    admitted.route = admitted.configuration->findRoute(request.host, pathOf(request));
+    if (!admitted.route)
+        return ErrorKind::UnknownTarget;
+    admitted.rank = admitted.route->rank;
+    admitted.deadline = std::min(admitted.deadline, receivedAt + admitted.route->timeout);
+    if (auto error = findTeam(admitted); error != ErrorKind::None)
+        return error;
+    if (request.id.empty())
+        return ErrorKind::BadHeader;
+    admitted.fingerprint = fingerprintOf(request);
+    const auto* service = chooseService(*admitted.route, request.session.empty() ? request.id.value : request.session);
+    admitted.service = service ? admitted.configuration->findService(*service) : nullptr;
+    return admitted.service ? ErrorKind::None : ErrorKind::NoHealthyUpstream;
+}
+
+}
--- a/src/edge/request_run.cpp
+++ b/src/edge/request_run.cpp
@@ -1,7 +1,6 @@
 #include "edge/request_run.h"
 
 #include "adapters/log.h"
-#include "core/hashing.h"
 #include "platform/request_codec.h"
 
 #include <absl/strings/str_cat.h>
@@ -24,8 +23,6 @@
     constexpr Milliseconds leastGapPatience { 1500 };
     // Shortest time in which another upstream could still answer.
     constexpr Milliseconds leastUsefulTime { 30 };
-    // Assumed of a caller that does not say how long it waits.
-    constexpr Milliseconds patienceUnstated { 10000 };
     // Part of its remaining time that a caller is asked to wait at most; callers ignore longer requests.
     constexpr int longestWaitPart = 3;
     constexpr Milliseconds leastWait { 50 };
@@ -54,12 +51,6 @@
     // One life of an upstream: one that comes back after a fall can fall again.
     UpstreamId lifeOf(const UpstreamEntry& upstream) { return { absl::StrCat(upstream.id.value, "/", upstream.born) }; }
 
-    // The same for every send of a request, by its caller and at any instance.
-    std::string fingerprintOf(const RoutedRequest& request)
-    {
-        return absl::StrCat(absl::Hex(hashOf(request.key, request.target) ^ hashOf(request.method, *request.body)));
-    }
-
     // Whether a status tells the caller that the request was not run.
     bool promisesNotRun(int status) { return status == 408 || status == 421 || status == 429 || status == 503; }
 
@@ -74,7 +65,6 @@
     : m_traffic(traffic)
     , m_caller(std::move(caller))
     , m_received(std::move(received))
-    , m_view(traffic.view())
 {
 }
 
@@ -88,7 +78,6 @@
             logEnd("caller_left", 0);
             co_return;
         }
-        m_view = m_traffic.view();
         error = admit();
     }
     if (error != ErrorKind::None) {
@@ -104,45 +93,21 @@
 
 ErrorKind RequestRun::admit()
 {
-    m_request = {};
-    m_request.method = m_received.method;
-    m_request.target = m_received.target;
-    m_request.body = m_received.body;
-    bool hasIdentity = platform::decodeRequest(m_received.fields, m_request);
-    m_deadline = m_received.at + m_request.patience.value_or(patienceUnstated);
-    if (!m_view || !m_view->configuration)
-        return ErrorKind::NotConfigured;
-    m_route = m_view->configuration->findRoute(m_request.host, pathOf(m_request));
-    if (!m_route)
-        return ErrorKind::UnknownTarget;
-    m_rank = m_route->rank;
-    m_deadline = std::min(m_deadline, m_received.at + m_route->timeout);
-    if (auto error = findTeam(); error != ErrorKind::None)
+    m_admitted = {};
+    auto& request = m_admitted.request;
+    request.method = m_received.method;
+    request.target = m_received.target;
+    request.body = m_received.body;
+    platform::decodeRequest(m_received.fields, request);
+    m_view = m_traffic.view();
+    m_admitted.configuration = m_view ? m_view->configuration : nullptr;
+    if (auto error = admitRequest(m_admitted, m_received.at); error != ErrorKind::None)
         return error;
-    if (!hasIdentity)
-        return ErrorKind::BadHeader;
-    m_fingerprint = fingerprintOf(m_request);
-    m_events = EventStream(m_request.lastEvent);
-    const auto* service = chooseService(*m_route, m_request.session.empty() ? m_request.id.value : m_request.session);
-    m_service = service ? m_view->configuration->findService(*service) : nullptr;
-    if (!m_service)
-        return ErrorKind::NoHealthyUpstream;
-    m_serviceId = m_service->name;
-    if (m_request.anyModel && !m_route->models.empty())
-        m_model = m_route->models.front();
-    m_traffic.requestArrived(m_serviceId, m_received.at);
-    return m_traffic.crashes().refuses(m_fingerprint) ? ErrorKind::RequestQuarantined : ErrorKind::None;
-}
-
-ErrorKind RequestRun::findTeam()
-{
-    const auto& configuration = *m_view->configuration;
-    const auto* holder = configuration.findHolder(m_request.key);
-    if (!holder)
-        return configuration.hasTeams && !m_route->anonymous ? ErrorKind::UnknownKey : ErrorKind::None;
-    m_team = holder->team;
-    m_rank = holder->rank.value_or(m_rank);
-    return ErrorKind::None;
+    m_events = EventStream(request.lastEvent);
+    if (request.anyModel && !m_admitted.route->models.empty())
+        m_model = m_admitted.route->models.front();
+    m_traffic.requestArrived(m_admitted.service->name, m_received.at);
+    return m_traffic.crashes().refuses(m_admitted.fingerprint) ? ErrorKind::RequestQuarantined : ErrorKind::None;
 }
 
 Awaitable<void> RequestRun::serve()
@@ -168,7 +133,7 @@
         if (result.end == AttemptEnd::Dropped)
             continue;
         bool goesOn = result.repeatTaken || mayRepeat(result, bootNow());
-        LogLine(LogLevel::Info, "send_failed").with("id", m_request.id.value).with("upstream", m_tried.back().value).with("end", nameOf(result.end)).with("workload_before", m_workAhead).with("sends_left", m_route->maxAttempts - m_runs).with("ms_left", timeLeft().count()).with("repeated", goesOn ? "yes" : "no");
+        LogLine(LogLevel::Info, "send_failed").with("id", m_admitted.request.id.value).with("upstream", m_tried.back().value).with("end", nameOf(result.end)).with("workload_before", m_workAhead).with("sends_left", m_admitted.route->maxAttempts - m_runs).with("ms_left", timeLeft().count()).with("repeated", goesOn ? "yes" : "no");
         if (!goesOn) {
             co_await refuse(errorAfter(result));
             co_return;
@@ -179,17 +144,17 @@
 const UpstreamEntry* RequestRun::chooseUpstream(TimePoint now)
 {
     // The newest view counts: an upstream may have left since the request came.
-    auto placement = m_traffic.place(m_service->name, m_request, now);
+    auto placement = m_traffic.place(m_admitted.service->name, m_admitted.request, now);
     if (!placement.service)
         return nullptr;
-    return m_traffic.board().choose({ &m_request, placement.service, placement.allowed, &m_tried, m_traffic.settings().domain }, now);
+    return m_traffic.board().choose({ &m_admitted.request, placement.service, placement.allowed, &m_tried, m_traffic.settings().domain }, now);
 }
 
 Awaitable<RequestRun::SendResult> RequestRun::sendTo(UpstreamEntry upstream)
 {
     m_tried.push_back(upstream.id);
     // A call that may run once only gets a connection that nobody used: on a kept one its end could be an older answer's.
-    auto connection = m_route->kind == RouteKind::NonIdempotent ? nullptr : m_traffic.connections().take(upstream, bootNow());
+    auto connection = m_admitted.route->kind == RouteKind::NonIdempotent ? nullptr : m_traffic.connections().take(upstream, bootNow());
     bool isOpen = connection != nullptr;
     if (!connection)
         connection = m_traffic.connections().make();
@@ -203,11 +168,11 @@
         co_return SendResult { AttemptEnd::NotSent, true };
     m_sentAt = bootNow();
     m_promptRead = false;
-    m_work = static_cast<std::int64_t>(static_cast<double>(m_request.promptTokens) * weightOfModel());
+    m_work = static_cast<std::int64_t>(static_cast<double>(m_admitted.request.promptTokens) * weightOfModel());
     m_verdict.attemptSent();
     ++m_runs;
-    if (m_service->engine)
-        m_traffic.board().learnPrompt(m_route->name, m_request.promptTokens);
+    if (m_admitted.service->engine)
+        m_traffic.board().learnPrompt(m_admitted.route->name, m_admitted.request.promptTokens);
     m_workAhead = m_traffic.board().workOn(upstream.id);
     m_traffic.board().sent(upstream.id, m_work);
     auto result = co_await converse(upstream, connection);
@@ -218,7 +183,7 @@
         ++m_arrivals;
     if (result.end == AttemptEnd::NotSent || result.end == AttemptEnd::RefusedNotRun)
         --m_runs;
-    m_traffic.metrics().attemptEnded(m_serviceId.value, nameOf(result.end));
+    m_traffic.metrics().attemptEnded(serviceName(), nameOf(result.end));
     bool isBroken = result.end == AttemptEnd::Cut || result.end == AttemptEnd::TimedOut || result.end == AttemptEnd::NotSent;
     if (isBroken) {
         connection->close();
@@ -230,8 +195,8 @@
 
 Awaitable<RequestRun::SendResult> RequestRun::converse(const UpstreamEntry& upstream, std::shared_ptr<UpstreamConnection> connection)
 {
-    connection->endAfter(patienceFor(m_route->mayRepeat() && m_runs < m_route->maxAttempts));
-    if (!co_await connection->send(requestHead(upstream), m_request.body))
+    connection->endAfter(patienceFor(m_admitted.route->mayRepeat() && m_runs < m_admitted.route->maxAttempts));
+    if (!co_await connection->send(requestHead(upstream), m_admitted.request.body))
         co_return SendResult { AttemptEnd::NotSent, false };
     ResponseHead head;
     auto end = co_await connection->readHead(head);
@@ -241,7 +206,7 @@
     if (answer.load)
         m_traffic.board().reported(upstream.id, *answer.load, bootNow());
     // An answer that does not say whose it is could be a late one to another request.
-    if (answer.answers != m_request.id && !answer.notRun)
+    if (answer.answers != m_admitted.request.id && !answer.notRun)
         co_return SendResult { AttemptEnd::Cut, false };
     if (answer.wrongInstance)
         m_traffic.endedLives().end(upstream);
@@ -251,7 +216,7 @@
             m_traffic.connections().giveBack(upstream, connection, answer.keepsIdle, bootNow());
         co_return SendResult { AttemptEnd::RefusedNotRun, false };
     }
-    bool isStream = m_route->kind == RouteKind::Streaming && answer.isEventStream && answer.status < 300;
+    bool isStream = m_admitted.route->kind == RouteKind::Streaming && answer.isEventStream && answer.status < 300;
     auto dropped = releaseRoute(upstream);
     if (isStream && turnsToLargerModel(answer)) {
         m_traffic.count(dropped, true, toMilliseconds(bootNow() - m_sentAt));
@@ -308,7 +273,7 @@
             m_traffic.board().begun(upstream.id, m_work);
             m_traffic.board().learnPace(m_workAhead + m_work, toMilliseconds(now - m_sentAt));
             m_traffic.count(releaseRoute(upstream), true, toMilliseconds(now - m_sentAt));
-            m_traffic.sessionServed(m_request, upstream.release, now);
+            m_traffic.sessionServed(m_admitted.request, upstream.release, now);
             upstreamWorked(upstream);
         }
         bool isWhole = piece.isLast && !m_events.hasPartialEvent();
@@ -326,28 +291,28 @@
         }
         if (piece.end != TransferEnd::Ok || piece.isLast)
             co_return SendResult { endOf(piece.end), false };
-        auto gap = std::max(leastGapPatience, scaled(m_route->targetGap, gapPatience));
-        connection->endAfter(m_promptRead ? std::min(gap, timeLeft()) : patienceFor(m_runs < m_route->maxAttempts));
+        auto gap = std::max(leastGapPatience, scaled(m_admitted.route->targetGap, gapPatience));
+        connection->endAfter(m_promptRead ? std::min(gap, timeLeft()) : patienceFor(m_runs < m_admitted.route->maxAttempts));
     }
 }
 
 // Whether the answer is dropped for one of a larger model, which is then the model to ask.
 bool RequestRun::turnsToLargerModel(const UpstreamAnswer& answer)
 {
-    if (!m_model || !answer.confidence || m_caller->hasBegun() || m_events.last() || m_runs >= m_route->maxAttempts)
+    if (!m_model || !answer.confidence || m_caller->hasBegun() || m_events.last() || m_runs >= m_admitted.route->maxAttempts)
         return false;
-    const auto* larger = largerModel(*m_route, *m_model);
+    const auto* larger = largerModel(*m_admitted.route, *m_model);
     if (!larger)
         return false;
     auto now = bootNow();
-    auto placement = m_traffic.place(m_serviceId, m_request, now);
+    auto placement = m_traffic.place(m_admitted.service->name, m_admitted.request, now);
     auto& board = m_traffic.board();
-    EngineLoad load { board.meanWork(placement.allowed), m_request.promptTokens, board.promptRatio(m_route->name), board.pace() };
-    auto needed = neededConfidence(load, m_rank, m_route->targetLatency - toMilliseconds(now - m_received.at));
+    EngineLoad load { board.meanWork(placement.allowed), m_admitted.request.promptTokens, board.promptRatio(m_admitted.route->name), board.pace() };
+    auto needed = neededConfidence(load, m_admitted.rank, m_admitted.route->targetLatency - toMilliseconds(now - m_received.at));
     if (*answer.confidence >= needed)
         return false;
-    bool mayAsk = m_traffic.takeRepeat(m_serviceId, now, RepeatBudget::partForDoubts);
-    LogLine(LogLevel::Info, "model_doubted").with("id", m_request.id.value).with("model", m_model->value).with("confidence_percent", percent(*answer.confidence)).with("needed_percent", percent(needed)).with("mean_work", static_cast<std::int64_t>(load.work)).with("next", mayAsk ? larger->value : "none_within_budget");
+    bool mayAsk = m_traffic.takeRepeat(m_admitted.service->name, now, RepeatBudget::partForDoubts);
+    LogLine(LogLevel::Info, "model_doubted").with("id", m_admitted.request.id.value).with("model", m_model->value).with("confidence_percent", percent(*answer.confidence)).with("needed_percent", percent(needed)).with("mean_work", static_cast<std::int64_t>(load.work)).with("next", mayAsk ? larger->value : "none_within_budget");
     if (!mayAsk)
         return false;
     m_model = *larger;
@@ -357,36 +322,36 @@
 
 double RequestRun::weightOfModel() const
 {
-    return m_model && m_service->engine ? modelWeight(*m_service->engine, *m_model) : 1;
+    return m_model && m_admitted.service->engine ? modelWeight(*m_admitted.service->engine, *m_model) : 1;
 }
 
 ReleaseRoute RequestRun::releaseRoute(const UpstreamEntry& upstream) const
 {
-    return { m_serviceId, upstream.release, m_route->name, m_model.value_or(ModelId {}) };
+    return { m_admitted.service->name, upstream.release, m_admitted.route->name, m_model.value_or(ModelId {}) };
 }
 
 std::string RequestRun::requestHead(const UpstreamEntry& upstream) const
 {
-    platform::SendOrders orders { .upstream = upstream.id, .patience = timeLeft(), .team = m_team, .lastEvent = m_events.last() };
-    if (m_service->engine)
-        orders.urgency = std::min(leastUrgent, m_rank * urgencyPerRank);
+    platform::SendOrders orders { .upstream = upstream.id, .patience = timeLeft(), .team = m_admitted.team, .lastEvent = m_events.last() };
+    if (m_admitted.service->engine)
+        orders.urgency = std::min(leastUrgent, m_admitted.rank * urgencyPerRank);
     orders.model = m_model;
-    return platform::encodeRequestHead(m_request, orders);
+    return platform::encodeRequestHead(m_admitted.request, orders);
 }
 
 bool RequestRun::mayRepeat(const SendResult& result, TimePoint now)
 {
-    if (timeLeft() < leastUsefulTime || m_tried.size() >= mostUnreached + static_cast<std::size_t>(m_route->maxAttempts))
+    if (timeLeft() < leastUsefulTime || m_tried.size() >= mostUnreached + static_cast<std::size_t>(m_admitted.route->maxAttempts))
         return false;
     // Nothing arrived anywhere: the next send is still the first.
     if (result.end == AttemptEnd::NotSent && m_arrivals == 0)
         return true;
     bool mayHaveRun = result.end != AttemptEnd::NotSent && result.end != AttemptEnd::RefusedNotRun;
-    if (mayHaveRun && !m_route->mayRepeat())
+    if (mayHaveRun && !m_admitted.route->mayRepeat())
         return false;
-    if (m_runs >= m_route->maxAttempts || m_traffic.crashes().refuses(m_fingerprint) || !chooseUpstream(now))
+    if (m_runs >= m_admitted.route->maxAttempts || m_traffic.crashes().refuses(m_admitted.fingerprint) || !chooseUpstream(now))
         return false;
-    return m_traffic.takeRepeat(m_serviceId, now);
+    return m_traffic.takeRepeat(m_admitted.service->name, now);
 }
 
 ErrorKind RequestRun::errorAfter(const SendResult& result) const
@@ -433,11 +398,11 @@
     if (end != AttemptEnd::NotSent)
         m_traffic.countBroken(lifeOf(upstream).value, releaseRoute(upstream), now);
     if (end == AttemptEnd::Cut) {
-        m_traffic.crashes().fell(m_fingerprint, lifeOf(upstream), now);
-        LogLine(LogLevel::Warning, "upstream_cut").with("id", m_request.id.value).with("upstream", upstream.id.value).with("fingerprint", m_fingerprint).with("falls", m_traffic.crashes().fallsOf(m_fingerprint));
+        m_traffic.crashes().fell(m_admitted.fingerprint, lifeOf(upstream), now);
+        LogLine(LogLevel::Warning, "upstream_cut").with("id", m_admitted.request.id.value).with("upstream", upstream.id.value).with("fingerprint", m_admitted.fingerprint).with("falls", m_traffic.crashes().fallsOf(m_admitted.fingerprint));
     }
     if (m_traffic.board().failed(upstream.id, now))
-        LogLine(LogLevel::Warning, "upstream_ejected").with("id", m_request.id.value).with("upstream", upstream.id.value).with("service", m_serviceId.value).with("last_end", nameOf(end));
+        LogLine(LogLevel::Warning, "upstream_ejected").with("id", m_admitted.request.id.value).with("upstream", upstream.id.value).with("service", serviceName()).with("last_end", nameOf(end));
 }
 
 void RequestRun::upstreamWorked(const UpstreamEntry& upstream)
@@ -450,39 +415,39 @@
 void RequestRun::firstByteSent(TimePoint now)
 {
     m_firstByteAt = now;
-    m_traffic.metrics().firstByte(m_team.value_or(TeamId {}), m_rank, now - m_received.at);
+    m_traffic.metrics().firstByte(m_admitted.team.value_or(TeamId {}), m_admitted.rank, now - m_received.at);
 }
 
 void RequestRun::logEnd(std::string_view error, int status) const
 {
     auto now = bootNow();
-    m_traffic.metrics().requestEnded(m_team.value_or(TeamId {}), m_rank, std::string(error), now - m_received.at);
+    m_traffic.metrics().requestEnded(m_admitted.team.value_or(TeamId {}), m_admitted.rank, std::string(error), now - m_received.at);
     LogLine line(error == "none" || error == "caller_left" ? LogLevel::Info : LogLevel::Warning, "request");
-    line.with("id", m_request.id.value).with("status", status).with("error", error).with("route", m_route ? m_route->name : "").with("team", m_team ? m_team->value : "");
-    line.with("service", m_serviceId.value).with("upstream", m_tried.empty() ? "" : m_tried.back().value).with("tried", static_cast<std::int64_t>(m_tried.size()));
+    line.with("id", m_admitted.request.id.value).with("status", status).with("error", error).with("route", m_admitted.route ? m_admitted.route->name : "").with("team", m_admitted.team ? m_admitted.team->value : "");
+    line.with("service", serviceName()).with("upstream", m_tried.empty() ? "" : m_tried.back().value).with("tried", static_cast<std::int64_t>(m_tried.size()));
     line.with("arrivals", m_arrivals).with("ran", m_verdict.verdict() == Ran::No ? "no" : "maybe").with("ms", toMilliseconds(now - m_received.at).count());
     if (m_firstByteAt)
         line.with("first_ms", toMilliseconds(*m_firstByteAt - m_received.at).count());
     if (m_model)
         line.with("model", m_model->value);
     if (error == answerFor(ErrorKind::RequestQuarantined).name)
-        line.with("fingerprint", m_fingerprint).with("falls", m_traffic.crashes().fallsOf(m_fingerprint));
-    if (m_view && m_view->configuration)
-        line.with("configuration", m_view->configuration->version).with("view_age_ms", toMilliseconds(now - m_view->freshAt).count());
+        line.with("fingerprint", m_admitted.fingerprint).with("falls", m_traffic.crashes().fallsOf(m_admitted.fingerprint));
+    if (m_admitted.configuration)
+        line.with("configuration", m_admitted.configuration->version).with("view_age_ms", toMilliseconds(now - m_view->freshAt).count());
 }
 
 Milliseconds RequestRun::timeLeft() const
 {
-    return std::max(Milliseconds(0), toMilliseconds(m_deadline - bootNow()));
+    return std::max(Milliseconds(0), toMilliseconds(m_admitted.deadline - bootNow()));
 }
 
 Milliseconds RequestRun::patienceFor(bool mayTryAnother) const
 {
     if (!mayTryAnother)
         return timeLeft();
-    auto patience = m_route->kind == RouteKind::Streaming
-        ? std::max(leastFirstEventPatience, scaled(m_route->targetLatency, firstEventPatience))
-        : scaled(m_route->targetLatency, answerPatience);
+    auto patience = m_admitted.route->kind == RouteKind::Streaming
+        ? std::max(leastFirstEventPatience, scaled(m_admitted.route->targetLatency, firstEventPatience))
+        : scaled(m_admitted.route->targetLatency, answerPatience);
     return std::min(patience, timeLeft());
 }
 
--- a/src/edge/request_run.h
+++ b/src/edge/request_run.h
@@ -3,6 +3,7 @@
 // The life of one request at this instance: checked, sent to an upstream, sent again where that is safe, its answer
 // passed on byte for byte, and one line logged about how it ended.
 
+#include "core/requests/admit_request.h"
 #include "core/requests/event_stream.h"
 #include "core/requests/ran_verdict.h"
 #include "core/requests/upstream_answer.h"
@@ -28,7 +29,6 @@
     };
 
     ErrorKind admit();
-    ErrorKind findTeam();
     Awaitable<void> serve();
     const UpstreamEntry* chooseUpstream(TimePoint now);
     Awaitable<SendResult> sendTo(UpstreamEntry);
@@ -47,22 +47,17 @@
     void upstreamWorked(const UpstreamEntry&);
     void firstByteSent(TimePoint now);
     void logEnd(std::string_view error, int status) const;
+    // Empty before the request is admitted.
+    std::string serviceName() const { return m_admitted.service ? m_admitted.service->name.value : std::string(); }
     Milliseconds timeLeft() const;
     Milliseconds patienceFor(bool mayTryAnother) const;
 
     Traffic& m_traffic;
     std::shared_ptr<CallerConnection> m_caller;
     ReceivedRequest m_received;
-    RoutedRequest m_request;
-    std::string m_fingerprint;
-    // The view that admitted the request; route and service belong to it.
+    // The view that the request was admitted by.
     FleetViewPtr m_view;
-    const Route* m_route = nullptr;
-    const RoutedService* m_service = nullptr;
-    ServiceId m_serviceId;
-    std::optional<TeamId> m_team;
-    std::int64_t m_rank = 0;
-    TimePoint m_deadline {};
+    AdmittedRequest m_admitted;
     RanVerdict m_verdict;
     EventStream m_events;
     std::shared_ptr<UpstreamConnection> m_upstream;
--- a/test/correctness/platform_test.cpp
+++ b/test/correctness/platform_test.cpp
@@ -17,7 +17,8 @@
         { "X-Model-Name", "*" }, { "X-Token-Count", "1460,80" }, { "X-Prefix-Hash", "5c1e:800,91bd:410,e440:250" }, { "Session", "s-1" }, { "Connection", "keep-alive, X-Hop" },
         { "X-Hop", "1" }, { "Accept", "a" }, { "Accept", "b" }, { "X-Kv-Hold", "forged" }, { "X-Request-Urgency", "0" } };
     RoutedRequest request;
-    REQUIRE(decodeRequest(fields, request));
+    decodeRequest(fields, request);
+    REQUIRE_FALSE(request.id.empty());
     CHECK(request.host == "ficu95.example");
     CHECK(request.id.value == "9c41");
     CHECK(request.patience == 25000ms);
@@ -45,19 +46,22 @@
     SECTION("a model that the caller names stays")
     {
         RoutedRequest named;
-        REQUIRE(decodeRequest({ { "X-Attempt-Id", "1" }, { "X-Model-Name", "large" } }, named));
+        decodeRequest({ { "X-Attempt-Id", "1" }, { "X-Model-Name", "large" } }, named);
+    REQUIRE_FALSE(named.id.empty());
         CHECK_FALSE(named.anyModel);
         CHECK(findField(named.passedOn, "X-Model-Name"));
     }
     SECTION("without an identity it is no request")
     {
         RoutedRequest nameless;
-        CHECK_FALSE(decodeRequest({ { "Host", "x" } }, nameless));
+        decodeRequest({ { "Host", "x" } }, nameless);
+        CHECK(nameless.id.empty());
     }
     SECTION("numbers that are none are as good as missing")
     {
         RoutedRequest odd;
-        REQUIRE(decodeRequest({ { "X-Attempt-Id", "1" }, { "X-Deadline-Ms", "soon" }, { "X-Token-Count", "," }, { "X-Prefix-Hash", ":,x" } }, odd));
+        decodeRequest({ { "X-Attempt-Id", "1" }, { "X-Deadline-Ms", "soon" }, { "X-Token-Count", "," }, { "X-Prefix-Hash", ":,x" } }, odd);
+    REQUIRE_FALSE(odd.id.empty());
         CHECK_FALSE(odd.patience);
         CHECK(odd.promptTokens == 0);
     }
--- a/test/correctness/routing_test.cpp
+++ b/test/correctness/routing_test.cpp
@@ -2,6 +2,7 @@
 
 #include "core/limits/crash_guard.h"
 #include "core/limits/repeat_budget.h"
+#include "core/requests/admit_request.h"
 #include "core/routing/model_choice.h"
 #include "core/routing/routing_configuration.h"
 #include "core/routing/upstream_board.h"
@@ -56,6 +57,84 @@
 
 }
 
+TEST_CASE("a request is let in on the terms of its route and its key")
+{
+    auto configuration = std::make_shared<RoutingConfiguration>();
+    Route route;
+    route.name = "draft";
+    route.host = "a.example";
+    route.prefix = "/draft/";
+    route.rank = 2;
+    route.timeout = 3000ms;
+    route.split = { { { "assist" }, 1 } };
+    configuration->routes = { route };
+    configuration->services[{ "assist" }] = { { "assist" }, "/", 0, {} };
+    configuration->hasTeams = true;
+    configuration->holders["key-1"] = { { "design" }, {} };
+    configuration->holders["key-2"] = { { "sales" }, 0 };
+    AdmittedRequest admitted;
+    admitted.configuration = configuration;
+    auto& request = admitted.request;
+    request.id = { "r" };
+    request.host = "a.example";
+    request.target = "/draft/x?y";
+    request.key = "key-1";
+    request.body = std::make_shared<const std::string>("prompt");
+
+    SECTION("it gets the route's service, rank and time, and its key's team")
+    {
+        CHECK(admitRequest(admitted, start) == ErrorKind::None);
+        CHECK(admitted.service->name.value == "assist");
+        CHECK(admitted.team->value == "design");
+        CHECK(admitted.rank == 2);
+        CHECK(admitted.deadline == start + 3000ms);
+    }
+    SECTION("a caller with less time than the route gives has its own")
+    {
+        request.patience = 700ms;
+        CHECK(admitRequest(admitted, start) == ErrorKind::None);
+        CHECK(admitted.deadline == start + 700ms);
+    }
+    SECTION("a team's own rank goes before the route's")
+    {
+        request.key = "key-2";
+        CHECK(admitRequest(admitted, start) == ErrorKind::None);
+        CHECK(admitted.rank == 0);
+    }
+    SECTION("an unknown key is refused, but not where the route asks for none")
+    {
+        request.key = "stolen";
+        CHECK(admitRequest(admitted, start) == ErrorKind::UnknownKey);
+        configuration->routes[0].anonymous = true;
+        CHECK(admitRequest(admitted, start) == ErrorKind::None);
+        CHECK_FALSE(admitted.team);
+    }
+    SECTION("what cannot be let in says why")
+    {
+        request.target = "/other/";
+        CHECK(admitRequest(admitted, start) == ErrorKind::UnknownTarget);
+        request.target = "/draft/x";
+        request.id = {};
+        CHECK(admitRequest(admitted, start) == ErrorKind::BadHeader);
+        request.id = { "r" };
+        configuration->services.clear();
+        CHECK(admitRequest(admitted, start) == ErrorKind::NoHealthyUpstream);
+        admitted.configuration = nullptr;
+        CHECK(admitRequest(admitted, start) == ErrorKind::NotConfigured);
+    }
+    SECTION("the fingerprint is the caller's and the request's, not the id's")
+    {
+        admitRequest(admitted, start);
+        auto first = admitted.fingerprint;
+        request.id = { "r2" };
+        admitRequest(admitted, start);
+        CHECK(admitted.fingerprint == first);
+        request.key = "key-2";
+        admitRequest(admitted, start);
+        CHECK(admitted.fingerprint != first);
+    }
+}
+
 TEST_CASE("a request finds its route")
 {
     RoutingConfiguration configuration;
