Go on with a read of many pages where the store refused one, and spread the tries

Every instance then reads the whole store (seven pages of 3,000 upstreams), together more reads a second and more bytes than the store gives; a page that was refused or took over a second made the instance begin with the first page again, and all tried again after the same 300 ms. Ruled out: leases and listings (they go on beside the read); peers (none has a copy then); the first second's wait of requests (it ends by itself). Test: "a read of many pages goes on where the store refused one" (test_edge): with every second read refused the instance never got ready before. The stand-in has pages now.

--- a/src/edge/control_plane.cpp
+++ b/src/edge/control_plane.cpp
@@ -11,8 +11,9 @@
 
     // Pause after each answer of a watch: every beat of an upstream is a change, and every answer is priced.
     constexpr Milliseconds watchPause { 300 };
-    // Pause after a call that the store did not take.
-    constexpr Milliseconds failurePause { 300 };
+    // Pause after a call that the store did not take: between these, so that instances that started together spread.
+    constexpr Milliseconds leastFailurePause { 150 };
+    constexpr Milliseconds mostFailurePause { 450 };
     // Time behind a peer after which its changes are fetched: the store's watch tells them sooner if it works.
     constexpr Milliseconds catchUpAfter { 450 };
     constexpr Milliseconds catchUpTime { 800 };
@@ -48,6 +49,7 @@
     , m_rollouts(loop, m_store, [this] { m_changed = true; })
     , m_fleet(m_self, settings.domain, settings.peerListen)
     , m_beatSocket(loop, udpEndpoint(settings.peerListen))
+    , m_random(m_self.number)
 {
     m_beatSocket.non_blocking(true);
     expectSeeds(settings.seeds);
@@ -92,10 +94,15 @@
             needsWhole = true;
             continue;
         }
-        co_await sleepFor(m_loop, isOk ? watchPause : failurePause);
+        co_await sleepFor(m_loop, isOk ? watchPause : failurePause());
     }
 }
 
+Milliseconds ControlPlane::failurePause()
+{
+    return Milliseconds(std::uniform_int_distribution(leastFailurePause.count(), mostFailurePause.count())(m_random));
+}
+
 Awaitable<void> ControlPlane::listSelf()
 {
     std::int64_t lease = 0;
@@ -251,7 +258,7 @@
         ResponseHead answer;
         bool isSent = co_await connection->send(head, nullptr);
         if (isSent && co_await connection->readHead(answer) == TransferEnd::Ok && answer.status == 200) {
-            auto body = co_await connection->readWholeBody(mostMirrorBytes);
+            auto body = co_await connection->readLongBody(mostMirrorBytes, catchUpTime);
             if (body.end == TransferEnd::Ok)
                 update = decodeUpdate(body.bytes);
         }
--- a/src/edge/control_plane.h
+++ b/src/edge/control_plane.h
@@ -12,6 +12,8 @@
 #include "edge/rollout_keeper.h"
 #include "edge/store_link.h"
 
+#include <random>
+
 namespace skylarkhitch {
 
 class ControlPlane {
@@ -48,6 +50,7 @@
     Awaitable<void> servePeer(std::shared_ptr<CallerConnection>, ReceivedRequest);
     Awaitable<void> serveMetrics(std::shared_ptr<CallerConnection>, ReceivedRequest);
 
+    Milliseconds failurePause();
     void itemChanged(const std::string& key, const StoreMirror::Item*);
     void configurationChanged(const StoreMirror::Item*);
     void upstreamChanged(const std::string& id, const StoreMirror::Item*);
@@ -78,6 +81,7 @@
     RolloutKeeper m_rollouts;
     FleetRoster m_fleet;
     asio::ip::udp::socket m_beatSocket;
+    std::mt19937_64 m_random;
     std::unique_ptr<HttpListener> m_peerListener;
     std::unique_ptr<HttpListener> m_metricsListener;
     RoutingConfigurationPtr m_configuration;
--- a/src/edge/store_link.cpp
+++ b/src/edge/store_link.cpp
@@ -15,6 +15,9 @@
     // that fell silent is noticed by the lease's renewal, and its changes come from peers.
     constexpr Milliseconds watchTime { 8000 };
     constexpr Milliseconds watchMargin { 700 };
+    // Pages that were read before this are read anew: the watch that follows goes on from the first page's revision, and the
+    // platform keeps 20 s of changes.
+    constexpr Seconds longestRead { 10 };
     constexpr std::size_t mostAnswerBytes = std::size_t { 16 } << 20;
     // Every key is mirrored.
     constexpr const char* everyKey = "";
@@ -51,7 +54,8 @@
         ResponseHead answerHead;
         bool isSent = co_await connection->send(head + "\r\n", std::make_shared<const std::string>(request.body));
         if (isSent && co_await connection->readHead(answerHead) == TransferEnd::Ok) {
-            auto body = co_await connection->readWholeBody(mostAnswerBytes);
+            // Answers of a megabyte take long where many instances read them at once.
+            auto body = co_await connection->readLongBody(mostAnswerBytes, manner.timeout);
             if (body.end == TransferEnd::Ok)
                 answer = { answerHead.status, std::move(body.bytes) };
         }
@@ -120,8 +124,10 @@
 Awaitable<StoreLink::WatchResult> StoreLink::readAll()
 {
     Manner manner { &m_watchConnection, callTime, "read" };
-    MirrorUpdate update { 0, true, {} };
-    std::string after;
+    if (!m_partialRead || bootNow() - m_partialRead->begunAt > longestRead)
+        m_partialRead = PartialRead { .begunAt = bootNow() };
+    auto& update = m_partialRead->update;
+    auto& after = m_partialRead->after;
     for (;;) {
         auto answer = co_await exchange(platform::readPage(everyKey, after), manner);
         auto page = answer.isOk() ? platform::decodePage(answer.body) : std::nullopt;
@@ -137,7 +143,9 @@
             break;
         after = page->items.back().key;
     }
-    co_return WatchResult { 200, std::move(update) };
+    WatchResult result { 200, std::move(update) };
+    m_partialRead.reset();
+    co_return result;
 }
 
 }
--- a/src/edge/store_link.h
+++ b/src/edge/store_link.h
@@ -29,7 +29,7 @@
         std::optional<MirrorUpdate> update;
     };
     Awaitable<WatchResult> watch(std::int64_t after);
-    // Every key of the store.
+    // Every key of the store. A read that the store breaks off goes on at the same page the next time.
     Awaitable<WatchResult> readAll();
 
     // Whether the store took the last call that ended.
@@ -49,6 +49,13 @@
         bool waitsForChange = false;
     };
     Awaitable<StoreAnswer> exchange(platform::StoreRequest, Manner);
+    // What was read of the store so far.
+    struct PartialRead {
+        MirrorUpdate update { 0, true, {} };
+        // The last key of it.
+        std::string after;
+        TimePoint begunAt {};
+    };
     void noteAnswer(int status);
     // Ends a watch that waits, so that it is asked anew.
     void restartWatch();
@@ -58,6 +65,7 @@
     EdgeMetrics& m_metrics;
     std::shared_ptr<UpstreamConnection> m_watchConnection;
     std::shared_ptr<UpstreamConnection> m_callConnection;
+    std::optional<PartialRead> m_partialRead;
     // The connection of a watch that waits for its answer.
     std::weak_ptr<UpstreamConnection> m_waitingWatch;
     // The watch was ended here, which says nothing about the store.
--- a/src/edge/upstream_connection.cpp
+++ b/src/edge/upstream_connection.cpp
@@ -24,6 +24,13 @@
         return result;
     }
 
+    void append(BodyPiece& whole, const BodyPiece& piece)
+    {
+        whole.bytes += piece.bytes;
+        whole.end = piece.end;
+        whole.isLast = piece.isLast;
+    }
+
 }
 
 UpstreamConnection::UpstreamConnection(EventLoop& loop)
@@ -121,21 +128,34 @@
 Awaitable<BodyPiece> UpstreamConnection::readWholeBody(std::size_t mostBytes)
 {
     BodyPiece whole;
-    while (!whole.isLast) {
+    while (mayGrow(whole, mostBytes)) {
         auto piece = co_await readBody();
-        whole.bytes += piece.bytes;
-        whole.end = piece.end;
-        whole.isLast = piece.isLast;
-        if (whole.bytes.size() > mostBytes) {
-            close();
-            whole.end = TransferEnd::Malformed;
-        }
-        if (whole.end != TransferEnd::Ok)
-            break;
+        append(whole, piece);
     }
     co_return whole;
 }
 
+Awaitable<BodyPiece> UpstreamConnection::readLongBody(std::size_t mostBytes, Milliseconds longestSilence)
+{
+    BodyPiece whole;
+    while (mayGrow(whole, mostBytes)) {
+        endAfter(longestSilence);
+        auto piece = co_await readBody();
+        append(whole, piece);
+    }
+    co_return whole;
+}
+
+// Whether more of a body is to be read; one beyond the bound is given up.
+bool UpstreamConnection::mayGrow(BodyPiece& whole, std::size_t mostBytes)
+{
+    if (whole.bytes.size() > mostBytes) {
+        close();
+        whole.end = TransferEnd::Malformed;
+    }
+    return whole.end == TransferEnd::Ok && !whole.isLast;
+}
+
 // Parses what was read, or reads more.
 Awaitable<TransferEnd> UpstreamConnection::advance()
 {
--- a/src/edge/upstream_connection.h
+++ b/src/edge/upstream_connection.h
@@ -49,6 +49,8 @@
     Awaitable<BodyPiece> readBody();
     // Reads the rest of the body; the connection is closed if it is longer than the bound.
     Awaitable<BodyPiece> readWholeBody(std::size_t mostBytes);
+    // The same for a long body on a slow link: only a silence of this length ends it.
+    Awaitable<BodyPiece> readLongBody(std::size_t mostBytes, Milliseconds longestSilence);
 
     // Ends everything that waits on this connection after this time, unless it is set anew or cleared.
     void endAfter(Milliseconds time) { m_deadline.set(time); }
@@ -63,6 +65,7 @@
     using Parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
 
     Awaitable<TransferEnd> advance();
+    bool mayGrow(BodyPiece& whole, std::size_t mostBytes);
     // Holds the connection by itself, since it goes on beside its caller.
     static Awaitable<void> sendRest(std::shared_ptr<UpstreamConnection> self, std::shared_ptr<const std::string> head, std::shared_ptr<const std::string> body);
 
--- a/test/correctness/platform_test.cpp
+++ b/test/correctness/platform_test.cpp
@@ -47,7 +47,7 @@
     {
         RoutedRequest named;
         decodeRequest({ { "X-Attempt-Id", "1" }, { "X-Model-Name", "large" } }, named);
-    REQUIRE_FALSE(named.id.empty());
+        REQUIRE_FALSE(named.id.empty());
         CHECK_FALSE(named.anyModel);
         CHECK(findField(named.passedOn, "X-Model-Name"));
     }
@@ -61,7 +61,7 @@
     {
         RoutedRequest odd;
         decodeRequest({ { "X-Attempt-Id", "1" }, { "X-Deadline-Ms", "soon" }, { "X-Token-Count", "," }, { "X-Prefix-Hash", ":,x" } }, odd);
-    REQUIRE_FALSE(odd.id.empty());
+        REQUIRE_FALSE(odd.id.empty());
         CHECK_FALSE(odd.patience);
         CHECK(odd.promptTokens == 0);
     }
--- a/test/fakes/fleet_standin.cpp
+++ b/test/fakes/fleet_standin.cpp
@@ -91,6 +91,8 @@
         return !connection.closesWithin(std::chrono::seconds(30));
     if (fault == StoreFault::SlowReads && request.path() == "/-/kv-range")
         std::this_thread::sleep_for(slowReadTime);
+    if (fault == StoreFault::BusyReads && request.path() == "/-/kv-range" && ++m_reads % 2 == 0)
+        return connection.write(answerBytes(429, "{}"));
     auto bytes = answer(request);
     // A fault that began while a watch waited holds for its answer too.
     if (fault == StoreFault::Silent)
@@ -104,7 +106,7 @@
 {
     auto path = request.path();
     if (path == "/-/kv-range")
-        return range(decodePrefix(request.query("prefix")));
+        return range(decodePrefix(request.query("prefix")), decodePrefix(request.query("after")));
     if (path == "/-/kv-watch")
         return watch(request);
     if (path == "/-/kv-txn")
@@ -113,15 +115,19 @@
     return answerBytes(200, Json { { "lease", ++m_leases }, { "ttlMs", 10000 } }.dump());
 }
 
-std::string FleetStore::range(const std::string& prefix)
+std::string FleetStore::range(const std::string& prefix, const std::string& after)
 {
     std::lock_guard lock(m_mutex);
     Json items = Json::array();
-    for (const auto& [key, item] : m_items) {
-        if (absl::StartsWith(key, prefix))
-            items.push_back(itemJson(key, item.value, item.revision));
+    bool hasMore = false;
+    for (auto it = m_items.upper_bound(after); it != m_items.end() && !hasMore; ++it) {
+        if (!absl::StartsWith(it->first, prefix))
+            continue;
+        hasMore = items.size() == m_pageSize;
+        if (!hasMore)
+            items.push_back(itemJson(it->first, it->second.value, it->second.revision));
     }
-    return answerBytes(200, Json { { "items", items }, { "morePages", false }, { "currentRev", m_revision } }.dump());
+    return answerBytes(200, Json { { "items", items }, { "morePages", hasMore }, { "currentRev", m_revision } }.dump());
 }
 
 std::string FleetStore::watch(const RawRequest& request)
--- a/test/fakes/fleet_standin.h
+++ b/test/fakes/fleet_standin.h
@@ -20,7 +20,9 @@
     // Carries calls out and closes without an answer.
     LosesAnswers,
     // Takes slowReadTime for each read of a range; other calls are answered at once.
-    SlowReads };
+    SlowReads,
+    // Answers 429 to every second read of a range.
+    BusyReads };
 
 constexpr std::chrono::milliseconds slowReadTime { 200 };
 
@@ -39,6 +41,8 @@
     void forgetHistory();
     void setFault(StoreFault);
     void setOtherFault(StoreFault);
+    // Items in one answer to a read of a range.
+    void setPageSize(std::size_t items) { m_pageSize = items; }
     std::int64_t calls() const { return m_calls; }
 
 private:
@@ -54,7 +58,7 @@
 
     bool serve(const RawRequest&, RawConnection&, std::atomic<StoreFault>&);
     std::string answer(const RawRequest&);
-    std::string range(const std::string& prefix);
+    std::string range(const std::string& prefix, const std::string& after);
     std::string watch(const RawRequest&);
     std::string commit(const nlohmann::json&);
     std::int64_t write(const std::string& key, std::optional<std::string> value);
@@ -67,6 +71,8 @@
     std::int64_t m_forgotten = 0;
     std::int64_t m_leases = 0;
     std::atomic<std::int64_t> m_calls = 0;
+    std::atomic<std::int64_t> m_reads = 0;
+    std::atomic<std::size_t> m_pageSize = 500;
     std::atomic<StoreFault> m_fault = StoreFault::None;
     std::atomic<StoreFault> m_otherFault = StoreFault::None;
     LoopbackServer m_server;
--- a/test/processes/edge_test.cpp
+++ b/test/processes/edge_test.cpp
@@ -447,6 +447,18 @@
     }
 }
 
+// Found by a sweep: at 300 instances that start together the store refuses some reads, and who began anew each time had its copy
+// after 30 s.
+TEST_CASE("a read of many pages goes on where the store refused one")
+{
+    Site site;
+    site.store.setPageSize(2);
+    site.store.setFault(StoreFault::BusyReads);
+    EdgeInstance instance("edge-1", site.store.address());
+    CHECK(within(4s, [&] { return instance.isReady(); }));
+    CHECK(statusOf(ask(instance, requestBytes("GET", "/status/x", "id-1"))) == 200);
+}
+
 TEST_CASE("a start loses no time, and a request that comes before the configuration waits for it")
 {
     Site site;
--- a/test/soak/soak_site.cpp
+++ b/test/soak/soak_site.cpp
@@ -198,7 +198,9 @@
 {
     Outcome outcome { absl::StrCat("r", ++m_nextId), kind };
     auto isStream = kind == Kind::Draft;
-    auto target = absl::StrCat(kind == Kind::Status ? "/status/" : kind == Kind::Booking ? "/booking/" : "/draft/", outcome.id);
+    auto target = absl::StrCat(kind == Kind::Status ? "/status/" : kind == Kind::Booking ? "/booking/"
+                                                                                         : "/draft/",
+        outcome.id);
     std::string method = kind == Kind::Status ? "GET" : "POST";
     auto body = kind == Kind::Status ? std::string() : std::string(std::uniform_int_distribution<std::size_t>(1, 3000)(random), 'b');
     int after = isStream ? std::uniform_int_distribution<int>(0, 2)(random) : 0;
