Write an instance's entry in the store's list again if it was refused

Cause: read in the code while tests for a store that conflicts were written: after a lease was granted the entry was written once; refused (429, 503, 412) or without an answer it was never written again as long as the lease held, so that instances that start later could not find this one by the list. Ruled out: beats (they name known peers, which hides the fault on small sites). Change: the entry is written with each renewal until the store says that it has it. Tests: "an instance that the store did not list at first is listed all the same" failed before; the roll-out that loses answers is also played with a store where others write first (412); a watch that is cut.

--- a/src/edge/control_plane.cpp
+++ b/src/edge/control_plane.cpp
@@ -106,6 +106,7 @@
 Awaitable<void> ControlPlane::listSelf()
 {
     std::int64_t lease = 0;
+    bool isListed = false;
     for (;;) {
         if (lease != 0) {
             auto renewed = co_await m_store.call(platform::renewLease(lease), "renew");
@@ -116,19 +117,26 @@
         if (lease == 0) {
             auto granted = co_await m_store.call(platform::grantLease(listLease), "lease");
             lease = granted.isOk() ? platform::decodeLease(granted.body).value_or(0) : 0;
-            if (lease != 0) {
-                // Built before the call: g++ 12 destroys an aggregate inside a co_await expression twice.
-                ListedPeer self { m_settings.peerListen, m_settings.domain };
-                auto request = platform::commit(platform::listInstance(m_self.instance, self, lease));
-                auto listed = co_await m_store.call(std::move(request), "list");
-                if (!listed.isOk())
-                    LogLine(LogLevel::Warning, "not_listed").with("status", listed.status);
-            }
+            isListed = false;
         }
+        if (lease != 0 && !isListed)
+            isListed = co_await writeListing(lease);
         co_await sleepFor(m_loop, listRenewal);
     }
 }
 
+// False if the store did not take it, or did not say so: it is written again then.
+Awaitable<bool> ControlPlane::writeListing(std::int64_t lease)
+{
+    // Built before the call: g++ 12 destroys an aggregate inside a co_await expression twice.
+    ListedPeer self { m_settings.peerListen, m_settings.domain };
+    auto request = platform::commit(platform::listInstance(m_self.instance, self, lease));
+    auto listed = co_await m_store.call(std::move(request), "list");
+    if (!listed.isOk())
+        LogLine(LogLevel::Warning, "not_listed").with("status", listed.status);
+    co_return listed.isOk();
+}
+
 void ControlPlane::itemChanged(const std::string& key, const StoreMirror::Item* item)
 {
     auto document = platform::decodeKey(key);
--- a/src/edge/control_plane.h
+++ b/src/edge/control_plane.h
@@ -45,6 +45,7 @@
 
     Awaitable<void> followStore();
     Awaitable<void> listSelf();
+    Awaitable<bool> writeListing(std::int64_t lease);
     Awaitable<void> receiveBeats();
     Awaitable<void> catchUpFrom(std::string peerAddress, std::string name);
     Awaitable<void> servePeer(std::shared_ptr<CallerConnection>, ReceivedRequest);
--- a/test/fakes/fleet_standin.cpp
+++ b/test/fakes/fleet_standin.cpp
@@ -58,6 +58,13 @@
     m_changed.notify_all();
 }
 
+void FleetStore::cutWatches()
+{
+    std::lock_guard lock(m_mutex);
+    ++m_cuts;
+    m_changed.notify_all();
+}
+
 void FleetStore::setFault(StoreFault fault)
 {
     m_fault = fault;
@@ -93,7 +100,11 @@
         std::this_thread::sleep_for(slowReadTime);
     if (fault == StoreFault::BusyReads && request.path() == "/-/kv-range" && ++m_reads % 2 == 0)
         return connection.write(answerBytes(429, "{}"));
+    if (fault == StoreFault::Conflicts && request.path() == "/-/kv-txn" && ++m_commits % 2 == 1)
+        return connection.write(answerBytes(412, R"({"items":[]})"));
     auto bytes = answer(request);
+    if (bytes.empty())
+        return false;
     // A fault that began while a watch waited holds for its answer too.
     if (fault == StoreFault::Silent)
         return !connection.closesWithin(std::chrono::seconds(30));
@@ -135,7 +146,10 @@
     auto after = std::stoll(request.query("after"));
     auto until = std::chrono::steady_clock::now() + std::chrono::milliseconds(std::stoll(request.query("waitMs")));
     std::unique_lock lock(m_mutex);
+    auto cuts = m_cuts;
     for (;;) {
+        if (cuts != m_cuts)
+            return {};
         if (after < m_forgotten)
             return answerBytes(410, "{}");
         Json events = Json::array();
--- a/test/fakes/fleet_standin.h
+++ b/test/fakes/fleet_standin.h
@@ -22,7 +22,9 @@
     // Takes slowReadTime for each read of a range; other calls are answered at once.
     SlowReads,
     // Answers 429 to every second read of a range.
-    BusyReads };
+    BusyReads,
+    // Answers 412 to the first transaction and to every second one after it, as if others had been quicker.
+    Conflicts };
 
 constexpr std::chrono::milliseconds slowReadTime { 200 };
 
@@ -39,6 +41,8 @@
     std::optional<std::string> find(const std::string& key);
     // Watches from before now answer 410.
     void forgetHistory();
+    // Closes the connections of watches that wait.
+    void cutWatches();
     void setFault(StoreFault);
     void setOtherFault(StoreFault);
     // Items in one answer to a read of a range.
@@ -72,6 +76,9 @@
     std::int64_t m_leases = 0;
     std::atomic<std::int64_t> m_calls = 0;
     std::atomic<std::int64_t> m_reads = 0;
+    std::atomic<std::int64_t> m_commits = 0;
+    // Counts the cuts of watches.
+    std::int64_t m_cuts = 0;
     std::atomic<std::size_t> m_pageSize = 500;
     std::atomic<StoreFault> m_fault = StoreFault::None;
     std::atomic<StoreFault> m_otherFault = StoreFault::None;
--- a/test/processes/edge_test.cpp
+++ b/test/processes/edge_test.cpp
@@ -139,6 +139,12 @@
             CHECK(statusOf(ask(instance, requestBytes("GET", "/status/x", absl::StrCat("id-7-", n)))) == 200);
         CHECK(site.first.count() == before);
     }
+    SECTION("after a watch was cut, changes are found all the same")
+    {
+        site.store.cutWatches();
+        site.store.put("op/config", sampleConfiguration(10, "key-4"));
+        CHECK(within(2s, [&] { return !instance.lines("configuration version=10").empty(); }));
+    }
     SECTION("after the store forgot its history, changes are found all the same")
     {
         site.store.forgetHistory();
@@ -506,13 +512,23 @@
     CHECK(within(2s, [&] { return !instance.lines("configuration version=40").empty(); }));
 }
 
-TEST_CASE("a roll-out goes through although the store loses answers")
+TEST_CASE("an instance that the store did not list at first is listed all the same")
+{
+    Site site;
+    site.store.setFault(StoreFault::Conflicts);
+    EdgeInstance instance("edge-1", site.store.address());
+    CHECK(within(4s, [&] { return site.store.find("skylarkhitch/instances/edge-1").has_value(); }));
+    CHECK(instance.lines("what=not_listed").size() == 1);
+}
+
+TEST_CASE("a roll-out goes through although the store loses answers or others write first")
 {
     Site site;
     ScriptedUpstream fresh("i-9", streaming(3, 5ms));
     EdgeInstance instance("edge-1", site.store.address());
     REQUIRE(within(5s, [&] { return instance.isReady(); }));
-    site.store.setFault(StoreFault::LosesAnswers);
+    auto fault = GENERATE(StoreFault::LosesAnswers, StoreFault::Conflicts);
+    site.store.setFault(fault);
     site.store.put("servers/i-9", fresh.entry("assist", "ready", "v2"));
     site.store.put("op/rollout/assist", R"({"backend":"assist","target":"v2","durationS":4})");
     // Every second request falls into the canary's share, so that there are answers to judge by.
@@ -530,6 +546,8 @@
     for (const auto& it : instance.lines("roll"))
         UNSCOPED_INFO(it);
     CHECK(absl::StrContains(last, "completed"));
+    if (fault == StoreFault::Conflicts)
+        CHECK(instance.lines("what=rollout_not_written").front().find("status=412") != std::string::npos);
 }
 
 TEST_CASE("a failed request is followed from its id through the lines of two instances")
