Log which side ended a connection, and coroutines that end by an exception

A request whose connection this side had closed was logged as caller_left. A coroutine that ended by an exception left no line at all, since detached coroutines drop it. Change: each request line has the end of its connection (connection) and how long the connection had rested before it (idle_ms). A connection that ends between requests, and not by an idle caller's close, writes connection_closed with the end, its error, the requests served and the bytes that were not parsed. No decision changes.

--- a/src/edge/caller_connection.cpp
+++ b/src/edge/caller_connection.cpp
@@ -35,6 +35,17 @@
 
     bool forbidsBody(int status) { return status == 204 || status == 304; }
 
+    ConnectionEnd endFor(const boost::system::error_code& ec)
+    {
+        return ec == asio::error::eof ? ConnectionEnd::ClosedByCaller : ConnectionEnd::SocketError;
+    }
+
+}
+
+std::string_view connectionEndName(ConnectionEnd end)
+{
+    constexpr std::string_view names[] = { "open", "closed_by_caller", "socket_error", "idle_timeout", "request_timeout", "write_timeout", "aborted" };
+    return names[static_cast<int>(end)];
 }
 
 CallerConnection::CallerConnection(EventLoop& loop, TcpSocket socket, std::shared_ptr<ServerState> server)
@@ -52,11 +63,14 @@
     while (m_keepAlive && !m_hasDisconnected) {
         ReceivedRequest request;
         auto end = co_await readRequest(request);
+        if (end == ReadOutcome::Closed)
+            logClose();
         if (end != ReadOutcome::Request)
             break;
         m_isHeadRequest = request.method == "HEAD";
         m_isServing = true;
         m_hasStartedResponse = false;
+        ++m_requests;
         ++m_server->requests;
         watchForDisconnect();
         co_await m_server->handler(shared_from_this(), std::move(request));
@@ -79,6 +93,9 @@
     RequestReader reader(limits.maxHeaderBytes, limits.maxBodyBytes);
     m_deadline.set(limits.idleTimeout + timeoutMargin);
     bool hasSentContinue = false;
+    m_idleSince = bootNow();
+    m_requestStarted = !m_input.empty();
+    Milliseconds idleTime { 0 };
     bool hasHeadStarted = false;
     while (reader.feed(m_input) != RequestReader::State::Done) {
         if (reader.state() == RequestReader::State::Failed) {
@@ -97,10 +114,12 @@
         }
         if (!co_await readSocket())
             co_return ReadOutcome::Closed;
+        if (!std::exchange(m_requestStarted, true))
+            idleTime = toMilliseconds(bootNow() - m_idleSince);
     }
     m_deadline.clear();
     m_keepAlive = reader.keepsAlive() && reader.isHttp11();
-    request = { reader.method(), reader.target(), reader.fields(), std::make_shared<const std::string>(reader.takeBody()), bootNow() };
+    request = { reader.method(), reader.target(), reader.fields(), std::make_shared<const std::string>(reader.takeBody()), bootNow(), idleTime };
     co_return ReadOutcome::Request;
 }
 
@@ -111,6 +130,10 @@
     m_input.resize(size + readBlockBytes);
     auto n = co_await m_socket.async_read_some(asio::buffer(m_input.data() + size, readBlockBytes), asio::redirect_error(asio::use_awaitable, ec));
     m_input.resize(size + n);
+    if (ec && m_end == ConnectionEnd::Open) {
+        m_end = endFor(ec);
+        m_error = ec;
+    }
     co_return !ec;
 }
 
@@ -168,8 +191,10 @@
     std::array<asio::const_buffer, 2> buffers { asio::buffer(head), asio::buffer(body.data(), body.size()) };
     co_await asio::async_write(m_socket, buffers, asio::redirect_error(asio::use_awaitable, ec));
     m_deadline.clear();
-    if (ec)
-        handleDisconnect();
+    if (ec) {
+        m_error = ec;
+        handleDisconnect(ConnectionEnd::SocketError);
+    }
     co_return !ec;
 }
 
@@ -177,6 +202,8 @@
 {
     m_keepAlive = false;
     m_hasDisconnected = true;
+    if (m_end == ConnectionEnd::Open)
+        m_end = ConnectionEnd::Aborted;
     boost::system::error_code ec;
     // Zero linger time discards unsent bytes and resets the connection, so that the caller sees no clean end.
     m_socket.set_option(asio::socket_base::linger(true, 0), ec);
@@ -186,20 +213,23 @@
 void CallerConnection::onDeadline()
 {
     if (m_isServing) {
-        handleDisconnect();
+        handleDisconnect(ConnectionEnd::WriteTimeout);
         abort();
         return;
     }
+    m_end = m_requestStarted ? ConnectionEnd::RequestTimeout : ConnectionEnd::IdleTimeout;
     // Makes the pending read return; run() then closes the connection.
     boost::system::error_code ec;
     m_socket.shutdown(TcpSocket::shutdown_both, ec);
 }
 
-void CallerConnection::handleDisconnect()
+void CallerConnection::handleDisconnect(ConnectionEnd end)
 {
     if (m_hasDisconnected)
         return;
     m_hasDisconnected = true;
+    if (m_end == ConnectionEnd::Open)
+        m_end = end;
     m_keepAlive = false;
     if (auto callback = std::exchange(m_onDisconnect, nullptr))
         callback();
@@ -226,19 +256,33 @@
     auto n = ::recv(m_socket.native_handle(), buf, sizeof buf, MSG_DONTWAIT);
     if (n > 0)
         m_input.append(buf, static_cast<std::size_t>(n));
-    bool hasEnded = n == 0 || (n < 0 && errno != EAGAIN && errno != EINTR);
-    if (hasEnded)
-        handleDisconnect();
-    else
+    if (n == 0)
+        handleDisconnect(ConnectionEnd::ClosedByCaller);
+    else if (n < 0 && errno != EAGAIN && errno != EINTR) {
+        m_error.assign(errno, boost::system::system_category());
+        handleDisconnect(ConnectionEnd::SocketError);
+    } else
         watchForDisconnect();
 }
 
+// Logs the end of a connection that served no request at that time, unless the caller closed an idle one.
+void CallerConnection::logClose() const
+{
+    if (m_end == ConnectionEnd::ClosedByCaller && !m_requestStarted)
+        return;
+    LogLine line(LogLevel::Info, "connection_closed");
+    line.with("end", connectionEndName(m_end)).with("requests", m_requests).with("idle_ms", toMilliseconds(bootNow() - m_idleSince).count());
+    line.with("unread_bytes", static_cast<std::int64_t>(m_input.size()));
+    if (m_error)
+        line.with("error", m_error.message());
+}
+
 HttpListener::HttpListener(EventLoop& loop, const std::string& address, std::shared_ptr<ServerState> server)
     : m_loop(loop)
     , m_acceptor(loop, tcpEndpoint(address), true)
     , m_server(std::move(server))
 {
-    asio::co_spawn(m_loop, acceptLoop(), asio::detached);
+    spawn(m_loop, acceptLoop(), "accept");
 }
 
 void HttpListener::stop()
@@ -263,7 +307,7 @@
             continue;
         }
         auto connection = std::make_shared<CallerConnection>(m_loop, std::move(socket), m_server);
-        asio::co_spawn(m_loop, runConnection(std::move(connection)), asio::detached);
+        spawn(m_loop, runConnection(std::move(connection)), "connection");
     }
 }
 
--- a/src/edge/caller_connection.h
+++ b/src/edge/caller_connection.h
@@ -20,8 +20,27 @@
     std::shared_ptr<const std::string> body;
     // When the last byte of the request was read.
     TimePoint receivedAt;
+    // How long the connection had been idle when the first byte of the request was read: since the previous response, or since
+    // the connection was accepted.
+    Milliseconds idleTime { 0 };
 };
 
+// Which side ended a connection, and why.
+enum class ConnectionEnd {
+    Open,
+    ClosedByCaller,
+    SocketError,
+    // Deadlines of this side: for the start of a request, for the rest of one, and for a write.
+    IdleTimeout,
+    RequestTimeout,
+    WriteTimeout,
+    // abort() was called.
+    Aborted,
+};
+
+// The name of an end in log lines.
+std::string_view connectionEndName(ConnectionEnd);
+
 struct EdgeResponse {
     int status = 200;
     // If empty, the standard reason phrase of the status is sent.
@@ -68,6 +87,7 @@
 
     // Whether the caller has disconnected or the connection was aborted.
     bool hasDisconnected() const { return m_hasDisconnected; }
+    ConnectionEnd end() const { return m_end; }
     // The callback runs at most once, when the caller disconnects before the handler has returned. abort() does not run it.
     void onDisconnect(std::function<void()> callback) { m_onDisconnect = std::move(callback); }
     // Whether writing of the response to the current request has started.
@@ -87,7 +107,8 @@
     void watchForDisconnect();
     void onReadable();
     void onDeadline();
-    void handleDisconnect();
+    void handleDisconnect(ConnectionEnd);
+    void logClose() const;
 
     EventLoop& m_loop;
     TcpSocket m_socket;
@@ -95,6 +116,14 @@
     DeadlineTimer m_deadline;
     std::string m_input;
     std::function<void()> m_onDisconnect;
+    ConnectionEnd m_end = ConnectionEnd::Open;
+    // The error behind SocketError.
+    boost::system::error_code m_error;
+    // When the connection became idle, before the request that is read or served.
+    TimePoint m_idleSince {};
+    // Whether a part of the next request was read.
+    bool m_requestStarted = false;
+    std::int64_t m_requests = 0;
     bool m_waitingForInput = false;
     bool m_isServing = false;
     bool m_hasStartedResponse = false;
--- a/src/edge/control_plane.cpp
+++ b/src/edge/control_plane.cpp
@@ -61,9 +61,9 @@
 {
     m_peerListener = std::make_unique<HttpListener>(m_loop, m_settings.peerListen, makeInternalServerState([this](std::shared_ptr<CallerConnection> connection, ReceivedRequest request) { return servePeer(std::move(connection), std::move(request)); }));
     m_metricsListener = std::make_unique<HttpListener>(m_loop, m_settings.metricsListen, makeInternalServerState([this](std::shared_ptr<CallerConnection> connection, ReceivedRequest request) { return serveMetrics(std::move(connection), std::move(request)); }));
-    asio::co_spawn(m_loop, receiveHeartbeats(), asio::detached);
-    asio::co_spawn(m_loop, followStore(), asio::detached);
-    asio::co_spawn(m_loop, maintainRegistration(), asio::detached);
+    spawn(m_loop, receiveHeartbeats(), "receive_heartbeats");
+    spawn(m_loop, followStore(), "follow_store");
+    spawn(m_loop, maintainRegistration(), "maintain_registration");
 }
 
 void ControlPlane::addSeeds(const std::vector<std::string>& seeds)
@@ -258,7 +258,7 @@
     if (m_catchingUp || storeMayDeliver)
         return;
     m_catchingUp = true;
-    asio::co_spawn(m_loop, catchUpFromPeer(peer->heartbeat.addresses.peers, peer->heartbeat.from.instance.value), asio::detached);
+    spawn(m_loop, catchUpFromPeer(peer->heartbeat.addresses.peers, peer->heartbeat.from.instance.value), "catch_up");
 }
 
 Awaitable<void> ControlPlane::catchUpFromPeer(std::string peerAddress, std::string name)
--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -50,8 +50,8 @@
             HttpListener ready(m_trafficLoop, m_settings.readyListen, m_platformServer);
             HttpListener directory(m_trafficLoop, m_settings.directoryListen, m_platformServer);
             m_entry = &entry;
-            asio::co_spawn(m_trafficLoop, reportLoop(), asio::detached);
-            asio::co_spawn(m_trafficLoop, watchSettings(), asio::detached);
+            spawn(m_trafficLoop, reportLoop(), "report");
+            spawn(m_trafficLoop, watchSettings(), "watch_settings");
             awaitSignal();
             auto work = asio::make_work_guard(m_controlLoop);
             std::thread controlThread([this] { m_controlLoop.run(); });
@@ -132,7 +132,7 @@
                 if (signal == SIGHUP)
                     reload();
                 else
-                    asio::co_spawn(m_trafficLoop, stop(), asio::detached);
+                    spawn(m_trafficLoop, stop(), "stop");
                 awaitSignal();
             });
         }
--- a/src/edge/event_loop.cpp
+++ b/src/edge/event_loop.cpp
@@ -1,8 +1,10 @@
 #include "edge/event_loop.h"
 
+#include "adapters/log.h"
 #include "core/check.h"
 
 #include <absl/strings/numbers.h>
+#include <atomic>
 #include <ctime>
 #include <netinet/tcp.h>
 #include <optional>
@@ -23,6 +25,19 @@
 
     using SteadyClock = std::chrono::steady_clock;
 
+    std::atomic<std::int64_t> failedTaskCount = 0;
+
+    std::string describe(const std::exception_ptr& error)
+    {
+        try {
+            std::rethrow_exception(error);
+        } catch (const std::exception& e) {
+            return e.what();
+        } catch (...) {
+            return "unknown exception";
+        }
+    }
+
     std::pair<asio::ip::address, std::uint16_t> splitAddress(const std::string& text)
     {
         auto colon = text.rfind(':');
@@ -43,6 +58,18 @@
     return TimePoint { Seconds(time.tv_sec) + Microseconds(time.tv_nsec / 1000) };
 }
 
+void spawn(EventLoop& loop, Awaitable<void> task, const char* name)
+{
+    asio::co_spawn(loop, std::move(task), [name](const std::exception_ptr& error) {
+        if (!error)
+            return;
+        ++failedTaskCount;
+        LogLine(LogLevel::Error, "task_failed").with("task", name).with("error", describe(error));
+    });
+}
+
+std::int64_t failedTasks() { return failedTaskCount; }
+
 Awaitable<void> sleepFor(EventLoop& loop, Milliseconds time)
 {
     asio::steady_timer timer(loop, time);
--- a/src/edge/event_loop.h
+++ b/src/edge/event_loop.h
@@ -6,7 +6,6 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/ip/udp.hpp>
@@ -30,6 +29,12 @@
 // Time since the machine booted, including time that it was suspended, so that the age of data is correct after a suspend.
 TimePoint bootNow();
 
+// Starts a coroutine that nothing waits for. An exception that leaves it is logged with the name and counted.
+void spawn(EventLoop&, Awaitable<void>, const char* name);
+
+// Coroutines of the process that ended by an exception.
+std::int64_t failedTasks();
+
 // Suspends the calling coroutine for the given time.
 Awaitable<void> sleepFor(EventLoop&, Milliseconds);
 
--- a/src/edge/request_forwarder.cpp
+++ b/src/edge/request_forwarder.cpp
@@ -428,6 +428,7 @@
     line.with("id", m_admitted.request.id.value).with("status", status).with("error", error).with("route", m_admitted.route ? m_admitted.route->name : "").with("team", m_admitted.team ? m_admitted.team->value : "");
     line.with("service", serviceName()).with("upstream", m_triedUpstreams.empty() ? "" : m_triedUpstreams.back().value).with("upstreams_tried", static_cast<std::int64_t>(m_triedUpstreams.size()));
     line.with("attempts_delivered", m_deliveredAttempts).with("ran", m_execution.executed() == Executed::No ? "no" : "maybe").with("ms", toMilliseconds(now - m_received.receivedAt).count());
+    line.with("idle_ms", m_received.idleTime.count()).with("connection", connectionEndName(m_caller->end()));
     if (m_firstByteAt)
         line.with("first_byte_ms", toMilliseconds(*m_firstByteAt - m_received.receivedAt).count());
     if (m_model)
--- a/src/edge/rollout_controller.cpp
+++ b/src/edge/rollout_controller.cpp
@@ -113,7 +113,7 @@
 {
     auto it = m_records.find(service);
     m_pendingWrites.insert(service);
-    asio::co_spawn(m_loop, writeRecord(service, std::move(record), it == m_records.end() ? 0 : it->second.revision), asio::detached);
+    spawn(m_loop, writeRecord(service, std::move(record), it == m_records.end() ? 0 : it->second.revision), "write_rollout");
 }
 
 Awaitable<void> RolloutController::writeRecord(ServiceId service, RolloutRecord record, std::int64_t recordRevision)
--- a/src/edge/upstream_connection.cpp
+++ b/src/edge/upstream_connection.cpp
@@ -57,7 +57,7 @@
     auto size = sharedHead->size() + (body ? body->size() : 0);
     if (size > maxForegroundRequestBytes) {
         m_isSending = true;
-        asio::co_spawn(m_loop, sendInBackground(self, sharedHead, body), asio::detached);
+        spawn(m_loop, sendInBackground(self, sharedHead, body), "send_request");
         co_return true;
     }
     boost::system::error_code ec;
