Serve a request that is due together with a deadline of its connection

What callers saw: a connection that closed with no response although the request was whole and had been passed on to an upstream. The log called it caller_left, though the instance had closed the connection itself. Cause: the deadline of a connection shut the socket down for reading and writing. If the process had been held up, or had more than one turn of events to serve, the request's bytes were there too and were still read: what was received before a shutdown stays readable. The request was then served, and the end of the stream that the shutdown had made looked like a caller that leaves, so the attempt was cancelled. On a kept connection the timer even goes first regularly: the wait for the caller's disconnect, left from the request before, takes the first place among the socket's operations, and the read behind it is completed one round later. Class: the end of a connection that this side made is taken for the act of the other side; a timer is trusted without a look at what has arrived. Ruled out: a caller that left (the tests' callers stay), and a lost write (the bytes had reached the socket before the pause ended). Change: a deadline for reading no longer shuts the socket down. It ends the pending read, and what has arrived is read first; only if there is nothing is the connection closed, as idle_timeout or request_timeout. No request is served on a socket that this side has shut down. Evidence: test_held_up. Callers that are silent or too slow are still closed.

--- a/src/edge/caller_connection.cpp
+++ b/src/edge/caller_connection.cpp
@@ -6,7 +6,6 @@
 #include <absl/strings/str_cat.h>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/status.hpp>
-#include <sys/socket.h>
 
 namespace skylarkhitch {
 
@@ -91,7 +90,7 @@
 {
     auto limits = m_server->limits();
     RequestReader reader(limits.maxHeaderBytes, limits.maxBodyBytes);
-    m_deadline.set(limits.idleTimeout + timeoutMargin);
+    setReadDeadline(limits.idleTimeout + timeoutMargin);
     bool hasSentContinue = false;
     m_idleSince = bootNow();
     m_requestStarted = !m_input.empty();
@@ -103,14 +102,14 @@
             co_return ReadOutcome::Rejected;
         }
         if (reader.state() == RequestReader::State::NeedsBody) {
-            m_deadline.set(limits.idleTimeout);
+            setReadDeadline(limits.idleTimeout);
             if (reader.expectsContinue() && !hasSentContinue && m_input.empty()) {
                 hasSentContinue = true;
                 co_await write("HTTP/1.1 100 Continue\r\n\r\n", {});
             }
         } else if (!m_input.empty() && !hasHeadStarted) {
             hasHeadStarted = true;
-            m_deadline.set(limits.headerTimeout + timeoutMargin);
+            setReadDeadline(limits.headerTimeout + timeoutMargin);
         }
         if (!co_await readSocket())
             co_return ReadOutcome::Closed;
@@ -118,6 +117,7 @@
             idleTime = toMilliseconds(bootNow() - m_idleSince);
     }
     m_deadline.clear();
+    m_isOverdue = false;
     m_keepAlive = reader.keepsAlive() && reader.isHttp11();
     request = { reader.method(), reader.target(), reader.fields(), std::make_shared<const std::string>(reader.takeBody()), bootNow(), idleTime };
     co_return ReadOutcome::Request;
@@ -128,13 +128,29 @@
     boost::system::error_code ec;
     auto size = m_input.size();
     m_input.resize(size + readBlockBytes);
-    auto n = co_await m_socket.async_read_some(asio::buffer(m_input.data() + size, readBlockBytes), asio::redirect_error(asio::use_awaitable, ec));
+    auto buf = asio::buffer(m_input.data() + size, readBlockBytes);
+    std::size_t n = 0;
+    if (!m_isOverdue)
+        n = co_await m_socket.async_read_some(buf, asio::redirect_error(asio::use_awaitable, ec));
+    // If the process was held up, bytes that arrived in time are still unread when the deadline passes.
+    if (m_isOverdue && n == 0)
+        n = receiveAvailable(m_socket, buf, ec);
     m_input.resize(size + n);
-    if (ec && m_end == ConnectionEnd::Open) {
+    if (!ec)
+        co_return true;
+    if (ec == asio::error::would_block)
+        m_end = m_requestStarted ? ConnectionEnd::RequestTimeout : ConnectionEnd::IdleTimeout;
+    else {
         m_end = endFor(ec);
         m_error = ec;
     }
-    co_return !ec;
+    co_return false;
+}
+
+void CallerConnection::setReadDeadline(Milliseconds fromNow)
+{
+    m_isOverdue = false;
+    m_deadline.set(fromNow);
 }
 
 Awaitable<bool> CallerConnection::reject(int status)
@@ -217,10 +233,11 @@
         abort();
         return;
     }
-    m_end = m_requestStarted ? ConnectionEnd::RequestTimeout : ConnectionEnd::IdleTimeout;
-    // Makes the pending read return; run() then closes the connection.
+    // Ends the pending read. The socket stays open until readSocket() has taken what arrived: a request that was received must
+    // not meet the end of a stream that this side has shut down, which looks as if the caller had left.
+    m_isOverdue = true;
     boost::system::error_code ec;
-    m_socket.shutdown(TcpSocket::shutdown_both, ec);
+    m_socket.cancel(ec);
 }
 
 void CallerConnection::handleDisconnect(ConnectionEnd end)
@@ -253,16 +270,15 @@
     if (!m_isServing)
         return;
     char buf[readBlockBytes];
-    auto n = ::recv(m_socket.native_handle(), buf, sizeof buf, MSG_DONTWAIT);
-    if (n > 0)
-        m_input.append(buf, static_cast<std::size_t>(n));
-    if (n == 0)
-        handleDisconnect(ConnectionEnd::ClosedByCaller);
-    else if (n < 0 && errno != EAGAIN && errno != EINTR) {
-        m_error.assign(errno, boost::system::system_category());
-        handleDisconnect(ConnectionEnd::SocketError);
-    } else
+    boost::system::error_code ec;
+    auto n = receiveAvailable(m_socket, asio::buffer(buf), ec);
+    m_input.append(buf, n);
+    if (!ec || ec == asio::error::would_block) {
         watchForDisconnect();
+        return;
+    }
+    m_error = ec;
+    handleDisconnect(endFor(ec));
 }
 
 // Logs the end of a connection that served no request at that time, unless the caller closed an idle one.
--- a/src/edge/caller_connection.h
+++ b/src/edge/caller_connection.h
@@ -100,7 +100,9 @@
         Rejected };
 
     Awaitable<ReadOutcome> readRequest(ReceivedRequest&);
+    // Reads more bytes of a request. Once the deadline has passed, takes only what has already arrived.
     Awaitable<bool> readSocket();
+    void setReadDeadline(Milliseconds fromNow);
     Awaitable<bool> reject(int status);
     Awaitable<bool> write(std::string head, std::string_view body);
     std::string serializeHead(const EdgeResponse&, const std::string& framing) const;
@@ -124,6 +126,8 @@
     // Whether a part of the next request was read.
     bool m_requestStarted = false;
     std::int64_t m_requests = 0;
+    // The deadline for reading has passed.
+    bool m_isOverdue = false;
     bool m_waitingForInput = false;
     bool m_isServing = false;
     bool m_hasStartedResponse = false;
--- a/src/edge/event_loop.cpp
+++ b/src/edge/event_loop.cpp
@@ -102,6 +102,21 @@
     setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &keepAliveProbes, sizeof keepAliveProbes);
 }
 
+std::size_t receiveAvailable(TcpSocket& socket, asio::mutable_buffer buf, boost::system::error_code& ec)
+{
+    ssize_t n = 0;
+    do
+        n = ::recv(socket.native_handle(), buf.data(), buf.size(), MSG_DONTWAIT);
+    while (n < 0 && errno == EINTR);
+    if (n < 0)
+        ec.assign(errno, boost::system::system_category());
+    else if (n == 0)
+        ec = asio::error::eof;
+    else
+        ec = {};
+    return n > 0 ? static_cast<std::size_t>(n) : 0;
+}
+
 struct DeadlineTimer::State : std::enable_shared_from_this<State> {
     State(EventLoop& loop, std::function<void()> callback)
         : timer(loop)
--- a/src/edge/event_loop.h
+++ b/src/edge/event_loop.h
@@ -46,6 +46,10 @@
 // silent, e.g. after a power failure, fails within seconds.
 void setConnectionOptions(TcpSocket&);
 
+// Reads what the socket has received, without waiting, and returns the number of bytes. The error is would_block if there is
+// nothing to read, and eof if the peer has ended the stream.
+std::size_t receiveAvailable(TcpSocket&, asio::mutable_buffer, boost::system::error_code&);
+
 // Calls a function when a deadline expires. The deadline can be moved; moving it to a later time does not touch the timer.
 class DeadlineTimer {
 public:
