Skip upstreams whose address cannot be parsed

Cause: an entry of the list of upstreams was accepted if its address held a colon. Opening a connection to "nowhere:80" or "127.0.0.1:99999" throws, in the coroutine of the request that the balancer sent there. Change: an address that is not an IP address and a port makes the entry unreadable, with the log line that such entries get.

--- a/src/edge/control_plane.cpp
+++ b/src/edge/control_plane.cpp
@@ -191,6 +191,10 @@
     }
     platform::DecodeError error;
     auto entry = platform::decodeUpstream(id, item->value, error);
+    if (entry && !isEndpoint(entry->address)) {
+        error.message = "address is not of the form ip:port";
+        entry.reset();
+    }
     if (!entry) {
         LogLine(LogLevel::Warning, "upstream_unreadable").with("upstream", id).with("error", error.message);
         return;
--- a/src/edge/event_loop.cpp
+++ b/src/edge/event_loop.cpp
@@ -38,15 +38,23 @@
         }
     }
 
-    std::pair<asio::ip::address, std::uint16_t> splitAddress(const std::string& text)
+    using HostAndPort = std::pair<asio::ip::address, std::uint16_t>;
+
+    std::optional<HostAndPort> parseAddress(const std::string& text)
     {
         auto colon = text.rfind(':');
         int port = 0;
         boost::system::error_code ec;
         auto host = asio::ip::make_address(text.substr(0, colon), ec);
         bool valid = colon != std::string::npos && !ec && absl::SimpleAtoi(text.substr(colon + 1), &port) && port >= 0 && port <= 65535;
-        USAGE_CHECK(valid) << "found address '" << text << "', expected ip:port";
-        return { host, static_cast<std::uint16_t>(port) };
+        return valid ? std::optional(HostAndPort { host, static_cast<std::uint16_t>(port) }) : std::nullopt;
+    }
+
+    HostAndPort splitAddress(const std::string& text)
+    {
+        auto parsed = parseAddress(text);
+        USAGE_CHECK(parsed.has_value()) << "found address '" << text << "', expected ip:port";
+        return *parsed;
     }
 
 }
@@ -77,6 +85,8 @@
     co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
 }
 
+bool isEndpoint(const std::string& address) { return parseAddress(address).has_value(); }
+
 asio::ip::tcp::endpoint tcpEndpoint(const std::string& address)
 {
     auto [host, port] = splitAddress(address);
--- a/src/edge/event_loop.h
+++ b/src/edge/event_loop.h
@@ -38,7 +38,10 @@
 // Suspends the calling coroutine for the given time.
 Awaitable<void> sleepFor(EventLoop&, Milliseconds);
 
-// Parse "ip:port". Throw UsageError if the text is not of that form.
+// Whether the text is of the form "ip:port".
+bool isEndpoint(const std::string& address);
+
+// Parse "ip:port". Throw UsageError if the text is not of that form, so text from outside must be checked with isEndpoint() first.
 asio::ip::tcp::endpoint tcpEndpoint(const std::string& address);
 asio::ip::udp::endpoint udpEndpoint(const std::string& address);
 
--- a/test/processes/edge_test.cpp
+++ b/test/processes/edge_test.cpp
@@ -130,6 +130,19 @@
         for (int n = 0; n < 6; ++n)
             CHECK(statusOf(sendRequest(instance, requestBytes("GET", "/status/x", absl::StrCat("id-6-", n)))) == 200);
     }
+    // Guards against requests that end without a response because the address of their upstream cannot be parsed.
+    SECTION("an upstream whose address is not an IP address and a port is skipped")
+    {
+        const std::string addresses[] = { "nowhere:80", ":80", "127.0.0.1:", "127.0.0.1:99999", "127.0.0.1:8x" };
+        int id = 10;
+        for (const auto& it : addresses)
+            site.store.put(absl::StrCat("servers/i-", id++), absl::StrCat(R"({"backend":"orders","address":")", it, R"(","zone":"halle-a","capacity":64,"state":"ready","version":"v1"})"));
+        REQUIRE(waitUntil(3s, [&] { return !instance.linesContaining("upstream=i-14").empty(); }));
+        for (int n = 0; n < 20; ++n)
+            CHECK(statusOf(sendRequest(instance, requestBytes("GET", "/status/x", absl::StrCat("id-9-", n)))) == 200);
+        CHECK(instance.linesContaining("upstream_unreadable").size() == std::size(addresses));
+        CHECK(instance.linesContaining("attempt_error").empty());
+    }
     SECTION("a draining upstream gets no requests after two seconds")
     {
         site.store.put("servers/i-1", site.first.registration("orders", "draining"));
