Skip peers whose address cannot be parsed

What callers saw: every instance that read such an entry ended, and with it all connections. Cause: the addresses of other instances, from the store and from heartbeats, were parsed when the next heartbeat was sent. An exception there leaves the control thread's event loop, and the process ends. One entry in the store ended the whole fleet, again after each restart. Ruled out: a caught exception in a coroutine; this one is thrown in a posted handler ("terminate called after throwing ... found address 'nowhere:7', expected ip:port"). Change: an entry of an instance, or a heartbeat, with an address that is not an IP address and a port is reported and skipped.

--- a/src/edge/control_plane.cpp
+++ b/src/edge/control_plane.cpp
@@ -29,6 +29,11 @@
     constexpr std::size_t maxMirrorBytes = std::size_t { 64 } << 20;
     constexpr const char* mirrorPath = "/mirror?after=";
 
+    bool hasValidAddresses(const FleetHeartbeat& heartbeat)
+    {
+        return isEndpoint(heartbeat.addresses.entry) && isEndpoint(heartbeat.addresses.peers) && std::all_of(heartbeat.known.begin(), heartbeat.known.end(), isEndpoint);
+    }
+
     std::shared_ptr<ServerState> makeInternalServerState(RequestHandler handler)
     {
         auto state = std::make_shared<ServerState>();
@@ -213,6 +218,10 @@
             continue;
         platform::DecodeError error;
         auto peer = platform::decodeInstance(item.value, error);
+        if (peer && !isEndpoint(peer->address)) {
+            error.message = "address is not of the form ip:port";
+            peer.reset();
+        }
         if (peer)
             peers[peer->address] = peer->domain;
         else
@@ -237,7 +246,7 @@
 void ControlPlane::handleHeartbeat(const std::string& bytes)
 {
     auto heartbeat = decodeHeartbeat(bytes);
-    if (!heartbeat) {
+    if (!heartbeat || !hasValidAddresses(*heartbeat)) {
         LogLine(LogLevel::Warning, "heartbeat_malformed").with("bytes", static_cast<std::int64_t>(bytes.size()));
         return;
     }
--- a/test/processes/edge_test.cpp
+++ b/test/processes/edge_test.cpp
@@ -1,6 +1,8 @@
 // Tests entry instances as real processes on loopback, with a fake platform store and scripted upstreams.
 
 #include "core/hashing.h"
+#include "core/membership/fleet_heartbeat.h"
+#include "edge/event_loop.h"
 #include "fakes/fleet_standin.h"
 #include "processes/edge_instance.h"
 
@@ -143,6 +145,28 @@
         CHECK(instance.linesContaining("upstream_unreadable").size() == std::size(addresses));
         CHECK(instance.linesContaining("attempt_error").empty());
     }
+    // Guards against processes that end because another instance's address cannot be parsed.
+    SECTION("another instance whose address is not an IP address and a port is skipped")
+    {
+        site.store.put("skylarkhitch/instances/edge-9", R"({"peers":"nowhere:7","domain":"halle-a"})");
+        std::this_thread::sleep_for(2s);
+        CHECK(instance.isReady());
+        CHECK_FALSE(instance.linesContaining("instance_unreadable").empty());
+    }
+    SECTION("a heartbeat with such an address is skipped")
+    {
+        FleetHeartbeat heartbeat;
+        heartbeat.from = { { "edge-9" }, 1 };
+        heartbeat.domain = { "halle-a" };
+        heartbeat.addresses = { "127.0.0.1:1", "nowhere:7" };
+        heartbeat.sequence = 1;
+        EventLoop loop;
+        asio::ip::udp::socket socket(loop, asio::ip::udp::v4());
+        socket.send_to(asio::buffer(encodeHeartbeat(heartbeat)), udpEndpoint(instance.peerAddress()));
+        std::this_thread::sleep_for(2s);
+        CHECK(instance.isReady());
+        CHECK_FALSE(instance.linesContaining("heartbeat_malformed").empty());
+    }
     SECTION("a draining upstream gets no requests after two seconds")
     {
         site.store.put("servers/i-1", site.first.registration("orders", "draining"));
