--- a/src/edge/caller_connection.h
+++ b/src/edge/caller_connection.h
@@ -100,6 +100,8 @@
         Rejected };
 
     Awaitable<ReadOutcome> readRequest(ReceivedRequest&);
+    // Calls the handler. If an exception leaves it, the request ends with an error response or a reset.
+    Awaitable<void> serve(ReceivedRequest);
     // Reads more bytes of a request. Once the deadline has passed, takes only what has already arrived.
     Awaitable<bool> readSocket();
     void setReadDeadline(Milliseconds fromNow);
--- a/src/edge/control_plane.cpp
+++ b/src/edge/control_plane.cpp
@@ -29,6 +29,11 @@
     constexpr std::size_t maxMirrorBytes = std::size_t { 64 } << 20;
     constexpr const char* mirrorPath = "/mirror?after=";
 
+    bool hasValidAddresses(const FleetHeartbeat& heartbeat)
+    {
+        return isEndpoint(heartbeat.addresses.entry) && isEndpoint(heartbeat.addresses.peers) && std::all_of(heartbeat.known.begin(), heartbeat.known.end(), isEndpoint);
+    }
+
     std::shared_ptr<ServerState> makeInternalServerState(RequestHandler handler)
     {
         auto state = std::make_shared<ServerState>();
@@ -191,6 +196,10 @@
     }
     platform::DecodeError error;
     auto entry = platform::decodeUpstream(id, item->value, error);
+    if (entry && !isEndpoint(entry->address)) {
+        error.message = "address is not of the form ip:port";
+        entry.reset();
+    }
     if (!entry) {
         LogLine(LogLevel::Warning, "upstream_unreadable").with("upstream", id).with("error", error.message);
         return;
@@ -209,6 +218,10 @@
             continue;
         platform::DecodeError error;
         auto peer = platform::decodeInstance(item.value, error);
+        if (peer && !isEndpoint(peer->address)) {
+            error.message = "address is not of the form ip:port";
+            peer.reset();
+        }
         if (peer)
             peers[peer->address] = peer->domain;
         else
@@ -233,7 +246,7 @@
 void ControlPlane::handleHeartbeat(const std::string& bytes)
 {
     auto heartbeat = decodeHeartbeat(bytes);
-    if (!heartbeat) {
+    if (!heartbeat || !hasValidAddresses(*heartbeat)) {
         LogLine(LogLevel::Warning, "heartbeat_malformed").with("bytes", static_cast<std::int64_t>(bytes.size()));
         return;
     }
--- a/test/processes/edge_test.cpp
+++ b/test/processes/edge_test.cpp
@@ -1,6 +1,8 @@
 // Tests entry instances as real processes on loopback, with a fake platform store and scripted upstreams.
 
 #include "core/hashing.h"
+#include "core/membership/fleet_heartbeat.h"
+#include "edge/event_loop.h"
 #include "processes/edge_site.h"
 
 #include <absl/strings/match.h>
@@ -72,6 +74,41 @@
         for (int n = 0; n < 6; ++n)
             CHECK(statusOf(sendRequest(instance, requestBytes("GET", "/status/x", absl::StrCat("id-6-", n)))) == 200);
     }
+    // Guards against requests that end without a response because the address of their upstream cannot be parsed.
+    SECTION("an upstream whose address is not an IP address and a port is skipped")
+    {
+        const std::string addresses[] = { "nowhere:80", ":80", "127.0.0.1:", "127.0.0.1:99999", "127.0.0.1:8x" };
+        int id = 10;
+        for (const auto& it : addresses)
+            site.store.put(absl::StrCat("servers/i-", id++), absl::StrCat(R"({"backend":"orders","address":")", it, R"(","zone":"halle-a","capacity":64,"state":"ready","version":"v1"})"));
+        REQUIRE(waitUntil(3s, [&] { return !instance.linesContaining("upstream=i-14").empty(); }));
+        for (int n = 0; n < 20; ++n)
+            CHECK(statusOf(sendRequest(instance, requestBytes("GET", "/status/x", absl::StrCat("id-9-", n)))) == 200);
+        CHECK(instance.linesContaining("upstream_unreadable").size() == std::size(addresses));
+        CHECK(instance.linesContaining("attempt_error").empty());
+    }
+    // Guards against processes that end because another instance's address cannot be parsed.
+    SECTION("another instance whose address is not an IP address and a port is skipped")
+    {
+        site.store.put("skylarkhitch/instances/edge-9", R"({"peers":"nowhere:7","domain":"halle-a"})");
+        std::this_thread::sleep_for(2s);
+        CHECK(instance.isReady());
+        CHECK_FALSE(instance.linesContaining("instance_unreadable").empty());
+    }
+    SECTION("a heartbeat with such an address is skipped")
+    {
+        FleetHeartbeat heartbeat;
+        heartbeat.from = { { "edge-9" }, 1 };
+        heartbeat.domain = { "halle-a" };
+        heartbeat.addresses = { "127.0.0.1:1", "nowhere:7" };
+        heartbeat.sequence = 1;
+        EventLoop loop;
+        asio::ip::udp::socket socket(loop, asio::ip::udp::v4());
+        socket.send_to(asio::buffer(encodeHeartbeat(heartbeat)), udpEndpoint(instance.peerAddress()));
+        std::this_thread::sleep_for(2s);
+        CHECK(instance.isReady());
+        CHECK_FALSE(instance.linesContaining("heartbeat_malformed").empty());
+    }
     SECTION("a draining upstream gets no requests after two seconds")
     {
         site.store.put("servers/i-1", site.first.registration("orders", "draining"));
