Tests of upstream answers and connections that are ready when their deadline is due

What callers and upstreams saw: a request whose answer lay ready in the socket was sent to a second upstream. An instance that is held up for longer than the rest of an attempt's deadline finds the timer and the answer due together. Where the answer needs another turn or another read, the timer is served first, the connection is closed and the attempt counts as timed out.

The tests hold up the instance while an upstream answers. A ready answer must be delivered, from one upstream only, also after the time of the request is over; a connection that was established meanwhile must be used. Upstreams that are silent, that send their head byte by byte, or that accept no connection must still be given up.

The event loop takes 128 events from the kernel in one turn and then serves the timers.

Not tested: deadlines of writes.

--- a/test/processes/held_up_test.cpp
+++ b/test/processes/held_up_test.cpp
@@ -7,6 +7,9 @@
 #include <absl/strings/str_cat.h>
 #include <catch2/catch.hpp>
 #include <csignal>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 using namespace skylarkhitch;
 using namespace skylarkhitch::standin;
@@ -291,3 +294,257 @@
     CHECK(sent < bytes.size());
     CHECK(site.received() == 0);
 }
+
+TEST_CASE("an upstream's answer that is ready is delivered, although its deadline passed meanwhile")
+{
+    std::atomic<bool> mayAnswer = false;
+    auto awaitPermission = [&] { waitUntil(10s, [&] { return mayAnswer.load(); }); };
+    Site site;
+    EdgeInstance instance("edge-1", site.store.address());
+    REQUIRE(waitUntil(5s, [&] { return instance.isReady(); }));
+    auto caller = RawConnection::connect(instance.port());
+    REQUIRE(caller);
+    // Holds up the instance for the given time, and has the upstreams answer within that.
+    auto answerHeldUp = [&](std::chrono::milliseconds time) {
+        holdUp(instance);
+        std::this_thread::sleep_for(time / 2);
+        mayAnswer = true;
+        std::this_thread::sleep_for(time / 2);
+        instance.signal(SIGCONT);
+    };
+    auto isReceived = [&](const std::string& id) { return waitUntil(2s, [&] { return site.receivedWithId(id) == 1; }); };
+
+    // Guards against a second run of a request that was answered, and against the loss of the answer.
+    SECTION("a plain answer")
+    {
+        site.setScripts([&](const RawRequest& request, RawConnection& connection) {
+            awaitPermission();
+            return connection.write(plainHead(request, Reuse::Allowed) + "hello");
+        });
+        caller->write(bytesOf(Kind::Status, "id-1"));
+        REQUIRE(isReceived("id-1"));
+        answerHeldUp(600ms);
+        checkAnswered(site, instance, "id-1", caller->readResponse());
+    }
+    // Guards against an answer that is given up between its parts.
+    SECTION("the rest of a body")
+    {
+        site.setScripts([&](const RawRequest& request, RawConnection& connection) {
+            connection.write(plainHead(request, Reuse::Allowed) + "he");
+            awaitPermission();
+            return connection.write("llo");
+        });
+        caller->write(bytesOf(Kind::Status, "id-1"));
+        REQUIRE(isReceived("id-1"));
+        std::this_thread::sleep_for(100ms);
+        answerHeldUp(600ms);
+        checkAnswered(site, instance, "id-1", caller->readResponse());
+    }
+    // Guards against the loss of an answer that takes several reads.
+    SECTION("a long plain answer")
+    {
+        constexpr std::size_t longBody = 40000;
+        site.setScripts([&](const RawRequest& request, RawConnection& connection) {
+            awaitPermission();
+            return connection.write(plainHead(request, Reuse::Allowed, longBody + 5) + std::string(longBody, 'x') + "hello");
+        });
+        caller->write(bytesOf(Kind::Status, "id-1"));
+        REQUIRE(isReceived("id-1"));
+        answerHeldUp(600ms);
+        checkAnswered(site, instance, "id-1", caller->readResponse());
+    }
+    // Guards against a second run of a stream whose first event is there.
+    SECTION("the first event of a stream")
+    {
+        site.setEngineScripts([&](const RawRequest& request, RawConnection& connection) {
+            awaitPermission();
+            return connection.write(streamHead(request, Reuse::Allowed) + event(1) + event(2) + "0\r\n\r\n");
+        });
+        caller->write(bytesOf(Kind::Draft, "id-1", 3000ms));
+        REQUIRE(isReceived("id-1"));
+        answerHeldUp(2100ms);
+        checkAnswered(site, instance, "id-1", caller->readResponse());
+    }
+    // Guards against second runs of streams whose first events the event loop sees only in the turn after their deadline.
+    SECTION("the first events of many streams")
+    {
+        site.setEngineScripts([&](const RawRequest& request, RawConnection& connection) {
+            awaitPermission();
+            return connection.write(streamHead(request, Reuse::Allowed) + event(1) + "0\r\n\r\n");
+        });
+        std::vector<std::unique_ptr<RawConnection>> callers;
+        for (int n = 0; n < manyConnections; ++n) {
+            callers.push_back(RawConnection::connect(instance.port()));
+            REQUIRE(callers.back());
+            callers.back()->write(bytesOf(Kind::Draft, absl::StrCat("id-", n), 3000ms));
+        }
+        REQUIRE(waitUntil(1500ms, [&] { return site.engine.count() + site.otherEngine.count() == manyConnections; }));
+        answerHeldUp(2100ms);
+        for (int n = 0; n < manyConnections; ++n)
+            checkAnswered(site, instance, absl::StrCat("id-", n), callers[n]->readResponse());
+    }
+    // Guards against a stream that is resumed elsewhere, or broken off, although its next event is there.
+    SECTION("the next event of a stream")
+    {
+        site.setEngineScripts([&](const RawRequest& request, RawConnection& connection) {
+            connection.write(streamHead(request, Reuse::Allowed) + event(1));
+            awaitPermission();
+            return connection.write(event(2) + "0\r\n\r\n");
+        });
+        caller->write(bytesOf(Kind::Draft, "id-1", 3000ms));
+        REQUIRE(caller->readUntil([](const std::string& in) { return absl::StrContains(in, "id: 1"); }));
+        answerHeldUp(1700ms);
+        auto response = caller->readResponse();
+        CHECK(absl::StrContains(response, "id: 2"));
+        checkAnswered(site, instance, "id-1", response);
+    }
+    // Guards against a 504 in place of an answer that is there, of a request that ran.
+    SECTION("a plain answer after the time of the request is over")
+    {
+        site.setScripts([&](const RawRequest& request, RawConnection& connection) {
+            awaitPermission();
+            return connection.write(plainHead(request, Reuse::Allowed) + "hello");
+        });
+        auto other = RawConnection::connect(instance.port());
+        REQUIRE(other);
+        caller->write(bytesOf(Kind::Status, "id-1", 400ms));
+        other->write(bytesOf(Kind::Booking, "id-2", 400ms));
+        REQUIRE((isReceived("id-1") && isReceived("id-2")));
+        answerHeldUp(500ms);
+        checkAnswered(site, instance, "id-1", caller->readResponse());
+        checkAnswered(site, instance, "id-2", other->readResponse());
+    }
+}
+
+TEST_CASE("an upstream that does not answer in time is still given up by an instance that was held up")
+{
+    std::atomic<int> sends = 0;
+    Site site;
+    EdgeInstance instance("edge-1", site.store.address());
+    REQUIRE(waitUntil(5s, [&] { return instance.isReady(); }));
+    auto checkOtherAnswers = [&] {
+        auto caller = RawConnection::connect(instance.port());
+        REQUIRE(caller);
+        caller->write(bytesOf(Kind::Status, "id-1"));
+        REQUIRE(waitUntil(2s, [&] { return sends == 1; }));
+        holdUp(instance);
+        std::this_thread::sleep_for(600ms);
+        instance.signal(SIGCONT);
+        CHECK(isWhole(caller->readResponse(1500ms)));
+        CHECK(sends == 2);
+    };
+    // Guards against a request that waits for ever for a silent upstream.
+    SECTION("one that is silent")
+    {
+        site.setScripts([&](const RawRequest& request, RawConnection& connection) {
+            if (++sends == 1)
+                return !connection.isClosedWithin(4s);
+            return connection.write(plainHead(request, Reuse::Allowed) + "hello");
+        });
+        checkOtherAnswers();
+    }
+    // Guards against an upstream that keeps a request because bytes wait whenever the deadline is due.
+    SECTION("one that sends its head byte by byte")
+    {
+        site.setScripts([&](const RawRequest& request, RawConnection& connection) {
+            auto head = plainHead(request, Reuse::Allowed);
+            if (++sends > 1)
+                return connection.write(head + "hello");
+            for (std::size_t n = 0; n < head.size(); ++n) {
+                if (!connection.write(head.substr(n, 1)) || connection.isClosedWithin(30ms))
+                    break;
+            }
+            return false;
+        });
+        checkOtherAnswers();
+    }
+}
+
+namespace {
+
+// An upstream whose queue of new connections is full, so that the kernel drops the first packet of the next connection and
+// completes it about a second later if there is room by then.
+class FullUpstream {
+public:
+    FullUpstream()
+        : m_listener(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+    {
+        auto address = loopbackAddress(0);
+        socklen_t size = sizeof address;
+        REQUIRE(::bind(m_listener, reinterpret_cast<sockaddr*>(&address), size) == 0);
+        REQUIRE(::listen(m_listener, 0) == 0);
+        REQUIRE(::getsockname(m_listener, reinterpret_cast<sockaddr*>(&address), &size) == 0);
+        m_port = ntohs(address.sin_port);
+        m_filler = RawConnection::connect(m_port);
+        REQUIRE(m_filler);
+    }
+    ~FullUpstream() { ::close(m_listener); }
+    FullUpstream(const FullUpstream&) = delete;
+    FullUpstream& operator=(const FullUpstream&) = delete;
+
+    std::string registration() const
+    {
+        return absl::StrCat(R"({"backend":"orders","address":"127.0.0.1:)", m_port, R"(","zone":"halle-a","version":"v1","capacity":8,"state":"ready","coldRemainingMs":0,"seq":1,"born":1})");
+    }
+    // Takes the connection that filled the queue, and then the next one.
+    std::unique_ptr<RawConnection> acceptNext() const
+    {
+        static_cast<void>(accept());
+        return accept();
+    }
+
+private:
+    std::unique_ptr<RawConnection> accept() const
+    {
+        constexpr int acceptTimeoutMs = 4000;
+        pollfd it { m_listener, POLLIN, 0 };
+        if (::poll(&it, 1, acceptTimeoutMs) <= 0)
+            return nullptr;
+        return std::make_unique<RawConnection>(::accept4(m_listener, nullptr, nullptr, SOCK_CLOEXEC));
+    }
+
+    int m_listener;
+    int m_port = 0;
+    std::unique_ptr<RawConnection> m_filler;
+};
+
+}
+
+TEST_CASE("a connection to an upstream that is established is used, although its deadline passed meanwhile")
+{
+    Site site;
+    FullUpstream upstream;
+    site.store.remove("servers/i-1");
+    site.store.remove("servers/i-2");
+    site.store.put("servers/i-5", upstream.registration());
+    EdgeInstance instance("edge-1", site.store.address());
+    REQUIRE(waitUntil(5s, [&] { return instance.isReady(); }));
+    auto caller = RawConnection::connect(instance.port());
+    REQUIRE(caller);
+    caller->write(bytesOf(Kind::Status, "id-1"));
+    std::this_thread::sleep_for(100ms);
+    holdUp(instance);
+
+    // Guards against an upstream that counts as unreachable because the instance was held up.
+    SECTION("a connection that was established while the instance was held up")
+    {
+        auto connection = upstream.acceptNext();
+        REQUIRE(connection);
+        instance.signal(SIGCONT);
+        connection->readUntil([](const std::string& in) { return absl::EndsWith(in, "\r\n\r\n"); }, 1s);
+        if (connection->isOpen()) {
+            if (auto request = connection->readRequest())
+                connection->write(plainHead(*request, Reuse::Allowed) + "hello");
+        }
+        auto response = caller->readResponse();
+        CAPTURE(response);
+        CHECK(isWhole(response));
+    }
+    // Guards against a request that waits for ever for an upstream that does not accept its connection.
+    SECTION("one that is not established is still given up")
+    {
+        std::this_thread::sleep_for(300ms);
+        instance.signal(SIGCONT);
+        CHECK(statusOf(caller->readResponse(1s)) == 503);
+    }
+}
