Deliver an upstream's response that is there when its deadline is due

What callers and upstreams saw: a request whose response lay ready in the instance's socket was sent to a second upstream, or ended with 502 or 504. The deadline of an attempt closed the connection to the upstream, whatever had arrived. After a pause of the process, or in a turn of the event loop with more than 128 events, the timer may go before the socket. Change: the deadline ends the pending operations; reads then take what has arrived, up to 1 MiB, and only a read that finds nothing closes the connection and reports a timeout. A connection that was established meanwhile is used. An upstream that sends byte by byte, or is silent, is still given up. Evidence: test_held_up.

--- a/src/edge/upstream_connection.cpp
+++ b/src/edge/upstream_connection.cpp
@@ -16,6 +16,17 @@
     constexpr std::uint64_t maxResponseBodyBytes = std::uint64_t { 1 } << 40;
     // Requests up to this size fit into the socket buffer and are written completely before the response is read.
     constexpr std::size_t maxForegroundRequestBytes = std::size_t { 16 } * 1024;
+    // Bytes read after the deadline, so that a peer that sends without pause cannot hold the connection. About what a socket
+    // buffers.
+    constexpr std::size_t maxOverdueBytes = std::size_t { 1 } << 20;
+
+    // Whether the socket's connection has been established.
+    bool isConnected(const TcpSocket& socket)
+    {
+        boost::system::error_code ec;
+        socket.remote_endpoint(ec);
+        return !ec;
+    }
 
     HeaderFields toHeaderFields(const http::fields& fields)
     {
@@ -30,10 +41,7 @@
 UpstreamConnection::UpstreamConnection(EventLoop& loop)
     : m_loop(loop)
     , m_socket(loop)
-    , m_deadline(loop, [this] {
-        m_timedOut = true;
-        close();
-    })
+    , m_deadline(loop, [this] { onDeadline(); })
 {
 }
 
@@ -44,8 +52,12 @@
     boost::system::error_code ec;
     co_await m_socket.async_connect(tcpEndpoint(address), asio::redirect_error(asio::use_awaitable, ec));
     clearDeadline();
-    if (ec || m_isUnusable)
+    if (m_isOverdue && ec == asio::error::operation_aborted && isConnected(m_socket))
+        ec = {};
+    if (ec || m_isUnusable) {
+        close();
         co_return false;
+    }
     setConnectionOptions(m_socket);
     co_return true;
 }
@@ -150,12 +162,21 @@
             co_return TransferEnd::Ok;
         ec = {};
     }
-    auto n = co_await m_socket.async_read_some(m_input.prepare(readBlockBytes), asio::redirect_error(asio::use_awaitable, ec));
+    auto buf = m_input.prepare(readBlockBytes);
+    std::size_t n = 0;
+    if (!m_isOverdue)
+        n = co_await m_socket.async_read_some(buf, asio::redirect_error(asio::use_awaitable, ec));
+    if (n == 0 && mayReadOverdue()) {
+        n = receiveAvailable(m_socket, buf, ec);
+        m_overdueBytes += n;
+    }
     m_input.commit(n);
-    if (!ec)
+    if (n > 0)
         co_return TransferEnd::Ok;
-    if (m_timedOut)
+    if (m_isOverdue && ec != asio::error::eof) {
+        close();
         co_return TransferEnd::TimedOut;
+    }
     // A response without a stated length ends with a clean close; the parser reports an error if it had a length.
     if (ec == asio::error::eof && m_parser->got_some()) {
         m_parser->put_eof(ec);
@@ -165,6 +186,27 @@
     co_return TransferEnd::Closed;
 }
 
+void UpstreamConnection::setDeadline(Milliseconds time)
+{
+    if (time > Milliseconds(0)) {
+        m_isOverdue = false;
+        m_overdueBytes = 0;
+    }
+    m_deadline.set(time);
+}
+
+void UpstreamConnection::onDeadline()
+{
+    m_isOverdue = true;
+    boost::system::error_code ec;
+    m_socket.cancel(ec);
+}
+
+bool UpstreamConnection::mayReadOverdue() const
+{
+    return m_isOverdue && m_socket.is_open() && m_overdueBytes < maxOverdueBytes;
+}
+
 void UpstreamConnection::close()
 {
     m_isUnusable = true;
--- a/src/edge/upstream_connection.h
+++ b/src/edge/upstream_connection.h
@@ -52,8 +52,9 @@
     // replaces the deadline by a limit on each gap between received bytes, for long bodies on slow links.
     Awaitable<BodyPiece> readWholeBody(std::size_t maxBytes, std::optional<Milliseconds> maxGap = {});
 
-    // Sets the deadline, from now. When it expires, the connection is closed and pending operations fail, reads with TimedOut.
-    void setDeadline(Milliseconds time) { m_deadline.set(time); }
+    // Sets the deadline, from now. When it expires, pending operations end. Reads still return what had arrived by then, which
+    // after a pause of the process may be the whole response; without it they close the connection and return TimedOut.
+    void setDeadline(Milliseconds time);
     void clearDeadline() { m_deadline.clear(); }
     // Closes the connection at once. Pending operations fail, reads with Closed.
     void close();
@@ -66,6 +67,9 @@
     using Parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
 
     Awaitable<TransferEnd> readOrParse();
+    void onDeadline();
+    // Whether bytes that arrived before the deadline may still be read.
+    bool mayReadOverdue() const;
     // Takes ownership of the connection, since it runs detached from the coroutine that started it.
     static Awaitable<void> sendInBackground(std::shared_ptr<UpstreamConnection> self, std::shared_ptr<const std::string> head, std::shared_ptr<const std::string> body);
 
@@ -74,7 +78,10 @@
     DeadlineTimer m_deadline;
     boost::beast::flat_buffer m_input;
     std::optional<Parser> m_parser;
-    bool m_timedOut = false;
+    // The deadline has passed.
+    bool m_isOverdue = false;
+    // Bytes read since then.
+    std::size_t m_overdueBytes = 0;
     bool m_isSending = false;
     bool m_isUnusable = false;
 };
