Test that requests are not passed on whose callers left while the instance was held up

What upstreams saw: a request of a caller that had gone. When an instance is held up, a caller may send a request and leave before any byte of it is read. The end of the connection is then readable before the request is passed on, but the instance sees it only after it has written the request to an idle connection of the upstream.

The test holds up the instance; twelve callers of all three kinds of route send a request on a kept connection and close or reset it; no request may reach an upstream afterwards.

--- a/test/processes/held_up_test.cpp
+++ b/test/processes/held_up_test.cpp
@@ -548,3 +548,39 @@
         CHECK(statusOf(caller->readResponse(1s)) == 503);
     }
 }
+
+TEST_CASE("a request whose caller left while the instance was held up is not passed on")
+{
+    Site site;
+    setReuse(site, Reuse::Allowed);
+    EdgeInstance instance("edge-1", site.store.address());
+    REQUIRE(waitUntil(5s, [&] { return instance.isReady(); }));
+    constexpr int count = 12;
+    auto callers = connectCallers(instance, count);
+    holdUp(instance);
+    sendAll(callers);
+    auto checkNonePassedOn = [&] {
+        std::this_thread::sleep_for(100ms);
+        instance.signal(SIGCONT);
+        std::this_thread::sleep_for(500ms);
+        for (const auto& it : callers) {
+            CAPTURE(it.id);
+            CHECK(site.receivedWithId(it.id) == 0);
+        }
+    };
+
+    // Guards against work for callers that are gone, where the end of the connection was there before the request was read.
+    SECTION("a caller that closed its connection")
+    {
+        for (auto& it : callers)
+            it.connection = nullptr;
+        checkNonePassedOn();
+    }
+    // Guards against the same after a reset.
+    SECTION("a caller that reset its connection")
+    {
+        for (const auto& it : callers)
+            it.connection->reset();
+        checkNonePassedOn();
+    }
+}
