Tests of requests that come in the last moments of an instance that stops

What callers and upstreams saw: an upstream received a request, and its caller's connection was closed without an answer. An instance whose time for stopping is over ends at its next look at the clock. Requests that the event loop reads in the same turn are passed on before that, and nobody waits for their answers.

The first section has 30 callers that send until the process is gone, half of them first shortly before that on connections that were kept till then. The second holds the instance up past the end of its time for stopping while 30 callers send, half of them on connections that have had no request yet. No request may be both received by an upstream and unanswered.

--- a/test/processes/held_up_test.cpp
+++ b/test/processes/held_up_test.cpp
@@ -8,6 +8,7 @@
 #include <catch2/catch.hpp>
 #include <csignal>
 #include <poll.h>
+#include <set>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -584,3 +585,109 @@
         checkNonePassedOn();
     }
 }
+
+namespace {
+
+// What a caller saw of one request.
+struct SeenRequest {
+    std::string id;
+    std::string response;
+};
+
+// Sends requests, 20 ms after each response, on one connection as long as it is kept and then on new ones, until no
+// connection can be made.
+std::vector<SeenRequest> sendUntilRefused(int port, std::unique_ptr<RawConnection> connection, const std::string& idPrefix)
+{
+    std::vector<SeenRequest> seen;
+    while (connection) {
+        auto id = absl::StrCat(idPrefix, "-", seen.size());
+        connection->write(bytesOf(Kind::Status, id));
+        seen.push_back({ id, connection->readResponse() });
+        bool isKept = connection->isOpen() && isWhole(seen.back().response) && !absl::StrContains(seen.back().response, "Connection: close");
+        std::this_thread::sleep_for(20ms);
+        if (!isKept)
+            connection = RawConnection::connect(port);
+    }
+    return seen;
+}
+
+}
+
+TEST_CASE("an instance that stops answers what it passed on")
+{
+    Site site;
+    site.setScripts([](const RawRequest& request, RawConnection& connection) {
+        std::this_thread::sleep_for(5ms);
+        return connection.write(plainHead(request, Reuse::Allowed) + "hello");
+    });
+    EdgeInstance instance("edge-1", site.store.address());
+    REQUIRE(waitUntil(5s, [&] { return instance.isReady(); }));
+
+    constexpr int count = 30;
+    std::vector<std::unique_ptr<RawConnection>> connections;
+    for (int n = 0; n < count; ++n) {
+        connections.push_back(RawConnection::connect(instance.port()));
+        REQUIRE(connections.back());
+        connections.back()->write(bytesOf(Kind::Status, absl::StrCat("id-first-", n)));
+        REQUIRE(isWhole(connections.back()->readResponse()));
+    }
+    auto startedAt = Clock::now();
+    instance.signal(SIGTERM);
+    auto checkNoneUnanswered = [&](const std::vector<SeenRequest>& seen) {
+        std::set<std::string> received;
+        for (const auto& it : site.allRequests())
+            received.insert(it.field("X-Attempt-Id"));
+        for (const auto& it : seen) {
+            CAPTURE(it.id, it.response);
+            CHECK((!received.contains(it.id) || isWhole(it.response)));
+        }
+    };
+
+    // Guards against requests that come in the last moments before the exit, on connections that were kept till then.
+    SECTION("30 callers that send until it is gone, half of them first shortly before that")
+    {
+        // An instance stops taking connections 3.4 s after SIGTERM if the entry addresses may be cached for 1 s.
+        constexpr auto firstLateSend = 3300ms, stepOfLateSends = 20ms;
+        std::vector<std::vector<SeenRequest>> seen(count);
+        std::vector<std::thread> threads;
+        for (int n = 0; n < count; ++n) {
+            threads.emplace_back([&, n] {
+                if (n % 2 == 1)
+                    std::this_thread::sleep_until(startedAt + firstLateSend + n / 2 * stepOfLateSends);
+                seen[n] = sendUntilRefused(instance.port(), std::move(connections[n]), absl::StrCat("id-", n));
+            });
+        }
+        auto status = instance.process().waitForExit(Seconds(6));
+        for (auto& it : threads)
+            it.join();
+        CHECK(status == 0);
+        std::vector<SeenRequest> all;
+        for (const auto& it : seen)
+            all.insert(all.end(), it.begin(), it.end());
+        CHECK(all.size() > 10 * count);
+        checkNoneUnanswered(all);
+    }
+    // Guards against requests that are passed on in the same turn of the event loop in which the process ends.
+    SECTION("30 callers that send while it is held up past the end of its time for stopping")
+    {
+        // Half of the connections have had no request yet.
+        for (int n = 1; n < count; n += 2) {
+            connections[n] = RawConnection::connect(instance.port());
+            REQUIRE(connections[n]);
+        }
+        // The instance ends 400 ms before the platform kills it, which is 4 s after SIGTERM.
+        std::this_thread::sleep_until(startedAt + 3200ms);
+        holdUp(instance);
+        std::vector<SeenRequest> seen;
+        for (int n = 0; n < count; ++n) {
+            seen.push_back({ absl::StrCat("id-", n), {} });
+            connections[n]->write(bytesOf(Kind::Status, seen.back().id));
+        }
+        std::this_thread::sleep_until(startedAt + 3650ms);
+        instance.signal(SIGCONT);
+        for (int n = 0; n < count; ++n)
+            seen[n].response = connections[n]->readResponse();
+        CHECK(instance.process().waitForExit(Seconds(2)) == 0);
+        checkNoneUnanswered(seen);
+    }
+}
