Do not pass on a request whose caller is already gone

What upstreams saw: requests of callers that had left. When an instance is held up, a caller may send a request and leave before any byte is read; the end of the connection was seen only in the next turn of the event loop, after the request had been written to an idle connection. Cause: the connection to the caller was looked at only when the event loop reported it, not before the request was handed on. Change: what the socket has is taken once before a request is served. If it has ended there, the request is dropped, with the line connection_closed.

--- a/src/edge/caller_connection.cpp
+++ b/src/edge/caller_connection.cpp
@@ -70,9 +70,14 @@
         m_isHeadRequest = request.method == "HEAD";
         m_isServing = true;
         m_hasStartedResponse = false;
+        // Also starts the watch for the caller's disconnect, unless the caller is already gone.
+        onReadable();
+        if (m_hasDisconnected) {
+            logClose();
+            break;
+        }
         ++m_requests;
         ++m_server->requests;
-        watchForDisconnect();
         co_await serve(std::move(request));
         --m_server->requests;
         m_isServing = false;
@@ -284,7 +289,7 @@
     });
 }
 
-// The socket became readable while a request is served: bytes of a pipelined request, or the end of the connection.
+// Takes what the socket has while a request is served: bytes of a pipelined request, or the end of the connection.
 void CallerConnection::onReadable()
 {
     if (!m_isServing)
