Refuse requests in the last half second of an instance that stops

What callers saw: a connection that closed with no response, and an upstream that had received the request. Cause: an instance whose time for stopping was over ended at its next look at the clock. Requests that the event loop read in the same turn were passed on before that, and nothing waited for their responses. The same held for requests just before the end. Ruled out: that the end of the loop itself loses requests; those that were not read are not passed on either.

--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -171,10 +171,10 @@
             }
             auto startedAt = bootNow();
             LogLine(LogLevel::Info, "stop").with("requests", m_entryServer->requests).with("connections", m_entryServer->connections);
-            m_traffic.stop();
+            auto limit = startedAt + m_settings.stopGrace() - shutdownMargin;
+            m_traffic.stop(limit);
             m_entryServer->closing = true;
             asio::post(m_controlLoop, [this] { m_control.leave(); });
-            auto limit = startedAt + m_settings.stopGrace() - shutdownMargin;
             auto callersGone = startedAt + m_settings.entryCacheTime() * maxAddressCacheFactor + shutdownMargin;
             while (bootNow() < limit) {
                 if (bootNow() >= callersGone) {
--- a/src/edge/request_forwarder.cpp
+++ b/src/edge/request_forwarder.cpp
@@ -117,6 +117,8 @@
     platform::decodeRequest(m_received.fields, request);
     m_view = m_traffic.view();
     m_admitted.configuration = m_view ? m_view->configuration : nullptr;
+    if (m_traffic.isExiting(bootNow()))
+        return ErrorKind::InstanceDraining;
     if (auto error = admitRequest(m_admitted, m_received.receivedAt); error != ErrorKind::None)
         return error;
     m_events = EventStreamParser(request.lastEvent);
--- a/src/edge/traffic_state.cpp
+++ b/src/edge/traffic_state.cpp
@@ -23,6 +23,9 @@
         return request.session.empty() ? std::string_view(request.id.value) : std::string_view(request.session);
     }
 
+    // An instance that stops refuses requests in this time before it exits.
+    constexpr Milliseconds minTimeBeforeExit { 500 };
+
     constexpr std::string_view rolloutHashSalt = "rollout";
 
 }
@@ -38,6 +41,10 @@
 {
 }
 
+void TrafficState::stop(TimePoint exitAt) { m_exitAt = exitAt; }
+
+bool TrafficState::isExiting(TimePoint now) const { return m_exitAt && now + minTimeBeforeExit >= *m_exitAt; }
+
 void TrafficState::setView(FleetViewPtr view)
 {
     m_view = std::move(view);
--- a/src/edge/traffic_state.h
+++ b/src/edge/traffic_state.h
@@ -46,10 +46,12 @@
     // is over.
     Awaitable<void> awaitConfiguration(TimePoint until);
     // Whether the instance can serve requests: it has a configuration and an upstream, and is not stopping.
-    bool isReady() const { return isConfigured() && !m_view->upstreams.empty() && !m_stopping; }
-    // Makes the instance report that it is not ready, so that no new callers are sent to it.
-    void stop() { m_stopping = true; }
-    bool isStopping() const { return m_stopping; }
+    bool isReady() const { return isConfigured() && !m_view->upstreams.empty() && !isStopping(); }
+    // Makes the instance report that it is not ready, so that no new callers are sent to it. At `exitAt` the process ends.
+    void stop(TimePoint exitAt);
+    bool isStopping() const { return m_exitAt.has_value(); }
+    // Whether the process ends so soon that a request that arrives now could not be answered.
+    bool isExiting(TimePoint now) const;
 
     // Finds the upstreams that may run a request of a service now, according to the current view and rollout.
     EligibleUpstreams findEligibleUpstreams(const ServiceId&, const RoutedRequest&, TimePoint now);
@@ -94,7 +96,8 @@
     ReleaseEvidence m_evidence;
     BrokenResponses m_brokenResponses;
     EndedIncarnations m_endedIncarnations;
-    bool m_stopping = false;
+    // When the process ends; set once it stops.
+    std::optional<TimePoint> m_exitAt;
     TimePoint m_startedAt;
     // Timers of requests that wait for the first configuration. Each expires at its request's limit; the arrival of a
     // configuration cancels them all.
