Answer the requests that are still at work when an instance exits

What callers saw: a connection that closed with no response, when the upstream was still at work at the end of the time for stopping. Cause: the end of the event loop destroyed the requests in flight. Nothing told their callers that the request may have run. Change: before it exits, the instance closes its connections to upstreams, so that each request ends in the way that it ends after a lost connection: with 502 if no part of the response was sent, else with a reset, after which the caller may resume. The outcome is logged as instance_draining; it is no evidence against the upstream or the request. Up to 200 ms of the 400 ms before the kill are used for that.

--- a/src/edge/connection_pool.cpp
+++ b/src/edge/connection_pool.cpp
@@ -13,6 +13,13 @@
 
 }
 
+std::shared_ptr<UpstreamConnection> ConnectionPool::create()
+{
+    auto connection = std::make_shared<UpstreamConnection>(m_loop);
+    m_connections.push_back(connection);
+    return connection;
+}
+
 std::shared_ptr<UpstreamConnection> ConnectionPool::acquire(const UpstreamEntry& entry, TimePoint now)
 {
     auto it = m_idle.find(poolKey(entry));
@@ -49,6 +56,15 @@
         }
     }
     absl::erase_if(m_idle, [](const auto& it) { return it.second.empty(); });
+    std::erase_if(m_connections, [](const auto& it) { return it.expired(); });
+}
+
+void ConnectionPool::closeAll()
+{
+    for (const auto& it : m_connections) {
+        if (auto connection = it.lock())
+            connection->close();
+    }
 }
 
 }
--- a/src/edge/connection_pool.h
+++ b/src/edge/connection_pool.h
@@ -19,7 +19,7 @@
     }
 
     // Returns a new connection that is not open yet.
-    std::shared_ptr<UpstreamConnection> create() { return std::make_shared<UpstreamConnection>(m_loop); }
+    std::shared_ptr<UpstreamConnection> create();
     // Removes and returns a reusable connection to the same process of the upstream, or returns null if there is none.
     std::shared_ptr<UpstreamConnection> acquire(const UpstreamEntry&, TimePoint now);
     // Keeps a connection for later requests if it is reusable, else closes it. The upstream's idle timeout is empty if the
@@ -27,6 +27,8 @@
     void recycle(const UpstreamEntry&, std::shared_ptr<UpstreamConnection>, std::optional<Seconds> upstreamIdleTimeout, TimePoint now);
     // Closes connections that were idle for too long.
     void closeExpired(TimePoint now);
+    // Closes all connections, also those in use, whose requests then end as after a lost connection.
+    void closeAll();
 
 private:
     struct IdleConnection {
@@ -36,6 +38,8 @@
     static std::string poolKey(const UpstreamEntry& entry) { return entry.address + "/" + entry.id.value + "/" + std::to_string(entry.born); }
 
     EventLoop& m_loop;
+    // All connections, idle and in use.
+    std::vector<std::weak_ptr<UpstreamConnection>> m_connections;
     absl::flat_hash_map<std::string, std::deque<IdleConnection>> m_idle;
 };
 
--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -21,6 +21,9 @@
     // Time reserved before the platform kills the process, to close unfinished requests so that callers can resume them.
     constexpr Milliseconds shutdownMargin { 400 };
     constexpr Milliseconds shutdownPollPeriod { 50 };
+    // Time for the last error responses to be written, a part of shutdownMargin.
+    constexpr Milliseconds lastResponsesTime { 200 };
+    constexpr Milliseconds lastResponsesPollPeriod { 5 };
     // The settings file is also polled, since it may change without a SIGHUP.
     constexpr Milliseconds settingsPollPeriod { 2000 };
     // If the caller's failure domain has at least this many entry instances, only these are returned.
@@ -184,10 +187,21 @@
                 }
                 co_await sleepFor(m_trafficLoop, shutdownPollPeriod);
             }
-            LogLine(LogLevel::Info, "stopped").with("cut", m_entryServer->requests).with("ms", toMilliseconds(bootNow() - startedAt).count());
+            auto cut = m_entryServer->requests;
+            co_await endRequests();
+            LogLine(LogLevel::Info, "stopped").with("cut", cut).with("ms", toMilliseconds(bootNow() - startedAt).count());
             m_trafficLoop.stop();
         }
 
+        // Ends the requests that are still at work: their callers get an error response, or a reset in the middle of a stream.
+        Awaitable<void> endRequests()
+        {
+            m_traffic.connections().closeAll();
+            auto limit = bootNow() + lastResponsesTime;
+            while (m_entryServer->requests > 0 && bootNow() < limit)
+                co_await sleepFor(m_trafficLoop, lastResponsesPollPeriod);
+        }
+
         EdgeSettings m_settings;
         SettingsReader m_readSettings;
         Incarnation m_self;
--- a/src/edge/request_forwarder.cpp
+++ b/src/edge/request_forwarder.cpp
@@ -212,7 +212,8 @@
     bool isConnectionLost = result.end == AttemptEnd::Cut || result.end == AttemptEnd::TimedOut || result.end == AttemptEnd::NotSent;
     if (isConnectionLost) {
         connection->close();
-        if (!m_caller->hasDisconnected())
+        // At its exit, the instance closes the connections itself.
+        if (!m_caller->hasDisconnected() && !m_traffic.isExiting(bootNow()))
             recordUpstreamFailure(upstream, result.end);
     }
     co_return result;
@@ -364,7 +365,7 @@
 
 bool RequestForwarder::reserveRetry(const AttemptResult& result, TimePoint now)
 {
-    if (timeLeft() < minUsefulTime || m_triedUpstreams.size() >= maxUnreachableUpstreams + static_cast<std::size_t>(m_admitted.route->maxAttempts))
+    if (timeLeft() < minUsefulTime || m_traffic.isExiting(now) || m_triedUpstreams.size() >= maxUnreachableUpstreams + static_cast<std::size_t>(m_admitted.route->maxAttempts))
         return false;
     // No attempt has reached an upstream yet: the next one needs no retry budget.
     if (result.end == AttemptEnd::NotSent && m_deliveredAttempts == 0)
@@ -379,6 +380,8 @@
 
 ErrorKind RequestForwarder::errorFor(const AttemptResult& result) const
 {
+    if (m_traffic.isExiting(bootNow()))
+        return ErrorKind::InstanceDraining;
     if (timeLeft() < minUsefulTime)
         return ErrorKind::DeadlineExceeded;
     if (result.end == AttemptEnd::NotSent)
--- a/test/processes/held_up_test.cpp
+++ b/test/processes/held_up_test.cpp
@@ -667,6 +667,26 @@
         CHECK(all.size() > 10 * count);
         checkNoneUnanswered(all);
     }
+    // Guards against requests that end without an answer because they are still at work when the time for stopping is over.
+    SECTION("callers whose upstreams are still at work then")
+    {
+        auto neverAnswer = [](const RawRequest&, RawConnection& connection) { return !connection.isClosedWithin(6s); };
+        site.setScripts(neverAnswer);
+        site.setEngineScripts([](const RawRequest& request, RawConnection& connection) {
+            connection.write(streamHead(request, Reuse::Allowed) + event(1));
+            return !connection.isClosedWithin(6s);
+        });
+        std::this_thread::sleep_until(startedAt + 2600ms);
+        connections[0]->write(bytesOf(Kind::Booking, "id-1", 5000ms));
+        connections[1]->write(bytesOf(Kind::Draft, "id-2", 5000ms));
+        CHECK(statusOf(connections[0]->readResponse()) == 502);
+        auto stream = connections[1]->readResponse();
+        CHECK(absl::StrContains(stream, "id: 1"));
+        CHECK_FALSE(absl::EndsWith(stream, "0\r\n\r\n"));
+        CHECK(instance.process().waitForExit(Seconds(2)) == 0);
+        CHECK(site.receivedWithId("id-1") == 1);
+        CHECK(instance.linesContaining("error=instance_draining").size() == 2);
+    }
     // Guards against requests that are passed on in the same turn of the event loop in which the process ends.
     SECTION("30 callers that send while it is held up past the end of its time for stopping")
     {
