Keep the deadline of a body that waits for 100 Continue

What callers saw: nothing; a caller that asked for 100 Continue and then sent no body held its connection, and a file descriptor of the instance, for ever. Cause: the write of the interim response replaces the deadline of the connection and clears it at its end, so the body was read without one. Change: the deadline for the body is set after that write.

--- a/src/edge/caller_connection.cpp
+++ b/src/edge/caller_connection.cpp
@@ -122,11 +122,12 @@
             co_return ReadOutcome::Rejected;
         }
         if (reader.state() == RequestReader::State::NeedsBody) {
-            setReadDeadline(limits.idleTimeout);
             if (reader.expectsContinue() && !hasSentContinue && m_input.empty()) {
                 hasSentContinue = true;
                 co_await write("HTTP/1.1 100 Continue\r\n\r\n", {});
             }
+            // Set after the write, which replaces the deadline and clears it.
+            setReadDeadline(limits.idleTimeout);
         } else if (!m_input.empty() && !hasHeadStarted) {
             hasHeadStarted = true;
             setReadDeadline(limits.headerTimeout + timeoutMargin);
--- a/test/correctness/caller_connection_test.cpp
+++ b/test/correctness/caller_connection_test.cpp
@@ -18,12 +18,12 @@
 // A server on a loopback port with its own thread.
 class Server {
 public:
-    explicit Server(RequestHandler handler)
+    explicit Server(RequestHandler handler, CallerLimits limits = {})
         : m_state(std::make_shared<ServerState>())
         , m_port(freePort())
     {
         m_state->handler = std::move(handler);
-        m_state->limits = [] { return CallerLimits {}; };
+        m_state->limits = [limits] { return limits; };
         m_listener = std::make_unique<HttpListener>(m_loop, absl::StrCat("127.0.0.1:", m_port), m_state);
         m_thread = std::thread([this] { m_loop.run(); });
     }
@@ -33,10 +33,15 @@
         m_thread.join();
     }
 
-    std::string request(const std::string& target) const
+    std::unique_ptr<RawConnection> connect() const
     {
         auto connection = RawConnection::connect(m_port);
         REQUIRE(connection);
+        return connection;
+    }
+    std::string request(const std::string& target) const
+    {
+        auto connection = connect();
         connection->write(absl::StrCat("GET ", target, " HTTP/1.1\r\nHost: x\r\n\r\n"));
         return connection->readResponse(2s);
     }
@@ -96,3 +101,20 @@
         CHECK(absl::StartsWith(server.request("/served"), "HTTP/1.1 200"));
     }
 }
+
+TEST_CASE("a caller that does not finish its request is closed after the limit")
+{
+    auto handler = [](std::shared_ptr<CallerConnection> connection, ReceivedRequest) -> Awaitable<void> {
+        EdgeResponse response { .status = 200 };
+        co_await connection->respond(std::move(response));
+    };
+    Server server(handler, { .headerTimeout = 200ms, .idleTimeout = 200ms });
+    auto connection = server.connect();
+    // Guards against connections without a deadline.
+    SECTION("also if it waits for 100 Continue first and then sends no body")
+    {
+        connection->write("POST /x HTTP/1.1\r\nHost: x\r\nExpect: 100-continue\r\nContent-Length: 4\r\n\r\n");
+        REQUIRE(connection->readUntil([](const std::string& in) { return absl::StartsWith(in, "HTTP/1.1 100 Continue\r\n\r\n"); }));
+        CHECK(connection->isClosedWithin(3s));
+    }
+}
