Do not cut a request when the caller of an earlier one on its connection leaves

What callers saw: an error response, or a second run where one is allowed, for a request that an upstream was working on. Cause: a connection to an upstream went back to the pool before its response had been written to the caller, but the request still held it for the case that the caller leaves. If the caller left during that write, the connection was closed although another request was already using it. Class: the end of one connection is taken for the end of another one's request. Change: a request gives up its hold of the connection in the same step that returns it to the pool. Evidence: test_edge, section "a call on the connection of an earlier call is not cut when the caller of that one leaves": failed on the code before (no answer for the second caller), passes in three of three runs now.

--- a/src/edge/request_forwarder.cpp
+++ b/src/edge/request_forwarder.cpp
@@ -239,7 +239,7 @@
     if (response.notRun) {
         auto rest = co_await connection->readWholeBody(maxBufferedBytes);
         if (rest.end == TransferEnd::Ok)
-            m_traffic.connections().recycle(upstream, connection, response.keepAliveTimeout, bootNow());
+            releaseConnection(upstream, connection, response.keepAliveTimeout, bootNow());
         co_return AttemptResult { AttemptEnd::RefusedNotRun, false };
     }
     bool isStream = m_admitted.route->kind == RouteKind::Streaming && response.isEventStream && response.status < 300;
@@ -258,7 +258,7 @@
     if (body.end != TransferEnd::Ok)
         co_return AttemptResult { toAttemptEnd(body.end), false };
     auto now = bootNow();
-    m_traffic.connections().recycle(upstream, connection, response.keepAliveTimeout, now);
+    releaseConnection(upstream, connection, response.keepAliveTimeout, now);
     bool isGood = response.status < 500;
     m_traffic.countOutcome(releaseRoute(upstream), isGood, toMilliseconds(now - m_sentAt));
     if (isGood)
@@ -308,7 +308,7 @@
         }
         co_await m_caller->writeBody(events.bytes);
         if (isComplete) {
-            m_traffic.connections().recycle(upstream, connection, keepAliveTimeout, bootNow());
+            releaseConnection(upstream, connection, keepAliveTimeout, bootNow());
             co_await m_caller->endBody();
             logOutcome("none", 200);
             co_return AttemptResult { AttemptEnd::Completed, true };
@@ -344,6 +344,12 @@
     return true;
 }
 
+void RequestForwarder::releaseConnection(const UpstreamEntry& upstream, std::shared_ptr<UpstreamConnection> connection, std::optional<Seconds> idleTimeout, TimePoint now)
+{
+    m_connection = nullptr;
+    m_traffic.connections().recycle(upstream, std::move(connection), idleTimeout, now);
+}
+
 double RequestForwarder::costWeight() const
 {
     return m_model && m_admitted.service->engine ? modelWeight(*m_admitted.service->engine, *m_model) : 1;
--- a/src/edge/request_forwarder.h
+++ b/src/edge/request_forwarder.h
@@ -44,6 +44,9 @@
     Awaitable<AttemptResult> relayBuffered(const UpstreamEntry&, std::shared_ptr<UpstreamConnection>, UpstreamResponse);
     // Relays an event stream as it arrives, in whole events.
     Awaitable<AttemptResult> relayStream(const UpstreamEntry&, std::shared_ptr<UpstreamConnection>, UpstreamResponse);
+    // Returns a connection whose response is complete to the pool. From then on it may serve another request, which must not end
+    // when the caller of this one disconnects.
+    void releaseConnection(const UpstreamEntry&, std::shared_ptr<UpstreamConnection>, std::optional<Seconds> idleTimeout, TimePoint now);
     // Whether the response is dropped to ask a larger model, because the model's confidence is too low. Selects that model.
     bool escalateModel(const UpstreamEntry&, const UpstreamResponse&);
     // Work of a prompt token on the model that the router chose, relative to the most expensive model; 1 if it chose none.
--- a/test/processes/edge_test.cpp
+++ b/test/processes/edge_test.cpp
@@ -314,6 +314,32 @@
         CHECK(statusOf(sendRequest(instance, requestBytes("GET", "/status/x", "id-1"))) >= 502);
         CHECK(site.received() + third.count() + fourth.count() + fifth.count() == 3);
     }
+    // Guards against a caller that leaves while its response is written, and thereby ends another request.
+    SECTION("a call on the connection of an earlier call is not cut when the caller of that one leaves")
+    {
+        constexpr std::size_t longBody = std::size_t { 7 } << 20;
+        site.store.remove("servers/i-2");
+        std::atomic<bool> mayRespond = false;
+        site.first.setScript([&](const RawRequest& request, RawConnection& connection) {
+            bool isLong = request.field("X-Attempt-Id") == "id-long";
+            if (!isLong)
+                waitUntil(2s, [&] { return mayRespond.load(); });
+            return connection.write(responseBytes(200, isLong ? std::string(longBody, 'x') : "hello", { { "X-Attempt-Id", request.field("X-Attempt-Id") }, { "X-Server-Seal", "s" }, { "Keep-Alive", "timeout=20" } }));
+        });
+        REQUIRE(waitUntil(2s, [&] { return !instance.linesContaining("upstream_removed").empty(); }));
+        auto leaving = RawConnection::connect(instance.port());
+        leaving->write(requestBytes("GET", "/status/x", "id-long"));
+        // The instance has read the response, and writes as much of it as the sockets take.
+        REQUIRE(leaving->readUntil([](const std::string& in) { return in.size() > 100000; }));
+        auto staying = RawConnection::connect(instance.port());
+        staying->write(requestBytes("GET", "/status/x", "id-2"));
+        REQUIRE(waitUntil(2s, [&] { return site.first.count() == 2; }));
+        leaving->reset();
+        std::this_thread::sleep_for(50ms);
+        mayRespond = true;
+        CHECK(absl::EndsWith(staying->readResponse(), "hello"));
+        CHECK(site.first.count() == 2);
+    }
     SECTION("an upstream that responds 421 with another instance id gets no more requests")
     {
         site.first.setScript([](const RawRequest&, RawConnection& connection) { return connection.write(responseBytes(421, "", { { "X-Instance-Id", "i-99" } })); });
