Limit the buffered bytes of a caller that pipelines requests

What an instance saw: memory that grows with each request of a caller that sends requests without waiting for responses. The look at the socket before a request is served took up to 16 KiB with each request, while a small request takes some 30 bytes from the buffer. The limit of 64 KiB was asked only before the watch for the caller's disconnect. Change: the limit is asked where bytes are taken. A caller that leaves with that much buffered is noticed once the buffer is shorter, as before the look was added. Evidence: test_caller_connection, "a caller that sends many requests at once".

--- a/src/edge/caller_connection.cpp
+++ b/src/edge/caller_connection.cpp
@@ -293,7 +293,7 @@
 // Takes what the socket has while a request is served: bytes of a pipelined request, or the end of the connection.
 void CallerConnection::onReadable()
 {
-    if (!m_isServing)
+    if (!m_isServing || m_input.size() >= maxPipelinedBytes)
         return;
     char buf[readBlockBytes];
     boost::system::error_code ec;
--- a/test/correctness/caller_connection_test.cpp
+++ b/test/correctness/caller_connection_test.cpp
@@ -5,6 +5,7 @@
 
 #include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
+#include <atomic>
 #include <catch2/catch.hpp>
 #include <future>
 #include <thread>
@@ -118,3 +119,35 @@
         CHECK(connection->isClosedWithin(3s));
     }
 }
+
+TEST_CASE("a caller that sends many requests at once is read only as far as its requests are served")
+{
+    constexpr std::int64_t servedRequests = 2000;
+    // More than a socket buffers, and less than the server would read if it took a block with each request.
+    constexpr std::size_t limitBytes = std::size_t { 16 } << 20;
+    std::atomic<std::int64_t> served = 0;
+    auto handler = [&](std::shared_ptr<CallerConnection> connection, ReceivedRequest) -> Awaitable<void> {
+        EdgeResponse response { .status = 200 };
+        if (++served > servedRequests) {
+            connection->abort();
+            co_return;
+        }
+        co_await connection->respond(std::move(response));
+    };
+    Server server(handler);
+    auto connection = server.connect();
+    // Guards against memory that grows with each request of a caller that does not wait for responses.
+    SECTION("its other requests stay in the socket")
+    {
+        std::string block;
+        while (block.size() < 64 * 1024)
+            block += "GET /x HTTP/1.1\r\nHost: x\r\n\r\n";
+        std::size_t sent = 0;
+        std::thread reader([&] { connection->readUntil([](const std::string&) { return false; }, 20s); });
+        while (sent < 4 * limitBytes && connection->write(block))
+            sent += block.size();
+        reader.join();
+        CHECK(served > servedRequests);
+        CHECK(sent < limitBytes);
+    }
+}
