Drop the callback for a caller's disconnect when its handler ends by an exception

What could happen: the error response after an exception is written when the handler has ended. If the caller resets the connection at that moment, the write fails and runs the handler's callback, which refers to an object of the handler that no longer exists. Change: the callback is dropped before the error response is written, as it is after a handler that returns.

--- a/src/edge/caller_connection.cpp
+++ b/src/edge/caller_connection.cpp
@@ -102,6 +102,8 @@
         failure = e.what();
     }
     LogLine(LogLevel::Error, "handler_failed").with("error", failure);
+    // The callback belongs to the handler, which has ended.
+    m_onDisconnect = nullptr;
     m_keepAlive = false;
     if (m_hasStartedResponse) {
         abort();
--- a/test/correctness/caller_connection_test.cpp
+++ b/test/correctness/caller_connection_test.cpp
@@ -2,6 +2,7 @@
 
 #include "edge/caller_connection.h"
 #include "fakes/loopback_server.h"
+#include "processes/edge_instance.h"
 
 #include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
@@ -151,3 +152,28 @@
         CHECK(sent < limitBytes);
     }
 }
+
+// Guards against a callback that runs when what it refers to has ended with its handler.
+TEST_CASE("the callback for a caller's disconnect does not run after an exception has ended the handler")
+{
+    std::atomic<bool> hasFailed = false, hasRunLate = false;
+    std::promise<void> started, mayFail;
+    auto handler = [&](std::shared_ptr<CallerConnection> connection, ReceivedRequest) -> Awaitable<void> {
+        connection->onDisconnect([&] { hasRunLate = hasFailed.load(); });
+        started.set_value();
+        // Blocks the event loop, so that it does not see the reset before the exception.
+        mayFail.get_future().wait();
+        hasFailed = true;
+        throw std::runtime_error("handler failed");
+        co_return;
+    };
+    Server server(handler);
+    auto connection = server.connect();
+    connection->write("GET /x HTTP/1.1\r\nHost: x\r\n\r\n");
+    started.get_future().wait();
+    connection->reset();
+    std::this_thread::sleep_for(50ms);
+    mayFail.set_value();
+    REQUIRE(waitUntil(2s, [&] { return server.requests() == 0; }));
+    CHECK_FALSE(hasRunLate);
+}
