Skip seeds of the settings whose address cannot be parsed

What operators and callers saw: the process ends, with all its connections, when a seed in its settings is not of the form ip:port, for instance a host name. Seeds are also read again while the process runs, every two seconds, so a file that is being written is enough. Cause: the address is parsed when a heartbeat is sent, in a function that was posted to the control loop; an exception there ends the process. Change: a seed that cannot be parsed is logged as seed_unreadable and skipped, as upstreams and peers are. Evidence: test_edge, "a seed that is not an IP address and a port is skipped". A change of the seeds in a running process was not tried.

--- a/src/edge/control_plane.cpp
+++ b/src/edge/control_plane.cpp
@@ -73,8 +73,13 @@
 
 void ControlPlane::addSeeds(const std::vector<std::string>& seeds)
 {
-    for (const auto& it : seeds)
-        m_fleet.addSeedAddress(m_settings.seedPort == 0 ? it : absl::StrCat(it.substr(0, it.rfind(':')), ":", m_settings.seedPort));
+    for (const auto& it : seeds) {
+        auto address = m_settings.seedPort == 0 ? it : absl::StrCat(it.substr(0, it.rfind(':')), ":", m_settings.seedPort);
+        if (isEndpoint(address))
+            m_fleet.addSeedAddress(address);
+        else
+            LogLine(LogLevel::Error, "seed_unreadable").with("seed", it);
+    }
 }
 
 Awaitable<void> ControlPlane::followStore()
--- a/test/processes/edge_test.cpp
+++ b/test/processes/edge_test.cpp
@@ -95,6 +95,13 @@
         CHECK(instance.isReady());
         CHECK_FALSE(instance.linesContaining("instance_unreadable").empty());
     }
+    // Guards against processes that end because a seed of their settings cannot be parsed.
+    SECTION("a seed that is not an IP address and a port is skipped")
+    {
+        EdgeInstance other("edge-2", site.store.address(), "nowhere:7");
+        CHECK(waitUntil(5s, [&] { return other.isReady(); }));
+        CHECK_FALSE(other.linesContaining("seed_unreadable").empty());
+    }
     SECTION("a heartbeat with such an address is skipped")
     {
         FleetHeartbeat heartbeat;
