Count token counts of an engine that are not numbers as zero

What operators and callers saw: the process ends, with all its requests, when an engine answers a chat with a usage of null or of text. Cause: the JSON library throws for a value of another type, and the exception leaves a callback of libcurl or the client's thread. Change: a count that is missing or not a number is zero. The answer is passed on.

--- a/src/adapters/http_upstream_client.cpp
+++ b/src/adapters/http_upstream_client.cpp
@@ -15,12 +15,19 @@
     // and the rest is processed as a new line.
     constexpr std::size_t maxLineBytes = 1 << 20;
 
+    // A count that is missing or not a number is zero: an exception would leave a callback of libcurl and end the process.
+    std::int64_t countOf(const Json& json, const char* name)
+    {
+        auto it = json.find(name);
+        return it != json.end() && it->is_number() ? it->get<std::int64_t>() : 0;
+    }
+
     Usage parseUsage(const Json& json)
     {
         auto it = json.find("usage");
         if (it == json.end() || !it->is_object())
             return {};
-        return { it->value("prompt_tokens", std::int64_t { 0 }), it->value("completion_tokens", std::int64_t { 0 }) };
+        return { countOf(*it, "prompt_tokens"), countOf(*it, "completion_tokens") };
     }
 
     // Parses server-sent events incrementally and forwards their payloads.
--- a/test/correctness/http_client_test.cpp
+++ b/test/correctness/http_client_test.cpp
@@ -1,4 +1,6 @@
 #include "adapters/http_client.h"
+#include "adapters/http_server.h"
+#include "adapters/http_upstream_client.h"
 
 #include <atomic>
 #include <catch2/catch.hpp>
@@ -61,3 +63,36 @@
         CHECK(send(client, call).end == HttpEnd::NotSent);
     }
 }
+
+// Guards against processes that end because an engine's count of tokens is not a number.
+TEST_CASE("an answer whose token counts are not numbers is passed on, and they count as zero")
+{
+    const std::string answer = R"({"usage":{"prompt_tokens":null,"completion_tokens":"many"}})";
+    HttpServer server({ .listen = "127.0.0.1:0" }, [&](const HttpRequest& request, const std::shared_ptr<HttpReply>& reply) {
+        reply->respond(200, {}, request.path == "/stream" ? "data: " + answer + "\n\ndata: [DONE]\n\n" : answer);
+    });
+    HttpClient client;
+    std::promise<AttemptFinished> finished;
+    HttpUpstreamClient upstreams(client, [&](Event event) {
+        if (auto* it = std::get_if<AttemptFinished>(&event))
+            finished.set_value(*it);
+    });
+    SendAttempt attempt { .address = "127.0.0.1:" + std::to_string(server.port()), .method = "POST", .body = std::make_shared<const std::string>("{}"), .timeout = Milliseconds(2000) };
+    auto checkFinished = [&] {
+        upstreams.send(attempt);
+        auto result = finished.get_future().get();
+        CHECK(result.end == AttemptEnd::Completed);
+        CHECK(result.usage.inputTokens == 0);
+    };
+    SECTION("in one piece")
+    {
+        attempt.path = "/whole";
+        checkFinished();
+    }
+    SECTION("as a stream")
+    {
+        attempt.path = "/stream";
+        attempt.streamed = true;
+        checkFinished();
+    }
+}
