Keep the settings in force when new ones name an unknown log level

What operators and callers saw: after SIGHUP the process aborts, with all its connections, if the settings file names a log level that does not exist, or names one in part because the file is still being written. Without SIGHUP, the file is read every two seconds, and the same exception ends that coroutine: later changes of the file are no longer seen. Cause: the level is checked only where it is set, by an exception. In the handler of the signal nothing catches it, and it leaves the event loop. Change: a reload checks the level first, logs settings_invalid and keeps the settings, as it does for other errors of the file. Evidence: test_edge, "settings with an unknown log level are skipped". On the code before, the process was gone after SIGHUP (one run; by hand, exit by SIGABRT), and by hand without SIGHUP the log said task_failed task=watch_settings. The start with an unknown level still ends with an error, as before.

--- a/src/adapters/log.cpp
+++ b/src/adapters/log.cpp
@@ -4,6 +4,7 @@
 #include "core/check.h"
 
 #include <absl/strings/str_cat.h>
+#include <algorithm>
 #include <atomic>
 #include <boost/core/null_deleter.hpp>
 #include <boost/log/attributes/constant.hpp>
@@ -171,6 +172,11 @@
     boost::log::core::get()->add_sink(sink());
 }
 
+bool isLogLevel(const std::string& name)
+{
+    return std::find(std::begin(levelNames), std::end(levelNames), name) != std::end(levelNames);
+}
+
 void setLogLevel(const std::string& level)
 {
     minimumLevel = parseLevel(level);
--- a/src/adapters/log.h
+++ b/src/adapters/log.h
@@ -19,6 +19,8 @@
 enum class LogTarget { StandardError,
     StandardOutput };
 
+// Whether the text is the name of a level.
+bool isLogLevel(const std::string&);
 // Starts logging; lines below the named level are discarded. Throws UsageError for an unknown level name.
 void startLog(const std::string& level, const std::string& instance, LogTarget target = LogTarget::StandardError);
 // Changes the minimum level that is written. Throws UsageError for an unknown level name.
--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -157,6 +157,10 @@
             bool same = settings->seeds == m_settings.seeds && settings->logLevel == m_settings.logLevel;
             if (same)
                 return;
+            if (!isLogLevel(settings->logLevel)) {
+                LogLine(LogLevel::Error, "settings_invalid").with("log_level", settings->logLevel);
+                return;
+            }
             LogLine(LogLevel::Info, "reload").with("seeds", static_cast<std::int64_t>(settings->seeds.size())).with("log_level", settings->logLevel);
             setLogLevel(settings->logLevel);
             m_settings.seeds = settings->seeds;
--- a/test/processes/edge_instance.cpp
+++ b/test/processes/edge_instance.cpp
@@ -59,6 +59,8 @@
     m_process = std::make_unique<ChildProcess>(std::vector<std::string> { SKYLARKHITCH_BINARY_DIR "/skylarkhitchd", "--settings", m_path + ".yaml" }, m_path + ".log");
 }
 
+void EdgeInstance::addSetting(const std::string& line) const { std::ofstream(m_path + ".yaml", std::ios::app) << "  " << line << "\n"; }
+
 void EdgeInstance::kill() { m_process.reset(); }
 
 void EdgeInstance::signal(int number) const
--- a/test/processes/edge_instance.h
+++ b/test/processes/edge_instance.h
@@ -17,6 +17,8 @@
 
     // Kills the process if it runs and starts it again with the same ports; appends to the output of earlier runs.
     void restart();
+    // Adds a line to the settings, which a running process reads again after SIGHUP.
+    void addSetting(const std::string& line) const;
     // Kills the process with SIGKILL.
     void kill();
     // Sends a signal to the process; does nothing if none is running.
--- a/test/processes/edge_test.cpp
+++ b/test/processes/edge_test.cpp
@@ -102,6 +102,16 @@
         CHECK(waitUntil(5s, [&] { return other.isReady(); }));
         CHECK_FALSE(other.linesContaining("seed_unreadable").empty());
     }
+    // Guards against processes that end, or no longer read their settings, because a level of the log is misspelt or half written.
+    SECTION("settings with an unknown log level are skipped")
+    {
+        instance.addSetting("log_level: inf");
+        instance.signal(SIGHUP);
+        std::this_thread::sleep_for(2500ms);
+        CHECK(instance.isReady());
+        CHECK_FALSE(instance.linesContaining("what=settings_invalid").empty());
+        CHECK(instance.linesContaining("what=task_failed").empty());
+    }
     SECTION("a heartbeat with such an address is skipped")
     {
         FleetHeartbeat heartbeat;
