--- a/src/edge/caller_connection.cpp
+++ b/src/edge/caller_connection.cpp
@@ -102,6 +102,8 @@
         failure = e.what();
     }
     LogLine(LogLevel::Error, "handler_failed").with("error", failure);
+    // The callback belongs to the handler, which has ended.
+    m_onDisconnect = nullptr;
     m_keepAlive = false;
     if (m_hasStartedResponse) {
         abort();
@@ -293,7 +295,7 @@
 // Takes what the socket has while a request is served: bytes of a pipelined request, or the end of the connection.
 void CallerConnection::onReadable()
 {
-    if (!m_isServing)
+    if (!m_isServing || m_input.size() >= maxPipelinedBytes)
         return;
     char buf[readBlockBytes];
     boost::system::error_code ec;
--- a/test/processes/edge_test.cpp
+++ b/test/processes/edge_test.cpp
@@ -95,6 +95,23 @@
         CHECK(instance.isReady());
         CHECK_FALSE(instance.linesContaining("instance_unreadable").empty());
     }
+    // Guards against processes that end because a seed of their settings cannot be parsed.
+    SECTION("a seed that is not an IP address and a port is skipped")
+    {
+        EdgeInstance other("edge-2", site.store.address(), "nowhere:7");
+        CHECK(waitUntil(5s, [&] { return other.isReady(); }));
+        CHECK_FALSE(other.linesContaining("seed_unreadable").empty());
+    }
+    // Guards against processes that end, or no longer read their settings, because a level of the log is misspelt or half written.
+    SECTION("settings with an unknown log level are skipped")
+    {
+        instance.addSetting("log_level: inf");
+        instance.signal(SIGHUP);
+        std::this_thread::sleep_for(2500ms);
+        CHECK(instance.isReady());
+        CHECK_FALSE(instance.linesContaining("what=settings_invalid").empty());
+        CHECK(instance.linesContaining("what=task_failed").empty());
+    }
     SECTION("a heartbeat with such an address is skipped")
     {
         FleetHeartbeat heartbeat;
