Judge the latency of a release on each route and model too

What callers would see: a release that answers one kind of request several times slower, without failing, is rolled out to all sessions if another route has much longer responses.

Cause: only the total latency over all routes was compared. A route with long responses dominates it: 40 responses of 480 ms instead of 60 ms beside 20 drafts of 1.5 s instead of 2 s make a ratio of 1.16, and the bound is 1.8. Failures were compared for each route, latencies were not.

Change: the same bound holds for each route and model alone. It takes 16 responses there instead of 8, as every comparison is another chance of a wrong verdict; fewer are left to the total as before.

Latencies that rise for both releases alike were and are not held against the new one.

--- a/src/core/rollout/release_plan.cpp
+++ b/src/core/rollout/release_plan.cpp
@@ -47,19 +47,30 @@
         return counters.target.failed >= settings.minFailures && failureRate(counters.target) > failureRate(counters.others) + settings.failureMargin;
     }
 
-    void addLatencies(LatencyRatio& sum, const CounterPair& counters, const RolloutSettings& settings)
+    // The latencies of one route and model; empty without enough completed requests of both.
+    LatencyRatio compareLatencies(const CounterPair& counters, const RolloutSettings& settings)
     {
         if (counters.target.done < settings.minResponsesPerRouteAndModel || counters.others.done < settings.minResponsesPerRouteAndModel)
-            return;
-        sum.target += static_cast<double>(counters.target.latency.count());
-        sum.expected += meanLatency(counters.others) * static_cast<double>(counters.target.done);
-        sum.comparedResponses += counters.target.done;
+            return {};
+        return { static_cast<double>(counters.target.latency.count()), meanLatency(counters.others) * static_cast<double>(counters.target.done), counters.target.done };
     }
 
-    bool isSlower(const LatencyRatio& ratio, const RolloutSettings& settings)
+    void add(LatencyRatio& sum, const LatencyRatio& it)
+    {
+        sum.target += it.target;
+        sum.expected += it.expected;
+        sum.comparedResponses += it.comparedResponses;
+    }
+
+    bool isSlower(const LatencyRatio& ratio, std::int64_t minComparedResponses, const RolloutSettings& settings)
     {
         auto margin = static_cast<double>(settings.minLatencyDifference.count() * ratio.comparedResponses);
-        return ratio.comparedResponses >= settings.minComparedResponses && ratio.target > ratio.expected * settings.maxLatencyRatio && ratio.target > ratio.expected + margin;
+        return ratio.comparedResponses >= minComparedResponses && ratio.target > ratio.expected * settings.maxLatencyRatio && ratio.target > ratio.expected + margin;
+    }
+
+    std::string slowReason(const LatencyRatio& ratio)
+    {
+        return absl::StrCat("latency ", ratio.target, " ms over ", ratio.comparedResponses, " answers; expected ms from the other releases: ", ratio.expected);
     }
 
     bool mayComplete(const ReleaseVerdict& verdict, double elapsedFraction, bool oldReleaseIsIdle, const RolloutSettings& settings)
@@ -112,7 +123,10 @@
             add(it.others, baselineCounters[key].others);
         add(all.target, it.target);
         add(all.others, it.others);
-        addLatencies(ratio, it, settings);
+        auto routeRatio = compareLatencies(it, settings);
+        add(ratio, routeRatio);
+        if (isSlower(routeRatio, settings.minComparedResponsesOfOne, settings))
+            verdict.reason = absl::StrCat("route ", key.first, ": ", slowReason(routeRatio));
         if (hasHigherFailureRate(it, settings))
             verdict.reason = absl::StrCat("route ", key.first, ": failed ", it.target.failed, " of ", it.target.done + it.target.failed);
     }
@@ -120,8 +134,8 @@
     verdict.finishedRequests = all.target.done + all.target.failed;
     if (hasHigherFailureRate(all, settings))
         verdict.reason = absl::StrCat("failed ", all.target.failed, " of ", verdict.finishedRequests, "; other releases failed ", all.others.failed, " of ", all.others.done + all.others.failed);
-    else if (isSlower(ratio, settings))
-        verdict.reason = absl::StrCat("latency ", ratio.target, " ms over ", ratio.comparedResponses, " answers; expected ms from the other releases: ", ratio.expected);
+    else if (isSlower(ratio, settings.minComparedResponses, settings))
+        verdict.reason = slowReason(ratio);
     verdict.isBad = !verdict.reason.empty();
     return verdict;
 }
--- a/src/core/rollout/release_plan.h
+++ b/src/core/rollout/release_plan.h
@@ -72,9 +72,12 @@
     std::int64_t minResponsesPerRouteAndModel = 4;
     // Completed requests of the target over all compared routes and models required for a verdict on latency.
     std::int64_t minComparedResponses = 8;
-    // latencyRatio of a ReleaseVerdict above which the target is bad. The target's engines are nearly idle while the others
-    // carry the load: good targets take 0.4 to 0.9 of the others' time (benchmark, standard days), so a target that is several
-    // times slower shows a ratio of about two.
+    // The same for a verdict on one route and model alone. More are required, since each of them is another chance of a wrong
+    // verdict.
+    std::int64_t minComparedResponsesOfOne = 16;
+    // Ratio of the target's latency to that of the others, overall or for one route and model, above which the target is bad.
+    // The target's engines are nearly idle while the others carry the load: good targets take 0.4 to 0.9 of the others' time
+    // (benchmark, standard days), so a target that is several times slower shows a ratio of about two.
     double maxLatencyRatio = 1.8;
     // Differences in mean latency below this never make a release bad.
     Milliseconds minLatencyDifference { 30 };
@@ -92,6 +95,7 @@
     // Requests that the target has completed or failed.
     std::int64_t finishedRequests = 0;
     // Ratio of the target's total latency to the latency expected from the others; 0 without enough completed requests of both.
+    // Routes with long responses dominate it.
     double latencyRatio = 0;
 };
 
--- a/test/correctness/release_plan_test.cpp
+++ b/test/correctness/release_plan_test.cpp
@@ -89,6 +89,54 @@
     }
 }
 
+// Guards against a release that never fails and is slow being completed.
+TEST_CASE("a slow release that never fails is bad, however its slowness is spread")
+{
+    constexpr auto oldLatency = 60ms;
+    constexpr auto slowLatency = 8 * oldLatency;
+    ReleaseEvidence evidence { { releaseRoute("v1"), { 400, 0, 400 * oldLatency } }, { releaseRoute("v1", "drafts"), { 100, 0, 100 * 2000ms } } };
+    SECTION("slow on every route")
+    {
+        evidence[releaseRoute("v2")] = { 20, 0, 20 * slowLatency };
+        evidence[releaseRoute("v2", "drafts")] = { 5, 0, 5 * 16000ms };
+        CHECK(judgeRelease(order, evidence).isBad);
+    }
+    SECTION("slow for half of the responses")
+    {
+        evidence[releaseRoute("v2")] = { 20, 0, 10 * oldLatency + 10 * slowLatency };
+        CHECK(judgeRelease(order, evidence).isBad);
+    }
+    SECTION("slow for half of the responses, while idle engines halve the time of the others")
+    {
+        evidence[releaseRoute("v2")] = { 20, 0, 10 * oldLatency / 2 + 10 * slowLatency / 2 };
+        CHECK(judgeRelease(order, evidence).isBad);
+    }
+    SECTION("slow on the route with the short responses, among long responses on another route")
+    {
+        evidence[releaseRoute("v2")] = { 40, 0, 40 * slowLatency };
+        evidence[releaseRoute("v2", "drafts")] = { 20, 0, 20 * 1500ms };
+        CHECK(judgeRelease(order, evidence).isBad);
+    }
+    SECTION("slow on the route with the long responses")
+    {
+        evidence[releaseRoute("v2")] = { 40, 0, 40 * oldLatency };
+        evidence[releaseRoute("v2", "drafts")] = { 8, 0, 8 * 16000ms };
+        CHECK(judgeRelease(order, evidence).isBad);
+    }
+    SECTION("a few slow responses on one route are not sufficient evidence")
+    {
+        evidence[releaseRoute("v2")] = { 6, 0, 6 * slowLatency };
+        evidence[releaseRoute("v2", "drafts")] = { 20, 0, 20 * 1500ms };
+        CHECK_FALSE(judgeRelease(order, evidence).isBad);
+    }
+    SECTION("latencies of both releases that rise together are not evidence against the new one")
+    {
+        evidence[releaseRoute("v1")] = { 400, 0, 400 * slowLatency };
+        evidence[releaseRoute("v2")] = { 40, 0, 40 * slowLatency };
+        CHECK_FALSE(judgeRelease(order, evidence).isBad);
+    }
+}
+
 // If all instances restart in the second half of a rollout, the counters of the old release are lost. Without the stored
 // baseline a slow target then has nothing to be compared with and is completed.
 TEST_CASE("a slow release is detected with the stored baseline after all counters were lost")
