Hold a rollout while the typical latency of the new release is higher

What callers would see: a release that answers several times slower gets all sessions before it is found out.

Cause: latencies were compared by their means. Half a release's responses several times slower gave a ratio of the means of 0.88 to 1.43 at the end of the canary stage. No bound on this ratio separates good from slow releases.

Ruled out: too few responses (19 to 42 at the end of the canary stage, 8 are needed); responses that are not counted (the first events of streams are, and the count in the decisions grows as the share of sessions says); a late order or record.

Change: instances also count the logarithms of latencies. The geometric means are compared for each route and model and summed, with their standard error, from 12 responses on. Above a ratio of 1.2 the release stays in its stage if it is one standard error away, and is bad if it is 3.5 away. A rollout that is held to the end of its duration is reverted, as before. This is compared only while both releases serve under the same load, not in the stage in which the target serves all: a burst there would be taken for slowness. Heartbeats and the stored baseline have three more numbers a row; rows without them, from earlier versions, are read, and are left out of this comparison.

--- a/src/core/membership/fleet_heartbeat.cpp
+++ b/src/core/membership/fleet_heartbeat.cpp
@@ -1,5 +1,7 @@
 #include "core/membership/fleet_heartbeat.h"
 
+#include <algorithm>
+#include <cmath>
 #include <nlohmann/json.hpp>
 
 namespace skylarkhitch {
@@ -20,7 +22,7 @@
     {
         Json rows = Json::array();
         for (const auto& [key, it] : heartbeat.evidence)
-            rows.push_back(Json::array({ key.service.value, key.release, key.route, key.model.value, it.done, it.failed, it.latency.count() }));
+            rows.push_back(Json::array({ key.service.value, key.release, key.route, key.model.value, it.done, it.failed, it.latency.count(), it.logLatencies.count, it.logLatencies.sum, it.logLatencies.squareSum }));
         return rows;
     }
 
@@ -40,6 +42,12 @@
         return rows;
     }
 
+    // Instances of earlier versions do not send these.
+    LogLatencies logLatenciesFrom(const Json& row)
+    {
+        return row.size() > 9 ? LogLatencies { row.at(7), row.at(8), row.at(9) } : LogLatencies {};
+    }
+
     FleetHeartbeat heartbeatFrom(const Json& json)
     {
         FleetHeartbeat heartbeat;
@@ -56,7 +64,7 @@
         for (const auto& it : json.at(11))
             heartbeat.work[UpstreamId { it.at(0) }] = { it.at(1), it.at(2) };
         for (const auto& it : json.at(12))
-            heartbeat.evidence[{ { it.at(0) }, it.at(1), it.at(2), { it.at(3) } }] = { it.at(4), it.at(5), Milliseconds(it.at(6).get<std::int64_t>()) };
+            heartbeat.evidence[{ { it.at(0) }, it.at(1), it.at(2), { it.at(3) } }] = { it.at(4), it.at(5), Milliseconds(it.at(6).get<std::int64_t>()), logLatenciesFrom(it) };
         for (const auto& it : json.at(13))
             heartbeat.crashes[it.at(0)] = it.at(1);
         for (const auto& it : json.at(14))
@@ -68,6 +76,26 @@
 
 }
 
+void addSuccess(ReleaseCounters& counters, Milliseconds latency)
+{
+    ++counters.done;
+    counters.latency += latency;
+    auto logarithm = std::log(static_cast<double>(std::max<std::int64_t>(1, latency.count())));
+    ++counters.logLatencies.count;
+    counters.logLatencies.sum += logarithm;
+    counters.logLatencies.squareSum += logarithm * logarithm;
+}
+
+void add(ReleaseCounters& sum, const ReleaseCounters& it)
+{
+    sum.done += it.done;
+    sum.failed += it.failed;
+    sum.latency += it.latency;
+    sum.logLatencies.count += it.logLatencies.count;
+    sum.logLatencies.sum += it.logLatencies.sum;
+    sum.logLatencies.squareSum += it.logLatencies.squareSum;
+}
+
 std::string encodeHeartbeat(const FleetHeartbeat& heartbeat)
 {
     Json sinceUnreachable = heartbeat.sinceStoreUnreachable ? Json(heartbeat.sinceStoreUnreachable->count()) : Json();
--- a/src/core/membership/fleet_heartbeat.h
+++ b/src/core/membership/fleet_heartbeat.h
@@ -20,6 +20,15 @@
     std::int64_t waitingTokens = 0;
 };
 
+// Logarithms of latencies in milliseconds. Their mean is that of typical responses, which a few very slow ones barely change.
+struct LogLatencies {
+    std::int64_t count = 0;
+    double sum = 0;
+    double squareSum = 0;
+
+    friend bool operator==(const LogLatencies&, const LogLatencies&) = default;
+};
+
 // Results of the requests of one route and model on one release of a service.
 struct ReleaseCounters {
     // Requests that succeeded.
@@ -27,10 +36,16 @@
     std::int64_t failed = 0;
     // Sum of the latencies of the successful requests: the time to the response, or to the first event of a stream.
     Milliseconds latency {};
+    LogLatencies logLatencies;
 
     friend bool operator==(const ReleaseCounters&, const ReleaseCounters&) = default;
 };
 
+// Counts a successful request.
+void addSuccess(ReleaseCounters&, Milliseconds latency);
+// Adds the counters of another instance or release.
+void add(ReleaseCounters& sum, const ReleaseCounters&);
+
 // The requests that are counted together in ReleaseCounters.
 struct ReleaseRoute {
     ServiceId service;
--- a/src/core/rollout/release_plan.cpp
+++ b/src/core/rollout/release_plan.cpp
@@ -2,11 +2,15 @@
 
 #include <absl/strings/str_cat.h>
 #include <algorithm>
+#include <cmath>
 
 namespace skylarkhitch {
 
 namespace {
 
+    // Lowest variance assumed for the logarithms of latencies, so that a few equal latencies do not pass for certainty.
+    constexpr double minLogVariance = 0.04;
+
     // Shares of sessions by stage. The canary share keeps the exposure to a bad release far below what operators allow.
     constexpr double stageShares[] = { 0.06, 0.4, 1, 1, 0 };
     constexpr const char* stageNames[] = { "canary", "half", "full", "completed", "reverted" };
@@ -24,13 +28,6 @@
         std::int64_t comparedResponses = 0;
     };
 
-    void add(ReleaseCounters& sum, const ReleaseCounters& it)
-    {
-        sum.done += it.done;
-        sum.failed += it.failed;
-        sum.latency += it.latency;
-    }
-
     double failureRate(const ReleaseCounters& it)
     {
         auto n = it.done + it.failed;
@@ -68,6 +65,42 @@
         return ratio.comparedResponses >= minComparedResponses && ratio.target > ratio.expected * settings.maxLatencyRatio && ratio.target > ratio.expected + margin;
     }
 
+    // Sums over routes and models, each weighted by the target's responses.
+    struct TypicalLatencies {
+        double logRatio = 0;
+        double variance = 0;
+        std::int64_t comparedResponses = 0;
+    };
+
+    void addTypical(TypicalLatencies& sum, const CounterPair& counters, const RolloutSettings& settings)
+    {
+        const auto& target = counters.target.logLatencies;
+        const auto& others = counters.others.logLatencies;
+        if (target.count == 0 || others.count < settings.minResponsesOfOthers)
+            return;
+        auto n = static_cast<double>(target.count);
+        auto othersCount = static_cast<double>(others.count);
+        auto mean = others.sum / othersCount;
+        // The others' variance serves for both, since the target has too few responses at first.
+        auto variance = std::max(minLogVariance, others.squareSum / othersCount - mean * mean);
+        sum.logRatio += target.sum - n * mean;
+        sum.variance += variance * (n + n * n / othersCount);
+        sum.comparedResponses += target.count;
+    }
+
+    void compareTypical(ReleaseVerdict& verdict, const TypicalLatencies& sum, const RolloutSettings& settings)
+    {
+        if (sum.comparedResponses < settings.minTypicalResponses)
+            return;
+        verdict.typicalRatio = std::exp(sum.logRatio / static_cast<double>(sum.comparedResponses));
+        verdict.standardErrors = sum.logRatio / std::sqrt(sum.variance);
+        if (verdict.typicalRatio <= settings.maxTypicalRatio)
+            return;
+        verdict.mayBeSlower = verdict.standardErrors > settings.holdStandardErrors;
+        if (verdict.reason.empty() && verdict.standardErrors > settings.badStandardErrors)
+            verdict.reason = absl::StrCat("typical latency ", verdict.typicalRatio, " times that of the other releases over ", sum.comparedResponses, " answers, ", verdict.standardErrors, " standard errors above it");
+    }
+
     std::string slowReason(const LatencyRatio& ratio)
     {
         return absl::StrCat("latency ", ratio.target, " ms over ", ratio.comparedResponses, " answers; expected ms from the other releases: ", ratio.expected);
@@ -111,12 +144,13 @@
     return stageShares[static_cast<int>(stage)];
 }
 
-ReleaseVerdict judgeRelease(const RolloutOrder& order, const ReleaseEvidence& evidence, const ReleaseEvidence& baseline, const RolloutSettings& settings)
+ReleaseVerdict judgeRelease(const RolloutOrder& order, const ReleaseEvidence& evidence, const ReleaseEvidence& baseline, RolloutStage stage, const RolloutSettings& settings)
 {
     auto routes = countersByRouteAndModel(order, evidence);
     auto baselineCounters = countersByRouteAndModel(order, baseline);
     CounterPair all;
     LatencyRatio ratio;
+    TypicalLatencies typical;
     ReleaseVerdict verdict;
     for (auto& [key, it] : routes) {
         if (it.others.done < settings.minResponsesPerRouteAndModel)
@@ -125,6 +159,7 @@
         add(all.others, it.others);
         auto routeRatio = compareLatencies(it, settings);
         add(ratio, routeRatio);
+        addTypical(typical, it, settings);
         if (isSlower(routeRatio, settings.minComparedResponsesOfOne, settings))
             verdict.reason = absl::StrCat("route ", key.first, ": ", slowReason(routeRatio));
         if (hasHigherFailureRate(it, settings))
@@ -136,6 +171,8 @@
         verdict.reason = absl::StrCat("failed ", all.target.failed, " of ", verdict.finishedRequests, "; other releases failed ", all.others.failed, " of ", all.others.done + all.others.failed);
     else if (isSlower(ratio, settings.minComparedResponses, settings))
         verdict.reason = slowReason(ratio);
+    if (stage == RolloutStage::Canary || stage == RolloutStage::Half)
+        compareTypical(verdict, typical, settings);
     verdict.isBad = !verdict.reason.empty();
     return verdict;
 }
@@ -161,7 +198,7 @@
         return record.stage == RolloutStage::Full ? RolloutStage::Completed : RolloutStage::Reverted;
     if (record.stage == RolloutStage::Full)
         return mayComplete(verdict, elapsedFraction, oldReleaseIsIdle, settings) ? RolloutStage::Completed : RolloutStage::Full;
-    if (verdict.finishedRequests < settings.minResponses)
+    if (verdict.finishedRequests < settings.minResponses || verdict.mayBeSlower)
         return record.stage;
     if (record.stage == RolloutStage::Half)
         return elapsedFraction >= settings.fullStart ? RolloutStage::Full : RolloutStage::Half;
--- a/src/core/rollout/release_plan.h
+++ b/src/core/rollout/release_plan.h
@@ -79,6 +79,14 @@
     // The target's engines are nearly idle while the others carry the load: good targets take 0.4 to 0.9 of the others' time
     // (benchmark, standard days), so a target that is several times slower shows a ratio of about two.
     double maxLatencyRatio = 1.8;
+    // Ratio of the typical latencies (geometric means) above which a target that shares the load with the others may be too slow.
+    double maxTypicalRatio = 1.2;
+    // Completed requests of the others per route and model, and of the target in all, required to compare typical latencies.
+    std::int64_t minResponsesOfOthers = 8;
+    std::int64_t minTypicalResponses = 12;
+    // Distance of that ratio from 1, in standard errors, beyond which the target gets no larger share, and beyond which it is bad.
+    double holdStandardErrors = 1;
+    double badStandardErrors = 3.5;
     // Differences in mean latency below this never make a release bad.
     Milliseconds minLatencyDifference { 30 };
     // Requests that the target must have completed or failed before a rollout completes, since completion is irreversible.
@@ -97,16 +105,23 @@
     // Ratio of the target's total latency to the latency expected from the others; 0 without enough completed requests of both.
     // Routes with long responses dominate it.
     double latencyRatio = 0;
+    // Ratio of the geometric means, and its distance from 1 in standard errors; 0 without enough completed requests of both.
+    double typicalRatio = 0;
+    double standardErrors = 0;
+    // The target seems slower, but that may still be chance.
+    bool mayBeSlower = false;
 };
 
 // Compares failure rates and latencies of the target with those of the other releases. `baseline` is added to the counters of
-// the other releases where these are too low for a comparison.
-ReleaseVerdict judgeRelease(const RolloutOrder&, const ReleaseEvidence&, const ReleaseEvidence& baseline = {}, const RolloutSettings& = {});
+// the other releases where these are too low for a comparison. Typical latencies are compared only in a stage that divides the
+// sessions between the releases, so that both were measured under the same load.
+ReleaseVerdict judgeRelease(const RolloutOrder&, const ReleaseEvidence&, const ReleaseEvidence& baseline = {}, RolloutStage = RolloutStage::Canary, const RolloutSettings& = {});
 
 // The part of the evidence that concerns the service's releases other than the target.
 ReleaseEvidence baselineOf(const RolloutOrder&, const ReleaseEvidence&);
 
-// The next stage, given the time since the start and the verdict. Stages only move forward, or to Reverted. When the order's
+// The next stage, given the time since the start and the verdict. Stages only move forward, or to Reverted. A target that may be
+// slower stays in its stage until more responses decide. When the order's
 // duration has passed, a rollout in stage Full is completed and any other is reverted. `oldReleaseIsIdle` is true when the old
 // release has no running requests, or need not be waited for any longer.
 RolloutStage nextStage(const RolloutOrder&, const RolloutRecord&, const ReleaseVerdict&, Milliseconds sinceStart, bool oldReleaseIsIdle, const RolloutSettings& = {});
--- a/src/edge/control_plane.cpp
+++ b/src/edge/control_plane.cpp
@@ -417,12 +417,8 @@
 {
     auto evidence = m_trafficReport.evidence;
     for (const auto& [id, peer] : m_fleet.peers()) {
-        for (const auto& [key, it] : peer.heartbeat.evidence) {
-            auto& sum = evidence[key];
-            sum.done += it.done;
-            sum.failed += it.failed;
-            sum.latency += it.latency;
-        }
+        for (const auto& [key, it] : peer.heartbeat.evidence)
+            add(evidence[key], it);
     }
     return evidence;
 }
--- a/src/edge/rollout_controller.cpp
+++ b/src/edge/rollout_controller.cpp
@@ -82,7 +82,7 @@
 void RolloutController::evaluate(const ServiceId& service, Order& order, const Record& record, const RolloutInputs& inputs, TimePoint now)
 {
     const auto& current = record.record;
-    auto verdict = judgeRelease(order.order, inputs.evidence, current.baseline);
+    auto verdict = judgeRelease(order.order, inputs.evidence, current.baseline, current.stage);
     if (verdict.isBad && !order.suspended) {
         order.suspended = true;
         m_onChange();
@@ -96,7 +96,7 @@
     bool mayAdvance = inputs.isCoordinator || stage == RolloutStage::Reverted;
     if (stage == current.stage || !mayAdvance || !mayWrite(service))
         return;
-    LogLine(LogLevel::Info, "rollout_decision").with("service", service.value).with("target", order.order.target).with("from", stageName(current.stage)).with("to", stageName(stage)).with("ms", sinceStart.count()).with("answers", verdict.finishedRequests).with("slowness_percent", static_cast<std::int64_t>(100 * verdict.latencyRatio));
+    LogLine(LogLevel::Info, "rollout_decision").with("service", service.value).with("target", order.order.target).with("from", stageName(current.stage)).with("to", stageName(stage)).with("ms", sinceStart.count()).with("answers", verdict.finishedRequests).with("slowness_percent", static_cast<std::int64_t>(100 * verdict.latencyRatio)).with("typical_percent", static_cast<std::int64_t>(100 * verdict.typicalRatio));
     auto next = current;
     next.stage = stage;
     if (current.stage == RolloutStage::Canary)
--- a/src/edge/traffic_state.cpp
+++ b/src/edge/traffic_state.cpp
@@ -150,8 +150,7 @@
         ++it.failed;
         return;
     }
-    ++it.done;
-    it.latency += latency;
+    addSuccess(it, latency);
 }
 
 void TrafficState::recordBrokenResponse(const std::string& upstreamProcess, const ReleaseRoute& route, TimePoint now)
--- a/test/correctness/release_plan_test.cpp
+++ b/test/correctness/release_plan_test.cpp
@@ -19,6 +19,15 @@
     return { service, release, route, { model } };
 }
 
+// Counters of n responses, which take the given times in turn.
+ReleaseCounters responses(int n, const std::vector<Milliseconds>& latencies)
+{
+    ReleaseCounters counters;
+    for (int i = 0; i < n; ++i)
+        addSuccess(counters, latencies[static_cast<std::size_t>(i) % latencies.size()]);
+    return counters;
+}
+
 RolloutRecord inStage(RolloutStage stage) { return { order.revision, order.target, stage, {}, {} }; }
 
 }
@@ -137,6 +146,63 @@
     }
 }
 
+// Guards against a slow release being given all sessions: responses of the old release vary so widely under load that the mean
+// latency of a slow one on idle engines is hardly above it.
+TEST_CASE("a slow release is found by its typical latency although the mean hides it")
+{
+    const std::vector<Milliseconds> underLoad { 45ms, 50ms, 50ms, 55ms, 60ms, 70ms, 80ms, 100ms, 200ms, 900ms };
+    const std::vector<Milliseconds> slow { 120ms, 180ms };
+    ReleaseEvidence evidence { { releaseRoute("v1"), responses(400, underLoad) } };
+    auto judged = [&](const ReleaseCounters& target, RolloutStage stage = RolloutStage::Canary) {
+        evidence[releaseRoute("v2")] = target;
+        return judgeRelease(order, evidence, {}, stage);
+    };
+    auto next = [&](const ReleaseVerdict& verdict, Milliseconds sinceStart) { return nextStage(order, inStage(RolloutStage::Canary), verdict, sinceStart, false); };
+    SECTION("with enough responses it is bad")
+    {
+        auto verdict = judged(responses(60, slow));
+        CHECK(verdict.latencyRatio < 1);
+        CHECK(verdict.isBad);
+    }
+    SECTION("with few responses it stays in its stage, and is reverted at the end")
+    {
+        auto verdict = judged(responses(12, slow));
+        CHECK_FALSE(verdict.isBad);
+        CHECK(next(verdict, 13000ms) == RolloutStage::Canary);
+        CHECK(next(verdict, 23000ms) == RolloutStage::Canary);
+        CHECK(next(verdict, 24000ms) == RolloutStage::Reverted);
+    }
+    SECTION("a release like the old one advances")
+    {
+        for (auto n : { 12, 40, 400 }) {
+            auto verdict = judged(responses(n, underLoad));
+            CHECK_FALSE(verdict.isBad);
+            CHECK(next(verdict, 13000ms) == RolloutStage::Half);
+        }
+    }
+    SECTION("a slightly slower release advances")
+    {
+        std::vector<Milliseconds> slightlySlower;
+        for (auto it : underLoad)
+            slightlySlower.push_back(it * 11 / 10);
+        CHECK(next(judged(responses(400, slightlySlower)), 13000ms) == RolloutStage::Half);
+    }
+    SECTION("latencies of both releases that rise together are not evidence against the new one")
+    {
+        evidence[releaseRoute("v1")] = responses(400, slow);
+        CHECK(next(judged(responses(60, slow)), 13000ms) == RolloutStage::Half);
+    }
+    SECTION("latencies that rise once the target carries all load are not evidence against it")
+    {
+        CHECK_FALSE(judged(responses(60, slow), RolloutStage::Full).isBad);
+    }
+    SECTION("counters of instances that do not send logarithms are not compared")
+    {
+        evidence[releaseRoute("v1")].logLatencies = {};
+        CHECK(next(judged(responses(60, slow)), 13000ms) == RolloutStage::Half);
+    }
+}
+
 // If all instances restart in the second half of a rollout, the counters of the old release are lost. Without the stored
 // baseline a slow target then has nothing to be compared with and is completed.
 TEST_CASE("a slow release is detected with the stored baseline after all counters were lost")
