Count the time that callers waited before they left as latency of the release

What callers would see: a release is slow for some requests, callers leave before these are answered, and the release is judged by the fast answers alone and passes for good.

Cause: only completed and failed requests were counted. One whose caller left before the response, or before the first event of a stream, was no evidence at all, so the slower a release, the fewer of its slow requests were seen.

Ruled out, by reading the code: requests that the instance itself gives up. They count as failures once the same process answers a later request, before the change too. The core test's section in which half of the callers left passed before the change, as its numbers held the waiting time already; the one in which all left did not.

Change: the waiting time of such a request is added to the release's latency, and its number is sent to the others. Total time divided by completed requests is the maximum likelihood estimate of the mean of censored exponential times, for both releases alike, so callers who leave both do no harm. In place of completed requests, at most as many abandoned ones count as the others would have completed in the same time at the highest ratio that is not bad; callers who leave at once weigh next to nothing. As with broken responses, it counts only once the same process answers a later request, since a crashed upstream is no evidence against its release. Typical latencies take no abandoned requests.

--- a/src/core/membership/fleet_heartbeat.cpp
+++ b/src/core/membership/fleet_heartbeat.cpp
@@ -22,7 +22,7 @@
     {
         Json rows = Json::array();
         for (const auto& [key, it] : heartbeat.evidence)
-            rows.push_back(Json::array({ key.service.value, key.release, key.route, key.model.value, it.done, it.failed, it.latency.count(), it.logLatencies.count, it.logLatencies.sum, it.logLatencies.squareSum }));
+            rows.push_back(Json::array({ key.service.value, key.release, key.route, key.model.value, it.done, it.failed, it.latency.count(), it.logLatencies.count, it.logLatencies.sum, it.logLatencies.squareSum, it.abandoned }));
         return rows;
     }
 
@@ -48,6 +48,8 @@
         return row.size() > 9 ? LogLatencies { row.at(7), row.at(8), row.at(9) } : LogLatencies {};
     }
 
+    std::int64_t abandonedFrom(const Json& row) { return row.size() > 10 ? row.at(10).get<std::int64_t>() : 0; }
+
     FleetHeartbeat heartbeatFrom(const Json& json)
     {
         FleetHeartbeat heartbeat;
@@ -64,7 +66,7 @@
         for (const auto& it : json.at(11))
             heartbeat.work[UpstreamId { it.at(0) }] = { it.at(1), it.at(2) };
         for (const auto& it : json.at(12))
-            heartbeat.evidence[{ { it.at(0) }, it.at(1), it.at(2), { it.at(3) } }] = { it.at(4), it.at(5), Milliseconds(it.at(6).get<std::int64_t>()), logLatenciesFrom(it) };
+            heartbeat.evidence[{ { it.at(0) }, it.at(1), it.at(2), { it.at(3) } }] = { it.at(4), it.at(5), Milliseconds(it.at(6).get<std::int64_t>()), logLatenciesFrom(it), abandonedFrom(it) };
         for (const auto& it : json.at(13))
             heartbeat.crashes[it.at(0)] = it.at(1);
         for (const auto& it : json.at(14))
@@ -86,6 +88,12 @@
     counters.logLatencies.squareSum += logarithm * logarithm;
 }
 
+void addAbandoned(ReleaseCounters& counters, Milliseconds waited)
+{
+    ++counters.abandoned;
+    counters.latency += waited;
+}
+
 void add(ReleaseCounters& sum, const ReleaseCounters& it)
 {
     sum.done += it.done;
@@ -94,6 +102,7 @@
     sum.logLatencies.count += it.logLatencies.count;
     sum.logLatencies.sum += it.logLatencies.sum;
     sum.logLatencies.squareSum += it.logLatencies.squareSum;
+    sum.abandoned += it.abandoned;
 }
 
 std::string encodeHeartbeat(const FleetHeartbeat& heartbeat)
--- a/src/core/membership/fleet_heartbeat.h
+++ b/src/core/membership/fleet_heartbeat.h
@@ -34,15 +34,21 @@
     // Requests that succeeded.
     std::int64_t done = 0;
     std::int64_t failed = 0;
-    // Sum of the latencies of the successful requests: the time to the response, or to the first event of a stream.
+    // Sum of the latencies of the successful requests: the time to the response, or to the first event of a stream. Includes the
+    // time that abandoned requests waited.
     Milliseconds latency {};
+    // Of the successful requests alone.
     LogLatencies logLatencies;
+    // Requests whose callers left before the response, or before the first event of a stream.
+    std::int64_t abandoned = 0;
 
     friend bool operator==(const ReleaseCounters&, const ReleaseCounters&) = default;
 };
 
 // Counts a successful request.
 void addSuccess(ReleaseCounters&, Milliseconds latency);
+// Counts a request whose caller left after the given time.
+void addAbandoned(ReleaseCounters&, Milliseconds waited);
 // Adds the counters of another instance or release.
 void add(ReleaseCounters& sum, const ReleaseCounters&);
 
--- a/src/core/rollout/release_plan.cpp
+++ b/src/core/rollout/release_plan.cpp
@@ -34,6 +34,8 @@
         return n == 0 ? 0 : static_cast<double>(it.failed) / static_cast<double>(n);
     }
 
+    // With abandoned requests, this is the maximum likelihood estimate of the mean from censored observations of an exponential
+    // distribution: the total time divided by the number of completed requests.
     double meanLatency(const ReleaseCounters& it)
     {
         return it.done == 0 ? 0 : static_cast<double>(it.latency.count()) / static_cast<double>(it.done);
@@ -44,12 +46,23 @@
         return counters.target.failed >= settings.minFailures && failureRate(counters.target) > failureRate(counters.others) + settings.failureMargin;
     }
 
-    // The latencies of one route and model; empty without enough completed requests of both.
+    // Abandoned requests of the target that count in a comparison: at most as many as the others would have completed in the
+    // target's time at the highest ratio that is not bad, so that callers who leave early count for little.
+    std::int64_t comparedAbandoned(const CounterPair& counters, const RolloutSettings& settings)
+    {
+        auto slowestGoodLatency = meanLatency(counters.others) * settings.maxLatencyRatio;
+        if (slowestGoodLatency == 0)
+            return 0;
+        return std::min(counters.target.abandoned, static_cast<std::int64_t>(static_cast<double>(counters.target.latency.count()) / slowestGoodLatency));
+    }
+
+    // The latencies of one route and model; empty without enough requests of both.
     LatencyRatio compareLatencies(const CounterPair& counters, const RolloutSettings& settings)
     {
-        if (counters.target.done < settings.minResponsesPerRouteAndModel || counters.others.done < settings.minResponsesPerRouteAndModel)
+        auto compared = counters.target.done + comparedAbandoned(counters, settings);
+        if (compared < settings.minResponsesPerRouteAndModel || counters.others.done < settings.minResponsesPerRouteAndModel)
             return {};
-        return { static_cast<double>(counters.target.latency.count()), meanLatency(counters.others) * static_cast<double>(counters.target.done), counters.target.done };
+        return { static_cast<double>(counters.target.latency.count()), meanLatency(counters.others) * static_cast<double>(counters.target.done), compared };
     }
 
     void add(LatencyRatio& sum, const LatencyRatio& it)
--- a/src/core/rollout/release_plan.h
+++ b/src/core/rollout/release_plan.h
@@ -68,7 +68,8 @@
     // The target is bad if its failure rate, overall or for one route and model, exceeds that of the other releases by more
     // than this.
     double failureMargin = 0.1;
-    // Completed requests per route and model, of the target and of the others each, required to compare latencies.
+    // Completed requests per route and model, of the target and of the others each, required to compare mean latencies. Requests
+    // of the target that waited long and were abandoned count as well, also in the next two settings.
     std::int64_t minResponsesPerRouteAndModel = 4;
     // Completed requests of the target over all compared routes and models required for a verdict on latency.
     std::int64_t minComparedResponses = 8;
--- a/src/edge/request_forwarder.cpp
+++ b/src/edge/request_forwarder.cpp
@@ -189,6 +189,10 @@
         --m_possibleRuns;
     m_traffic.metrics().attemptEnded(serviceName(), attemptEndName(result.end));
     bool isConnectionLost = result.end == AttemptEnd::Cut || result.end == AttemptEnd::TimedOut || result.end == AttemptEnd::NotSent;
+    if (result.end == AttemptEnd::Cut && m_caller->hasDisconnected() && !m_firstEventSeen) {
+        auto now = bootNow();
+        m_traffic.recordAbandoned(upstreamProcessId(upstream).value, { releaseRoute(upstream), toMilliseconds(now - m_sentAt), now });
+    }
     if (isConnectionLost) {
         connection->close();
         if (!m_caller->hasDisconnected())
--- a/src/edge/traffic_state.cpp
+++ b/src/edge/traffic_state.cpp
@@ -158,10 +158,17 @@
     m_brokenResponses.recordBroken(upstreamProcess, route, now);
 }
 
+void TrafficState::recordAbandoned(const std::string& upstreamProcess, const AbandonedRequest& request)
+{
+    m_brokenResponses.recordAbandoned(upstreamProcess, request);
+}
+
 void TrafficState::recordAnswer(const std::string& upstreamProcess, TimePoint sentAt)
 {
     for (const auto& it : m_brokenResponses.recordSucceeded(upstreamProcess, sentAt))
         countOutcome(it, false, {});
+    for (const auto& it : m_brokenResponses.takeAbandoned(upstreamProcess, sentAt))
+        addAbandoned(m_evidence[it.route], it.waited);
 }
 
 }
--- a/src/edge/traffic_state.h
+++ b/src/edge/traffic_state.h
@@ -67,8 +67,11 @@
     // Records a response that broke off. It counts against the release once the same process of the upstream, identified by the
     // id and the start time of the upstream, answers a later request.
     void recordBrokenResponse(const std::string& upstreamProcess, const ReleaseRoute&, TimePoint now);
+    // Records a request whose caller left before the response, or before the first event of a stream. Its waiting time counts as
+    // latency of the release once the same process of the upstream answers a later request.
+    void recordAbandoned(const std::string& upstreamProcess, const AbandonedRequest&);
     // Records that a process of an upstream answered a request sent at this time; counts its responses that broke off before
-    // then as failures of their release.
+    // then as failures of their release, and the waiting time of requests abandoned before then as latency.
     void recordAnswer(const std::string& upstreamProcess, TimePoint sentAt);
 
     EventLoop& loop() { return m_loop; }
--- a/test/correctness/fleet_test.cpp
+++ b/test/correctness/fleet_test.cpp
@@ -37,7 +37,7 @@
     sent.storeAge = 40ms;
     sent.sinceStoreUnreachable = 1200ms;
     sent.work[{ "i-1" }] = { 3, 4000 };
-    sent.evidence[{ { "assist" }, "v2", "cards", { "small" } }] = { 7, 1, 900ms, { 7, 33.5, 161.25 } };
+    sent.evidence[{ { "assist" }, "v2", "cards", { "small" } }] = { 7, 1, 900ms, { 7, 33.5, 161.25 }, 2 };
     sent.crashes["f00d"] = 2;
     sent.sessions = { { 77, "v2", 300ms } };
     sent.known = { "10.0.0.2:70" };
--- a/test/correctness/release_plan_test.cpp
+++ b/test/correctness/release_plan_test.cpp
@@ -203,6 +203,34 @@
     }
 }
 
+// Guards against a slow release being completed because callers leave before its slow responses, so that only the fast ones
+// are counted.
+TEST_CASE("requests whose callers left before the response are evidence of latency")
+{
+    ReleaseEvidence evidence { { releaseRoute("v1"), { 400, 0, 400 * 60ms } } };
+    SECTION("all callers of the target left")
+    {
+        evidence[releaseRoute("v2")] = { 0, 0, 20 * 500ms, {}, 20 };
+        CHECK(judgeRelease(order, evidence).isBad);
+    }
+    SECTION("the callers of half of the responses left")
+    {
+        evidence[releaseRoute("v2")] = { 10, 0, 10 * 60ms + 10 * 500ms, {}, 10 };
+        CHECK(judgeRelease(order, evidence).isBad);
+    }
+    SECTION("callers that left early are not evidence against the target")
+    {
+        evidence[releaseRoute("v2")] = { 0, 0, 20 * 10ms, {}, 20 };
+        CHECK_FALSE(judgeRelease(order, evidence).isBad);
+    }
+    SECTION("callers that leave both releases alike are not evidence against the target")
+    {
+        evidence[releaseRoute("v1")] = { 200, 0, 200 * 60ms + 200 * 500ms, {}, 200 };
+        evidence[releaseRoute("v2")] = { 10, 0, 10 * 60ms + 10 * 500ms, {}, 10 };
+        CHECK_FALSE(judgeRelease(order, evidence).isBad);
+    }
+}
+
 // If all instances restart in the second half of a rollout, the counters of the old release are lost. Without the stored
 // baseline a slow target then has nothing to be compared with and is completed.
 TEST_CASE("a slow release is detected with the stored baseline after all counters were lost")
@@ -313,6 +341,20 @@
     {
         CHECK(brokenResponses.recordSucceeded("i-1/2", start + 1s).empty());
     }
+    SECTION("the same holds for requests whose callers left before the response")
+    {
+        for (const auto* incarnation : { "i-1/1", "i-3/1" })
+            brokenResponses.recordAbandoned(incarnation, { route, 400ms, start });
+        CHECK(brokenResponses.takeAbandoned("i-3/1", start - 1ms).empty());
+        CHECK(brokenResponses.takeAbandoned("i-1/2", start + 1s).empty());
+        auto abandoned = brokenResponses.takeAbandoned("i-3/1", start + 1ms);
+        REQUIRE(abandoned.size() == 1);
+        CHECK(abandoned[0].route == route);
+        CHECK(abandoned[0].waited == 400ms);
+        CHECK(brokenResponses.takeAbandoned("i-3/1", start + 2ms).empty());
+        brokenResponses.forget(start + 1ms);
+        CHECK(brokenResponses.takeAbandoned("i-1/1", start + 1s).empty());
+    }
     SECTION("broken responses that are not resolved in time are discarded")
     {
         brokenResponses.forget(start + 1ms);
--- a/test/processes/edge_test.cpp
+++ b/test/processes/edge_test.cpp
@@ -555,6 +555,41 @@
     }
 }
 
+// Guards against a slow release being taken for a good one because its callers leave: only the responses that were fast enough
+// were counted.
+TEST_CASE("a release whose callers leave before its slow responses is reverted")
+{
+    Site site;
+    ScriptedUpstream target("i-9", [](const RawRequest& request, RawConnection& connection) {
+        bool isSlow = absl::StrContains(request.target, "slow");
+        return !(isSlow && connection.isClosedWithin(2s)) && respondWith("hello")(request, connection);
+    });
+    EdgeInstance instance("edge-1", site.store.address());
+    REQUIRE(waitUntil(5s, [&] { return instance.isReady(); }));
+    site.store.put("servers/i-9", target.registration("orders", "ready", "v2"));
+    site.store.put("op/rollout/orders", R"({"backend":"orders","target":"v2","durationS":30})");
+    REQUIRE(waitUntil(3s, [&] { return !instance.linesContaining("stage=canary").empty(); }));
+    int n = 0;
+    auto nextId = [&](bool isCanary) {
+        auto id = absl::StrCat("id-", ++n);
+        while ((unitHash("rollout", id) < 0.05) != isCanary)
+            id = absl::StrCat("id-", ++n);
+        return id;
+    };
+    for (int i = 0; i < 10; ++i)
+        CHECK(statusOf(sendRequest(instance, requestBytes("GET", "/status/x", nextId(false)))) == 200);
+    auto isReverted = [&] { return absl::StrContains(site.store.find("status/rollout/orders").value_or(""), "reverted"); };
+    for (int i = 0; i < 12 && !isReverted(); ++i) {
+        auto impatient = RawConnection::connect(instance.port());
+        impatient->write(requestBytes("GET", "/status/slow", nextId(true)));
+        std::this_thread::sleep_for(250ms);
+        impatient.reset();
+        CHECK(statusOf(sendRequest(instance, requestBytes("GET", "/status/x", nextId(true)))) == 200);
+    }
+    CHECK(target.count() >= 8);
+    CHECK(waitUntil(3s, isReverted));
+}
+
 TEST_CASE("a failed request is followed from its id through the lines of two instances")
 {
     Site site;
