Never complete a rollout of whose release nothing is known

What callers would see: all instances restart in the last stage of a rollout, no request reaches the service until its duration ends, and a release is completed, and the old one stopped, on no evidence at all.

Cause: the number of responses needed for completion was waived entirely in the last twentieth of the duration, and not asked for at its end.

Ruled out: the stages before. They need six responses to advance and are reverted at the end without them.

Change: those six are needed for completion too. Until then the rollout is held in its stage; at the end of the duration it is reverted, as in the other stages. A service with so little traffic cannot be judged in that time.

--- a/src/core/rollout/release_plan.cpp
+++ b/src/core/rollout/release_plan.cpp
@@ -206,12 +206,13 @@
         return record.stage;
     if (verdict.isBad)
         return RolloutStage::Reverted;
+    bool hasResponses = verdict.finishedRequests >= settings.minResponses;
     auto elapsedFraction = static_cast<double>(sinceStart.count()) / static_cast<double>(std::max<std::int64_t>(1, order.duration.count()));
     if (elapsedFraction >= 1)
-        return record.stage == RolloutStage::Full ? RolloutStage::Completed : RolloutStage::Reverted;
+        return record.stage == RolloutStage::Full && hasResponses ? RolloutStage::Completed : RolloutStage::Reverted;
     if (record.stage == RolloutStage::Full)
-        return mayComplete(verdict, elapsedFraction, oldReleaseIsIdle, settings) ? RolloutStage::Completed : RolloutStage::Full;
-    if (verdict.finishedRequests < settings.minResponses || verdict.mayBeSlower)
+        return hasResponses && mayComplete(verdict, elapsedFraction, oldReleaseIsIdle, settings) ? RolloutStage::Completed : RolloutStage::Full;
+    if (!hasResponses || verdict.mayBeSlower)
         return record.stage;
     if (record.stage == RolloutStage::Half)
         return elapsedFraction >= settings.fullStart ? RolloutStage::Full : RolloutStage::Half;
--- a/src/core/rollout/release_plan.h
+++ b/src/core/rollout/release_plan.h
@@ -60,8 +60,9 @@
     double halfStart = 0.52;
     double fullStart = 0.62;
     double completedStart = 0.8;
-    // Requests that the target must have completed or failed before it gets more than the canary share. The number is low
-    // enough for a service with about ten requests per second, and the next stage soon provides more evidence.
+    // Requests that the target must have completed or failed before it gets more than the canary share, and without which a
+    // rollout never completes. The number is low enough for a service with about ten requests per second, and the next stage
+    // soon provides more evidence.
     std::int64_t minResponses = 6;
     // Failures of the target required to judge it bad by failure rate.
     std::int64_t minFailures = 3;
@@ -91,7 +92,7 @@
     // Differences in mean latency below this never make a release bad.
     Milliseconds minLatencyDifference { 30 };
     // Requests that the target must have completed or failed before a rollout completes, since completion is irreversible.
-    // Waived once the fraction minResponsesWaivedFrom of the duration has passed.
+    // Lowered to minResponses once the fraction minResponsesWaivedFrom of the duration has passed.
     std::int64_t minResponsesToComplete = 40;
     double minResponsesWaivedFrom = 0.95;
 };
@@ -122,9 +123,9 @@
 ReleaseEvidence baselineOf(const RolloutOrder&, const ReleaseEvidence&);
 
 // The next stage, given the time since the start and the verdict. Stages only move forward, or to Reverted. A target that may be
-// slower stays in its stage until more responses decide. When the order's
-// duration has passed, a rollout in stage Full is completed and any other is reverted. `oldReleaseIsIdle` is true when the old
-// release has no running requests, or need not be waited for any longer.
+// slower stays in its stage until more responses decide. When the order's duration has passed, a rollout in stage Full with
+// enough responses is completed and any other is reverted. `oldReleaseIsIdle` is true when the old release has no running
+// requests, or need not be waited for any longer.
 RolloutStage nextStage(const RolloutOrder&, const RolloutRecord&, const ReleaseVerdict&, Milliseconds sinceStart, bool oldReleaseIsIdle, const RolloutSettings& = {});
 
 }
--- a/test/correctness/release_plan_test.cpp
+++ b/test/correctness/release_plan_test.cpp
@@ -277,6 +277,12 @@
         CHECK(nextStage(order, inStage(RolloutStage::Full), fewResponses, 19500ms, true) == RolloutStage::Full);
         CHECK(nextStage(order, inStage(RolloutStage::Full), fewResponses, 23000ms, true) == RolloutStage::Completed);
     }
+    // Guards against completing a release of which nothing is known any more, after a restart of all instances near the end.
+    SECTION("a roll-out to all sessions without responses since a restart is held, and reverted at the end")
+    {
+        CHECK(nextStage(order, inStage(RolloutStage::Full), unknown, 23000ms, true) == RolloutStage::Full);
+        CHECK(nextStage(order, inStage(RolloutStage::Full), unknown, 24000ms, true) == RolloutStage::Reverted);
+    }
     SECTION("session shares grow with the stage and are zero after a revert")
     {
         CHECK(sessionShareOf(RolloutStage::Canary) < sessionShareOf(RolloutStage::Half));
