Compare one route's latency only while both releases share the load

What callers would see: a good release that has all sessions is reverted after instances were killed, and its sessions move back.

Ruled out: the comparison of typical latencies, which is not made in that stage (the log's reason names the route and the mean); the total, which stayed under its bound of 1.8.

Change: the comparison by route, like that of typical latencies, is made only in the stages that divide the sessions.

--- a/src/core/rollout/release_plan.cpp
+++ b/src/core/rollout/release_plan.cpp
@@ -165,6 +165,7 @@
     LatencyRatio ratio;
     TypicalLatencies typical;
     ReleaseVerdict verdict;
+    bool isLoadDivided = stage == RolloutStage::Canary || stage == RolloutStage::Half;
     for (auto& [key, it] : routes) {
         if (it.others.done < settings.minResponsesPerRouteAndModel)
             add(it.others, baselineCounters[key].others);
@@ -173,7 +174,7 @@
         auto routeRatio = compareLatencies(it, settings);
         add(ratio, routeRatio);
         addTypical(typical, it, settings);
-        if (isSlower(routeRatio, settings.minComparedResponsesOfOne, settings))
+        if (isLoadDivided && isSlower(routeRatio, settings.minComparedResponsesOfOne, settings))
             verdict.reason = absl::StrCat("route ", key.first, ": ", slowReason(routeRatio));
         if (hasHigherFailureRate(it, settings))
             verdict.reason = absl::StrCat("route ", key.first, ": failed ", it.target.failed, " of ", it.target.done + it.target.failed);
@@ -184,7 +185,7 @@
         verdict.reason = absl::StrCat("failed ", all.target.failed, " of ", verdict.finishedRequests, "; other releases failed ", all.others.failed, " of ", all.others.done + all.others.failed);
     else if (isSlower(ratio, settings.minComparedResponses, settings))
         verdict.reason = slowReason(ratio);
-    if (stage == RolloutStage::Canary || stage == RolloutStage::Half)
+    if (isLoadDivided)
         compareTypical(verdict, typical, settings);
     verdict.isBad = !verdict.reason.empty();
     return verdict;
--- a/src/core/rollout/release_plan.h
+++ b/src/core/rollout/release_plan.h
@@ -115,8 +115,8 @@
 };
 
 // Compares failure rates and latencies of the target with those of the other releases. `baseline` is added to the counters of
-// the other releases where these are too low for a comparison. Typical latencies are compared only in a stage that divides the
-// sessions between the releases, so that both were measured under the same load.
+// the other releases where these are too low for a comparison. Typical latencies, and those of one route and model alone, are
+// compared only in a stage that divides the sessions between the releases, so that both were measured under the same load.
 ReleaseVerdict judgeRelease(const RolloutOrder&, const ReleaseEvidence&, const ReleaseEvidence& baseline = {}, RolloutStage = RolloutStage::Canary, const RolloutSettings& = {});
 
 // The part of the evidence that concerns the service's releases other than the target.
--- a/test/correctness/release_plan_test.cpp
+++ b/test/correctness/release_plan_test.cpp
@@ -132,6 +132,13 @@
         evidence[releaseRoute("v2", "drafts")] = { 8, 0, 8 * 16000ms };
         CHECK(judgeRelease(order, evidence).isBad);
     }
+    // A good release was reverted after it had got all sessions, when instances were killed.
+    SECTION("slow on one route once the target carries all load, as after kills, is not sufficient evidence")
+    {
+        evidence[releaseRoute("v2")] = { 40, 0, 40 * slowLatency };
+        evidence[releaseRoute("v2", "drafts")] = { 20, 0, 20 * 1500ms };
+        CHECK_FALSE(judgeRelease(order, evidence, {}, RolloutStage::Full).isBad);
+    }
     SECTION("a few slow responses on one route are not sufficient evidence")
     {
         evidence[releaseRoute("v2")] = { 6, 0, 6 * slowLatency };
