--- a/src/core/rollout/release_plan.cpp
+++ b/src/core/rollout/release_plan.cpp
@@ -2,11 +2,15 @@
 
 #include <absl/strings/str_cat.h>
 #include <algorithm>
+#include <cmath>
 
 namespace skylarkhitch {
 
 namespace {
 
+    // Lowest variance assumed for the logarithms of latencies, so that a few equal latencies do not pass for certainty.
+    constexpr double minLogVariance = 0.04;
+
     // Shares of sessions by stage. The canary share keeps the exposure to a bad release far below what operators allow.
     constexpr double stageShares[] = { 0.06, 0.4, 1, 1, 0 };
     constexpr const char* stageNames[] = { "canary", "half", "full", "completed", "reverted" };
@@ -24,19 +28,14 @@
         std::int64_t comparedResponses = 0;
     };
 
-    void add(ReleaseCounters& sum, const ReleaseCounters& it)
-    {
-        sum.done += it.done;
-        sum.failed += it.failed;
-        sum.latency += it.latency;
-    }
-
     double failureRate(const ReleaseCounters& it)
     {
         auto n = it.done + it.failed;
         return n == 0 ? 0 : static_cast<double>(it.failed) / static_cast<double>(n);
     }
 
+    // With abandoned requests, this is the maximum likelihood estimate of the mean from censored observations of an exponential
+    // distribution: the total time divided by the number of completed requests.
     double meanLatency(const ReleaseCounters& it)
     {
         return it.done == 0 ? 0 : static_cast<double>(it.latency.count()) / static_cast<double>(it.done);
@@ -47,19 +46,77 @@
         return counters.target.failed >= settings.minFailures && failureRate(counters.target) > failureRate(counters.others) + settings.failureMargin;
     }
 
-    void addLatencies(LatencyRatio& sum, const CounterPair& counters, const RolloutSettings& settings)
+    // Abandoned requests of the target that count in a comparison: at most as many as the others would have completed in the
+    // target's time at the highest ratio that is not bad, so that callers who leave early count for little.
+    std::int64_t comparedAbandoned(const CounterPair& counters, const RolloutSettings& settings)
     {
-        if (counters.target.done < settings.minResponsesPerRouteAndModel || counters.others.done < settings.minResponsesPerRouteAndModel)
-            return;
-        sum.target += static_cast<double>(counters.target.latency.count());
-        sum.expected += meanLatency(counters.others) * static_cast<double>(counters.target.done);
-        sum.comparedResponses += counters.target.done;
+        auto slowestGoodLatency = meanLatency(counters.others) * settings.maxLatencyRatio;
+        if (slowestGoodLatency == 0)
+            return 0;
+        return std::min(counters.target.abandoned, static_cast<std::int64_t>(static_cast<double>(counters.target.latency.count()) / slowestGoodLatency));
     }
 
-    bool isSlower(const LatencyRatio& ratio, const RolloutSettings& settings)
+    // The latencies of one route and model; empty without enough requests of both.
+    LatencyRatio compareLatencies(const CounterPair& counters, const RolloutSettings& settings)
+    {
+        auto compared = counters.target.done + comparedAbandoned(counters, settings);
+        if (compared < settings.minResponsesPerRouteAndModel || counters.others.done < settings.minResponsesPerRouteAndModel)
+            return {};
+        return { static_cast<double>(counters.target.latency.count()), meanLatency(counters.others) * static_cast<double>(counters.target.done), compared };
+    }
+
+    void add(LatencyRatio& sum, const LatencyRatio& it)
+    {
+        sum.target += it.target;
+        sum.expected += it.expected;
+        sum.comparedResponses += it.comparedResponses;
+    }
+
+    bool isSlower(const LatencyRatio& ratio, std::int64_t minComparedResponses, const RolloutSettings& settings)
     {
         auto margin = static_cast<double>(settings.minLatencyDifference.count() * ratio.comparedResponses);
-        return ratio.comparedResponses >= settings.minComparedResponses && ratio.target > ratio.expected * settings.maxLatencyRatio && ratio.target > ratio.expected + margin;
+        return ratio.comparedResponses >= minComparedResponses && ratio.target > ratio.expected * settings.maxLatencyRatio && ratio.target > ratio.expected + margin;
+    }
+
+    // Sums over routes and models, each weighted by the target's responses.
+    struct TypicalLatencies {
+        double logRatio = 0;
+        double variance = 0;
+        std::int64_t comparedResponses = 0;
+    };
+
+    void addTypical(TypicalLatencies& sum, const CounterPair& counters, const RolloutSettings& settings)
+    {
+        const auto& target = counters.target.logLatencies;
+        const auto& others = counters.others.logLatencies;
+        if (target.count == 0 || others.count < settings.minResponsesOfOthers)
+            return;
+        auto n = static_cast<double>(target.count);
+        auto othersCount = static_cast<double>(others.count);
+        auto mean = others.sum / othersCount;
+        // The others' variance serves for both, since the target has too few responses at first.
+        auto variance = std::max(minLogVariance, others.squareSum / othersCount - mean * mean);
+        sum.logRatio += target.sum - n * mean;
+        sum.variance += variance * (n + n * n / othersCount);
+        sum.comparedResponses += target.count;
+    }
+
+    void compareTypical(ReleaseVerdict& verdict, const TypicalLatencies& sum, const RolloutSettings& settings)
+    {
+        if (sum.comparedResponses < settings.minTypicalResponses)
+            return;
+        verdict.typicalRatio = std::exp(sum.logRatio / static_cast<double>(sum.comparedResponses));
+        verdict.standardErrors = sum.logRatio / std::sqrt(sum.variance);
+        if (verdict.typicalRatio <= settings.maxTypicalRatio)
+            return;
+        verdict.mayBeSlower = verdict.standardErrors > settings.holdStandardErrors;
+        if (verdict.reason.empty() && verdict.standardErrors > settings.badStandardErrors)
+            verdict.reason = absl::StrCat("typical latency ", verdict.typicalRatio, " times that of the other releases over ", sum.comparedResponses, " answers, ", verdict.standardErrors, " standard errors above it");
+    }
+
+    std::string slowReason(const LatencyRatio& ratio)
+    {
+        return absl::StrCat("latency ", ratio.target, " ms over ", ratio.comparedResponses, " answers; expected ms from the other releases: ", ratio.expected);
     }
 
     bool mayComplete(const ReleaseVerdict& verdict, double elapsedFraction, bool oldReleaseIsIdle, const RolloutSettings& settings)
@@ -100,19 +157,25 @@
     return stageShares[static_cast<int>(stage)];
 }
 
-ReleaseVerdict judgeRelease(const RolloutOrder& order, const ReleaseEvidence& evidence, const ReleaseEvidence& baseline, const RolloutSettings& settings)
+ReleaseVerdict judgeRelease(const RolloutOrder& order, const ReleaseEvidence& evidence, const ReleaseEvidence& baseline, RolloutStage stage, const RolloutSettings& settings)
 {
     auto routes = countersByRouteAndModel(order, evidence);
     auto baselineCounters = countersByRouteAndModel(order, baseline);
     CounterPair all;
     LatencyRatio ratio;
+    TypicalLatencies typical;
     ReleaseVerdict verdict;
+    bool isLoadDivided = stage == RolloutStage::Canary || stage == RolloutStage::Half;
     for (auto& [key, it] : routes) {
         if (it.others.done < settings.minResponsesPerRouteAndModel)
             add(it.others, baselineCounters[key].others);
         add(all.target, it.target);
         add(all.others, it.others);
-        addLatencies(ratio, it, settings);
+        auto routeRatio = compareLatencies(it, settings);
+        add(ratio, routeRatio);
+        addTypical(typical, it, settings);
+        if (isLoadDivided && isSlower(routeRatio, settings.minComparedResponsesOfOne, settings))
+            verdict.reason = absl::StrCat("route ", key.first, ": ", slowReason(routeRatio));
         if (hasHigherFailureRate(it, settings))
             verdict.reason = absl::StrCat("route ", key.first, ": failed ", it.target.failed, " of ", it.target.done + it.target.failed);
     }
@@ -120,8 +183,10 @@
     verdict.finishedRequests = all.target.done + all.target.failed;
     if (hasHigherFailureRate(all, settings))
         verdict.reason = absl::StrCat("failed ", all.target.failed, " of ", verdict.finishedRequests, "; other releases failed ", all.others.failed, " of ", all.others.done + all.others.failed);
-    else if (isSlower(ratio, settings))
-        verdict.reason = absl::StrCat("latency ", ratio.target, " ms over ", ratio.comparedResponses, " answers; expected ms from the other releases: ", ratio.expected);
+    else if (isSlower(ratio, settings.minComparedResponses, settings))
+        verdict.reason = slowReason(ratio);
+    if (isLoadDivided)
+        compareTypical(verdict, typical, settings);
     verdict.isBad = !verdict.reason.empty();
     return verdict;
 }
@@ -142,12 +207,13 @@
         return record.stage;
     if (verdict.isBad)
         return RolloutStage::Reverted;
+    bool hasResponses = verdict.finishedRequests >= settings.minResponses;
     auto elapsedFraction = static_cast<double>(sinceStart.count()) / static_cast<double>(std::max<std::int64_t>(1, order.duration.count()));
     if (elapsedFraction >= 1)
-        return record.stage == RolloutStage::Full ? RolloutStage::Completed : RolloutStage::Reverted;
+        return record.stage == RolloutStage::Full && hasResponses ? RolloutStage::Completed : RolloutStage::Reverted;
     if (record.stage == RolloutStage::Full)
-        return mayComplete(verdict, elapsedFraction, oldReleaseIsIdle, settings) ? RolloutStage::Completed : RolloutStage::Full;
-    if (verdict.finishedRequests < settings.minResponses)
+        return hasResponses && mayComplete(verdict, elapsedFraction, oldReleaseIsIdle, settings) ? RolloutStage::Completed : RolloutStage::Full;
+    if (!hasResponses || verdict.mayBeSlower)
         return record.stage;
     if (record.stage == RolloutStage::Half)
         return elapsedFraction >= settings.fullStart ? RolloutStage::Full : RolloutStage::Half;
