Share the site of the entry instance tests between test programs

The tests of an instance that is held up need the same site, requests and chunks as edge_test.cpp. They move to edge_site, and no check of edge_test.cpp changes. sampleConfiguration takes the times that callers are told (headerTimeoutMs, idleTimeoutMs), so that a test need not wait 17 s for an idle deadline.

--- a/test/fakes/fleet_standin.cpp
+++ b/test/fakes/fleet_standin.cpp
@@ -240,7 +240,7 @@
     };
 }
 
-std::string sampleConfiguration(std::int64_t version, const std::string& key)
+std::string sampleConfiguration(std::int64_t version, const std::string& key, const CallerTimes& times)
 {
     auto route = [](const std::string& name, const std::string& kind, const std::string& service) {
         return Json { { "name", name }, { "hostname", "a.example" }, { "prefix", "/" + name + "/" }, { "routeType", kind }, { "timeoutMs", 3000 }, { "targetLatencyMs", 200 }, { "priority", 1 }, { "backend", service }, { "maxAttempts", 3 }, { "anonymous", false } };
@@ -252,7 +252,7 @@
     Json engine { { "capacity", 8 }, { "kvCapacity", 100000 }, { "stride", 1 }, { "models", { { { "name", "small" }, { "cost", 0.02 } }, { { "name", "medium" }, { "cost", 0.15 } }, { { "name", "large" }, { "cost", 0.3 } } } } };
     Json document { { "version", version }, { "routes", { route("status", "idempotent", "orders"), route("booking", "non_idempotent", "orders"), stream } },
         { "backends", { { { "name", "orders" }, { "healthPath", "/healthz" }, { "maxConnections", 100 } }, { { "name", "assist" }, { "healthPath", "/healthz" }, { "maxConnections", 100 }, { "engine", engine } } } },
-        { "limits", { { "maxHeaderBytes", 4096 }, { "maxBodyBytes", 100000 }, { "headerTimeoutMs", 500 }, { "idleTimeoutMs", 15000 } } },
+        { "limits", { { "maxHeaderBytes", 4096 }, { "maxBodyBytes", 100000 }, { "headerTimeoutMs", times.header.count() }, { "idleTimeoutMs", times.idle.count() } } },
         { "tenants", { { { "name", "design" }, { "apiKeys", { key } } } } } };
     return document.dump();
 }
--- a/test/fakes/fleet_standin.h
+++ b/test/fakes/fleet_standin.h
@@ -122,8 +122,14 @@
 // events after that one. `confidence` is the percentage in the X-Confidence header.
 ScriptedUpstream::Script streamEvents(int events, std::chrono::milliseconds pause, int confidence = 100);
 
+// Limits of a configuration on the times that callers may take.
+struct CallerTimes {
+    std::chrono::milliseconds header { 500 };
+    std::chrono::milliseconds idle { 15000 };
+};
+
 // Returns a configuration in the platform's format with one route of each kind on host a.example and one team with
 // the given API key.
-std::string sampleConfiguration(std::int64_t version, const std::string& key = "key-1");
+std::string sampleConfiguration(std::int64_t version, const std::string& key = "key-1", const CallerTimes& times = {});
 
 }
--- a/test/processes/edge_test.cpp
+++ b/test/processes/edge_test.cpp
@@ -1,8 +1,7 @@
 // Tests entry instances as real processes on loopback, with a fake platform store and scripted upstreams.
 
 #include "core/hashing.h"
-#include "fakes/fleet_standin.h"
-#include "processes/edge_instance.h"
+#include "processes/edge_site.h"
 
 #include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
@@ -14,63 +13,6 @@
 using namespace skylarkhitch::standin;
 using namespace std::chrono_literals;
 
-namespace {
-
-std::string requestBytes(const std::string& method, const std::string& target, const std::string& id, const std::string& extraHeaders = {}, const std::string& body = {})
-{
-    auto length = method == "GET" ? std::string() : absl::StrCat("Content-Length: ", body.size(), "\r\n");
-    return absl::StrCat(method, " ", target, " HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: ", id, "\r\nX-Deadline-Ms: 2500\r\nApi-Key: key-1\r\n", extraHeaders, length, "\r\n", body);
-}
-
-std::string sendRequest(const EdgeInstance& instance, const std::string& bytes)
-{
-    auto connection = RawConnection::connect(instance.port());
-    REQUIRE(connection);
-    connection->write(bytes);
-    return connection->readResponse();
-}
-
-std::string chunk(const std::string& bytes) { return absl::StrCat(absl::Hex(bytes.size()), "\r\n", bytes, "\r\n"); }
-
-// A store with a configuration, two upstreams of a service without models and two engines.
-struct Site {
-    FleetStore store;
-    ScriptedUpstream first { "i-1", respondWith("hello") };
-    ScriptedUpstream second { "i-2", respondWith("hello") };
-    ScriptedUpstream engine { "i-3", streamEvents(3, 5ms) };
-    ScriptedUpstream otherEngine { "i-4", streamEvents(3, 5ms) };
-
-    Site()
-    {
-        store.put("op/config", sampleConfiguration(3));
-        store.put("servers/i-1", first.registration("orders"));
-        store.put("servers/i-2", second.registration("orders"));
-        store.put("servers/i-3", engine.registration("assist"));
-        store.put("servers/i-4", otherEngine.registration("assist"));
-    }
-
-    std::size_t received() { return first.count() + second.count(); }
-    std::vector<RawRequest> allRequests()
-    {
-        auto requests = first.received();
-        for (auto& it : second.received())
-            requests.push_back(it);
-        return requests;
-    }
-    void setScripts(const ScriptedUpstream::Script& script)
-    {
-        first.setScript(script);
-        second.setScript(script);
-    }
-    void setEngineScripts(const ScriptedUpstream::Script& script)
-    {
-        engine.setScript(script);
-        otherEngine.setScript(script);
-    }
-};
-
-}
-
 TEST_CASE("an entry instance serves callers")
 {
     Site site;
