An upstream's answer that is malformed or too long is no crash of the upstream

What callers saw: nothing, until two upstreams had answered the same request with bytes that are no answer. Its fingerprint then had two crashes, and every instance refuses such a request (request_quarantined) until one of the upstreams has answered another request.

Cause: the forwarder took every broken response for a lost connection. A response over 8 MiB, bytes that are no HTTP and a response to another request all were recorded as a crash, although each shows that the upstream is alive.

Ruled out: that the request is at fault. An upstream that crashes sends no further bytes; one that sends wrong bytes without end is in trouble itself.

Change: such an attempt ends as `malformed` instead of `cut`. It is still a failure of the upstream (it may be ejected) and of its release, the request is repeated only where it may be, and the outcome counts as unknown. It is not a crash. The line upstream_answer_malformed names the cause. The connection is closed as soon as the parser rejects the bytes.

test_endless_answer is new: real instances whose upstreams send without end, as fast as the socket takes it or one byte each 50 ms. It checks the answer and its time, that the upstream's connection is closed within 1 s, that memory grows by less than 16 MiB, that other callers are served within 1 s, that a call that may run once runs once, and the log.

It works because the crash guard now only hears of connections that ended without a wrong byte.

--- a/src/adapters/prometheus_metrics.cpp
+++ b/src/adapters/prometheus_metrics.cpp
@@ -30,6 +30,8 @@
             return "cut";
         case AttemptEnd::Dropped:
             return "dropped";
+        case AttemptEnd::Malformed:
+            return "malformed";
         case AttemptEnd::TimedOut:
             break;
         }
--- a/src/core/messages.h
+++ b/src/core/messages.h
@@ -63,11 +63,14 @@
     RefusedNotRun,
     // The upstream returned an error response: 5xx, or for chat requests also 4xx.
     UpstreamError,
-    // No complete and valid response was received, although at least part of the request was sent.
+    // The connection was lost before the response was complete, although at least part of the request was sent.
     Cut,
     TimedOut,
     // This instance discarded the response before any of it reached the caller, to ask another model instead.
     Dropped,
+    // The upstream sent bytes that are not a response to the request, or a response that is longer than allowed. Unlike after
+    // Cut, the upstream is known to be alive.
+    Malformed,
 };
 
 // Token counts of a response.
--- a/src/core/requests/chat_flow.cpp
+++ b/src/core/requests/chat_flow.cpp
@@ -385,6 +385,7 @@
     case AttemptEnd::Cut:
         return state.tokensSent > 0 ? ErrorKind::StreamCut : ErrorKind::UpstreamFailed;
     case AttemptEnd::UpstreamError:
+    case AttemptEnd::Malformed:
         return ErrorKind::UpstreamFailed;
     case AttemptEnd::NotSent:
     case AttemptEnd::Completed:
--- a/src/edge/request_forwarder.cpp
+++ b/src/edge/request_forwarder.cpp
@@ -12,7 +12,7 @@
     // A healthy upstream accepts a connection within a few milliseconds; one on a machine without power never answers.
     constexpr Milliseconds connectTimeout { 300 };
     // Responses that are not event streams are buffered completely before they are relayed, so that the request can be retried
-    // if a response breaks off. A longer response counts as a lost connection.
+    // if a response breaks off. A longer response counts as malformed.
     constexpr std::size_t maxBufferedBytes = std::size_t { 8 } << 20;
     // Attempts allowed beyond the route's own limit, for upstreams that could not be reached.
     constexpr std::size_t maxUnreachableUpstreams = 6;
@@ -42,12 +42,14 @@
 
     const char* attemptEndName(AttemptEnd end)
     {
-        constexpr const char* names[] = { "completed", "not_sent", "refused_not_run", "upstream_error", "cut", "timed_out", "dropped" };
+        constexpr const char* names[] = { "completed", "not_sent", "refused_not_run", "upstream_error", "cut", "timed_out", "dropped", "malformed" };
         return names[static_cast<int>(end)];
     }
 
     AttemptEnd toAttemptEnd(TransferEnd end)
     {
+        if (end == TransferEnd::Malformed)
+            return AttemptEnd::Malformed;
         return end == TransferEnd::TimedOut ? AttemptEnd::TimedOut : AttemptEnd::Cut;
     }
 
@@ -188,9 +190,11 @@
     if (result.end == AttemptEnd::NotSent || result.end == AttemptEnd::RefusedNotRun)
         --m_possibleRuns;
     m_traffic.metrics().attemptEnded(serviceName(), attemptEndName(result.end));
-    bool isConnectionLost = result.end == AttemptEnd::Cut || result.end == AttemptEnd::TimedOut || result.end == AttemptEnd::NotSent;
+    bool isConnectionLost = result.end == AttemptEnd::Cut || result.end == AttemptEnd::TimedOut || result.end == AttemptEnd::NotSent || result.end == AttemptEnd::Malformed;
     if (isConnectionLost) {
         connection->close();
+        if (result.end == AttemptEnd::Malformed)
+            LogLine(LogLevel::Warning, "upstream_answer_malformed").with("id", m_admitted.request.id.value).with("upstream", upstream.id.value).with("cause", connection->malformedCause());
         if (!m_caller->hasDisconnected())
             recordUpstreamFailure(upstream, result.end);
     }
@@ -211,7 +215,7 @@
         m_traffic.balancer().reported(upstream.id, *response.load, bootNow());
     // A response that does not name this request may be a late response to another one.
     if (response.answeredRequest != m_admitted.request.id && !response.notRun)
-        co_return AttemptResult { AttemptEnd::Cut, false };
+        co_return AttemptResult { toAttemptEnd(connection->reject("response to another request")), false };
     if (response.wrongInstance)
         m_traffic.endedIncarnations().end(upstream);
     if (response.notRun) {
--- a/src/edge/upstream_connection.cpp
+++ b/src/edge/upstream_connection.cpp
@@ -129,10 +129,8 @@
         whole.bytes += piece.bytes;
         whole.end = piece.end;
         whole.isLast = piece.isLast;
-        if (whole.bytes.size() > maxBytes) {
-            close();
-            whole.end = TransferEnd::Malformed;
-        }
+        if (whole.bytes.size() > maxBytes)
+            whole.end = reject("body too long");
     }
     co_return whole;
 }
@@ -145,7 +143,7 @@
         auto n = m_parser->put(m_input.data(), ec);
         m_input.consume(n);
         if (ec && ec != http::error::need_more)
-            co_return TransferEnd::Malformed;
+            co_return reject(ec.message());
         if (n > 0)
             co_return TransferEnd::Ok;
         ec = {};
@@ -165,6 +163,13 @@
     co_return TransferEnd::Closed;
 }
 
+TransferEnd UpstreamConnection::reject(std::string cause)
+{
+    m_malformedCause = std::move(cause);
+    close();
+    return TransferEnd::Malformed;
+}
+
 void UpstreamConnection::close()
 {
     m_isUnusable = true;
--- a/src/edge/upstream_connection.h
+++ b/src/edge/upstream_connection.h
@@ -18,7 +18,7 @@
     TimedOut,
     // The peer closed or reset the connection, or close() was called.
     Closed,
-    // The bytes are not a valid HTTP response, or the body is longer than allowed.
+    // The bytes are not a valid HTTP response, or the head or the body is longer than allowed. The connection is closed.
     Malformed,
 };
 
@@ -51,6 +51,10 @@
     // Reads the rest of the body. If it is longer than the limit, closes the connection and returns Malformed. `maxGap`
     // replaces the deadline by a limit on each gap between received bytes, for long bodies on slow links.
     Awaitable<BodyPiece> readWholeBody(std::size_t maxBytes, std::optional<Milliseconds> maxGap = {});
+    // Closes the connection because the response is invalid, and returns Malformed.
+    TransferEnd reject(std::string cause);
+    // Why the response was rejected.
+    const std::string& malformedCause() const { return m_malformedCause; }
 
     // Sets the deadline, from now. When it expires, the connection is closed and pending operations fail, reads with TimedOut.
     void setDeadline(Milliseconds time) { m_deadline.set(time); }
@@ -74,6 +78,7 @@
     DeadlineTimer m_deadline;
     boost::beast::flat_buffer m_input;
     std::optional<Parser> m_parser;
+    std::string m_malformedCause;
     bool m_timedOut = false;
     bool m_isSending = false;
     bool m_isUnusable = false;
--- a/test/processes/child_process.h
+++ b/test/processes/child_process.h
@@ -21,6 +21,7 @@
     ChildProcess& operator=(const ChildProcess&) = delete;
 
     const std::string& firstLine() const { return m_firstLine; }
+    pid_t pid() const { return m_pid; }
     void signal(int number) const;
     // Waits for the process to exit and returns its exit status, or -1 after a signal; no value on timeout.
     std::optional<int> waitForExit(Seconds);
--- /dev/null
+++ b/test/processes/endless_answer_test.cpp
@@ -0,0 +1,369 @@
+// Tests that bytes without end from an upstream, the store or a peer cost an entry instance neither its memory nor its other
+// callers. Real instances on loopback.
+
+#include "fakes/fleet_standin.h"
+#include "processes/edge_site.h"
+
+#include <absl/strings/match.h>
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_split.h>
+#include <catch2/catch.hpp>
+#include <fstream>
+#include <future>
+#include <unistd.h>
+
+using namespace skylarkhitch;
+using namespace skylarkhitch::standin;
+using namespace std::chrono_literals;
+
+namespace {
+
+using Clock = std::chrono::steady_clock;
+
+constexpr std::int64_t kibibyte = 1024;
+// An instance has as little as 88 MB of memory.
+constexpr std::int64_t maxMemoryGrowth = 16 * 1024 * kibibyte;
+// How long a caller waits for its answer.
+constexpr auto callerTimeout = 2500ms;
+// The instance waits for a call that may run once for as long as its caller does, and then answers within this time.
+constexpr auto answerMargin = 100ms;
+// An answer that exceeds a limit at once is given up within this time on a busy machine.
+constexpr auto fastDecision = 1000ms;
+constexpr auto slowestOtherRequest = 1000ms;
+// So that an instance without limits does not take the whole memory of the machine.
+constexpr std::int64_t maxBytesSent = 128 * 1024 * kibibyte;
+constexpr auto slowInterval = 50ms;
+
+enum class Pace { Fast,
+    Slow };
+
+std::string repeated(const std::string& text, std::size_t times)
+{
+    std::string result;
+    for (std::size_t n = 0; n < times; ++n)
+        result += text;
+    return result;
+}
+
+std::string headerLine() { return absl::StrCat("X-Filler: ", std::string(52, 'x'), "\r\n"); }
+
+std::string headFor(const RawRequest& request, const std::string& fields, const std::string& status = "200 OK")
+{
+    return absl::StrCat("HTTP/1.1 ", status, "\r\nX-Attempt-Id: ", request.field("X-Attempt-Id"), "\r\nX-Server-Seal: seal\r\nX-Confidence: 100\r\n", fields, "\r\n");
+}
+
+// Writes bytes without end and records when the receiver closed the connection.
+class EndlessWriter {
+public:
+    explicit EndlessWriter(Pace pace)
+        : m_pace(pace)
+    {
+    }
+
+    // Returns when the connection is closed. Nothing follows the start if the block is empty.
+    void write(RawConnection& connection, const std::string& start, const std::string& block)
+    {
+        ++m_begun;
+        connection.write(start);
+        if (block.empty())
+            connection.isClosedWithin(20s);
+        else if (m_pace == Pace::Fast)
+            writeFast(connection, block);
+        else
+            writeSlowly(connection, block);
+        ++m_ended;
+    }
+
+    int begun() const { return m_begun; }
+    bool hasEndedAll() const { return m_ended == m_begun; }
+
+private:
+    static void writeFast(RawConnection& connection, const std::string& block)
+    {
+        // A multiple of the block, so that reads often end where a block does.
+        auto bytes = repeated(block, std::max<std::size_t>(1, 64 * kibibyte / block.size()));
+        std::int64_t sent = 0;
+        while (sent < maxBytesSent && connection.write(bytes))
+            sent += static_cast<std::int64_t>(bytes.size());
+        connection.isClosedWithin(20s);
+    }
+    static void writeSlowly(RawConnection& connection, const std::string& block)
+    {
+        for (std::size_t n = 0; connection.write(block.substr(n % block.size(), 1)); ++n)
+            std::this_thread::sleep_for(slowInterval);
+    }
+
+    Pace m_pace;
+    std::atomic<int> m_begun = 0;
+    std::atomic<int> m_ended = 0;
+};
+
+// An answer without end: a start, and a block that is repeated until the receiver closes the connection.
+struct EndlessAnswer {
+    std::string name;
+    std::function<std::string(const RawRequest&)> start;
+    std::string block;
+};
+
+std::vector<EndlessAnswer> endlessHeads()
+{
+    auto text = [](const std::string& bytes) { return [bytes](const RawRequest&) { return bytes; }; };
+    return {
+        { "status line", text("HTTP/1.1 200 "), "x" },
+        { "header line", text("HTTP/1.1 200 OK\r\nX-Filler: "), "x" },
+        { "header lines", text("HTTP/1.1 200 OK\r\n"), headerLine() },
+        { "bytes that are no HTTP", text(""), "noise" },
+    };
+}
+
+std::vector<EndlessAnswer> endlessBodies()
+{
+    auto head = [](const std::string& fields, const std::string& bodyStart = {}) {
+        return [=](const RawRequest& request) { return headFor(request, fields) + bodyStart; };
+    };
+    const std::string chunked = "Transfer-Encoding: chunked\r\n";
+    return {
+        { "chunks", head(chunked), chunk(std::string(kibibyte, 'x')) },
+        { "no stated length", head(""), "x" },
+        { "stated length of 2^63", head("Content-Length: 9223372036854775808\r\n"), "x" },
+        { "stated length of 2^63 without a body", head("Content-Length: 9223372036854775808\r\n"), "" },
+    };
+}
+
+// Returns an empty response if the instance closes the connection without one. May be called on any thread.
+std::string responseTo(const EdgeInstance& instance, const std::string& bytes)
+{
+    auto connection = RawConnection::connect(instance.port());
+    if (!connection)
+        return {};
+    connection->write(bytes);
+    return connection->readResponse();
+}
+
+// A value in bytes from the process status, for example VmHWM, the largest resident memory so far.
+std::int64_t memoryOf(pid_t pid, const std::string& name)
+{
+    std::ifstream in(absl::StrCat("/proc/", pid, "/status"));
+    for (std::string line; std::getline(in, line);) {
+        if (absl::StartsWith(line, name + ":"))
+            return std::atoll(line.c_str() + name.size() + 1) * kibibyte;
+    }
+    return 0;
+}
+
+// Sends requests for other targets one after the other until it is stopped.
+class OtherCaller {
+public:
+    explicit OtherCaller(const EdgeInstance& instance)
+        : m_result(std::async(std::launch::async, [&] { return run(instance); }))
+    {
+    }
+    struct Result {
+        int served = 0;
+        int failed = 0;
+        std::chrono::milliseconds slowest { 0 };
+    };
+    Result stop()
+    {
+        m_stopping = true;
+        return m_result.get();
+    }
+
+private:
+    Result run(const EdgeInstance& instance)
+    {
+        Result result;
+        for (int n = 0; !m_stopping || result.served + result.failed < 3; ++n) {
+            auto start = Clock::now();
+            bool isServed = statusOf(responseTo(instance, requestBytes("GET", "/status/other", absl::StrCat("other-", n)))) == 200;
+            ++(isServed ? result.served : result.failed);
+            result.slowest = std::max(result.slowest, std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() - start));
+            std::this_thread::sleep_for(5ms);
+        }
+        return result;
+    }
+
+    std::atomic<bool> m_stopping = false;
+    std::future<Result> m_result;
+};
+
+// A site whose first upstream to get a request for the target answers without end. Other requests, and further ones for the
+// target, are served.
+class EndlessSite : public Site {
+public:
+    EndlessSite(const EndlessAnswer& answer, Pace pace, const std::string& target, int endlessAnswers = 1)
+        : writer(std::make_shared<EndlessWriter>(pace))
+        , m_target(target)
+    {
+        // Owns what it uses, since it may still run when this object is destroyed.
+        auto answers = std::make_shared<std::atomic<int>>(0);
+        auto script = [=, writer = writer](const RawRequest& request, RawConnection& connection) {
+            if (request.target == target && (*answers)++ < endlessAnswers) {
+                writer->write(connection, answer.start(request), answer.block);
+                return false;
+            }
+            if (absl::StartsWith(request.target, "/draft/"))
+                return streamEvents(3, 5ms)(request, connection);
+            return respondWith("hello")(request, connection);
+        };
+        setScripts(script);
+        setEngineScripts(script);
+    }
+
+    // Number of times that upstreams received requests for the target.
+    int received()
+    {
+        int n = 0;
+        for (auto* upstream : { &first, &second, &engine, &otherEngine }) {
+            for (const auto& it : upstream->received())
+                n += it.target == m_target ? 1 : 0;
+        }
+        return n;
+    }
+
+    std::shared_ptr<EndlessWriter> writer;
+    EdgeInstance instance { "edge-1", store.address() };
+
+private:
+    std::string m_target;
+};
+
+struct Observation {
+    std::string response;
+    std::chrono::milliseconds time { 0 };
+    OtherCaller::Result others;
+    std::int64_t memoryGrowth = 0;
+};
+
+Observation observe(EndlessSite& site, const std::string& bytes)
+{
+    REQUIRE(waitUntil(5s, [&] { return site.instance.isReady() && statusOf(responseTo(site.instance, requestBytes("GET", "/status/other", "warm-up"))) == 200; }));
+    auto pid = site.instance.process().pid();
+    auto memoryBefore = memoryOf(pid, "VmRSS");
+    OtherCaller others(site.instance);
+    auto start = Clock::now();
+    Observation result;
+    result.response = responseTo(site.instance, bytes);
+    result.time = std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() - start);
+    result.others = others.stop();
+    result.memoryGrowth = memoryOf(pid, "VmHWM") - memoryBefore;
+    return result;
+}
+
+void checkContained(EndlessSite& site, const Observation& seen, const std::string& id)
+{
+    CHECK(waitUntil(1s, [&] { return site.writer->hasEndedAll(); }));
+    CHECK(seen.memoryGrowth < maxMemoryGrowth);
+    CHECK(seen.others.failed == 0);
+    CHECK(seen.others.slowest < slowestOtherRequest);
+    CHECK(site.instance.linesContaining("what=task_failed").empty());
+    CHECK(waitUntil(1s, [&] { return site.instance.linesContaining(absl::StrCat("what=request id=", id, " ")).size() == 1; }));
+}
+
+void checkUnknownOutcome(const std::string& response) { CHECK((statusOf(response) == 502 || statusOf(response) == 504)); }
+
+std::vector<EndlessAnswer> joined(std::vector<EndlessAnswer> answers, const std::vector<EndlessAnswer>& more)
+{
+    answers.insert(answers.end(), more.begin(), more.end());
+    return answers;
+}
+
+// For a fast answer, the log line of the attempt names bytes that are no answer; a slow one may end by a timeout.
+void checkCause(EndlessSite& site, const std::string& id, Pace pace)
+{
+    auto lines = site.instance.linesContaining(absl::StrCat("what=attempt_failed id=", id, " "));
+    REQUIRE(lines.size() == 1);
+    INFO(lines[0]);
+    bool isMalformed = absl::StrContains(lines[0], "end=malformed");
+    auto causes = site.instance.linesContaining(absl::StrCat("what=upstream_answer_malformed id=", id, " "));
+    INFO((causes.empty() ? "" : causes[0]));
+    CHECK(causes.size() == (isMalformed ? 1 : 0));
+    CHECK((isMalformed || (pace == Pace::Slow && absl::StrContains(lines[0], "end=timed_out"))));
+}
+
+void checkIdempotent(const EndlessAnswer& answer, Pace pace)
+{
+    EndlessSite site(answer, pace, "/status/endless");
+    auto seen = observe(site, requestBytes("GET", "/status/endless", "id-1"));
+    CHECK(statusOf(seen.response) == 200);
+    CHECK(absl::EndsWith(seen.response, "hello"));
+    CHECK(site.received() == 2);
+    CHECK(seen.time < (pace == Pace::Slow ? callerTimeout : fastDecision));
+    checkContained(site, seen, "id-1");
+    checkCause(site, "id-1", pace);
+}
+
+void checkNonIdempotent(const EndlessAnswer& answer, Pace pace)
+{
+    EndlessSite site(answer, pace, "/booking/endless");
+    auto seen = observe(site, requestBytes("POST", "/booking/endless", "id-1", "", "slot 7"));
+    checkUnknownOutcome(seen.response);
+    CHECK(site.received() == 1);
+    CHECK(seen.time < (pace == Pace::Slow ? callerTimeout + answerMargin : fastDecision));
+    checkContained(site, seen, "id-1");
+    checkCause(site, "id-1", pace);
+}
+
+}
+
+// Guards against a head without end that holds a repeatable call, or that takes the instance's memory.
+TEST_CASE("a fast endless head is given up and the call is repeated")
+{
+    for (const auto& it : endlessHeads()) {
+        DYNAMIC_SECTION(it.name) { checkIdempotent(it, Pace::Fast); }
+    }
+}
+
+// Guards against a second run, or a wrong status, of a call that may run once.
+TEST_CASE("a fast endless head ends a call that may run once with an unknown outcome")
+{
+    for (const auto& it : endlessHeads()) {
+        DYNAMIC_SECTION(it.name) { checkNonIdempotent(it, Pace::Fast); }
+    }
+}
+
+// Guards against bodies without end that are buffered, or whose stated length alone ends the coroutine of the caller.
+TEST_CASE("a fast endless body is given up and the call is repeated")
+{
+    for (const auto& it : endlessBodies()) {
+        DYNAMIC_SECTION(it.name) { checkIdempotent(it, Pace::Fast); }
+    }
+}
+
+// Guards against a connection that is closed without an answer, and a second run.
+TEST_CASE("a fast endless body ends a call that may run once with an unknown outcome")
+{
+    for (const auto& it : endlessBodies()) {
+        DYNAMIC_SECTION(it.name) { checkNonIdempotent(it, Pace::Fast); }
+    }
+}
+
+// Guards against a trickle of bytes that moves the time limit of a call.
+TEST_CASE("a slow endless answer is given up in time and the call is repeated")
+{
+    for (const auto& it : joined(endlessHeads(), endlessBodies())) {
+        DYNAMIC_SECTION(it.name) { checkIdempotent(it, Pace::Slow); }
+    }
+}
+
+// Guards against a trickle of bytes that holds a call until its caller has left.
+TEST_CASE("a slow endless answer ends a call that may run once within its time limit")
+{
+    for (const auto& it : joined(endlessHeads(), endlessBodies())) {
+        DYNAMIC_SECTION(it.name) { checkNonIdempotent(it, Pace::Slow); }
+    }
+}
+
+// Guards against a request that is refused everywhere because upstreams that are alive sent wrong bytes for it.
+TEST_CASE("answers without end do not count as crashes of upstreams")
+{
+    auto answer = GENERATE(from_range(joined(endlessHeads(), endlessBodies())));
+    INFO(answer.name);
+    EndlessSite site(answer, Pace::Fast, "/status/endless", 2);
+    auto seen = observe(site, requestBytes("GET", "/status/endless", "id-1"));
+    CHECK(statusOf(seen.response) == 502);
+    CHECK(site.received() == 2);
+    CHECK(site.instance.linesContaining("what=upstream_connection_lost").empty());
+    CHECK(statusOf(responseTo(site.instance, requestBytes("GET", "/status/endless", "id-2"))) == 200);
+}
