A stated length of a body does not allocate memory

What callers saw: no answer at all. With "Content-Length:" from an upstream, the request got neither a response nor a second attempt, and no line what=request was written; the caller waited until it gave up.

Cause: string_body of Boost.Beast reserves the stated length before the first byte is stored. With 10^11 bytes this throws std::bad_alloc, which ends the coroutine that serves the caller (task_failed task=connection). The connection of the caller is not closed by that: the wait for its disconnect still holds it.

Ruled out: a length of 2^63, which the parser itself rejects, and a length of 10^11 that no byte follows, which ended by the timeout.

Change: AppendedBody, a body type that reserves nothing. A response that is buffered and states more than the limit is given up at once, whether bytes follow or not.

It works because memory now follows the bytes that have come, and not the number in the head.

--- a/src/edge/upstream_connection.cpp
+++ b/src/edge/upstream_connection.cpp
@@ -122,6 +122,9 @@
 Awaitable<BodyPiece> UpstreamConnection::readWholeBody(std::size_t maxBytes, std::optional<Milliseconds> maxGap)
 {
     BodyPiece whole;
+    auto stated = m_parser->content_length();
+    if (!m_parser->is_done() && stated && *stated > maxBytes)
+        whole.end = reject("body too long");
     while (whole.end == TransferEnd::Ok && !whole.isLast) {
         if (maxGap)
             setDeadline(*maxGap);
--- a/src/edge/upstream_connection.h
+++ b/src/edge/upstream_connection.h
@@ -4,11 +4,11 @@
 // request, and its results tell whether any byte of the request may have been sent.
 
 #include "core/requests/header_field.h"
+#include "edge/appended_body.h"
 #include "edge/event_loop.h"
 
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <optional>
 
 namespace skylarkhitch {
@@ -67,7 +67,7 @@
     bool isReusable();
 
 private:
-    using Parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
+    using Parser = boost::beast::http::response_parser<AppendedBody>;
 
     Awaitable<TransferEnd> readOrParse();
     // Takes ownership of the connection, since it runs detached from the coroutine that started it.
--- a/test/processes/endless_answer_test.cpp
+++ b/test/processes/endless_answer_test.cpp
@@ -126,6 +126,8 @@
     return {
         { "chunks", head(chunked), chunk(std::string(kibibyte, 'x')) },
         { "no stated length", head(""), "x" },
+        { "stated length of 10^11", head("Content-Length: 100000000000\r\n"), "x" },
+        { "stated length of 10^11 without a body", head("Content-Length: 100000000000\r\n"), "" },
         { "stated length of 2^63", head("Content-Length: 9223372036854775808\r\n"), "x" },
         { "stated length of 2^63 without a body", head("Content-Length: 9223372036854775808\r\n"), "" },
     };
