Informational responses count towards the limit of a response head

What callers saw: a repeatable call whose first upstream sends informational (1xx) responses without end was repeated only after its timeout; a call that may run once waited for its whole time limit.

Cause: the parser limits the head of each response to 64 KiB, and readHead() started a new parser after each informational one.

Ruled out: endless status lines, header lines and bytes that are no HTTP. The parser's own limit ends them; the tests show it.

Change: the bytes parsed since the start of the response, informational ones included, are limited to the same 64 KiB.

It works because the limit now belongs to the whole wait for a final head.

--- a/src/edge/upstream_connection.cpp
+++ b/src/edge/upstream_connection.cpp
@@ -10,6 +10,7 @@
     namespace http = boost::beast::http;
 
     constexpr std::size_t readBlockBytes = std::size_t { 16 } * 1024;
+    // Limit of the head including the informational responses before it. The parser limits each head only by itself.
     constexpr std::uint32_t maxResponseHeadBytes = 64 * 1024;
     // Practically unlimited, since the readers limit what they keep. Not boost::none: without a limit the parser of Beast 1.74
     // rejects every body.
@@ -86,12 +87,15 @@
 Awaitable<TransferEnd> UpstreamConnection::readHead(ResponseHead& head)
 {
     auto self = shared_from_this();
+    m_parsedBytes = 0;
     for (;;) {
         m_parser.emplace();
         m_parser->eager(true);
         m_parser->header_limit(maxResponseHeadBytes);
         m_parser->body_limit(maxResponseBodyBytes);
         while (!m_parser->is_header_done()) {
+            if (m_parsedBytes > maxResponseHeadBytes)
+                co_return reject("head too long");
             auto end = co_await readOrParse();
             if (end != TransferEnd::Ok)
                 co_return end;
@@ -145,6 +149,7 @@
     if (m_input.size() > 0) {
         auto n = m_parser->put(m_input.data(), ec);
         m_input.consume(n);
+        m_parsedBytes += n;
         if (ec && ec != http::error::need_more)
             co_return reject(ec.message());
         if (n > 0)
--- a/src/edge/upstream_connection.h
+++ b/src/edge/upstream_connection.h
@@ -44,7 +44,7 @@
     // Sends a request. Returns false if no byte was sent. A large request is sent in the background while the response is read;
     // the result is then true even if sending fails later.
     Awaitable<bool> send(std::string head, std::shared_ptr<const std::string> body);
-    // Reads the head of the final response and skips informational (1xx) ones.
+    // Reads the head of the final response and skips informational (1xx) ones. Their length is limited together.
     Awaitable<TransferEnd> readHead(ResponseHead&);
     // Waits for the next part of the body.
     Awaitable<BodyPiece> readBody();
@@ -78,6 +78,8 @@
     DeadlineTimer m_deadline;
     boost::beast::flat_buffer m_input;
     std::optional<Parser> m_parser;
+    // Bytes parsed since the start of the response, including informational ones.
+    std::size_t m_parsedBytes = 0;
     std::string m_malformedCause;
     bool m_timedOut = false;
     bool m_isSending = false;
--- a/test/processes/endless_answer_test.cpp
+++ b/test/processes/endless_answer_test.cpp
@@ -113,6 +113,7 @@
         { "status line", text("HTTP/1.1 200 "), "x" },
         { "header line", text("HTTP/1.1 200 OK\r\nX-Filler: "), "x" },
         { "header lines", text("HTTP/1.1 200 OK\r\n"), headerLine() },
+        { "informational responses", text(""), "HTTP/1.1 100 Continue\r\n\r\n" },
         { "bytes that are no HTTP", text(""), "noise" },
     };
 }
