The line before a chunk and the trailers of a chunked body are limited

What callers saw: the answer in time, or 504; but the instance took all bytes into memory until then, and one of 88 MB would have been ended by the kernel with all requests in flight.

Cause: the parser consumes the line before a chunk, and the trailers, only when they are complete, and has no limit for either. Until then the input buffer of the connection keeps them.

Ruled out: chunk data, which is consumed as it comes.

Change: a response whose parser consumes nothing although 16 KiB are buffered is malformed. The head has its own limit of 64 KiB.

It works because no part of a body is now kept that the parser does not consume.

--- a/src/edge/upstream_connection.cpp
+++ b/src/edge/upstream_connection.cpp
@@ -12,6 +12,8 @@
     constexpr std::size_t readBlockBytes = std::size_t { 16 } * 1024;
     // Limit of the head including the informational responses before it. The parser limits each head only by itself.
     constexpr std::uint32_t maxResponseHeadBytes = 64 * 1024;
+    // Limit of the line before a chunk and of the trailers of a chunked body. The parser keeps both without a limit.
+    constexpr std::size_t maxChunkLineBytes = std::size_t { 16 } * 1024;
     // Practically unlimited, since the readers limit what they keep. Not boost::none: without a limit the parser of Beast 1.74
     // rejects every body.
     constexpr std::uint64_t maxResponseBodyBytes = std::uint64_t { 1 } << 40;
@@ -154,6 +156,8 @@
             co_return reject(ec.message());
         if (n > 0)
             co_return TransferEnd::Ok;
+        if (m_parser->is_header_done() && m_input.size() > maxChunkLineBytes)
+            co_return reject("chunk header or trailers too long");
         ec = {};
     }
     auto n = co_await m_socket.async_read_some(m_input.prepare(readBlockBytes), asio::redirect_error(asio::use_awaitable, ec));
--- a/test/processes/endless_answer_test.cpp
+++ b/test/processes/endless_answer_test.cpp
@@ -126,6 +126,9 @@
     const std::string chunked = "Transfer-Encoding: chunked\r\n";
     return {
         { "chunks", head(chunked), chunk(std::string(kibibyte, 'x')) },
+        { "chunk size line", head(chunked), "0" },
+        { "chunk extension", head(chunked, "1;name="), "x" },
+        { "trailers", head(chunked, "0\r\n"), headerLine() },
         { "no stated length", head(""), "x" },
         { "stated length of 10^11", head("Content-Length: 100000000000\r\n"), "x" },
         { "stated length of 10^11 without a body", head("Content-Length: 100000000000\r\n"), "" },
