All response bodies that are read at the same time share one limit of memory

What callers saw: nothing; the instance's memory grew by the sum of all bodies.

Cause: each buffered response may have 8 MiB, and nothing limited their number. A string that grows by doubling needs up to twice the size for a moment.

Ruled out: memory of the connections themselves; 30 of them cost little.

Change: bodies above 64 KiB take from 8 MiB for all of them; one that no longer fits is malformed ("too many long bodies"). Small bodies are always admitted, so that a few long ones do not fail all others. The memory of a long body is reserved at its limit once; pages that are not written take none.

It works because the sum is limited and not only each part of it.

--- /dev/null
+++ b/src/edge/body_memory.h
@@ -0,0 +1,51 @@
+#pragma once
+
+// Limits the memory of all response bodies that are buffered at the same time. Small bodies are always admitted, so that a few
+// long ones do not fail all others.
+
+#include <cstddef>
+
+namespace skylarkhitch {
+
+class BodyMemory {
+public:
+    explicit BodyMemory(std::size_t maxBytes)
+        : m_maxBytes(maxBytes)
+    {
+    }
+
+    // The memory of one body, which is returned when the object is destroyed.
+    class Share {
+    public:
+        explicit Share(BodyMemory& memory)
+            : m_memory(memory)
+        {
+        }
+        ~Share() { m_memory.m_used -= m_bytes; }
+        Share(const Share&) = delete;
+        Share& operator=(const Share&) = delete;
+
+        // Adds bytes of the body. Returns false if the body is not small and the limit would be exceeded.
+        bool add(std::size_t bytes)
+        {
+            if (m_bytes + bytes > maxSmallBodyBytes && m_memory.m_used + bytes > m_memory.m_maxBytes)
+                return false;
+            m_bytes += bytes;
+            m_memory.m_used += bytes;
+            return true;
+        }
+
+    private:
+        BodyMemory& m_memory;
+        std::size_t m_bytes = 0;
+    };
+
+    // A body up to this size is admitted although the limit is reached.
+    static constexpr std::size_t maxSmallBodyBytes = std::size_t { 64 } * 1024;
+
+private:
+    std::size_t m_maxBytes;
+    std::size_t m_used = 0;
+};
+
+}
--- a/src/edge/request_forwarder.cpp
+++ b/src/edge/request_forwarder.cpp
@@ -236,7 +236,8 @@
 
 Awaitable<RequestForwarder::AttemptResult> RequestForwarder::relayBuffered(const UpstreamEntry& upstream, std::shared_ptr<UpstreamConnection> connection, UpstreamResponse response)
 {
-    auto body = co_await connection->readWholeBody(maxBufferedBytes);
+    BodyMemory::Share memory(m_traffic.bodyMemory());
+    auto body = co_await connection->readWholeBody(maxBufferedBytes, std::nullopt, &memory);
     if (body.end != TransferEnd::Ok)
         co_return AttemptResult { toAttemptEnd(body.end), false };
     auto now = bootNow();
--- a/src/edge/traffic_state.cpp
+++ b/src/edge/traffic_state.cpp
@@ -23,6 +23,9 @@
         return request.session.empty() ? std::string_view(request.id.value) : std::string_view(request.session);
     }
 
+    // An instance may have less than 100 MB of memory in all.
+    constexpr std::size_t maxBodyMemoryBytes = std::size_t { 8 } << 20;
+
     constexpr std::string_view rolloutHashSalt = "rollout";
 
 }
@@ -33,6 +36,7 @@
     , m_metrics(metrics)
     , m_balancer(m_settings.seed)
     , m_connections(loop)
+    , m_bodyMemory(maxBodyMemoryBytes)
     , m_sessions(m_settings.sessionIdleTimeout)
     , m_startedAt(bootNow())
 {
--- a/src/edge/traffic_state.h
+++ b/src/edge/traffic_state.h
@@ -74,6 +74,8 @@
     EventLoop& loop() { return m_loop; }
     UpstreamBalancer& balancer() { return m_balancer; }
     ConnectionPool& connections() { return m_connections; }
+    // Memory of the response bodies that are buffered.
+    BodyMemory& bodyMemory() { return m_bodyMemory; }
     CrashGuard& crashes() { return m_crashes; }
     EdgeMetrics& metrics() { return m_metrics; }
     const TrafficSettings& settings() const { return m_settings; }
@@ -88,6 +90,7 @@
     FleetViewPtr m_view;
     UpstreamBalancer m_balancer;
     ConnectionPool m_connections;
+    BodyMemory m_bodyMemory;
     CrashGuard m_crashes;
     SessionReleases m_sessions;
     std::map<ServiceId, ServiceRetryBudget> m_retryBudgets;
--- a/src/edge/upstream_connection.cpp
+++ b/src/edge/upstream_connection.cpp
@@ -28,6 +28,15 @@
         return result;
     }
 
+    // Reserves the memory of a long body at once, since growing in steps needs twice its size. What is reserved but not written
+    // takes no memory.
+    void appendBody(std::string& body, const std::string& piece, std::size_t maxBytes)
+    {
+        if (body.size() + piece.size() > BodyMemory::maxSmallBodyBytes)
+            body.reserve(std::max(body.capacity(), maxBytes));
+        body += piece;
+    }
+
 }
 
 UpstreamConnection::UpstreamConnection(EventLoop& loop)
@@ -125,7 +134,7 @@
     co_return piece;
 }
 
-Awaitable<BodyPiece> UpstreamConnection::readWholeBody(std::size_t maxBytes, std::optional<Milliseconds> maxGap)
+Awaitable<BodyPiece> UpstreamConnection::readWholeBody(std::size_t maxBytes, std::optional<Milliseconds> maxGap, BodyMemory::Share* memory)
 {
     BodyPiece whole;
     auto stated = m_parser->content_length();
@@ -135,11 +144,14 @@
         if (maxGap)
             setDeadline(*maxGap);
         auto piece = co_await readBody();
-        whole.bytes += piece.bytes;
         whole.end = piece.end;
         whole.isLast = piece.isLast;
-        if (whole.bytes.size() > maxBytes)
+        if (whole.bytes.size() + piece.bytes.size() > maxBytes)
             whole.end = reject("body too long");
+        else if (memory && !memory->add(piece.bytes.size()))
+            whole.end = reject("too many long bodies");
+        else
+            appendBody(whole.bytes, piece.bytes, maxBytes);
     }
     co_return whole;
 }
--- a/src/edge/upstream_connection.h
+++ b/src/edge/upstream_connection.h
@@ -5,6 +5,7 @@
 
 #include "core/requests/header_field.h"
 #include "edge/appended_body.h"
+#include "edge/body_memory.h"
 #include "edge/event_loop.h"
 
 #include <boost/beast/core/flat_buffer.hpp>
@@ -48,9 +49,10 @@
     Awaitable<TransferEnd> readHead(ResponseHead&);
     // Waits for the next part of the body.
     Awaitable<BodyPiece> readBody();
-    // Reads the rest of the body. If it is longer than the limit, closes the connection and returns Malformed. `maxGap`
-    // replaces the deadline by a limit on each gap between received bytes, for long bodies on slow links.
-    Awaitable<BodyPiece> readWholeBody(std::size_t maxBytes, std::optional<Milliseconds> maxGap = {});
+    // Reads the rest of the body. If it is longer than the limit, or does not fit into the memory of all bodies, closes the
+    // connection and returns Malformed. `maxGap` replaces the deadline by a limit on each gap between received bytes, for long
+    // bodies on slow links.
+    Awaitable<BodyPiece> readWholeBody(std::size_t maxBytes, std::optional<Milliseconds> maxGap = {}, BodyMemory::Share* memory = nullptr);
     // Closes the connection because the response is invalid, and returns Malformed.
     TransferEnd reject(std::string cause);
     // Why the response was rejected.
--- a/test/processes/endless_answer_test.cpp
+++ b/test/processes/endless_answer_test.cpp
@@ -373,3 +373,34 @@
     CHECK(site.instance.linesContaining("what=upstream_connection_lost").empty());
     CHECK(statusOf(responseTo(site.instance, requestBytes("GET", "/status/endless", "id-2"))) == 200);
 }
+
+// Guards against limits that hold for one response but not for all that are read at the same time.
+TEST_CASE("many endless bodies at the same time keep memory within its limit")
+{
+    constexpr int requests = 30;
+    auto answer = endlessBodies()[0];
+    EndlessWriter writer(Pace::Fast);
+    Site site;
+    site.setScripts([&](const RawRequest& request, RawConnection& connection) {
+        if (!absl::StartsWith(request.target, "/booking/"))
+            return respondWith("hello")(request, connection);
+        writer.write(connection, answer.start(request), answer.block);
+        return false;
+    });
+    EdgeInstance instance("edge-1", site.store.address());
+    REQUIRE(waitUntil(5s, [&] { return instance.isReady(); }));
+    auto pid = instance.process().pid();
+    auto memoryBefore = memoryOf(pid, "VmRSS");
+    OtherCaller others(instance);
+    std::vector<std::future<std::string>> responses;
+    for (int n = 0; n < requests; ++n)
+        responses.push_back(std::async(std::launch::async, [&, n] { return responseTo(instance, requestBytes("POST", absl::StrCat("/booking/", n), absl::StrCat("id-", n), "", "slot")); }));
+    for (auto& it : responses)
+        checkUnknownOutcome(it.get());
+    auto seen = others.stop();
+    CHECK(seen.failed == 0);
+    CHECK(seen.slowest < slowestOtherRequest);
+    CHECK(waitUntil(1s, [&] { return writer.hasEndedAll(); }));
+    // Each connection also has buffers of its own.
+    CHECK(memoryOf(pid, "VmHWM") - memoryBefore < 2 * maxMemoryGrowth);
+}
