A refusal is acted on without waiting for the end of its body

What callers saw: a booking that the upstream refuses as not executed (X-Not-Executed or 421) was refused with 503 after its whole time limit, although another upstream would have served it at once.

Cause: the forwarder read the body of the refusal to its end before the next attempt. Where the call is not repeatable, the deadline of the read is the caller's own.

Ruled out: the decision itself; the head says that the call was not run.

Change: the body is read on the side, up to 64 KiB and 200 ms, only so that the connection can be reused. The next attempt starts at once.

It works because nothing waits for the body any more.

--- a/src/edge/request_forwarder.cpp
+++ b/src/edge/request_forwarder.cpp
@@ -14,6 +14,9 @@
     // Responses that are not event streams are buffered completely before they are relayed, so that the request can be retried
     // if a response breaks off. A longer response counts as malformed.
     constexpr std::size_t maxBufferedBytes = std::size_t { 8 } << 20;
+    // The body of a refusal is read only so that the connection can be reused.
+    constexpr std::size_t maxRefusalBytes = std::size_t { 64 } * 1024;
+    constexpr Milliseconds refusalTimeout { 200 };
     // Attempts allowed beyond the route's own limit, for upstreams that could not be reached.
     constexpr std::size_t maxUnreachableUpstreams = 6;
     // An upstream that has not answered within this multiple of the target latency has probably lost the request. The event
@@ -53,6 +56,17 @@
         return end == TransferEnd::TimedOut ? AttemptEnd::TimedOut : AttemptEnd::Cut;
     }
 
+    // Reads the body of a refusal and keeps the connection if that ends soon.
+    Awaitable<void> recycleRefused(ConnectionPool& connections, UpstreamEntry upstream, std::shared_ptr<UpstreamConnection> connection, std::optional<Seconds> keepAliveTimeout)
+    {
+        connection->setDeadline(refusalTimeout);
+        auto rest = co_await connection->readWholeBody(maxRefusalBytes);
+        if (rest.end == TransferEnd::Ok)
+            connections.recycle(upstream, connection, keepAliveTimeout, bootNow());
+        else
+            connection->close();
+    }
+
     // Identifies one process of an upstream, so that a crash after a restart counts as another crash.
     UpstreamId upstreamProcessId(const UpstreamEntry& upstream) { return { absl::StrCat(upstream.id.value, "/", upstream.born) }; }
 
@@ -219,9 +233,7 @@
     if (response.wrongInstance)
         m_traffic.endedIncarnations().end(upstream);
     if (response.notRun) {
-        auto rest = co_await connection->readWholeBody(maxBufferedBytes);
-        if (rest.end == TransferEnd::Ok)
-            m_traffic.connections().recycle(upstream, connection, response.keepAliveTimeout, bootNow());
+        spawn(m_traffic.loop(), recycleRefused(m_traffic.connections(), upstream, connection, response.keepAliveTimeout), "recycle_refused");
         co_return AttemptResult { AttemptEnd::RefusedNotRun, false };
     }
     bool isStream = m_admitted.route->kind == RouteKind::Streaming && response.isEventStream && response.status < 300;
--- a/test/processes/endless_answer_test.cpp
+++ b/test/processes/endless_answer_test.cpp
@@ -137,6 +137,16 @@
     };
 }
 
+std::vector<EndlessAnswer> endlessRefusals()
+{
+    const std::string block = chunk(std::string(kibibyte, 'x'));
+    return {
+        { "not executed", [](const RawRequest& request) { return headFor(request, "X-Not-Executed: 1\r\nTransfer-Encoding: chunked\r\n", "503 Busy"); }, block },
+        { "another instance", [](const RawRequest& request) { return headFor(request, "Transfer-Encoding: chunked\r\n", "421 Misdirected"); }, block },
+        { "not executed, without a stated length", [](const RawRequest& request) { return headFor(request, "X-Not-Executed: 1\r\n", "503 Busy"); }, "x" },
+    };
+}
+
 // Returns an empty response if the instance closes the connection without one. May be called on any thread.
 std::string responseTo(const EdgeInstance& instance, const std::string& bytes)
 {
@@ -311,6 +321,16 @@
     checkCause(site, "id-1", pace);
 }
 
+void checkRefused(const EndlessAnswer& answer, Pace pace)
+{
+    EndlessSite site(answer, pace, "/booking/endless");
+    auto seen = observe(site, requestBytes("POST", "/booking/endless", "id-1", "", "slot 7"));
+    CHECK(statusOf(seen.response) == 200);
+    CHECK(site.received() == 2);
+    CHECK(seen.time < fastDecision);
+    checkContained(site, seen, "id-1");
+}
+
 }
 
 // Guards against a head without end that holds a repeatable call, or that takes the instance's memory.
@@ -361,6 +381,15 @@
     }
 }
 
+// Guards against reading the body of a refusal to its end before another upstream is asked.
+TEST_CASE("a refusal whose body never ends is a refusal at once")
+{
+    auto pace = GENERATE(Pace::Fast, Pace::Slow);
+    for (const auto& it : endlessRefusals()) {
+        DYNAMIC_SECTION(it.name << (pace == Pace::Fast ? ", fast" : ", slow")) { checkRefused(it, pace); }
+    }
+}
+
 // Guards against a request that is refused everywhere because upstreams that are alive sent wrong bytes for it.
 TEST_CASE("answers without end do not count as crashes of upstreams")
 {
