An event stream without a complete event is given up and resumed elsewhere

What callers saw: a stream that may be resumed got no event and ended with an error at the caller's time limit, although another engine would have served it after 2 s. Comments counted as events: the stream was begun and counted as answered.

Cause: every piece of the body moved the deadline, also one without an event. Dropped repeats of delivered events moved the deadline as well (read in the code, not tested).

Ruled out: the timeout of the first event itself.

Change: only an event moves the deadline. A test relays 2,000 events of 4 KB with comments between them, which must stay possible.

It works because time and memory now depend on complete events only.

--- a/src/edge/request_forwarder.cpp
+++ b/src/edge/request_forwarder.cpp
@@ -286,6 +286,8 @@
         if (m_caller->hasDisconnected())
             co_return AttemptResult { AttemptEnd::Cut, true };
         auto events = m_events.feed(piece.bytes);
+        if (events.isTooLong)
+            co_return AttemptResult { toAttemptEnd(connection->reject("event too long")), false };
         if (events.events > 0 && !m_firstEventSeen) {
             auto now = bootNow();
             m_firstEventSeen = true;
@@ -296,6 +298,8 @@
             recordUpstreamSuccess(upstream);
         }
         bool isComplete = piece.isLast && !m_events.hasPartialEvent();
+        if (isComplete)
+            events.bytes += m_events.takeComments();
         if (head && (events.events > 0 || isComplete)) {
             recordFirstByte(bootNow());
             auto begun = *std::exchange(head, std::nullopt);
@@ -310,8 +314,11 @@
         }
         if (piece.end != TransferEnd::Ok || piece.isLast)
             co_return AttemptResult { toAttemptEnd(piece.end), false };
+        // Only an event moves the deadline, since an upstream in trouble may send other bytes without end.
+        if (events.events == 0)
+            continue;
         auto gap = std::max(minEventGapTimeout, scaled(m_admitted.route->targetGap, eventGapTimeoutFactor));
-        connection->setDeadline(m_firstEventSeen ? std::min(gap, timeLeft()) : responseTimeout(m_possibleRuns < m_admitted.route->maxAttempts));
+        connection->setDeadline(std::min(gap, timeLeft()));
     }
 }
 
--- a/test/processes/endless_answer_test.cpp
+++ b/test/processes/endless_answer_test.cpp
@@ -1,6 +1,7 @@
 // Tests that bytes without end from an upstream, the store or a peer cost an entry instance neither its memory nor its other
 // callers. Real instances on loopback.
 
+#include "core/requests/event_stream_parser.h"
 #include "fakes/fleet_standin.h"
 #include "processes/edge_site.h"
 
@@ -147,6 +148,21 @@
     };
 }
 
+// Streams whose bytes do not contain a complete event.
+std::vector<EndlessAnswer> endlessStreams()
+{
+    auto start = [](const std::string& bytes) {
+        return [=](const RawRequest& request) { return headFor(request, "Content-Type: text/event-stream\r\n") + bytes; };
+    };
+    return {
+        { "event", start("id: 1\ndata: "), "x" },
+        { "event of many lines", start("id: 1\n"), "data: x\n" },
+        { "comment lines", start(""), ": comment\n" },
+        { "comments", start(""), ": comment\n\n" },
+        { "blank lines", start(""), "\n" },
+    };
+}
+
 // Returns an empty response if the instance closes the connection without one. May be called on any thread.
 std::string responseTo(const EdgeInstance& instance, const std::string& bytes)
 {
@@ -157,6 +173,8 @@
     return connection->readResponse();
 }
 
+std::string draftBytes(const std::string& target, const std::string& id) { return requestBytes("POST", target, id, "X-Model-Name: *\r\nX-Token-Count: 10,5\r\n", "prompt"); }
+
 // A value in bytes from the process status, for example VmHWM, the largest resident memory so far.
 std::int64_t memoryOf(pid_t pid, const std::string& name)
 {
@@ -277,6 +295,11 @@
     CHECK(waitUntil(1s, [&] { return site.instance.linesContaining(absl::StrCat("what=request id=", id, " ")).size() == 1; }));
 }
 
+bool isWholeStream(const std::string& response)
+{
+    return statusOf(response) == 200 && absl::StrContains(response, "id: 1\n") && absl::StrContains(response, "id: 3\n") && absl::EndsWith(response, "0\r\n\r\n");
+}
+
 void checkUnknownOutcome(const std::string& response) { CHECK((statusOf(response) == 502 || statusOf(response) == 504)); }
 
 std::vector<EndlessAnswer> joined(std::vector<EndlessAnswer> answers, const std::vector<EndlessAnswer>& more)
@@ -321,6 +344,17 @@
     checkCause(site, "id-1", pace);
 }
 
+void checkStream(const EndlessAnswer& answer, Pace pace)
+{
+    EndlessSite site(answer, pace, "/draft/endless");
+    auto seen = observe(site, draftBytes("/draft/endless", "id-1"));
+    CHECK(isWholeStream(seen.response));
+    CHECK(site.received() == 2);
+    CHECK(seen.time < (pace == Pace::Slow ? callerTimeout : fastDecision));
+    checkContained(site, seen, "id-1");
+    checkCause(site, "id-1", pace);
+}
+
 void checkRefused(const EndlessAnswer& answer, Pace pace)
 {
     EndlessSite site(answer, pace, "/booking/endless");
@@ -390,6 +424,40 @@
     }
 }
 
+// Guards against event streams without a complete event that are buffered, or whose bytes move the time limit.
+TEST_CASE("an event stream without a complete event is given up and resumed elsewhere")
+{
+    auto pace = GENERATE(Pace::Fast, Pace::Slow);
+    for (const auto& it : joined(endlessStreams(), endlessHeads())) {
+        DYNAMIC_SECTION(it.name << (pace == Pace::Fast ? ", fast" : ", slow")) { checkStream(it, pace); }
+    }
+}
+
+// Guards against a limit on events that a stream of many ordinary events would reach.
+TEST_CASE("a long event stream of complete events is relayed")
+{
+    auto event = [](int n) { return absl::StrCat("id: ", n, "\ndata: ", std::string(4000, 'x'), "\n\n"); };
+    constexpr int events = 2000;
+    Site site;
+    site.setEngineScripts([&](const RawRequest& request, RawConnection& connection) {
+        bool isOpen = connection.write(headFor(request, "Content-Type: text/event-stream\r\n"));
+        for (int n = 1; isOpen && n <= events; ++n)
+            isOpen = connection.write(n % 100 == 0 ? absl::StrCat(": comment\n\n", event(n)) : event(n));
+        return false;
+    });
+    EdgeInstance instance("edge-1", site.store.address());
+    REQUIRE(waitUntil(5s, [&] { return instance.isReady(); }));
+    auto connection = RawConnection::connect(instance.port());
+    REQUIRE(connection);
+    connection->write(draftBytes("/draft/long", "id-1"));
+    std::size_t size = 0;
+    CHECK(connection->readUntil([&](const std::string& in) {
+        size = in.size();
+        return absl::EndsWith(in, "\r\n0\r\n\r\n");
+    }));
+    CHECK(size > static_cast<std::size_t>(events) * event(1).size());
+}
+
 // Guards against a request that is refused everywhere because upstreams that are alive sent wrong bytes for it.
 TEST_CASE("answers without end do not count as crashes of upstreams")
 {
@@ -433,3 +501,46 @@
     // Each connection also has buffers of its own.
     CHECK(memoryOf(pid, "VmHWM") - memoryBefore < 2 * maxMemoryGrowth);
 }
+
+// Guards against an event without end that is kept, and against counting comments as events.
+TEST_CASE("the parser of event streams limits an event and counts no comments")
+{
+    EventStreamParser parser;
+    SECTION("an event within the limit")
+    {
+        auto event = absl::StrCat("id: 1\ndata: ", std::string(EventStreamParser::maxEventBytes / 2, 'x'), "\n\n");
+        for (char it : event.substr(0, event.size() - 1))
+            CHECK_FALSE(parser.feed(std::string(1, it)).isTooLong);
+        auto chunk = parser.feed("\n");
+        CHECK(chunk.events == 1);
+        CHECK(chunk.bytes == event);
+    }
+    SECTION("an event over the limit")
+    {
+        parser.feed("data: ");
+        CHECK(parser.feed(std::string(EventStreamParser::maxEventBytes, 'x')).isTooLong);
+    }
+    SECTION("comments go with the event that follows them")
+    {
+        auto comments = parser.feed(": one\n\n: two\n\n");
+        CHECK(comments.events == 0);
+        CHECK(comments.bytes.empty());
+        CHECK_FALSE(parser.hasPartialEvent());
+        auto chunk = parser.feed("id: 1\ndata: x\n\n");
+        CHECK(chunk.events == 1);
+        CHECK(chunk.bytes == ": one\n\n: two\n\nid: 1\ndata: x\n\n");
+    }
+    SECTION("comments at the end of a stream")
+    {
+        CHECK(parser.feed("id: 1\ndata: x\n\n: end\n\n").bytes == "id: 1\ndata: x\n\n");
+        CHECK(parser.takeComments() == ": end\n\n");
+        CHECK(parser.takeComments().empty());
+    }
+    SECTION("comments without end")
+    {
+        bool isTooLong = false;
+        for (std::size_t n = 0; n < EventStreamParser::maxEventBytes && !isTooLong; n += 10)
+            isTooLong = parser.feed(": comment\n\n").isTooLong;
+        CHECK(isTooLong);
+    }
+}
