An idle connection on which the upstream sends bytes is closed soon

What callers saw: nothing; the next request took another connection. But the connection stayed open, with full buffers on both sides, for half of the idle timeout that the upstream states, 30 s for 60 s.

Cause: idle connections were only examined when a request wanted one.

Ruled out: that such bytes reach a caller. A connection with bytes that nobody asked for is never reused, and events after the end of a stream are not relayed; the test shows both.

It works because the check does not wait for a request.

--- a/src/edge/connection_pool.cpp
+++ b/src/edge/connection_pool.cpp
@@ -43,10 +43,12 @@
 void ConnectionPool::closeExpired(TimePoint now)
 {
     for (auto& [key, idle] : m_idle) {
-        while (!idle.empty() && idle.front().expiresAt <= now) {
-            idle.front().connection->close();
-            idle.pop_front();
-        }
+        std::erase_if(idle, [&](const IdleConnection& it) {
+            if (it.expiresAt > now && it.connection->isReusable())
+                return false;
+            it.connection->close();
+            return true;
+        });
     }
     absl::erase_if(m_idle, [](const auto& it) { return it.second.empty(); });
 }
--- a/src/edge/connection_pool.h
+++ b/src/edge/connection_pool.h
@@ -25,7 +25,7 @@
     // Keeps a connection for later requests if it is reusable, else closes it. The upstream's idle timeout is empty if the
     // upstream does not state one.
     void recycle(const UpstreamEntry&, std::shared_ptr<UpstreamConnection>, std::optional<Seconds> upstreamIdleTimeout, TimePoint now);
-    // Closes connections that were idle for too long.
+    // Closes connections that were idle for too long, that the upstream closed, or on which it sent bytes without a request.
     void closeExpired(TimePoint now);
 
 private:
--- a/test/processes/endless_answer_test.cpp
+++ b/test/processes/endless_answer_test.cpp
@@ -458,6 +458,44 @@
     CHECK(size > static_cast<std::size_t>(events) * event(1).size());
 }
 
+// Guards against events that follow the end of a stream and reach its caller, or the next one on the connection.
+TEST_CASE("bytes after the end of a response are not relayed, and their connection is closed")
+{
+    EndlessWriter writer(Pace::Fast);
+    Site site;
+    SECTION("events after the end of a stream")
+    {
+        site.setEngineScripts([&](const RawRequest& request, RawConnection& connection) {
+            writer.write(connection, headFor(request, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n") + chunk("id: 1\ndata: piece 1\n\n") + "0\r\n\r\n", chunk("id: 2\ndata: piece 2\n\n"));
+            return false;
+        });
+        EdgeInstance instance("edge-1", site.store.address());
+        REQUIRE(waitUntil(5s, [&] { return instance.isReady(); }));
+        auto response = responseTo(instance, draftBytes("/draft/x", "id-1"));
+        CHECK(absl::EndsWith(response, "0\r\n\r\n"));
+        CHECK(absl::StrContains(response, "piece 1"));
+        CHECK_FALSE(absl::StrContains(response, "piece 2"));
+        CHECK(waitUntil(1s, [&] { return writer.hasEndedAll(); }));
+    }
+    SECTION("bytes after a response, on a connection that the upstream keeps for long")
+    {
+        site.setScripts([&](const RawRequest& request, RawConnection& connection) {
+            if (writer.begun() > 0)
+                return respondWith("hello")(request, connection);
+            connection.write(responseBytes(200, "hello", { { "X-Attempt-Id", request.field("X-Attempt-Id") }, { "X-Server-Seal", "s" }, { "Keep-Alive", "timeout=60" } }));
+            std::this_thread::sleep_for(200ms);
+            writer.write(connection, "", "noise");
+            return false;
+        });
+        EdgeInstance instance("edge-1", site.store.address());
+        REQUIRE(waitUntil(5s, [&] { return instance.isReady(); }));
+        CHECK(absl::EndsWith(responseTo(instance, requestBytes("GET", "/status/x", "id-1")), "hello"));
+        REQUIRE(waitUntil(1s, [&] { return writer.begun() == 1; }));
+        CHECK(waitUntil(1s, [&] { return writer.hasEndedAll(); }));
+        CHECK(absl::EndsWith(responseTo(instance, requestBytes("GET", "/status/x", "id-2")), "hello"));
+    }
+}
+
 // Guards against a request that is refused everywhere because upstreams that are alive sent wrong bytes for it.
 TEST_CASE("answers without end do not count as crashes of upstreams")
 {
