Answers of the store and of peers end in bounded time and memory

What callers saw: after a trickle of bytes from the store, an instance no longer learned of changes of the configuration, without an end. An endless answer of a peer kept it from asking any other peer.

Cause: reading such a body had a limit on each gap between bytes only, which a trickle renews without end, and 16 MB (store) and 64 MB (peer) of 88 MB of memory.

Ruled out: the head of the answer, which has a deadline of its own.

Change: the body of a watch or a read of the store ends after 10 s, as a partial read does, that of other calls within their timeout of 1 s, and that of a peer after 5 s. The limits are 8 MiB for items, 1 MiB for other calls and 8 MiB for a peer's changes.

It works because the total time and size no longer depend on the sender.

--- a/src/edge/control_plane.cpp
+++ b/src/edge/control_plane.cpp
@@ -26,7 +26,9 @@
     // Number of peer addresses in each heartbeat. A new instance learns of all peers within a few heartbeats.
     constexpr std::size_t maxKnownPeers = 4;
     constexpr std::size_t maxDatagramBytes = std::size_t { 64 } * 1024;
-    constexpr std::size_t maxMirrorBytes = std::size_t { 64 } << 20;
+    // Limits of a peer's changes. The memory of an instance may be less than 100 MB.
+    constexpr std::size_t maxMirrorBytes = std::size_t { 8 } << 20;
+    constexpr Milliseconds maxMirrorTime { 5000 };
     constexpr const char* mirrorPath = "/mirror?after=";
 
     std::shared_ptr<ServerState> makeInternalServerState(RequestHandler handler)
@@ -271,7 +273,8 @@
         ResponseHead response;
         bool isSent = co_await connection->send(head, nullptr);
         if (isSent && co_await connection->readHead(response) == TransferEnd::Ok && response.status == 200) {
-            auto body = co_await connection->readWholeBody(maxMirrorBytes, catchUpTimeout);
+            BodyTimes times { catchUpTimeout, maxMirrorTime };
+            auto body = co_await connection->readWholeBody(maxMirrorBytes, times);
             if (body.end == TransferEnd::Ok)
                 update = decodeUpdate(body.bytes);
         }
--- a/src/edge/store_client.cpp
+++ b/src/edge/store_client.cpp
@@ -18,7 +18,11 @@
     // A partial read that is older than this is started again: the following watch continues from the revision of the first
     // page, and the platform keeps changes for only 20 s.
     constexpr Seconds maxPartialReadAge { 10 };
-    constexpr std::size_t maxResponseBytes = std::size_t { 16 } << 20;
+    // Limits of a response of a watch or a read, and of other calls. The memory of an instance may be less than 100 MB.
+    constexpr std::size_t maxItemBytes = std::size_t { 8 } << 20;
+    constexpr std::size_t maxCallBytes = std::size_t { 1 } << 20;
+    // Time limit for the body of a watch or a read.
+    constexpr Milliseconds maxItemTime { 10000 };
     // The empty prefix matches all keys.
     constexpr const char* allKeysPrefix = "";
 
@@ -54,9 +58,8 @@
         ResponseHead responseHead;
         bool isSent = co_await connection->send(head + "\r\n", std::make_shared<const std::string>(request.body));
         if (isSent && co_await connection->readHead(responseHead) == TransferEnd::Ok) {
-            // Responses of about a megabyte take long if many instances read them at the same time, so only a lack of progress
-            // ends the read.
-            auto body = co_await connection->readWholeBody(maxResponseBytes, options.timeout);
+            BodyTimes times { options.timeout, options.maxBodyTime };
+            auto body = co_await connection->readWholeBody(options.maxBytes, times);
             if (body.end == TransferEnd::Ok)
                 response = { responseHead.status, std::move(body.bytes) };
         }
@@ -99,7 +102,7 @@
 
 Awaitable<StoreResponse> StoreClient::call(platform::StoreRequest request, const char* name)
 {
-    CallOptions options { &m_callConnection, callTimeout, name };
+    CallOptions options { &m_callConnection, callTimeout, callTimeout, maxCallBytes, name };
     auto response = co_await sendRequest(std::move(request), options);
     // The response may have been lost although the store is reachable. A stale read checks that at a tenth of the price.
     if (response.status == 0) {
@@ -111,7 +114,7 @@
 
 Awaitable<StoreClient::StoreUpdateResult> StoreClient::watch(std::int64_t after)
 {
-    CallOptions options { &m_watchConnection, watchWait + watchMargin, "watch", true };
+    CallOptions options { &m_watchConnection, watchWait + watchMargin, maxItemTime, maxItemBytes, "watch", true };
     auto response = co_await sendRequest(platform::watchRequest(allKeysPrefix, after, watchWait), options);
     StoreUpdateResult result { response.status, {} };
     if (!response.isOk())
@@ -124,7 +127,7 @@
 
 Awaitable<StoreClient::StoreUpdateResult> StoreClient::readAll()
 {
-    CallOptions options { &m_watchConnection, callTimeout, "read" };
+    CallOptions options { &m_watchConnection, callTimeout, maxItemTime, maxItemBytes, "read" };
     if (!m_partialRead || bootNow() - m_partialRead->startedAt > maxPartialReadAge)
         m_partialRead = PartialRead { .startedAt = bootNow() };
     auto& update = m_partialRead->update;
--- a/src/edge/store_client.h
+++ b/src/edge/store_client.h
@@ -46,6 +46,9 @@
         std::shared_ptr<UpstreamConnection>* cachedConnection = nullptr;
         // Time limit for the head of the response, and for each gap between received bytes of the body.
         Milliseconds timeout { 0 };
+        // Limits of the whole body. Responses of about a megabyte take long if many instances read them at the same time.
+        Milliseconds maxBodyTime { 0 };
+        std::size_t maxBytes = 0;
         // Label in the metrics.
         const char* name = "";
         // The store responds once a key changes. The call is cancelled when the store becomes reachable or unreachable.
--- a/src/edge/upstream_connection.cpp
+++ b/src/edge/upstream_connection.cpp
@@ -134,15 +134,16 @@
     co_return piece;
 }
 
-Awaitable<BodyPiece> UpstreamConnection::readWholeBody(std::size_t maxBytes, std::optional<Milliseconds> maxGap, BodyMemory::Share* memory)
+Awaitable<BodyPiece> UpstreamConnection::readWholeBody(std::size_t maxBytes, std::optional<BodyTimes> times, BodyMemory::Share* memory)
 {
     BodyPiece whole;
+    auto start = bootNow();
     auto stated = m_parser->content_length();
     if (!m_parser->is_done() && stated && *stated > maxBytes)
         whole.end = reject("body too long");
     while (whole.end == TransferEnd::Ok && !whole.isLast) {
-        if (maxGap)
-            setDeadline(*maxGap);
+        if (times)
+            setDeadline(std::max(Milliseconds(0), std::min(times->maxGap, times->maxTotal - toMilliseconds(bootNow() - start))));
         auto piece = co_await readBody();
         whole.end = piece.end;
         whole.isLast = piece.isLast;
--- a/src/edge/upstream_connection.h
+++ b/src/edge/upstream_connection.h
@@ -36,6 +36,12 @@
     bool isLast = false;
 };
 
+// Time limits for reading a long body over a slow link: a limit on each gap between received bytes, and one on the whole body.
+struct BodyTimes {
+    Milliseconds maxGap { 0 };
+    Milliseconds maxTotal { 0 };
+};
+
 class UpstreamConnection : public std::enable_shared_from_this<UpstreamConnection> {
 public:
     explicit UpstreamConnection(EventLoop&);
@@ -50,9 +56,8 @@
     // Waits for the next part of the body.
     Awaitable<BodyPiece> readBody();
     // Reads the rest of the body. If it is longer than the limit, or does not fit into the memory of all bodies, closes the
-    // connection and returns Malformed. `maxGap` replaces the deadline by a limit on each gap between received bytes, for long
-    // bodies on slow links.
-    Awaitable<BodyPiece> readWholeBody(std::size_t maxBytes, std::optional<Milliseconds> maxGap = {}, BodyMemory::Share* memory = nullptr);
+    // connection and returns Malformed. `times` replaces the deadline.
+    Awaitable<BodyPiece> readWholeBody(std::size_t maxBytes, std::optional<BodyTimes> times = {}, BodyMemory::Share* memory = nullptr);
     // Closes the connection because the response is invalid, and returns Malformed.
     TransferEnd reject(std::string cause);
     // Why the response was rejected.
--- a/test/processes/endless_answer_test.cpp
+++ b/test/processes/endless_answer_test.cpp
@@ -1,6 +1,7 @@
 // Tests that bytes without end from an upstream, the store or a peer cost an entry instance neither its memory nor its other
 // callers. Real instances on loopback.
 
+#include "core/membership/fleet_heartbeat.h"
 #include "core/requests/event_stream_parser.h"
 #include "fakes/fleet_standin.h"
 #include "processes/edge_site.h"
@@ -9,9 +10,11 @@
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_split.h>
+#include <arpa/inet.h>
 #include <catch2/catch.hpp>
 #include <fstream>
 #include <future>
+#include <sys/socket.h>
 #include <unistd.h>
 
 using namespace skylarkhitch;
@@ -582,3 +585,111 @@
         CHECK(isTooLong);
     }
 }
+
+// Guards against answers of the store that take the instance's memory, or occupy its connection for ever.
+TEST_CASE("answers of the store without end are given up")
+{
+    auto pace = GENERATE(Pace::Fast, Pace::Slow);
+    CAPTURE(static_cast<int>(pace));
+    Site site;
+    EndlessWriter writer(pace);
+    std::atomic<bool> isEndless = false;
+    LoopbackServer relay([&](const RawRequest& request, RawConnection& connection) {
+        if (!isEndless) {
+            auto store = RawConnection::connect(std::atoi(site.store.address().substr(site.store.address().rfind(':') + 1).c_str()));
+            auto head = absl::StrCat(request.method, " ", request.target, " HTTP/1.1\r\n");
+            for (const auto& it : request.fields)
+                absl::StrAppend(&head, it.name, ": ", it.value, "\r\n");
+            store->write(absl::StrCat(head, "\r\n", request.body));
+            auto response = store->readResponse(10s);
+            if (!isEndless)
+                return connection.write(response);
+        }
+        writer.write(connection, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n{\"items\":[\"", "x");
+        return false;
+    });
+    EdgeInstance instance("edge-1", relay.address());
+    REQUIRE(waitUntil(5s, [&] { return instance.isReady(); }));
+    auto pid = instance.process().pid();
+    auto memoryBefore = memoryOf(pid, "VmRSS");
+    OtherCaller others(instance);
+    isEndless = true;
+    // Makes the store answer the pending watch.
+    site.store.put("op/other", "1");
+    REQUIRE(waitUntil(10s, [&] { return writer.begun() >= 2; }));
+    std::this_thread::sleep_for(3s);
+    isEndless = false;
+    site.store.put("op/config", sampleConfiguration(7));
+    CHECK(waitUntil(12s, [&] { return !instance.linesContaining("what=configuration version=7").empty(); }));
+    CHECK(waitUntil(12s, [&] { return writer.hasEndedAll(); }));
+    auto seen = others.stop();
+    CHECK(seen.failed == 0);
+    CHECK(seen.slowest < slowestOtherRequest);
+    CHECK(memoryOf(pid, "VmHWM") - memoryBefore < 2 * maxMemoryGrowth);
+}
+
+namespace {
+
+// A peer that claims to be ahead, and whose answers never end.
+class EndlessPeer {
+public:
+    explicit EndlessPeer(Pace pace)
+        : writer(pace)
+        , m_server([this](const RawRequest&, RawConnection& connection) {
+            writer.write(connection, "HTTP/1.1 200 OK\r\n\r\n", "x");
+            return false;
+        })
+    {
+    }
+
+    void sendHeartbeat(const EdgeInstance& instance)
+    {
+        FleetHeartbeat heartbeat;
+        heartbeat.from = { { "edge-9" }, 1 };
+        heartbeat.domain = { "halle-a" };
+        heartbeat.addresses = { "127.0.0.1:9", m_server.address() };
+        heartbeat.sequence = ++m_sequence;
+        heartbeat.storeRevision = 1000000;
+        heartbeat.storeReachable = true;
+        heartbeat.storeAge = Milliseconds(1);
+        auto bytes = encodeHeartbeat(heartbeat);
+        int fd = ::socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
+        auto peer = instance.peerAddress();
+        auto address = loopbackAddress(std::atoi(peer.substr(peer.rfind(':') + 1).c_str()));
+        ::sendto(fd, bytes.data(), bytes.size(), 0, reinterpret_cast<sockaddr*>(&address), sizeof address);
+        ::close(fd);
+    }
+
+    EndlessWriter writer;
+
+private:
+    LoopbackServer m_server;
+    std::uint64_t m_sequence = 0;
+};
+
+}
+
+// Guards against a peer's answer that takes the instance's memory, or that keeps it from asking other peers.
+TEST_CASE("answers of a peer without end are given up")
+{
+    auto pace = GENERATE(Pace::Fast, Pace::Slow);
+    CAPTURE(static_cast<int>(pace));
+    Site site;
+    EndlessPeer peer(pace);
+    EdgeInstance instance("edge-1", site.store.address());
+    REQUIRE(waitUntil(5s, [&] { return instance.isReady(); }));
+    auto pid = instance.process().pid();
+    auto memoryBefore = memoryOf(pid, "VmRSS");
+    OtherCaller others(instance);
+    CHECK(waitUntil(8s, [&] {
+        peer.sendHeartbeat(instance);
+        std::this_thread::sleep_for(200ms);
+        return !instance.linesContaining("what=peer_catch_up peer=edge-9").empty();
+    }));
+    CHECK(peer.writer.begun() > 0);
+    auto seen = others.stop();
+    CHECK(seen.failed == 0);
+    CHECK(seen.slowest < slowestOtherRequest);
+    CHECK(memoryOf(pid, "VmHWM") - memoryBefore < 2 * maxMemoryGrowth);
+    CHECK(waitUntil(8s, [&] { return peer.writer.hasEndedAll(); }));
+}
