--- a/src/edge/traffic_state.cpp
+++ b/src/edge/traffic_state.cpp
@@ -25,6 +25,8 @@
 
     // An instance that stops refuses requests in this time before it exits.
     constexpr Milliseconds minTimeBeforeExit { 500 };
+    // An instance may have less than 100 MB of memory in all.
+    constexpr std::size_t maxBodyMemoryBytes = std::size_t { 8 } << 20;
 
     constexpr std::string_view rolloutHashSalt = "rollout";
 
@@ -36,6 +38,7 @@
     , m_metrics(metrics)
     , m_balancer(m_settings.seed)
     , m_connections(loop)
+    , m_bodyMemory(maxBodyMemoryBytes)
     , m_sessions(m_settings.sessionIdleTimeout)
     , m_startedAt(bootNow())
 {
