Test ports are claimed, five for each instance, and own ends are counted

A test process took the ports of its entry instances from a block of 25 that its process id selects, which is enough for five instances. A larger site went round in the block and gave the same port to two instances; processes whose ids are equal modulo 800 shared a block.

Each instance now claims five consecutive ports. The claim is a socket bound to a name that stands for them, outside the file system; a block whose name is taken is passed over. The kernel frees the name when the object or the process ends, so no claim outlives its test, and two test processes never hold the same ports. The first block tried still follows from the process id, as before.

EdgeInstance also counts how often it started its process and how often that process ended by itself: without a signal of the test, or with a failure after SIGTERM.

--- a/test/processes/child_process.cpp
+++ b/test/processes/child_process.cpp
@@ -94,4 +94,12 @@
     return std::nullopt;
 }
 
+std::optional<int> ChildProcess::exitStatus() const
+{
+    siginfo_t info {};
+    if (m_pid <= 0 || waitid(P_PID, static_cast<id_t>(m_pid), &info, WEXITED | WNOHANG | WNOWAIT) != 0 || info.si_pid != m_pid)
+        return std::nullopt;
+    return info.si_code == CLD_EXITED ? info.si_status : -1;
+}
+
 }
--- a/test/processes/child_process.h
+++ b/test/processes/child_process.h
@@ -24,6 +24,8 @@
     void signal(int number) const;
     // Waits for the process to exit and returns its exit status, or -1 after a signal; no value on timeout.
     std::optional<int> waitForExit(Seconds);
+    // Returns the same as waitForExit() without waiting. Does not reap the process, so waitForExit() still returns its status.
+    std::optional<int> exitStatus() const;
 
 private:
     // Starts the program with its standard output redirected to a descriptor.
--- a/test/processes/edge_instance.cpp
+++ b/test/processes/edge_instance.cpp
@@ -1,10 +1,17 @@
 #include "processes/edge_instance.h"
 
+#include "core/check.h"
+
 #include <absl/strings/match.h>
+#include <algorithm>
 #include <csignal>
+#include <cstddef>
 #include <cstdlib>
 #include <fstream>
+#include <sys/socket.h>
+#include <sys/un.h>
 #include <unistd.h>
+#include <utility>
 
 namespace skylarkhitch {
 
@@ -12,29 +19,39 @@
 
     constexpr std::chrono::seconds responseTimeout { 2 };
 
-    // Returns a port from a block that belongs to this test process. Tests run in parallel, so a port found to be free could
-    // be taken by another test before it is bound. Processes whose ids are equal modulo `blocks` share a block. The blocks are
-    // below the kernel's ephemeral port range.
-    int nextTestPort()
-    {
-        constexpr int firstPort = 12000, blocks = 800, portsInBlock = 25;
-        static int next = 0;
-        return firstPort + static_cast<int>(::getpid() % blocks) * portsInBlock + next++ % portsInBlock;
-    }
+}
 
+// Tests run in parallel, so a port found to be free could be taken by another test before it is bound. The ports are below the
+// kernel's ephemeral port range.
+TestPorts::TestPorts()
+{
+    constexpr int firstPort = 12000, blocks = 4000;
+    static int next = static_cast<int>(::getpid() % (blocks / count)) * count;
+    for (int tries = 0; tries < blocks && m_claim < 0; ++tries) {
+        auto block = next++ % blocks;
+        auto name = absl::StrCat("skylarkhitch-test-ports-", block);
+        sockaddr_un address {};
+        address.sun_family = AF_UNIX;
+        // A name that starts with a zero byte is not in the file system.
+        std::copy(name.begin(), name.end(), address.sun_path + 1);
+        auto size = offsetof(sockaddr_un, sun_path) + 1 + name.size();
+        m_claim = ::socket(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        m_first = firstPort + block * count;
+        if (::bind(m_claim, reinterpret_cast<sockaddr*>(&address), static_cast<socklen_t>(size)) != 0)
+            ::close(std::exchange(m_claim, -1));
+    }
+    USAGE_CHECK(m_claim >= 0) << "all ports for tests are in use";
 }
 
+TestPorts::~TestPorts() { ::close(m_claim); }
+
 EdgeInstance::EdgeInstance(const std::string& name, const std::string& store, const std::string& seeds)
-    : m_entryPort(nextTestPort())
-    , m_readyPort(nextTestPort())
-    , m_directoryPort(nextTestPort())
-    , m_peerPort(nextTestPort())
-    , m_metricsPort(nextTestPort())
+    : m_name(name)
     , m_path(absl::StrCat("/tmp/skylarkhitch-edge-", ::getpid(), "-", name))
 {
-    std::ofstream(m_path + ".yaml") << "edge:\n  instance: " << name << "\n  domain: halle-a\n  entry_listen: 127.0.0.1:" << m_entryPort << "\n  ready_listen: 127.0.0.1:" << m_readyPort
-                                    << "\n  directory_listen: 127.0.0.1:" << m_directoryPort << "\n  peer_listen: 127.0.0.1:" << m_peerPort << "\n  metrics_listen: 127.0.0.1:" << m_metricsPort
-                                    << "\n  store: " << store << "\n  stop_grace_s: 4\n  seeds: [ " << seeds << " ]\n";
+    std::ofstream(m_path + ".yaml") << "edge:\n  instance: " << name << "\n  domain: halle-a\n  entry_listen: 127.0.0.1:" << m_ports[entryPort] << "\n  ready_listen: 127.0.0.1:" << m_ports[readyPort]
+                                    << "\n  directory_listen: 127.0.0.1:" << m_ports[directoryPort] << "\n  peer_listen: 127.0.0.1:" << m_ports[peerPort] << "\n  metrics_listen: 127.0.0.1:" << m_ports[metricsPort]
+                                    << "\n  store: " << store << "\n  stop_grace_s: " << stopGrace.count() << "\n  seeds: [ " << seeds << " ]\n";
     ::unlink((m_path + ".log").c_str());
     restart();
 }
@@ -56,13 +73,26 @@
 void EdgeInstance::restart()
 {
     kill();
+    m_isStopping = false;
+    ++m_starts;
     m_process = std::make_unique<ChildProcess>(std::vector<std::string> { SKYLARKHITCH_BINARY_DIR "/skylarkhitchd", "--settings", m_path + ".yaml" }, m_path + ".log");
 }
 
-void EdgeInstance::kill() { m_process.reset(); }
+void EdgeInstance::kill()
+{
+    m_ownEnds += hasEndedByItself() ? 1 : 0;
+    m_process.reset();
+}
+
+bool EdgeInstance::hasEndedByItself() const
+{
+    auto status = m_process ? m_process->exitStatus() : std::nullopt;
+    return status && (!m_isStopping || *status != 0);
+}
 
-void EdgeInstance::signal(int number) const
+void EdgeInstance::signal(int number)
 {
+    m_isStopping = m_isStopping || number == SIGTERM;
     if (m_process)
         m_process->signal(number);
 }
@@ -76,11 +106,11 @@
     return connection->readResponse(responseTimeout);
 }
 
-bool EdgeInstance::isReady() const { return absl::StartsWith(get(m_readyPort, "/-/readyz"), "HTTP/1.1 200"); }
+bool EdgeInstance::isReady() const { return absl::StartsWith(get(m_ports[readyPort], "/-/readyz"), "HTTP/1.1 200"); }
 
-std::string EdgeInstance::directoryResponse() const { return get(m_directoryPort, "/-/resolve?name=a.example&zone=halle-a"); }
+std::string EdgeInstance::directoryResponse() const { return get(m_ports[directoryPort], "/-/resolve?name=a.example&zone=halle-a"); }
 
-std::string EdgeInstance::metrics() const { return get(m_metricsPort, "/metrics"); }
+std::string EdgeInstance::metrics() const { return get(m_ports[metricsPort], "/metrics"); }
 
 std::vector<std::string> EdgeInstance::linesContaining(const std::string& text) const
 {
--- a/test/processes/edge_instance.h
+++ b/test/processes/edge_instance.h
@@ -9,8 +9,29 @@
 
 namespace skylarkhitch {
 
+// Consecutive ports that no other test process uses at the same time, as long as the object exists.
+class TestPorts {
+public:
+    static constexpr int count = 5;
+
+    TestPorts();
+    ~TestPorts();
+    TestPorts(const TestPorts&) = delete;
+    TestPorts& operator=(const TestPorts&) = delete;
+
+    int operator[](int n) const { return m_first + n; }
+
+private:
+    // A socket with a name that stands for the ports; the kernel frees the name when the process ends.
+    int m_claim = -1;
+    int m_first = 0;
+};
+
 class EdgeInstance {
 public:
+    // Time from SIGTERM until the platform would kill the process.
+    static constexpr std::chrono::seconds stopGrace { 4 };
+
     // Writes the settings and starts the process. `store` is the store's address; `seeds` holds comma-separated peer addresses.
     EdgeInstance(const std::string& name, const std::string& store, const std::string& seeds = {});
     ~EdgeInstance();
@@ -20,10 +41,16 @@
     // Kills the process with SIGKILL.
     void kill();
     // Sends a signal to the process; does nothing if none is running.
-    void signal(int number) const;
+    void signal(int number);
 
-    int port() const { return m_entryPort; }
-    std::string peerAddress() const { return absl::StrCat("127.0.0.1:", m_peerPort); }
+    const std::string& name() const { return m_name; }
+    // Number of times that this object started the process.
+    std::int64_t starts() const { return m_starts; }
+    // Number of times that the process ended by itself: without a signal from this object, or with a failure after SIGTERM.
+    std::int64_t ownEnds() const { return m_ownEnds + (hasEndedByItself() ? 1 : 0); }
+
+    int port() const { return m_ports[entryPort]; }
+    std::string peerAddress() const { return absl::StrCat("127.0.0.1:", m_ports[peerPort]); }
     ChildProcess& process() { return *m_process; }
 
     bool isReady() const;
@@ -36,11 +63,18 @@
     std::vector<std::string> linesContaining(const std::string& text) const;
 
 private:
+    static constexpr int entryPort = 0, readyPort = 1, directoryPort = 2, peerPort = 3, metricsPort = 4;
+
     std::string get(int port, const std::string& target) const;
+    bool hasEndedByItself() const;
 
-    int m_entryPort, m_readyPort, m_directoryPort, m_peerPort, m_metricsPort;
+    TestPorts m_ports;
+    std::string m_name;
     std::string m_path;
     bool m_keepsOutput = false;
+    bool m_isStopping = false;
+    std::int64_t m_starts = 0;
+    std::int64_t m_ownEnds = 0;
     std::unique_ptr<ChildProcess> m_process;
 };
 
