The fault soak keeps resting connections, pauses instances in series and reads their logs

The soak now has three kinds of callers. Roaming ones are those it had. Staying ones use one instance, rest on their connection for up to four fifths of the configuration's idle limit, and go on, on kept and on new connections, after SIGTERM until the process is gone. Late ones rest about until the instance closes the connection: within 2 ms of that moment, or from 700 ms before to 300 ms after it. The idle limit of the soak's configuration is 600 ms, so that many connections come to their end in a round. A new operation pauses an instance several times, for 100 to 700 ms and 1.2 s together, partly with only a moment between two pauses; it overlaps with configuration changes, SIGHUP and SIGTERM, also in rounds of planned work.

Checks, in all rounds: a request that reached an upstream does not end without a response, unless the upstream broke off, the instance was killed meanwhile or the caller left. No instance logs task_failed, or caller_left for a caller that had not left. No process starts or ends without the soak. The test of the checks has a section for each. SOAK_INSTANCES selects a larger site; the number of operations in a round grows with it. Setting a random fault for a random time is one function now instead of two copies.

--- a/test/soak/soak_records.cpp
+++ b/test/soak/soak_records.cpp
@@ -1,5 +1,6 @@
 #include "soak/soak_records.h"
 
+#include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
 #include <algorithm>
 
@@ -14,6 +15,18 @@
 
 }
 
+void SoakRecords::recordArrival(const std::string& id)
+{
+    std::lock_guard lock(m_mutex);
+    m_arrived.insert(id);
+}
+
+void SoakRecords::recordKill(const std::string& instance, Clock::time_point from, Clock::time_point to)
+{
+    std::lock_guard lock(m_mutex);
+    m_kills.emplace(instance, Period { from, to });
+}
+
 void SoakRecords::recordRun(const std::string& id)
 {
     std::lock_guard lock(m_mutex);
@@ -51,8 +64,29 @@
     for (const auto& it : m_outcomes) {
         auto text = violationOf(it);
         if (!text.empty())
-            all.push_back(absl::StrCat(it.id, " status ", it.status, ": ", text));
+            all.push_back(absl::StrCat(it.id, " at ", it.instance, " status ", it.status, ": ", text));
+    }
+    return all;
+}
+
+std::vector<std::string> SoakRecords::violations(const InstanceReport& report) const
+{
+    std::lock_guard lock(m_mutex);
+    std::vector<std::string> all;
+    std::int64_t starts = 0;
+    for (const auto& it : report.lines) {
+        if (absl::StrContains(it, "what=task_failed "))
+            all.push_back(absl::StrCat(report.instance, ": a coroutine ended by an exception: ", it));
+        if (absl::StrContains(it, "what=start "))
+            ++starts;
+        bool isCallerLeft = absl::StrContains(it, "what=request ") && absl::StrContains(it, " error=caller_left ");
+        if (isCallerLeft && std::none_of(m_outcomes.begin(), m_outcomes.end(), [&](const auto& outcome) { return outcome.hasLeft && absl::StrContains(it, absl::StrCat(" id=", outcome.id, " ")); }))
+            all.push_back(absl::StrCat(report.instance, ": the caller of this request had not left: ", it));
     }
+    if (starts > report.starts)
+        all.push_back(absl::StrCat(report.instance, ": the process started ", starts, " times; the soak started it ", report.starts, " times"));
+    if (report.ownEnds > 0)
+        all.push_back(absl::StrCat(report.instance, ": the process ended by itself ", report.ownEnds, " times"));
     return all;
 }
 
@@ -70,6 +104,8 @@
         return "rejected as not run, but an upstream ran it";
     if (rejectsValidRequest(outcome.status))
         return "a valid request was rejected";
+    if (isLost(outcome))
+        return "passed on to an upstream, then the connection was closed without a response";
     bool isPlannedOnly = std::any_of(m_plannedPeriods.begin(), m_plannedPeriods.end(), [&](const auto& it) { return outcome.sentAt >= it.from && outcome.endedAt <= it.to; });
     bool isInterrupted = !outcome.isComplete || outcome.status == 502 || outcome.status == 504;
     if (isPlannedOnly && isInterrupted && runs > 0 && !m_aborted.contains(outcome.id))
@@ -77,6 +113,13 @@
     return {};
 }
 
+bool SoakRecords::isLost(const Outcome& outcome) const
+{
+    auto [first, last] = m_kills.equal_range(outcome.instance);
+    bool wasKilled = std::any_of(first, last, [&](const auto& it) { return it.second.to >= outcome.sentAt && it.second.from <= outcome.endedAt; });
+    return outcome.status == 0 && m_arrived.contains(outcome.id) && !m_aborted.contains(outcome.id) && !outcome.hasLeft && !wasKilled;
+}
+
 std::size_t SoakRecords::servedCount() const
 {
     std::lock_guard lock(m_mutex);
--- a/test/soak/soak_records.h
+++ b/test/soak/soak_records.h
@@ -30,6 +30,18 @@
     std::string defect;
     Clock::time_point sentAt;
     Clock::time_point endedAt;
+    // Name of the instance that the request was sent to.
+    std::string instance;
+    // Whether the caller closed the connection before it had the complete response.
+    bool hasLeft = false;
+};
+
+// What one instance logged, and how often its process was started and ended by itself.
+struct InstanceReport {
+    std::string instance;
+    std::vector<std::string> lines;
+    std::int64_t starts = 0;
+    std::int64_t ownEnds = 0;
 };
 
 class SoakRecords {
@@ -38,18 +50,25 @@
     // configuration.
     static constexpr int maxRuns = 3;
 
+    // Records that an upstream received the request, whether it executes it or not.
+    void recordArrival(const std::string& id);
     // Records that an upstream started to execute the request.
     void recordRun(const std::string& id);
     // Records that the upstream aborted its response, so that an incomplete response to the caller is not a violation.
     void recordAbort(const std::string& id);
     bool hasAborted(const std::string& id) const;
     void recordOutcome(Outcome);
+    // Records that an instance was killed in this period, so that it is no violation if a request at that time was lost.
+    void recordKill(const std::string& instance, Clock::time_point from, Clock::time_point to);
     // Records a period with planned operations only. A request sent and ended in it that ran on an upstream and was
     // interrupted is a violation, unless the upstream aborted its response.
     void recordPlannedPeriod(Clock::time_point from, Clock::time_point to);
 
     // Returns one line for each request that violated a guarantee, with the first one it violated.
     std::vector<std::string> violations() const;
+    // Returns one line for each log line of an instance that must not occur, and for starts and ends that the soak did not
+    // cause.
+    std::vector<std::string> violations(const InstanceReport&) const;
     // Number of requests with a complete response of status 200.
     std::size_t servedCount() const;
     // Number of recorded outcomes.
@@ -60,10 +79,14 @@
         Clock::time_point from, to;
     };
     std::string violationOf(const Outcome&) const;
+    // Whether a request that was passed on to an upstream ended without a response, for no reason outside the instance.
+    bool isLost(const Outcome&) const;
 
     mutable std::mutex m_mutex;
     std::map<std::string, int> m_runs;
+    std::set<std::string> m_arrived;
     std::set<std::string> m_aborted;
+    std::multimap<std::string, Period> m_kills;
     std::vector<Outcome> m_outcomes;
     std::vector<Period> m_plannedPeriods;
 };
--- a/test/soak/soak_site.cpp
+++ b/test/soak/soak_site.cpp
@@ -1,7 +1,6 @@
 #include "soak/soak_site.h"
 
 #include <absl/strings/match.h>
-#include <absl/strings/str_split.h>
 #include <csignal>
 
 namespace skylarkhitch::soak {
@@ -20,6 +19,9 @@
     constexpr int maxWorkMs = 20;
     // Probability that a caller opens a new connection for a request.
     constexpr double newConnectionProbability = 0.1;
+    // Callers of these kinds for each instance.
+    constexpr std::size_t stayingCallers = 2, lateCallers = 6;
+    constexpr auto stopCheckPeriod = 100ms;
 
     HeaderFields identityHeaders(const RawRequest& request)
     {
@@ -61,7 +63,7 @@
 
 }
 
-SoakSite::SoakSite(std::uint64_t seed)
+SoakSite::SoakSite(std::uint64_t seed, std::size_t instanceCount)
     : m_seed(seed)
     , m_random(seed)
 {
@@ -103,12 +105,15 @@
         std::lock_guard lock(m_keyMutex);
         m_key = key;
     }
-    store.put("op/config", sampleConfiguration(++m_version, key));
+    auto document = nlohmann::json::parse(sampleConfiguration(++m_version, key));
+    document["limits"]["idleTimeoutMs"] = idleTimeout.count();
+    store.put("op/config", document.dump());
 }
 
 ScriptedUpstream::Script SoakSite::makeScript(const std::string& id, bool isEngine)
 {
     return [this, id, isEngine](const RawRequest& request, RawConnection& connection) {
+        records.recordArrival(request.field("X-Attempt-Id"));
         if (request.field("X-Expect-Instance") != id)
             return connection.write(responseBytes(421, "", { { "X-Instance-Id", id } }));
         double draw = 0;
@@ -163,8 +168,15 @@
 
 void SoakSite::startCallers()
 {
-    for (std::size_t n = 0; n < callerCount; ++n)
-        m_callers.emplace_back([this, n] { runCaller(m_seed * callerCount + n); });
+    auto add = [this](CallerKind kind, std::size_t instance, std::size_t count) {
+        for (; count > 0; --count)
+            m_callers.emplace_back([this, kind, instance, number = m_callers.size()] { runCaller(kind, instance, number); });
+    };
+    add(CallerKind::Roaming, 0, instances.size() + 1);
+    for (std::size_t n = 0; n < instances.size(); ++n) {
+        add(CallerKind::Staying, n, stayingCallers);
+        add(CallerKind::Late, n, lateCallers);
+    }
 }
 
 void SoakSite::stopCallers()
@@ -175,24 +187,38 @@
     m_callers.clear();
 }
 
-// Runs one caller until the site stops. It keeps its connection until the other side closes it or a random choice replaces it,
-// and then connects to a random instance. Some streams are requested from a later event on, as if resumed.
-void SoakSite::runCaller(std::uint64_t seed)
+// Returns for how long a caller rests on its connection after a response.
+std::chrono::microseconds SoakSite::restTime(CallerKind kind, std::mt19937_64& random)
+{
+    auto between = [&](std::chrono::microseconds first, std::chrono::microseconds last) { return std::chrono::microseconds(std::uniform_int_distribution<std::int64_t>(first.count(), last.count())(random)); };
+    if (kind == CallerKind::Roaming)
+        return 0us;
+    if (kind == CallerKind::Staying)
+        return between(0us, idleTimeout * 4 / 5);
+    // Near the moment at which the instance closes the connection, or within a pause of the instance around it.
+    bool isExact = std::uniform_int_distribution<int>(0, 1)(random) == 0;
+    return idleTimeout + idleMargin + (isExact ? between(-2ms, 2ms) : between(-700ms, 300ms));
+}
+
+// Runs one caller until the site stops. It keeps its connection until the other side closes it, or, if it roams, until a random
+// choice replaces it by one to a random instance. Some streams are requested from a later event on, as if resumed.
+void SoakSite::runCaller(CallerKind kind, std::size_t instance, std::size_t number)
 {
-    std::mt19937_64 random(seed);
+    std::seed_seq seeds { m_seed, static_cast<std::uint64_t>(number) };
+    std::mt19937_64 random(seeds);
     std::unique_ptr<RawConnection> connection;
-    std::size_t instance = 0;
-    std::uniform_real_distribution<double> draw;
     while (!m_stopping) {
-        if (!connection || !connection->isOpen() || draw(random) < newConnectionProbability) {
-            instance = std::uniform_int_distribution<std::size_t>(0, instanceCount - 1)(random);
+        bool isNew = !connection || !connection->isOpen() || (kind == CallerKind::Roaming && std::uniform_real_distribution<double>()(random) < newConnectionProbability);
+        if (isNew)
             connection.reset();
-        }
-        auto type = static_cast<RequestType>(std::uniform_int_distribution<int>(0, 2)(random));
-        auto outcome = sendRequest(type, connection, instance, random);
-        // Without a response, waits before the next connection.
-        if (outcome.status == 0)
-            std::this_thread::sleep_for(50ms);
+        if (isNew && kind == CallerKind::Roaming)
+            instance = std::uniform_int_distribution<std::size_t>(0, instances.size() - 1)(random);
+        auto outcome = sendRequest(static_cast<RequestType>(std::uniform_int_distribution<int>(0, 2)(random)), connection, instance, random);
+        // Rests as its kind says only on a connection that is kept, and waits before a new one if there was no response.
+        auto rest = restTime(connection || kind == CallerKind::Roaming ? kind : CallerKind::Staying, random);
+        auto nextAt = outcome.endedAt + (outcome.status == 0 ? 50ms : rest);
+        while (!m_stopping && Clock::now() < nextAt)
+            std::this_thread::sleep_until(std::min(nextAt, Clock::now() + stopCheckPeriod));
     }
 }
 
@@ -219,7 +245,8 @@
     if (!connection)
         connection = RawConnection::connect(instances[instance]->port());
     std::string response;
-    if (connection && connection->write(absl::StrCat(bytes, "\r\n", body)))
+    bool isSent = connection && connection->write(absl::StrCat(bytes, "\r\n", body));
+    if (isSent)
         response = connection->readResponse(responseTimeout);
     outcome.endedAt = Clock::now();
     outcome.status = statusOf(response);
@@ -234,12 +261,27 @@
         outcome.defect = streamDefect(target, decodeChunked(content), after, outcome.isComplete);
     else if (outcome.status == 200 && content != echoBody(method, target, body))
         outcome.defect = "the upstream received a different request, or its response was altered";
+    outcome.instance = instances[instance]->name();
+    outcome.hasLeft = isSent && connection->isOpen() && !outcome.isComplete;
     if (!outcome.isComplete || absl::StrContains(head, "Connection: close"))
         connection.reset();
     records.recordOutcome(outcome);
     return outcome;
 }
 
+void SoakSite::kill(EdgeInstance& instance)
+{
+    auto startedAt = Clock::now();
+    instance.kill();
+    records.recordKill(instance.name(), startedAt, Clock::now());
+}
+
+void SoakSite::restart(EdgeInstance& instance)
+{
+    kill(instance);
+    instance.restart();
+}
+
 void SoakSite::clearFaults()
 {
     store.setFault(StoreFault::None);
--- a/test/soak/soak_site.h
+++ b/test/soak/soak_site.h
@@ -15,11 +15,13 @@
 
 class SoakSite {
 public:
-    explicit SoakSite(std::uint64_t seed);
+    SoakSite(std::uint64_t seed, std::size_t instanceCount);
     ~SoakSite();
 
-    static constexpr std::size_t instanceCount = 3;
-    static constexpr std::size_t callerCount = 4;
+    // The idle time that the configuration allows to callers, and the additional time after which an instance closes an idle
+    // connection.
+    static constexpr std::chrono::milliseconds idleTimeout { 600 };
+    static constexpr std::chrono::milliseconds idleMargin { 2000 };
 
     struct Upstream {
         std::string service;
@@ -38,6 +40,9 @@
     // Sends one request, checks the response and records the outcome. Connects to the instance if there is no connection, and
     // drops the connection if it cannot be reused.
     Outcome sendRequest(RequestType, std::unique_ptr<standin::RawConnection>&, std::size_t instance, std::mt19937_64&);
+    // Kills the process of an instance; restart() also starts it again.
+    void kill(EdgeInstance&);
+    void restart(EdgeInstance&);
     // Clears all faults, registers every upstream as a new incarnation, and resumes paused instances.
     void clearFaults();
 
@@ -53,7 +58,14 @@
     // `draw` is a random number from 0 to 1 that selects the fault of the response.
     bool sendPlainResponse(const standin::RawRequest&, standin::RawConnection&, double draw);
     bool sendStreamResponse(const standin::RawRequest&, standin::RawConnection&, double draw);
-    void runCaller(std::uint64_t seed);
+    // How a caller uses its connection. Roaming: sends without a rest and changes its connection and instance at random.
+    // Staying: rests for a random part of the time that the configuration allows, and always uses one instance, also while it
+    // stops. Late: the same, but rests about until the instance closes the connection.
+    enum class CallerKind { Roaming,
+        Staying,
+        Late };
+    void runCaller(CallerKind, std::size_t instance, std::size_t number);
+    static std::chrono::microseconds restTime(CallerKind, std::mt19937_64&);
 
     std::uint64_t m_seed;
     std::atomic<std::uint64_t> m_lastId = 0;
--- a/test/soak/soak_test.cpp
+++ b/test/soak/soak_test.cpp
@@ -1,6 +1,6 @@
 // Fault-injection soak test: runs real processes under random faults, signals and configuration changes while callers send
-// requests continuously. SOAK_SEEDS="1,2,..." and SOAK_ROUNDS=N select the seeds and the number of rounds; docs/OPERATIONS.md
-// describes longer runs.
+// requests continuously. SOAK_SEEDS="1,2,...", SOAK_ROUNDS=N and SOAK_INSTANCES=N select the seeds and the numbers of rounds and
+// instances; docs/OPERATIONS.md describes longer runs.
 
 #include "soak/soak_site.h"
 
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <csignal>
+#include <set>
 
 using namespace skylarkhitch;
 using namespace skylarkhitch::soak;
@@ -26,12 +27,15 @@
 constexpr auto roundDuration = 3000ms;
 // Wait after a round of faults; longer than the 2 s after which an unacknowledged connection is closed.
 constexpr auto settlingTime = 2500ms;
+// Limits of one pause in a series, and of all pauses of a series together.
+constexpr auto minPause = 100ms, maxPause = 700ms, maxPausedTime = 1200ms;
 // An instance that receives SIGTERM must exit within this time.
 constexpr Seconds stopTimeout { 5 };
 // Limits required by the users: until a configuration is applied on all instances, and until service recovers.
 constexpr auto configurationLimit = 2s;
 constexpr auto recoveryLimit = 12s;
 constexpr int consecutiveRequests = 20;
+constexpr std::size_t defaultInstances = 3;
 
 // Generates random rounds from one seed and runs them.
 class Schedule {
@@ -47,7 +51,8 @@
         bool isPlannedOnly = number % 2 == 0;
         auto startedAt = Clock::now();
         Steps steps;
-        for (auto n = pick(2, 4); n > 0; --n) {
+        m_paused.clear();
+        for (auto n = pick(2, 4) * std::max<std::size_t>(1, m_site.instances.size() / defaultInstances); n > 0; --n) {
             auto generators = isPlannedOnly ? plannedOperations() : faults();
             (this->*generators[pick(0, generators.size() - 1)])(steps);
         }
@@ -59,7 +64,7 @@
         }
         m_site.clearFaults();
         for (auto* it : m_stopped)
-            it->restart();
+            m_site.restart(*it);
         m_stopped.clear();
         std::this_thread::sleep_for(settlingTime);
     }
@@ -67,8 +72,8 @@
 private:
     using StepGenerator = void (Schedule::*)(Steps&);
 
-    static std::vector<StepGenerator> plannedOperations() { return { &Schedule::stopAndRestart, &Schedule::reloadSettings, &Schedule::changeConfiguration, &Schedule::drainUpstream }; }
-    static std::vector<StepGenerator> faults() { return { &Schedule::killAndRestart, &Schedule::killAndRestartAll, &Schedule::pauseInstance, &Schedule::addStoreFault, &Schedule::compactHistory, &Schedule::storeProxyFault, &Schedule::upstreamProxyFault, &Schedule::reuseAddress, &Schedule::stopAndRestart, &Schedule::changeConfiguration }; }
+    static std::vector<StepGenerator> plannedOperations() { return { &Schedule::stopAndRestart, &Schedule::reloadSettings, &Schedule::changeConfiguration, &Schedule::drainUpstream, &Schedule::pauseInSeries }; }
+    static std::vector<StepGenerator> faults() { return { &Schedule::killAndRestart, &Schedule::killAndRestartAll, &Schedule::pauseInstance, &Schedule::addStoreFault, &Schedule::compactHistory, &Schedule::storeProxyFault, &Schedule::upstreamProxyFault, &Schedule::reuseAddress, &Schedule::stopAndRestart, &Schedule::changeConfiguration, &Schedule::pauseInSeries }; }
 
     std::size_t pick(std::size_t minimum, std::size_t maximum) { return std::uniform_int_distribution<std::size_t>(minimum, maximum)(m_random); }
     std::chrono::milliseconds pickDelay(std::chrono::milliseconds maximum) { return std::chrono::milliseconds(pick(0, static_cast<std::size_t>(maximum.count()))); }
@@ -101,7 +106,7 @@
         auto& instance = pickInstance();
         // At least one instance keeps running, since the users stop their machines one after another.
         bool isRunning = std::find(m_stopped.begin(), m_stopped.end(), &instance) == m_stopped.end();
-        if (!isRunning || m_stopped.size() + 1 >= SoakSite::instanceCount)
+        if (!isRunning || m_stopped.size() + 1 >= m_site.instances.size())
             return;
         m_stopped.push_back(&instance);
         steps.push_back({ pickDelay(roundDuration), [&instance] { instance.signal(SIGTERM); } });
@@ -135,17 +140,17 @@
     {
         auto& instance = pickInstance();
         auto at = pickDelay(roundDuration);
-        steps.push_back({ at, [&instance] { instance.kill(); } });
-        steps.push_back({ at + pickDelay(500ms), [&instance] { instance.restart(); } });
+        steps.push_back({ at, [this, &instance] { m_site.kill(instance); } });
+        steps.push_back({ at + pickDelay(500ms), [this, &instance] { m_site.restart(instance); } });
     }
 
     void killAndRestartAll(Steps& steps)
     {
         auto at = pickDelay(roundDuration);
-        for (auto& it : m_site.instances)
-            steps.push_back({ at, [&it] { it->kill(); } });
-        for (auto& it : m_site.instances)
-            steps.push_back({ at + 300ms, [&it] { it->restart(); } });
+        for (auto& it : m_site.instances) {
+            steps.push_back({ at, [this, &it] { m_site.kill(*it); } });
+            steps.push_back({ at + 300ms, [this, &it] { m_site.restart(*it); } });
+        }
     }
 
     void pauseInstance(Steps& steps)
@@ -156,27 +161,47 @@
         steps.push_back({ at + pickDelay(2500ms), [&instance] { instance.signal(SIGCONT); } });
     }
 
-    void addStoreFault(Steps& steps)
+    // Pauses an instance several times, as if it had used up its share of the processor. Some pauses follow each other after a
+    // moment in which the instance only begins to work on what has become due.
+    void pauseInSeries(Steps& steps)
     {
-        constexpr StoreFault kinds[] = { StoreFault::Busy, StoreFault::Silent, StoreFault::DropsResponses, StoreFault::SlowReads };
-        auto fault = kinds[pick(0, std::size(kinds) - 1)];
-        auto at = pickDelay(roundDuration);
-        steps.push_back({ at, [this, fault] { m_site.store.setFault(fault); } });
-        steps.push_back({ at + pickDelay(2000ms), [this] { m_site.store.setFault(StoreFault::None); } });
+        auto& instance = pickInstance();
+        // The pauses of a round together are shorter than any time limit of a request.
+        if (!m_paused.insert(&instance).second)
+            return;
+        auto at = pickDelay(roundDuration / 2);
+        steps.push_back({ at, [&instance] { instance.signal(SIGSTOP); } });
+        for (auto left = maxPausedTime; left > minPause;) {
+            auto pause = minPause + pickDelay(std::min(left, maxPause) - minPause);
+            at += pause;
+            left -= pause;
+            std::chrono::microseconds gap(pick(0, 1) == 0 ? pick(50, 1500) : pick(1500, 200000));
+            steps.push_back({ at, [&instance, gap, pausesAgain = left > minPause] {
+                                 instance.signal(SIGCONT);
+                                 std::this_thread::sleep_for(gap);
+                                 if (pausesAgain)
+                                     instance.signal(SIGSTOP);
+                             } });
+        }
     }
 
-    void compactHistory(Steps& steps)
+    // Sets a random one of the faults for a random time.
+    template <typename Target, typename Fault>
+    void addFault(Steps& steps, Target& target, std::initializer_list<Fault> kinds, std::chrono::milliseconds maximum)
     {
-        steps.push_back({ pickDelay(roundDuration), [this] { m_site.store.compactHistory(); } });
+        auto fault = kinds.begin()[pick(0, kinds.size() - 1)];
+        auto at = pickDelay(roundDuration);
+        steps.push_back({ at, [&target, fault] { target.setFault(fault); } });
+        steps.push_back({ at + pickDelay(maximum), [&target] { target.setFault(Fault::None); } });
     }
 
-    void proxyFault(Steps& steps, FaultProxy& proxy)
+    void addStoreFault(Steps& steps) { addFault(steps, m_site.store, { StoreFault::Busy, StoreFault::Silent, StoreFault::DropsResponses, StoreFault::SlowReads }, 2000ms); }
+
+    void proxyFault(Steps& steps, FaultProxy& proxy) { addFault(steps, proxy, { LinkFault::Delay, LinkFault::Reset, LinkFault::CutToServer, LinkFault::CutFromServer, LinkFault::Silent }, 2500ms); }
+
+    void compactHistory(Steps& steps)
     {
-        constexpr LinkFault kinds[] = { LinkFault::Delay, LinkFault::Reset, LinkFault::CutToServer, LinkFault::CutFromServer, LinkFault::Silent };
-        auto fault = kinds[pick(0, std::size(kinds) - 1)];
-        auto at = pickDelay(roundDuration);
-        steps.push_back({ at, [&proxy, fault] { proxy.setFault(fault); } });
-        steps.push_back({ at + pickDelay(2500ms), [&proxy] { proxy.setFault(LinkFault::None); } });
+        steps.push_back({ pickDelay(roundDuration), [this] { m_site.store.compactHistory(); } });
     }
 
     void storeProxyFault(Steps& steps) { proxyFault(steps, *m_site.storeProxies[pick(0, m_site.storeProxies.size() - 1)]); }
@@ -194,6 +219,8 @@
     SoakSite& m_site;
     std::mt19937_64 m_random;
     std::vector<EdgeInstance*> m_stopped;
+    // The instances that a series of pauses was chosen for in this round.
+    std::set<EdgeInstance*> m_paused;
 };
 
 std::vector<std::uint64_t> seeds()
@@ -209,11 +236,10 @@
     return all;
 }
 
-int roundCount()
+int numberFromEnvironment(const char* name, int otherwise)
 {
-    constexpr int defaultRounds = 4;
-    const char* text = std::getenv("SOAK_ROUNDS");
-    return text ? std::atoi(text) : defaultRounds;
+    const char* text = std::getenv(name);
+    return text ? std::atoi(text) : otherwise;
 }
 
 // Checks that every instance serves a number of consecutive requests; `failure` describes the first one that was not served.
@@ -240,15 +266,18 @@
 
 TEST_CASE("the guarantees hold under faults, signals and configuration changes")
 {
+    constexpr int defaultRounds = 4;
+    auto rounds = numberFromEnvironment("SOAK_ROUNDS", defaultRounds);
+    auto instanceCount = static_cast<std::size_t>(numberFromEnvironment("SOAK_INSTANCES", defaultInstances));
     for (auto seed : seeds()) {
         CAPTURE(seed);
-        SoakSite site(seed);
+        SoakSite site(seed, instanceCount);
         std::mt19937_64 random(seed);
         for (auto& it : site.instances)
             REQUIRE(waitUntil(recoveryLimit, [&] { return it->isReady(); }));
         site.startCallers();
         Schedule schedule(site, seed);
-        for (int n = 0; n < roundCount(); ++n)
+        for (int n = 0; n < rounds; ++n)
             schedule.runRound(n);
         site.clearFaults();
         std::string failure;
@@ -257,9 +286,12 @@
         site.putConfiguration("key-2");
         std::this_thread::sleep_for(configurationLimit);
         auto violations = site.records.violations();
-        bool serves = isServing(site, random, failure);
-        if (!serves)
+        if (!isServing(site, random, failure))
             violations.push_back("not served after recovery: " + failure);
+        for (const auto& it : site.instances) {
+            auto found = site.records.violations(InstanceReport { it->name(), it->linesContaining("what="), it->starts(), it->ownEnds() });
+            violations.insert(violations.end(), found.begin(), found.end());
+        }
         for (const auto& it : violations)
             UNSCOPED_INFO(it);
         for (const auto& it : site.instances) {
@@ -314,4 +346,43 @@
         records.recordAbort("r5");
         CHECK(records.violations().empty());
     }
+    SECTION("a request that was passed on and whose connection was closed without a response")
+    {
+        Outcome lost { .id = "r6", .status = 0, .sentAt = now - 1s, .endedAt = now + 1s, .instance = "edge-1" };
+        records.recordOutcome(lost);
+        CHECK(records.violations().empty());
+        records.recordArrival("r6");
+        CHECK(records.violations().size() == 1);
+        SECTION("unless its instance was killed meanwhile")
+        {
+            records.recordKill("edge-2", now, now);
+            CHECK(records.violations().size() == 1);
+            records.recordKill("edge-1", now, now);
+        }
+        SECTION("unless its upstream aborted the response")
+        {
+            records.recordAbort("r6");
+        }
+        CHECK(records.violations().empty());
+    }
+    SECTION("a request logged as left by its caller, which had not left")
+    {
+        InstanceReport report { "edge-1", { "level=info what=request id=r8 status=0 error=caller_left route=status" }, 1, 0 };
+        CHECK(records.violations(report).size() == 1);
+        records.recordOutcome({ .id = "r8", .status = 0, .hasLeft = true });
+        CHECK(records.violations(report).empty());
+        records.recordArrival("r8");
+        CHECK(records.violations().empty());
+    }
+    SECTION("a coroutine that ended by an exception")
+    {
+        CHECK(records.violations({ "edge-1", { "level=error what=task_failed task=connection error=x" }, 1, 0 }).size() == 1);
+    }
+    SECTION("a process that started without the soak or ended by itself")
+    {
+        std::vector<std::string> lines(2, "level=info what=start entry=127.0.0.1:1");
+        CHECK(records.violations({ "edge-1", lines, 2, 0 }).empty());
+        CHECK(records.violations({ "edge-1", lines, 1, 0 }).size() == 1);
+        CHECK(records.violations({ "edge-1", lines, 2, 1 }).size() == 1);
+    }
 }
