The fault soak allows an error response after a refusal of an upstream

In rounds of planned work the soak takes a 502 for a request that ran as an interruption by the planned work.

Trace of r1057 at edge-15 (r9067 at edge-24 is the same): the small model ran it and answered with a low confidence, the large model's upstream refused it with 503 and X-Not-Executed, which the stand-ins do for 3 % of the requests on purpose, and the log says retried=no with 2479 ms and two attempts left: the site's retries are shared by 24 instances, so none was in the budget, or no other upstream was eligible (the log does not tell which). The caller was answered after 20 ms. The status is right: a 503 would promise that the request did not run. Neither a pause nor a stop had to do with it.

The soak now records refusals and excuses a complete 502 or 504 for a request that an upstream refused. An incomplete response to such a request is a violation as before, and so is such a status without a refusal; the test of the checks has both.

--- a/test/fakes/loopback_server.cpp
+++ b/test/fakes/loopback_server.cpp
@@ -161,6 +161,21 @@
 
 void RawConnection::shutdown() { ::shutdown(m_fd, SHUT_RDWR); }
 
+std::string decodeChunked(std::string_view bytes)
+{
+    std::string body;
+    for (;;) {
+        auto end = bytes.find("\r\n");
+        if (end == std::string_view::npos)
+            return body;
+        auto n = std::strtoul(std::string(bytes.substr(0, end)).c_str(), nullptr, 16);
+        if (n == 0 || bytes.size() < end + 2 + n)
+            return body;
+        body.append(bytes.substr(end + 2, n));
+        bytes.remove_prefix(std::min(bytes.size(), end + 2 + n + 2));
+    }
+}
+
 std::string responseBytes(int status, const std::string& body, const HeaderFields& fields)
 {
     std::string bytes = absl::StrCat("HTTP/1.1 ", status, " Text\r\n");
--- a/test/fakes/loopback_server.h
+++ b/test/fakes/loopback_server.h
@@ -69,6 +69,9 @@
 // Returns the bytes of a response with a Content-Length.
 std::string responseBytes(int status, const std::string& body, const HeaderFields& fields = {});
 
+// Decodes a chunked body up to its last complete chunk.
+std::string decodeChunked(std::string_view bytes);
+
 class LoopbackServer {
 public:
     // Handles one request; returns whether to keep the connection open.
--- a/test/soak/soak_test.cpp
+++ b/test/soak/soak_test.cpp
@@ -343,9 +343,20 @@
         CHECK(records.violations().empty());
         records.recordPlannedPeriod(now - 1s, now + 1s);
         CHECK(records.violations().size() == 1);
+        records.recordRefusal("r5");
+        CHECK(records.violations().size() == 1);
         records.recordAbort("r5");
         CHECK(records.violations().empty());
     }
+    SECTION("an error response to a request that ran in planned work, unless an upstream refused it too")
+    {
+        records.recordPlannedPeriod(now - 1s, now + 1s);
+        records.recordRun("r9");
+        recordOutcome("r9", RequestType::Status, 502);
+        CHECK(records.violations().size() == 1);
+        records.recordRefusal("r9");
+        CHECK(records.violations().empty());
+    }
     SECTION("a request that was passed on and whose connection was closed without a response")
     {
         Outcome lost { .id = "r6", .status = 0, .sentAt = now - 1s, .endedAt = now + 1s, .instance = "edge-1" };
