Stand-ins queue more connections, and a test's instance logs have names of their own

Two faults of the test's own tools, which showed in large runs of the fault soak.

A stand-in queued 128 connections that were not accepted yet. Beside 24 instances and other work some connections found the queue full; the kernel then sends again only after a while, and the request waits up to its deadline. The queue is now as long as the system allows.

The log of an instance was named after the test process and the instance, so in a soak of several seeds a later seed overwrote the logs of an earlier one that had failed. The name now also holds the instance's first port.

--- a/test/fakes/loopback_listener.cpp
+++ b/test/fakes/loopback_listener.cpp
@@ -23,7 +23,7 @@
     auto address = loopbackAddress(0);
     socklen_t size = sizeof address;
     ::bind(m_listener, reinterpret_cast<sockaddr*>(&address), sizeof address);
-    ::listen(m_listener, 128);
+    ::listen(m_listener, SOMAXCONN);
     ::getsockname(m_listener, reinterpret_cast<sockaddr*>(&address), &size);
     m_port = ntohs(address.sin_port);
     m_thread = std::thread([this] { accept(); });
--- a/test/processes/edge_instance.cpp
+++ b/test/processes/edge_instance.cpp
@@ -47,7 +47,7 @@
 
 EdgeInstance::EdgeInstance(const std::string& name, const std::string& store, const std::string& seeds)
     : m_name(name)
-    , m_path(absl::StrCat("/tmp/skylarkhitch-edge-", ::getpid(), "-", name))
+    , m_path(absl::StrCat("/tmp/skylarkhitch-edge-", ::getpid(), "-", m_ports[entryPort], "-", name))
 {
     std::ofstream(m_path + ".yaml") << "edge:\n  instance: " << name << "\n  domain: halle-a\n  entry_listen: 127.0.0.1:" << m_ports[entryPort] << "\n  ready_listen: 127.0.0.1:" << m_ports[readyPort]
                                     << "\n  directory_listen: 127.0.0.1:" << m_ports[directoryPort] << "\n  peer_listen: 127.0.0.1:" << m_ports[peerPort] << "\n  metrics_listen: 127.0.0.1:" << m_ports[metricsPort]
