Tell a reset from a timeout when both are due

What on-call saw: an attempt that ended by a reset of the upstream's connection was logged as timed out if its deadline had passed in the same turn of the event loop, and counted as no crash; after a reset, a response with no stated length could even look complete. Cause: the read after the deadline replaced the error of the first read. The kernel reports a reset once; the next read finds the end of the stream. Change: only a read that the deadline cancelled looks at the socket again. Any other error stays as it is.

--- a/src/edge/caller_connection.cpp
+++ b/src/edge/caller_connection.cpp
@@ -161,7 +161,7 @@
     if (!m_isOverdue)
         n = co_await m_socket.async_read_some(buf, asio::redirect_error(asio::use_awaitable, ec));
     // If the process was held up, bytes that arrived in time are still unread when the deadline passes.
-    if (m_isOverdue && n == 0)
+    if (m_isOverdue && n == 0 && (!ec || ec == asio::error::operation_aborted))
         n = receiveAvailable(m_socket, buf, ec);
     m_input.resize(size + n);
     if (!ec)
--- a/src/edge/upstream_connection.cpp
+++ b/src/edge/upstream_connection.cpp
@@ -189,14 +189,15 @@
     std::size_t n = 0;
     if (!m_isOverdue)
         n = co_await m_socket.async_read_some(buf, asio::redirect_error(asio::use_awaitable, ec));
-    if (n == 0 && mayReadOverdue()) {
+    bool wasCancelled = !ec || ec == asio::error::operation_aborted;
+    if (n == 0 && wasCancelled && mayReadOverdue()) {
         n = receiveAvailable(m_socket, buf, ec);
         m_overdueBytes += n;
     }
     m_input.commit(n);
     if (n > 0)
         co_return TransferEnd::Ok;
-    if (m_isOverdue && ec != asio::error::eof) {
+    if (m_isOverdue && (!ec || ec == asio::error::operation_aborted || ec == asio::error::would_block)) {
         close();
         co_return TransferEnd::TimedOut;
     }
