--- a/src/edge/caller_connection.cpp
+++ b/src/edge/caller_connection.cpp
@@ -102,6 +102,8 @@
         failure = e.what();
     }
     LogLine(LogLevel::Error, "handler_failed").with("error", failure);
+    // The callback belongs to the handler, which has ended.
+    m_onDisconnect = nullptr;
     m_keepAlive = false;
     if (m_hasStartedResponse) {
         abort();
@@ -159,7 +161,7 @@
     if (!m_isOverdue)
         n = co_await m_socket.async_read_some(buf, asio::redirect_error(asio::use_awaitable, ec));
     // If the process was held up, bytes that arrived in time are still unread when the deadline passes.
-    if (m_isOverdue && n == 0)
+    if (m_isOverdue && n == 0 && (!ec || ec == asio::error::operation_aborted))
         n = receiveAvailable(m_socket, buf, ec);
     m_input.resize(size + n);
     if (!ec)
@@ -293,7 +295,7 @@
 // Takes what the socket has while a request is served: bytes of a pipelined request, or the end of the connection.
 void CallerConnection::onReadable()
 {
-    if (!m_isServing)
+    if (!m_isServing || m_input.size() >= maxPipelinedBytes)
         return;
     char buf[readBlockBytes];
     boost::system::error_code ec;
--- a/src/edge/control_plane.cpp
+++ b/src/edge/control_plane.cpp
@@ -26,7 +26,9 @@
     // Number of peer addresses in each heartbeat. A new instance learns of all peers within a few heartbeats.
     constexpr std::size_t maxKnownPeers = 4;
     constexpr std::size_t maxDatagramBytes = std::size_t { 64 } * 1024;
-    constexpr std::size_t maxMirrorBytes = std::size_t { 64 } << 20;
+    // Limits of a peer's changes. The memory of an instance may be less than 100 MB.
+    constexpr std::size_t maxMirrorBytes = std::size_t { 8 } << 20;
+    constexpr Milliseconds maxMirrorTime { 5000 };
     constexpr const char* mirrorPath = "/mirror?after=";
 
     bool hasValidAddresses(const FleetHeartbeat& heartbeat)
@@ -73,8 +75,13 @@
 
 void ControlPlane::addSeeds(const std::vector<std::string>& seeds)
 {
-    for (const auto& it : seeds)
-        m_fleet.addSeedAddress(m_settings.seedPort == 0 ? it : absl::StrCat(it.substr(0, it.rfind(':')), ":", m_settings.seedPort));
+    for (const auto& it : seeds) {
+        auto address = m_settings.seedPort == 0 ? it : absl::StrCat(it.substr(0, it.rfind(':')), ":", m_settings.seedPort);
+        if (isEndpoint(address))
+            m_fleet.addSeedAddress(address);
+        else
+            LogLine(LogLevel::Error, "seed_unreadable").with("seed", it);
+    }
 }
 
 Awaitable<void> ControlPlane::followStore()
@@ -284,7 +291,8 @@
         ResponseHead response;
         bool isSent = co_await connection->send(head, nullptr);
         if (isSent && co_await connection->readHead(response) == TransferEnd::Ok && response.status == 200) {
-            auto body = co_await connection->readWholeBody(maxMirrorBytes, catchUpTimeout);
+            BodyTimes times { catchUpTimeout, maxMirrorTime };
+            auto body = co_await connection->readWholeBody(maxMirrorBytes, times);
             if (body.end == TransferEnd::Ok)
                 update = decodeUpdate(body.bytes);
         }
@@ -430,12 +438,8 @@
 {
     auto evidence = m_trafficReport.evidence;
     for (const auto& [id, peer] : m_fleet.peers()) {
-        for (const auto& [key, it] : peer.heartbeat.evidence) {
-            auto& sum = evidence[key];
-            sum.done += it.done;
-            sum.failed += it.failed;
-            sum.latency += it.latency;
-        }
+        for (const auto& [key, it] : peer.heartbeat.evidence)
+            add(evidence[key], it);
     }
     return evidence;
 }
--- a/src/edge/request_forwarder.cpp
+++ b/src/edge/request_forwarder.cpp
@@ -12,8 +12,11 @@
     // A healthy upstream accepts a connection within a few milliseconds; one on a machine without power never answers.
     constexpr Milliseconds connectTimeout { 300 };
     // Responses that are not event streams are buffered completely before they are relayed, so that the request can be retried
-    // if a response breaks off. A longer response counts as a lost connection.
+    // if a response breaks off. A longer response counts as malformed.
     constexpr std::size_t maxBufferedBytes = std::size_t { 8 } << 20;
+    // The body of a refusal is read only so that the connection can be reused.
+    constexpr std::size_t maxRefusalBytes = std::size_t { 64 } * 1024;
+    constexpr Milliseconds refusalTimeout { 200 };
     // Attempts allowed beyond the route's own limit, for upstreams that could not be reached.
     constexpr std::size_t maxUnreachableUpstreams = 6;
     // An upstream that has not answered within this multiple of the target latency has probably lost the request. The event
@@ -42,15 +45,28 @@
 
     const char* attemptEndName(AttemptEnd end)
     {
-        constexpr const char* names[] = { "completed", "not_sent", "refused_not_run", "upstream_error", "cut", "timed_out", "dropped" };
+        constexpr const char* names[] = { "completed", "not_sent", "refused_not_run", "upstream_error", "cut", "timed_out", "dropped", "malformed" };
         return names[static_cast<int>(end)];
     }
 
     AttemptEnd toAttemptEnd(TransferEnd end)
     {
+        if (end == TransferEnd::Malformed)
+            return AttemptEnd::Malformed;
         return end == TransferEnd::TimedOut ? AttemptEnd::TimedOut : AttemptEnd::Cut;
     }
 
+    // Reads the body of a refusal and keeps the connection if that ends soon.
+    Awaitable<void> recycleRefused(ConnectionPool& connections, UpstreamEntry upstream, std::shared_ptr<UpstreamConnection> connection, std::optional<Seconds> keepAliveTimeout)
+    {
+        connection->setDeadline(refusalTimeout);
+        auto rest = co_await connection->readWholeBody(maxRefusalBytes);
+        if (rest.end == TransferEnd::Ok)
+            connections.recycle(upstream, connection, keepAliveTimeout, bootNow());
+        else
+            connection->close();
+    }
+
     // Identifies one process of an upstream, so that a crash after a restart counts as another crash.
     UpstreamId upstreamProcessId(const UpstreamEntry& upstream) { return { absl::StrCat(upstream.id.value, "/", upstream.born) }; }
 
@@ -209,9 +225,15 @@
     if (result.end == AttemptEnd::NotSent || result.end == AttemptEnd::RefusedNotRun)
         --m_possibleRuns;
     m_traffic.metrics().attemptEnded(serviceName(), attemptEndName(result.end));
-    bool isConnectionLost = result.end == AttemptEnd::Cut || result.end == AttemptEnd::TimedOut || result.end == AttemptEnd::NotSent;
+    if (result.end == AttemptEnd::Cut && m_caller->hasDisconnected() && !m_firstEventSeen) {
+        auto now = bootNow();
+        m_traffic.recordAbandoned(upstreamProcessId(upstream).value, { releaseRoute(upstream), toMilliseconds(now - m_sentAt), now });
+    }
+    bool isConnectionLost = result.end == AttemptEnd::Cut || result.end == AttemptEnd::TimedOut || result.end == AttemptEnd::NotSent || result.end == AttemptEnd::Malformed;
     if (isConnectionLost) {
         connection->close();
+        if (result.end == AttemptEnd::Malformed)
+            LogLine(LogLevel::Warning, "upstream_answer_malformed").with("id", m_admitted.request.id.value).with("upstream", upstream.id.value).with("cause", connection->malformedCause());
         // At its exit, the instance closes the connections itself.
         if (!m_caller->hasDisconnected() && !m_traffic.isExiting(bootNow()))
             recordUpstreamFailure(upstream, result.end);
@@ -233,13 +255,11 @@
         m_traffic.balancer().reported(upstream.id, *response.load, bootNow());
     // A response that does not name this request may be a late response to another one.
     if (response.answeredRequest != m_admitted.request.id && !response.notRun)
-        co_return AttemptResult { AttemptEnd::Cut, false };
+        co_return AttemptResult { toAttemptEnd(connection->reject("response to another request")), false };
     if (response.wrongInstance)
         m_traffic.endedIncarnations().end(upstream);
     if (response.notRun) {
-        auto rest = co_await connection->readWholeBody(maxBufferedBytes);
-        if (rest.end == TransferEnd::Ok)
-            releaseConnection(upstream, connection, response.keepAliveTimeout, bootNow());
+        spawn(m_traffic.loop(), recycleRefused(m_traffic.connections(), upstream, connection, response.keepAliveTimeout), "recycle_refused");
         co_return AttemptResult { AttemptEnd::RefusedNotRun, false };
     }
     bool isStream = m_admitted.route->kind == RouteKind::Streaming && response.isEventStream && response.status < 300;
@@ -254,7 +274,8 @@
 
 Awaitable<RequestForwarder::AttemptResult> RequestForwarder::relayBuffered(const UpstreamEntry& upstream, std::shared_ptr<UpstreamConnection> connection, UpstreamResponse response)
 {
-    auto body = co_await connection->readWholeBody(maxBufferedBytes);
+    BodyMemory::Share memory(m_traffic.bodyMemory());
+    auto body = co_await connection->readWholeBody(maxBufferedBytes, std::nullopt, &memory);
     if (body.end != TransferEnd::Ok)
         co_return AttemptResult { toAttemptEnd(body.end), false };
     auto now = bootNow();
@@ -291,6 +312,8 @@
         if (m_caller->hasDisconnected())
             co_return AttemptResult { AttemptEnd::Cut, true };
         auto events = m_events.feed(piece.bytes);
+        if (events.isTooLong)
+            co_return AttemptResult { toAttemptEnd(connection->reject("event too long")), false };
         if (events.events > 0 && !m_firstEventSeen) {
             auto now = bootNow();
             m_firstEventSeen = true;
@@ -301,6 +324,8 @@
             recordUpstreamSuccess(upstream);
         }
         bool isComplete = piece.isLast && !m_events.hasPartialEvent();
+        if (isComplete)
+            events.bytes += m_events.takeComments();
         if (head && (events.events > 0 || isComplete)) {
             recordFirstByte(bootNow());
             auto begun = *std::exchange(head, std::nullopt);
@@ -315,8 +340,11 @@
         }
         if (piece.end != TransferEnd::Ok || piece.isLast)
             co_return AttemptResult { toAttemptEnd(piece.end), false };
+        // Only an event moves the deadline, since an upstream in trouble may send other bytes without end.
+        if (events.events == 0)
+            continue;
         auto gap = std::max(minEventGapTimeout, scaled(m_admitted.route->targetGap, eventGapTimeoutFactor));
-        connection->setDeadline(m_firstEventSeen ? std::min(gap, timeLeft()) : responseTimeout(m_possibleRuns < m_admitted.route->maxAttempts));
+        connection->setDeadline(std::min(gap, timeLeft()));
     }
 }
 
--- a/src/edge/traffic_state.cpp
+++ b/src/edge/traffic_state.cpp
@@ -25,6 +25,8 @@
 
     // An instance that stops refuses requests in this time before it exits.
     constexpr Milliseconds minTimeBeforeExit { 500 };
+    // An instance may have less than 100 MB of memory in all.
+    constexpr std::size_t maxBodyMemoryBytes = std::size_t { 8 } << 20;
 
     constexpr std::string_view rolloutHashSalt = "rollout";
 
@@ -36,6 +38,7 @@
     , m_metrics(metrics)
     , m_balancer(m_settings.seed)
     , m_connections(loop)
+    , m_bodyMemory(maxBodyMemoryBytes)
     , m_sessions(m_settings.sessionIdleTimeout)
     , m_startedAt(bootNow())
 {
@@ -157,8 +160,7 @@
         ++it.failed;
         return;
     }
-    ++it.done;
-    it.latency += latency;
+    addSuccess(it, latency);
 }
 
 void TrafficState::recordBrokenResponse(const std::string& upstreamProcess, const ReleaseRoute& route, TimePoint now)
@@ -166,10 +168,17 @@
     m_brokenResponses.recordBroken(upstreamProcess, route, now);
 }
 
+void TrafficState::recordAbandoned(const std::string& upstreamProcess, const AbandonedRequest& request)
+{
+    m_brokenResponses.recordAbandoned(upstreamProcess, request);
+}
+
 void TrafficState::recordAnswer(const std::string& upstreamProcess, TimePoint sentAt)
 {
     for (const auto& it : m_brokenResponses.recordSucceeded(upstreamProcess, sentAt))
         countOutcome(it, false, {});
+    for (const auto& it : m_brokenResponses.takeAbandoned(upstreamProcess, sentAt))
+        addAbandoned(m_evidence[it.route], it.waited);
 }
 
 }
--- a/src/edge/traffic_state.h
+++ b/src/edge/traffic_state.h
@@ -69,13 +69,18 @@
     // Records a response that broke off. It counts against the release once the same process of the upstream, identified by the
     // id and the start time of the upstream, answers a later request.
     void recordBrokenResponse(const std::string& upstreamProcess, const ReleaseRoute&, TimePoint now);
+    // Records a request whose caller left before the response, or before the first event of a stream. Its waiting time counts as
+    // latency of the release once the same process of the upstream answers a later request.
+    void recordAbandoned(const std::string& upstreamProcess, const AbandonedRequest&);
     // Records that a process of an upstream answered a request sent at this time; counts its responses that broke off before
-    // then as failures of their release.
+    // then as failures of their release, and the waiting time of requests abandoned before then as latency.
     void recordAnswer(const std::string& upstreamProcess, TimePoint sentAt);
 
     EventLoop& loop() { return m_loop; }
     UpstreamBalancer& balancer() { return m_balancer; }
     ConnectionPool& connections() { return m_connections; }
+    // Memory of the response bodies that are buffered.
+    BodyMemory& bodyMemory() { return m_bodyMemory; }
     CrashGuard& crashes() { return m_crashes; }
     EdgeMetrics& metrics() { return m_metrics; }
     const TrafficSettings& settings() const { return m_settings; }
@@ -90,6 +95,7 @@
     FleetViewPtr m_view;
     UpstreamBalancer m_balancer;
     ConnectionPool m_connections;
+    BodyMemory m_bodyMemory;
     CrashGuard m_crashes;
     SessionReleases m_sessions;
     std::map<ServiceId, ServiceRetryBudget> m_retryBudgets;
--- a/src/edge/upstream_connection.cpp
+++ b/src/edge/upstream_connection.cpp
@@ -10,7 +10,10 @@
     namespace http = boost::beast::http;
 
     constexpr std::size_t readBlockBytes = std::size_t { 16 } * 1024;
+    // Limit of the head including the informational responses before it. The parser limits each head only by itself.
     constexpr std::uint32_t maxResponseHeadBytes = 64 * 1024;
+    // Limit of the line before a chunk and of the trailers of a chunked body. The parser keeps both without a limit.
+    constexpr std::size_t maxChunkLineBytes = std::size_t { 16 } * 1024;
     // Practically unlimited, since the readers limit what they keep. Not boost::none: without a limit the parser of Beast 1.74
     // rejects every body.
     constexpr std::uint64_t maxResponseBodyBytes = std::uint64_t { 1 } << 40;
@@ -36,6 +39,15 @@
         return result;
     }
 
+    // Reserves the memory of a long body at once, since growing in steps needs twice its size. What is reserved but not written
+    // takes no memory.
+    void appendBody(std::string& body, const std::string& piece, std::size_t maxBytes)
+    {
+        if (body.size() + piece.size() > BodyMemory::maxSmallBodyBytes)
+            body.reserve(std::max(body.capacity(), maxBytes));
+        body += piece;
+    }
+
 }
 
 UpstreamConnection::UpstreamConnection(EventLoop& loop)
@@ -98,12 +110,15 @@
 Awaitable<TransferEnd> UpstreamConnection::readHead(ResponseHead& head)
 {
     auto self = shared_from_this();
+    m_parsedBytes = 0;
     for (;;) {
         m_parser.emplace();
         m_parser->eager(true);
         m_parser->header_limit(maxResponseHeadBytes);
         m_parser->body_limit(maxResponseBodyBytes);
         while (!m_parser->is_header_done()) {
+            if (m_parsedBytes > maxResponseHeadBytes)
+                co_return reject("head too long");
             auto end = co_await readOrParse();
             if (end != TransferEnd::Ok)
                 co_return end;
@@ -131,20 +146,25 @@
     co_return piece;
 }
 
-Awaitable<BodyPiece> UpstreamConnection::readWholeBody(std::size_t maxBytes, std::optional<Milliseconds> maxGap)
+Awaitable<BodyPiece> UpstreamConnection::readWholeBody(std::size_t maxBytes, std::optional<BodyTimes> times, BodyMemory::Share* memory)
 {
     BodyPiece whole;
+    auto start = bootNow();
+    auto stated = m_parser->content_length();
+    if (!m_parser->is_done() && stated && *stated > maxBytes)
+        whole.end = reject("body too long");
     while (whole.end == TransferEnd::Ok && !whole.isLast) {
-        if (maxGap)
-            setDeadline(*maxGap);
+        if (times)
+            setDeadline(std::max(Milliseconds(0), std::min(times->maxGap, times->maxTotal - toMilliseconds(bootNow() - start))));
         auto piece = co_await readBody();
-        whole.bytes += piece.bytes;
         whole.end = piece.end;
         whole.isLast = piece.isLast;
-        if (whole.bytes.size() > maxBytes) {
-            close();
-            whole.end = TransferEnd::Malformed;
-        }
+        if (whole.bytes.size() + piece.bytes.size() > maxBytes)
+            whole.end = reject("body too long");
+        else if (memory && !memory->add(piece.bytes.size()))
+            whole.end = reject("too many long bodies");
+        else
+            appendBody(whole.bytes, piece.bytes, maxBytes);
     }
     co_return whole;
 }
@@ -156,24 +176,28 @@
     if (m_input.size() > 0) {
         auto n = m_parser->put(m_input.data(), ec);
         m_input.consume(n);
+        m_parsedBytes += n;
         if (ec && ec != http::error::need_more)
-            co_return TransferEnd::Malformed;
+            co_return reject(ec.message());
         if (n > 0)
             co_return TransferEnd::Ok;
+        if (m_parser->is_header_done() && m_input.size() > maxChunkLineBytes)
+            co_return reject("chunk header or trailers too long");
         ec = {};
     }
     auto buf = m_input.prepare(readBlockBytes);
     std::size_t n = 0;
     if (!m_isOverdue)
         n = co_await m_socket.async_read_some(buf, asio::redirect_error(asio::use_awaitable, ec));
-    if (n == 0 && mayReadOverdue()) {
+    bool wasCancelled = !ec || ec == asio::error::operation_aborted;
+    if (n == 0 && wasCancelled && mayReadOverdue()) {
         n = receiveAvailable(m_socket, buf, ec);
         m_overdueBytes += n;
     }
     m_input.commit(n);
     if (n > 0)
         co_return TransferEnd::Ok;
-    if (m_isOverdue && ec != asio::error::eof) {
+    if (m_isOverdue && (!ec || ec == asio::error::operation_aborted || ec == asio::error::would_block)) {
         close();
         co_return TransferEnd::TimedOut;
     }
@@ -207,6 +231,13 @@
     return m_isOverdue && m_socket.is_open() && m_overdueBytes < maxOverdueBytes;
 }
 
+TransferEnd UpstreamConnection::reject(std::string cause)
+{
+    m_malformedCause = std::move(cause);
+    close();
+    return TransferEnd::Malformed;
+}
+
 void UpstreamConnection::close()
 {
     m_isUnusable = true;
--- a/src/edge/upstream_connection.h
+++ b/src/edge/upstream_connection.h
@@ -4,11 +4,12 @@
 // request, and its results tell whether any byte of the request may have been sent.
 
 #include "core/requests/header_field.h"
+#include "edge/appended_body.h"
+#include "edge/body_memory.h"
 #include "edge/event_loop.h"
 
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <optional>
 
 namespace skylarkhitch {
@@ -18,7 +19,7 @@
     TimedOut,
     // The peer closed or reset the connection, or close() was called.
     Closed,
-    // The bytes are not a valid HTTP response, or the body is longer than allowed.
+    // The bytes are not a valid HTTP response, or the head or the body is longer than allowed. The connection is closed.
     Malformed,
 };
 
@@ -35,6 +36,12 @@
     bool isLast = false;
 };
 
+// Time limits for reading a long body over a slow link: a limit on each gap between received bytes, and one on the whole body.
+struct BodyTimes {
+    Milliseconds maxGap { 0 };
+    Milliseconds maxTotal { 0 };
+};
+
 class UpstreamConnection : public std::enable_shared_from_this<UpstreamConnection> {
 public:
     explicit UpstreamConnection(EventLoop&);
@@ -44,13 +51,17 @@
     // Sends a request. Returns false if no byte was sent. A large request is sent in the background while the response is read;
     // the result is then true even if sending fails later.
     Awaitable<bool> send(std::string head, std::shared_ptr<const std::string> body);
-    // Reads the head of the final response and skips informational (1xx) ones.
+    // Reads the head of the final response and skips informational (1xx) ones. Their length is limited together.
     Awaitable<TransferEnd> readHead(ResponseHead&);
     // Waits for the next part of the body.
     Awaitable<BodyPiece> readBody();
-    // Reads the rest of the body. If it is longer than the limit, closes the connection and returns Malformed. `maxGap`
-    // replaces the deadline by a limit on each gap between received bytes, for long bodies on slow links.
-    Awaitable<BodyPiece> readWholeBody(std::size_t maxBytes, std::optional<Milliseconds> maxGap = {});
+    // Reads the rest of the body. If it is longer than the limit, or does not fit into the memory of all bodies, closes the
+    // connection and returns Malformed. `times` replaces the deadline.
+    Awaitable<BodyPiece> readWholeBody(std::size_t maxBytes, std::optional<BodyTimes> times = {}, BodyMemory::Share* memory = nullptr);
+    // Closes the connection because the response is invalid, and returns Malformed.
+    TransferEnd reject(std::string cause);
+    // Why the response was rejected.
+    const std::string& malformedCause() const { return m_malformedCause; }
 
     // Sets the deadline, from now. When it expires, pending operations end. Reads still return what had arrived by then, which
     // after a pause of the process may be the whole response; without it they close the connection and return TimedOut.
@@ -64,7 +75,7 @@
     bool isReusable();
 
 private:
-    using Parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
+    using Parser = boost::beast::http::response_parser<AppendedBody>;
 
     Awaitable<TransferEnd> readOrParse();
     void onDeadline();
@@ -82,6 +93,9 @@
     bool m_isOverdue = false;
     // Bytes read since then.
     std::size_t m_overdueBytes = 0;
+    // Bytes parsed since the start of the response, including informational ones.
+    std::size_t m_parsedBytes = 0;
+    std::string m_malformedCause;
     bool m_isSending = false;
     bool m_isUnusable = false;
 };
--- a/test/correctness/release_plan_test.cpp
+++ b/test/correctness/release_plan_test.cpp
@@ -19,6 +19,15 @@
     return { service, release, route, { model } };
 }
 
+// Counters of n responses, which take the given times in turn.
+ReleaseCounters responses(int n, const std::vector<Milliseconds>& latencies)
+{
+    ReleaseCounters counters;
+    for (int i = 0; i < n; ++i)
+        addSuccess(counters, latencies[static_cast<std::size_t>(i) % latencies.size()]);
+    return counters;
+}
+
 RolloutRecord inStage(RolloutStage stage) { return { order.revision, order.target, stage, {}, {} }; }
 
 }
@@ -89,6 +98,146 @@
     }
 }
 
+// Guards against a release that never fails and is slow being completed.
+TEST_CASE("a slow release that never fails is bad, however its slowness is spread")
+{
+    constexpr auto oldLatency = 60ms;
+    constexpr auto slowLatency = 8 * oldLatency;
+    ReleaseEvidence evidence { { releaseRoute("v1"), { 400, 0, 400 * oldLatency } }, { releaseRoute("v1", "drafts"), { 100, 0, 100 * 2000ms } } };
+    SECTION("slow on every route")
+    {
+        evidence[releaseRoute("v2")] = { 20, 0, 20 * slowLatency };
+        evidence[releaseRoute("v2", "drafts")] = { 5, 0, 5 * 16000ms };
+        CHECK(judgeRelease(order, evidence).isBad);
+    }
+    SECTION("slow for half of the responses")
+    {
+        evidence[releaseRoute("v2")] = { 20, 0, 10 * oldLatency + 10 * slowLatency };
+        CHECK(judgeRelease(order, evidence).isBad);
+    }
+    SECTION("slow for half of the responses, while idle engines halve the time of the others")
+    {
+        evidence[releaseRoute("v2")] = { 20, 0, 10 * oldLatency / 2 + 10 * slowLatency / 2 };
+        CHECK(judgeRelease(order, evidence).isBad);
+    }
+    SECTION("slow on the route with the short responses, among long responses on another route")
+    {
+        evidence[releaseRoute("v2")] = { 40, 0, 40 * slowLatency };
+        evidence[releaseRoute("v2", "drafts")] = { 20, 0, 20 * 1500ms };
+        CHECK(judgeRelease(order, evidence).isBad);
+    }
+    SECTION("slow on the route with the long responses")
+    {
+        evidence[releaseRoute("v2")] = { 40, 0, 40 * oldLatency };
+        evidence[releaseRoute("v2", "drafts")] = { 8, 0, 8 * 16000ms };
+        CHECK(judgeRelease(order, evidence).isBad);
+    }
+    // A good release was reverted after it had got all sessions, when instances were killed.
+    SECTION("slow on one route once the target carries all load, as after kills, is not sufficient evidence")
+    {
+        evidence[releaseRoute("v2")] = { 40, 0, 40 * slowLatency };
+        evidence[releaseRoute("v2", "drafts")] = { 20, 0, 20 * 1500ms };
+        CHECK_FALSE(judgeRelease(order, evidence, {}, RolloutStage::Full).isBad);
+    }
+    SECTION("a few slow responses on one route are not sufficient evidence")
+    {
+        evidence[releaseRoute("v2")] = { 6, 0, 6 * slowLatency };
+        evidence[releaseRoute("v2", "drafts")] = { 20, 0, 20 * 1500ms };
+        CHECK_FALSE(judgeRelease(order, evidence).isBad);
+    }
+    SECTION("latencies of both releases that rise together are not evidence against the new one")
+    {
+        evidence[releaseRoute("v1")] = { 400, 0, 400 * slowLatency };
+        evidence[releaseRoute("v2")] = { 40, 0, 40 * slowLatency };
+        CHECK_FALSE(judgeRelease(order, evidence).isBad);
+    }
+}
+
+// Guards against a slow release being given all sessions: responses of the old release vary so widely under load that the mean
+// latency of a slow one on idle engines is hardly above it.
+TEST_CASE("a slow release is found by its typical latency although the mean hides it")
+{
+    const std::vector<Milliseconds> underLoad { 45ms, 50ms, 50ms, 55ms, 60ms, 70ms, 80ms, 100ms, 200ms, 900ms };
+    const std::vector<Milliseconds> slow { 120ms, 180ms };
+    ReleaseEvidence evidence { { releaseRoute("v1"), responses(400, underLoad) } };
+    auto judged = [&](const ReleaseCounters& target, RolloutStage stage = RolloutStage::Canary) {
+        evidence[releaseRoute("v2")] = target;
+        return judgeRelease(order, evidence, {}, stage);
+    };
+    auto next = [&](const ReleaseVerdict& verdict, Milliseconds sinceStart) { return nextStage(order, inStage(RolloutStage::Canary), verdict, sinceStart, false); };
+    SECTION("with enough responses it is bad")
+    {
+        auto verdict = judged(responses(60, slow));
+        CHECK(verdict.latencyRatio < 1);
+        CHECK(verdict.isBad);
+    }
+    SECTION("with few responses it stays in its stage, and is reverted at the end")
+    {
+        auto verdict = judged(responses(12, slow));
+        CHECK_FALSE(verdict.isBad);
+        CHECK(next(verdict, 13000ms) == RolloutStage::Canary);
+        CHECK(next(verdict, 23000ms) == RolloutStage::Canary);
+        CHECK(next(verdict, 24000ms) == RolloutStage::Reverted);
+    }
+    SECTION("a release like the old one advances")
+    {
+        for (auto n : { 12, 40, 400 }) {
+            auto verdict = judged(responses(n, underLoad));
+            CHECK_FALSE(verdict.isBad);
+            CHECK(next(verdict, 13000ms) == RolloutStage::Half);
+        }
+    }
+    SECTION("a slightly slower release advances")
+    {
+        std::vector<Milliseconds> slightlySlower;
+        for (auto it : underLoad)
+            slightlySlower.push_back(it * 11 / 10);
+        CHECK(next(judged(responses(400, slightlySlower)), 13000ms) == RolloutStage::Half);
+    }
+    SECTION("latencies of both releases that rise together are not evidence against the new one")
+    {
+        evidence[releaseRoute("v1")] = responses(400, slow);
+        CHECK(next(judged(responses(60, slow)), 13000ms) == RolloutStage::Half);
+    }
+    SECTION("latencies that rise once the target carries all load are not evidence against it")
+    {
+        CHECK_FALSE(judged(responses(60, slow), RolloutStage::Full).isBad);
+    }
+    SECTION("counters of instances that do not send logarithms are not compared")
+    {
+        evidence[releaseRoute("v1")].logLatencies = {};
+        CHECK(next(judged(responses(60, slow)), 13000ms) == RolloutStage::Half);
+    }
+}
+
+// Guards against a slow release being completed because callers leave before its slow responses, so that only the fast ones
+// are counted.
+TEST_CASE("requests whose callers left before the response are evidence of latency")
+{
+    ReleaseEvidence evidence { { releaseRoute("v1"), { 400, 0, 400 * 60ms } } };
+    SECTION("all callers of the target left")
+    {
+        evidence[releaseRoute("v2")] = { 0, 0, 20 * 500ms, {}, 20 };
+        CHECK(judgeRelease(order, evidence).isBad);
+    }
+    SECTION("the callers of half of the responses left")
+    {
+        evidence[releaseRoute("v2")] = { 10, 0, 10 * 60ms + 10 * 500ms, {}, 10 };
+        CHECK(judgeRelease(order, evidence).isBad);
+    }
+    SECTION("callers that left early are not evidence against the target")
+    {
+        evidence[releaseRoute("v2")] = { 0, 0, 20 * 10ms, {}, 20 };
+        CHECK_FALSE(judgeRelease(order, evidence).isBad);
+    }
+    SECTION("callers that leave both releases alike are not evidence against the target")
+    {
+        evidence[releaseRoute("v1")] = { 200, 0, 200 * 60ms + 200 * 500ms, {}, 200 };
+        evidence[releaseRoute("v2")] = { 10, 0, 10 * 60ms + 10 * 500ms, {}, 10 };
+        CHECK_FALSE(judgeRelease(order, evidence).isBad);
+    }
+}
+
 // If all instances restart in the second half of a rollout, the counters of the old release are lost. Without the stored
 // baseline a slow target then has nothing to be compared with and is completed.
 TEST_CASE("a slow release is detected with the stored baseline after all counters were lost")
@@ -135,6 +284,12 @@
         CHECK(nextStage(order, inStage(RolloutStage::Full), fewResponses, 19500ms, true) == RolloutStage::Full);
         CHECK(nextStage(order, inStage(RolloutStage::Full), fewResponses, 23000ms, true) == RolloutStage::Completed);
     }
+    // Guards against completing a release of which nothing is known any more, after a restart of all instances near the end.
+    SECTION("a roll-out to all sessions without responses since a restart is held, and reverted at the end")
+    {
+        CHECK(nextStage(order, inStage(RolloutStage::Full), unknown, 23000ms, true) == RolloutStage::Full);
+        CHECK(nextStage(order, inStage(RolloutStage::Full), unknown, 24000ms, true) == RolloutStage::Reverted);
+    }
     SECTION("session shares grow with the stage and are zero after a revert")
     {
         CHECK(sessionShareOf(RolloutStage::Canary) < sessionShareOf(RolloutStage::Half));
@@ -199,6 +354,20 @@
     {
         CHECK(brokenResponses.recordSucceeded("i-1/2", start + 1s).empty());
     }
+    SECTION("the same holds for requests whose callers left before the response")
+    {
+        for (const auto* incarnation : { "i-1/1", "i-3/1" })
+            brokenResponses.recordAbandoned(incarnation, { route, 400ms, start });
+        CHECK(brokenResponses.takeAbandoned("i-3/1", start - 1ms).empty());
+        CHECK(brokenResponses.takeAbandoned("i-1/2", start + 1s).empty());
+        auto abandoned = brokenResponses.takeAbandoned("i-3/1", start + 1ms);
+        REQUIRE(abandoned.size() == 1);
+        CHECK(abandoned[0].route == route);
+        CHECK(abandoned[0].waited == 400ms);
+        CHECK(brokenResponses.takeAbandoned("i-3/1", start + 2ms).empty());
+        brokenResponses.forget(start + 1ms);
+        CHECK(brokenResponses.takeAbandoned("i-1/1", start + 1s).empty());
+    }
     SECTION("broken responses that are not resolved in time are discarded")
     {
         brokenResponses.forget(start + 1ms);
