Name the prompt parts and the process in the line of a lost connection

The lines of the incident cannot tell its hypotheses apart: they have the fingerprint of the whole request, which is new each time. The line now has the shared parts of the prompt, the upstream's process, the time since the send, whether the response had begun and the work on the upstream. No decision changes.

--- a/src/core/requests/routed_request.h
+++ b/src/core/requests/routed_request.h
@@ -42,6 +42,12 @@
     std::shared_ptr<const std::string> body;
 };
 
+// Number of the prompt's parts that other requests may share: all but the last.
+inline std::size_t sharedPartCount(const RoutedRequest& request)
+{
+    return request.promptParts.empty() ? 0 : request.promptParts.size() - 1;
+}
+
 // Returns the target's path, without the query.
 inline std::string_view pathOf(const RoutedRequest& request)
 {
--- a/src/core/routing/upstream_balancer.cpp
+++ b/src/core/routing/upstream_balancer.cpp
@@ -12,15 +12,15 @@
     // part of all is specific to the request or its session.
     const PromptPart* lastSharedPart(const RoutedRequest& request)
     {
-        auto n = request.promptParts.size();
-        return n < 2 ? nullptr : &request.promptParts[n - 2];
+        auto n = sharedPartCount(request);
+        return n == 0 ? nullptr : &request.promptParts[n - 1];
     }
 
     // Tokens of the prompt parts that other requests may share.
     std::int64_t sharedTokens(const RoutedRequest& request)
     {
         std::int64_t sum = 0;
-        for (std::size_t n = 0; n + 1 < request.promptParts.size(); ++n)
+        for (std::size_t n = 0; n < sharedPartCount(request); ++n)
             sum += request.promptParts[n].tokens;
         return sum;
     }
--- a/src/edge/request_forwarder.cpp
+++ b/src/edge/request_forwarder.cpp
@@ -67,6 +67,17 @@
             connection->close();
     }
 
+    // Shared prompt parts that a log line names at most.
+    constexpr std::size_t maxLoggedParts = 8;
+
+    std::string loggedParts(const RoutedRequest& request)
+    {
+        std::string text;
+        for (std::size_t n = 0; n < std::min(maxLoggedParts, sharedPartCount(request)); ++n)
+            absl::StrAppend(&text, n > 0 ? "," : "", request.promptParts[n].id);
+        return text;
+    }
+
     // Identifies one process of an upstream, so that a crash after a restart counts as another crash.
     UpstreamId upstreamProcessId(const UpstreamEntry& upstream) { return { absl::StrCat(upstream.id.value, "/", upstream.born) }; }
 
@@ -459,7 +470,7 @@
         m_traffic.recordBrokenResponse(upstreamProcessId(upstream).value, releaseRoute(upstream), now);
     if (end == AttemptEnd::Cut) {
         m_traffic.crashes().recordCrash(m_admitted.fingerprint, upstreamProcessId(upstream), now);
-        LogLine(LogLevel::Warning, "upstream_connection_lost").with("id", m_admitted.request.id.value).with("upstream", upstream.id.value).with("fingerprint", m_admitted.fingerprint).with("crashes", m_traffic.crashes().crashCount(m_admitted.fingerprint));
+        LogLine(LogLevel::Warning, "upstream_connection_lost").with("id", m_admitted.request.id.value).with("upstream", upstream.id.value).with("born", upstream.born).with("fingerprint", m_admitted.fingerprint).with("crashes", m_traffic.crashes().crashCount(m_admitted.fingerprint)).with("parts", loggedParts(m_admitted.request)).with("ms", toMilliseconds(now - m_sentAt).count()).with("first_event", m_firstEventSeen ? "yes" : "no").with("requests", m_traffic.balancer().requestsOn(upstream.id));
     }
     if (m_traffic.balancer().failed(upstream.id, now))
         LogLine(LogLevel::Warning, "upstream_ejected").with("id", m_admitted.request.id.value).with("upstream", upstream.id.value).with("service", serviceName()).with("last_end", attemptEndName(end));
