Test: a prompt part that crashes engines, with several instances (fails)

Three instances, ten engines that crash when they begin to respond to a prompt with a given part and start again as another process after 1.5 s, three sound callers and ten fatal requests a second.

--- a/test/fakes/fleet_standin.cpp
+++ b/test/fakes/fleet_standin.cpp
@@ -198,9 +198,9 @@
 {
 }
 
-std::string ScriptedUpstream::registration(const std::string& service, const std::string& state, const std::string& release) const
+std::string ScriptedUpstream::registration(const std::string& service, const std::string& state, const std::string& release, std::int64_t born) const
 {
-    return Json { { "backend", service }, { "address", m_server.address() }, { "zone", "halle-a" }, { "version", release }, { "capacity", 8 }, { "state", state }, { "coldRemainingMs", 0 }, { "seq", 1 }, { "born", 1 } }.dump();
+    return Json { { "backend", service }, { "address", m_server.address() }, { "zone", "halle-a" }, { "version", release }, { "capacity", 8 }, { "state", state }, { "coldRemainingMs", 0 }, { "seq", 1 }, { "born", born } }.dump();
 }
 
 void ScriptedUpstream::setScript(Script script)
@@ -222,16 +222,22 @@
     return [body](const RawRequest& request, RawConnection& connection) { return connection.write(responseBytes(200, body, responseFields(request))); };
 }
 
-ScriptedUpstream::Script streamEvents(int events, std::chrono::milliseconds pause, int confidence)
+ScriptedUpstream::Script streamEvents(int events, std::chrono::milliseconds pause, StreamOptions options)
 {
     return [=](const RawRequest& request, RawConnection& connection) {
         auto first = request.field("Last-Event-Id").empty() ? 1 : std::stoi(request.field("Last-Event-Id")) + 1;
         std::string head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n";
-        for (const auto& it : responseFields(request))
-            absl::StrAppend(&head, it.name, ": ", it.value, "\r\n");
-        if (!connection.write(absl::StrCat(head, "X-Confidence: ", confidence, "\r\n\r\n")))
+        for (const auto& fields : { responseFields(request), options.fields }) {
+            for (const auto& it : fields)
+                absl::StrAppend(&head, it.name, ": ", it.value, "\r\n");
+        }
+        if (!connection.write(absl::StrCat(head, "X-Confidence: ", options.confidence, "\r\n\r\n")))
             return false;
         for (int n = first; n <= events; ++n) {
+            if (options.isRunning && !options.isRunning()) {
+                connection.reset();
+                return false;
+            }
             auto event = absl::StrCat("id: ", n, "\ndata: piece ", n, " of ", request.field("X-Model-Name"), "\n\n");
             if (!connection.write(absl::StrCat(absl::Hex(event.size()), "\r\n", event, "\r\n")) || connection.isClosedWithin(pause))
                 return false;
@@ -240,6 +246,69 @@
     };
 }
 
+CrashingEngine::CrashingEngine(FleetStore& store, std::string id, std::string service, std::string fatalPart)
+    : m_store(store)
+    , m_service(std::move(service))
+    , m_fatalPart(std::move(fatalPart))
+    , m_upstream(std::move(id), [this](const RawRequest& request, RawConnection& connection) { return serve(request, connection); })
+{
+    registerProcess();
+}
+
+void CrashingEngine::registerProcess() { m_store.put("servers/" + m_upstream.id(), m_upstream.registration(m_service, "ready", "v1", m_born)); }
+
+void CrashingEngine::restartAfter(std::chrono::milliseconds time)
+{
+    {
+        std::lock_guard lock(m_mutex);
+        if (m_isRunning || std::chrono::steady_clock::now() < m_crashes.back() + time)
+            return;
+        m_isRunning = true;
+        ++m_born;
+    }
+    registerProcess();
+}
+
+std::vector<CrashingEngine::TimePoint> CrashingEngine::fatalRequests()
+{
+    std::lock_guard lock(m_mutex);
+    return m_fatalRequests;
+}
+
+std::vector<CrashingEngine::TimePoint> CrashingEngine::crashes()
+{
+    std::lock_guard lock(m_mutex);
+    return m_crashes;
+}
+
+bool CrashingEngine::serve(const RawRequest& request, RawConnection& connection)
+{
+    constexpr std::chrono::milliseconds timeToFirstEvent { 40 };
+    bool isFatal = absl::StrContains(request.field("X-Prefix-Hash"), m_fatalPart);
+    std::unique_lock lock(m_mutex);
+    auto born = m_born;
+    auto isRunning = [&] { return m_isRunning && m_born == born; };
+    if (isFatal && m_isRunning)
+        m_fatalRequests.push_back(std::chrono::steady_clock::now());
+    lock.unlock();
+    bool isCancelled = connection.isClosedWithin(timeToFirstEvent);
+    lock.lock();
+    if (isFatal && isRunning() && !isCancelled) {
+        m_isRunning = false;
+        m_crashes.push_back(std::chrono::steady_clock::now());
+    }
+    if (isCancelled || !isRunning()) {
+        connection.reset();
+        return false;
+    }
+    lock.unlock();
+    StreamOptions options { .isRunning = [&] {
+        std::lock_guard guard(m_mutex);
+        return isRunning();
+    } };
+    return streamEvents(6, std::chrono::milliseconds(20), options)(request, connection);
+}
+
 std::string sampleConfiguration(std::int64_t version, const std::string& key, const CallerTimes& times)
 {
     auto route = [](const std::string& name, const std::string& kind, const std::string& service) {
--- a/test/fakes/fleet_standin.h
+++ b/test/fakes/fleet_standin.h
@@ -102,7 +102,7 @@
     const std::string& id() const { return m_id; }
     int port() const { return m_server.port(); }
     // Returns the value that registers this upstream, to be stored under the key servers/ID.
-    std::string registration(const std::string& service, const std::string& state = "ready", const std::string& release = "v1") const;
+    std::string registration(const std::string& service, const std::string& state = "ready", const std::string& release = "v1", std::int64_t born = 1) const;
     void setScript(Script);
     std::vector<RawRequest> received();
     // Number of requests received.
@@ -118,9 +118,47 @@
 
 // Responds to each request with status 200 and the given body.
 ScriptedUpstream::Script respondWith(const std::string& body);
+struct StreamOptions {
+    // Percentage in the X-Confidence header.
+    int confidence = 100;
+    // Header fields in addition to those of every response.
+    HeaderFields fields;
+    // If set and false before an event, the connection is reset there.
+    std::function<bool()> isRunning;
+};
 // Sends a stream of events numbered 1 to `events`, with a pause after each; a request with a Last-Event-Id gets only the
-// events after that one. `confidence` is the percentage in the X-Confidence header.
-ScriptedUpstream::Script streamEvents(int events, std::chrono::milliseconds pause, int confidence = 100);
+// events after that one.
+ScriptedUpstream::Script streamEvents(int events, std::chrono::milliseconds pause, StreamOptions options = {});
+
+// An engine whose process crashes when it begins to respond to a prompt with a given part: the connections of all its requests
+// are reset. A later start is another process: the engine registers with a later start time. Until then it resets what it gets.
+class CrashingEngine {
+public:
+    using TimePoint = std::chrono::steady_clock::time_point;
+
+    // Registers the engine for a service.
+    CrashingEngine(FleetStore&, std::string id, std::string service, std::string fatalPart);
+
+    // Starts the process again if it crashed at least this long ago.
+    void restartAfter(std::chrono::milliseconds);
+    // When requests with the part reached the running process.
+    std::vector<TimePoint> fatalRequests();
+    std::vector<TimePoint> crashes();
+
+private:
+    bool serve(const RawRequest&, RawConnection&);
+    void registerProcess();
+
+    FleetStore& m_store;
+    std::string m_service;
+    std::string m_fatalPart;
+    std::mutex m_mutex;
+    std::int64_t m_born = 1;
+    bool m_isRunning = true;
+    std::vector<TimePoint> m_fatalRequests;
+    std::vector<TimePoint> m_crashes;
+    ScriptedUpstream m_upstream;
+};
 
 // Limits of a configuration on the times that callers may take.
 struct CallerTimes {
--- /dev/null
+++ b/test/processes/crashing_part_test.cpp
@@ -0,0 +1,167 @@
+// Tests with several instances as processes and engines that crash when they begin to respond to a prompt with a given part.
+
+#include "processes/edge_site.h"
+
+#include <absl/strings/match.h>
+#include <absl/strings/str_cat.h>
+#include <catch2/catch.hpp>
+#include <deque>
+#include <thread>
+
+using namespace skylarkhitch;
+using namespace skylarkhitch::standin;
+using namespace std::chrono_literals;
+
+namespace {
+
+using Clock = std::chrono::steady_clock;
+
+constexpr const char* fatalPart = "dead0dead0";
+// Time in which every instance must act on what any of them saw, and the number of crashes from which it counts.
+constexpr auto contactTime = 3000ms;
+constexpr std::size_t crashesToCount = 5;
+constexpr std::size_t maxFatalRequests = 3;
+constexpr auto engineRestartTime = 1500ms;
+
+// Three instances and ten engines. Callers share their key and the first part of their prompts.
+class CrashingSite {
+public:
+    CrashingSite()
+    {
+        m_store.put("op/config", sampleConfiguration(3));
+        for (int n = 0; n < 10; ++n)
+            m_engines.emplace_back(m_store, absl::StrCat("i-", n), "assist", fatalPart);
+        m_instances.emplace_back("edge-1", m_store.address());
+        for (int n = 2; n <= 3; ++n)
+            m_instances.emplace_back(absl::StrCat("edge-", n), m_store.address(), m_instances.front().peerAddress());
+        for (auto& it : m_instances)
+            REQUIRE(waitUntil(5s, [&] { return it.isReady(); }));
+    }
+    ~CrashingSite() { m_store.cutWatches(); }
+
+    // Sends requests of three sound callers, and of a fatal one each 100 ms if that is asked for; starts engines that crashed.
+    void run(std::chrono::milliseconds time, bool withFatal)
+    {
+        auto end = Clock::now() + time;
+        std::vector<std::thread> callers;
+        for (std::size_t caller = 0; caller < m_instances.size(); ++caller)
+            callers.emplace_back([this, caller, end] { callSound(m_instances[caller], caller, end); });
+        if (withFatal)
+            callers.emplace_back([this, end] { callFatal(end); });
+        while (Clock::now() < end) {
+            for (auto& it : m_engines)
+                it.restartAfter(engineRestartTime);
+            std::this_thread::sleep_for(20ms);
+        }
+        for (auto& it : callers)
+            it.join();
+    }
+
+    // Times of an event at all engines, in order.
+    std::vector<Clock::time_point> collect(std::vector<Clock::time_point> (CrashingEngine::*times)())
+    {
+        std::vector<Clock::time_point> all;
+        for (auto& it : m_engines) {
+            auto some = (it.*times)();
+            all.insert(all.end(), some.begin(), some.end());
+        }
+        std::sort(all.begin(), all.end());
+        return all;
+    }
+
+    struct Served {
+        int sent = 0;
+        int served = 0;
+        double share() const { return sent == 0 ? 0 : static_cast<double>(served) / sent; }
+    };
+    // Sound requests that were sent in the time span, and those of them that got a whole response at the first attempt.
+    Served served(Clock::time_point from, Clock::time_point to)
+    {
+        std::lock_guard lock(m_mutex);
+        Served sum;
+        for (const auto& [at, isServed] : m_soundRequests) {
+            if (at < from || at >= to)
+                continue;
+            ++sum.sent;
+            sum.served += isServed ? 1 : 0;
+        }
+        return sum;
+    }
+
+    std::deque<EdgeInstance>& instances() { return m_instances; }
+    std::vector<std::string> fatalResponses()
+    {
+        std::lock_guard lock(m_mutex);
+        return m_fatalResponses;
+    }
+
+private:
+    std::string send(const EdgeInstance& instance, const std::string& id, const std::string& parts)
+    {
+        auto connection = RawConnection::connect(instance.port());
+        if (!connection)
+            return {};
+        auto headers = absl::StrCat("X-Model-Name: *\r\nX-Token-Count: 900,50\r\nX-Prefix-Hash: ", parts, "\r\n");
+        connection->write(requestBytes("POST", absl::StrCat("/draft/", id), id, headers, "prompt " + id));
+        return connection->readResponse();
+    }
+
+    void callSound(const EdgeInstance& instance, std::size_t caller, Clock::time_point end)
+    {
+        for (int n = 0; Clock::now() < end; ++n) {
+            auto sentAt = Clock::now();
+            auto response = send(instance, absl::StrCat("sound-", caller, "-", ++m_ids), absl::StrCat("f00d:300,5ab", n % 20, ":100,e", m_ids.load(), ":400"));
+            std::lock_guard lock(m_mutex);
+            m_soundRequests.emplace_back(sentAt, absl::EndsWith(response, "0\r\n\r\n"));
+        }
+    }
+
+    void callFatal(Clock::time_point end)
+    {
+        std::vector<std::thread> requests;
+        for (std::size_t n = 0; Clock::now() < end; ++n) {
+            requests.emplace_back([this, n] {
+                auto response = send(m_instances[n % m_instances.size()], absl::StrCat("fatal-", ++m_ids), absl::StrCat("f00d:300,", fatalPart, ":100,e", m_ids.load(), ":400"));
+                std::lock_guard lock(m_mutex);
+                m_fatalResponses.push_back(response);
+            });
+            std::this_thread::sleep_for(100ms);
+        }
+        for (auto& it : requests)
+            it.join();
+    }
+
+    FleetStore m_store;
+    std::deque<CrashingEngine> m_engines;
+    std::deque<EdgeInstance> m_instances;
+    std::atomic<int> m_ids = 0;
+    std::mutex m_mutex;
+    std::vector<std::pair<Clock::time_point, bool>> m_soundRequests;
+    std::vector<std::string> m_fatalResponses;
+};
+
+}
+
+// Guards against requests that have nothing in common but a prompt part, and crash one engine after the other by way of all instances.
+TEST_CASE("a prompt part that crashes engines is refused by all instances, and other requests are served")
+{
+    CrashingSite site;
+    site.run(2s, false);
+    auto fatalFrom = Clock::now();
+    auto before = site.served(fatalFrom - 1500ms, fatalFrom);
+    REQUIRE(before.sent >= 20);
+    site.run(10s, true);
+
+    auto crashes = site.collect(&CrashingEngine::crashes);
+    REQUIRE(crashes.size() >= 2);
+    auto countedFrom = (crashes.size() < crashesToCount ? crashes.back() : crashes[crashesToCount - 1]) + contactTime;
+    auto requests = site.collect(&CrashingEngine::fatalRequests);
+    auto late = std::count_if(requests.begin(), requests.end(), [&](auto it) { return it > countedFrom; });
+    INFO(crashes.size() << " crashes, " << requests.size() << " fatal requests reached engines");
+    CHECK(static_cast<std::size_t>(late) <= maxFatalRequests);
+
+    auto after = site.served(countedFrom + contactTime, Clock::now());
+    INFO("served " << before.served << " of " << before.sent << " before, " << after.served << " of " << after.sent << " after");
+    CHECK(after.sent >= 20);
+    CHECK(after.share() >= before.share() / 2);
+}
--- a/test/processes/edge_test.cpp
+++ b/test/processes/edge_test.cpp
@@ -392,7 +392,7 @@
     SECTION("a low-confidence response is replaced by the largest model's, and the caller receives only that")
     {
         site.setEngineScripts([](const RawRequest& request, RawConnection& connection) {
-            return streamEvents(3, 20ms, request.field("X-Model-Name") == "small" ? 5 : 90)(request, connection);
+            return streamEvents(3, 20ms, { .confidence = request.field("X-Model-Name") == "small" ? 5 : 90 })(request, connection);
         });
         auto response = draft("id-1");
         CHECK(absl::StrContains(response, "piece 1 of large"));
