Refuse prompt parts that crash upstreams, at all instances

Cause: the guard against crashing requests counts by the fingerprint of one request. These requests have only a prompt part in common, so each is new to it. Class: evidence is counted by the identity of the carrier, not by what the failures have in common.

Ruled out: late news (engines still ended 11 s after the fifth) and load (engines ended with 5 requests at work; in the test with one).

Change: crashes are kept by process of the upstream, with the shared parts of all requests that lost their connection there, merged over all instances by heartbeats that each passes on. A part is a suspect until an upstream has served it or outlived the start of a response with it. Quarantine: two crashes if no other unserved part is in both, three otherwise, five for a part that was served before; crashes within 50 ms count once. Crashes that a quarantined part explains are held against no other part. News goes out 10 ms after a crash and takes effect when it arrives. The check stands where a request is sent. A request that lost its connection in a confirmed crash is not repeated if one of its parts is a suspect. One instance probes after 30 s, later ever more rarely; a response releases the part everywhere. Callers get 503 without Retry-After, since the request was not run and would be refused again.

--- a/src/core/error_kind.h
+++ b/src/core/error_kind.h
@@ -54,6 +54,8 @@
     RequestCrashesUpstreams,
     // The counterpart of RequestCrashesUpstreams in the edge.
     RequestQuarantined,
+    // Upstreams crashed on a part of the prompt, so that it is refused.
+    PromptPartQuarantined,
     // An edit of the configuration is not based on the current revision.
     EditConflict,
     // No configuration is known yet.
--- a/src/core/membership/fleet_heartbeat.cpp
+++ b/src/core/membership/fleet_heartbeat.cpp
@@ -73,6 +73,9 @@
             heartbeat.sessions.push_back({ it.at(0), it.at(1), Milliseconds(it.at(2).get<std::int64_t>()) });
         heartbeat.known = json.at(15).get<std::vector<std::string>>();
         heartbeat.storeReachable = json.at(16);
+        // Instances of earlier versions do not send the rest.
+        if (json.size() > 17)
+            heartbeat.promptParts = promptPartNewsFrom(json.at(17));
         return heartbeat;
     }
 
@@ -110,7 +113,7 @@
     Json sinceUnreachable = heartbeat.sinceStoreUnreachable ? Json(heartbeat.sinceStoreUnreachable->count()) : Json();
     Json json = Json::array({ heartbeat.from.instance.value, heartbeat.from.number, heartbeat.domain.value, heartbeat.addresses.entry, heartbeat.addresses.peers, heartbeat.sequence,
         heartbeat.ready, heartbeat.leaving, heartbeat.storeRevision, heartbeat.storeAge.count(), sinceUnreachable, workToJson(heartbeat), evidenceToJson(heartbeat), crashesToJson(heartbeat),
-        sessionsToJson(heartbeat), heartbeat.known, heartbeat.storeReachable });
+        sessionsToJson(heartbeat), heartbeat.known, heartbeat.storeReachable, toJson(heartbeat.promptParts) });
     auto bytes = Json::to_cbor(json);
     return { bytes.begin(), bytes.end() };
 }
--- a/src/core/membership/fleet_heartbeat.h
+++ b/src/core/membership/fleet_heartbeat.h
@@ -5,6 +5,7 @@
 // lost, duplicated or late does no harm.
 
 #include "core/ids.h"
+#include "core/limits/prompt_part_news.h"
 
 #include <map>
 #include <optional>
@@ -103,6 +104,8 @@
     ReleaseEvidence evidence;
     // Fingerprints of requests that crashed upstreams, with the number of upstreams that each crashed.
     std::map<std::string, std::int64_t> crashes;
+    // Crashes of upstreams and the prompt parts that may have caused them, here and at others.
+    PromptPartNews promptParts;
     // Sessions that a rollout must not move to another release, see rollout/session_releases.h.
     std::vector<RecentSession> sessions;
     // Some of the peer addresses that the sender knows, from which a new instance discovers its peers.
--- a/src/core/routing/upstream_balancer.cpp
+++ b/src/core/routing/upstream_balancer.cpp
@@ -46,7 +46,7 @@
     auto available = candidates(query, now);
     if (available.empty())
         return nullptr;
-    return query.service->engine ? chooseEngine(query, available) : chooseLeastLoaded(query, available, now);
+    return query.service->engine && !query.mayCrash ? chooseEngine(query, available) : chooseLeastLoaded(query, available, now);
 }
 
 std::vector<const UpstreamEntry*> UpstreamBalancer::candidates(const UpstreamQuery& query, TimePoint now) const
--- a/src/core/routing/upstream_balancer.h
+++ b/src/core/routing/upstream_balancer.h
@@ -40,6 +40,8 @@
     // Upstreams that this request was already sent to, on its current model.
     const std::vector<UpstreamId>* tried = nullptr;
     DomainId ownDomain;
+    // The request may crash its upstream, so one with few other requests is chosen.
+    bool mayCrash = false;
 };
 
 class UpstreamBalancer {
--- a/src/edge/control_plane.cpp
+++ b/src/edge/control_plane.cpp
@@ -261,6 +261,8 @@
     auto now = bootNow();
     if (!m_fleet.onHeartbeat(*heartbeat, now))
         return;
+    if (!heartbeat->promptParts.empty())
+        m_outputs.publishPromptPartNews(std::move(heartbeat->promptParts));
     catchUpIfBehind(now);
 }
 
@@ -375,6 +377,7 @@
             heartbeat.evidence[key] = it;
     }
     heartbeat.crashes = m_trafficReport.crashes;
+    heartbeat.promptParts = m_trafficReport.promptParts;
     heartbeat.sessions = m_trafficReport.sessions;
     auto livePeers = m_fleet.livePeers(now);
     for (std::size_t n = 0; n < std::min(livePeers.size(), maxKnownPeers); ++n)
--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -24,6 +24,7 @@
     // Time for the last error responses to be written, a part of shutdownMargin.
     constexpr Milliseconds lastResponsesTime { 200 };
     constexpr Milliseconds lastResponsesPollPeriod { 5 };
+    constexpr Milliseconds urgentReportDelay { 10 };
     // The settings file is also polled, since it may change without a SIGHUP.
     constexpr Milliseconds settingsPollPeriod { 2000 };
     // If the caller's failure domain has at least this many entry instances, only these are returned.
@@ -38,7 +39,7 @@
             : m_settings(settings)
             , m_readSettings(reader)
             , m_self { settings.instance, newIncarnationNumber() }
-            , m_traffic(m_trafficLoop, { settings.domain, m_self.number, settings.sessionIdleTimeout(), { settings.retryRatio, settings.retryHeadroom, settings.retryWindow() } }, m_metrics)
+            , m_traffic(m_trafficLoop, { settings.instance, settings.domain, m_self.number, settings.sessionIdleTimeout(), { settings.retryRatio, settings.retryHeadroom, settings.retryWindow() } }, m_metrics)
             , m_control(m_controlLoop, settings, m_self, m_metrics, outputs())
             , m_signals(m_trafficLoop, SIGTERM, SIGINT, SIGHUP)
         {
@@ -53,6 +54,10 @@
             HttpListener ready(m_trafficLoop, m_settings.readyListen, m_platformServer);
             HttpListener directory(m_trafficLoop, m_settings.directoryListen, m_platformServer);
             m_entry = &entry;
+            m_traffic.onUrgentNews([this] {
+                if (!std::exchange(m_isUrgentReportPending, true))
+                    spawn(m_trafficLoop, sendUrgentReport(), "urgent_report");
+            });
             spawn(m_trafficLoop, reportLoop(), "report");
             spawn(m_trafficLoop, watchSettings(), "watch_settings");
             awaitSignal();
@@ -71,6 +76,7 @@
             return {
                 [this](FleetViewPtr view) { asio::post(m_trafficLoop, [this, view = std::move(view)] { m_traffic.setView(view); }); },
                 [this](PeerUpdate peerUpdate) { asio::post(m_trafficLoop, [this, peerUpdate = std::move(peerUpdate)]() mutable { m_traffic.learn(std::move(peerUpdate)); }); },
+                [this](PromptPartNews news) { asio::post(m_trafficLoop, [this, news = std::move(news)] { m_traffic.learn(news); }); },
             };
         }
 
@@ -119,10 +125,25 @@
             return { .status = 200, .fields = { { "Content-Type", "application/json" } }, .body = platform::encodeEntryResponse(chosen, m_settings.entryCacheTime()) };
         }
 
+        void sendReport()
+        {
+            asio::post(m_controlLoop, [this, report = m_traffic.report()]() mutable { m_control.handleTrafficReport(std::move(report)); });
+        }
+
+        // Sends a report early, and judges the crashes that may have caused it. Waits until all that one crash of an upstream causes has been recorded.
+        Awaitable<void> sendUrgentReport()
+        {
+            co_await sleepFor(m_trafficLoop, urgentReportDelay);
+            m_isUrgentReportPending = false;
+            sendReport();
+            co_await sleepFor(m_trafficLoop, PromptPartGuard::judgementDelay);
+            m_traffic.judgeCrashes(bootNow());
+        }
+
         Awaitable<void> reportLoop()
         {
             for (;;) {
-                asio::post(m_controlLoop, [this, report = m_traffic.report()]() mutable { m_control.handleTrafficReport(std::move(report)); });
+                sendReport();
                 co_await sleepFor(m_trafficLoop, FleetMembership::heartbeatPeriod);
             }
         }
@@ -218,6 +239,7 @@
         std::shared_ptr<ServerState> m_entryServer;
         std::shared_ptr<ServerState> m_platformServer;
         HttpListener* m_entry = nullptr;
+        bool m_isUrgentReportPending = false;
     };
 
 }
--- a/src/edge/edge_metrics.h
+++ b/src/edge/edge_metrics.h
@@ -29,6 +29,8 @@
     void storeCall(const std::string& call, int status);
     // direction is "sent", "not_sent" or "received".
     void heartbeat(const std::string& direction);
+    // A change of the quarantine of prompt parts: "part_quarantined", "part_released" or "part_probed".
+    void promptPart(const std::string& event);
     // Sets a gauge of the process state.
     void setState(const std::string& name, double value);
     // Sets a gauge to a time in seconds.
--- a/src/edge/fleet_view.h
+++ b/src/edge/fleet_view.h
@@ -63,6 +63,7 @@
     ReleaseEvidence evidence;
     // Crash counts by request fingerprint.
     std::map<std::string, std::int64_t> crashes;
+    PromptPartNews promptParts;
     std::vector<RecentSession> sessions;
     bool ready = false;
     // CPU time that the traffic thread has used since it started.
--- a/src/edge/request_forwarder.cpp
+++ b/src/edge/request_forwarder.cpp
@@ -41,6 +41,11 @@
         return Milliseconds(static_cast<std::int64_t>(static_cast<double>(time.count()) * factor));
     }
 
+    // Time in which the losses of connections that one crash causes become known, including those that peers see.
+    constexpr Milliseconds crashEvidenceTime { 40 };
+    // Bytes that a process sent before its crash are read within this time after it.
+    constexpr Milliseconds staleBytesTime { 200 };
+
     std::int64_t percent(double part) { return static_cast<std::int64_t>(100 * part); }
 
     const char* attemptEndName(AttemptEnd end)
@@ -149,6 +154,7 @@
     if (auto error = admitRequest(m_admitted, m_received.receivedAt); error != ErrorKind::None)
         return error;
     m_events = EventStreamParser(request.lastEvent);
+    m_parts = sharedParts(request);
     if (request.anyModel && !m_admitted.route->models.empty())
         m_model = m_admitted.route->models.front();
     m_traffic.requestArrived(m_admitted.service->name, m_received.receivedAt);
@@ -163,6 +169,10 @@
             co_await respondWithError(ErrorKind::DeadlineExceeded);
             co_return;
         }
+        if (!mayBeSent(now)) {
+            co_await respondWithError(ErrorKind::PromptPartQuarantined);
+            co_return;
+        }
         const auto* upstream = chooseUpstream(now);
         if (!upstream) {
             co_await respondWithError(ErrorKind::NoHealthyUpstream);
@@ -186,13 +196,20 @@
     }
 }
 
+bool RequestForwarder::mayBeSent(TimePoint now)
+{
+    auto verdict = m_traffic.decideOnParts(m_parts, now);
+    m_isProbe = verdict == PromptPartGuard::Verdict::Probe;
+    return verdict != PromptPartGuard::Verdict::Refused;
+}
+
 const UpstreamEntry* RequestForwarder::chooseUpstream(TimePoint now)
 {
     // Uses the current view, not the one at admission: an upstream may have left in the meantime.
     auto eligible = m_traffic.findEligibleUpstreams(m_admitted.service->name, m_admitted.request, now);
     if (!eligible.service)
         return nullptr;
-    return m_traffic.balancer().choose({ &m_admitted.request, eligible.service, eligible.allowed, &m_triedUpstreams, m_traffic.settings().domain }, now);
+    return m_traffic.balancer().choose({ &m_admitted.request, eligible.service, eligible.allowed, &m_triedUpstreams, m_traffic.settings().domain, m_isProbe || m_traffic.promptParts().isSuspected(m_parts) }, now);
 }
 
 Awaitable<RequestForwarder::AttemptResult> RequestForwarder::makeAttempt(UpstreamEntry upstream)
@@ -212,8 +229,14 @@
     }
     if (m_caller->hasDisconnected())
         co_return AttemptResult { AttemptEnd::NotSent, true };
+    // The part may have been quarantined while the connection was opened.
+    if (!m_isProbe && m_traffic.promptParts().quarantinedPart(m_parts)) {
+        connection->close();
+        co_return AttemptResult { AttemptEnd::NotSent, false };
+    }
     m_sentAt = bootNow();
     m_firstEventSeen = false;
+    m_hasOutlived = false;
     m_attemptWork = static_cast<std::int64_t>(static_cast<double>(m_admitted.request.promptTokens) * costWeight());
     m_execution.attemptSent();
     ++m_possibleRuns;
@@ -248,10 +271,18 @@
         // At its exit, the instance closes the connections itself.
         if (!m_caller->hasDisconnected() && !m_traffic.isExiting(bootNow()))
             recordUpstreamFailure(upstream, result.end);
+        if (result.end == AttemptEnd::Cut)
+            co_await awaitCrashEvidence();
     }
     co_return result;
 }
 
+Awaitable<void> RequestForwarder::awaitCrashEvidence()
+{
+    if (!m_caller->hasDisconnected() && m_traffic.promptParts().isSuspected(m_parts))
+        co_await sleepFor(m_traffic.loop(), std::min(crashEvidenceTime, timeLeft()));
+}
+
 Awaitable<RequestForwarder::AttemptResult> RequestForwarder::sendAndReceive(const UpstreamEntry& upstream, std::shared_ptr<UpstreamConnection> connection)
 {
     connection->setDeadline(responseTimeout(m_admitted.route->isRetryable() && m_possibleRuns < m_admitted.route->maxAttempts));
@@ -269,6 +300,8 @@
         co_return AttemptResult { toAttemptEnd(connection->reject("response to another request")), false };
     if (response.wrongInstance)
         m_traffic.endedIncarnations().end(upstream);
+    else
+        m_traffic.recordRunning(upstreamProcessId(upstream).value, m_sentAt);
     if (response.notRun) {
         spawn(m_traffic.loop(), recycleRefused(m_traffic.connections(), upstream, connection, response.keepAliveTimeout), "recycle_refused");
         co_return AttemptResult { AttemptEnd::RefusedNotRun, false };
@@ -293,9 +326,10 @@
     releaseConnection(upstream, connection, response.keepAliveTimeout, now);
     bool isGood = response.status < 500;
     m_traffic.countOutcome(releaseRoute(upstream), isGood, toMilliseconds(now - m_sentAt));
-    if (isGood)
+    if (isGood) {
         recordUpstreamSuccess(upstream);
-    else
+        m_traffic.recordServedParts(m_parts, now);
+    } else
         m_traffic.balancer().failed(upstream.id, now);
     AttemptResult result { isGood ? AttemptEnd::Completed : AttemptEnd::UpstreamError, true };
     // The caller already has the head of an event stream, so this response cannot be sent.
@@ -328,6 +362,7 @@
         if (events.events > 0 && !m_firstEventSeen) {
             auto now = bootNow();
             m_firstEventSeen = true;
+            m_firstEventAt = now;
             m_traffic.balancer().begun(upstream.id, m_attemptWork);
             m_traffic.balancer().recordFirstEvent(m_workBefore + m_attemptWork, toMilliseconds(now - m_sentAt));
             m_traffic.countOutcome(releaseRoute(upstream), true, toMilliseconds(now - m_sentAt));
@@ -345,6 +380,7 @@
         co_await m_caller->writeBody(events.bytes);
         if (isComplete) {
             releaseConnection(upstream, connection, keepAliveTimeout, bootNow());
+            m_traffic.recordServedParts(m_parts, bootNow());
             co_await m_caller->endBody();
             logOutcome("none", 200);
             co_return AttemptResult { AttemptEnd::Completed, true };
@@ -354,6 +390,7 @@
         // Only an event moves the deadline, since an upstream in trouble may send other bytes without end.
         if (events.events == 0)
             continue;
+        recordOutlived(upstream, bootNow());
         auto gap = std::max(minEventGapTimeout, scaled(m_admitted.route->targetGap, eventGapTimeoutFactor));
         connection->setDeadline(std::min(gap, timeLeft()));
     }
@@ -418,6 +455,8 @@
     bool mayHaveRun = result.end != AttemptEnd::NotSent && result.end != AttemptEnd::RefusedNotRun;
     if (mayHaveRun && !m_admitted.route->isRetryable())
         return false;
+    if (result.end == AttemptEnd::Cut && m_traffic.promptParts().isRetryUnsafe(m_parts))
+        return false;
     if (m_possibleRuns >= m_admitted.route->maxAttempts || m_traffic.crashes().refuses(m_admitted.fingerprint) || !chooseUpstream(now))
         return false;
     return m_traffic.takeRetry(m_admitted.service->name, now);
@@ -455,7 +494,8 @@
     // If the deadline passed and the request was not run, the status says so, so that the caller may resend it.
     if (executed == Executed::No && kind == ErrorKind::DeadlineExceeded)
         response.status = errorInfo(ErrorKind::NoHealthyUpstream).httpStatus;
-    if (impliesNotRun(response.status)) {
+    // Without a time to come back, the caller is not invited to.
+    if (impliesNotRun(response.status) && row.retryAfter > Milliseconds(0)) {
         auto wait = std::max(minRetryAfter, std::min(row.retryAfter, Milliseconds(timeLeft() / waitDivisor)));
         response.fields.push_back({ "Retry-After", absl::StrCat(static_cast<double>(wait.count()) / 1000) });
     }
@@ -469,6 +509,7 @@
     if (end != AttemptEnd::NotSent)
         m_traffic.recordBrokenResponse(upstreamProcessId(upstream).value, releaseRoute(upstream), now);
     if (end == AttemptEnd::Cut) {
+        m_traffic.recordLostRequest({ upstreamProcessId(upstream).value, m_admitted.request.id, m_parts, m_sentAt }, now);
         m_traffic.crashes().recordCrash(m_admitted.fingerprint, upstreamProcessId(upstream), now);
         LogLine(LogLevel::Warning, "upstream_connection_lost").with("id", m_admitted.request.id.value).with("upstream", upstream.id.value).with("born", upstream.born).with("fingerprint", m_admitted.fingerprint).with("crashes", m_traffic.crashes().crashCount(m_admitted.fingerprint)).with("parts", loggedParts(m_admitted.request)).with("ms", toMilliseconds(now - m_sentAt).count()).with("first_event", m_firstEventSeen ? "yes" : "no").with("requests", m_traffic.balancer().requestsOn(upstream.id));
     }
@@ -483,6 +524,15 @@
     m_traffic.recordAnswer(upstreamProcessId(upstream).value, m_sentAt);
 }
 
+void RequestForwarder::recordOutlived(const UpstreamEntry& upstream, TimePoint now)
+{
+    m_traffic.recordRunning(upstreamProcessId(upstream).value, now - staleBytesTime);
+    if (m_hasOutlived || now < m_firstEventAt + PromptPartGuard::outlivedTime)
+        return;
+    m_hasOutlived = true;
+    m_traffic.recordServedParts(m_parts, now);
+}
+
 void RequestForwarder::recordFirstByte(TimePoint now)
 {
     m_firstByteAt = now;
@@ -502,6 +552,8 @@
         line.with("first_byte_ms", toMilliseconds(*m_firstByteAt - m_received.receivedAt).count());
     if (m_model)
         line.with("model", m_model->value);
+    if (const auto* part = m_traffic.promptParts().quarantinedPart(m_parts))
+        line.with("part", *part).with("crashes", m_traffic.promptParts().crashesOf(*part));
     if (error == errorInfo(ErrorKind::RequestQuarantined).name)
         line.with("fingerprint", m_admitted.fingerprint).with("crashes", m_traffic.crashes().crashCount(m_admitted.fingerprint));
     if (m_admitted.configuration)
--- a/src/edge/request_forwarder.h
+++ b/src/edge/request_forwarder.h
@@ -38,6 +38,10 @@
     const UpstreamEntry* chooseUpstream(TimePoint now);
     // Makes one attempt and records its outcome in the state shared by all requests.
     Awaitable<AttemptResult> makeAttempt(UpstreamEntry);
+    // Whether the request may be sent although a part of its prompt may crash upstreams.
+    bool mayBeSent(TimePoint now);
+    // Waits until the other losses of connections to the upstream are known, if a part of the prompt may have crashed it.
+    Awaitable<void> awaitCrashEvidence();
     // Sends the request on an open connection and handles the response.
     Awaitable<AttemptResult> sendAndReceive(const UpstreamEntry&, std::shared_ptr<UpstreamConnection>);
     // Reads the whole response before any of it goes to the caller.
@@ -62,6 +66,8 @@
     Awaitable<void> respondWithError(ErrorKind);
     void recordUpstreamFailure(const UpstreamEntry&, AttemptEnd);
     void recordUpstreamSuccess(const UpstreamEntry&);
+    // Records that the upstream still runs after it began the response, once that has lasted long enough.
+    void recordOutlived(const UpstreamEntry&, TimePoint now);
     void recordFirstByte(TimePoint now);
     void logOutcome(std::string_view error, int status) const;
     // Empty before the request is admitted.
@@ -76,6 +82,10 @@
     // The view that the request was checked against.
     FleetViewPtr m_view;
     AdmittedRequest m_admitted;
+    // The parts of the prompt that other requests may share.
+    std::vector<std::string> m_parts;
+    // The request was let through to find out whether a part of its prompt still crashes upstreams.
+    bool m_isProbe = false;
     ExecutionTracker m_execution;
     EventStreamParser m_events;
     std::shared_ptr<UpstreamConnection> m_connection;
@@ -92,6 +102,9 @@
     std::int64_t m_workBefore = 0;
     // The first event of the current attempt came, so the engine has processed the prompt.
     bool m_firstEventSeen = false;
+    TimePoint m_firstEventAt {};
+    // It was recorded that the upstream outlived the start of the current attempt's response.
+    bool m_hasOutlived = false;
     // An upstream's error response, relayed to the caller if no later attempt succeeds.
     std::optional<EdgeResponse> m_savedError;
     TimePoint m_sentAt {};
--- a/src/edge/traffic_state.cpp
+++ b/src/edge/traffic_state.cpp
@@ -1,8 +1,11 @@
 #include "edge/traffic_state.h"
 
+#include "adapters/log.h"
 #include "core/hashing.h"
 #include "edge/process_state.h"
 
+#include <absl/strings/str_join.h>
+
 namespace skylarkhitch {
 
 namespace {
@@ -30,6 +33,15 @@
 
     constexpr std::string_view rolloutHashSalt = "rollout";
 
+    // Processes that a log line names at most.
+    constexpr std::size_t maxLoggedProcesses = 5;
+
+    const char* eventName(PromptPartEvent::Kind kind)
+    {
+        constexpr const char* names[] = { "part_quarantined", "part_released", "part_probed" };
+        return names[static_cast<int>(kind)];
+    }
+
 }
 
 TrafficState::TrafficState(EventLoop& loop, TrafficSettings settings, EdgeMetrics& metrics)
@@ -83,14 +95,77 @@
     m_sessions.learn(news.sessions, now);
 }
 
+void TrafficState::learn(const PromptPartNews& news)
+{
+    m_promptParts.learn(news, bootNow());
+    announcePromptParts();
+}
+
+PromptPartGuard::Verdict TrafficState::decideOnParts(const std::vector<std::string>& parts, TimePoint now)
+{
+    const auto* part = m_promptParts.quarantinedPart(parts);
+    if (!part)
+        return PromptPartGuard::Verdict::Allowed;
+    auto verdict = m_promptParts.decide(parts, probesPart(*part), now);
+    announcePromptParts();
+    return verdict;
+}
+
+bool TrafficState::probesPart(const std::string& part) const
+{
+    std::vector<InstanceId> instances;
+    for (const auto& it : m_view->entries)
+        instances.push_back(it.id);
+    return !instances.empty() && rendezvousOrder(part, instances).front() == m_settings.instance;
+}
+
+void TrafficState::recordLostRequest(const LostRequest& request, TimePoint now)
+{
+    if (request.parts.empty())
+        return;
+    m_promptParts.recordLost(request, now);
+    announcePromptParts();
+}
+
+void TrafficState::recordRunning(const std::string& upstreamProcess, TimePoint runningAt)
+{
+    m_promptParts.recordRunning(upstreamProcess, runningAt);
+}
+
+void TrafficState::recordServedParts(const std::vector<std::string>& parts, TimePoint now)
+{
+    m_promptParts.recordServed(parts, now);
+    announcePromptParts();
+}
+
+void TrafficState::judgeCrashes(TimePoint now)
+{
+    m_promptParts.judge(now);
+    announcePromptParts();
+}
+
+void TrafficState::announcePromptParts()
+{
+    for (auto& it : m_promptParts.takeEvents()) {
+        auto source = it.processes.empty() ? "peer" : "own";
+        it.processes.resize(std::min(it.processes.size(), maxLoggedProcesses));
+        LogLine(LogLevel::Warning, eventName(it.kind)).with("part", it.part).with("crashes", it.crashes).with("source", source).with("processes", absl::StrJoin(it.processes, ","));
+        m_metrics.promptPart(eventName(it.kind));
+    }
+    if (m_promptParts.takeUrgent() && m_onUrgentNews)
+        m_onUrgentNews();
+}
+
 TrafficReport TrafficState::report()
 {
     auto now = bootNow();
     m_connections.closeExpired(now);
     m_sessions.forget(now);
     m_crashes.forget(now - crashRetention);
+    m_promptParts.forget(now);
+    judgeCrashes(now);
     m_brokenResponses.forget(now - brokenResponseRetention);
-    return { m_balancer.ownWork(), m_evidence, m_crashes.own(), m_sessions.own(now), isReady(), threadCpuTime() };
+    return { m_balancer.ownWork(), m_evidence, m_crashes.own(), m_promptParts.news(now), m_sessions.own(now), isReady(), threadCpuTime() };
 }
 
 EligibleUpstreams TrafficState::findEligibleUpstreams(const ServiceId& id, const RoutedRequest& request, TimePoint now)
--- a/src/edge/traffic_state.h
+++ b/src/edge/traffic_state.h
@@ -3,6 +3,7 @@
 // State that all requests of an instance share. Used on the traffic thread only.
 
 #include "core/limits/crash_guard.h"
+#include "core/limits/prompt_part_guard.h"
 #include "core/rollout/broken_responses.h"
 #include "core/rollout/session_releases.h"
 #include "core/routing/upstream_balancer.h"
@@ -21,6 +22,7 @@
 };
 
 struct TrafficSettings {
+    InstanceId instance;
     DomainId domain;
     // Seed of the random choices between upstreams.
     std::uint64_t seed = 1;
@@ -37,6 +39,10 @@
     void setView(FleetViewPtr);
     // Merges the state that peers sent in their heartbeats.
     void learn(PeerUpdate);
+    // Merges what peers sent about prompt parts that crash upstreams.
+    void learn(const PromptPartNews&);
+    // Called when the control thread must get a report soon, and judgeCrashes() must be called after that.
+    void onUrgentNews(std::function<void()> callback) { m_onUrgentNews = std::move(callback); }
     // Drops expired state and returns the report for the control thread.
     TrafficReport report();
 
@@ -76,6 +82,16 @@
     // then as failures of their release, and the waiting time of requests abandoned before then as latency.
     void recordAnswer(const std::string& upstreamProcess, TimePoint sentAt);
 
+    // Decides whether a request with these prompt parts may be sent.
+    PromptPartGuard::Verdict decideOnParts(const std::vector<std::string>& parts, TimePoint now);
+    // Records events of the prompt part guard, see there.
+    void recordLostRequest(const LostRequest&, TimePoint now);
+    void recordRunning(const std::string& upstreamProcess, TimePoint runningAt);
+    void recordServedParts(const std::vector<std::string>& parts, TimePoint now);
+    // Judges the crashes whose evidence is complete.
+    void judgeCrashes(TimePoint now);
+    const PromptPartGuard& promptParts() const { return m_promptParts; }
+
     EventLoop& loop() { return m_loop; }
     UpstreamBalancer& balancer() { return m_balancer; }
     ConnectionPool& connections() { return m_connections; }
@@ -88,6 +104,10 @@
 private:
     bool isReleaseEligible(const RolloutView&, const std::string& release, const RoutedRequest&, TimePoint now) const;
     ServiceRetryBudget& retryBudgetOf(const ServiceId&);
+    // Whether this instance, of all that take callers, is the one that probes the part.
+    bool probesPart(const std::string& part) const;
+    // Logs what the prompt part guard decided, and asks for a report if peers must know of it.
+    void announcePromptParts();
 
     EventLoop& m_loop;
     TrafficSettings m_settings;
@@ -97,6 +117,8 @@
     ConnectionPool m_connections;
     BodyMemory m_bodyMemory;
     CrashGuard m_crashes;
+    PromptPartGuard m_promptParts;
+    std::function<void()> m_onUrgentNews;
     SessionReleases m_sessions;
     std::map<ServiceId, ServiceRetryBudget> m_retryBudgets;
     ReleaseEvidence m_evidence;
--- a/test/correctness/fleet_test.cpp
+++ b/test/correctness/fleet_test.cpp
@@ -39,6 +39,7 @@
     sent.work[{ "i-1" }] = { 3, 4000 };
     sent.evidence[{ { "assist" }, "v2", "cards", { "small" } }] = { 7, 1, 900ms, { 7, 33.5, 161.25 }, 2 };
     sent.crashes["f00d"] = 2;
+    sent.promptParts.quarantined = { { "dead", 900ms, 10ms, 3, 1, 400ms } };
     sent.sessions = { { 77, "v2", 300ms } };
     sent.known = { "10.0.0.2:70" };
     auto bytes = encodeHeartbeat(sent);
@@ -52,6 +53,9 @@
     CHECK(decoded->work.at({ "i-1" }).waitingTokens == 4000);
     CHECK(decoded->evidence == sent.evidence);
     CHECK(decoded->crashes == sent.crashes);
+    REQUIRE(decoded->promptParts.quarantined.size() == 1);
+    CHECK(decoded->promptParts.quarantined[0].part == "dead");
+    CHECK(decoded->promptParts.quarantined[0].probeAge == 400ms);
     CHECK(decoded->sessions.at(0).release == "v2");
     CHECK(decoded->known == sent.known);
     SECTION("a truncated heartbeat is rejected")
--- /dev/null
+++ b/test/correctness/prompt_part_guard_test.cpp
@@ -0,0 +1,331 @@
+// Tests which prompt parts are held responsible for crashes of upstreams, and for how long.
+
+#include "core/limits/prompt_part_guard.h"
+
+#include <absl/strings/str_cat.h>
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+using namespace skylarkhitch;
+using namespace std::chrono_literals;
+
+namespace {
+
+using Parts = std::vector<std::string>;
+using Verdict = PromptPartGuard::Verdict;
+
+constexpr TimePoint start { 1000s };
+
+// The connections of requests with these parts are lost at the same moment.
+void crash(PromptPartGuard& guard, const std::string& process, const std::vector<Parts>& requests, TimePoint now)
+{
+    for (std::size_t n = 0; n < requests.size(); ++n)
+        guard.recordLost({ process, { absl::StrCat(process, "-", n) }, requests[n], now - 100ms }, now);
+}
+
+bool isRefused(PromptPartGuard& guard, const std::string& part, TimePoint now)
+{
+    guard.judge(now + PromptPartGuard::judgementDelay);
+    return guard.decide({ "sys", part }, false, now) == Verdict::Refused;
+}
+
+// Instances tell each other what they know.
+void exchange(PromptPartGuard& a, PromptPartGuard& b, TimePoint now)
+{
+    auto news = a.news(now);
+    a.learn(b.news(now), now);
+    b.learn(news, now);
+}
+
+}
+
+TEST_CASE("the parts of a prompt that may crash upstreams are all but the last")
+{
+    RoutedRequest request;
+    CHECK(sharedParts(request).empty());
+    request.promptParts = { { "sys", 100 } };
+    CHECK(sharedParts(request).empty());
+    request.promptParts = { { "sys", 100 }, { std::string(5000, 'x'), 10 }, { "own", 10 } };
+    auto parts = sharedParts(request);
+    REQUIRE(parts.size() == 2);
+    CHECK(parts[0] == "sys");
+    CHECK(parts[1].size() <= 16);
+}
+
+TEST_CASE("a part that crashes upstreams is found among the parts of the requests beside it")
+{
+    PromptPartGuard guard;
+    guard.recordServed({ "sys" }, start - 10s);
+
+    SECTION("one crash quarantines nothing")
+    {
+        crash(guard, "i-1", { { "sys", "bad" }, { "sys", "good" } }, start);
+        CHECK_FALSE(isRefused(guard, "bad", start));
+        CHECK(guard.isSuspected({ "sys", "bad" }));
+        CHECK_FALSE(guard.isSuspected({ "sys", "other" }));
+    }
+    SECTION("the only part that two crashes have in common is quarantined, and the parts beside it are not")
+    {
+        crash(guard, "i-1", { { "sys", "bad" }, { "sys", "good" }, { "sys", "rare" } }, start);
+        crash(guard, "i-2", { { "sys", "other" }, { "sys", "bad" } }, start + 200ms);
+        CHECK(isRefused(guard, "bad", start + 200ms));
+        CHECK(guard.crashesOf("bad") == 2);
+        for (const auto* it : { "good", "rare", "other" }) {
+            CHECK_FALSE(isRefused(guard, it, start + 200ms));
+            CHECK_FALSE(guard.isSuspected({ "sys", it }));
+        }
+        CHECK(guard.decide({ "sys" }, false, start + 1s) == Verdict::Allowed);
+    }
+    SECTION("two parts in common need a third crash, which tells them apart")
+    {
+        crash(guard, "i-1", { { "sys", "bad" }, { "sys", "good" } }, start);
+        crash(guard, "i-2", { { "sys", "bad" }, { "sys", "good" } }, start + 200ms);
+        CHECK_FALSE(isRefused(guard, "bad", start + 200ms));
+        crash(guard, "i-3", { { "sys", "bad" } }, start + 400ms);
+        CHECK(isRefused(guard, "bad", start + 400ms));
+        CHECK_FALSE(isRefused(guard, "good", start + 400ms));
+    }
+    SECTION("a part with which requests were served is no suspect, although it was in each crash")
+    {
+        for (int n = 0; n < 4; ++n)
+            crash(guard, absl::StrCat("i-", n), { { "sys" }, { "sys" } }, start + n * 200ms);
+        CHECK_FALSE(isRefused(guard, "any", start + 1s));
+        SECTION("until it crashes one upstream after the other and is not served any more")
+        {
+            crash(guard, "i-9", { { "sys" } }, start + 1s);
+            CHECK(isRefused(guard, "any", start + 1s));
+        }
+        SECTION("and a response in between clears it")
+        {
+            guard.recordServed({ "sys" }, start + 900ms);
+            crash(guard, "i-9", { { "sys" } }, start + 1s);
+            CHECK_FALSE(isRefused(guard, "any", start + 1s));
+        }
+    }
+    SECTION("upstreams that are lost at the same moment have another cause")
+    {
+        for (int n = 0; n < 6; ++n)
+            crash(guard, absl::StrCat("i-", n), { { "sys", "hot" } }, start + n * 5ms);
+        CHECK_FALSE(isRefused(guard, "hot", start + 1s));
+    }
+    SECTION("a process that was found running did not crash")
+    {
+        crash(guard, "i-1", { { "sys", "unlucky" } }, start);
+        guard.recordRunning("i-1", start + 100ms);
+        crash(guard, "i-2", { { "sys", "unlucky" } }, start + 200ms);
+        CHECK_FALSE(isRefused(guard, "unlucky", start + 300ms));
+        SECTION("but its response to an earlier request proves nothing")
+        {
+            guard.recordRunning("i-2", start + 150ms);
+            crash(guard, "i-3", { { "sys", "unlucky" } }, start + 400ms);
+            CHECK(isRefused(guard, "unlucky", start + 400ms));
+        }
+        SECTION("and a later crash of it counts")
+        {
+            crash(guard, "i-1", { { "sys", "unlucky" } }, start + 3s);
+            CHECK(isRefused(guard, "unlucky", start + 3s));
+        }
+    }
+    SECTION("a request that was sent to a process after its crash is no suspect")
+    {
+        crash(guard, "i-1", { { "sys", "bad" } }, start);
+        guard.recordLost({ "i-1", { "late" }, { "sys", "late" }, start + 10ms }, start + 60ms);
+        CHECK_FALSE(guard.isSuspected({ "sys", "late" }));
+    }
+    SECTION("crashes count for two minutes")
+    {
+        crash(guard, "i-1", { { "sys", "bad" } }, start);
+        guard.forget(start + 130s);
+        crash(guard, "i-2", { { "sys", "bad" } }, start + 130s);
+        CHECK_FALSE(isRefused(guard, "bad", start + 130s));
+    }
+}
+
+TEST_CASE("a request that lost its connection is retried unless that may crash another upstream")
+{
+    PromptPartGuard guard;
+    guard.recordServed({ "sys" }, start - 10s);
+    SECTION("one lost connection is taken for a broken response")
+    {
+        crash(guard, "i-1", { { "sys", "new" } }, start);
+        CHECK_FALSE(guard.isRetryUnsafe({ "sys", "new" }));
+        CHECK_FALSE(guard.hasCrashed("i-1"));
+    }
+    SECTION("two lost connections are taken for a crash")
+    {
+        crash(guard, "i-1", { { "sys", "new" }, { "sys", "known" } }, start);
+        CHECK(guard.hasCrashed("i-1"));
+        CHECK(guard.isRetryUnsafe({ "sys", "new" }));
+        CHECK_FALSE(guard.isRetryUnsafe({ "sys" }));
+        SECTION("also if another instance lost the other one, which has served the part before")
+        {
+            PromptPartGuard other;
+            other.recordServed({ "known" }, start - 5s);
+            crash(other, "i-1", { { "sys", "known" } }, start);
+            exchange(guard, other, start + 5ms);
+            CHECK(guard.isRetryUnsafe({ "sys", "new" }));
+            CHECK_FALSE(guard.isRetryUnsafe({ "sys", "known" }));
+        }
+    }
+}
+
+TEST_CASE("all instances act on what one of them saw")
+{
+    PromptPartGuard first, second, third;
+
+    SECTION("crashes that different instances saw are added up, and one that both saw counts once")
+    {
+        crash(first, "i-1", { { "bad" } }, start);
+        crash(second, "i-1", { { "good" } }, start);
+        exchange(first, second, start + 10ms);
+        CHECK_FALSE(isRefused(first, "bad", start + 10ms));
+        crash(second, "i-2", { { "bad" } }, start + 200ms);
+        CHECK(isRefused(second, "bad", start + 200ms));
+        exchange(first, second, start + 210ms);
+        CHECK(isRefused(first, "bad", start + 210ms));
+        SECTION("an instance that learns of it later refuses the part too, and passes it on")
+        {
+            second.learn(first.news(start + 60s), start + 60s);
+            third.learn(second.news(start + 60s), start + 60s);
+            CHECK(isRefused(third, "bad", start + 60s));
+            CHECK(third.crashesOf("bad") == 2);
+        }
+        SECTION("instances that tell it each other again and again do not keep it alive")
+        {
+            auto now = start;
+            for (; now < start + 700s; now += 250ms) {
+                exchange(first, second, now);
+                first.forget(now);
+                second.forget(now);
+            }
+            CHECK(first.quarantinedCount() == 0);
+            CHECK(second.news(now).empty());
+        }
+    }
+    SECTION("a part that one instance has served is no suspect at the others")
+    {
+        first.recordServed({ "known" }, start - 20s);
+        crash(second, "i-1", { { "known" } }, start);
+        first.takeUrgent();
+        exchange(first, second, start + 10ms);
+        CHECK(first.takeUrgent());
+        exchange(first, second, start + 20ms);
+        CHECK_FALSE(second.isSuspected({ "known" }));
+    }
+    SECTION("a process that one instance finds running has not crashed for the others")
+    {
+        crash(first, "i-1", { { "unlucky" } }, start);
+        exchange(first, second, start + 10ms);
+        second.recordRunning("i-1", start + 50ms);
+        exchange(first, second, start + 100ms);
+        CHECK_FALSE(first.isSuspected({ "unlucky" }));
+    }
+}
+
+TEST_CASE("a quarantine ends when it was wrong, or when no such request comes any more")
+{
+    PromptPartGuard guard, peer;
+    crash(guard, "i-1", { { "bad" } }, start);
+    crash(guard, "i-2", { { "bad" } }, start + 1s);
+    exchange(guard, peer, start + 1s);
+    REQUIRE(isRefused(peer, "bad", start + 1s));
+
+    SECTION("a response that was still running completes")
+    {
+        auto oldNews = peer.news(start + 2s);
+        guard.recordServed({ "bad" }, start + 2s);
+        CHECK_FALSE(isRefused(guard, "bad", start + 2s));
+        SECTION("peers learn of it")
+        {
+            exchange(guard, peer, start + 3s);
+            CHECK_FALSE(isRefused(peer, "bad", start + 3s));
+        }
+        SECTION("old news does not bring the quarantine back")
+        {
+            guard.learn(oldNews, start + 2s);
+            CHECK_FALSE(isRefused(guard, "bad", start + 2s));
+        }
+    }
+    SECTION("another part turns out to be in more crashes")
+    {
+        crash(guard, "i-3", { { "worse", "unlucky" } }, start + 2s);
+        crash(guard, "i-4", { { "worse", "unlucky" } }, start + 3s);
+        crash(guard, "i-5", { { "worse", "unlucky" } }, start + 4s);
+        REQUIRE(isRefused(guard, "unlucky", start + 4s));
+        crash(peer, "i-6", { { "worse" } }, start + 5s);
+        crash(peer, "i-7", { { "worse" } }, start + 6s);
+        REQUIRE(isRefused(peer, "worse", start + 6s));
+        exchange(guard, peer, start + 6s);
+        exchange(guard, peer, start + 6s);
+        CHECK(isRefused(guard, "worse", start + 6s));
+        CHECK_FALSE(isRefused(guard, "unlucky", start + 6s));
+        CHECK_FALSE(isRefused(peer, "unlucky", start + 6s));
+    }
+    SECTION("one instance sends one request after a while, and the others know of it")
+    {
+        CHECK(guard.decide({ "bad" }, true, start + 30s) == Verdict::Refused);
+        CHECK(guard.decide({ "bad" }, false, start + 32s) == Verdict::Refused);
+        CHECK(guard.decide({ "bad" }, true, start + 32s) == Verdict::Probe);
+        CHECK(guard.decide({ "bad" }, true, start + 33s) == Verdict::Refused);
+        exchange(guard, peer, start + 33s);
+        CHECK(peer.decide({ "bad" }, true, start + 34s) == Verdict::Refused);
+        SECTION("if the upstream crashes, the next one is sent much later")
+        {
+            crash(guard, "i-9", { { "bad" } }, start + 33s);
+            CHECK(guard.decide({ "bad" }, true, start + 270s) == Verdict::Refused);
+            CHECK(guard.decide({ "bad" }, true, start + 273s) == Verdict::Probe);
+        }
+    }
+    SECTION("it lasts while requests with the part come")
+    {
+        for (auto time = 0s; time < 2000s; time += 100s) {
+            guard.forget(start + time);
+            CHECK(isRefused(guard, "bad", start + time));
+        }
+        guard.forget(start + 2400s);
+        CHECK(isRefused(guard, "bad", start + 2400s));
+        guard.forget(start + 3100s);
+        CHECK_FALSE(isRefused(guard, "bad", start + 3100s));
+    }
+}
+
+TEST_CASE("news of crashes stays small, and survives encoding")
+{
+    PromptPartGuard guard, peer;
+    for (int n = 0; n < 500; ++n) {
+        std::vector<Parts> requests;
+        for (int m = 0; m < 64; ++m)
+            requests.push_back({ absl::StrCat("part-", n, "-", m) });
+        crash(guard, absl::StrCat("i-0123456789/", n), requests, start + n * 200ms);
+    }
+    auto now = start + 100s;
+    auto news = guard.news(now);
+    CHECK(news.crashes.size() == PromptPartGuard::maxSentCrashes);
+    CHECK(guard.dropped() > 0);
+    auto json = toJson(news);
+    CHECK(nlohmann::json::to_cbor(json).size() < 4096);
+    SECTION("decoding gives the same")
+    {
+        CHECK(toJson(promptPartNewsFrom(json)) == json);
+    }
+    SECTION("what is dropped are the oldest crashes")
+    {
+        CHECK(guard.hasCrashed("i-0123456789/499"));
+        CHECK_FALSE(guard.hasCrashed("i-0123456789/0"));
+    }
+    SECTION("a part in several crashes is told even if each crash has too many others")
+    {
+        PromptPartGuard other;
+        other.recordServed({ "sys" }, start);
+        for (int n = 0; n < 2; ++n) {
+            std::vector<Parts> requests { { "bad", "twin" } };
+            for (int m = 0; m < 20; ++m)
+                requests.push_back({ absl::StrCat("part-", n, "-", m) });
+            crash(other, absl::StrCat("i-", n), requests, now + n * 1s);
+        }
+        auto told = other.news(now + 2s);
+        REQUIRE(told.crashes.size() == 2);
+        for (const auto& it : told.crashes)
+            CHECK(std::find(it.parts.begin(), it.parts.end(), "bad") != it.parts.end());
+    }
+}
