--- a/src/core/limits/prompt_part_guard.cpp
+++ b/src/core/limits/prompt_part_guard.cpp
@@ -157,12 +157,6 @@
     });
 }
 
-bool PromptPartGuard::hasCrashed(const std::string& process) const
-{
-    auto it = m_crashes.find(process);
-    return it != m_crashes.end() && isConfirmed(it->second);
-}
-
 bool PromptPartGuard::isExplained(const Crash& crash) const
 {
     return !m_quarantined.empty() && std::any_of(crash.parts.begin(), crash.parts.end(), [&](const auto& it) { return m_quarantined.contains(it); });
@@ -186,10 +180,9 @@
 
 std::size_t PromptPartGuard::countCauses(const std::vector<const Crashes::value_type*>& crashes)
 {
-    std::vector<TimePoint> times;
+    std::multiset<TimePoint> times;
     for (const auto* it : crashes)
-        times.push_back(it->second.at);
-    std::sort(times.begin(), times.end());
+        times.insert(it->second.at);
     std::size_t causes = 0;
     std::optional<TimePoint> last;
     for (auto it : times) {
--- a/src/core/limits/prompt_part_guard.h
+++ b/src/core/limits/prompt_part_guard.h
@@ -94,8 +94,6 @@
     // The same, where more than one lost connection speaks for a crash. A request that lost its connection must not be sent to
     // another upstream then.
     bool isRetryUnsafe(const std::vector<std::string>& parts) const;
-    // Whether the process crashed: several requests lost their connections to it, and it was not found running since.
-    bool hasCrashed(const std::string& process) const;
 
     // Merges what a peer sent.
     void learn(const PromptPartNews&, TimePoint now);
