Withdraw waiting requests when a part of their prompts is quarantined

Requests that had been sent before the quarantine still crashed their engines when these began to respond. Those without a first event are now withdrawn: the connection is closed, which makes an engine drop a request that it has not begun. The caller gets 502, since the request may have run.

--- a/src/edge/request_forwarder.cpp
+++ b/src/edge/request_forwarder.cpp
@@ -245,12 +245,16 @@
     m_workBefore = m_traffic.balancer().workOn(upstream.id);
     m_traffic.balancer().sent(upstream.id, m_attemptWork);
     AttemptResult result { AttemptEnd::Cut, false };
+    startWaiting();
     try {
         result = co_await sendAndReceive(upstream, connection);
     } catch (const std::exception& e) {
         // The request may have run, as after a lost connection.
         LogLine(LogLevel::Error, "attempt_error").with("id", m_admitted.request.id.value).with("upstream", upstream.id.value).with("error", e.what());
     }
+    stopWaiting();
+    if (m_isWithdrawn && !result.isFinal)
+        result = { AttemptEnd::Dropped, false };
     m_traffic.balancer().ended(upstream.id, m_attemptWork, m_firstEventSeen);
     m_execution.attemptEnded(result.end);
     m_connection = nullptr;
@@ -277,6 +281,24 @@
     co_return result;
 }
 
+void RequestForwarder::startWaiting()
+{
+    m_isWithdrawn = false;
+    if (m_parts.empty() || m_isProbe)
+        return;
+    auto withdraw = [this] {
+        m_isWithdrawn = true;
+        m_connection->close();
+    };
+    m_waiting = m_traffic.addWaiting({ m_parts, withdraw });
+}
+
+void RequestForwarder::stopWaiting()
+{
+    if (m_waiting)
+        m_traffic.removeWaiting(*std::exchange(m_waiting, std::nullopt));
+}
+
 Awaitable<void> RequestForwarder::awaitCrashEvidence()
 {
     if (!m_caller->hasDisconnected() && m_traffic.promptParts().isSuspected(m_parts))
@@ -363,6 +385,7 @@
             auto now = bootNow();
             m_firstEventSeen = true;
             m_firstEventAt = now;
+            stopWaiting();
             m_traffic.balancer().begun(upstream.id, m_attemptWork);
             m_traffic.balancer().recordFirstEvent(m_workBefore + m_attemptWork, toMilliseconds(now - m_sentAt));
             m_traffic.countOutcome(releaseRoute(upstream), true, toMilliseconds(now - m_sentAt));
@@ -422,6 +445,7 @@
 
 void RequestForwarder::releaseConnection(const UpstreamEntry& upstream, std::shared_ptr<UpstreamConnection> connection, std::optional<Seconds> idleTimeout, TimePoint now)
 {
+    stopWaiting();
     m_connection = nullptr;
     m_traffic.connections().recycle(upstream, std::move(connection), idleTimeout, now);
 }
--- a/src/edge/request_forwarder.h
+++ b/src/edge/request_forwarder.h
@@ -40,6 +40,9 @@
     Awaitable<AttemptResult> makeAttempt(UpstreamEntry);
     // Whether the request may be sent although a part of its prompt may crash upstreams.
     bool mayBeSent(TimePoint now);
+    // Keeps the request in the list of those that are withdrawn when a part of their prompt is quarantined.
+    void startWaiting();
+    void stopWaiting();
     // Waits until the other losses of connections to the upstream are known, if a part of the prompt may have crashed it.
     Awaitable<void> awaitCrashEvidence();
     // Sends the request on an open connection and handles the response.
@@ -86,6 +89,10 @@
     std::vector<std::string> m_parts;
     // The request was let through to find out whether a part of its prompt still crashes upstreams.
     bool m_isProbe = false;
+    // Set while the current attempt waits for its first event.
+    std::optional<WaitingRequests::iterator> m_waiting;
+    // The current attempt was withdrawn from its upstream.
+    bool m_isWithdrawn = false;
     ExecutionTracker m_execution;
     EventStreamParser m_events;
     std::shared_ptr<UpstreamConnection> m_connection;
--- a/src/edge/traffic_state.cpp
+++ b/src/edge/traffic_state.cpp
@@ -144,6 +144,14 @@
     announcePromptParts();
 }
 
+void TrafficState::withdrawWaiting(const std::string& part)
+{
+    for (auto& it : m_waiting) {
+        if (std::find(it.parts.begin(), it.parts.end(), part) != it.parts.end())
+            it.withdraw();
+    }
+}
+
 void TrafficState::announcePromptParts()
 {
     for (auto& it : m_promptParts.takeEvents()) {
@@ -151,6 +159,8 @@
         it.processes.resize(std::min(it.processes.size(), maxLoggedProcesses));
         LogLine(LogLevel::Warning, eventName(it.kind)).with("part", it.part).with("crashes", it.crashes).with("source", source).with("processes", absl::StrJoin(it.processes, ","));
         m_metrics.promptPart(eventName(it.kind));
+        if (it.kind == PromptPartEvent::Kind::Quarantined)
+            withdrawWaiting(it.part);
     }
     if (m_promptParts.takeUrgent() && m_onUrgentNews)
         m_onUrgentNews();
--- a/src/edge/traffic_state.h
+++ b/src/edge/traffic_state.h
@@ -21,6 +21,14 @@
     std::vector<const UpstreamEntry*> allowed;
 };
 
+// A request that was sent to an upstream and got no event of a response yet.
+struct WaitingRequest {
+    std::vector<std::string> parts;
+    // Withdraws the request from its upstream.
+    std::function<void()> withdraw;
+};
+using WaitingRequests = std::list<WaitingRequest>;
+
 struct TrafficSettings {
     InstanceId instance;
     DomainId domain;
@@ -88,6 +96,9 @@
     void recordLostRequest(const LostRequest&, TimePoint now);
     void recordRunning(const std::string& upstreamProcess, TimePoint runningAt);
     void recordServedParts(const std::vector<std::string>& parts, TimePoint now);
+    // Withdraws the request if one of its parts is put into quarantine before removeWaiting() is called.
+    WaitingRequests::iterator addWaiting(WaitingRequest request) { return m_waiting.insert(m_waiting.end(), std::move(request)); }
+    void removeWaiting(WaitingRequests::iterator it) { m_waiting.erase(it); }
     // Judges the crashes whose evidence is complete.
     void judgeCrashes(TimePoint now);
     const PromptPartGuard& promptParts() const { return m_promptParts; }
@@ -106,7 +117,8 @@
     ServiceRetryBudget& retryBudgetOf(const ServiceId&);
     // Whether this instance, of all that take callers, is the one that probes the part.
     bool probesPart(const std::string& part) const;
-    // Logs what the prompt part guard decided, and asks for a report if peers must know of it.
+    void withdrawWaiting(const std::string& part);
+    // Logs what the prompt part guard decided, withdraws the requests that this concerns, and asks for a report if peers must know of it.
     void announcePromptParts();
 
     EventLoop& m_loop;
@@ -119,6 +131,7 @@
     CrashGuard m_crashes;
     PromptPartGuard m_promptParts;
     std::function<void()> m_onUrgentNews;
+    WaitingRequests m_waiting;
     SessionReleases m_sessions;
     std::map<ServiceId, ServiceRetryBudget> m_retryBudgets;
     ReleaseEvidence m_evidence;
--- a/test/fakes/fleet_standin.cpp
+++ b/test/fakes/fleet_standin.cpp
@@ -246,10 +246,11 @@
     };
 }
 
-CrashingEngine::CrashingEngine(FleetStore& store, std::string id, std::string service, std::string fatalPart)
+CrashingEngine::CrashingEngine(FleetStore& store, std::string id, std::string service, std::string fatalPart, std::chrono::milliseconds timeToFirstEvent)
     : m_store(store)
     , m_service(std::move(service))
     , m_fatalPart(std::move(fatalPart))
+    , m_timeToFirstEvent(timeToFirstEvent)
     , m_upstream(std::move(id), [this](const RawRequest& request, RawConnection& connection) { return serve(request, connection); })
 {
     registerProcess();
@@ -283,7 +284,6 @@
 
 bool CrashingEngine::serve(const RawRequest& request, RawConnection& connection)
 {
-    constexpr std::chrono::milliseconds timeToFirstEvent { 40 };
     bool isFatal = absl::StrContains(request.field("X-Prefix-Hash"), m_fatalPart);
     std::unique_lock lock(m_mutex);
     auto born = m_born;
@@ -291,7 +291,7 @@
     if (isFatal && m_isRunning)
         m_fatalRequests.push_back(std::chrono::steady_clock::now());
     lock.unlock();
-    bool isCancelled = connection.isClosedWithin(timeToFirstEvent);
+    bool isCancelled = connection.isClosedWithin(m_timeToFirstEvent);
     lock.lock();
     if (isFatal && isRunning() && !isCancelled) {
         m_isRunning = false;
--- a/test/fakes/fleet_standin.h
+++ b/test/fakes/fleet_standin.h
@@ -136,8 +136,8 @@
 public:
     using TimePoint = std::chrono::steady_clock::time_point;
 
-    // Registers the engine for a service.
-    CrashingEngine(FleetStore&, std::string id, std::string service, std::string fatalPart);
+    // Registers the engine for a service. A response begins this long after its request.
+    CrashingEngine(FleetStore&, std::string id, std::string service, std::string fatalPart, std::chrono::milliseconds timeToFirstEvent = std::chrono::milliseconds(40));
 
     // Starts the process again if it crashed at least this long ago.
     void restartAfter(std::chrono::milliseconds);
@@ -152,6 +152,7 @@
     FleetStore& m_store;
     std::string m_service;
     std::string m_fatalPart;
+    std::chrono::milliseconds m_timeToFirstEvent;
     std::mutex m_mutex;
     std::int64_t m_born = 1;
     bool m_isRunning = true;
--- a/test/processes/crashing_part_test.cpp
+++ b/test/processes/crashing_part_test.cpp
@@ -23,6 +23,16 @@
 constexpr std::size_t maxFatalRequests = 3;
 constexpr auto engineRestartTime = 1500ms;
 
+// Sends a request over a new connection and returns the response, or what there was of it. May be called on any thread.
+std::string sendAndRead(const EdgeInstance& instance, const std::string& bytes)
+{
+    auto connection = RawConnection::connect(instance.port());
+    if (!connection)
+        return {};
+    connection->write(bytes);
+    return connection->readResponse();
+}
+
 // Three instances and ten engines. Callers share their key and the first part of their prompts.
 class CrashingSite {
 public:
@@ -98,12 +108,8 @@
 private:
     std::string send(const EdgeInstance& instance, const std::string& id, const std::string& parts)
     {
-        auto connection = RawConnection::connect(instance.port());
-        if (!connection)
-            return {};
         auto headers = absl::StrCat("X-Model-Name: *\r\nX-Token-Count: 900,50\r\nX-Prefix-Hash: ", parts, "\r\n");
-        connection->write(requestBytes("POST", absl::StrCat("/draft/", id), id, headers, "prompt " + id));
-        return connection->readResponse();
+        return sendAndRead(instance, requestBytes("POST", absl::StrCat("/draft/", id), id, headers, "prompt " + id));
     }
 
     void callSound(const EdgeInstance& instance, std::size_t caller, Clock::time_point end)
@@ -142,6 +148,35 @@
 
 }
 
+// Guards against upstreams that crash on requests which they were sent before the part was quarantined.
+TEST_CASE("requests that wait for an engine are withdrawn when a part of their prompts is quarantined")
+{
+    FleetStore store;
+    store.put("op/config", sampleConfiguration(3));
+    CrashingEngine first(store, "i-1", "assist", fatalPart, 50ms), second(store, "i-2", "assist", fatalPart, 200ms), third(store, "i-3", "assist", fatalPart, 1500ms);
+    EdgeInstance instance("edge-1", store.address());
+    REQUIRE(waitUntil(5s, [&] { return instance.isReady(); }));
+    std::vector<std::thread> callers;
+    std::vector<std::string> responses(9);
+    // The instance spreads requests that arrive at the same moment over the engines.
+    for (std::size_t n = 0; n < responses.size(); ++n) {
+        callers.emplace_back([&, n] {
+            auto headers = absl::StrCat("X-Model-Name: *\r\nX-Token-Count: 900,50\r\nX-Prefix-Hash: sys", n, ":300,", fatalPart, ":100,e", n, ":400\r\n");
+            responses[n] = sendAndRead(instance, requestBytes("POST", absl::StrCat("/draft/", n), absl::StrCat("id-", n), headers, "prompt"));
+        });
+    }
+    for (auto& it : callers)
+        it.join();
+    for (const auto& it : responses)
+        CHECK(statusOf(it) >= 502);
+    REQUIRE(third.fatalRequests().size() >= 1);
+    std::this_thread::sleep_for(1500ms);
+    CHECK(first.crashes().size() == 1);
+    CHECK(second.crashes().size() == 1);
+    CHECK(third.crashes().empty());
+    store.cutWatches();
+}
+
 // Guards against requests that have nothing in common but a prompt part, and crash one engine after the other by way of all instances.
 TEST_CASE("a prompt part that crashes engines is refused by all instances, and other requests are served")
 {
