Do not clear a prompt part by a stream that ended because its engine crashed

A stream with neither length nor chunks that ends after an event looks complete, also when the engine crashed, and cleared the part that crashed it.

--- a/src/core/limits/prompt_part_guard.cpp
+++ b/src/core/limits/prompt_part_guard.cpp
@@ -157,6 +157,12 @@
     });
 }
 
+bool PromptPartGuard::lostConnections(const std::string& process) const
+{
+    auto it = m_crashes.find(process);
+    return it != m_crashes.end() && isCrash(it->second);
+}
+
 bool PromptPartGuard::isExplained(const Crash& crash) const
 {
     return !m_quarantined.empty() && std::any_of(crash.parts.begin(), crash.parts.end(), [&](const auto& it) { return m_quarantined.contains(it); });
--- a/src/core/limits/prompt_part_guard.h
+++ b/src/core/limits/prompt_part_guard.h
@@ -95,6 +95,9 @@
     // another upstream then.
     bool isRetryUnsafe(const std::vector<std::string>& parts) const;
 
+    // Whether connections to the process were lost and it was not found running since.
+    bool lostConnections(const std::string& process) const;
+
     // Merges what a peer sent.
     void learn(const PromptPartNews&, TimePoint now);
     // Puts parts into quarantine for which there are enough crashes. To be called judgementDelay after takeUrgent() returned true.
--- a/src/edge/request_forwarder.cpp
+++ b/src/edge/request_forwarder.cpp
@@ -83,6 +83,16 @@
         return text;
     }
 
+    // Finds out whether a response ended because its upstream crashed: then other connections to it are lost as well.
+    Awaitable<void> settleEndOfConnection(TrafficState& traffic, LostRequest request)
+    {
+        co_await sleepFor(traffic.loop(), crashEvidenceTime);
+        if (traffic.promptParts().lostConnections(request.process))
+            traffic.recordLostRequest(request, bootNow());
+        else
+            traffic.recordServedParts(request.parts, bootNow());
+    }
+
     // Identifies one process of an upstream, so that a crash after a restart counts as another crash.
     UpstreamId upstreamProcessId(const UpstreamEntry& upstream) { return { absl::StrCat(upstream.id.value, "/", upstream.born) }; }
 
@@ -402,8 +412,8 @@
         }
         co_await m_caller->writeBody(events.bytes);
         if (isComplete) {
+            recordStreamServed(upstream, connection->endsWithConnection());
             releaseConnection(upstream, connection, keepAliveTimeout, bootNow());
-            m_traffic.recordServedParts(m_parts, bootNow());
             co_await m_caller->endBody();
             logOutcome("none", 200);
             co_return AttemptResult { AttemptEnd::Completed, true };
@@ -548,6 +558,16 @@
     m_traffic.recordAnswer(upstreamProcessId(upstream).value, m_sentAt);
 }
 
+void RequestForwarder::recordStreamServed(const UpstreamEntry& upstream, bool endedWithConnection)
+{
+    if (m_parts.empty() || !m_firstEventSeen)
+        return;
+    if (endedWithConnection)
+        spawn(m_traffic.loop(), settleEndOfConnection(m_traffic, { upstreamProcessId(upstream).value, m_admitted.request.id, m_parts, m_sentAt }), "settle_end_of_connection");
+    else
+        m_traffic.recordServedParts(m_parts, bootNow());
+}
+
 void RequestForwarder::recordOutlived(const UpstreamEntry& upstream, TimePoint now)
 {
     m_traffic.recordRunning(upstreamProcessId(upstream).value, now - staleBytesTime);
--- a/src/edge/request_forwarder.h
+++ b/src/edge/request_forwarder.h
@@ -69,6 +69,8 @@
     Awaitable<void> respondWithError(ErrorKind);
     void recordUpstreamFailure(const UpstreamEntry&, AttemptEnd);
     void recordUpstreamSuccess(const UpstreamEntry&);
+    // Records that the upstream completed a stream.
+    void recordStreamServed(const UpstreamEntry&, bool endedWithConnection);
     // Records that the upstream still runs after it began the response, once that has lasted long enough.
     void recordOutlived(const UpstreamEntry&, TimePoint now);
     void recordFirstByte(TimePoint now);
--- a/src/edge/upstream_connection.h
+++ b/src/edge/upstream_connection.h
@@ -58,6 +58,8 @@
     // Reads the rest of the body. If it is longer than the limit, or does not fit into the memory of all bodies, closes the
     // connection and returns Malformed. `times` replaces the deadline.
     Awaitable<BodyPiece> readWholeBody(std::size_t maxBytes, std::optional<BodyTimes> times = {}, BodyMemory::Share* memory = nullptr);
+    // Whether the response has neither a length nor chunks, so that the end of the connection is its end.
+    bool endsWithConnection() const { return m_parser->need_eof(); }
     // Closes the connection because the response is invalid, and returns Malformed.
     TransferEnd reject(std::string cause);
     // Why the response was rejected.
--- a/test/processes/edge_test.cpp
+++ b/test/processes/edge_test.cpp
@@ -421,6 +421,83 @@
         }
         CHECK(absl::EndsWith(response, "0\r\n\r\n"));
     }
+    // Guards against the end of a connection being taken for a crash where it is the end of the response.
+    SECTION("a stream without length and chunks ends with its connection")
+    {
+        const std::string head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Confidence: 100\r\nX-Server-Seal: first\r\nConnection: close\r\nX-Attempt-Id: ";
+        std::atomic<int> sends = 0;
+        SECTION("and is complete if that is after an event")
+        {
+            site.setEngineScripts([&](const RawRequest& request, RawConnection& connection) {
+                ++sends;
+                connection.write(absl::StrCat(head, request.field("X-Attempt-Id"), "\r\n\r\nid: 1\ndata: x\n\nid: 2\ndata: y\n\n"));
+                return false;
+            });
+            for (int n = 0; n < 5; ++n)
+                CHECK(absl::EndsWith(draft(absl::StrCat("id-", n)), "0\r\n\r\n"));
+            CHECK(sends == 5);
+            CHECK(instance.linesContaining("upstream_connection_lost").empty());
+        }
+        SECTION("and is resumed if that is inside an event, which blames no part of the prompt")
+        {
+            site.setEngineScripts([&](const RawRequest& request, RawConnection& connection) {
+                if (++sends % 2 == 0)
+                    return streamEvents(3, 5ms)(request, connection);
+                connection.write(absl::StrCat(head, request.field("X-Attempt-Id"), "\r\n\r\nid: 1\ndata: x\n\nid: 2\nda"));
+                return false;
+            });
+            for (int n = 0; n < 6; ++n) {
+                auto response = draft(absl::StrCat("id-", n));
+                CHECK(absl::EndsWith(response, "0\r\n\r\n"));
+                CHECK(absl::StrContains(response, "id: 3\n"));
+            }
+            CHECK(sends == 12);
+            CHECK(instance.linesContaining("part_quarantined").empty());
+        }
+        SECTION("and is repeated if it was reset before an event")
+        {
+            site.setEngineScripts([&](const RawRequest& request, RawConnection& connection) {
+                if (++sends > 1)
+                    return streamEvents(3, 5ms)(request, connection);
+                connection.write(absl::StrCat(head, request.field("X-Attempt-Id"), "\r\n\r\n"));
+                std::this_thread::sleep_for(50ms);
+                connection.reset();
+                return false;
+            });
+            CHECK(absl::EndsWith(draft("id-1"), "0\r\n\r\n"));
+            CHECK(sends == 2);
+        }
+        SECTION("and does not clear a part of the prompt if other connections to the engine are lost at the same moment")
+        {
+            constexpr auto timeToCrash = 300ms;
+            site.setEngineScripts([&](const RawRequest& request, RawConnection& connection) {
+                connection.isClosedWithin(timeToCrash);
+                if (absl::StrContains(request.field("X-Prefix-Hash"), "dead"))
+                    connection.write(absl::StrCat(head, request.field("X-Attempt-Id"), "\r\n\r\nid: 1\ndata: x\n\n"));
+                else
+                    connection.reset();
+                return false;
+            });
+            auto send = [&](int crash, const std::string& part, int n) {
+                auto parts = absl::StrCat("X-Model-Name: *\r\nX-Token-Count: 900,50\r\nX-Prefix-Hash: ", part, ":300,e:400\r\n");
+                auto connection = RawConnection::connect(instance.port());
+                connection->write(requestBytes("POST", "/draft/x", absl::StrCat("id-", crash, "-", n), parts, "prompt"));
+                return connection;
+            };
+            for (int crash = 0; crash < 3; ++crash) {
+                std::vector<std::unique_ptr<RawConnection>> callers;
+                for (int n = 0; n < 4; ++n)
+                    callers.push_back(send(crash, n == 3 ? "dead" : absl::StrCat("5ab", crash), n));
+                for (auto& it : callers)
+                    it->readResponse();
+                // The engines are other processes afterwards.
+                site.store.put("servers/i-3", site.engine.registration("assist", "ready", "v1", crash + 2));
+                site.store.put("servers/i-4", site.otherEngine.registration("assist", "ready", "v1", crash + 2));
+                std::this_thread::sleep_for(700ms);
+            }
+            CHECK(instance.linesContaining("part_quarantined part=dead").size() == 1);
+        }
+    }
     SECTION("a stream that cannot be resumed ends without the last chunk")
     {
         site.setEngineScripts([&](const RawRequest& request, RawConnection& connection) {
