Count one crash of an upstream as one ejection, and not against its next process

A crash that ended 30 requests of an instance counted as ten ejections in a row, so that the upstream was out of use for 8 s, also after it had started again under its id. Failures during an ejection no longer count, and failures and reported load belong to a process of the upstream. test_routing, 'a crash that ends many requests', failed before (10 ejections, still ejected as another process) and passes now.

--- a/src/core/routing/upstream_balancer.cpp
+++ b/src/core/routing/upstream_balancer.cpp
@@ -178,6 +178,9 @@
 bool UpstreamBalancer::failed(const UpstreamId& id, TimePoint now)
 {
     auto& state = m_states[id];
+    // All requests that one crash ends fail at the same time.
+    if (state.ejectedUntil > now)
+        return false;
     if (++state.consecutiveFailures < m_settings.failuresToEject)
         return false;
     auto time = m_settings.initialEjection * (1 << std::min(state.ejections, 8));
@@ -208,6 +211,11 @@
         bool isKnown = std::any_of(entries.begin(), entries.end(), [&](const auto& entry) { return entry.id == it.first; });
         return !isKnown && it.second.own.requests == 0;
     });
+    for (const auto& it : entries) {
+        auto& state = m_states[it.id];
+        if (state.born != it.born)
+            state = { .own = state.own, .born = it.born };
+    }
 }
 
 bool UpstreamBalancer::isEjected(const UpstreamId& id, TimePoint now) const
--- a/src/core/routing/upstream_balancer.h
+++ b/src/core/routing/upstream_balancer.h
@@ -76,13 +76,14 @@
     // Stores the load that the upstream reported.
     void reported(const UpstreamId&, const ReportedLoad&, TimePoint now);
     void succeeded(const UpstreamId&);
-    // Records a failure; true if the upstream is ejected because of it.
+    // Records a failure; true if the upstream is ejected because of it. Failures during an ejection do not count.
     bool failed(const UpstreamId&, TimePoint now);
 
     // Replaces the work of all other instances, taken from their heartbeats.
     void setPeerWork(absl::flat_hash_map<UpstreamId, UpstreamWork>);
     std::map<UpstreamId, UpstreamWork> ownWork() const;
-    // Drops the state of upstreams that are not listed and have none of this instance's requests.
+    // Drops the state of upstreams that are not listed and have none of this instance's requests, and the failures and loads of
+    // processes that another one of the same upstream has replaced.
     void keepOnly(const std::vector<UpstreamEntry>&);
 
     bool isEjected(const UpstreamId&, TimePoint now) const;
@@ -94,6 +95,8 @@
 private:
     struct State {
         UpstreamWork own;
+        // Start time of the process that the rest is about.
+        std::int64_t born = 0;
         int consecutiveFailures = 0;
         // Ejections since the last success.
         int ejections = 0;
--- a/test/correctness/routing_test.cpp
+++ b/test/correctness/routing_test.cpp
@@ -325,6 +325,23 @@
         freshEngines.balancer.succeeded(bad);
         CHECK_FALSE(freshEngines.balancer.failed(bad, start));
     }
+    // Guards against an upstream that stays out of use for long after one crash, which many requests see.
+    SECTION("a crash that ends many requests pauses an upstream once, and not its next process")
+    {
+        engines.balancer.keepOnly(engines.entries);
+        int ejections = 0;
+        for (int n = 0; n < 30; ++n)
+            ejections += engines.balancer.failed(bad, start) ? 1 : 0;
+        CHECK(ejections == 1);
+        CHECK_FALSE(engines.balancer.isEjected(bad, start + 1s));
+        for (int n = 0; n < 3; ++n)
+            engines.balancer.failed(bad, start + 1s);
+        CHECK(engines.balancer.isEjected(bad, start + 1100ms));
+        for (auto& it : engines.entries)
+            it.born += it.id == bad ? 1 : 0;
+        engines.balancer.keepOnly(engines.entries);
+        CHECK_FALSE(engines.balancer.isEjected(bad, start + 1100ms));
+    }
     SECTION("a paused upstream is chosen if all others were tried")
     {
         for (const auto& it : engines.entries) {
