--- a/test/correctness/prompt_part_guard_test.cpp
+++ b/test/correctness/prompt_part_guard_test.cpp
@@ -1,10 +1,12 @@
 // Tests which prompt parts are held responsible for crashes of upstreams, and for how long.
 
 #include "core/limits/prompt_part_guard.h"
+#include "core/membership/fleet_membership.h"
 
 #include <absl/strings/str_cat.h>
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
+#include <random>
 
 using namespace skylarkhitch;
 using namespace std::chrono_literals;
@@ -327,3 +329,46 @@
             CHECK(std::find(it.parts.begin(), it.parts.end(), "bad") != it.parts.end());
     }
 }
+
+// Guards against news that reach only the peers to which an instance of a large site sends its heartbeats.
+TEST_CASE("all instances of a large site refuse a part in time, although each tells few others")
+{
+    constexpr int instances = 350;
+    constexpr int domains = 4;
+    constexpr auto contactTime = 3000ms;
+    struct Instance {
+        FleetMembership membership;
+        PromptPartGuard guard;
+    };
+    std::map<std::string, DomainId> addresses;
+    for (int n = 0; n < instances; ++n)
+        addresses[absl::StrCat("edge-", n)] = { absl::StrCat("domain-", n % domains) };
+    std::map<std::string, Instance> site;
+    for (const auto& [address, domain] : addresses) {
+        auto& it = site.emplace(address, Instance { { { { address }, 1 }, domain, address }, {} }).first->second;
+        it.membership.setListedPeers(addresses);
+    }
+    // Two instances see one crash each; one datagram in ten is lost, and only the regular heartbeats are sent.
+    crash(site.at("edge-0").guard, "i-1", { { "bad" }, { "good" } }, start);
+    crash(site.at("edge-1").guard, "i-2", { { "bad" } }, start);
+    crash(site.at("edge-3").guard, "i-3", { { "bad" } }, start + 100ms);
+    std::mt19937 random(11);
+    auto now = start;
+    auto refusing = [&] { return std::count_if(site.begin(), site.end(), [](auto& it) { return it.second.guard.quarantinedPart({ "bad" }) != nullptr; }); };
+    while (refusing() < instances && now < start + 10s) {
+        now += FleetMembership::heartbeatPeriod;
+        std::vector<std::pair<std::string, PromptPartNews>> sent;
+        for (auto& [address, it] : site) {
+            it.guard.judge(now);
+            auto news = it.guard.news(now);
+            for (const auto& receiver : it.membership.nextReceivers(now)) {
+                if (!news.empty() && random() % 10 > 0)
+                    sent.emplace_back(receiver, news);
+            }
+        }
+        for (const auto& [receiver, news] : sent)
+            site.at(receiver).guard.learn(news, now + 5ms);
+    }
+    CHECK(now - start <= contactTime);
+    CHECK_FALSE(isRefused(site.at("edge-200").guard, "good", now));
+}
