Read the request limits that upstreams state, log them and tell peers

An instance now logs when it learns of a limit, of its change and of its end, with source and age, and passes it on. Nothing decides by it yet.

--- /dev/null
+++ b/src/core/limits/upstream_limit_news.h
@@ -0,0 +1,28 @@
+#pragma once
+
+// What an instance tells its peers about the request limits that upstreams state, and the JSON form of it in heartbeats. Each
+// instance passes on what it learned.
+
+#include "core/ids.h"
+
+#include <nlohmann/json_fwd.hpp>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace skylarkhitch {
+
+struct StatedLimit {
+    // Identifies the upstream's process, by the id and the start time of the upstream.
+    std::string process;
+    // Requests per second from all instances together; nullopt if the process stated none after it had stated one.
+    std::optional<double> requestsPerSecond;
+    // Time since the response that stated it.
+    Milliseconds age {};
+};
+
+nlohmann::json toJson(const std::vector<StatedLimit>&);
+// Throws nlohmann::json::exception if the value does not have the form of toJson().
+std::vector<StatedLimit> statedLimitsFrom(const nlohmann::json&);
+
+}
--- a/src/core/membership/fleet_heartbeat.cpp
+++ b/src/core/membership/fleet_heartbeat.cpp
@@ -76,6 +76,8 @@
         // Instances of earlier versions do not send the rest.
         if (json.size() > 17)
             heartbeat.promptParts = promptPartNewsFrom(json.at(17));
+        if (json.size() > 18)
+            heartbeat.limits = statedLimitsFrom(json.at(18));
         return heartbeat;
     }
 
@@ -113,7 +115,7 @@
     Json sinceUnreachable = heartbeat.sinceStoreUnreachable ? Json(heartbeat.sinceStoreUnreachable->count()) : Json();
     Json json = Json::array({ heartbeat.from.instance.value, heartbeat.from.number, heartbeat.domain.value, heartbeat.addresses.entry, heartbeat.addresses.peers, heartbeat.sequence,
         heartbeat.ready, heartbeat.leaving, heartbeat.storeRevision, heartbeat.storeAge.count(), sinceUnreachable, workToJson(heartbeat), evidenceToJson(heartbeat), crashesToJson(heartbeat),
-        sessionsToJson(heartbeat), heartbeat.known, heartbeat.storeReachable, toJson(heartbeat.promptParts) });
+        sessionsToJson(heartbeat), heartbeat.known, heartbeat.storeReachable, toJson(heartbeat.promptParts), toJson(heartbeat.limits) });
     auto bytes = Json::to_cbor(json);
     return { bytes.begin(), bytes.end() };
 }
--- a/src/core/membership/fleet_heartbeat.h
+++ b/src/core/membership/fleet_heartbeat.h
@@ -6,6 +6,7 @@
 
 #include "core/ids.h"
 #include "core/limits/prompt_part_news.h"
+#include "core/limits/upstream_limit_news.h"
 
 #include <map>
 #include <optional>
@@ -106,6 +107,8 @@
     std::map<std::string, std::int64_t> crashes;
     // Crashes of upstreams and the prompt parts that may have caused them, here and at others.
     PromptPartNews promptParts;
+    // Request limits that upstreams state, here and at others.
+    std::vector<StatedLimit> limits;
     // Sessions that a rollout must not move to another release, see rollout/session_releases.h.
     std::vector<RecentSession> sessions;
     // Some of the peer addresses that the sender knows, from which a new instance discovers its peers.
--- a/src/core/requests/upstream_response.h
+++ b/src/core/requests/upstream_response.h
@@ -31,6 +31,10 @@
     // How long the upstream keeps an idle connection open; empty if not reported.
     std::optional<Seconds> keepAliveTimeout;
     std::optional<ReportedLoad> load;
+    // Requests per second that the upstream takes from all instances together; empty if it states no limit.
+    std::optional<double> requestLimit;
+    // A limit is stated that is not a number of at least 0.
+    bool isRequestLimitMalformed = false;
     // The model's confidence in its response, from 0 to 1.
     std::optional<double> confidence;
     // Header fields that are forwarded to the caller, in their original order.
--- a/src/core/routing/upstream_registry.cpp
+++ b/src/core/routing/upstream_registry.cpp
@@ -1,9 +1,12 @@
 #include "core/routing/upstream_registry.h"
 
+#include <absl/strings/str_cat.h>
 #include <algorithm>
 
 namespace skylarkhitch {
 
+std::string processName(const UpstreamEntry& entry) { return absl::StrCat(entry.id.value, "/", entry.born); }
+
 void EndedIncarnations::end(const UpstreamEntry& entry)
 {
     auto& born = m_lastEnded.try_emplace(entry.id, entry.born).first->second;
--- a/src/core/routing/upstream_registry.h
+++ b/src/core/routing/upstream_registry.h
@@ -32,6 +32,9 @@
     friend bool operator==(const UpstreamEntry&, const UpstreamEntry&) = default;
 };
 
+// Identifies one process of an upstream, so that what is known of it does not apply to a later one.
+std::string processName(const UpstreamEntry&);
+
 // Incarnations of upstreams that must get no more work even if their entries are still present, because another upstream
 // responded at their address. Ending one also ends the earlier incarnations with the same id. Later incarnations with the same
 // id are not affected.
--- a/src/edge/control_plane.cpp
+++ b/src/edge/control_plane.cpp
@@ -261,8 +261,9 @@
     auto now = bootNow();
     if (!m_fleet.onHeartbeat(*heartbeat, now))
         return;
-    if (!heartbeat->promptParts.empty())
-        m_outputs.publishPromptPartNews(std::move(heartbeat->promptParts));
+    PeerNews news { std::move(heartbeat->promptParts), std::move(heartbeat->limits) };
+    if (!news.empty())
+        m_outputs.publishPeerNews(std::move(news));
     catchUpIfBehind(now);
 }
 
@@ -377,7 +378,8 @@
             heartbeat.evidence[key] = it;
     }
     heartbeat.crashes = m_trafficReport.crashes;
-    heartbeat.promptParts = m_trafficReport.promptParts;
+    heartbeat.promptParts = m_trafficReport.news.promptParts;
+    heartbeat.limits = m_trafficReport.news.limits;
     heartbeat.sessions = m_trafficReport.sessions;
     auto livePeers = m_fleet.livePeers(now);
     for (std::size_t n = 0; n < std::min(livePeers.size(), maxKnownPeers); ++n)
--- a/src/edge/control_plane.h
+++ b/src/edge/control_plane.h
@@ -22,8 +22,8 @@
     struct Outputs {
         std::function<void(FleetViewPtr)> publishView;
         std::function<void(PeerUpdate)> publishPeerUpdate;
-        // Called with each heartbeat that has such news, since it must take effect at once.
-        std::function<void(PromptPartNews)> publishPromptPartNews;
+        // Called for each heartbeat that has such news.
+        std::function<void(PeerNews)> publishPeerNews;
     };
 
     ControlPlane(EventLoop&, const EdgeSettings&, Incarnation, EdgeMetrics&, Outputs);
--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -76,7 +76,7 @@
             return {
                 [this](FleetViewPtr view) { asio::post(m_trafficLoop, [this, view = std::move(view)] { m_traffic.setView(view); }); },
                 [this](PeerUpdate peerUpdate) { asio::post(m_trafficLoop, [this, peerUpdate = std::move(peerUpdate)]() mutable { m_traffic.learn(std::move(peerUpdate)); }); },
-                [this](PromptPartNews news) { asio::post(m_trafficLoop, [this, news = std::move(news)] { m_traffic.learn(news); }); },
+                [this](PeerNews news) { asio::post(m_trafficLoop, [this, news = std::move(news)] { m_traffic.learn(news); }); },
             };
         }
 
--- a/src/edge/fleet_view.h
+++ b/src/edge/fleet_view.h
@@ -56,6 +56,14 @@
     std::vector<RecentSession> sessions;
 };
 
+// What a peer told that must take effect at once.
+struct PeerNews {
+    PromptPartNews promptParts;
+    std::vector<StatedLimit> limits;
+
+    bool empty() const { return promptParts.empty() && limits.empty(); }
+};
+
 // State of the traffic thread, sent to the control thread before each heartbeat.
 struct TrafficReport {
     std::map<UpstreamId, UpstreamWork> work;
@@ -63,7 +71,7 @@
     ReleaseEvidence evidence;
     // Crash counts by request fingerprint.
     std::map<std::string, std::int64_t> crashes;
-    PromptPartNews promptParts;
+    PeerNews news;
     std::vector<RecentSession> sessions;
     bool ready = false;
     // CPU time that the traffic thread has used since it started.
--- a/src/edge/request_forwarder.cpp
+++ b/src/edge/request_forwarder.cpp
@@ -93,9 +93,6 @@
             traffic.recordServedParts(request.parts, bootNow());
     }
 
-    // Identifies one process of an upstream, so that a crash after a restart counts as another crash.
-    UpstreamId upstreamProcessId(const UpstreamEntry& upstream) { return { absl::StrCat(upstream.id.value, "/", upstream.born) }; }
-
     // Whether callers take a status to mean that the request was not run.
     bool impliesNotRun(int status) { return status == 408 || status == 421 || status == 429 || status == 503; }
 
@@ -275,7 +272,7 @@
     m_traffic.metrics().attemptEnded(serviceName(), attemptEndName(result.end));
     if (result.end == AttemptEnd::Cut && m_caller->hasDisconnected() && !m_firstEventSeen) {
         auto now = bootNow();
-        m_traffic.recordAbandoned(upstreamProcessId(upstream).value, { releaseRoute(upstream), toMilliseconds(now - m_sentAt), now });
+        m_traffic.recordAbandoned(processName(upstream), { releaseRoute(upstream), toMilliseconds(now - m_sentAt), now });
     }
     bool isConnectionLost = result.end == AttemptEnd::Cut || result.end == AttemptEnd::TimedOut || result.end == AttemptEnd::NotSent || result.end == AttemptEnd::Malformed;
     if (isConnectionLost) {
@@ -332,8 +329,10 @@
         co_return AttemptResult { toAttemptEnd(connection->reject("response to another request")), false };
     if (response.wrongInstance)
         m_traffic.endedIncarnations().end(upstream);
-    else
-        m_traffic.recordRunning(upstreamProcessId(upstream).value, m_sentAt);
+    else {
+        m_traffic.recordRunning(processName(upstream), m_sentAt);
+        recordLimit(upstream, response);
+    }
     if (response.notRun) {
         spawn(m_traffic.loop(), recycleRefused(m_traffic.connections(), upstream, connection, response.keepAliveTimeout), "recycle_refused");
         co_return AttemptResult { AttemptEnd::RefusedNotRun, false };
@@ -541,10 +540,10 @@
 {
     auto now = bootNow();
     if (end != AttemptEnd::NotSent)
-        m_traffic.recordBrokenResponse(upstreamProcessId(upstream).value, releaseRoute(upstream), now);
+        m_traffic.recordBrokenResponse(processName(upstream), releaseRoute(upstream), now);
     if (end == AttemptEnd::Cut) {
-        m_traffic.recordLostRequest({ upstreamProcessId(upstream).value, m_admitted.request.id, m_parts, m_sentAt }, now);
-        m_traffic.crashes().recordCrash(m_admitted.fingerprint, upstreamProcessId(upstream), now);
+        m_traffic.recordLostRequest({ processName(upstream), m_admitted.request.id, m_parts, m_sentAt }, now);
+        m_traffic.crashes().recordCrash(m_admitted.fingerprint, UpstreamId { processName(upstream) }, now);
         LogLine(LogLevel::Warning, "upstream_connection_lost").with("id", m_admitted.request.id.value).with("upstream", upstream.id.value).with("born", upstream.born).with("fingerprint", m_admitted.fingerprint).with("crashes", m_traffic.crashes().crashCount(m_admitted.fingerprint)).with("parts", loggedParts(m_admitted.request)).with("ms", toMilliseconds(now - m_sentAt).count()).with("first_event", m_firstEventSeen ? "yes" : "no").with("requests", m_traffic.balancer().requestsOn(upstream.id));
     }
     if (m_traffic.balancer().failed(upstream.id, now))
@@ -554,8 +553,8 @@
 void RequestForwarder::recordUpstreamSuccess(const UpstreamEntry& upstream)
 {
     m_traffic.balancer().succeeded(upstream.id);
-    m_traffic.crashes().recordAlive(upstreamProcessId(upstream), m_sentAt);
-    m_traffic.recordAnswer(upstreamProcessId(upstream).value, m_sentAt);
+    m_traffic.crashes().recordAlive(UpstreamId { processName(upstream) }, m_sentAt);
+    m_traffic.recordAnswer(processName(upstream), m_sentAt);
 }
 
 void RequestForwarder::recordStreamServed(const UpstreamEntry& upstream, bool endedWithConnection)
@@ -563,20 +562,29 @@
     if (m_parts.empty() || !m_firstEventSeen)
         return;
     if (endedWithConnection)
-        spawn(m_traffic.loop(), settleEndOfConnection(m_traffic, { upstreamProcessId(upstream).value, m_admitted.request.id, m_parts, m_sentAt }), "settle_end_of_connection");
+        spawn(m_traffic.loop(), settleEndOfConnection(m_traffic, { processName(upstream), m_admitted.request.id, m_parts, m_sentAt }), "settle_end_of_connection");
     else
         m_traffic.recordServedParts(m_parts, bootNow());
 }
 
 void RequestForwarder::recordOutlived(const UpstreamEntry& upstream, TimePoint now)
 {
-    m_traffic.recordRunning(upstreamProcessId(upstream).value, now - staleBytesTime);
+    m_traffic.recordRunning(processName(upstream), now - staleBytesTime);
     if (m_hasOutlived || now < m_firstEventAt + PromptPartGuard::outlivedTime)
         return;
     m_hasOutlived = true;
     m_traffic.recordServedParts(m_parts, now);
 }
 
+void RequestForwarder::recordLimit(const UpstreamEntry& upstream, const UpstreamResponse& response)
+{
+    // What cannot be read neither states a limit nor ends one.
+    if (response.isRequestLimitMalformed)
+        LogLine(LogLevel::Warning, "upstream_limit_malformed").with("id", m_admitted.request.id.value).with("upstream", upstream.id.value);
+    else
+        m_traffic.recordLimit(processName(upstream), response.requestLimit, bootNow());
+}
+
 void RequestForwarder::recordFirstByte(TimePoint now)
 {
     m_firstByteAt = now;
--- a/src/edge/request_forwarder.h
+++ b/src/edge/request_forwarder.h
@@ -69,6 +69,7 @@
     Awaitable<void> respondWithError(ErrorKind);
     void recordUpstreamFailure(const UpstreamEntry&, AttemptEnd);
     void recordUpstreamSuccess(const UpstreamEntry&);
+    void recordLimit(const UpstreamEntry&, const UpstreamResponse&);
     // Records that the upstream completed a stream.
     void recordStreamServed(const UpstreamEntry&, bool endedWithConnection);
     // Records that the upstream still runs after it began the response, once that has lasted long enough.
--- a/src/edge/traffic_state.cpp
+++ b/src/edge/traffic_state.cpp
@@ -4,6 +4,8 @@
 #include "core/hashing.h"
 #include "edge/process_state.h"
 
+#include <absl/container/flat_hash_set.h>
+#include <absl/strings/str_cat.h>
 #include <absl/strings/str_join.h>
 
 namespace skylarkhitch {
@@ -36,6 +38,12 @@
     // Processes that a log line names at most.
     constexpr std::size_t maxLoggedProcesses = 5;
 
+    const char* eventName(UpstreamLimitEvent::Kind kind)
+    {
+        constexpr const char* names[] = { "upstream_limit_learned", "upstream_limit_changed", "upstream_limit_ended" };
+        return names[static_cast<int>(kind)];
+    }
+
     const char* eventName(PromptPartEvent::Kind kind)
     {
         constexpr const char* names[] = { "part_quarantined", "part_released", "part_probed" };
@@ -51,6 +59,7 @@
     , m_balancer(m_settings.seed)
     , m_connections(loop)
     , m_bodyMemory(maxBodyMemoryBytes)
+    , m_limits(m_settings.instance)
     , m_sessions(m_settings.sessionIdleTimeout)
     , m_startedAt(bootNow())
 {
@@ -71,6 +80,14 @@
     for (const auto& [service, entries] : m_view->upstreams)
         all.insert(all.end(), entries.begin(), entries.end());
     m_balancer.keepOnly(all);
+    absl::flat_hash_set<std::string> processes;
+    for (const auto& it : all)
+        processes.insert(processName(it));
+    m_limits.keepOnly([&](const std::string& it) { return processes.contains(it); });
+    std::vector<InstanceId> instances;
+    for (const auto& it : m_view->entries)
+        instances.push_back(it.id);
+    m_limits.setInstances(std::move(instances), bootNow());
 }
 
 Awaitable<void> TrafficState::awaitConfiguration(TimePoint until)
@@ -95,10 +112,27 @@
     m_sessions.learn(news.sessions, now);
 }
 
-void TrafficState::learn(const PromptPartNews& news)
+void TrafficState::learn(const PeerNews& news)
 {
-    m_promptParts.learn(news, bootNow());
+    m_promptParts.learn(news.promptParts, bootNow());
     announcePromptParts();
+    m_limits.learn(news.limits, bootNow());
+    announceLimits();
+}
+
+void TrafficState::recordLimit(const std::string& upstreamProcess, std::optional<double> requestsPerSecond, TimePoint now)
+{
+    m_limits.recordResponse(upstreamProcess, requestsPerSecond, now);
+    announceLimits();
+}
+
+void TrafficState::announceLimits()
+{
+    for (const auto& it : m_limits.takeEvents()) {
+        LogLine(LogLevel::Info, eventName(it.kind)).with("process", it.process).with("per_second", absl::StrCat(it.requestsPerSecond)).with("own_share", absl::StrCat(it.ownRate)).with("source", it.fromPeer ? "peer" : "own").with("age_ms", it.age.count());
+    }
+    if (m_limits.takeUrgent() && m_onUrgentNews)
+        m_onUrgentNews();
 }
 
 PromptPartGuard::Verdict TrafficState::decideOnParts(const std::vector<std::string>& parts, TimePoint now)
@@ -175,7 +209,7 @@
     m_promptParts.forget(now);
     judgeCrashes(now);
     m_brokenResponses.forget(now - brokenResponseRetention);
-    return { m_balancer.ownWork(), m_evidence, m_crashes.own(), m_promptParts.news(now), m_sessions.own(now), isReady(), threadCpuTime() };
+    return { m_balancer.ownWork(), m_evidence, m_crashes.own(), { m_promptParts.news(now), m_limits.news(now) }, m_sessions.own(now), isReady(), threadCpuTime() };
 }
 
 EligibleUpstreams TrafficState::findEligibleUpstreams(const ServiceId& id, const RoutedRequest& request, TimePoint now)
--- a/src/edge/traffic_state.h
+++ b/src/edge/traffic_state.h
@@ -4,6 +4,7 @@
 
 #include "core/limits/crash_guard.h"
 #include "core/limits/prompt_part_guard.h"
+#include "core/limits/upstream_limits.h"
 #include "core/rollout/broken_responses.h"
 #include "core/rollout/session_releases.h"
 #include "core/routing/upstream_balancer.h"
@@ -47,8 +48,8 @@
     void setView(FleetViewPtr);
     // Merges the state that peers sent in their heartbeats.
     void learn(PeerUpdate);
-    // Merges what peers sent about prompt parts that crash upstreams.
-    void learn(const PromptPartNews&);
+    // Merges what a peer told about prompt parts that crash upstreams and about limits of upstreams.
+    void learn(const PeerNews&);
     // Called when the control thread must get a report soon, and judgeCrashes() must be called after that.
     void onUrgentNews(std::function<void()> callback) { m_onUrgentNews = std::move(callback); }
     // Drops expired state and returns the report for the control thread.
@@ -101,6 +102,8 @@
     void removeWaiting(WaitingRequests::iterator it) { m_waiting.erase(it); }
     // Judges the crashes whose evidence is complete.
     void judgeCrashes(TimePoint now);
+    // Records what a response of the upstream process says about its request limit.
+    void recordLimit(const std::string& upstreamProcess, std::optional<double> requestsPerSecond, TimePoint now);
     const PromptPartGuard& promptParts() const { return m_promptParts; }
 
     EventLoop& loop() { return m_loop; }
@@ -120,6 +123,8 @@
     void withdrawWaiting(const std::string& part);
     // Logs what the prompt part guard decided, withdraws the requests that this concerns, and asks for a report if peers must know of it.
     void announcePromptParts();
+    // The same for limits of upstreams.
+    void announceLimits();
 
     EventLoop& m_loop;
     TrafficSettings m_settings;
@@ -130,6 +135,7 @@
     BodyMemory m_bodyMemory;
     CrashGuard m_crashes;
     PromptPartGuard m_promptParts;
+    UpstreamLimits m_limits;
     std::function<void()> m_onUrgentNews;
     WaitingRequests m_waiting;
     SessionReleases m_sessions;
--- a/test/correctness/fleet_test.cpp
+++ b/test/correctness/fleet_test.cpp
@@ -40,6 +40,7 @@
     sent.evidence[{ { "assist" }, "v2", "cards", { "small" } }] = { 7, 1, 900ms, { 7, 33.5, 161.25 }, 2 };
     sent.crashes["f00d"] = 2;
     sent.promptParts.quarantined = { { "dead", 900ms, 10ms, 3, 1, 400ms } };
+    sent.limits = { { "i-1/7", 2.5, 40ms }, { "i-2/7", std::nullopt, 10ms } };
     sent.sessions = { { 77, "v2", 300ms } };
     sent.known = { "10.0.0.2:70" };
     auto bytes = encodeHeartbeat(sent);
@@ -56,6 +57,9 @@
     REQUIRE(decoded->promptParts.quarantined.size() == 1);
     CHECK(decoded->promptParts.quarantined[0].part == "dead");
     CHECK(decoded->promptParts.quarantined[0].probeAge == 400ms);
+    REQUIRE(decoded->limits.size() == 2);
+    CHECK(decoded->limits[0].requestsPerSecond == 2.5);
+    CHECK_FALSE(decoded->limits[1].requestsPerSecond);
     CHECK(decoded->sessions.at(0).release == "v2");
     CHECK(decoded->known == sent.known);
     SECTION("a truncated heartbeat is rejected")
--- a/test/correctness/platform_test.cpp
+++ b/test/correctness/platform_test.cpp
@@ -85,6 +85,20 @@
         CHECK(other.notRun);
         CHECK(other.wrongInstance);
     }
+    SECTION("a request limit is decoded and not forwarded")
+    {
+        auto limited = decodeResponse(200, "", { { "Server-Limit", "2.5" } });
+        CHECK(limited.requestLimit == 2.5);
+        CHECK(limited.forwardedHeaders.empty());
+        CHECK(decodeResponse(503, "", { { "Server-Limit", "0" }, { "X-Not-Executed", "1" } }).requestLimit == 0.0);
+        CHECK_FALSE(response.requestLimit);
+        CHECK_FALSE(response.isRequestLimitMalformed);
+        for (const auto* it : { "", "many", "-1", "nan", "inf", "2 a second" }) {
+            auto malformed = decodeResponse(200, "", { { "Server-Limit", it } });
+            CHECK_FALSE(malformed.requestLimit);
+            CHECK(malformed.isRequestLimitMalformed);
+        }
+    }
     SECTION("a malformed load is ignored")
     {
         for (const char* it : { "", "3,1", "a,b,c", "1,2,3,4" })
