--- a/test/fakes/fleet_standin.cpp
+++ b/test/fakes/fleet_standin.cpp
@@ -256,7 +256,12 @@
     registerProcess();
 }
 
-void CrashingEngine::registerProcess() { m_store.put("servers/" + m_upstream.id(), m_upstream.registration(m_service, "ready", "v1", m_born)); }
+void CrashingEngine::registerProcess(const std::string& state)
+{
+    m_store.put("servers/" + m_upstream.id(), m_upstream.registration(m_service, state, "v1", m_born));
+}
+
+void CrashingEngine::drain() { registerProcess("draining"); }
 
 void CrashingEngine::restartAfter(std::chrono::milliseconds time)
 {
--- a/test/fakes/fleet_standin.h
+++ b/test/fakes/fleet_standin.h
@@ -139,6 +139,8 @@
     // Registers the engine for a service. A response begins this long after its request.
     CrashingEngine(FleetStore&, std::string id, std::string service, std::string fatalPart, std::chrono::milliseconds timeToFirstEvent = std::chrono::milliseconds(40));
 
+    // Keeps new requests away, while those that it has go on.
+    void drain();
     // Starts the process again if it crashed at least this long ago.
     void restartAfter(std::chrono::milliseconds);
     // When requests with the part reached the running process.
@@ -147,7 +149,7 @@
 
 private:
     bool serve(const RawRequest&, RawConnection&);
-    void registerProcess();
+    void registerProcess(const std::string& state = "ready");
 
     FleetStore& m_store;
     std::string m_service;
--- a/test/processes/crashing_part_test.cpp
+++ b/test/processes/crashing_part_test.cpp
@@ -153,27 +153,32 @@
 {
     FleetStore store;
     store.put("op/config", sampleConfiguration(3));
-    CrashingEngine first(store, "i-1", "assist", fatalPart, 50ms), second(store, "i-2", "assist", fatalPart, 200ms), third(store, "i-3", "assist", fatalPart, 1500ms);
+    std::deque<CrashingEngine> engines;
+    engines.emplace_back(store, "i-0", "assist", fatalPart, 3000ms);
     EdgeInstance instance("edge-1", store.address());
     REQUIRE(waitUntil(5s, [&] { return instance.isReady(); }));
-    std::vector<std::thread> callers;
-    std::vector<std::string> responses(9);
-    // The instance spreads requests that arrive at the same moment over the engines.
-    for (std::size_t n = 0; n < responses.size(); ++n) {
-        callers.emplace_back([&, n] {
-            auto headers = absl::StrCat("X-Model-Name: *\r\nX-Token-Count: 900,50\r\nX-Prefix-Hash: sys", n, ":300,", fatalPart, ":100,e", n, ":400\r\n");
-            responses[n] = sendAndRead(instance, requestBytes("POST", absl::StrCat("/draft/", n), absl::StrCat("id-", n), headers, "prompt"));
-        });
+    auto bytesOf = [](int n) {
+        auto headers = absl::StrCat("X-Model-Name: *\r\nX-Token-Count: 900,50\r\nX-Prefix-Hash: sys", n, ":300,", fatalPart, ":100,e", n, ":400\r\n");
+        return requestBytes("POST", absl::StrCat("/draft/", n), absl::StrCat("id-", n), headers, "prompt");
+    };
+    auto waiting = RawConnection::connect(instance.port());
+    waiting->write(bytesOf(0));
+    REQUIRE(waitUntil(2s, [&] { return engines[0].fatalRequests().size() == 1; }));
+    engines[0].drain();
+
+    // Two other engines crash, one after the other.
+    for (int n = 1; n <= 2; ++n) {
+        engines.emplace_back(store, absl::StrCat("i-", n), "assist", fatalPart, 50ms);
+        REQUIRE(waitUntil(2s, [&] { return !instance.linesContaining(absl::StrCat("what=upstream upstream=i-", n)).empty(); }));
+        REQUIRE(waitUntil(2s, [&] { return !instance.linesContaining("takes_work=no").empty(); }));
+        std::this_thread::sleep_for(50ms);
+        CHECK(statusOf(sendRequest(instance, bytesOf(n))) == 502);
+        CHECK(engines.back().crashes().size() == 1);
+        store.remove(absl::StrCat("servers/i-", n));
     }
-    for (auto& it : callers)
-        it.join();
-    for (const auto& it : responses)
-        CHECK(statusOf(it) >= 502);
-    REQUIRE(third.fatalRequests().size() >= 1);
-    std::this_thread::sleep_for(1500ms);
-    CHECK(first.crashes().size() == 1);
-    CHECK(second.crashes().size() == 1);
-    CHECK(third.crashes().empty());
+    CHECK(statusOf(waiting->readResponse(1s)) == 502);
+    std::this_thread::sleep_for(3s);
+    CHECK(engines[0].crashes().empty());
     store.cutWatches();
 }
 
