Keep the request limits that upstreams state, all instances together

An upstream that stated a limit of 1 or 2.3 requests a second got four to six a second from instances that it had told.

Change: a limit is divided into shares of 4 requests a second or more (one share for less), and each share belongs to one instance at a time. Claims and statements travel in heartbeats that each instance passes on; the newest statement counts, by its age. A share without a claim goes by rendezvous hashing over the live instances; of two claims one gives way. The owner sends at the rate of its share, without saving up, and asks at least every 4 s, so that the end of a limit is noticed. Others choose other upstreams. Weighed: equal shares for all instances with one request of headroom each (break a limit of 1 at 8 instances), and rendezvous hashing alone (two owners for as long as views of a large site differ, 20 s and more).

--- a/src/core/error_kind.h
+++ b/src/core/error_kind.h
@@ -56,6 +56,8 @@
     RequestQuarantined,
     // Upstreams crashed on a part of the prompt, so that it is refused.
     PromptPartQuarantined,
+    // The request limits that the upstreams state leave no room for the request.
+    UpstreamLimitReached,
     // An edit of the configuration is not based on the current revision.
     EditConflict,
     // No configuration is known yet.
--- a/src/core/limits/upstream_limit_news.h
+++ b/src/core/limits/upstream_limit_news.h
@@ -12,6 +12,14 @@
 
 namespace skylarkhitch {
 
+// An instance says that a share of a limit is its own.
+struct ShareClaim {
+    // Number of the share, from 0.
+    std::size_t share = 0;
+    InstanceId instance;
+    Milliseconds age {};
+};
+
 struct StatedLimit {
     // Identifies the upstream's process, by the id and the start time of the upstream.
     std::string process;
@@ -19,6 +27,7 @@
     std::optional<double> requestsPerSecond;
     // Time since the response that stated it.
     Milliseconds age {};
+    std::vector<ShareClaim> claims;
 };
 
 nlohmann::json toJson(const std::vector<StatedLimit>&);
--- a/src/core/limits/upstream_limits.cpp
+++ b/src/core/limits/upstream_limits.cpp
@@ -2,6 +2,7 @@
 
 #include "core/hashing.h"
 
+#include <absl/strings/str_cat.h>
 #include <algorithm>
 #include <cmath>
 
@@ -12,8 +13,18 @@
     // A peer's statement replaces a known one only if it is newer by more than the transmission of its age may explain.
     constexpr Milliseconds ageTolerance { 100 };
 
+    Milliseconds ageOf(TimePoint at, TimePoint now) { return std::max(Milliseconds(0), toMilliseconds(now - at)); }
+
     double inSeconds(Microseconds time) { return std::chrono::duration<double>(time).count(); }
 
+    std::string shareKey(const std::string& process, std::size_t share) { return absl::StrCat(process, "#", share); }
+
+    std::size_t shareCount(double requestsPerSecond)
+    {
+        auto wanted = std::min(requestsPerSecond / UpstreamLimits::minShare, static_cast<double>(UpstreamLimits::maxShares));
+        return std::max<std::size_t>(1, static_cast<std::size_t>(wanted));
+    }
+
     bool isNews(std::optional<double> before, std::optional<double> after)
     {
         if (before.has_value() != after.has_value())
@@ -23,26 +34,40 @@
 
 }
 
-void UpstreamLimits::setInstances(std::vector<InstanceId> instances, TimePoint now)
+void UpstreamLimits::claimShares(TimePoint now)
 {
-    std::sort(instances.begin(), instances.end());
-    if (instances == m_instances)
-        return;
-    m_instances = std::move(instances);
-    for (auto& [process, limit] : m_limits) {
-        if (limit.requestsPerSecond)
-            setOwnRate(limit, ownRate(process, *limit.requestsPerSecond), now);
-    }
+    for (auto& [process, limit] : m_limits)
+        claim(process, limit, now);
 }
 
-double UpstreamLimits::ownRate(const std::string& process, double requestsPerSecond) const
+bool UpstreamLimits::isCurrent(const Claim& claim, TimePoint now) { return !claim.instance.empty() && now - claim.at < claimLifetime; }
+
+const UpstreamLimits::Claim& UpstreamLimits::strongerClaim(const std::string& shareKey, const Claim& known, const Claim& other, TimePoint now)
 {
-    auto order = rendezvousOrder(process, m_instances);
-    auto shares = std::clamp<std::size_t>(static_cast<std::size_t>(requestsPerSecond / minShare), 1, std::max<std::size_t>(1, order.size()));
-    auto end = order.begin() + static_cast<std::ptrdiff_t>(std::min(shares, order.size()));
-    if (std::find(order.begin(), end, m_self) == end)
-        return 0;
-    return std::max(requestsPerSecond, minRate) / static_cast<double>(shares);
+    if (!isCurrent(other, now))
+        return known;
+    if (!isCurrent(known, now))
+        return other;
+    if (known.instance == other.instance)
+        return other.at > known.at + ageTolerance ? other : known;
+    return hashOf(shareKey, other.instance.value) > hashOf(shareKey, known.instance.value) ? other : known;
+}
+
+void UpstreamLimits::claim(const std::string& process, Limit& limit, TimePoint now)
+{
+    bool isLive = std::find(m_instances.begin(), m_instances.end(), m_self) != m_instances.end();
+    for (std::size_t n = 0; n < limit.shares.size(); ++n) {
+        auto& it = limit.shares[n];
+        bool isOwn = it.instance == m_self && isCurrent(it, now);
+        bool isFree = !isCurrent(it, now) && isLive && rendezvousOrder(shareKey(process, n), m_instances).front() == m_self;
+        if (isFree)
+            m_isUrgent = true;
+        if ((isOwn && isLive) || isFree)
+            it = { m_self, now };
+        else if (it.instance == m_self)
+            it = {};
+    }
+    updateOwnRate(limit, now);
 }
 
 double UpstreamLimits::savedAt(const Limit& limit, TimePoint now)
@@ -51,8 +76,12 @@
     return std::min(max, limit.saved + limit.ownRate * std::max(0.0, inSeconds(now - limit.refilledAt)));
 }
 
-void UpstreamLimits::setOwnRate(Limit& limit, double rate, TimePoint now)
+void UpstreamLimits::updateOwnRate(Limit& limit, TimePoint now) const
 {
+    auto own = std::count_if(limit.shares.begin(), limit.shares.end(), [&](const Claim& it) { return it.instance == m_self; });
+    double rate = limit.shares.empty() ? 0 : std::max(limit.requestsPerSecond.value_or(0), minRate) * static_cast<double>(own) / static_cast<double>(limit.shares.size());
+    if (rate == limit.ownRate)
+        return;
     limit.saved = limit.ownRate > 0 ? savedAt(limit, now) : 0;
     limit.refilledAt = now;
     limit.ownRate = rate;
@@ -69,8 +98,11 @@
     auto& limit = known->second;
     auto before = std::exchange(limit.requestsPerSecond, requestsPerSecond);
     limit.statedAt = statedAt;
-    if (requestsPerSecond != before)
-        setOwnRate(limit, requestsPerSecond ? ownRate(process, *requestsPerSecond) : 0, now);
+    limit.shares.resize(requestsPerSecond ? shareCount(*requestsPerSecond) : 0);
+    // The claims of others come with a peer's news.
+    if (!before && !fromPeer)
+        claim(process, limit, now);
+    updateOwnRate(limit, now);
     if (!isNews(before, requestsPerSecond))
         return;
     auto kind = !requestsPerSecond ? UpstreamLimitEvent::Kind::Ended : (before ? UpstreamLimitEvent::Kind::Changed : UpstreamLimitEvent::Kind::Learned);
@@ -102,16 +134,15 @@
     limit.refilledAt = now;
 }
 
-std::optional<Milliseconds> UpstreamLimits::timeToNext(const std::string& process, TimePoint now) const
+Milliseconds UpstreamLimits::timeToNext(const std::string& process, TimePoint now) const
 {
     auto it = m_limits.find(process);
     if (it == m_limits.end() || !it->second.requestsPerSecond)
         return Milliseconds(0);
     const auto& limit = it->second;
-    if (limit.ownRate <= 0)
-        return std::nullopt;
-    auto missing = std::max(0.0, 1 - savedAt(limit, now));
-    return Milliseconds(static_cast<std::int64_t>(std::ceil(1000 * missing / limit.ownRate)));
+    auto missing = limit.ownRate > 0 ? std::max(0.0, 1 - savedAt(limit, now)) : 1.0;
+    auto rate = limit.ownRate > 0 ? limit.ownRate : std::max(minRate, *limit.requestsPerSecond);
+    return Milliseconds(static_cast<std::int64_t>(std::ceil(1000 * missing / rate)));
 }
 
 bool UpstreamLimits::isLimited(const std::string& process) const
@@ -128,15 +159,35 @@
         bool isNewer = known == m_limits.end() || statedAt > known->second.statedAt + ageTolerance;
         if (isNewer)
             state(it.process, it.requestsPerSecond, statedAt, now, true);
+        known = m_limits.find(it.process);
+        if (known != m_limits.end())
+            learnClaims(it, known->second, now);
+    }
+}
+
+void UpstreamLimits::learnClaims(const StatedLimit& news, Limit& limit, TimePoint now)
+{
+    for (const auto& it : news.claims) {
+        if (it.share >= limit.shares.size())
+            continue;
+        auto& known = limit.shares[it.share];
+        known = Claim(strongerClaim(shareKey(news.process, it.share), known, { it.instance, now - it.age }, now));
     }
+    claim(news.process, limit, now);
 }
 
 std::vector<StatedLimit> UpstreamLimits::news(TimePoint now) const
 {
     std::vector<StatedLimit> statements;
     for (const auto& [process, it] : m_limits) {
-        if (it.requestsPerSecond || now - it.statedAt < endedNewsTime)
-            statements.push_back({ process, it.requestsPerSecond, std::max(Milliseconds(0), toMilliseconds(now - it.statedAt)) });
+        if (!it.requestsPerSecond && now - it.statedAt >= endedNewsTime)
+            continue;
+        StatedLimit statement { process, it.requestsPerSecond, ageOf(it.statedAt, now), {} };
+        for (std::size_t n = 0; n < it.shares.size(); ++n) {
+            if (isCurrent(it.shares[n], now))
+                statement.claims.push_back({ n, it.shares[n].instance, ageOf(it.shares[n].at, now) });
+        }
+        statements.push_back(std::move(statement));
     }
     if (statements.size() > maxSent) {
         auto end = statements.begin() + static_cast<std::ptrdiff_t>(maxSent);
--- a/src/core/limits/upstream_limits.h
+++ b/src/core/limits/upstream_limits.h
@@ -2,10 +2,11 @@
 
 // Keeps the requests that all instances together send to an upstream within the limit that it states.
 //
-// A limit may be less than one request per second for each instance, so equal shares would exceed it. It belongs to as many
-// instances as get a useful share, which rendezvous hashing selects; the others send the upstream nothing. No instance asks
-// another: all compute the same from the list of live instances and the limits in heartbeats. Two instances with different lists
-// may both send for as long as the lists differ, so an instance starts without a saved-up request when it gets a share.
+// A limit may be less than one request per second for each instance, so equal shares would exceed it. It is divided into as many
+// shares as are of use, and each share belongs to one instance at a time; the others send the upstream nothing. Heartbeats carry
+// the claims, and each instance passes on those that it knows. A share without a claim goes to the live instance that rendezvous
+// hashing selects. If two instances with different lists of live instances claim it, one gives way as soon as it learns of the
+// other. An instance starts without a saved-up request when it gets a share.
 
 #include "core/limits/upstream_limit_news.h"
 
@@ -32,8 +33,11 @@
 
 class UpstreamLimits {
 public:
-    // Share of a limit, in requests per second, that is worth dividing it.
+    // Share of a limit, in requests per second, that is worth dividing it, and the maximum number of shares.
     static constexpr double minShare = 4;
+    static constexpr std::size_t maxShares = 8;
+    // A claim ends when it was not renewed for this long. News takes less time to reach all instances of a large site.
+    static constexpr Milliseconds claimLifetime { 2500 };
     // Rate at which an upstream is asked even if its limit is lower, so that a limit that ended is noticed.
     static constexpr double minRate = 0.25;
     // Requests that may be saved up, in time at the own rate; at least one request.
@@ -50,15 +54,18 @@
     }
 
     // Sets the live instances that divide the limits among them.
-    void setInstances(std::vector<InstanceId>, TimePoint now);
+    void setInstances(std::vector<InstanceId> instances) { m_instances = std::move(instances); }
+    // Renews the claims of this instance, and claims shares that nobody claims. To be called with each heartbeat.
+    void claimShares(TimePoint now);
     // A response of the process states this limit, or none.
     void recordResponse(const std::string& process, std::optional<double> requestsPerSecond, TimePoint now);
     // Whether a request of this rank may be sent to the process now. The most urgent rank, 0, may use up one request in advance.
     bool maySend(const std::string& process, std::int64_t rank, TimePoint now) const;
     // A request is sent to the process.
     void sent(const std::string& process, TimePoint now);
-    // Time until maySend() will hold at this instance; nullopt if it has no share of the limit.
-    std::optional<Milliseconds> timeToNext(const std::string& process, TimePoint now) const;
+    // Time until a request may be sent to the process: by this instance if it has a share of the limit, else by another one as
+    // the limit alone says.
+    Milliseconds timeToNext(const std::string& process, TimePoint now) const;
     // Whether the process has a limit.
     bool isLimited(const std::string& process) const;
 
@@ -76,9 +83,14 @@
     std::size_t limitedCount() const;
 
 private:
+    struct Claim {
+        InstanceId instance;
+        TimePoint at;
+    };
     struct Limit {
         std::optional<double> requestsPerSecond;
         TimePoint statedAt;
+        std::vector<Claim> shares;
         // What this instance may send per second; 0 without a share.
         double ownRate = 0;
         // Requests saved up at refilledAt.
@@ -87,9 +99,14 @@
     };
 
     void state(const std::string& process, std::optional<double> requestsPerSecond, TimePoint statedAt, TimePoint now, bool fromPeer);
-    double ownRate(const std::string& process, double requestsPerSecond) const;
+    static bool isCurrent(const Claim&, TimePoint now);
+    // The claim that holds of two for the same share.
+    static const Claim& strongerClaim(const std::string& shareKey, const Claim& known, const Claim& other, TimePoint now);
+    void claim(const std::string& process, Limit&, TimePoint now);
+    void learnClaims(const StatedLimit&, Limit&, TimePoint now);
     static double savedAt(const Limit&, TimePoint now);
-    static void setOwnRate(Limit&, double rate, TimePoint now);
+    // Sets the own rate from the claims.
+    void updateOwnRate(Limit&, TimePoint now) const;
 
     InstanceId m_self;
     std::vector<InstanceId> m_instances;
--- a/src/edge/control_plane.cpp
+++ b/src/edge/control_plane.cpp
@@ -325,6 +325,8 @@
     m_metrics.setState("configuration_version", m_configuration ? static_cast<double>(m_configuration->version) : 0);
     m_metrics.setState("live_peers", static_cast<double>(m_fleet.livePeers(bootNow()).size()));
     m_metrics.setState("upstreams", static_cast<double>(m_upstreams.size()));
+    m_metrics.setState("quarantined_parts", static_cast<double>(m_trafficReport.quarantinedParts));
+    m_metrics.setState("limited_upstreams", static_cast<double>(m_trafficReport.limitedUpstreams));
     EdgeResponse response { .fields = { { "Content-Type", "text/plain; version=0.0.4" } }, .body = m_metrics.text() };
     co_await connection->respond(std::move(response));
 }
--- a/src/edge/edge_metrics.cpp
+++ b/src/edge/edge_metrics.cpp
@@ -27,6 +27,7 @@
     prometheus::Family<prometheus::Counter>& storeCalls = prometheus::BuildCounter().Name("skylarkhitch_edge_store_calls_total").Help("calls to the platform's store; status 0 is no answer").Register(registry);
     prometheus::Family<prometheus::Counter>& heartbeats = prometheus::BuildCounter().Name("skylarkhitch_edge_beats_total").Help("beats sent and received").Register(registry);
     prometheus::Family<prometheus::Counter>& promptParts = prometheus::BuildCounter().Name("skylarkhitch_edge_prompt_parts_total").Help("changes of the quarantine of prompt parts that crash upstreams").Register(registry);
+    prometheus::Family<prometheus::Counter>& limitedChoices = prometheus::BuildCounter().Name("skylarkhitch_edge_limited_choices_total").Help("choices of an upstream from which limits of upstreams left some out").Register(registry);
     prometheus::Family<prometheus::Gauge>& state = prometheus::BuildGauge().Name("skylarkhitch_edge_state").Help("state of the process").Register(registry);
 };
 
@@ -68,6 +69,11 @@
     m_impl->promptParts.Add({ { "event", event } }).Increment();
 }
 
+void EdgeMetrics::limitedChoice(bool hasOther)
+{
+    m_impl->limitedChoices.Add({ { "result", hasOther ? "other_upstream" : "none" } }).Increment();
+}
+
 void EdgeMetrics::setState(const std::string& name, double value)
 {
     m_impl->state.Add({ { "name", name } }).Set(value);
--- a/src/edge/edge_metrics.h
+++ b/src/edge/edge_metrics.h
@@ -31,6 +31,8 @@
     void heartbeat(const std::string& direction);
     // A change of the quarantine of prompt parts: "part_quarantined", "part_released" or "part_probed".
     void promptPart(const std::string& event);
+    // The limits that upstreams state left out some of the upstreams for a request; `hasOther` tells whether there was another.
+    void limitedChoice(bool hasOther);
     // Sets a gauge of the process state.
     void setState(const std::string& name, double value);
     // Sets a gauge to a time in seconds.
--- a/src/edge/fleet_view.h
+++ b/src/edge/fleet_view.h
@@ -74,6 +74,8 @@
     PeerNews news;
     std::vector<RecentSession> sessions;
     bool ready = false;
+    std::size_t quarantinedParts = 0;
+    std::size_t limitedUpstreams = 0;
     // CPU time that the traffic thread has used since it started.
     Microseconds cpuTime {};
 };
--- a/src/edge/request_forwarder.cpp
+++ b/src/edge/request_forwarder.cpp
@@ -182,7 +182,7 @@
         }
         const auto* upstream = chooseUpstream(now);
         if (!upstream) {
-            co_await respondWithError(ErrorKind::NoHealthyUpstream);
+            co_await respondWithError(m_limitedFor ? ErrorKind::UpstreamLimitReached : ErrorKind::NoHealthyUpstream);
             co_return;
         }
         auto result = co_await makeAttempt(*upstream);
@@ -214,14 +214,22 @@
 {
     // Uses the current view, not the one at admission: an upstream may have left in the meantime.
     auto eligible = m_traffic.findEligibleUpstreams(m_admitted.service->name, m_admitted.request, now);
+    m_limitedFor.reset();
     if (!eligible.service)
         return nullptr;
+    auto allowed = eligible.allowed;
+    m_traffic.removeLimited(eligible.allowed, m_admitted.rank, now);
+    if (eligible.allowed.size() < allowed.size())
+        m_traffic.metrics().limitedChoice(!eligible.allowed.empty());
+    if (eligible.allowed.empty() && !allowed.empty())
+        m_limitedFor = m_traffic.timeToUnlimited(allowed, now);
     return m_traffic.balancer().choose({ &m_admitted.request, eligible.service, eligible.allowed, &m_triedUpstreams, m_traffic.settings().domain, m_isProbe || m_traffic.promptParts().isSuspected(m_parts) }, now);
 }
 
 Awaitable<RequestForwarder::AttemptResult> RequestForwarder::makeAttempt(UpstreamEntry upstream)
 {
     m_triedUpstreams.push_back(upstream.id);
+    m_traffic.limits().sent(processName(upstream), bootNow());
     // A non-idempotent request gets a new connection: on a reused one, a late response to an earlier request could be taken
     // for its own.
     auto connection = m_admitted.route->kind == RouteKind::NonIdempotent ? nullptr : m_traffic.connections().acquire(upstream, bootNow());
@@ -506,6 +514,12 @@
     return result.end == AttemptEnd::RefusedNotRun ? ErrorKind::Overloaded : ErrorKind::UpstreamFailed;
 }
 
+Milliseconds RequestForwarder::retryAfter(const ErrorInfo& error) const
+{
+    auto time = error.kind == ErrorKind::UpstreamLimitReached ? m_limitedFor.value_or(error.retryAfter) : error.retryAfter;
+    return std::max(minRetryAfter, std::min(time, Milliseconds(timeLeft() / waitDivisor)));
+}
+
 Awaitable<void> RequestForwarder::respondWithError(ErrorKind kind)
 {
     const auto& row = errorInfo(kind);
@@ -529,8 +543,7 @@
         response.status = errorInfo(ErrorKind::NoHealthyUpstream).httpStatus;
     // Without a time to come back, the caller is not invited to.
     if (impliesNotRun(response.status) && row.retryAfter > Milliseconds(0)) {
-        auto wait = std::max(minRetryAfter, std::min(row.retryAfter, Milliseconds(timeLeft() / waitDivisor)));
-        response.fields.push_back({ "Retry-After", absl::StrCat(static_cast<double>(wait.count()) / 1000) });
+        response.fields.push_back({ "Retry-After", absl::StrCat(static_cast<double>(retryAfter(row).count()) / 1000) });
     }
     logOutcome(row.name, response.status);
     co_await m_caller->respond(std::move(response));
--- a/src/edge/request_forwarder.h
+++ b/src/edge/request_forwarder.h
@@ -35,6 +35,7 @@
     ErrorKind admit();
     // Makes attempts until one gives the final response or no further attempt is allowed.
     Awaitable<void> serve();
+    // Returns null if there is none. Sets m_limitedFor.
     const UpstreamEntry* chooseUpstream(TimePoint now);
     // Makes one attempt and records its outcome in the state shared by all requests.
     Awaitable<AttemptResult> makeAttempt(UpstreamEntry);
@@ -62,6 +63,8 @@
     std::string requestHead(const UpstreamEntry&) const;
     // Whether the request may be sent again after this result. Takes a retry from the budget if one is needed.
     bool reserveRetry(const AttemptResult&, TimePoint now);
+    // Time after which the caller of a refused request may come back.
+    Milliseconds retryAfter(const ErrorInfo&) const;
     // Error for the caller if no attempt follows this one.
     ErrorKind errorFor(const AttemptResult&) const;
     // Ends a request for which no attempt gave the final response: resets the connection if a response was started, else relays
@@ -118,6 +121,8 @@
     // An upstream's error response, relayed to the caller if no later attempt succeeds.
     std::optional<EdgeResponse> m_savedError;
     TimePoint m_sentAt {};
+    // Set if there are upstreams for the request, but the limits that they state leave no room for it: the time until one has.
+    std::optional<Milliseconds> m_limitedFor;
     // When the first part of the response was sent to the caller.
     std::optional<TimePoint> m_firstByteAt;
 };
--- a/src/edge/traffic_state.cpp
+++ b/src/edge/traffic_state.cpp
@@ -87,7 +87,7 @@
     std::vector<InstanceId> instances;
     for (const auto& it : m_view->entries)
         instances.push_back(it.id);
-    m_limits.setInstances(std::move(instances), bootNow());
+    m_limits.setInstances(std::move(instances));
 }
 
 Awaitable<void> TrafficState::awaitConfiguration(TimePoint until)
@@ -126,6 +126,22 @@
     announceLimits();
 }
 
+void TrafficState::removeLimited(std::vector<const UpstreamEntry*>& upstreams, std::int64_t rank, TimePoint now) const
+{
+    if (m_limits.limitedCount() > 0)
+        std::erase_if(upstreams, [&](const auto* it) { return !m_limits.maySend(processName(*it), rank, now); });
+}
+
+Milliseconds TrafficState::timeToUnlimited(const std::vector<const UpstreamEntry*>& upstreams, TimePoint now) const
+{
+    std::optional<Milliseconds> time;
+    for (const auto* it : upstreams) {
+        auto next = m_limits.timeToNext(processName(*it), now);
+        time = std::min(time.value_or(next), next);
+    }
+    return time.value_or(Milliseconds(0));
+}
+
 void TrafficState::announceLimits()
 {
     for (const auto& it : m_limits.takeEvents()) {
@@ -206,10 +222,12 @@
     m_connections.closeExpired(now);
     m_sessions.forget(now);
     m_crashes.forget(now - crashRetention);
+    m_limits.claimShares(now);
+    announceLimits();
     m_promptParts.forget(now);
     judgeCrashes(now);
     m_brokenResponses.forget(now - brokenResponseRetention);
-    return { m_balancer.ownWork(), m_evidence, m_crashes.own(), { m_promptParts.news(now), m_limits.news(now) }, m_sessions.own(now), isReady(), threadCpuTime() };
+    return { m_balancer.ownWork(), m_evidence, m_crashes.own(), { m_promptParts.news(now), m_limits.news(now) }, m_sessions.own(now), isReady(), m_promptParts.quarantinedCount(), m_limits.limitedCount(), threadCpuTime() };
 }
 
 EligibleUpstreams TrafficState::findEligibleUpstreams(const ServiceId& id, const RoutedRequest& request, TimePoint now)
--- a/src/edge/traffic_state.h
+++ b/src/edge/traffic_state.h
@@ -104,6 +104,11 @@
     void judgeCrashes(TimePoint now);
     // Records what a response of the upstream process says about its request limit.
     void recordLimit(const std::string& upstreamProcess, std::optional<double> requestsPerSecond, TimePoint now);
+    // Removes the upstreams to which the limits that they state allow this instance no request of the rank now.
+    void removeLimited(std::vector<const UpstreamEntry*>&, std::int64_t rank, TimePoint now) const;
+    // Time until one of these upstreams may get a request again, from this instance or another one.
+    Milliseconds timeToUnlimited(const std::vector<const UpstreamEntry*>&, TimePoint now) const;
+    UpstreamLimits& limits() { return m_limits; }
     const PromptPartGuard& promptParts() const { return m_promptParts; }
 
     EventLoop& loop() { return m_loop; }
