Do not hold slowness against an upstream that states a limit

An upstream in need was ejected after three late responses, and its latencies spoke against its release.

--- a/src/core/membership/fleet_heartbeat.cpp
+++ b/src/core/membership/fleet_heartbeat.cpp
@@ -93,6 +93,13 @@
     counters.logLatencies.squareSum += logarithm * logarithm;
 }
 
+void addSuccessWithoutLatency(ReleaseCounters& counters)
+{
+    if (counters.done > 0)
+        counters.latency += counters.latency / counters.done;
+    ++counters.done;
+}
+
 void addAbandoned(ReleaseCounters& counters, Milliseconds waited)
 {
     ++counters.abandoned;
--- a/src/core/membership/fleet_heartbeat.h
+++ b/src/core/membership/fleet_heartbeat.h
@@ -49,6 +49,8 @@
 
 // Counts a successful request.
 void addSuccess(ReleaseCounters&, Milliseconds latency);
+// Counts a successful request whose latency is no evidence, since its upstream states a limit: it changes no mean.
+void addSuccessWithoutLatency(ReleaseCounters&);
 // Counts a request whose caller left after the given time.
 void addAbandoned(ReleaseCounters&, Milliseconds waited);
 // Adds the counters of another instance or release.
--- a/src/edge/request_forwarder.cpp
+++ b/src/edge/request_forwarder.cpp
@@ -278,7 +278,8 @@
     if (result.end == AttemptEnd::NotSent || result.end == AttemptEnd::RefusedNotRun)
         --m_possibleRuns;
     m_traffic.metrics().attemptEnded(serviceName(), attemptEndName(result.end));
-    if (result.end == AttemptEnd::Cut && m_caller->hasDisconnected() && !m_firstEventSeen) {
+    bool isAbandoned = result.end == AttemptEnd::Cut && m_caller->hasDisconnected() && !m_firstEventSeen;
+    if (isAbandoned && !m_traffic.limits().isLimited(processName(upstream))) {
         auto now = bootNow();
         m_traffic.recordAbandoned(processName(upstream), { releaseRoute(upstream), toMilliseconds(now - m_sentAt), now });
     }
@@ -364,12 +365,14 @@
     auto now = bootNow();
     releaseConnection(upstream, connection, response.keepAliveTimeout, now);
     bool isGood = response.status < 500;
-    m_traffic.countOutcome(releaseRoute(upstream), isGood, toMilliseconds(now - m_sentAt));
     if (isGood) {
+        m_traffic.countSuccess(releaseRoute(upstream), processName(upstream), toMilliseconds(now - m_sentAt));
         recordUpstreamSuccess(upstream);
         m_traffic.recordServedParts(m_parts, now);
-    } else
+    } else {
+        m_traffic.countFailure(releaseRoute(upstream));
         m_traffic.balancer().failed(upstream.id, now);
+    }
     AttemptResult result { isGood ? AttemptEnd::Completed : AttemptEnd::UpstreamError, true };
     // The caller already has the head of an event stream, so this response cannot be sent.
     if (m_caller->hasStartedResponse())
@@ -405,7 +408,7 @@
             stopWaiting();
             m_traffic.balancer().begun(upstream.id, m_attemptWork);
             m_traffic.balancer().recordFirstEvent(m_workBefore + m_attemptWork, toMilliseconds(now - m_sentAt));
-            m_traffic.countOutcome(releaseRoute(upstream), true, toMilliseconds(now - m_sentAt));
+            m_traffic.countSuccess(releaseRoute(upstream), processName(upstream), toMilliseconds(now - m_sentAt));
             m_traffic.recordSessionRelease(m_admitted.request, upstream.release, now);
             recordUpstreamSuccess(upstream);
         }
@@ -454,7 +457,7 @@
     LogLine(LogLevel::Info, "low_confidence_answer").with("id", m_admitted.request.id.value).with("model", m_model->value).with("confidence_percent", percent(*response.confidence)).with("required_percent", percent(needed)).with("mean_work", static_cast<std::int64_t>(load.work)).with("next", hasBudget ? larger->value : "none_within_budget");
     if (!hasBudget)
         return false;
-    m_traffic.countOutcome(releaseRoute(upstream), true, toMilliseconds(now - m_sentAt));
+    m_traffic.countSuccess(releaseRoute(upstream), processName(upstream), toMilliseconds(now - m_sentAt));
     m_model = *larger;
     m_triedUpstreams.clear();
     return true;
@@ -552,6 +555,9 @@
 void RequestForwarder::recordUpstreamFailure(const UpstreamEntry& upstream, AttemptEnd end)
 {
     auto now = bootNow();
+    // An upstream that states a limit is in need, so a late response is not its failure.
+    if (end == AttemptEnd::TimedOut && m_traffic.limits().isLimited(processName(upstream)))
+        return;
     if (end != AttemptEnd::NotSent)
         m_traffic.recordBrokenResponse(processName(upstream), releaseRoute(upstream), now);
     if (end == AttemptEnd::Cut) {
--- a/src/edge/traffic_state.cpp
+++ b/src/edge/traffic_state.cpp
@@ -290,14 +290,12 @@
     return m_retryBudgets.try_emplace(service, m_settings.retryBudget).first->second;
 }
 
-void TrafficState::countOutcome(const ReleaseRoute& key, bool isGood, Milliseconds latency)
+void TrafficState::countSuccess(const ReleaseRoute& key, const std::string& upstreamProcess, Milliseconds latency)
 {
-    auto& it = m_evidence[key];
-    if (!isGood) {
-        ++it.failed;
-        return;
-    }
-    addSuccess(it, latency);
+    if (m_limits.isLimited(upstreamProcess))
+        addSuccessWithoutLatency(m_evidence[key]);
+    else
+        addSuccess(m_evidence[key], latency);
 }
 
 void TrafficState::recordBrokenResponse(const std::string& upstreamProcess, const ReleaseRoute& route, TimePoint now)
@@ -313,7 +311,7 @@
 void TrafficState::recordAnswer(const std::string& upstreamProcess, TimePoint sentAt)
 {
     for (const auto& it : m_brokenResponses.recordSucceeded(upstreamProcess, sentAt))
-        countOutcome(it, false, {});
+        countFailure(it);
     for (const auto& it : m_brokenResponses.takeAbandoned(upstreamProcess, sentAt))
         addAbandoned(m_evidence[it.route], it.waited);
 }
--- a/src/edge/traffic_state.h
+++ b/src/edge/traffic_state.h
@@ -79,8 +79,9 @@
     void requestArrived(const ServiceId&, TimePoint now);
     // Takes one retry from the service's budget, of which only the given part may be used. Returns false if it is spent.
     bool takeRetry(const ServiceId&, TimePoint now, double part = 1);
-    // Counts the outcome of a request as evidence on its release. The latency counts only for a good one.
-    void countOutcome(const ReleaseRoute&, bool isGood, Milliseconds latency);
+    // Counts the outcome of a request as evidence on its release.
+    void countFailure(const ReleaseRoute& route) { ++m_evidence[route].failed; }
+    void countSuccess(const ReleaseRoute&, const std::string& upstreamProcess, Milliseconds latency);
     // Records a response that broke off. It counts against the release once the same process of the upstream, identified by the
     // id and the start time of the upstream, answers a later request.
     void recordBrokenResponse(const std::string& upstreamProcess, const ReleaseRoute&, TimePoint now);
@@ -109,6 +110,7 @@
     // Time until one of these upstreams may get a request again, from this instance or another one.
     Milliseconds timeToUnlimited(const std::vector<const UpstreamEntry*>&, TimePoint now) const;
     UpstreamLimits& limits() { return m_limits; }
+    const UpstreamLimits& limits() const { return m_limits; }
     const PromptPartGuard& promptParts() const { return m_promptParts; }
 
     EventLoop& loop() { return m_loop; }
--- a/test/correctness/fleet_test.cpp
+++ b/test/correctness/fleet_test.cpp
@@ -70,6 +70,21 @@
     SECTION("a message of another type is rejected") { CHECK_FALSE(decodeHeartbeat("\x83\x01\x02\x03")); }
 }
 
+TEST_CASE("a success whose latency is no evidence changes no mean latency")
+{
+    ReleaseCounters counters;
+    addSuccessWithoutLatency(counters);
+    CHECK(counters.done == 1);
+    counters = {};
+    addSuccess(counters, 100ms);
+    addSuccess(counters, 300ms);
+    auto before = counters.logLatencies;
+    addSuccessWithoutLatency(counters);
+    CHECK(counters.done == 3);
+    CHECK(counters.latency == 600ms);
+    CHECK(counters.logLatencies == before);
+}
+
 TEST_CASE("instances are live while their heartbeats arrive")
 {
     FleetMembership membership({ { "self" }, 1 }, { "a" }, "self:70");
