--- a/src/core/limits/prompt_part_guard.cpp
+++ b/src/core/limits/prompt_part_guard.cpp
@@ -75,7 +75,7 @@
     for (const auto& it : request.parts)
         addPart(crash, it);
     m_isUrgent = true;
-    m_unjudged.insert(request.process);
+    m_unevaluated.insert(request.process);
     limitSizes();
 }
 
@@ -208,24 +208,24 @@
     });
 }
 
-void PromptPartGuard::judge(TimePoint now)
+void PromptPartGuard::evaluate(TimePoint now)
 {
     std::vector<std::string> processes;
-    std::erase_if(m_unjudged, [&](const auto& it) {
+    std::erase_if(m_unevaluated, [&](const auto& it) {
         auto crash = m_crashes.find(it);
-        if (crash != m_crashes.end() && now < crash->second.at + judgementDelay)
+        if (crash != m_crashes.end() && now < crash->second.at + evaluationDelay)
             return false;
         processes.push_back(it);
         return true;
     });
     if (processes.empty())
         return;
-    for (const auto& it : findGuilty(processes))
+    for (const auto& it : findCrashingParts(processes))
         quarantine(it, now);
     releaseExplained(now);
 }
 
-std::vector<std::string> PromptPartGuard::findGuilty(const std::vector<std::string>& processes) const
+std::vector<std::string> PromptPartGuard::findCrashingParts(const std::vector<std::string>& processes) const
 {
     std::set<std::string> suspects;
     for (const auto& it : processes) {
@@ -233,7 +233,7 @@
         if (crash != m_crashes.end() && isCrash(crash->second) && !isExplained(crash->second))
             suspects.insert(crash->second.parts.begin(), crash->second.parts.end());
     }
-    std::vector<std::string> guilty;
+    std::vector<std::string> crashing;
     std::size_t mostCauses = 0;
     for (const auto& it : suspects) {
         auto crashes = crashesWith(it);
@@ -246,11 +246,11 @@
         if (causes < needed || causes < mostCauses)
             continue;
         if (causes > mostCauses)
-            guilty.clear();
+            crashing.clear();
         mostCauses = causes;
-        guilty.push_back(it);
+        crashing.push_back(it);
     }
-    return guilty;
+    return crashing;
 }
 
 void PromptPartGuard::quarantine(const std::string& part, TimePoint now)
@@ -312,7 +312,7 @@
         learnQuarantine(it, now);
     for (const auto& it : news.crashes)
         learnCrash(it, now);
-    judge(now);
+    evaluate(now);
     limitSizes();
 }
 
@@ -337,7 +337,7 @@
         return;
     // Peers learn at once what this instance adds: that a part was served, for example.
     m_isUrgent = true;
-    m_unjudged.insert(news.process);
+    m_unevaluated.insert(news.process);
 }
 
 void PromptPartGuard::learnQuarantine(const QuarantinedPart& news, TimePoint now)
--- a/src/core/limits/prompt_part_guard.h
+++ b/src/core/limits/prompt_part_guard.h
@@ -50,8 +50,8 @@
     static constexpr std::size_t crashesOfServedPart = 5;
     // Crashes closer together than this count as one, since they probably have a common cause, such as the loss of a machine.
     static constexpr Milliseconds commonCauseTime { 50 };
-    // A crash is judged this long after the first connection was lost, when the other losses are known, here and from peers.
-    static constexpr Milliseconds judgementDelay { 30 };
+    // A crash is evaluated this long after the first connection was lost, when the other losses are known, here and from peers.
+    static constexpr Milliseconds evaluationDelay { 30 };
     // Responses that have been running for this long after their first event clear their parts.
     static constexpr Milliseconds outlivedTime { 2000 };
     // How long crashes and served parts are remembered.
@@ -100,8 +100,8 @@
 
     // Merges what a peer sent.
     void learn(const PromptPartNews&, TimePoint now);
-    // Puts parts into quarantine for which there are enough crashes. To be called judgementDelay after takeUrgent() returned true.
-    void judge(TimePoint now);
+    // Puts parts into quarantine for which there are enough crashes. To be called evaluationDelay after takeUrgent() returned true.
+    void evaluate(TimePoint now);
     // What peers have to know.
     PromptPartNews news(TimePoint now) const;
     // Returns and resets whether something happened that peers must know at once.
@@ -146,7 +146,7 @@
     static std::size_t countCauses(const std::vector<const Crashes::value_type*>&);
     bool isOnlySuspect(const std::string& part, const std::vector<const Crashes::value_type*>&) const;
     // Returns the suspects of these crashes that must be put into quarantine.
-    std::vector<std::string> findGuilty(const std::vector<std::string>& processes) const;
+    std::vector<std::string> findCrashingParts(const std::vector<std::string>& processes) const;
     void quarantine(const std::string& part, TimePoint now);
     // Ends quarantines of parts whose crashes another quarantined part has caused, which is in more crashes.
     void releaseExplained(TimePoint now);
@@ -158,8 +158,8 @@
     void limitSizes();
 
     Crashes m_crashes;
-    // Processes whose crashes changed since they were judged.
-    std::set<std::string> m_unjudged;
+    // Processes whose crashes changed since they were evaluated.
+    std::set<std::string> m_unevaluated;
     // When each part was last served.
     absl::flat_hash_map<std::string, TimePoint> m_servedAt;
     absl::flat_hash_map<std::string, Quarantine> m_quarantined;
--- a/src/core/limits/upstream_limit_news.h
+++ b/src/core/limits/upstream_limit_news.h
@@ -13,7 +13,7 @@
 namespace skylarkhitch {
 
 // An instance says that a share of a limit is its own.
-struct ShareClaim {
+struct ShareOwner {
     // Number of the share, from 0.
     std::size_t share = 0;
     InstanceId instance;
@@ -27,7 +27,7 @@
     std::optional<double> requestsPerSecond;
     // Time since the response that stated it.
     Milliseconds age {};
-    std::vector<ShareClaim> claims;
+    std::vector<ShareOwner> owners;
 };
 
 nlohmann::json toJson(const std::vector<StatedLimit>&);
--- a/src/core/limits/upstream_limits.cpp
+++ b/src/core/limits/upstream_limits.cpp
@@ -34,15 +34,15 @@
 
 }
 
-void UpstreamLimits::claimShares(TimePoint now)
+void UpstreamLimits::assignShares(TimePoint now)
 {
     for (auto& [process, limit] : m_limits)
-        claim(process, limit, now);
+        assign(process, limit, now);
 }
 
-bool UpstreamLimits::isCurrent(const Claim& claim, TimePoint now) { return !claim.instance.empty() && now - claim.at < claimLifetime; }
+bool UpstreamLimits::isCurrent(const Owner& owner, TimePoint now) { return !owner.instance.empty() && now - owner.at < ownershipLifetime; }
 
-const UpstreamLimits::Claim& UpstreamLimits::strongerClaim(const std::string& shareKey, const Claim& known, const Claim& other, TimePoint now)
+const UpstreamLimits::Owner& UpstreamLimits::strongerOwner(const std::string& shareKey, const Owner& known, const Owner& other, TimePoint now)
 {
     if (!isCurrent(other, now))
         return known;
@@ -53,7 +53,7 @@
     return hashOf(shareKey, other.instance.value) > hashOf(shareKey, known.instance.value) ? other : known;
 }
 
-void UpstreamLimits::claim(const std::string& process, Limit& limit, TimePoint now)
+void UpstreamLimits::assign(const std::string& process, Limit& limit, TimePoint now)
 {
     bool isLive = std::find(m_instances.begin(), m_instances.end(), m_self) != m_instances.end();
     for (std::size_t n = 0; n < limit.shares.size(); ++n) {
@@ -78,7 +78,7 @@
 
 void UpstreamLimits::updateOwnRate(Limit& limit, TimePoint now) const
 {
-    auto own = std::count_if(limit.shares.begin(), limit.shares.end(), [&](const Claim& it) { return it.instance == m_self; });
+    auto own = std::count_if(limit.shares.begin(), limit.shares.end(), [&](const Owner& it) { return it.instance == m_self; });
     double rate = limit.shares.empty() ? 0 : std::max(limit.requestsPerSecond.value_or(0), minRate) * static_cast<double>(own) / static_cast<double>(limit.shares.size());
     if (rate == limit.ownRate)
         return;
@@ -99,9 +99,9 @@
     auto before = std::exchange(limit.requestsPerSecond, requestsPerSecond);
     limit.statedAt = statedAt;
     limit.shares.resize(requestsPerSecond ? shareCount(*requestsPerSecond) : 0);
-    // The claims of others come with a peer's news.
+    // The owners that are known come with a peer's news.
     if (!before && !fromPeer)
-        claim(process, limit, now);
+        assign(process, limit, now);
     updateOwnRate(limit, now);
     if (!isNews(before, requestsPerSecond))
         return;
@@ -161,19 +161,19 @@
             state(it.process, it.requestsPerSecond, statedAt, now, true);
         known = m_limits.find(it.process);
         if (known != m_limits.end())
-            learnClaims(it, known->second, now);
+            learnOwners(it, known->second, now);
     }
 }
 
-void UpstreamLimits::learnClaims(const StatedLimit& news, Limit& limit, TimePoint now)
+void UpstreamLimits::learnOwners(const StatedLimit& news, Limit& limit, TimePoint now)
 {
-    for (const auto& it : news.claims) {
+    for (const auto& it : news.owners) {
         if (it.share >= limit.shares.size())
             continue;
         auto& known = limit.shares[it.share];
-        known = Claim(strongerClaim(shareKey(news.process, it.share), known, { it.instance, now - it.age }, now));
+        known = Owner(strongerOwner(shareKey(news.process, it.share), known, { it.instance, now - it.age }, now));
     }
-    claim(news.process, limit, now);
+    assign(news.process, limit, now);
 }
 
 std::vector<StatedLimit> UpstreamLimits::news(TimePoint now) const
@@ -185,7 +185,7 @@
         StatedLimit statement { process, it.requestsPerSecond, ageOf(it.statedAt, now), {} };
         for (std::size_t n = 0; n < it.shares.size(); ++n) {
             if (isCurrent(it.shares[n], now))
-                statement.claims.push_back({ n, it.shares[n].instance, ageOf(it.shares[n].at, now) });
+                statement.owners.push_back({ n, it.shares[n].instance, ageOf(it.shares[n].at, now) });
         }
         statements.push_back(std::move(statement));
     }
--- a/src/core/limits/upstream_limits.h
+++ b/src/core/limits/upstream_limits.h
@@ -3,9 +3,9 @@
 // Keeps the requests that all instances together send to an upstream within the limit that it states.
 //
 // A limit may be less than one request per second for each instance, so equal shares would exceed it. It is divided into as many
-// shares as are of use, and each share belongs to one instance at a time; the others send the upstream nothing. Heartbeats carry
-// the claims, and each instance passes on those that it knows. A share without a claim goes to the live instance that rendezvous
-// hashing selects. If two instances with different lists of live instances claim it, one gives way as soon as it learns of the
+// shares as are of use, and each share has one owner at a time; the other instances send the upstream nothing. Heartbeats name the
+// owners, and each instance passes on those that it knows. A share without an owner goes to the live instance that rendezvous
+// hashing selects. If two instances with different lists of live instances take it, one gives way as soon as it learns of the
 // other. An instance starts without a saved-up request when it gets a share.
 
 #include "core/limits/upstream_limit_news.h"
@@ -36,8 +36,8 @@
     // Share of a limit, in requests per second, that is worth dividing it, and the maximum number of shares.
     static constexpr double minShare = 4;
     static constexpr std::size_t maxShares = 8;
-    // A claim ends when it was not renewed for this long. News takes less time to reach all instances of a large site.
-    static constexpr Milliseconds claimLifetime { 2500 };
+    // An instance owns a share until it has not renewed that for this long. News takes less time to reach all instances of a large site.
+    static constexpr Milliseconds ownershipLifetime { 2500 };
     // Rate at which an upstream is asked even if its limit is lower, so that a limit that ended is noticed.
     static constexpr double minRate = 0.25;
     // Requests that may be saved up, in time at the own rate; at least one request.
@@ -55,8 +55,8 @@
 
     // Sets the live instances that divide the limits among them.
     void setInstances(std::vector<InstanceId> instances) { m_instances = std::move(instances); }
-    // Renews the claims of this instance, and claims shares that nobody claims. To be called with each heartbeat.
-    void claimShares(TimePoint now);
+    // Renews the ownership of this instance's shares, and takes those that nobody owns. To be called with each heartbeat.
+    void assignShares(TimePoint now);
     // A response of the process states this limit, or none.
     void recordResponse(const std::string& process, std::optional<double> requestsPerSecond, TimePoint now);
     // Whether a request of this rank may be sent to the process now. The most urgent rank, 0, may use up one request in advance.
@@ -83,14 +83,14 @@
     std::size_t limitedCount() const;
 
 private:
-    struct Claim {
+    struct Owner {
         InstanceId instance;
         TimePoint at;
     };
     struct Limit {
         std::optional<double> requestsPerSecond;
         TimePoint statedAt;
-        std::vector<Claim> shares;
+        std::vector<Owner> shares;
         // What this instance may send per second; 0 without a share.
         double ownRate = 0;
         // Requests saved up at refilledAt.
@@ -99,13 +99,13 @@
     };
 
     void state(const std::string& process, std::optional<double> requestsPerSecond, TimePoint statedAt, TimePoint now, bool fromPeer);
-    static bool isCurrent(const Claim&, TimePoint now);
-    // The claim that holds of two for the same share.
-    static const Claim& strongerClaim(const std::string& shareKey, const Claim& known, const Claim& other, TimePoint now);
-    void claim(const std::string& process, Limit&, TimePoint now);
-    void learnClaims(const StatedLimit&, Limit&, TimePoint now);
+    static bool isCurrent(const Owner&, TimePoint now);
+    // The one that stays of two owners of the same share.
+    static const Owner& strongerOwner(const std::string& shareKey, const Owner& known, const Owner& other, TimePoint now);
+    void assign(const std::string& process, Limit&, TimePoint now);
+    void learnOwners(const StatedLimit&, Limit&, TimePoint now);
     static double savedAt(const Limit&, TimePoint now);
-    // Sets the own rate from the claims.
+    // Sets the own rate from the owners of the shares.
     void updateOwnRate(Limit&, TimePoint now) const;
 
     InstanceId m_self;
--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -130,14 +130,15 @@
             asio::post(m_controlLoop, [this, report = m_traffic.report()]() mutable { m_control.handleTrafficReport(std::move(report)); });
         }
 
-        // Sends a report early, and judges the crashes that may have caused it. Waits until all that one crash of an upstream causes has been recorded.
+        // Sends a report early, and evaluates the crashes that may have caused it. Waits until all that one crash of an upstream
+        // causes has been recorded.
         Awaitable<void> sendUrgentReport()
         {
             co_await sleepFor(m_trafficLoop, urgentReportDelay);
             m_isUrgentReportPending = false;
             sendReport();
-            co_await sleepFor(m_trafficLoop, PromptPartGuard::judgementDelay);
-            m_traffic.judgeCrashes(bootNow());
+            co_await sleepFor(m_trafficLoop, PromptPartGuard::evaluationDelay);
+            m_traffic.evaluateCrashes(bootNow());
         }
 
         Awaitable<void> reportLoop()
--- a/src/edge/traffic_state.cpp
+++ b/src/edge/traffic_state.cpp
@@ -188,9 +188,9 @@
     announcePromptParts();
 }
 
-void TrafficState::judgeCrashes(TimePoint now)
+void TrafficState::evaluateCrashes(TimePoint now)
 {
-    m_promptParts.judge(now);
+    m_promptParts.evaluate(now);
     announcePromptParts();
 }
 
@@ -222,10 +222,10 @@
     m_connections.closeExpired(now);
     m_sessions.forget(now);
     m_crashes.forget(now - crashRetention);
-    m_limits.claimShares(now);
+    m_limits.assignShares(now);
     announceLimits();
     m_promptParts.forget(now);
-    judgeCrashes(now);
+    evaluateCrashes(now);
     m_brokenResponses.forget(now - brokenResponseRetention);
     return { m_balancer.ownWork(), m_evidence, m_crashes.own(), { m_promptParts.news(now), m_limits.news(now) }, m_sessions.own(now), isReady(), m_promptParts.quarantinedCount(), m_limits.limitedCount(), threadCpuTime() };
 }
--- a/src/edge/traffic_state.h
+++ b/src/edge/traffic_state.h
@@ -50,7 +50,7 @@
     void learn(PeerUpdate);
     // Merges what a peer told about prompt parts that crash upstreams and about limits of upstreams.
     void learn(const PeerNews&);
-    // Called when the control thread must get a report soon, and judgeCrashes() must be called after that.
+    // Called when the control thread must get a report soon, and evaluateCrashes() must be called after that.
     void onUrgentNews(std::function<void()> callback) { m_onUrgentNews = std::move(callback); }
     // Drops expired state and returns the report for the control thread.
     TrafficReport report();
@@ -101,8 +101,8 @@
     // Withdraws the request if one of its parts is put into quarantine before removeWaiting() is called.
     WaitingRequests::iterator addWaiting(WaitingRequest request) { return m_waiting.insert(m_waiting.end(), std::move(request)); }
     void removeWaiting(WaitingRequests::iterator it) { m_waiting.erase(it); }
-    // Judges the crashes whose evidence is complete.
-    void judgeCrashes(TimePoint now);
+    // Evaluates the crashes whose evidence is complete.
+    void evaluateCrashes(TimePoint now);
     // Records what a response of the upstream process says about its request limit.
     void recordLimit(const std::string& upstreamProcess, std::optional<double> requestsPerSecond, TimePoint now);
     // Removes the upstreams to which the limits that they state allow this instance no request of the rank now.
--- a/test/correctness/prompt_part_guard_test.cpp
+++ b/test/correctness/prompt_part_guard_test.cpp
@@ -27,7 +27,7 @@
 
 bool isRefused(PromptPartGuard& guard, const std::string& part, TimePoint now)
 {
-    guard.judge(now + PromptPartGuard::judgementDelay);
+    guard.evaluate(now + PromptPartGuard::evaluationDelay);
     return guard.decide({ "sys", part }, false, now) == Verdict::Refused;
 }
 
@@ -359,7 +359,7 @@
         now += FleetMembership::heartbeatPeriod;
         std::vector<std::pair<std::string, PromptPartNews>> sent;
         for (auto& [address, it] : site) {
-            it.guard.judge(now);
+            it.guard.evaluate(now);
             auto news = it.guard.news(now);
             for (const auto& receiver : it.membership.nextReceivers(now)) {
                 if (!news.empty() && random() % 10 > 0)
--- a/test/correctness/upstream_limits_test.cpp
+++ b/test/correctness/upstream_limits_test.cpp
@@ -29,7 +29,7 @@
     int count = 0;
     for (auto now = from; now < from + time; now += 10ms) {
         if (now.time_since_epoch() % 250ms == 0ms)
-            limits.claimShares(now);
+            limits.assignShares(now);
         if (!limits.maySend(process, rank, now))
             continue;
         limits.sent(process, now);
@@ -227,7 +227,7 @@
             for (const auto* peer : it.membership.livePeers(m_now))
                 live.push_back(peer->heartbeat.from.instance);
             it.limits.setInstances(std::move(live));
-            it.limits.claimShares(m_now);
+            it.limits.assignShares(m_now);
             FleetHeartbeat heartbeat;
             heartbeat.from = { { name }, it.incarnation };
             heartbeat.domain = m_addresses.at(name);
