Pass on sessions in a large site, so that the canary stage moves no active one

Cause, now shown: each heartbeat goes to 27 of 79 peers, so an instance may hear for seconds from nobody who served the session, and takes it for a new one. While a rollout is under way, heartbeats of a site that is no full mesh now carry the sessions of others too, 256 at most, and the canary stage begins 2 s after the instance saw the order.

--- a/src/core/membership/fleet_membership.cpp
+++ b/src/core/membership/fleet_membership.cpp
@@ -25,11 +25,10 @@
 
 bool FleetMembership::isLive(const FleetPeer& peer, TimePoint now) const
 {
-    bool isFullMesh = m_ownDomainPeers + m_otherDomainPeers <= maxReceivers;
     bool isOwnDomain = peer.heartbeat.domain == m_domain;
     auto peers = isOwnDomain ? m_ownDomainPeers : m_otherDomainPeers;
     auto receiversPerHeartbeat = isOwnDomain ? maxReceivers : otherDomainReceivers;
-    auto rotationLength = isFullMesh ? 1 : (peers + receiversPerHeartbeat - 1) / receiversPerHeartbeat;
+    auto rotationLength = isFullMesh() ? 1 : (peers + receiversPerHeartbeat - 1) / receiversPerHeartbeat;
     return now - peer.lastHeartbeatAt <= heartbeatPeriod * maxMissedHeartbeats * std::max<std::size_t>(1, rotationLength) + heartbeatMargin;
 }
 
@@ -67,7 +66,7 @@
     m_ownDomainPeers = ownDomain.size();
     m_otherDomainPeers = otherDomains.size();
     auto chosen = ownDomain;
-    if (m_ownDomainPeers + m_otherDomainPeers <= maxReceivers) {
+    if (isFullMesh()) {
         chosen.insert(chosen.end(), otherDomains.begin(), otherDomains.end());
         return chosen;
     }
@@ -88,7 +87,7 @@
 
 bool FleetMembership::shouldFollowStore(TimePoint now) const
 {
-    if (m_ownDomainPeers + m_otherDomainPeers <= maxReceivers)
+    if (isFullMesh())
         return true;
     std::size_t precedingFollowers = 0, freshFollowers = 0;
     for (const auto* it : livePeers(now)) {
--- a/src/core/membership/fleet_membership.h
+++ b/src/core/membership/fleet_membership.h
@@ -70,6 +70,8 @@
     const std::map<InstanceId, FleetPeer>& peers() const { return m_peers; }
     // Number of known instances, including this one.
     std::size_t size(TimePoint now) const;
+    // Whether each heartbeat goes to all known peers.
+    bool isFullMesh() const { return m_ownDomainPeers + m_otherDomainPeers <= maxReceivers; }
     // Whether this instance should follow the store itself. In a small site every instance does; in a large one, the
     // followers of each domain, and others while no peer in their domain has had a recent store reply.
     bool shouldFollowStore(TimePoint now) const;
--- a/src/core/rollout/session_releases.cpp
+++ b/src/core/rollout/session_releases.cpp
@@ -1,7 +1,16 @@
 #include "core/rollout/session_releases.h"
 
+#include <algorithm>
+
 namespace skylarkhitch {
 
+namespace {
+
+    // Without a margin, two instances would make a sighting later and later by telling it each other.
+    constexpr Milliseconds ageTolerance { 100 };
+
+}
+
 void SessionReleases::recordServed(std::uint64_t session, const std::string& release, TimePoint now)
 {
     m_sightings[session] = { release, now, true };
@@ -12,7 +21,7 @@
     for (const auto& it : sessions) {
         auto at = now - it.age;
         auto [sighting, isNew] = m_sightings.try_emplace(it.session, Sighting { it.release, at, false });
-        if (!isNew && sighting->second.at < at)
+        if (!isNew && sighting->second.at + ageTolerance < at)
             sighting->second = { it.release, at, false };
     }
 }
@@ -33,6 +42,21 @@
     return sessions;
 }
 
+std::vector<RecentSession> SessionReleases::all(TimePoint now, std::size_t max) const
+{
+    std::vector<RecentSession> sessions;
+    for (const auto& [session, it] : m_sightings) {
+        if (now - it.at <= m_sessionTimeout)
+            sessions.push_back({ session, it.release, std::max(Milliseconds(0), toMilliseconds(now - it.at)) });
+    }
+    if (sessions.size() > max) {
+        auto end = sessions.begin() + static_cast<std::ptrdiff_t>(max);
+        std::nth_element(sessions.begin(), end, sessions.end(), [](const auto& a, const auto& b) { return a.age < b.age; });
+        sessions.resize(max);
+    }
+    return sessions;
+}
+
 void SessionReleases::forget(TimePoint now)
 {
     absl::erase_if(m_sightings, [&](const auto& it) { return now - it.second.at > m_sessionTimeout; });
--- a/src/core/rollout/session_releases.h
+++ b/src/core/rollout/session_releases.h
@@ -20,12 +20,16 @@
 
     // `session` is a hash of the session id.
     void recordServed(std::uint64_t session, const std::string& release, TimePoint now);
-    // Merges the sessions seen by another instance; the most recent sighting wins.
+    // Merges the sessions that another instance told; the most recent sighting wins, if the time that a heartbeat takes does not
+    // explain the difference.
     void learn(const std::vector<RecentSession>&, TimePoint now);
     // The release of an active session, or null.
     const std::string* releaseOf(std::uint64_t session, TimePoint now) const;
     // Active sessions last seen by this instance, for its heartbeats.
     std::vector<RecentSession> own(TimePoint now) const;
+    // The same with those learned from others, for the heartbeats of a site whose instances do not all hear each other: the most
+    // recent ones, `max` at most.
+    std::vector<RecentSession> all(TimePoint now, std::size_t max) const;
     // Drops the sessions that are no longer active.
     void forget(TimePoint now);
 
--- a/src/edge/control_plane.cpp
+++ b/src/edge/control_plane.cpp
@@ -511,6 +511,7 @@
     view->rollouts = m_rollouts.rolloutViews();
     view->entries = entries(now);
     view->knownInstances = m_fleet.size(now);
+    view->isFullMesh = m_fleet.isFullMesh();
     view->storeRevision = m_mirror.revision();
     view->upToDateAt = upToDateAt(now);
     m_outputs.publishView(view);
--- a/src/edge/fleet_view.h
+++ b/src/edge/fleet_view.h
@@ -28,6 +28,8 @@
     // No requests go to the target. Set if this instance found the target bad and the stored stage is not final yet, or if the
     // store has no record of the rollout yet.
     bool suspended = false;
+    // When this instance saw the order appear; the time of the process start or earlier if it was there already.
+    TimePoint orderedAt {};
 };
 
 struct FleetView {
@@ -39,6 +41,8 @@
     std::vector<EntryInstance> entries;
     // Number of known instances, live or not, including this one.
     std::size_t knownInstances = 1;
+    // Whether each instance sends each heartbeat to all others.
+    bool isFullMesh = true;
     // Revision of the local copy of the store that the view was built from.
     std::int64_t storeRevision = 0;
     // When that copy was last known to be current, as of when the view was built.
--- a/src/edge/rollout_controller.cpp
+++ b/src/edge/rollout_controller.cpp
@@ -142,7 +142,7 @@
     for (const auto& [service, order] : m_orders) {
         const auto* record = recordOf(service, order);
         auto stage = record ? record->record.stage : RolloutStage::Canary;
-        all[service] = { order.order.target, stage, !record || (order.suspended && !isFinal(stage)) };
+        all[service] = { order.order.target, stage, !record || (order.suspended && !isFinal(stage)), order.appearedAt.value_or(TimePoint {}) };
     }
     return all;
 }
--- a/src/edge/traffic_state.cpp
+++ b/src/edge/traffic_state.cpp
@@ -34,6 +34,9 @@
     constexpr std::size_t maxBodyMemoryBytes = std::size_t { 8 } << 20;
 
     constexpr std::string_view rolloutHashSalt = "rollout";
+    // Time in which what instances pass on reaches all of a large site.
+    constexpr Milliseconds largeSiteNewsTime { 2000 };
+    constexpr std::size_t maxPassedOnSessions = 256;
 
     // Processes that a log line names at most.
     constexpr std::size_t maxLoggedProcesses = 5;
@@ -227,7 +230,7 @@
     m_promptParts.forget(now);
     evaluateCrashes(now);
     m_brokenResponses.forget(now - brokenResponseRetention);
-    return { m_balancer.ownWork(), m_evidence, m_crashes.own(), { m_promptParts.news(now), m_limits.news(now) }, m_sessions.own(now), isReady(), m_promptParts.quarantinedCount(), m_limits.limitedCount(), threadCpuTime() };
+    return { m_balancer.ownWork(), m_evidence, m_crashes.own(), { m_promptParts.news(now), m_limits.news(now) }, sessionsForPeers(now), isReady(), m_promptParts.quarantinedCount(), m_limits.limitedCount(), threadCpuTime() };
 }
 
 EligibleUpstreams TrafficState::findEligibleUpstreams(const ServiceId& id, const RoutedRequest& request, TimePoint now)
@@ -252,10 +255,22 @@
     return eligible;
 }
 
+std::vector<RecentSession> TrafficState::sessionsForPeers(TimePoint now) const
+{
+    auto isUnderWay = [](const auto& it) { return it.second.stage == RolloutStage::Canary || it.second.stage == RolloutStage::Half; };
+    bool passesOn = m_view && !m_view->isFullMesh && std::any_of(m_view->rollouts.begin(), m_view->rollouts.end(), isUnderWay);
+    return passesOn ? m_sessions.all(now, maxPassedOnSessions) : m_sessions.own(now);
+}
+
+bool TrafficState::awaitsSessions(const RolloutView& rollout, TimePoint now) const
+{
+    return !m_view->isFullMesh && rollout.stage == RolloutStage::Canary && now < std::max(m_startedAt, rollout.orderedAt) + largeSiteNewsTime;
+}
+
 bool TrafficState::isReleaseEligible(const RolloutView& rollout, const std::string& release, const RoutedRequest& request, TimePoint now) const
 {
     bool isTarget = release == rollout.target;
-    if (rollout.suspended || rollout.stage == RolloutStage::Reverted)
+    if (rollout.suspended || rollout.stage == RolloutStage::Reverted || awaitsSessions(rollout, now))
         return !isTarget;
     if (rollout.stage == RolloutStage::Full || rollout.stage == RolloutStage::Completed)
         return isTarget;
--- a/src/edge/traffic_state.h
+++ b/src/edge/traffic_state.h
@@ -123,6 +123,10 @@
     const TrafficSettings& settings() const { return m_settings; }
 
 private:
+    // Sessions for the heartbeats.
+    std::vector<RecentSession> sessionsForPeers(TimePoint now) const;
+    // Whether the instances of a large site may not know yet which releases serve the sessions that a rollout must not move.
+    bool awaitsSessions(const RolloutView&, TimePoint now) const;
     bool isReleaseEligible(const RolloutView&, const std::string& release, const RoutedRequest&, TimePoint now) const;
     ServiceRetryBudget& retryBudgetOf(const ServiceId&);
     // Whether this instance, of all that take callers, is the one that probes the part.
--- a/test/correctness/release_plan_test.cpp
+++ b/test/correctness/release_plan_test.cpp
@@ -329,6 +329,23 @@
         CHECK(own[0].session == 1);
         CHECK(own[0].age == 1000ms);
     }
+    SECTION("in a large site those that others served are passed on, the most recent ones first")
+    {
+        CHECK(sessions.all(start + 1s, 10).size() == 2);
+        auto newest = sessions.all(start + 1s, 1);
+        REQUIRE(newest.size() == 1);
+        CHECK(newest[0].session == 1);
+        SECTION("which does not make them last longer")
+        {
+            SessionReleases other(5000ms);
+            for (auto now = start; now < start + 6s; now += 250ms) {
+                other.learn(sessions.all(now, 10), now + 20ms);
+                sessions.learn(other.all(now + 20ms, 10), now + 40ms);
+            }
+            CHECK_FALSE(sessions.releaseOf(1, start + 5200ms));
+            CHECK_FALSE(other.releaseOf(1, start + 5200ms));
+        }
+    }
 }
 
 // Guards against reverting a good release because upstreams crash while it serves its first requests: half of all
--- /dev/null
+++ b/test/correctness/traffic_state_test.cpp
@@ -0,0 +1,77 @@
+// Tests which releases the shared state of an instance's requests allows during a rollout.
+
+#include "core/hashing.h"
+#include "edge/traffic_state.h"
+
+#include <absl/strings/str_cat.h>
+#include <catch2/catch.hpp>
+
+using namespace skylarkhitch;
+using namespace std::chrono_literals;
+
+namespace {
+
+const ServiceId assist { "assist" };
+
+// A view with an upstream of each release, in the canary stage of a rollout to v2.
+FleetView canaryView(bool isFullMesh, TimePoint orderedAt)
+{
+    auto configuration = std::make_shared<RoutingConfiguration>();
+    configuration->services[assist] = { assist, "/", 0, {} };
+    FleetView view;
+    view.configuration = configuration;
+    view.upstreams[assist] = { { { "i-1" }, assist, "10.0.0.1:80", { "a" }, "v1", 8, true, 1, {} }, { { "i-2" }, assist, "10.0.0.2:80", { "a" }, "v2", 8, true, 1, {} } };
+    view.rollouts[assist] = { "v2", RolloutStage::Canary, false, orderedAt };
+    view.isFullMesh = isFullMesh;
+    return view;
+}
+
+// A request of a session that the canary stage gives to the target.
+RoutedRequest canaryRequest()
+{
+    RoutedRequest request;
+    for (int n = 0; unitHash("rollout", request.session) >= sessionShareOf(RolloutStage::Canary) || request.session.empty(); ++n)
+        request.session = absl::StrCat("session-", n);
+    return request;
+}
+
+}
+
+// Guards against an active session being moved to the target by an instance that has not learned yet which release serves it.
+TEST_CASE("the canary stage waits until all instances know which releases serve active sessions")
+{
+    EventLoop loop;
+    EdgeMetrics metrics;
+    TrafficState traffic(loop, TrafficSettings {}, metrics);
+    auto now = bootNow() + 60s;
+    auto request = canaryRequest();
+    auto releaseFor = [&](const FleetView& view) {
+        traffic.setView(std::make_shared<const FleetView>(view));
+        auto eligible = traffic.findEligibleUpstreams(assist, request, now);
+        REQUIRE(eligible.allowed.size() == 1);
+        return eligible.allowed[0]->release;
+    };
+    SECTION("for some heartbeats in a large site, where instances pass on what they learn")
+    {
+        CHECK(releaseFor(canaryView(false, now - 500ms)) == "v1");
+        CHECK(releaseFor(canaryView(false, now - 3s)) == "v2");
+    }
+    SECTION("not in a small site, where each instance hears all others") { CHECK(releaseFor(canaryView(true, now - 500ms)) == "v2"); }
+    SECTION("and then leaves a session on its release that another instance has served")
+    {
+        PeerUpdate update;
+        update.sessions = { { hashOf(request.session), "v1", 100ms } };
+        traffic.learn(update);
+        now = bootNow() + 3s;
+        CHECK(releaseFor(canaryView(false, now - 10s)) == "v1");
+        SECTION("which it passes on")
+        {
+            auto view = canaryView(false, now - 10s);
+            traffic.setView(std::make_shared<const FleetView>(view));
+            CHECK(traffic.report().sessions.size() == 1);
+            view.isFullMesh = true;
+            traffic.setView(std::make_shared<const FleetView>(view));
+            CHECK(traffic.report().sessions.empty());
+        }
+    }
+}
