--- a/src/core/membership/store_mirror.cpp
+++ b/src/core/membership/store_mirror.cpp
@@ -1,5 +1,6 @@
 #include "core/membership/store_mirror.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <set>
 
@@ -53,10 +54,12 @@
 {
     MirrorUpdate update { m_revision, false, {} };
     if (revision > 0 && revision >= m_historyAfter) {
-        for (const auto& it : m_history) {
-            if (it.revision > revision)
-                update.changes.push_back(it);
+        std::set<std::string_view> keys;
+        for (auto it = m_history.rbegin(); it != m_history.rend(); ++it) {
+            if (it->revision > revision && keys.insert(it->key).second)
+                update.changes.push_back(*it);
         }
+        std::reverse(update.changes.begin(), update.changes.end());
         return update;
     }
     update.isSnapshot = true;
--- a/src/core/membership/store_mirror.h
+++ b/src/core/membership/store_mirror.h
@@ -53,7 +53,8 @@
     // Applies an update. Returns false, without any change, if its revision is not higher than the mirror's. At revision 0
     // any update is applied.
     bool applyUpdate(const MirrorUpdate&);
-    // Returns the update that brings another mirror from the given revision to that of this one. From 0 it is a snapshot.
+    // Returns the update that brings another mirror from the given revision to that of this one: the last change of each key. From
+    // 0 it is a snapshot.
     MirrorUpdate changesSince(std::int64_t revision) const;
 
     // Current revision; 0 before the first update.
--- a/test/correctness/fleet_test.cpp
+++ b/test/correctness/fleet_test.cpp
@@ -210,6 +210,21 @@
         REQUIRE(update.changes.size() == 1);
         CHECK(update.changes[0].key == "b");
     }
+    // Guards against instances that wait for a peer which sends each of them every version of a configuration.
+    SECTION("a copy that is behind gets only the last change of each key")
+    {
+        for (std::int64_t n = 11; n <= 40; ++n)
+            mirror.applyUpdate({ n, false, { { n % 10 == 0 ? "a" : "b", n, n == 39 ? std::nullopt : std::optional(std::to_string(n)) } } });
+        StoreMirror other([](const std::string&, const StoreMirror::Item*) {});
+        other.applyUpdate({ 10, true, { { "a", 4, "1" }, { "b", 9, "2" } } });
+        auto update = mirror.changesSince(10);
+        CHECK(update.changes.size() == 2);
+        CHECK(other.applyUpdate(update));
+        CHECK(other.revision() == 40);
+        CHECK(other.find("a")->value == "40");
+        CHECK_FALSE(other.find("b"));
+        CHECK(other.changesSince(35).changes.size() == 2);
+    }
     SECTION("a copy that is new or far behind gets a snapshot")
     {
         CHECK(mirror.changesSince(0).isSnapshot);
