Release a quarantined part when it becomes known that it was served before

An instance that had served none of the requests with a part, as most of a large site, put it into quarantine after three crashes, although a part that was served before needs five; all others took that over. Now an instance that has served the part does not, and its news releases the part elsewhere. test_prompt_part_guard, 'a quarantine ends when it becomes known that the part was served before', failed before and passes now.

--- a/src/core/limits/prompt_part_guard.cpp
+++ b/src/core/limits/prompt_part_guard.cpp
@@ -100,9 +100,11 @@
     auto& servedAt = m_servedAt.try_emplace(part, at).first->second;
     servedAt = std::max(servedAt, at);
     auto quarantine = m_quarantined.find(part);
-    if (quarantine == m_quarantined.end() || quarantine->second.since >= at)
+    if (quarantine == m_quarantined.end())
         return;
-    release(part);
+    // A part that was served before its quarantine needs more crashes, which may not have been known here or at the peer.
+    if (quarantine->second.since < at || quarantine->second.crashes < static_cast<std::int64_t>(crashesOfServedPart))
+        release(part);
 }
 
 PromptPartGuard::Verdict PromptPartGuard::decide(const std::vector<std::string>& parts, bool mayProbe, TimePoint now)
@@ -343,7 +345,8 @@
 void PromptPartGuard::learnQuarantine(const QuarantinedPart& news, TimePoint now)
 {
     auto since = now - news.age, lastRequestAt = now - news.idle;
-    if (wasServedSince(news.part, since) || lastRequestAt < now - quarantineRetention)
+    bool isPremature = m_servedAt.contains(news.part) && news.crashes < static_cast<std::int64_t>(crashesOfServedPart);
+    if (isPremature || wasServedSince(news.part, since) || lastRequestAt < now - quarantineRetention)
         return;
     auto [it, isNew] = m_quarantined.try_emplace(news.part, Quarantine { .since = since, .lastRequestAt = lastRequestAt });
     auto& known = it->second;
--- a/test/correctness/prompt_part_guard_test.cpp
+++ b/test/correctness/prompt_part_guard_test.cpp
@@ -212,6 +212,20 @@
         exchange(first, second, start + 20ms);
         CHECK_FALSE(second.isSuspected({ "known" }));
     }
+    // Guards against a part that most requests have being refused by instances that have served none of them.
+    SECTION("a quarantine ends when it becomes known that the part was served before")
+    {
+        for (int n = 0; n < 3; ++n)
+            crash(second, absl::StrCat("i-", n), { { "common" }, { "bad" } }, start + n * 100ms);
+        REQUIRE(isRefused(second, "common", start + 1s));
+        third.recordServed({ "common" }, start - 20s);
+        third.learn(second.news(start + 1s), start + 1s);
+        CHECK_FALSE(isRefused(third, "common", start + 1s));
+        CHECK(isRefused(third, "bad", start + 1s));
+        second.learn(third.news(start + 1s), start + 1s);
+        CHECK_FALSE(isRefused(second, "common", start + 1s));
+        CHECK(isRefused(second, "bad", start + 1s));
+    }
     SECTION("a process that one instance finds running has not crashed for the others")
     {
         crash(first, "i-1", { { "unlucky" } }, start);
