Bound how often an instance sends urgent reports

In a large site one crash is seen by many instances, and each merge of what others saw caused a report after 10 ms, to 27 peers. Now at most one each 20 ms, or each 100 ms where heartbeats do not reach all peers; a mere change of a request limit waits for the regular heartbeat. Not measured at size: 27 x 10 datagrams a second at most, beside 27 x 4. test_crashing_part, test_upstream_limits and test_traffic_state pass.

--- a/src/core/limits/upstream_limits.cpp
+++ b/src/core/limits/upstream_limits.cpp
@@ -107,7 +107,8 @@
         return;
     auto kind = !requestsPerSecond ? UpstreamLimitEvent::Kind::Ended : (before ? UpstreamLimitEvent::Kind::Changed : UpstreamLimitEvent::Kind::Learned);
     m_events.push_back({ kind, process, requestsPerSecond.value_or(0), limit.ownRate, toMilliseconds(now - statedAt), fromPeer });
-    m_isUrgent = true;
+    // Peers learn of mere changes by the next regular heartbeat.
+    m_isUrgent = m_isUrgent || kind != UpstreamLimitEvent::Kind::Changed;
 }
 
 void UpstreamLimits::recordResponse(const std::string& process, std::optional<double> requestsPerSecond, TimePoint now)
--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -25,6 +25,9 @@
     constexpr Milliseconds lastResponsesTime { 200 };
     constexpr Milliseconds lastResponsesPollPeriod { 5 };
     constexpr Milliseconds urgentReportDelay { 10 };
+    // Shortest time between two urgent reports. In a large site each of them may cause some more at many instances.
+    constexpr Milliseconds urgentReportPeriod { 20 };
+    constexpr Milliseconds urgentReportPeriodOfLargeSite { 100 };
     // The settings file is also polled, since it may change without a SIGHUP.
     constexpr Milliseconds settingsPollPeriod { 2000 };
     // If the caller's failure domain has at least this many entry instances, only these are returned.
@@ -134,8 +137,10 @@
         // causes has been recorded.
         Awaitable<void> sendUrgentReport()
         {
-            co_await sleepFor(m_trafficLoop, urgentReportDelay);
+            auto period = m_traffic.isInLargeSite() ? urgentReportPeriodOfLargeSite : urgentReportPeriod;
+            co_await sleepFor(m_trafficLoop, std::max(urgentReportDelay, toMilliseconds(m_urgentReportAt + period - bootNow())));
             m_isUrgentReportPending = false;
+            m_urgentReportAt = bootNow();
             sendReport();
             co_await sleepFor(m_trafficLoop, PromptPartGuard::evaluationDelay);
             m_traffic.evaluateCrashes(bootNow());
@@ -241,6 +246,7 @@
         std::shared_ptr<ServerState> m_platformServer;
         HttpListener* m_entry = nullptr;
         bool m_isUrgentReportPending = false;
+        TimePoint m_urgentReportAt {};
     };
 
 }
--- a/src/edge/traffic_state.cpp
+++ b/src/edge/traffic_state.cpp
@@ -258,13 +258,13 @@
 std::vector<RecentSession> TrafficState::sessionsForPeers(TimePoint now) const
 {
     auto isUnderWay = [](const auto& it) { return it.second.stage == RolloutStage::Canary || it.second.stage == RolloutStage::Half; };
-    bool passesOn = m_view && !m_view->isFullMesh && std::any_of(m_view->rollouts.begin(), m_view->rollouts.end(), isUnderWay);
+    bool passesOn = isInLargeSite() && std::any_of(m_view->rollouts.begin(), m_view->rollouts.end(), isUnderWay);
     return passesOn ? m_sessions.all(now, maxPassedOnSessions) : m_sessions.own(now);
 }
 
 bool TrafficState::awaitsSessions(const RolloutView& rollout, TimePoint now) const
 {
-    return !m_view->isFullMesh && rollout.stage == RolloutStage::Canary && now < std::max(m_startedAt, rollout.orderedAt) + largeSiteNewsTime;
+    return isInLargeSite() && rollout.stage == RolloutStage::Canary && now < std::max(m_startedAt, rollout.orderedAt) + largeSiteNewsTime;
 }
 
 bool TrafficState::isReleaseEligible(const RolloutView& rollout, const std::string& release, const RoutedRequest& request, TimePoint now) const
--- a/src/edge/traffic_state.h
+++ b/src/edge/traffic_state.h
@@ -56,6 +56,8 @@
     TrafficReport report();
 
     const FleetViewPtr& view() const { return m_view; }
+    // Whether the site is too large for each instance to hear all others.
+    bool isInLargeSite() const { return m_view && !m_view->isFullMesh; }
     bool isConfigured() const { return m_view && m_view->configuration; }
     // Waits for the first configuration, at most until the given time. Does not wait once the startup period of the process
     // is over.
