--- a/src/edge/request_forwarder.h
+++ b/src/edge/request_forwarder.h
@@ -96,7 +96,7 @@
     // The request was let through to find out whether a part of its prompt still crashes upstreams.
     bool m_isProbe = false;
     // Set while the current attempt waits for its first event.
-    std::optional<WaitingRequests::iterator> m_waiting;
+    std::optional<UnansweredRequests::iterator> m_waiting;
     // The current attempt was withdrawn from its upstream.
     bool m_isWithdrawn = false;
     ExecutionTracker m_execution;
--- a/src/edge/traffic_state.h
+++ b/src/edge/traffic_state.h
@@ -23,12 +23,12 @@
 };
 
 // A request that was sent to an upstream and got no event of a response yet.
-struct WaitingRequest {
+struct UnansweredRequest {
     std::vector<std::string> parts;
     // Withdraws the request from its upstream.
     std::function<void()> withdraw;
 };
-using WaitingRequests = std::list<WaitingRequest>;
+using UnansweredRequests = std::list<UnansweredRequest>;
 
 struct TrafficSettings {
     InstanceId instance;
@@ -101,8 +101,8 @@
     void recordRunning(const std::string& upstreamProcess, TimePoint runningAt);
     void recordServedParts(const std::vector<std::string>& parts, TimePoint now);
     // Withdraws the request if one of its parts is put into quarantine before removeWaiting() is called.
-    WaitingRequests::iterator addWaiting(WaitingRequest request) { return m_waiting.insert(m_waiting.end(), std::move(request)); }
-    void removeWaiting(WaitingRequests::iterator it) { m_waiting.erase(it); }
+    UnansweredRequests::iterator addWaiting(UnansweredRequest request) { return m_waiting.insert(m_waiting.end(), std::move(request)); }
+    void removeWaiting(UnansweredRequests::iterator it) { m_waiting.erase(it); }
     // Evaluates the crashes whose evidence is complete.
     void evaluateCrashes(TimePoint now);
     // Records what a response of the upstream process says about its request limit.
@@ -150,7 +150,7 @@
     PromptPartGuard m_promptParts;
     UpstreamLimits m_limits;
     std::function<void()> m_onUrgentNews;
-    WaitingRequests m_waiting;
+    UnansweredRequests m_waiting;
     SessionReleases m_sessions;
     std::map<ServiceId, ServiceRetryBudget> m_retryBudgets;
     ReleaseEvidence m_evidence;
