Follow a store that comes back from an older copy

After such a return revisions go back, so an instance took all that it read for older than what it had: what the operator wrote was not seen until the revision had passed the old one, and every watch was answered with 410 or with changes of other revisions. Each response of the store names its era; the era now is the upper part of the revisions that instances compare and tell each other, so a copy of a new era replaces that of an older one, here and by way of peers. A watch of another era counts as lost history.

test_edge, 'a store that comes back from an older copy', failed before (the configuration was not in force in two seconds at either instance, a lost upstream was not removed) and passes now.

--- a/src/edge/control_plane.cpp
+++ b/src/edge/control_plane.cpp
@@ -1,6 +1,7 @@
 #include "edge/control_plane.h"
 
 #include "adapters/log.h"
+#include "core/membership/store_revision.h"
 
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
@@ -101,9 +102,8 @@
             result = co_await m_store.watch(m_mirror.revision());
         bool isOk = result.update.has_value();
         if (isOk) {
-            m_mirror.applyUpdate(*result.update);
+            applyUpdate(*result.update);
             needsFullRead = false;
-            publish(bootNow());
         } else if (result.status == 410) {
             LogLine(LogLevel::Warning, "store_history_lost").with("revision", m_mirror.revision());
             needsFullRead = true;
@@ -303,8 +303,19 @@
     connection->close();
     m_catchingUp = false;
     LogLine(update ? LogLevel::Info : LogLevel::Warning, "peer_catch_up").with("peer", name).with("from", m_mirror.revision()).with("to", update ? update->revision : 0);
-    if (update && m_mirror.applyUpdate(*update))
-        publish(bootNow());
+    if (update)
+        applyUpdate(*update);
+}
+
+void ControlPlane::applyUpdate(const MirrorUpdate& update)
+{
+    if (m_mirror.revision() > 0 && eraOf(update.revision) > eraOf(m_mirror.revision())) {
+        LogLine(LogLevel::Warning, "store_restored").with("era", eraOf(update.revision)).with("revision", storeRevision(update.revision));
+        // Entries that are missing from the copy are written again, as after an outage.
+        m_storeUnreachableAt = bootNow();
+    }
+    m_mirror.applyUpdate(update);
+    publish(bootNow());
 }
 
 Awaitable<void> ControlPlane::servePeer(std::shared_ptr<CallerConnection> connection, ReceivedRequest request)
--- a/src/edge/control_plane.h
+++ b/src/edge/control_plane.h
@@ -55,6 +55,8 @@
     Awaitable<void> serveMetrics(std::shared_ptr<CallerConnection>, ReceivedRequest);
 
     Milliseconds retryDelay();
+    // Applies an update to the copy of the store, and publishes what it changes.
+    void applyUpdate(const MirrorUpdate&);
     void itemChanged(const std::string& key, const StoreMirror::Item*);
     void configurationChanged(const StoreMirror::Item*);
     void upstreamChanged(const std::string& id, const StoreMirror::Item*);
--- a/src/edge/rollout_controller.cpp
+++ b/src/edge/rollout_controller.cpp
@@ -2,6 +2,7 @@
 
 #include "adapters/log.h"
 #include "adapters/wall_clock.h"
+#include "core/membership/store_revision.h"
 
 namespace skylarkhitch {
 
@@ -29,7 +30,7 @@
         return;
     }
     platform::DecodeError error;
-    auto order = platform::decodeRolloutOrder(service.value, item->revision, item->value, error);
+    auto order = platform::decodeRolloutOrder(service.value, storeRevision(item->revision), item->value, error);
     if (!order) {
         LogLine(LogLevel::Error, "rollout_order_unreadable").with("service", service.value).with("error", error.message);
         return;
--- a/src/edge/store_client.cpp
+++ b/src/edge/store_client.cpp
@@ -1,6 +1,7 @@
 #include "edge/store_client.h"
 
 #include "adapters/log.h"
+#include "core/membership/store_revision.h"
 
 #include <absl/strings/str_cat.h>
 
@@ -26,6 +27,16 @@
     // The empty prefix matches all keys.
     constexpr const char* allKeysPrefix = "";
 
+    // Status of a watch whose changes the store no longer has.
+    constexpr int historyLost = 410;
+
+    void addEra(MirrorUpdate& update, std::int64_t era)
+    {
+        update.revision = revisionInEra(update.revision, era);
+        for (auto& it : update.changes)
+            it.revision = revisionInEra(it.revision, era);
+    }
+
     bool isStoreReachable(int status) { return status != 0 && status != 429 && status != 503; }
 
 }
@@ -61,7 +72,7 @@
             BodyTimes times { options.timeout, options.maxBodyTime };
             auto body = co_await connection->readWholeBody(options.maxBytes, times);
             if (body.end == TransferEnd::Ok)
-                response = { responseHead.status, std::move(body.bytes) };
+                response = { responseHead.status, std::move(body.bytes), platform::decodeStoreEra(responseHead.fields) };
         }
     }
     connection->clearDeadline();
@@ -115,12 +126,17 @@
 Awaitable<StoreClient::StoreUpdateResult> StoreClient::watch(std::int64_t after)
 {
     CallOptions options { &m_watchConnection, watchWait + watchMargin, maxItemTime, maxItemBytes, "watch", true };
-    auto response = co_await sendRequest(platform::watchRequest(allKeysPrefix, after, watchWait), options);
+    auto response = co_await sendRequest(platform::watchRequest(allKeysPrefix, storeRevision(after), watchWait), options);
     StoreUpdateResult result { response.status, {} };
     if (!response.isOk())
         co_return result;
+    // The revision may have been given out again, so the changes may not be those after the known state.
+    if (response.era != eraOf(after))
+        co_return StoreUpdateResult { historyLost, {} };
     result.update = platform::decodeChanges(response.body);
-    if (!result.update)
+    if (result.update)
+        addEra(*result.update, response.era);
+    else
         LogLine(LogLevel::Error, "store_answer_unreadable").with("call", "watch").with("bytes", static_cast<std::int64_t>(response.body.size()));
     co_return result;
 }
@@ -139,6 +155,11 @@
             LogLine(LogLevel::Warning, "store_read_failed").with("status", response.status).with("after", after);
             co_return StoreUpdateResult { response.status, {} };
         }
+        if (update.revision != 0 && response.era != m_partialRead->era) {
+            m_partialRead.reset();
+            co_return StoreUpdateResult { historyLost, {} };
+        }
+        m_partialRead->era = response.era;
         // Later pages may come from later revisions. The watch continues from the first page's revision, so it misses no change.
         if (update.revision == 0)
             update.revision = page->revision;
@@ -147,6 +168,7 @@
             break;
         after = page->items.back().key;
     }
+    addEra(update, m_partialRead->era);
     StoreUpdateResult result { 200, std::move(update) };
     m_partialRead.reset();
     co_return result;
--- a/src/edge/store_client.h
+++ b/src/edge/store_client.h
@@ -13,6 +13,8 @@
     // HTTP status; 0 if there was no complete response, in which case the call may have taken effect or may still do so.
     int status = 0;
     std::string body;
+    // The store's era, see store_revision.h.
+    std::int64_t era = 0;
 
     bool isOk() const { return status == 200; }
 };
@@ -30,7 +32,8 @@
         int status = 0;
         std::optional<MirrorUpdate> update;
     };
-    // Waits for the first change after a revision. The update has no changes if none came within the wait time.
+    // Waits for the first change after a revision. The update has no changes if none came within the wait time. If the store has
+    // begun another era, the result has status 410.
     Awaitable<StoreUpdateResult> watch(std::int64_t after);
     // Reads all keys. After a failure, the next call continues with the page that failed.
     Awaitable<StoreUpdateResult> readAll();
@@ -60,6 +63,7 @@
         MirrorUpdate update { 0, true, {} };
         // The last key that was read.
         std::string after;
+        std::int64_t era = 0;
         TimePoint startedAt {};
     };
     void updateReachability(int status);
--- a/test/fakes/fleet_standin.cpp
+++ b/test/fakes/fleet_standin.cpp
@@ -51,6 +51,23 @@
     return it == m_items.end() ? std::nullopt : std::optional(it->second.value);
 }
 
+void FleetStore::restore(std::int64_t revision)
+{
+    std::lock_guard lock(m_mutex);
+    std::erase_if(m_history, [&](const Change& it) { return it.revision > revision; });
+    m_items.clear();
+    for (const auto& it : m_history) {
+        if (it.value)
+            m_items[it.key] = { *it.value, it.revision };
+        else
+            m_items.erase(it.key);
+    }
+    m_revision = revision;
+    ++m_era;
+    ++m_watchCuts;
+    m_changed.notify_all();
+}
+
 void FleetStore::compactHistory()
 {
     std::lock_guard lock(m_mutex);
@@ -105,6 +122,7 @@
     auto bytes = execute(request);
     if (bytes.empty())
         return false;
+    bytes.insert(bytes.find("\r\n") + 2, absl::StrCat("Store-Era: ", m_era.load(), "\r\n"));
     // The fault may have been set while a watch was pending; it applies to the response as well.
     if (fault == StoreFault::Silent)
         return !connection.isClosedWithin(std::chrono::seconds(30));
@@ -150,7 +168,7 @@
     for (;;) {
         if (cutsBefore != m_watchCuts)
             return {};
-        if (after < m_compactedRevision)
+        if (after < m_compactedRevision || after > m_revision)
             return responseBytes(410, "{}");
         Json events = Json::array();
         for (const auto& it : m_history) {
--- a/test/fakes/fleet_standin.h
+++ b/test/fakes/fleet_standin.h
@@ -41,6 +41,9 @@
     std::int64_t put(const std::string& key, const std::string& value);
     void remove(const std::string& key);
     std::optional<std::string> find(const std::string& key);
+    // Returns to the copy that was taken at this revision: later changes are lost, their revisions are given out again, and watches
+    // from later revisions get 410. Each return begins an era, which all responses name.
+    void restore(std::int64_t revision);
     // Compacts the history: watches from an earlier revision, including pending ones, get 410.
     void compactHistory();
     // Closes the connections of pending watches.
@@ -78,6 +81,7 @@
     std::vector<Change> m_history;
     std::int64_t m_revision = 10;
     std::int64_t m_compactedRevision = 0;
+    std::atomic<std::int64_t> m_era = 0;
     std::int64_t m_leases = 0;
     std::atomic<std::int64_t> m_calls = 0;
     std::atomic<std::int64_t> m_reads = 0;
--- a/test/processes/edge_test.cpp
+++ b/test/processes/edge_test.cpp
@@ -699,6 +699,48 @@
     CHECK(waitUntil(3s, isReverted));
 }
 
+// Guards against instances that take what the operator writes for old news after the store came back from an older copy.
+TEST_CASE("a store that comes back from an older copy is followed")
+{
+    Site site;
+    EdgeInstance first("edge-1", site.store.address());
+    // Reads the store only through its peer.
+    EdgeInstance second("edge-2", site.store.secondAddress(), first.peerAddress());
+    REQUIRE(waitUntil(5s, [&] { return first.isReady() && second.isReady(); }));
+    auto copiedAt = site.store.put("servers/i-1", site.first.registration("orders"));
+    site.store.put("op/config", sampleConfiguration(8, "key-2"));
+    for (int n = 0; n < 30; ++n)
+        site.store.put("servers/i-2", site.second.registration("orders", "ready", "v1", n + 2));
+    for (auto* it : { &first, &second })
+        REQUIRE(waitUntil(3s, [&] { return !it->linesContaining("configuration version=8").empty() && !it->linesContaining("born=31").empty(); }));
+    site.store.setSecondFault(StoreFault::Busy);
+    site.store.restore(copiedAt);
+    std::this_thread::sleep_for(500ms);
+
+    SECTION("a configuration that is written then is in force in two seconds, at both")
+    {
+        site.store.put("op/config", sampleConfiguration(9, "key-3"));
+        for (auto* it : { &first, &second })
+            CHECK(waitUntil(2s, [&] { return !it->linesContaining("configuration version=9").empty(); }));
+    }
+    SECTION("the configuration in the copy is older, and stays out of force")
+    {
+        std::this_thread::sleep_for(1s);
+        auto withKey = [&](const std::string& key) { return statusOf(sendRequest(first, absl::StrCat("GET /status/x HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: id-1\r\nApi-Key: ", key, "\r\n\r\n"))); };
+        CHECK(withKey("key-2") == 200);
+        CHECK(withKey("key-1") == 401);
+    }
+    SECTION("an upstream whose entry was lost is kept until it has written it again")
+    {
+        site.store.restore(10);
+        std::this_thread::sleep_for(1s);
+        CHECK(statusOf(sendRequest(first, "GET /status/x HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: id-2\r\nApi-Key: key-2\r\n\r\n")) == 200);
+        site.store.put("servers/i-1", site.first.registration("orders"));
+        CHECK(waitUntil(4s, [&] { return !first.linesContaining("upstream_removed upstream=i-2").empty(); }));
+        CHECK(statusOf(sendRequest(first, "GET /status/x HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: id-3\r\nApi-Key: key-2\r\n\r\n")) == 200);
+    }
+}
+
 TEST_CASE("a failed request is followed from its id through the lines of two instances")
 {
     Site site;
