--- a/src/core/limits/upstream_limits.h
+++ b/src/core/limits/upstream_limits.h
@@ -80,6 +80,8 @@
     // Drops the processes for which the predicate does not hold.
     void keepOnly(const std::function<bool(const std::string&)>& isKnown);
 
+    // Whether no process has stated a limit.
+    bool empty() const { return m_limits.empty(); }
     std::size_t limitedCount() const;
 
 private:
--- a/src/core/routing/upstream_balancer.cpp
+++ b/src/core/routing/upstream_balancer.cpp
@@ -207,15 +207,20 @@
 
 void UpstreamBalancer::keepOnly(const std::vector<UpstreamEntry>& entries)
 {
-    absl::erase_if(m_states, [&](const auto& it) {
-        bool isKnown = std::any_of(entries.begin(), entries.end(), [&](const auto& entry) { return entry.id == it.first; });
-        return !isKnown && it.second.own.requests == 0;
+    absl::flat_hash_map<UpstreamId, std::int64_t> born;
+    for (const auto& it : entries)
+        born[it.id] = it.born;
+    absl::erase_if(m_states, [&](auto& it) {
+        auto entry = born.find(it.first);
+        auto& state = it.second;
+        if (entry == born.end())
+            return state.own.requests == 0;
+        bool isReplaced = state.born != 0 && state.born != entry->second;
+        if (isReplaced)
+            state = { .own = state.own };
+        state.born = entry->second;
+        return false;
     });
-    for (const auto& it : entries) {
-        auto& state = m_states[it.id];
-        if (state.born != it.born)
-            state = { .own = state.own, .born = it.born };
-    }
 }
 
 bool UpstreamBalancer::isEjected(const UpstreamId& id, TimePoint now) const
--- a/src/core/routing/upstream_balancer.h
+++ b/src/core/routing/upstream_balancer.h
@@ -95,7 +95,7 @@
 private:
     struct State {
         UpstreamWork own;
-        // Start time of the process that the rest is about.
+        // Start time of the process that the rest is about; 0 before the first list of upstreams.
         std::int64_t born = 0;
         int consecutiveFailures = 0;
         // Ejections since the last success.
--- a/src/edge/traffic_state.cpp
+++ b/src/edge/traffic_state.cpp
@@ -83,10 +83,12 @@
     for (const auto& [service, entries] : m_view->upstreams)
         all.insert(all.end(), entries.begin(), entries.end());
     m_balancer.keepOnly(all);
-    absl::flat_hash_set<std::string> processes;
-    for (const auto& it : all)
-        processes.insert(processName(it));
-    m_limits.keepOnly([&](const std::string& it) { return processes.contains(it); });
+    if (!m_limits.empty()) {
+        absl::flat_hash_set<std::string> processes;
+        for (const auto& it : all)
+            processes.insert(processName(it));
+        m_limits.keepOnly([&](const std::string& it) { return processes.contains(it); });
+    }
     std::vector<InstanceId> instances;
     for (const auto& it : m_view->entries)
         instances.push_back(it.id);
