Forget request limits that nobody has stated for two minutes

An instance drops the limit of a process that is no longer listed, but learned it again from a peer that had not dropped it yet, and so on for ever. Found in review. test_upstream_limits, 'a process that is gone is forgotten', covers it; the case without the limit of age was not run.

--- a/src/core/limits/upstream_limits.cpp
+++ b/src/core/limits/upstream_limits.cpp
@@ -36,6 +36,7 @@
 
 void UpstreamLimits::assignShares(TimePoint now)
 {
+    absl::erase_if(m_limits, [&](const auto& it) { return it.second.statedAt < now - statementRetention; });
     for (auto& [process, limit] : m_limits)
         assign(process, limit, now);
 }
@@ -155,6 +156,8 @@
 void UpstreamLimits::learn(const std::vector<StatedLimit>& statements, TimePoint now)
 {
     for (const auto& it : statements) {
+        if (it.age > statementRetention)
+            continue;
         auto statedAt = now - it.age;
         auto known = m_limits.find(it.process);
         bool isNewer = known == m_limits.end() || statedAt > known->second.statedAt + ageTolerance;
--- a/src/core/limits/upstream_limits.h
+++ b/src/core/limits/upstream_limits.h
@@ -44,6 +44,8 @@
     static constexpr Milliseconds maxSavedTime { 250 };
     // A change of a limit by less than this part is not news.
     static constexpr double newsworthyChange = 0.1;
+    // A statement holds for this long. Without an end, instances would tell each other of processes that are gone for ever.
+    static constexpr Seconds statementRetention { 120 };
     // How long peers are told that a limit ended.
     static constexpr Seconds endedNewsTime { 10 };
     static constexpr std::size_t maxSent = 64;
@@ -55,7 +57,7 @@
 
     // Sets the live instances that divide the limits among them.
     void setInstances(std::vector<InstanceId> instances) { m_instances = std::move(instances); }
-    // Renews the ownership of this instance's shares, and takes those that nobody owns. To be called with each heartbeat.
+    // Renews the ownership of this instance's shares, takes those that nobody owns, and drops old statements. To be called with each heartbeat.
     void assignShares(TimePoint now);
     // A response of the process states this limit, or none.
     void recordResponse(const std::string& process, std::optional<double> requestsPerSecond, TimePoint now);
--- a/test/correctness/upstream_limits_test.cpp
+++ b/test/correctness/upstream_limits_test.cpp
@@ -151,6 +151,18 @@
             CHECK(first.news(start + 60s).empty());
         }
     }
+    SECTION("a process that is gone is forgotten, however often they tell each other")
+    {
+        for (auto now = start; now < start + 130s; now += 250ms) {
+            // One of them drops it as soon as it is no longer listed.
+            first.keepOnly([](const std::string&) { return false; });
+            second.assignShares(now);
+            first.learn(second.news(now), now + 5ms);
+            second.learn(first.news(now + 5ms), now + 10ms);
+        }
+        CHECK(second.news(start + 130s).empty());
+        CHECK(first.news(start + 130s).empty());
+    }
     SECTION("news of many limits stays small")
     {
         for (int n = 0; n < 900; ++n)
