--- a/src/core/routing/upstream_balancer.cpp
+++ b/src/core/routing/upstream_balancer.cpp
@@ -2,6 +2,7 @@
 
 #include "core/hashing.h"
 
+#include <absl/container/flat_hash_set.h>
 #include <algorithm>
 
 namespace skylarkhitch {
@@ -207,20 +208,10 @@
 
 void UpstreamBalancer::keepOnly(const std::vector<UpstreamEntry>& entries)
 {
-    absl::flat_hash_map<UpstreamId, std::int64_t> born;
+    absl::flat_hash_set<UpstreamId> known;
     for (const auto& it : entries)
-        born[it.id] = it.born;
-    absl::erase_if(m_states, [&](auto& it) {
-        auto entry = born.find(it.first);
-        auto& state = it.second;
-        if (entry == born.end())
-            return state.own.requests == 0;
-        bool isReplaced = state.born != 0 && state.born != entry->second;
-        if (isReplaced)
-            state = { .own = state.own };
-        state.born = entry->second;
-        return false;
-    });
+        known.insert(it.id);
+    absl::erase_if(m_states, [&](const auto& it) { return !known.contains(it.first) && it.second.own.requests == 0; });
 }
 
 bool UpstreamBalancer::isEjected(const UpstreamId& id, TimePoint now) const
--- a/src/core/routing/upstream_balancer.h
+++ b/src/core/routing/upstream_balancer.h
@@ -82,8 +82,7 @@
     // Replaces the work of all other instances, taken from their heartbeats.
     void setPeerWork(absl::flat_hash_map<UpstreamId, UpstreamWork>);
     std::map<UpstreamId, UpstreamWork> ownWork() const;
-    // Drops the state of upstreams that are not listed and have none of this instance's requests, and the failures and loads of
-    // processes that another one of the same upstream has replaced.
+    // Drops the state of upstreams that are not listed and have none of this instance's requests.
     void keepOnly(const std::vector<UpstreamEntry>&);
 
     bool isEjected(const UpstreamId&, TimePoint now) const;
@@ -95,8 +94,6 @@
 private:
     struct State {
         UpstreamWork own;
-        // Start time of the process that the rest is about; 0 before the first list of upstreams.
-        std::int64_t born = 0;
         int consecutiveFailures = 0;
         // Ejections since the last success.
         int ejections = 0;
