--- a/test/fakes/fleet_standin.cpp
+++ b/test/fakes/fleet_standin.cpp
@@ -51,7 +51,7 @@
     return it == m_items.end() ? std::nullopt : std::optional(it->second.value);
 }
 
-void FleetStore::restore(std::int64_t revision)
+void FleetStore::restore(std::int64_t revision, WatchEnd watchEnd)
 {
     std::lock_guard lock(m_mutex);
     std::erase_if(m_history, [&](const Change& it) { return it.revision > revision; });
@@ -64,10 +64,22 @@
     }
     m_revision = revision;
     ++m_era;
-    ++m_watchCuts;
+    ++(watchEnd == WatchEnd::Cut ? m_watchCuts : m_watchHangs);
     m_changed.notify_all();
 }
 
+void FleetStore::setEraText(std::optional<std::string> line)
+{
+    std::lock_guard lock(m_mutex);
+    m_eraText = std::move(line);
+}
+
+std::string FleetStore::eraLine()
+{
+    std::lock_guard lock(m_mutex);
+    return m_eraText.value_or(absl::StrCat("Store-Era: ", m_era.load(), "\r\n"));
+}
+
 void FleetStore::compactHistory()
 {
     std::lock_guard lock(m_mutex);
@@ -122,7 +134,7 @@
     auto bytes = execute(request);
     if (bytes.empty())
         return false;
-    bytes.insert(bytes.find("\r\n") + 2, absl::StrCat("Store-Era: ", m_era.load(), "\r\n"));
+    bytes.insert(bytes.find("\r\n") + 2, eraLine());
     // The fault may have been set while a watch was pending; it applies to the response as well.
     if (fault == StoreFault::Silent)
         return !connection.isClosedWithin(std::chrono::seconds(30));
@@ -165,9 +177,14 @@
     auto until = std::chrono::steady_clock::now() + std::chrono::milliseconds(std::stoll(request.query("waitMs")));
     std::unique_lock lock(m_mutex);
     auto cutsBefore = m_watchCuts;
+    auto hangsBefore = m_watchHangs;
     for (;;) {
         if (cutsBefore != m_watchCuts)
             return {};
+        if (hangsBefore != m_watchHangs) {
+            m_changed.wait(lock);
+            continue;
+        }
         if (after < m_compactedRevision || after > m_revision)
             return responseBytes(410, "{}");
         Json events = Json::array();
--- a/test/fakes/fleet_standin.h
+++ b/test/fakes/fleet_standin.h
@@ -29,6 +29,11 @@
 
 constexpr std::chrono::milliseconds slowReadTime { 200 };
 
+// What happens to pending watches when the store returns to an older copy.
+enum class WatchEnd { Cut,
+    // Their connections stay open, and nothing is sent on them any more.
+    Hang };
+
 class FleetStore {
 public:
     FleetStore();
@@ -43,7 +48,9 @@
     std::optional<std::string> find(const std::string& key);
     // Returns to the copy that was taken at this revision: later changes are lost, their revisions are given out again, and watches
     // from later revisions get 410. Each return begins an era, which all responses name.
-    void restore(std::int64_t revision);
+    void restore(std::int64_t revision, WatchEnd = WatchEnd::Cut);
+    // Replaces the header line that names the era in all responses, until it is set to nullopt.
+    void setEraText(std::optional<std::string> line);
     // Compacts the history: watches from an earlier revision, including pending ones, get 410.
     void compactHistory();
     // Closes the connections of pending watches.
@@ -70,6 +77,8 @@
 
     bool serve(const RawRequest&, RawConnection&, std::atomic<StoreFault>&);
     std::string execute(const RawRequest&);
+    // The header line of responses that names the era.
+    std::string eraLine();
     std::string readRange(const std::string& prefix, const std::string& after);
     std::string watch(const RawRequest&);
     std::string commit(const nlohmann::json&);
@@ -86,8 +95,11 @@
     std::atomic<std::int64_t> m_calls = 0;
     std::atomic<std::int64_t> m_reads = 0;
     std::atomic<std::int64_t> m_commits = 0;
+    std::optional<std::string> m_eraText;
     // Number of cutWatches calls; a pending watch closes its connection when this changes.
     std::int64_t m_watchCuts = 0;
+    // Number of returns at which the pending watches began to hang.
+    std::int64_t m_watchHangs = 0;
     std::atomic<std::size_t> m_pageSize = 500;
     std::atomic<StoreFault> m_fault = StoreFault::None;
     std::atomic<StoreFault> m_secondFault = StoreFault::None;
