Give up a watch when another call shows that the store began a new era

After a return, changes were seen up to 8.7 s late if the watch of the time before hung, or waited in the copy for a revision that had not been given out yet: the watch noticed the new era only by its own response. Cause: each call judged the era by itself. The client of the store now keeps the latest era; the first response that names it, mostly a renewal of the lease within a second, ends the watch.

A response without a readable era was taken as one of era 0: each watch then counted as lost history, and the whole store was read again every 0.3 s without effect. It now counts as one of the known era, with the line store_era_unreadable; one of an earlier era comes from a store that is gone and counts as none (store_answer_outdated).

Ruled out: reads whose pages are of two eras were started again before already.

Before: 'a watch that hangs ...' and 'a response without a readable era ...' fail; after: both pass (28 assertions).

--- a/src/edge/store_client.cpp
+++ b/src/edge/store_client.cpp
@@ -72,7 +72,11 @@
             BodyTimes times { options.timeout, options.maxBodyTime };
             auto body = co_await connection->readWholeBody(options.maxBytes, times);
             if (body.end == TransferEnd::Ok)
-                response = { responseHead.status, std::move(body.bytes), platform::decodeStoreEra(responseHead.fields) };
+                response = { responseHead.status, std::move(body.bytes) };
+            if (options.isLongPoll)
+                m_pendingWatch.reset();
+            if (isStoreReachable(response.status) && !acceptEra(response, platform::decodeStoreEra(responseHead.fields)))
+                response = {};
         }
     }
     connection->clearDeadline();
@@ -89,6 +93,24 @@
     co_return response;
 }
 
+bool StoreClient::acceptEra(StoreResponse& response, std::optional<std::int64_t> named)
+{
+    if (named.has_value() != m_isEraReadable) {
+        m_isEraReadable = named.has_value();
+        LogLine(LogLevel::Warning, m_isEraReadable ? "store_era_readable" : "store_era_unreadable").with("store", m_address).with("era", era());
+    }
+    response.era = named.value_or(era());
+    if (response.era < era()) {
+        LogLine(LogLevel::Warning, "store_answer_outdated").with("store", m_address).with("era", response.era).with("known", era());
+        return false;
+    }
+    bool isLater = m_era && response.era > *m_era;
+    m_era = response.era;
+    if (isLater)
+        cancelPendingWatch();
+    return true;
+}
+
 void StoreClient::updateReachability(int status)
 {
     bool reached = isStoreReachable(status);
--- a/src/edge/store_client.h
+++ b/src/edge/store_client.h
@@ -13,7 +13,7 @@
     // HTTP status; 0 if there was no complete response, in which case the call may have taken effect or may still do so.
     int status = 0;
     std::string body;
-    // The store's era, see store_revision.h.
+    // The store's era, see store_revision.h; the last known one if the response names none.
     std::int64_t era = 0;
 
     bool isOk() const { return status == 200; }
@@ -42,6 +42,8 @@
     bool isReachable() const { return m_isReachable; }
     // When the store last served a call; TimePoint {} if it never did.
     TimePoint lastResponseAt() const { return m_lastResponseAt; }
+    // The latest era that a response named; 0 before the first one.
+    std::int64_t era() const { return m_era.value_or(0); }
 
 private:
     struct CallOptions {
@@ -67,6 +69,9 @@
         TimePoint startedAt {};
     };
     void updateReachability(int status);
+    // Sets the era of a response. Returns false if the response is of an earlier era than others were, and so of a store that is
+    // gone. A later era ends the pending watch, since its changes are those of the earlier one.
+    bool acceptEra(StoreResponse&, std::optional<std::int64_t> named);
     // Cancels the pending watch, so that the caller starts a new one.
     void cancelPendingWatch();
 
@@ -82,6 +87,9 @@
     bool m_watchCancelled = false;
     TimePoint m_lastResponseAt {};
     bool m_isReachable = false;
+    std::optional<std::int64_t> m_era;
+    // Whether the last response that the store served named an era.
+    bool m_isEraReadable = true;
 };
 
 }
