List an instance again after the store came back without its lease

An instance renewed its lease and took a response of 200 for the proof that its entry in the store stood. A copy of the store lacks both, and the number of the lease may be somebody else's by then, so the entry stayed missing, and instances that start later did not find this one. The lease now holds for the era in which it was granted; in another one, the instance asks for a new one and writes its entry again (line lease_lost).

Before: 'an instance is listed again ...' fails; after: passes.

--- a/src/edge/control_plane.cpp
+++ b/src/edge/control_plane.cpp
@@ -121,6 +121,7 @@
 Awaitable<void> ControlPlane::maintainRegistration()
 {
     std::int64_t lease = 0;
+    std::int64_t leaseEra = 0;
     bool isRegistered = false;
     for (;;) {
         if (lease != 0) {
@@ -129,9 +130,15 @@
             if (renewed.status == 404)
                 lease = 0;
         }
+        // An older copy of the store lacks the lease and the entry, and may have given the number of the lease to another instance.
+        if (lease != 0 && m_store.era() != leaseEra) {
+            LogLine(LogLevel::Info, "lease_lost").with("lease", lease).with("era", leaseEra).with("store_era", m_store.era());
+            lease = 0;
+        }
         if (lease == 0) {
             auto granted = co_await m_store.call(platform::grantLeaseRequest(registrationLease), "lease");
             lease = granted.isOk() ? platform::decodeLease(granted.body).value_or(0) : 0;
+            leaseEra = granted.era;
             isRegistered = false;
             if (lease == 0)
                 LogLine(LogLevel::Warning, "lease_not_granted").with("status", granted.status);
