Keep a roll-out's order and stage when the store comes back without them

Cause: an order was identified by its revision alone, and the stage was only what the store held.

core/rollout/rollout_orders now decides which order and which stage are in force: an order with the same contents that comes back in a new era, once, is the same order; one that was replaced or removed since does not come back; a stage never goes back, and the furthest stage known, also by a write that the old store confirmed, is written again for the new revision. Heartbeats carry the stage, so that an instance that starts then does not begin a canary; it waits for them for a second before it starts a roll-out that it found. Where two instances ended a roll-out differently, the store's word stands, so that they do not write against each other. Lines: rollout_order_repeated, rollout_order_outdated, rollout_order_removed, rollout_restored, rollout_stage_learned.

Before: both cases of test_restored_store on roll-outs fail. After: both pass; test_rollout_orders, new, 56 assertions.

--- a/src/core/membership/fleet_heartbeat.h
+++ b/src/core/membership/fleet_heartbeat.h
@@ -7,6 +7,7 @@
 #include "core/ids.h"
 #include "core/limits/prompt_part_news.h"
 #include "core/limits/upstream_limit_news.h"
+#include "core/rollout/rollout_news.h"
 
 #include <map>
 #include <optional>
@@ -113,6 +114,8 @@
     std::vector<StatedLimit> limits;
     // Sessions that a rollout must not move to another release, see rollout/session_releases.h.
     std::vector<RecentSession> sessions;
+    // Rollouts whose stage the sender knows.
+    std::vector<RolloutNews> rollouts;
     // Some of the peer addresses that the sender knows, from which a new instance discovers its peers.
     std::vector<std::string> known;
 };
--- a/src/core/rollout/release_plan.cpp
+++ b/src/core/rollout/release_plan.cpp
@@ -13,7 +13,6 @@
 
     // Shares of sessions by stage. The canary share keeps the exposure to a bad release far below what operators allow.
     constexpr double stageShares[] = { 0.06, 0.4, 1, 1, 0 };
-    constexpr const char* stageNames[] = { "canary", "half", "full", "completed", "reverted" };
 
     struct CounterPair {
         ReleaseCounters target;
@@ -141,17 +140,6 @@
 
 }
 
-const char* stageName(RolloutStage stage)
-{
-    return stageNames[static_cast<int>(stage)];
-}
-
-std::optional<RolloutStage> parseStageName(std::string_view name)
-{
-    const auto* it = std::find(std::begin(stageNames), std::end(stageNames), name);
-    return it == std::end(stageNames) ? std::nullopt : std::optional(static_cast<RolloutStage>(it - std::begin(stageNames)));
-}
-
 double sessionShareOf(RolloutStage stage)
 {
     return stageShares[static_cast<int>(stage)];
--- a/src/core/rollout/release_plan.h
+++ b/src/core/rollout/release_plan.h
@@ -4,8 +4,7 @@
 // then all. Decisions use the counters of all instances. The current stage is kept in the platform's store.
 
 #include "core/membership/fleet_heartbeat.h"
-
-#include <string_view>
+#include "core/rollout/rollout_stage.h"
 
 namespace skylarkhitch {
 
@@ -19,19 +18,6 @@
     std::int64_t revision = 0;
 };
 
-enum class RolloutStage {
-    // A small share of new sessions; active sessions stay on their release.
-    Canary,
-    // A larger share of all sessions (sessionShareOf), including active ones.
-    Half,
-    // All sessions; the old release only finishes its running requests.
-    Full,
-    // All sessions; final.
-    Completed,
-    // No sessions; final.
-    Reverted,
-};
-
 // The current stage, as kept in the store.
 struct RolloutRecord {
     // Revision of the order that this record belongs to.
@@ -46,15 +32,9 @@
     ReleaseEvidence baseline;
 };
 
-// Conversion between a stage and its name in logs and in the stored record.
-const char* stageName(RolloutStage);
-std::optional<RolloutStage> parseStageName(std::string_view);
-
 // Share of sessions routed to the target in a stage.
 double sessionShareOf(RolloutStage);
 
-inline bool isFinal(RolloutStage stage) { return stage == RolloutStage::Completed || stage == RolloutStage::Reverted; }
-
 struct RolloutSettings {
     // Fractions of the order's duration at which the stages begin at the earliest.
     double halfStart = 0.52;
--- a/src/edge/control_plane.cpp
+++ b/src/edge/control_plane.cpp
@@ -170,7 +170,9 @@
     case platform::DocumentKind::Upstream:
         return upstreamChanged(document.name, item);
     case platform::DocumentKind::RolloutOrder:
-        return m_rollouts.orderChanged({ document.name }, item, m_mirror.revision() > 0);
+        if (!item)
+            return m_rollouts.orderRemoved({ document.name }, m_isReadingCopy);
+        return m_rollouts.orderChanged({ document.name }, *item, m_mirror.revision() > 0);
     case platform::DocumentKind::RolloutRecord:
         return m_rollouts.recordChanged({ document.name }, item);
     case platform::DocumentKind::Instance:
@@ -268,6 +270,7 @@
     auto now = bootNow();
     if (!m_fleet.onHeartbeat(*heartbeat, now))
         return;
+    m_rollouts.learn(heartbeat->rollouts);
     PeerNews news { std::move(heartbeat->promptParts), std::move(heartbeat->limits) };
     if (!news.empty())
         m_outputs.publishPeerNews(std::move(news));
@@ -316,12 +319,14 @@
 
 void ControlPlane::applyUpdate(const MirrorUpdate& update)
 {
-    if (m_mirror.revision() > 0 && eraOf(update.revision) > eraOf(m_mirror.revision())) {
+    m_isReadingCopy = m_mirror.revision() > 0 && eraOf(update.revision) > eraOf(m_mirror.revision());
+    if (m_isReadingCopy) {
         LogLine(LogLevel::Warning, "store_restored").with("era", eraOf(update.revision)).with("revision", storeRevision(update.revision));
         // Entries that are missing from the copy are written again, as after an outage.
         m_storeUnreachableAt = bootNow();
     }
     m_mirror.applyUpdate(update);
+    m_isReadingCopy = false;
     publish(bootNow());
 }
 
@@ -401,6 +406,7 @@
     heartbeat.promptParts = m_trafficReport.news.promptParts;
     heartbeat.limits = m_trafficReport.news.limits;
     heartbeat.sessions = m_trafficReport.sessions;
+    heartbeat.rollouts = m_rollouts.news();
     auto livePeers = m_fleet.livePeers(now);
     for (std::size_t n = 0; n < std::min(livePeers.size(), maxKnownPeers); ++n)
         heartbeat.known.push_back(livePeers[m_nextKnownPeer++ % livePeers.size()]->heartbeat.addresses.peers);
--- a/src/edge/control_plane.h
+++ b/src/edge/control_plane.h
@@ -100,6 +100,8 @@
     // Since when a peer's copy of the store has been ahead of this one.
     std::optional<TimePoint> m_behindSince;
     bool m_catchingUp = false;
+    // An update is being applied that replaces the contents of an earlier era by those of an older copy.
+    bool m_isReadingCopy = false;
     bool m_leaving = false;
     bool m_viewChanged = true;
     FleetCount m_lastFleetCount;
--- a/src/edge/rollout_controller.h
+++ b/src/edge/rollout_controller.h
@@ -2,7 +2,7 @@
 
 // Tracks the rollouts that operators ordered, as replicated from the store, and advances them together with other instances.
 
-#include "core/rollout/release_plan.h"
+#include "core/rollout/rollout_orders.h"
 #include "edge/fleet_view.h"
 #include "edge/store_client.h"
 
@@ -25,37 +25,34 @@
     // onChange is called when the result of rolloutViews() may have changed.
     RolloutController(EventLoop&, StoreClient&, std::function<void()> onChange);
 
-    // Called when a store item changed; the item is null if it was removed. isNew is true if the change came after this
-    // instance had first loaded the store's contents, from the store or from a peer.
-    void orderChanged(const ServiceId&, const StoreMirror::Item*, bool isNew);
+    // Called when an order was written or read again. isNew is true if that came after this instance had first loaded the store's
+    // contents, from the store or from a peer.
+    void orderChanged(const ServiceId&, const StoreMirror::Item&, bool isNew);
+    // Called when an order was removed. isLostWithCopy is true if the store came back from an older copy, which lacks the order.
+    void orderRemoved(const ServiceId&, bool isLostWithCopy);
+    // Called when a record changed; the item is null if it was removed.
     void recordChanged(const ServiceId&, const StoreMirror::Item*);
+    // Called for what a peer tells of its rollouts.
+    void learn(const std::vector<RolloutNews>&);
 
     // Evaluates every rollout that is not in a final stage, and writes its first or next stage to the store. Must be called
     // regularly.
     void advance(const RolloutInputs&, TimePoint now);
 
     // Returns whether the service has a rollout order that has not reached a final stage.
-    bool isRollingOut(const ServiceId&) const;
+    bool isRollingOut(const ServiceId& service) const { return m_orders.isUnderWay(service); }
     std::map<ServiceId, RolloutView> rolloutViews() const;
 
+    // What peers should know.
+    std::vector<RolloutNews> news() const { return m_orders.news(); }
+
 private:
-    struct Order {
-        RolloutOrder order;
-        // When this instance saw the order appear; not set if it was already in the contents loaded first.
-        std::optional<TimePoint> appearedAt;
-        // This instance found the target bad.
-        bool suspended = false;
-    };
-    struct Record {
-        RolloutRecord record;
-        // Store revision of the record.
-        std::int64_t revision = 0;
-    };
+    using Rollout = RolloutOrders::Rollout;
 
-    // Returns the record of this order, or null if there is none or it belongs to another order.
-    const Record* recordOf(const ServiceId&, const Order&) const;
-    void startRollout(const ServiceId&, const Order&, const RolloutInputs&);
-    void evaluate(const ServiceId&, Order&, const Record&, const RolloutInputs&, TimePoint now);
+    void startRollout(const Rollout&, const RolloutInputs&, TimePoint now);
+    // Writes a record again that the store lacks. Returns false if there is none to write.
+    bool restoreRecord(const ServiceId&, const RolloutInputs&);
+    void evaluate(Rollout&, const RolloutInputs&, TimePoint now);
     bool mayWrite(const ServiceId&) const;
     void startRecordWrite(const ServiceId&, RolloutRecord);
     Awaitable<void> writeRecord(ServiceId, RolloutRecord, std::int64_t recordRevision);
@@ -63,8 +60,8 @@
     EventLoop& m_loop;
     StoreClient& m_store;
     std::function<void()> m_onChange;
-    std::map<ServiceId, Order> m_orders;
-    std::map<ServiceId, Record> m_records;
+    RolloutOrders m_orders;
+    TimePoint m_startedAt;
     // Services with a record write in progress.
     std::set<ServiceId> m_pendingWrites;
 };
