Hold back upstreams that an older copy of the store lists as ready

After a return an upstream that had been draining, or whose entry had been removed, stood in the copy as ready and got requests until it wrote again, from instances that had acknowledged its leaving as well as from those that started then. Cause: the registry took each entry that it read for the latest word.

core/routing/upstream_departures keeps the last version of the entries of upstreams that left (start of the incarnation, number of writes, revision). In a later era, an incarnation that was draining stays away for good; one whose entry was removed stays away until it has written again. Heartbeats name what is held back, only while the store lists it, so that instances which read only the copy hold it back, too. Within an era, a later entry holds as before. An entry that does not count its writes is not held back for having been removed, since one that is written again could not be told from the copy. Line: upstream_held_back.

Checks changed, each as strict as before: registered() now returns one of three results instead of a bool, so test_routing asks for Change::None and Change::Updated where it asked for false and true; decodeUpstream() returns the entry beside its number of writes, so test_platform asks the same three things of the entry, and the number in addition.

--- a/src/core/membership/fleet_heartbeat.cpp
+++ b/src/core/membership/fleet_heartbeat.cpp
@@ -80,6 +80,8 @@
             heartbeat.limits = statedLimitsFrom(json.at(18));
         if (json.size() > 19)
             heartbeat.rollouts = rolloutNewsFrom(json.at(19));
+        if (json.size() > 20)
+            heartbeat.heldBack = upstreamDeparturesFrom(json.at(20));
         return heartbeat;
     }
 
@@ -124,7 +126,7 @@
     Json sinceUnreachable = heartbeat.sinceStoreUnreachable ? Json(heartbeat.sinceStoreUnreachable->count()) : Json();
     Json json = Json::array({ heartbeat.from.instance.value, heartbeat.from.number, heartbeat.domain.value, heartbeat.addresses.entry, heartbeat.addresses.peers, heartbeat.sequence,
         heartbeat.ready, heartbeat.leaving, heartbeat.storeRevision, heartbeat.storeAge.count(), sinceUnreachable, workToJson(heartbeat), evidenceToJson(heartbeat), crashesToJson(heartbeat),
-        sessionsToJson(heartbeat), heartbeat.known, heartbeat.storeReachable, toJson(heartbeat.promptParts), toJson(heartbeat.limits), toJson(heartbeat.rollouts) });
+        sessionsToJson(heartbeat), heartbeat.known, heartbeat.storeReachable, toJson(heartbeat.promptParts), toJson(heartbeat.limits), toJson(heartbeat.rollouts), toJson(heartbeat.heldBack) });
     auto bytes = Json::to_cbor(json);
     return { bytes.begin(), bytes.end() };
 }
--- a/src/core/membership/fleet_heartbeat.h
+++ b/src/core/membership/fleet_heartbeat.h
@@ -8,6 +8,7 @@
 #include "core/limits/prompt_part_news.h"
 #include "core/limits/upstream_limit_news.h"
 #include "core/rollout/rollout_news.h"
+#include "core/routing/upstream_departures.h"
 
 #include <map>
 #include <optional>
@@ -116,6 +117,8 @@
     std::vector<RecentSession> sessions;
     // Rollouts whose stage the sender knows.
     std::vector<RolloutNews> rollouts;
+    // Upstreams that the store lists as ready although they had left.
+    std::vector<UpstreamDeparture> heldBack;
     // Some of the peer addresses that the sender knows, from which a new instance discovers its peers.
     std::vector<std::string> known;
 };
--- a/src/core/routing/upstream_registry.cpp
+++ b/src/core/routing/upstream_registry.cpp
@@ -19,21 +19,63 @@
     return it != m_lastEnded.end() && entry.born <= it->second;
 }
 
-bool UpstreamRegistry::registered(const UpstreamEntry& entry)
+UpstreamRegistry::Change UpstreamRegistry::registered(const UpstreamEntry& entry, const EntryVersion& version, TimePoint now)
 {
+    if (entry.takesWork && m_departures.isOutdated(entry.id, version)) {
+        holdBack(entry.id);
+        return Change::HeldBack;
+    }
+    m_heldBack.erase(entry.id);
+    if (entry.takesWork)
+        m_departures.erase(entry.id);
+    else
+        m_departures.record({ entry.id, version, true }, now);
     auto& state = m_upstreams[entry.id];
-    bool same = state.entry == entry && !state.removeAt;
-    state.entry = entry;
-    state.removeAt.reset();
-    return !same;
+    bool isSame = state.entry == entry && !state.removeAt;
+    state = { entry, version, {} };
+    return isSame ? Change::None : Change::Updated;
+}
+
+void UpstreamRegistry::holdBack(const UpstreamId& id)
+{
+    m_heldBack.insert(id);
+    auto it = m_upstreams.find(id);
+    if (it == m_upstreams.end())
+        return;
+    // A draining upstream stays known until its entry is removed.
+    it->second.entry.takesWork = false;
+    if (!m_departures.find(id)->isDraining)
+        m_upstreams.erase(it);
+}
+
+std::vector<UpstreamDeparture> UpstreamRegistry::heldBack() const
+{
+    std::vector<UpstreamDeparture> departures;
+    for (const auto& it : m_heldBack) {
+        if (const auto* departure = m_departures.find(it))
+            departures.push_back(*departure);
+    }
+    return departures;
+}
+
+bool UpstreamRegistry::learn(const UpstreamDeparture& departure, TimePoint now)
+{
+    auto it = m_upstreams.find(departure.id);
+    bool isReady = it != m_upstreams.end() && it->second.entry.takesWork;
+    if (!m_departures.learn(departure, now) || !isReady || !m_departures.isOutdated(departure.id, it->second.version))
+        return false;
+    holdBack(departure.id);
+    return true;
 }
 
 void UpstreamRegistry::removed(const UpstreamId& id, bool mayHaveExpired, TimePoint now)
 {
+    m_heldBack.erase(id);
     auto it = m_upstreams.find(id);
     if (it == m_upstreams.end())
         return;
     if (!mayHaveExpired || !it->second.entry.takesWork) {
+        m_departures.record({ id, it->second.version, !it->second.entry.takesWork }, now);
         m_upstreams.erase(it);
         return;
     }
@@ -50,6 +92,7 @@
 
 bool UpstreamRegistry::removeExpired(TimePoint now)
 {
+    m_departures.forget(now);
     return std::erase_if(m_upstreams, [&](const auto& it) { return it.second.removeAt && *it.second.removeAt <= now; }) > 0;
 }
 
--- a/src/core/routing/upstream_registry.h
+++ b/src/core/routing/upstream_registry.h
@@ -1,14 +1,13 @@
 #pragma once
 
 // Registry of the upstreams and whether they accept new work. Entries that disappear around an outage of the store are kept
-// until the upstream has had time to register again.
+// until the upstream has had time to register again. Upstreams that an older copy of the store lists as ready although they had
+// left are held back.
 
-#include "core/ids.h"
+#include "core/routing/upstream_departures.h"
 
-#include <map>
 #include <optional>
-#include <string>
-#include <vector>
+#include <set>
 
 namespace skylarkhitch {
 
@@ -55,8 +54,14 @@
     // An entry that disappears within this time after an outage of the store may have expired because of it.
     static constexpr Milliseconds outageMemory { 2500 };
 
-    // Adds or updates an entry. False if it is unchanged and was not missing.
-    bool registered(const UpstreamEntry&);
+    enum class Change { None,
+        // The entry is new, differs or was missing.
+        Updated,
+        // The upstream has left since the entry was written.
+        HeldBack };
+
+    // Adds or updates an entry.
+    Change registered(const UpstreamEntry&, const EntryVersion&, TimePoint now);
     // Removes an entry, after a delay if it may have expired because of an outage of the store, since the upstream may be alive.
     // Draining upstreams are removed at once.
     void removed(const UpstreamId&, bool mayHaveExpired, TimePoint now);
@@ -65,6 +70,10 @@
     void storeUnavailable(TimePoint now);
     // Performs the removals that are due; true if any upstream was removed.
     bool removeExpired(TimePoint now);
+    // Departures of the upstreams that are held back.
+    std::vector<UpstreamDeparture> heldBack() const;
+    // Takes over what a peer holds back. Returns true if an upstream gets no more work for it.
+    bool learn(const UpstreamDeparture&, TimePoint now);
 
     // Upstreams that accept new work, including those whose removal is pending.
     std::vector<UpstreamEntry> usable() const;
@@ -74,10 +83,17 @@
 private:
     struct State {
         UpstreamEntry entry;
+        EntryVersion version;
         // When the entry will be removed; set while it is missing from the store.
         std::optional<TimePoint> removeAt;
     };
+
+    // Ends the work of an upstream whose entry is outdated.
+    void holdBack(const UpstreamId&);
+
     std::map<UpstreamId, State> m_upstreams;
+    UpstreamDepartures m_departures;
+    std::set<UpstreamId> m_heldBack;
 };
 
 }
--- a/src/edge/control_plane.cpp
+++ b/src/edge/control_plane.cpp
@@ -211,18 +211,20 @@
         return;
     }
     platform::DecodeError error;
-    auto entry = platform::decodeUpstream(id, item->value, error);
-    if (entry && !isEndpoint(entry->address)) {
+    auto registered = platform::decodeUpstream(id, item->value, error);
+    if (registered && !isEndpoint(registered->entry.address)) {
         error.message = "address is not of the form ip:port";
-        entry.reset();
+        registered.reset();
     }
-    if (!entry) {
+    if (!registered) {
         LogLine(LogLevel::Warning, "upstream_unreadable").with("upstream", id).with("error", error.message);
         return;
     }
-    if (!m_upstreams.registered(*entry))
+    const auto& entry = registered->entry;
+    auto change = m_upstreams.registered(entry, { entry.born, registered->writes, item->revision }, now);
+    if (change == UpstreamRegistry::Change::None)
         return;
-    LogLine(LogLevel::Info, "upstream").with("upstream", id).with("service", entry->service.value).with("address", entry->address).with("release", entry->release).with("takes_work", entry->takesWork ? "yes" : "no").with("born", entry->born);
+    LogLine(LogLevel::Info, change == UpstreamRegistry::Change::HeldBack ? "upstream_held_back" : "upstream").with("upstream", id).with("service", entry.service.value).with("address", entry.address).with("release", entry.release).with("takes_work", entry.takesWork ? "yes" : "no").with("born", entry.born);
     m_viewChanged = true;
 }
 
@@ -271,6 +273,12 @@
     if (!m_fleet.onHeartbeat(*heartbeat, now))
         return;
     m_rollouts.learn(heartbeat->rollouts);
+    for (const auto& it : heartbeat->heldBack) {
+        if (!m_upstreams.learn(it, now))
+            continue;
+        LogLine(LogLevel::Info, "upstream_held_back").with("upstream", it.id.value).with("born", it.last.born).with("peer", heartbeat->from.instance.value);
+        m_viewChanged = true;
+    }
     PeerNews news { std::move(heartbeat->promptParts), std::move(heartbeat->limits) };
     if (!news.empty())
         m_outputs.publishPeerNews(std::move(news));
@@ -407,6 +415,7 @@
     heartbeat.limits = m_trafficReport.news.limits;
     heartbeat.sessions = m_trafficReport.sessions;
     heartbeat.rollouts = m_rollouts.news();
+    heartbeat.heldBack = m_upstreams.heldBack();
     auto livePeers = m_fleet.livePeers(now);
     for (std::size_t n = 0; n < std::min(livePeers.size(), maxKnownPeers); ++n)
         heartbeat.known.push_back(livePeers[m_nextKnownPeer++ % livePeers.size()]->heartbeat.addresses.peers);
--- a/test/correctness/fleet_test.cpp
+++ b/test/correctness/fleet_test.cpp
@@ -43,6 +43,8 @@
     sent.limits = { { "i-1/7", 2.5, 40ms }, { "i-2/7", std::nullopt, 10ms } };
     sent.sessions = { { 77, "v2", 300ms } };
     sent.known = { "10.0.0.2:70" };
+    sent.rollouts = { { { "assist" }, "v2", 77, RolloutStage::Full, TimePoint { 5s } } };
+    sent.heldBack = { { { "i-3" }, { 100, 4, 20 }, true } };
     auto bytes = encodeHeartbeat(sent);
     auto decoded = decodeHeartbeat(bytes);
     REQUIRE(decoded);
@@ -62,6 +64,13 @@
     CHECK_FALSE(decoded->limits[1].requestsPerSecond);
     CHECK(decoded->sessions.at(0).release == "v2");
     CHECK(decoded->known == sent.known);
+    REQUIRE(decoded->rollouts.size() == 1);
+    CHECK(decoded->rollouts[0].stage == RolloutStage::Full);
+    CHECK(decoded->rollouts[0].revision == 77);
+    CHECK(decoded->rollouts[0].startedAt == TimePoint { 5s });
+    REQUIRE(decoded->heldBack.size() == 1);
+    CHECK(decoded->heldBack[0].last.writes == 4);
+    CHECK(decoded->heldBack[0].isDraining);
     SECTION("a truncated heartbeat is rejected")
     {
         for (std::size_t n = 0; n < bytes.size(); ++n)
--- a/test/correctness/platform_test.cpp
+++ b/test/correctness/platform_test.cpp
@@ -111,11 +111,12 @@
     DecodeError error;
     SECTION("an upstream")
     {
-        auto entry = decodeUpstream("i-1", R"({"backend":"s","address":"10.0.0.9:80","zone":"z","version":"v1","capacity":64,"state":"draining","born":5,"models":[{"name":"m","version":2}]})", error);
+        auto entry = decodeUpstream("i-1", R"({"backend":"s","address":"10.0.0.9:80","zone":"z","version":"v1","capacity":64,"state":"draining","born":5,"seq":7,"models":[{"name":"m","version":2}]})", error);
         REQUIRE(entry);
-        CHECK_FALSE(entry->takesWork);
-        CHECK(entry->born == 5);
-        CHECK(entry->models.at({ "m" }) == 2);
+        CHECK_FALSE(entry->entry.takesWork);
+        CHECK(entry->entry.born == 5);
+        CHECK(entry->entry.models.at({ "m" }) == 2);
+        CHECK(entry->writes == 7);
     }
     SECTION("invalid entries of other writers are rejected")
     {
--- a/test/correctness/routing_test.cpp
+++ b/test/correctness/routing_test.cpp
@@ -2,6 +2,7 @@
 
 #include "core/limits/crash_guard.h"
 #include "core/limits/service_retry_budget.h"
+#include "core/membership/store_revision.h"
 #include "core/requests/admit_request.h"
 #include "core/routing/model_choice.h"
 #include "core/routing/routing_configuration.h"
@@ -179,21 +180,24 @@
 
 TEST_CASE("upstreams are registered and removed")
 {
+    using Change = UpstreamRegistry::Change;
     UpstreamRegistry registry;
-    registry.registered(upstream("u1"));
-    registry.registered(upstream("u2"));
+    std::int64_t writes = 0;
+    auto registered = [&](const UpstreamEntry& entry) { return registry.registered(entry, { entry.born, ++writes, writes }, start); };
+    registered(upstream("u1"));
+    registered(upstream("u2"));
     auto ids = [&] {
         std::string text;
         for (const auto& it : registry.usable())
             text += it.id.value + " ";
         return text;
     };
-    SECTION("a repeated registration without changes is not reported as a change") { CHECK_FALSE(registry.registered(upstream("u1"))); }
+    SECTION("a repeated registration without changes is not reported as a change") { CHECK(registered(upstream("u1")) == Change::None); }
     SECTION("an upstream that is leaving gets no new work")
     {
         auto leaving = upstream("u1");
         leaving.takesWork = false;
-        CHECK(registry.registered(leaving));
+        CHECK(registered(leaving) == Change::Updated);
         CHECK(ids() == "u2 ");
     }
     SECTION("an upstream whose entry is deleted while the store is available is removed at once")
@@ -214,7 +218,7 @@
     {
         auto leaving = upstream("u1");
         leaving.takesWork = false;
-        registry.registered(leaving);
+        registered(leaving);
         registry.removed({ "u1" }, true, start);
         CHECK(registry.size() == 1);
     }
@@ -233,6 +237,82 @@
     }
 }
 
+// Guards against requests for upstreams that had left, and that an older copy of the store lists as ready.
+TEST_CASE("an upstream that had left is not brought back by an older copy of the store")
+{
+    using Change = UpstreamRegistry::Change;
+    UpstreamRegistry registry, other;
+    auto entry = upstream("u1");
+    entry.born = 100;
+    auto version = [](std::int64_t born, std::int64_t writes, std::int64_t revision, std::int64_t era) { return EntryVersion { born, writes, revisionInEra(revision, era) }; };
+    auto draining = entry;
+    draining.takesWork = false;
+    auto fromCopy = version(100, 4, 20, 2);
+    registry.registered(entry, version(100, 4, 20, 1), start);
+
+    SECTION("it was draining: the same incarnation stays away, also if it seems to have written again")
+    {
+        registry.registered(draining, version(100, 5, 30, 1), start);
+        CHECK(registry.registered(entry, fromCopy, start + 5s) == Change::HeldBack);
+        CHECK(registry.registered(entry, version(100, 9, 40, 2), start + 6s) == Change::HeldBack);
+        CHECK(registry.usable().empty());
+        CHECK(registry.size() == 1);
+    }
+    SECTION("its entry was removed: it stays away until it writes again")
+    {
+        registry.removed({ "u1" }, false, start);
+        CHECK(registry.registered(entry, fromCopy, start + 5s) == Change::HeldBack);
+        CHECK(registry.usable().empty());
+        CHECK(registry.registered(entry, version(100, 6, 18, 2), start + 6s) == Change::Updated);
+        CHECK(registry.usable().size() == 1);
+        CHECK(registry.heldBack().empty());
+    }
+    SECTION("an earlier incarnation stays away, a later one does not")
+    {
+        registry.removed({ "u1" }, false, start);
+        CHECK(registry.registered(entry, version(90, 50, 25, 2), start + 5s) == Change::HeldBack);
+        CHECK(registry.registered(entry, version(110, 1, 15, 2), start + 5s) == Change::Updated);
+    }
+    SECTION("within an era of the store, what is written later holds")
+    {
+        registry.removed({ "u1" }, false, start);
+        CHECK(registry.registered(entry, version(100, 4, 40, 1), start + 5s) == Change::Updated);
+    }
+    SECTION("an entry that does not count its writes is not held back for having been removed")
+    {
+        registry.registered(entry, version(100, 0, 21, 1), start);
+        registry.removed({ "u1" }, false, start);
+        CHECK(registry.registered(entry, version(100, 0, 20, 2), start + 5s) == Change::Updated);
+    }
+    SECTION("an entry that only the copy lacked comes back in whatever form")
+    {
+        registry.removed({ "u1" }, true, start);
+        registry.removeExpired(start + 5s);
+        CHECK(registry.registered(entry, fromCopy, start + 6s) == Change::Updated);
+    }
+    SECTION("a peer that read only the copy learns what is held back")
+    {
+        bool wasDraining = GENERATE(false, true);
+        if (wasDraining)
+            registry.registered(draining, version(100, 5, 30, 1), start);
+        else
+            registry.removed({ "u1" }, false, start);
+        registry.registered(entry, fromCopy, start + 5s);
+        CHECK(other.registered(entry, fromCopy, start + 5s) == Change::Updated);
+        REQUIRE(registry.heldBack().size() == 1);
+        CHECK(other.learn(registry.heldBack()[0], start + 5s));
+        CHECK(other.usable().empty());
+        CHECK(other.heldBack().size() == 1);
+        CHECK_FALSE(other.learn(registry.heldBack()[0], start + 6s));
+
+        SECTION("and that it is over, once the store has removed the entry")
+        {
+            registry.removed({ "u1" }, false, start + 8s);
+            CHECK(registry.heldBack().empty());
+        }
+    }
+}
+
 TEST_CASE("engines are chosen by prompt prefix and outstanding work")
 {
     Engines engines;
