Take a later configuration from a peer when the store holds an older one

An instance that started between the return of the store from an older copy and the operator's second write used the configuration of the copy: a key that had been revoked was served, one that had been added got 401, until the operator had written again. Cause: only the store and copies of it delivered configurations, and after a return its word is not the latest that the fleet knows. Heartbeats now carry the version in force; an instance whose copy of the store is not behind, but whose configuration is, fetches the document from the peer with the latest one. Versions still never decrease. Lines: 'configuration' names its source, peer_configuration_not_delivered.

Ruled out: waiting with readiness until the operator has written again, since nothing tells that it will.

--- a/src/core/membership/fleet_heartbeat.cpp
+++ b/src/core/membership/fleet_heartbeat.cpp
@@ -82,6 +82,8 @@
             heartbeat.rollouts = rolloutNewsFrom(json.at(19));
         if (json.size() > 20)
             heartbeat.heldBack = upstreamDeparturesFrom(json.at(20));
+        if (json.size() > 21)
+            heartbeat.configurationVersion = json.at(21);
         return heartbeat;
     }
 
@@ -126,7 +128,7 @@
     Json sinceUnreachable = heartbeat.sinceStoreUnreachable ? Json(heartbeat.sinceStoreUnreachable->count()) : Json();
     Json json = Json::array({ heartbeat.from.instance.value, heartbeat.from.number, heartbeat.domain.value, heartbeat.addresses.entry, heartbeat.addresses.peers, heartbeat.sequence,
         heartbeat.ready, heartbeat.leaving, heartbeat.storeRevision, heartbeat.storeAge.count(), sinceUnreachable, workToJson(heartbeat), evidenceToJson(heartbeat), crashesToJson(heartbeat),
-        sessionsToJson(heartbeat), heartbeat.known, heartbeat.storeReachable, toJson(heartbeat.promptParts), toJson(heartbeat.limits), toJson(heartbeat.rollouts), toJson(heartbeat.heldBack) });
+        sessionsToJson(heartbeat), heartbeat.known, heartbeat.storeReachable, toJson(heartbeat.promptParts), toJson(heartbeat.limits), toJson(heartbeat.rollouts), toJson(heartbeat.heldBack), heartbeat.configurationVersion });
     auto bytes = Json::to_cbor(json);
     return { bytes.begin(), bytes.end() };
 }
--- a/src/core/membership/fleet_heartbeat.h
+++ b/src/core/membership/fleet_heartbeat.h
@@ -115,6 +115,9 @@
     std::vector<StatedLimit> limits;
     // Sessions that a rollout must not move to another release, see rollout/session_releases.h.
     std::vector<RecentSession> sessions;
+    // Version of the configuration in force at the sender; 0 before the first one. The store may hold an older one after it came
+    // back from a copy.
+    std::int64_t configurationVersion = 0;
     // Rollouts whose stage the sender knows.
     std::vector<RolloutNews> rollouts;
     // Upstreams that the store lists as ready although they had left.
--- a/src/core/membership/fleet_membership.cpp
+++ b/src/core/membership/fleet_membership.cpp
@@ -114,4 +114,14 @@
     return best;
 }
 
+const FleetPeer* FleetMembership::peerWithLaterConfiguration(std::int64_t version, TimePoint now) const
+{
+    const FleetPeer* best = nullptr;
+    for (const auto* it : livePeers(now)) {
+        if (it->heartbeat.configurationVersion > (best ? best->heartbeat.configurationVersion : version))
+            best = it;
+    }
+    return best;
+}
+
 }
--- a/src/core/membership/fleet_membership.h
+++ b/src/core/membership/fleet_membership.h
@@ -78,6 +78,8 @@
     // Returns the live peer with the highest mirror revision above the given one, or null if there is none. A peer of the
     // own domain comes before all others.
     const FleetPeer* peerAheadOf(std::int64_t storeRevision, TimePoint now) const;
+    // Returns a live peer whose configuration is the latest of all and later than the given version, or null if there is none.
+    const FleetPeer* peerWithLaterConfiguration(std::int64_t version, TimePoint now) const;
 
 private:
     bool isLive(const FleetPeer&, TimePoint now) const;
--- a/src/edge/control_plane.cpp
+++ b/src/edge/control_plane.cpp
@@ -31,6 +31,7 @@
     constexpr std::size_t maxMirrorBytes = std::size_t { 8 } << 20;
     constexpr Milliseconds maxMirrorTime { 5000 };
     constexpr const char* mirrorPath = "/mirror?after=";
+    constexpr const char* configurationPath = "/configuration";
 
     bool hasValidAddresses(const FleetHeartbeat& heartbeat)
     {
@@ -166,7 +167,9 @@
     auto document = platform::decodeDocumentKey(key);
     switch (document.kind) {
     case platform::DocumentKind::Configuration:
-        return configurationChanged(item);
+        if (item)
+            takeConfiguration(item->value, absl::StrCat("revision ", storeRevision(item->revision)));
+        return;
     case platform::DocumentKind::Upstream:
         return upstreamChanged(document.name, item);
     case platform::DocumentKind::RolloutOrder:
@@ -182,21 +185,20 @@
     }
 }
 
-void ControlPlane::configurationChanged(const StoreMirror::Item* item)
+void ControlPlane::takeConfiguration(const std::string& text, const std::string& source)
 {
-    if (!item)
-        return;
     platform::DecodeError error;
-    auto configuration = platform::decodeConfiguration(item->value, error);
+    auto configuration = platform::decodeConfiguration(text, error);
     if (!configuration) {
-        LogLine(LogLevel::Error, "configuration_unreadable").with("revision", item->revision).with("error", error.message);
+        LogLine(LogLevel::Error, "configuration_unreadable").with("source", source).with("error", error.message);
         return;
     }
     // The version never decreases during the lifetime of the process, whatever the store or a peer sends.
     if (m_configuration && configuration->version <= m_configuration->version)
         return;
-    LogLine(LogLevel::Info, "configuration").with("version", configuration->version).with("revision", item->revision).with("routes", static_cast<std::int64_t>(configuration->routes.size()));
+    LogLine(LogLevel::Info, "configuration").with("version", configuration->version).with("source", source).with("routes", static_cast<std::int64_t>(configuration->routes.size()));
     m_configuration = std::make_shared<const RoutingConfiguration>(*std::move(configuration));
+    m_configurationText = text;
     m_viewChanged = true;
 }
 
@@ -283,6 +285,7 @@
     if (!news.empty())
         m_outputs.publishPeerNews(std::move(news));
     catchUpIfBehind(now);
+    fetchLaterConfiguration(now);
 }
 
 // Fetches changes from a peer that is ahead if the store does not deliver them.
@@ -302,29 +305,61 @@
     spawn(m_loop, catchUpFromPeer(peer->heartbeat.addresses.peers, peer->heartbeat.from.instance.value), "catch_up");
 }
 
-Awaitable<void> ControlPlane::catchUpFromPeer(std::string peerAddress, std::string name)
+Awaitable<std::optional<std::string>> ControlPlane::fetchFromPeer(std::string peerAddress, std::string target)
 {
     auto connection = std::make_shared<UpstreamConnection>(m_loop);
-    std::optional<MirrorUpdate> update;
+    std::optional<std::string> result;
     if (co_await connection->open(peerAddress, catchUpTimeout)) {
         connection->setDeadline(catchUpTimeout);
-        auto head = absl::StrCat("GET ", mirrorPath, m_mirror.revision(), " HTTP/1.1\r\nHost: ", peerAddress, "\r\nConnection: close\r\n\r\n");
+        auto head = absl::StrCat("GET ", target, " HTTP/1.1\r\nHost: ", peerAddress, "\r\nConnection: close\r\n\r\n");
         ResponseHead response;
         bool isSent = co_await connection->send(head, nullptr);
         if (isSent && co_await connection->readHead(response) == TransferEnd::Ok && response.status == 200) {
             BodyTimes times { catchUpTimeout, maxMirrorTime };
             auto body = co_await connection->readWholeBody(maxMirrorBytes, times);
             if (body.end == TransferEnd::Ok)
-                update = decodeUpdate(body.bytes);
+                result = std::move(body.bytes);
         }
     }
     connection->close();
+    co_return result;
+}
+
+Awaitable<void> ControlPlane::catchUpFromPeer(std::string peerAddress, std::string name)
+{
+    auto body = co_await fetchFromPeer(peerAddress, absl::StrCat(mirrorPath, m_mirror.revision()));
+    auto update = body ? decodeUpdate(*body) : std::nullopt;
     m_catchingUp = false;
     LogLine(update ? LogLevel::Info : LogLevel::Warning, "peer_catch_up").with("peer", name).with("from", m_mirror.revision()).with("to", update ? update->revision : 0);
     if (update)
         applyUpdate(*update);
 }
 
+// Fetches the configuration of a peer that has a later one than the store does.
+void ControlPlane::fetchLaterConfiguration(TimePoint now)
+{
+    // A copy of the store that is behind may lack the configuration; catching up delivers it.
+    if (m_fetchingConfiguration || m_mirror.revision() == 0 || m_fleet.peerAheadOf(m_mirror.revision(), now))
+        return;
+    const auto* peer = m_fleet.peerWithLaterConfiguration(m_configuration ? m_configuration->version : 0, now);
+    if (!peer)
+        return;
+    m_fetchingConfiguration = true;
+    spawn(m_loop, takeConfigurationFromPeer(peer->heartbeat.addresses.peers, peer->heartbeat.from.instance.value), "take_configuration");
+}
+
+Awaitable<void> ControlPlane::takeConfigurationFromPeer(std::string peerAddress, std::string name)
+{
+    auto text = co_await fetchFromPeer(peerAddress, configurationPath);
+    m_fetchingConfiguration = false;
+    if (!text) {
+        LogLine(LogLevel::Warning, "peer_configuration_not_delivered").with("peer", name);
+        co_return;
+    }
+    takeConfiguration(*text, absl::StrCat("peer ", name));
+    publish(bootNow());
+}
+
 void ControlPlane::applyUpdate(const MirrorUpdate& update)
 {
     m_isReadingCopy = m_mirror.revision() > 0 && eraOf(update.revision) > eraOf(m_mirror.revision());
@@ -343,9 +378,11 @@
     std::int64_t after = 0;
     constexpr std::string_view prefix = mirrorPath;
     bool isMirror = request.target.rfind(prefix, 0) == 0 && absl::SimpleAtoi(request.target.substr(prefix.size()), &after);
-    EdgeResponse response { .status = isMirror && m_mirror.revision() > 0 ? 200 : 404 };
-    if (response.status == 200)
-        response.body = encodeUpdate(m_mirror.changesSince(after));
+    EdgeResponse response { .status = 404 };
+    if (isMirror && m_mirror.revision() > 0)
+        response = { .status = 200, .body = encodeUpdate(m_mirror.changesSince(after)) };
+    else if (request.target == configurationPath && m_configuration)
+        response = { .status = 200, .body = m_configurationText };
     co_await connection->respond(std::move(response));
 }
 
@@ -414,6 +451,7 @@
     heartbeat.promptParts = m_trafficReport.news.promptParts;
     heartbeat.limits = m_trafficReport.news.limits;
     heartbeat.sessions = m_trafficReport.sessions;
+    heartbeat.configurationVersion = m_configuration ? m_configuration->version : 0;
     heartbeat.rollouts = m_rollouts.news();
     heartbeat.heldBack = m_upstreams.heldBack();
     auto livePeers = m_fleet.livePeers(now);
--- a/src/edge/control_plane.h
+++ b/src/edge/control_plane.h
@@ -50,7 +50,10 @@
     Awaitable<void> maintainRegistration();
     Awaitable<bool> writeRegistration(std::int64_t lease);
     Awaitable<void> receiveHeartbeats();
+    // Sends a peer a GET request. Returns the body of its response, or nullopt if the peer does not deliver one.
+    Awaitable<std::optional<std::string>> fetchFromPeer(std::string peerAddress, std::string target);
     Awaitable<void> catchUpFromPeer(std::string peerAddress, std::string name);
+    Awaitable<void> takeConfigurationFromPeer(std::string peerAddress, std::string name);
     Awaitable<void> servePeer(std::shared_ptr<CallerConnection>, ReceivedRequest);
     Awaitable<void> serveMetrics(std::shared_ptr<CallerConnection>, ReceivedRequest);
 
@@ -58,7 +61,8 @@
     // Applies an update to the copy of the store, and publishes what it changes.
     void applyUpdate(const MirrorUpdate&);
     void itemChanged(const std::string& key, const StoreMirror::Item*);
-    void configurationChanged(const StoreMirror::Item*);
+    // Takes over a configuration that was read from the given source if it can be read and is later than the one in force.
+    void takeConfiguration(const std::string& text, const std::string& source);
     void upstreamChanged(const std::string& id, const StoreMirror::Item*);
     void instancesChanged();
 
@@ -69,6 +73,7 @@
     bool isCoordinator(TimePoint now) const;
     bool oldReleaseIsIdle(const RolloutOrder&) const;
     ReleaseEvidence mergedEvidence() const;
+    void fetchLaterConfiguration(TimePoint now);
     absl::flat_hash_map<UpstreamId, UpstreamWork> peerWork(TimePoint now) const;
     void publish(TimePoint now);
     PeerUpdate peerUpdate(TimePoint now) const;
@@ -100,6 +105,9 @@
     // Since when a peer's copy of the store has been ahead of this one.
     std::optional<TimePoint> m_behindSince;
     bool m_catchingUp = false;
+    // The document of the configuration, for peers.
+    std::string m_configurationText;
+    bool m_fetchingConfiguration = false;
     // An update is being applied that replaces the contents of an earlier era by those of an older copy.
     bool m_isReadingCopy = false;
     bool m_leaving = false;
--- a/test/correctness/fleet_test.cpp
+++ b/test/correctness/fleet_test.cpp
@@ -44,6 +44,7 @@
     sent.sessions = { { 77, "v2", 300ms } };
     sent.known = { "10.0.0.2:70" };
     sent.rollouts = { { { "assist" }, "v2", 77, RolloutStage::Full, TimePoint { 5s } } };
+    sent.configurationVersion = 12;
     sent.heldBack = { { { "i-3" }, { 100, 4, 20 }, true } };
     auto bytes = encodeHeartbeat(sent);
     auto decoded = decodeHeartbeat(bytes);
@@ -64,6 +65,7 @@
     CHECK_FALSE(decoded->limits[1].requestsPerSecond);
     CHECK(decoded->sessions.at(0).release == "v2");
     CHECK(decoded->known == sent.known);
+    CHECK(decoded->configurationVersion == 12);
     REQUIRE(decoded->rollouts.size() == 1);
     CHECK(decoded->rollouts[0].stage == RolloutStage::Full);
     CHECK(decoded->rollouts[0].revision == 77);
