Do not take a return of the store that is noticed late for one that just happened

An instance that noticed the return late, or that had been paused, took the time of its notice for that of the return and told it to its peers. For 2.5 s from then, all of them kept each upstream whose entry was removed for 2.2 s more, longer than upstreams may get requests. Three causes, of one class: an age is counted from when it is heard of. - The first to see the new era sets the time; others take it from peers. - An instance that hears no peer cannot tell an outage from its own isolation. It protects its own entries until it hears from a peer that reaches the store, but claims no outage to others. - After a pause of the process (line resumed) it reads the heartbeats that arrived meanwhile, whose ages have passed; they say nothing about the store. The claim of each peer counts as of its last heartbeat.

--- a/src/edge/control_plane.cpp
+++ b/src/edge/control_plane.cpp
@@ -20,6 +20,10 @@
     // reachable; otherwise it fetches them at once. A working watch delivers them sooner.
     constexpr Milliseconds catchUpDelay { 450 };
     constexpr Milliseconds catchUpTimeout { 800 };
+    // A process that was not active for this long was paused: it gets a report of the traffic thread four times a second.
+    constexpr Milliseconds minPause { 1000 };
+    // Time in which the heartbeats that arrived during a pause are read.
+    constexpr Milliseconds queuedHeartbeatsTime { 100 };
     // Lease duration of this instance's entry in the store, and how often the lease is renewed. The renewal also checks that the
     // store is reachable, at a tenth of the price of other calls.
     constexpr Milliseconds registrationLease { 10000 };
@@ -206,9 +210,9 @@
 {
     auto now = bootNow();
     if (!item) {
-        bool mayHaveExpired = m_storeUnreachableAt && now - *m_storeUnreachableAt < UpstreamRegistry::outageMemory;
-        LogLine(LogLevel::Info, "upstream_removed").with("upstream", id).with("kept_for_return", mayHaveExpired ? "yes" : "no");
-        m_upstreams.removed({ id }, mayHaveExpired, now);
+        bool isKept = mayHaveExpired(now);
+        LogLine(LogLevel::Info, "upstream_removed").with("upstream", id).with("kept_for_return", isKept ? "yes" : "no");
+        m_upstreams.removed({ id }, isKept, now);
         m_viewChanged = true;
         return;
     }
@@ -272,8 +276,14 @@
     }
     m_metrics.heartbeat("received");
     auto now = bootNow();
+    noticePause(now);
+    // Heartbeats that arrived during a pause are read after it, and the ages that they state have passed by then.
+    if (mayReadQueuedHeartbeats(now))
+        heartbeat->sinceStoreUnreachable.reset();
     if (!m_fleet.onHeartbeat(*heartbeat, now))
         return;
+    if (heartbeat->storeReachable)
+        m_isolatedAt.reset();
     m_rollouts.learn(heartbeat->rollouts);
     for (const auto& it : heartbeat->heldBack) {
         if (!m_upstreams.learn(it, now))
@@ -364,9 +374,11 @@
 {
     m_isReadingCopy = m_mirror.revision() > 0 && eraOf(update.revision) > eraOf(m_mirror.revision());
     if (m_isReadingCopy) {
-        LogLine(LogLevel::Warning, "store_restored").with("era", eraOf(update.revision)).with("revision", storeRevision(update.revision));
-        // Entries that are missing from the copy are written again, as after an outage.
-        m_storeUnreachableAt = bootNow();
+        bool isFirst = !m_fleet.peerAheadOf(revisionInEra(0, eraOf(update.revision)), bootNow());
+        LogLine(LogLevel::Warning, "store_restored").with("era", eraOf(update.revision)).with("revision", storeRevision(update.revision)).with("seen_before", isFirst ? "no" : "yes");
+        // Entries that are missing from the copy are written again, as after an outage. Peers that saw the return before tell when.
+        if (isFirst)
+            m_storeUnreachableAt = bootNow();
     }
     m_mirror.applyUpdate(update);
     m_isReadingCopy = false;
@@ -399,9 +411,21 @@
     co_await connection->respond(std::move(response));
 }
 
+bool ControlPlane::mayReadQueuedHeartbeats(TimePoint now) const { return now - m_resumedAt < queuedHeartbeatsTime; }
+
+void ControlPlane::noticePause(TimePoint now)
+{
+    if (m_lastActiveAt != TimePoint {} && now - m_lastActiveAt > minPause) {
+        m_resumedAt = now;
+        LogLine(LogLevel::Warning, "resumed").with("paused_ms", toMilliseconds(now - m_lastActiveAt).count());
+    }
+    m_lastActiveAt = now;
+}
+
 void ControlPlane::handleTrafficReport(TrafficReport report)
 {
     auto now = bootNow();
+    noticePause(now);
     m_viewChanged = m_viewChanged || report.ready != m_trafficReport.ready;
     m_trafficReport = std::move(report);
     m_process.update(m_trafficReport.cpuTime, now);
@@ -440,8 +464,8 @@
     heartbeat.storeReachable = m_store.isReachable();
     if (m_store.lastResponseAt() != TimePoint {})
         heartbeat.storeAge = toMilliseconds(now - m_store.lastResponseAt());
-    if (m_storeUnreachableAt)
-        heartbeat.sinceStoreUnreachable = toMilliseconds(now - *m_storeUnreachableAt);
+    if (auto outage = lastOutageAt(now))
+        heartbeat.sinceStoreUnreachable = toMilliseconds(now - *outage);
     heartbeat.work = m_trafficReport.work;
     for (const auto& [key, it] : m_trafficReport.evidence) {
         if (m_rollouts.isRollingOut(key.service))
@@ -468,17 +492,33 @@
 
 void ControlPlane::updateStoreState(TimePoint now)
 {
+    auto peers = m_fleet.livePeers(now);
     bool isUnreachable = !m_store.isReachable();
-    for (const auto* it : m_fleet.livePeers(now))
+    for (const auto* it : peers)
         isUnreachable = isUnreachable && !it->heartbeat.storeReachable;
-    if (isUnreachable && m_mirror.revision() > 0) {
-        m_storeUnreachableAt = now;
+    // An instance that hears no peer cannot tell an outage of the store from its own isolation. It protects its own entries until
+    // a peer tells it more, but claims no outage to others.
+    bool isIsolated = peers.empty() && !m_fleet.peers().empty();
+    if (isUnreachable && m_mirror.revision() > 0 && !mayReadQueuedHeartbeats(now)) {
+        (isIsolated ? m_isolatedAt : m_storeUnreachableAt) = now;
         m_upstreams.storeUnavailable(now);
     }
+}
+
+std::optional<TimePoint> ControlPlane::lastOutageAt(TimePoint now) const
+{
+    auto last = m_storeUnreachableAt;
     for (const auto* it : m_fleet.livePeers(now)) {
         if (it->heartbeat.sinceStoreUnreachable)
-            m_storeUnreachableAt = std::max(m_storeUnreachableAt.value_or(TimePoint {}), it->lastHeartbeatAt - *it->heartbeat.sinceStoreUnreachable);
+            last = std::max(last, std::optional(it->lastHeartbeatAt - *it->heartbeat.sinceStoreUnreachable));
     }
+    return last;
+}
+
+bool ControlPlane::mayHaveExpired(TimePoint now) const
+{
+    auto outage = std::max(lastOutageAt(now), m_isolatedAt);
+    return outage && now - *outage < UpstreamRegistry::outageMemory;
 }
 
 // The coordinator is the live instance with the smallest id among those that reach the store and are not shutting down. If two
--- a/src/edge/control_plane.h
+++ b/src/edge/control_plane.h
@@ -68,12 +68,21 @@
 
     void sendHeartbeat(TimePoint now);
     void handleHeartbeat(const std::string& bytes);
+    // Called when the control thread is active, to find out whether the process was paused before.
+    void noticePause(TimePoint now);
+    // Whether the heartbeats that are read may be those that arrived during a pause.
+    bool mayReadQueuedHeartbeats(TimePoint now) const;
     void catchUpIfBehind(TimePoint now);
+    void fetchLaterConfiguration(TimePoint now);
     void updateStoreState(TimePoint now);
+    // Last time at which the store was unreachable from here and all peers, or had come back from a copy, as far as this instance
+    // and its live peers know.
+    std::optional<TimePoint> lastOutageAt(TimePoint now) const;
+    // Whether an entry that is missing from the store now may have expired during an outage.
+    bool mayHaveExpired(TimePoint now) const;
     bool isCoordinator(TimePoint now) const;
     bool oldReleaseIsIdle(const RolloutOrder&) const;
     ReleaseEvidence mergedEvidence() const;
-    void fetchLaterConfiguration(TimePoint now);
     absl::flat_hash_map<UpstreamId, UpstreamWork> peerWork(TimePoint now) const;
     void publish(TimePoint now);
     PeerUpdate peerUpdate(TimePoint now) const;
@@ -96,18 +105,24 @@
     std::unique_ptr<HttpListener> m_peerListener;
     std::unique_ptr<HttpListener> m_metricsListener;
     RoutingConfigurationPtr m_configuration;
+    // The document of the configuration, for peers.
+    std::string m_configurationText;
+    bool m_fetchingConfiguration = false;
     TrafficReport m_trafficReport;
     std::uint64_t m_sequence = 0;
     // Rotates through the live peers, whose addresses are listed in the heartbeats a few at a time.
     std::size_t m_nextKnownPeer = 0;
-    // Last time at which neither this instance nor any live peer could reach the store.
+    // Last time at which neither this instance nor any live peer could reach the store, or at which this instance was the first to
+    // see that the store had come back from a copy.
     std::optional<TimePoint> m_storeUnreachableAt;
+    TimePoint m_lastActiveAt {};
+    // End of the last pause of the process.
+    TimePoint m_resumedAt {};
+    // Last time at which this instance reached neither the store nor any peer, until it hears from a peer that reaches the store.
+    std::optional<TimePoint> m_isolatedAt;
     // Since when a peer's copy of the store has been ahead of this one.
     std::optional<TimePoint> m_behindSince;
     bool m_catchingUp = false;
-    // The document of the configuration, for peers.
-    std::string m_configurationText;
-    bool m_fetchingConfiguration = false;
     // An update is being applied that replaces the contents of an earlier era by those of an older copy.
     bool m_isReadingCopy = false;
     bool m_leaving = false;
--- a/test/processes/restored_store_test.cpp
+++ b/test/processes/restored_store_test.cpp
@@ -233,6 +233,10 @@
     site.store.remove("servers/i-1");
     for (auto* it : { &first, &second }) {
         REQUIRE(waitUntil(3s, [&] { return !it->linesContaining("what=upstream_removed upstream=i-1").empty(); }));
+        for (const auto* text : { "resumed", "store", "what=upstream_removed", "catch_up" }) {
+            for (const auto& line : it->linesContaining(text))
+                UNSCOPED_INFO(line);
+        }
         CHECK(absl::StrContains(it->linesContaining("what=upstream_removed upstream=i-1").front(), "kept_for_return=no"));
     }
 }
