--- /dev/null
+++ b/test/processes/lost_links_test.cpp
@@ -0,0 +1,217 @@
+// Tests entry instances as real processes of which some have lost their links to all upstreams, but not to callers, store and
+// peers.
+
+#include "fakes/loopback_listener.h"
+#include "processes/edge_site.h"
+
+#include <absl/strings/match.h>
+#include <absl/strings/str_cat.h>
+#include <catch2/catch.hpp>
+#include <sys/socket.h>
+#include <unistd.h>
+
+using namespace skylarkhitch;
+using namespace skylarkhitch::standin;
+using namespace std::chrono_literals;
+
+namespace {
+
+enum class Cut {
+    // Connections are refused.
+    Refused,
+    // Connections are neither accepted nor refused.
+    Silent
+};
+
+// A port at which nobody is reached.
+class LostLink {
+public:
+    explicit LostLink(Cut cut)
+    {
+        auto any = loopbackAddress(0);
+        socklen_t size = sizeof(any);
+        m_listener = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        REQUIRE(::bind(m_listener, reinterpret_cast<sockaddr*>(&any), size) == 0);
+        ::getsockname(m_listener, reinterpret_cast<sockaddr*>(&any), &size);
+        m_port = ntohs(any.sin_port);
+        if (cut == Cut::Refused)
+            return;
+        // Once the queue of connections that nobody accepts is full, the kernel drops the packets that open further ones.
+        REQUIRE(::listen(m_listener, 0) == 0);
+        for (auto& it : m_fillers) {
+            it = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+            ::connect(it, reinterpret_cast<sockaddr*>(&any), size);
+        }
+    }
+    ~LostLink()
+    {
+        for (auto it : m_fillers)
+            ::close(it);
+        ::close(m_listener);
+    }
+    LostLink(const LostLink&) = delete;
+    LostLink& operator=(const LostLink&) = delete;
+
+    std::string address() const { return absl::StrCat("127.0.0.1:", m_port); }
+
+private:
+    int m_listener = -1;
+    int m_port = 0;
+    int m_fillers[4] = { -1, -1, -1, -1 };
+};
+
+// A site, and a second store that lists the same upstreams at addresses at which they cannot be reached. Instances that use it
+// have lost their links.
+struct CutSite : Site {
+    FleetStore cutStore;
+    std::vector<std::unique_ptr<LostLink>> links;
+
+    explicit CutSite(Cut cut)
+    {
+        cutStore.put("op/config", sampleConfiguration(3));
+        for (auto [upstream, service] : { std::pair(&first, "orders"), std::pair(&second, "orders"), std::pair(&engine, "assist"), std::pair(&otherEngine, "assist") }) {
+            links.push_back(std::make_unique<LostLink>(cut));
+            auto registration = nlohmann::json::parse(upstream->registration(service));
+            registration["address"] = links.back()->address();
+            cutStore.put("servers/" + upstream->id(), registration.dump());
+        }
+    }
+    ~CutSite() { cutStore.cutWatches(); }
+};
+
+std::string entryAddress(const EdgeInstance& instance) { return absl::StrCat("127.0.0.1:", instance.port()); }
+
+// Contact is lost for less than this before callers must be served again.
+constexpr auto contactTime = 3s;
+
+}
+
+// Guards against callers who are refused at an instance that has lost its links to all upstreams while its peers reach them.
+TEST_CASE("callers of an instance that lost its links are served by way of a peer")
+{
+    auto cut = GENERATE(Cut::Refused, Cut::Silent);
+    CutSite site(cut);
+    EdgeInstance whole("edge-1", site.store.address());
+    EdgeInstance lost("edge-2", site.cutStore.address(), whole.peerAddress());
+    REQUIRE(waitUntil(5s, [&] { return whole.isReady() && lost.isReady(); }));
+    std::this_thread::sleep_for(contactTime);
+
+    SECTION("requests, bookings and streams are answered by upstreams, once each, unchanged and in time")
+    {
+        for (int n = 0; n < 10; ++n) {
+            auto startedAt = std::chrono::steady_clock::now();
+            auto response = sendRequest(lost, requestBytes("POST", "/booking/a%2Fb/../c?x=1&x=2", absl::StrCat("b-", n), "X-Other: one\r\nX-Other: two\r\nX-Tenant-Name: forged\r\n", "the body"));
+            CHECK(statusOf(response) == 200);
+            CHECK(absl::StrContains(response, "X-Server-Seal: seal-of-i-"));
+            CHECK(absl::EndsWith(response, "hello"));
+            CHECK(std::chrono::steady_clock::now() - startedAt < 150ms);
+            CHECK(site.receivedWithId(absl::StrCat("b-", n)) == 1);
+        }
+        REQUIRE_FALSE(site.allRequests().empty());
+        auto request = site.allRequests().front();
+        CHECK(request.target == "/booking/a%2Fb/../c?x=1&x=2");
+        CHECK(request.body == "the body");
+        CHECK(request.field("X-Tenant-Name") == "design");
+        CHECK(request.field("Api-Key").empty());
+        CHECK(std::stoi(request.field("X-Deadline-Ms")) <= 2500);
+        CHECK(std::count_if(request.fields.begin(), request.fields.end(), [](const auto& it) { return it.name == "X-Other"; }) == 2);
+        auto stream = sendRequest(lost, requestBytes("POST", "/draft/x", "s-1", "X-Model-Name: *\r\nX-Token-Count: 10,5\r\n", "p"));
+        CHECK(statusOf(stream) == 200);
+        CHECK(absl::StrContains(stream, "id: 3"));
+    }
+    SECTION("answers name the instances that reach the upstreams, and others only if none does")
+    {
+        for (auto* it : { &whole, &lost }) {
+            CHECK(absl::StrContains(it->directoryResponse(), entryAddress(whole)));
+            CHECK_FALSE(absl::StrContains(it->directoryResponse(), entryAddress(lost)));
+        }
+        whole.kill();
+        CHECK(waitUntil(3s, [&] { return absl::StrContains(lost.directoryResponse(), entryAddress(lost)); }));
+    }
+    SECTION("the upstreams are not blamed, and a line and a metric say what was lost")
+    {
+        for (int n = 0; n < 10; ++n)
+            sendRequest(lost, requestBytes("GET", "/status/x", absl::StrCat("id-", n)));
+        CHECK(lost.linesContaining("what=upstream_ejected").empty());
+        CHECK(lost.linesContaining("what=links_lost").size() == 1);
+        CHECK(lost.linesContaining("what=request_relayed").size() == 10);
+        CHECK(absl::StrContains(lost.metrics(), "links_lost 1"));
+    }
+    SECTION("when it reaches them again, it serves its callers itself")
+    {
+        for (auto [upstream, service] : { std::pair(&site.first, "orders"), std::pair(&site.second, "orders"), std::pair(&site.engine, "assist"), std::pair(&site.otherEngine, "assist") })
+            site.cutStore.put("servers/" + upstream->id(), upstream->registration(service));
+        CHECK(waitUntil(3s, [&] { return !lost.linesContaining("what=links_regained").empty(); }));
+        CHECK(statusOf(sendRequest(lost, requestBytes("GET", "/status/x", "id-own"))) == 200);
+        CHECK(lost.linesContaining("what=request_relayed").empty());
+        CHECK(waitUntil(2s, [&] { return absl::StrContains(whole.directoryResponse(), entryAddress(lost)); }));
+    }
+}
+
+// Guards against a booking that runs twice, or is said not to have run, when the peer that it went by is lost.
+TEST_CASE("a request that went by way of a peer ends truthfully when that peer or its caller is lost")
+{
+    CutSite site(Cut::Refused);
+    EdgeInstance whole("edge-1", site.store.address());
+    EdgeInstance other("edge-3", site.store.address(), whole.peerAddress());
+    EdgeInstance lost("edge-2", site.cutStore.address(), whole.peerAddress());
+    REQUIRE(waitUntil(5s, [&] { return whole.isReady() && other.isReady() && lost.isReady(); }));
+    std::this_thread::sleep_for(contactTime);
+    std::atomic<int> left = 0;
+    site.setScripts([&](const RawRequest& request, RawConnection& connection) {
+        if (connection.isClosedWithin(1500ms)) {
+            ++left;
+            return false;
+        }
+        return respondWith("hello")(request, connection);
+    });
+    auto caller = RawConnection::connect(lost.port());
+    REQUIRE(caller);
+
+    SECTION("a booking is not run again, and its answer does not say that it has not run")
+    {
+        caller->write(requestBytes("POST", "/booking/x", "b-1", {}, "body"));
+        REQUIRE(waitUntil(2s, [&] { return site.receivedWithId("b-1") == 1; }));
+        whole.kill();
+        other.kill();
+        auto status = statusOf(caller->readResponse());
+        CHECK((status == 502 || status == 504));
+        std::this_thread::sleep_for(500ms);
+        CHECK(site.receivedWithId("b-1") == 1);
+    }
+    SECTION("if its caller leaves, the upstream sees that soon")
+    {
+        caller->write(requestBytes("GET", "/status/x", "g-1"));
+        REQUIRE(waitUntil(2s, [&] { return site.receivedWithId("g-1") == 1; }));
+        caller.reset();
+        CHECK(waitUntil(500ms, [&] { return left.load() > 0; }));
+    }
+    SECTION("if the peer is gone before it is asked, another one is")
+    {
+        site.setScripts(respondWith("hello"));
+        whole.kill();
+        for (int n = 0; n < 10; ++n) {
+            auto id = absl::StrCat("b-", n);
+            CHECK(statusOf(sendRequest(lost, requestBytes("POST", "/booking/x", id, {}, "body"))) == 200);
+            CHECK(site.receivedWithId(id) == 1);
+        }
+    }
+}
+
+// Guards against callers who wait for upstreams that nobody reaches, and against requests that go round between instances.
+TEST_CASE("if no instance reaches the upstreams, requests are refused at once and have not run")
+{
+    CutSite site(GENERATE(Cut::Refused, Cut::Silent));
+    EdgeInstance lost("edge-1", site.cutStore.address());
+    EdgeInstance other("edge-2", site.cutStore.address(), lost.peerAddress());
+    REQUIRE(waitUntil(5s, [&] { return lost.isReady() && other.isReady(); }));
+    std::this_thread::sleep_for(contactTime);
+    for (int n = 0; n < 5; ++n) {
+        auto startedAt = std::chrono::steady_clock::now();
+        auto response = sendRequest(lost, requestBytes("POST", "/booking/x", absl::StrCat("b-", n), {}, "body"));
+        CHECK(statusOf(response) == 503);
+        CHECK(absl::StrContains(response, "Retry-After: "));
+        CHECK(std::chrono::steady_clock::now() - startedAt < 50ms);
+    }
+    CHECK(absl::StrContains(lost.directoryResponse(), entryAddress(lost)));
+}
