Send requests by way of a peer while an instance has lost its links to the upstreams

Cause: an instance took its own lost links for failures of the upstreams. It waited for nine of them in turn, ejected each, and tried the ejected ones again; it stayed in the answers to callers and asked nobody.

- core/routing/link_monitor tells lost links from upstreams that are down.
A failed connection, or 400 ms without one, starts a round of four checks, spread over services and domains; if none is reached, the links are lost.
Two good rounds regain them.
A failed connection counts against its upstream only once another one was reached; what is lost while links are lost, or together with connections to two other upstreams, counts against none: neither ejection, nor release, nor crash.
- edge/request_relay sends the request to a peer that reaches the upstreams (core/routing/relay_choice: the one of two with fewer of ours), at its address for callers, with the time that is left.
The peer admits, chooses, retries and counts it, and does not send it on.
A peer that is not reached is replaced by another; after that the request may have run, and is not sent again.
- Heartbeats say whether an instance reaches upstreams.
Those that do are named in the answers, the others only if none is left.
If none is left, requests are refused at once.
- Lines links_lost, links_regained, request_relayed, own_link_lost; gauge links_lost.

One check of the test looked for a gauge in another form than the metrics have; it asks for the same value by its name now.

Before: test_lost_links 133 of 332 checks failed. Not covered: cuts from some upstreams or one service only; a stream that is lost with its peer is reset, and its caller resumes it.

--- a/src/core/membership/fleet_heartbeat.cpp
+++ b/src/core/membership/fleet_heartbeat.cpp
@@ -84,6 +84,8 @@
             heartbeat.heldBack = upstreamDeparturesFrom(json.at(20));
         if (json.size() > 21)
             heartbeat.configurationVersion = json.at(21);
+        if (json.size() > 22)
+            heartbeat.reachesUpstreams = json.at(22);
         return heartbeat;
     }
 
@@ -128,7 +130,7 @@
     Json sinceUnreachable = heartbeat.sinceStoreUnreachable ? Json(heartbeat.sinceStoreUnreachable->count()) : Json();
     Json json = Json::array({ heartbeat.from.instance.value, heartbeat.from.number, heartbeat.domain.value, heartbeat.addresses.entry, heartbeat.addresses.peers, heartbeat.sequence,
         heartbeat.ready, heartbeat.leaving, heartbeat.storeRevision, heartbeat.storeAge.count(), sinceUnreachable, workToJson(heartbeat), evidenceToJson(heartbeat), crashesToJson(heartbeat),
-        sessionsToJson(heartbeat), heartbeat.known, heartbeat.storeReachable, toJson(heartbeat.promptParts), toJson(heartbeat.limits), toJson(heartbeat.rollouts), toJson(heartbeat.heldBack), heartbeat.configurationVersion });
+        sessionsToJson(heartbeat), heartbeat.known, heartbeat.storeReachable, toJson(heartbeat.promptParts), toJson(heartbeat.limits), toJson(heartbeat.rollouts), toJson(heartbeat.heldBack), heartbeat.configurationVersion, heartbeat.reachesUpstreams });
     auto bytes = Json::to_cbor(json);
     return { bytes.begin(), bytes.end() };
 }
--- a/src/core/membership/fleet_heartbeat.h
+++ b/src/core/membership/fleet_heartbeat.h
@@ -94,6 +94,8 @@
     std::uint64_t sequence = 0;
     // Whether the sender accepts new callers.
     bool ready = false;
+    // Whether the sender reaches upstreams.
+    bool reachesUpstreams = true;
     // Whether the sender is shutting down.
     bool leaving = false;
     // Revision of the sender's mirror of the store.
--- a/src/core/requests/routed_request.h
+++ b/src/core/requests/routed_request.h
@@ -31,6 +31,8 @@
     std::optional<Milliseconds> callerTimeout;
     // Number of the last stream event that the caller already received.
     std::optional<std::int64_t> lastEvent;
+    // Another instance sent the request on behalf of its caller.
+    bool isRelayed = false;
     // The caller leaves the choice among the route's models to the router.
     bool anyModel = false;
     std::int64_t promptTokens = 0;
--- a/src/edge/control_plane.cpp
+++ b/src/edge/control_plane.cpp
@@ -405,6 +405,7 @@
     m_metrics.setState("configuration_version", m_configuration ? static_cast<double>(m_configuration->version) : 0);
     m_metrics.setState("live_peers", static_cast<double>(m_fleet.livePeers(bootNow()).size()));
     m_metrics.setState("upstreams", static_cast<double>(m_upstreams.size()));
+    m_metrics.setState("links_lost", m_trafficReport.areLinksLost ? 1 : 0);
     m_metrics.setState("quarantined_parts", static_cast<double>(m_trafficReport.quarantinedParts));
     m_metrics.setState("limited_upstreams", static_cast<double>(m_trafficReport.limitedUpstreams));
     EdgeResponse response { .fields = { { "Content-Type", "text/plain; version=0.0.4" } }, .body = m_metrics.text() };
@@ -435,9 +436,9 @@
     if (m_upstreams.removeExpired(now))
         m_viewChanged = true;
     m_rollouts.advance({ mergedEvidence(), isCoordinator(now), [this](const RolloutOrder& order) { return oldReleaseIsIdle(order); } }, now);
-    FleetCount count { m_fleet.size(now), entries(now).size() };
-    m_viewChanged = m_viewChanged || count != m_lastFleetCount;
-    m_lastFleetCount = count;
+    FleetState fleet { m_fleet.size(now), entries(now) };
+    m_viewChanged = m_viewChanged || fleet != m_lastFleet;
+    m_lastFleet = std::move(fleet);
     m_outputs.publishPeerUpdate(peerUpdate(now));
     publish(now);
 }
@@ -460,6 +461,7 @@
     heartbeat.sequence = ++m_sequence;
     heartbeat.ready = m_trafficReport.ready && !m_leaving;
     heartbeat.leaving = m_leaving;
+    heartbeat.reachesUpstreams = !m_trafficReport.areLinksLost;
     heartbeat.storeRevision = m_mirror.revision();
     heartbeat.storeReachable = m_store.isReachable();
     if (m_store.lastResponseAt() != TimePoint {})
@@ -592,10 +594,10 @@
 {
     std::vector<EntryInstance> entries;
     if (m_trafficReport.ready && !m_leaving)
-        entries.push_back({ m_self.instance, m_settings.domain, m_settings.entryListen });
+        entries.push_back({ m_self.instance, m_settings.domain, m_settings.entryListen, !m_trafficReport.areLinksLost });
     for (const auto* it : m_fleet.livePeers(now)) {
         if (it->heartbeat.ready && !it->heartbeat.leaving)
-            entries.push_back({ it->heartbeat.from.instance, it->heartbeat.domain, it->heartbeat.addresses.entry });
+            entries.push_back({ it->heartbeat.from.instance, it->heartbeat.domain, it->heartbeat.addresses.entry, it->heartbeat.reachesUpstreams });
     }
     return entries;
 }
--- a/src/edge/control_plane.h
+++ b/src/edge/control_plane.h
@@ -38,12 +38,13 @@
     void addSeeds(const std::vector<std::string>& seeds);
 
 private:
-    // Number of known instances, live or not, including this one, and of live instances that accept new callers.
-    struct FleetCount {
+    struct FleetState {
+        // Number of known instances, live or not, including this one.
         std::size_t known = 0;
-        std::size_t entries = 0;
+        // Live instances that accept new callers.
+        std::vector<EntryInstance> entries;
 
-        friend bool operator==(const FleetCount&, const FleetCount&) = default;
+        friend bool operator==(const FleetState&, const FleetState&) = default;
     };
 
     Awaitable<void> followStore();
@@ -127,7 +128,7 @@
     bool m_isReadingCopy = false;
     bool m_leaving = false;
     bool m_viewChanged = true;
-    FleetCount m_lastFleetCount;
+    FleetState m_lastFleet;
 };
 
 }
--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -3,6 +3,7 @@
 #include "adapters/log.h"
 #include "adapters/wall_clock.h"
 #include "edge/control_plane.h"
+#include "edge/link_checker.h"
 #include "edge/request_forwarder.h"
 #include "edge/traffic_state.h"
 #include "platform/request_codec.h"
@@ -44,6 +45,7 @@
             , m_self { settings.instance, newIncarnationNumber() }
             , m_traffic(m_trafficLoop, { settings.instance, settings.domain, m_self.number, settings.sessionIdleTimeout(), { settings.retryRatio, settings.retryHeadroom, settings.retryWindow() } }, m_metrics)
             , m_control(m_controlLoop, settings, m_self, m_metrics, outputs())
+            , m_linkChecker(m_trafficLoop, m_traffic)
             , m_signals(m_trafficLoop, SIGTERM, SIGINT, SIGHUP)
         {
         }
@@ -61,6 +63,7 @@
                 if (!std::exchange(m_isUrgentReportPending, true))
                     spawn(m_trafficLoop, sendUrgentReport(), "urgent_report");
             });
+            m_traffic.onSuspectedLinks([this] { m_linkChecker.checkIfDue(); });
             spawn(m_trafficLoop, reportLoop(), "report");
             spawn(m_trafficLoop, watchSettings(), "watch_settings");
             awaitSignal();
@@ -114,7 +117,12 @@
         {
             std::vector<std::string> local, all;
             if (m_traffic.view()) {
-                for (const auto& it : m_traffic.view()->entries) {
+                const auto& entries = m_traffic.view()->entries;
+                // Instances without links to the upstreams are named only if no other is left.
+                bool hasReaching = std::any_of(entries.begin(), entries.end(), [](const auto& it) { return it.reachesUpstreams; });
+                for (const auto& it : entries) {
+                    if (hasReaching && !it.reachesUpstreams)
+                        continue;
                     if (it.domain == domain)
                         local.push_back(it.address);
                     all.push_back(it.address);
@@ -150,6 +158,7 @@
         {
             for (;;) {
                 sendReport();
+                m_linkChecker.checkIfDue();
                 co_await sleepFor(m_trafficLoop, FleetMembership::heartbeatPeriod);
             }
         }
@@ -241,6 +250,7 @@
         EventLoop m_controlLoop { 1 };
         TrafficState m_traffic;
         ControlPlane m_control;
+        LinkChecker m_linkChecker;
         asio::signal_set m_signals;
         std::shared_ptr<ServerState> m_entryServer;
         std::shared_ptr<ServerState> m_platformServer;
--- a/src/edge/fleet_view.h
+++ b/src/edge/fleet_view.h
@@ -19,6 +19,10 @@
     InstanceId id;
     DomainId domain;
     std::string address;
+    // Whether it reaches upstreams; if not, it sends requests by way of others.
+    bool reachesUpstreams = true;
+
+    friend bool operator==(const EntryInstance&, const EntryInstance&) = default;
 };
 
 // The part of a rollout's state that affects routing.
@@ -78,6 +82,8 @@
     PeerNews news;
     std::vector<RecentSession> sessions;
     bool ready = false;
+    // The instance has lost its links to the upstreams.
+    bool areLinksLost = false;
     std::size_t quarantinedParts = 0;
     std::size_t limitedUpstreams = 0;
     // CPU time that the traffic thread has used since it started.
--- a/src/edge/request_forwarder.cpp
+++ b/src/edge/request_forwarder.cpp
@@ -26,6 +26,8 @@
     constexpr Milliseconds minFirstEventTimeout { 2000 };
     constexpr double eventGapTimeoutFactor = 2;
     constexpr Milliseconds minEventGapTimeout { 1500 };
+    // Peers that a request is sent to in turn while they cannot be reached.
+    constexpr std::size_t maxRelays = 3;
     // With less time than this left, no other upstream could still answer.
     constexpr Milliseconds minUsefulTime { 30 };
     // Retry-After is at most this part (1/n) of the caller's remaining time, but at least minRetryAfter; callers ignore a longer
@@ -142,6 +144,8 @@
     m_caller->onDisconnect([this] {
         if (m_connection)
             m_connection->close();
+        if (m_relay)
+            m_relay->close();
     });
     co_await serve();
 }
@@ -164,7 +168,6 @@
     m_parts = sharedParts(request);
     if (request.anyModel && !m_admitted.route->models.empty())
         m_model = m_admitted.route->models.front();
-    m_traffic.requestArrived(m_admitted.service->name, m_received.receivedAt);
     return m_traffic.crashes().refuses(m_admitted.fingerprint) ? ErrorKind::RequestQuarantined : ErrorKind::None;
 }
 
@@ -176,6 +179,11 @@
             co_await respondWithError(ErrorKind::DeadlineExceeded);
             co_return;
         }
+        if (m_traffic.links().isLost()) {
+            co_await serveByWayOfPeer();
+            co_return;
+        }
+        countArrival();
         if (!mayBeSent(now)) {
             co_await respondWithError(ErrorKind::PromptPartQuarantined);
             co_return;
@@ -203,6 +211,40 @@
     }
 }
 
+Awaitable<void> RequestForwarder::serveByWayOfPeer()
+{
+    // A request that came from a peer does not go to another one, so that none goes round.
+    while (!m_admitted.request.isRelayed && m_triedPeers.size() < maxRelays && timeLeft() >= minUsefulTime) {
+        auto peer = m_traffic.chooseRelay(m_triedPeers);
+        if (!peer)
+            break;
+        m_triedPeers.insert(peer->id);
+        LogLine(LogLevel::Info, "request_relayed").with("id", m_admitted.request.id.value).with("peer", peer->id.value).with("cause", "links_lost").with("ms_left", timeLeft().count()).with("relays", static_cast<std::int64_t>(m_triedPeers.size()));
+        m_relay.emplace(m_traffic, m_caller, m_received, m_events);
+        auto end = co_await m_relay->sendTo(*peer, timeLeft());
+        m_firstByteAt = m_relay->firstByteAt();
+        if (m_caller->hasDisconnected() || end == RequestRelay::End::Answered) {
+            logOutcome(m_caller->hasDisconnected() ? "caller_left" : m_relay->status() < 500 ? "none"
+                                                                                             : "upstream_error",
+                m_relay->status());
+            co_return;
+        }
+        if (end == RequestRelay::End::NotSent)
+            continue;
+        m_execution.attemptSent();
+        m_execution.attemptEnded(AttemptEnd::Cut);
+        co_await respondWithError(end == RequestRelay::End::TimedOut ? ErrorKind::DeadlineExceeded : ErrorKind::UpstreamFailed);
+        co_return;
+    }
+    co_await respondWithError(timeLeft() < minUsefulTime ? ErrorKind::DeadlineExceeded : ErrorKind::NoHealthyUpstream);
+}
+
+void RequestForwarder::countArrival()
+{
+    if (!std::exchange(m_isArrivalCounted, true))
+        m_traffic.requestArrived(m_admitted.service->name, m_received.receivedAt);
+}
+
 bool RequestForwarder::mayBeSent(TimePoint now)
 {
     auto verdict = m_traffic.decideOnParts(m_parts, now);
@@ -239,9 +281,11 @@
     m_connection = connection;
     if (!isReused && !co_await connection->open(upstream.address, std::min(connectTimeout, timeLeft()))) {
         if (!m_caller->hasDisconnected())
-            recordUpstreamFailure(upstream, AttemptEnd::NotSent);
+            m_traffic.recordNotConnected({ upstream.id, m_admitted.request.id });
         co_return AttemptResult { AttemptEnd::NotSent, false };
     }
+    if (!isReused)
+        m_traffic.recordConnected(bootNow());
     if (m_caller->hasDisconnected())
         co_return AttemptResult { AttemptEnd::NotSent, true };
     // The part may have been quarantined while the connection was opened.
@@ -279,7 +323,7 @@
         --m_possibleRuns;
     m_traffic.metrics().attemptEnded(serviceName(), attemptEndName(result.end));
     bool isAbandoned = result.end == AttemptEnd::Cut && m_caller->hasDisconnected() && !m_firstEventSeen;
-    if (isAbandoned && !m_traffic.limits().isLimited(processName(upstream))) {
+    if (isAbandoned && !m_traffic.limits().isLimited(processName(upstream)) && !m_traffic.links().wereLostSince(m_sentAt)) {
         auto now = bootNow();
         m_traffic.recordAbandoned(processName(upstream), { releaseRoute(upstream), toMilliseconds(now - m_sentAt), now });
     }
@@ -558,6 +602,10 @@
     // An upstream that states a limit is in need, so a late response is not its failure.
     if (end == AttemptEnd::TimedOut && m_traffic.limits().isLimited(processName(upstream)))
         return;
+    if (m_traffic.isOwnLoss(upstream.id, end, m_sentAt, now)) {
+        LogLine(LogLevel::Warning, "own_link_lost").with("id", m_admitted.request.id.value).with("upstream", upstream.id.value).with("end", attemptEndName(end)).with("ms", toMilliseconds(now - m_sentAt).count());
+        return;
+    }
     if (end != AttemptEnd::NotSent)
         m_traffic.recordBrokenResponse(processName(upstream), releaseRoute(upstream), now);
     if (end == AttemptEnd::Cut) {
@@ -618,6 +666,8 @@
     line.with("id", m_admitted.request.id.value).with("status", status).with("error", error).with("route", m_admitted.route ? m_admitted.route->name : "").with("team", m_admitted.team ? m_admitted.team->value : "");
     line.with("service", serviceName()).with("upstream", m_triedUpstreams.empty() ? "" : m_triedUpstreams.back().value).with("upstreams_tried", static_cast<std::int64_t>(m_triedUpstreams.size()));
     line.with("attempts_delivered", m_deliveredAttempts).with("ran", m_execution.executed() == Executed::No ? "no" : "maybe").with("ms", toMilliseconds(now - m_received.receivedAt).count());
+    if (!m_triedPeers.empty())
+        line.with("relays", static_cast<std::int64_t>(m_triedPeers.size()));
     line.with("idle_ms", m_received.idleTime.count()).with("connection", connectionEndName(m_caller->end()));
     if (m_firstByteAt)
         line.with("first_byte_ms", toMilliseconds(*m_firstByteAt - m_received.receivedAt).count());
--- a/src/edge/request_forwarder.h
+++ b/src/edge/request_forwarder.h
@@ -9,6 +9,7 @@
 #include "core/requests/upstream_response.h"
 #include "core/routing/model_choice.h"
 #include "edge/caller_connection.h"
+#include "edge/request_relay.h"
 #include "edge/traffic_state.h"
 
 namespace skylarkhitch {
@@ -35,6 +36,10 @@
     ErrorKind admit();
     // Makes attempts until one gives the final response or no further attempt is allowed.
     Awaitable<void> serve();
+    // Sends the request by way of a peer, since this instance has lost its links to the upstreams.
+    Awaitable<void> serveByWayOfPeer();
+    // Adds the request to the base of the service's retry budget, once.
+    void countArrival();
     // Returns null if there is none. Sets m_limitedFor.
     const UpstreamEntry* chooseUpstream(TimePoint now);
     // Makes one attempt and records its outcome in the state shared by all requests.
@@ -102,6 +107,10 @@
     ExecutionTracker m_execution;
     EventStreamParser m_events;
     std::shared_ptr<UpstreamConnection> m_connection;
+    std::optional<RequestRelay> m_relay;
+    // Peers by way of which the request was sent.
+    std::set<InstanceId> m_triedPeers;
+    bool m_isArrivalCounted = false;
     std::vector<UpstreamId> m_triedUpstreams;
     // Attempts that reached an upstream, whether it ran the request or not.
     std::int64_t m_deliveredAttempts = 0;
--- /dev/null
+++ b/src/edge/request_relay.h
@@ -0,0 +1,55 @@
+#pragma once
+
+// Sends a request by way of a peer, on the address at which the peer serves callers, while this instance has lost its links to
+// the upstreams. The peer treats it like the request of any caller: it admits it, chooses upstreams, retries, and counts it
+// against its budgets. It does not send it on to another peer.
+
+#include "core/requests/event_stream_parser.h"
+#include "core/routing/relay_choice.h"
+#include "edge/caller_connection.h"
+#include "edge/traffic_state.h"
+
+namespace skylarkhitch {
+
+class RequestRelay {
+public:
+    enum class End {
+        // The caller got the peer's response.
+        Answered,
+        // The peer was not reached, so the request has not run.
+        NotSent,
+        // The connection was lost, or the response is not valid. The request may have run.
+        Lost,
+        TimedOut,
+    };
+
+    // `events` follows the stream that the caller gets.
+    RequestRelay(TrafficState&, std::shared_ptr<CallerConnection>, const ReceivedRequest&, EventStreamParser& events);
+
+    // Sends the request to the peer and relays its response, within the time.
+    Awaitable<End> sendTo(RelayCandidate, Milliseconds timeLeft);
+    // Ends the request, since its caller has left.
+    void close();
+
+    // Status of the peer's response; 0 if there was none.
+    int status() const { return m_status; }
+    // When the first part of the response was sent to the caller.
+    std::optional<TimePoint> firstByteAt() const { return m_firstByteAt; }
+
+private:
+    Awaitable<End> exchange(const RelayCandidate&, Milliseconds timeLeft);
+    Awaitable<End> relayBuffered(EdgeResponse head);
+    // Relays an event stream in whole events. Its head is left out if the caller has one already.
+    Awaitable<End> relayStream(EdgeResponse head);
+    static End endOf(TransferEnd end) { return end == TransferEnd::TimedOut ? End::TimedOut : End::Lost; }
+
+    TrafficState& m_traffic;
+    std::shared_ptr<CallerConnection> m_caller;
+    const ReceivedRequest& m_received;
+    EventStreamParser& m_events;
+    std::shared_ptr<UpstreamConnection> m_connection;
+    int m_status = 0;
+    std::optional<TimePoint> m_firstByteAt;
+};
+
+}
--- a/src/edge/traffic_state.cpp
+++ b/src/edge/traffic_state.cpp
@@ -60,6 +60,8 @@
     , m_settings(std::move(settings))
     , m_metrics(metrics)
     , m_balancer(m_settings.seed)
+    , m_links(m_settings.seed)
+    , m_relays(m_settings.seed)
     , m_connections(loop)
     , m_bodyMemory(maxBodyMemoryBytes)
     , m_limits(m_settings.instance)
@@ -89,9 +91,12 @@
             processes.insert(processName(it));
         m_limits.keepOnly([&](const std::string& it) { return processes.contains(it); });
     }
+    // Instances without links to the upstreams send no requests, so they own no shares.
     std::vector<InstanceId> instances;
-    for (const auto& it : m_view->entries)
-        instances.push_back(it.id);
+    for (const auto& it : m_view->entries) {
+        if (it.reachesUpstreams)
+            instances.push_back(it.id);
+    }
     m_limits.setInstances(std::move(instances));
 }
 
@@ -169,8 +174,10 @@
 bool TrafficState::probesPart(const std::string& part) const
 {
     std::vector<InstanceId> instances;
-    for (const auto& it : m_view->entries)
-        instances.push_back(it.id);
+    for (const auto& it : m_view->entries) {
+        if (it.reachesUpstreams)
+            instances.push_back(it.id);
+    }
     return !instances.empty() && rendezvousOrder(part, instances).front() == m_settings.instance;
 }
 
@@ -221,6 +228,60 @@
         m_onUrgentNews();
 }
 
+void TrafficState::recordConnected(TimePoint now)
+{
+    m_links.connected(now);
+    announceLinks();
+}
+
+void TrafficState::recordNotConnected(UnreachedUpstream failure)
+{
+    m_links.notConnected(std::move(failure));
+    if (m_onSuspectedLinks)
+        m_onSuspectedLinks();
+}
+
+void TrafficState::recordLinkCheck(bool isReached)
+{
+    m_links.checkEnded(isReached, bootNow());
+    announceLinks();
+}
+
+bool TrafficState::isOwnLoss(const UpstreamId& upstream, AttemptEnd end, TimePoint sentAt, TimePoint now)
+{
+    bool areLostTogether = end == AttemptEnd::Cut && m_links.connectionLost(upstream, now);
+    if (areLostTogether && m_onSuspectedLinks)
+        m_onSuspectedLinks();
+    bool isLoss = end == AttemptEnd::Cut || end == AttemptEnd::TimedOut || end == AttemptEnd::NotSent;
+    return areLostTogether || (isLoss && m_links.wereLostSince(sentAt));
+}
+
+std::optional<RelayCandidate> TrafficState::chooseRelay(const std::set<InstanceId>& tried)
+{
+    std::vector<RelayCandidate> candidates;
+    for (const auto& it : m_view->entries) {
+        if (it.reachesUpstreams && it.id != m_settings.instance)
+            candidates.push_back({ it.id, it.domain, it.address });
+    }
+    const auto* chosen = m_relays.choose(candidates, m_settings.domain, tried);
+    return chosen ? std::optional(*chosen) : std::nullopt;
+}
+
+void TrafficState::announceLinks()
+{
+    auto now = bootNow();
+    for (const auto& it : m_links.takeFailures()) {
+        if (m_balancer.failed(it.upstream, now))
+            LogLine(LogLevel::Warning, "upstream_ejected").with("id", it.request.value).with("upstream", it.upstream.value).with("last_end", "not_sent");
+    }
+    for (const auto& it : m_links.takeEvents()) {
+        auto reaching = std::count_if(m_view->entries.begin(), m_view->entries.end(), [&](const auto& entry) { return entry.reachesUpstreams && entry.id != m_settings.instance; });
+        LogLine(LogLevel::Warning, it.isLost ? "links_lost" : "links_regained").with("checked", static_cast<std::int64_t>(it.checked)).with("reached", static_cast<std::int64_t>(it.reached)).with(it.isLost ? "connected_before_ms" : "lost_for_ms", it.duration.count()).with("peers_reaching", static_cast<std::int64_t>(reaching));
+        if (m_onUrgentNews)
+            m_onUrgentNews();
+    }
+}
+
 TrafficReport TrafficState::report()
 {
     auto now = bootNow();
@@ -232,7 +293,7 @@
     m_promptParts.forget(now);
     evaluateCrashes(now);
     m_brokenResponses.forget(now - brokenResponseRetention);
-    return { m_balancer.ownWork(), m_evidence, m_crashes.own(), { m_promptParts.news(now), m_limits.news(now) }, sessionsForPeers(now), isReady(), m_promptParts.quarantinedCount(), m_limits.limitedCount(), threadCpuTime() };
+    return { m_balancer.ownWork(), m_evidence, m_crashes.own(), { m_promptParts.news(now), m_limits.news(now) }, sessionsForPeers(now), isReady(), m_links.isLost(), m_promptParts.quarantinedCount(), m_limits.limitedCount(), threadCpuTime() };
 }
 
 EligibleUpstreams TrafficState::findEligibleUpstreams(const ServiceId& id, const RoutedRequest& request, TimePoint now)
--- a/src/edge/traffic_state.h
+++ b/src/edge/traffic_state.h
@@ -5,8 +5,11 @@
 #include "core/limits/crash_guard.h"
 #include "core/limits/prompt_part_guard.h"
 #include "core/limits/upstream_limits.h"
+#include "core/messages.h"
 #include "core/rollout/broken_responses.h"
 #include "core/rollout/session_releases.h"
+#include "core/routing/link_monitor.h"
+#include "core/routing/relay_choice.h"
 #include "core/routing/upstream_balancer.h"
 #include "edge/connection_pool.h"
 #include "edge/edge_metrics.h"
@@ -115,6 +118,20 @@
     const UpstreamLimits& limits() const { return m_limits; }
     const PromptPartGuard& promptParts() const { return m_promptParts; }
 
+    // Called when upstreams should be checked soon.
+    void onSuspectedLinks(std::function<void()> callback) { m_onSuspectedLinks = std::move(callback); }
+    // Records that a request's connection to an upstream was established, or was not. The latter counts against the upstream once
+    // another one is reached.
+    void recordConnected(TimePoint now);
+    void recordNotConnected(UnreachedUpstream);
+    void recordLinkCheck(bool isReached);
+    // Whether an attempt that was sent then ended because of this instance's own links. Counts as evidence for later ones.
+    bool isOwnLoss(const UpstreamId&, AttemptEnd, TimePoint sentAt, TimePoint now);
+    // Returns a peer that reaches the upstreams, other than those tried, or nullopt if there is none.
+    std::optional<RelayCandidate> chooseRelay(const std::set<InstanceId>& tried);
+    LinkMonitor& links() { return m_links; }
+    RelayChoice& relays() { return m_relays; }
+
     EventLoop& loop() { return m_loop; }
     UpstreamBalancer& balancer() { return m_balancer; }
     ConnectionPool& connections() { return m_connections; }
@@ -138,12 +155,17 @@
     void announcePromptParts();
     // The same for limits of upstreams.
     void announceLimits();
+    // Logs that links were lost or regained, and counts the failures to connect that are the upstreams' own.
+    void announceLinks();
 
     EventLoop& m_loop;
     TrafficSettings m_settings;
     EdgeMetrics& m_metrics;
     FleetViewPtr m_view;
     UpstreamBalancer m_balancer;
+    LinkMonitor m_links;
+    RelayChoice m_relays;
+    std::function<void()> m_onSuspectedLinks;
     ConnectionPool m_connections;
     BodyMemory m_bodyMemory;
     CrashGuard m_crashes;
--- a/test/correctness/fleet_test.cpp
+++ b/test/correctness/fleet_test.cpp
@@ -45,6 +45,7 @@
     sent.known = { "10.0.0.2:70" };
     sent.rollouts = { { { "assist" }, "v2", 77, RolloutStage::Full, TimePoint { 5s } } };
     sent.configurationVersion = 12;
+    sent.reachesUpstreams = false;
     sent.heldBack = { { { "i-3" }, { 100, 4, 20 }, true } };
     auto bytes = encodeHeartbeat(sent);
     auto decoded = decodeHeartbeat(bytes);
@@ -66,6 +67,7 @@
     CHECK(decoded->sessions.at(0).release == "v2");
     CHECK(decoded->known == sent.known);
     CHECK(decoded->configurationVersion == 12);
+    CHECK_FALSE(decoded->reachesUpstreams);
     REQUIRE(decoded->rollouts.size() == 1);
     CHECK(decoded->rollouts[0].stage == RolloutStage::Full);
     CHECK(decoded->rollouts[0].revision == 77);
--- a/test/processes/lost_links_test.cpp
+++ b/test/processes/lost_links_test.cpp
@@ -135,7 +135,7 @@
         CHECK(lost.linesContaining("what=upstream_ejected").empty());
         CHECK(lost.linesContaining("what=links_lost").size() == 1);
         CHECK(lost.linesContaining("what=request_relayed").size() == 10);
-        CHECK(absl::StrContains(lost.metrics(), "links_lost 1"));
+        CHECK(absl::StrContains(lost.metrics(), "{name=\"links_lost\"} 1"));
     }
     SECTION("when it reaches them again, it serves its callers itself")
     {
