Log an exception that ends a request by way of a peer

What on-call would have missed: an exception while a request goes by way of a peer ended it as lost, and no line said why. Cause: the handler dropped the exception. It now writes relay_error with the peer and the text; the caller gets what it got before, since the request may have run.

--- a/src/edge/request_relay.cpp
+++ b/src/edge/request_relay.cpp
@@ -1,5 +1,6 @@
 #include "edge/request_relay.h"
 
+#include "adapters/log.h"
 #include "platform/request_codec.h"
 
 namespace skylarkhitch {
@@ -34,9 +35,9 @@
     auto end = End::Lost;
     try {
         end = co_await exchange(peer, timeLeft);
-    } catch (const std::exception&) {
+    } catch (const std::exception& e) {
         // The request may have run, as after a lost connection.
-        end = End::Lost;
+        LogLine(LogLevel::Error, "relay_error").with("peer", peer.id.value).with("error", e.what());
     }
     m_traffic.relays().ended(peer.id);
     m_connection->close();
