Take an order that is written long after a return of the store for a new one

What operators would have seen: an order for a release that was reverted before the store came back from an older copy, given again hours later with the same contents, was taken for a repetition of the old one and stayed reverted. Cause: the first write of an order with known contents in a later era counted as its repetition, whenever it came. It now does for 60 s after the return was seen; operators write again within seconds what a copy lacks.

--- a/src/core/rollout/rollout_orders.cpp
+++ b/src/core/rollout/rollout_orders.cpp
@@ -23,11 +23,14 @@
     const auto& service = read.order.service;
     auto era = eraOf(read.revision);
     auto it = m_rollouts.find(service);
-    if (it != m_rollouts.end() && era > it->second.writtenEra && haveSameContents(read.order, it->second.order())) {
+    if (it != m_rollouts.end() && isRepetition(it->second, read, now)) {
         auto& rollout = it->second;
         // An order at the revision that is known already comes from the copy; the operator may still write it again.
-        if (read.order.revision != rollout.order().revision)
+        if (read.order.revision != rollout.order().revision) {
             rollout.writtenEra = era;
+            rollout.returnSeenAt.reset();
+        } else if (era > eraOf(rollout.stored.revision))
+            rollout.returnSeenAt = now;
         rollout.stored = read;
         if (rollout.furthest)
             rollout.furthest->orderRevision = read.order.revision;
@@ -39,13 +42,20 @@
         return OrderChange::Outdated;
     if (it != m_rollouts.end())
         rememberReplaced(it->second.stored);
-    Rollout rollout { read, era, isNew ? std::optional(now) : std::nullopt };
+    Rollout rollout { .stored = read, .writtenEra = era, .appearedAt = isNew ? std::optional(now) : std::nullopt };
     if (const auto* record = storedRecordOf(read.order))
         rollout.furthest = *record;
     m_rollouts[service] = std::move(rollout);
     return OrderChange::New;
 }
 
+bool RolloutOrders::isRepetition(const Rollout& rollout, const StoredOrder& read, TimePoint now)
+{
+    if (eraOf(read.revision) <= rollout.writtenEra || !haveSameContents(read.order, rollout.order()))
+        return false;
+    return read.order.revision == rollout.order().revision || now - rollout.returnSeenAt.value_or(now) <= repetitionTime;
+}
+
 const RolloutRecord* RolloutOrders::storedRecordOf(const RolloutOrder& order) const
 {
     auto it = m_records.find(order.service);
@@ -68,11 +78,15 @@
     });
 }
 
-void RolloutOrders::orderMissing(const ServiceId& service, bool isLostWithCopy)
+void RolloutOrders::orderMissing(const ServiceId& service, bool isLostWithCopy, TimePoint now)
 {
     auto it = m_rollouts.find(service);
-    if (isLostWithCopy || it == m_rollouts.end())
+    if (it == m_rollouts.end())
+        return;
+    if (isLostWithCopy) {
+        it->second.returnSeenAt = now;
         return;
+    }
     rememberReplaced(it->second.stored);
     m_rollouts.erase(it);
 }
--- a/src/core/rollout/rollout_orders.h
+++ b/src/core/rollout/rollout_orders.h
@@ -25,10 +25,16 @@
 
 class RolloutOrders {
 public:
+    // Time from when a return of the store is seen until an order with the same contents is a new one. Operators write again
+    // within seconds what a copy lacks.
+    static constexpr Seconds repetitionTime { 60 };
+
     struct Rollout {
         StoredOrder stored;
         // The era in which the operator wrote the order last.
         std::int64_t writtenEra = 0;
+        // When the last return of the store was seen; set until the order is written again.
+        std::optional<TimePoint> returnSeenAt;
         // When this instance saw the order appear; not set if it was already in the contents loaded first.
         std::optional<TimePoint> appearedAt;
         // This instance found the target bad.
@@ -54,7 +60,7 @@
     // An order was read. isNew is true if it came after this instance had first loaded the store's contents.
     OrderChange readOrder(const StoredOrder&, bool isNew, TimePoint now);
     // An order is missing. If the store came back from an older copy, the order stays in force, since it is written again.
-    void orderMissing(const ServiceId&, bool isLostWithCopy);
+    void orderMissing(const ServiceId&, bool isLostWithCopy, TimePoint now);
     void readRecord(const ServiceId&, const StoredRecord&);
     void recordMissing(const ServiceId& service) { m_records.erase(service); }
     // The store confirmed in an era that it wrote a record.
@@ -79,6 +85,8 @@
     static constexpr std::size_t maxReplaced = 8;
 
     void advance(Rollout&, const RolloutRecord&);
+    // Whether an order with the contents of the one in force, read in a later era, is that one.
+    static bool isRepetition(const Rollout&, const StoredOrder&, TimePoint now);
     bool wasReplaced(const StoredOrder&) const;
     void rememberReplaced(const StoredOrder&);
     // Returns the stored record if it belongs to the order, else null.
--- a/src/edge/rollout_controller.cpp
+++ b/src/edge/rollout_controller.cpp
@@ -44,7 +44,7 @@
 {
     m_onChange();
     LogLine(LogLevel::Info, "rollout_order_removed").with("service", service.value).with("kept_for_return", isLostWithCopy ? "yes" : "no");
-    m_orders.orderMissing(service, isLostWithCopy);
+    m_orders.orderMissing(service, isLostWithCopy, bootNow());
 }
 
 void RolloutController::recordChanged(const ServiceId& service, const StoreMirror::Item* item)
--- a/test/correctness/rollout_orders_test.cpp
+++ b/test/correctness/rollout_orders_test.cpp
@@ -34,7 +34,7 @@
 
     SECTION("the copy lacks it; it stays in force, and keeps its stage, its start and its verdict")
     {
-        orders.orderMissing(service, true);
+        orders.orderMissing(service, true, start + 7s);
         orders.recordMissing(service);
         CHECK(orders.isUnderWay(service));
         CHECK(orders.readOrder(orderAt(31, 2), true, start + 8s) == Change::Repeated);
@@ -70,6 +70,17 @@
         CHECK(orders.readOrder(orderAt(33, 2), true, start + 9s) == Change::Repeated);
         CHECK(rollout.appearedAt == start);
     }
+    SECTION("the same order long after the return is another one, whether the copy had it or not")
+    {
+        bool isInCopy = GENERATE(false, true);
+        if (isInCopy)
+            CHECK(orders.readOrder(orderAt(24, 2), true, start + 8s) == Change::Repeated);
+        else
+            orders.orderMissing(service, true, start + 8s);
+        CHECK(orders.readOrder(orderAt(90, 2), true, start + 8s + RolloutOrders::repetitionTime + 1s) == Change::New);
+        CHECK_FALSE(rollout.furthest);
+        CHECK_FALSE(rollout.isSuspended);
+    }
     SECTION("the copy has an order that this one had replaced; that does not come into force again")
     {
         CHECK(orders.readOrder(orderAt(50, 1, "v3"), true, start + 3s) == Change::New);
@@ -80,7 +91,7 @@
     }
     SECTION("the copy has an order that was removed since; that does not come into force again")
     {
-        orders.orderMissing(service, false);
+        orders.orderMissing(service, false, start + 7s);
         CHECK(orders.readOrder(orderAt(24, 2), true, start + 8s) == Change::Outdated);
         CHECK_FALSE(orders.isUnderWay(service));
     }
