Judge a release also while its record waits to be written again

After a return of the store that lacked a roll-out's record, an instance judged the release only once the record was back. While the store refused the write, a bad release kept its share of requests, and no instance held it back. Cause: the restoration came before the verdict. The verdict now comes first; the next stage, if there is one, takes the place of the lost record, and only otherwise the record is written again. Found by reading the change again.

--- a/src/edge/rollout_controller.cpp
+++ b/src/edge/rollout_controller.cpp
@@ -79,8 +79,8 @@
     for (auto& [service, rollout] : m_orders.all()) {
         if (!rollout.furthest)
             startRollout(rollout, inputs, now);
-        else if (!restoreRecord(service, inputs) && !isFinal(rollout.furthest->stage))
-            evaluate(rollout, inputs, now);
+        else if (isFinal(rollout.furthest->stage) || !evaluate(rollout, inputs, now))
+            restoreRecord(service, inputs);
     }
 }
 
@@ -94,19 +94,16 @@
     startRecordWrite(order.service, { order.revision, order.target, RolloutStage::Canary, wallNow(), {} });
 }
 
-bool RolloutController::restoreRecord(const ServiceId& service, const RolloutInputs& inputs)
+void RolloutController::restoreRecord(const ServiceId& service, const RolloutInputs& inputs)
 {
     auto record = m_orders.recordToRestore(service, m_store.era());
-    if (!record)
-        return false;
-    if (inputs.isCoordinator && mayWrite(service)) {
-        LogLine(LogLevel::Info, "rollout_restored").with("service", service.value).with("target", record->target).with("stage", stageName(record->stage)).with("order", record->orderRevision);
-        startRecordWrite(service, *std::move(record));
-    }
-    return true;
+    if (!record || !inputs.isCoordinator || !mayWrite(service))
+        return;
+    LogLine(LogLevel::Info, "rollout_restored").with("service", service.value).with("target", record->target).with("stage", stageName(record->stage)).with("order", record->orderRevision);
+    startRecordWrite(service, *std::move(record));
 }
 
-void RolloutController::evaluate(Rollout& rollout, const RolloutInputs& inputs, TimePoint now)
+bool RolloutController::evaluate(Rollout& rollout, const RolloutInputs& inputs, TimePoint now)
 {
     const auto& order = rollout.order();
     const auto& current = *rollout.furthest;
@@ -123,13 +120,14 @@
     // Any instance that finds the release bad reverts it. The condition of the write prevents conflicts between instances.
     bool mayAdvance = inputs.isCoordinator || stage == RolloutStage::Reverted;
     if (stage == current.stage || !mayAdvance || !mayWrite(order.service))
-        return;
+        return false;
     LogLine(LogLevel::Info, "rollout_decision").with("service", order.service.value).with("target", order.target).with("from", stageName(current.stage)).with("to", stageName(stage)).with("ms", sinceStart.count()).with("answers", verdict.finishedRequests).with("slowness_percent", static_cast<std::int64_t>(100 * verdict.latencyRatio)).with("typical_percent", static_cast<std::int64_t>(100 * verdict.typicalRatio));
     auto next = current;
     next.stage = stage;
     if (current.stage == RolloutStage::Canary)
         next.baseline = baselineOf(order, inputs.evidence);
     startRecordWrite(order.service, std::move(next));
+    return true;
 }
 
 bool RolloutController::mayWrite(const ServiceId& service) const
--- a/src/edge/rollout_controller.h
+++ b/src/edge/rollout_controller.h
@@ -50,9 +50,10 @@
     using Rollout = RolloutOrders::Rollout;
 
     void startRollout(const Rollout&, const RolloutInputs&, TimePoint now);
-    // Writes a record again that the store lacks. Returns false if there is none to write.
-    bool restoreRecord(const ServiceId&, const RolloutInputs&);
-    void evaluate(Rollout&, const RolloutInputs&, TimePoint now);
+    // Judges the release and writes the next stage. Returns false if there is none to write.
+    bool evaluate(Rollout&, const RolloutInputs&, TimePoint now);
+    // Writes a record again that the store lacks.
+    void restoreRecord(const ServiceId&, const RolloutInputs&);
     bool mayWrite(const ServiceId&) const;
     void startRecordWrite(const ServiceId&, RolloutRecord);
     Awaitable<void> writeRecord(ServiceId, RolloutRecord, std::int64_t recordRevision);
--- a/test/processes/restored_store_test.cpp
+++ b/test/processes/restored_store_test.cpp
@@ -54,7 +54,10 @@
     REQUIRE(waitUntil(5s, [&] { return instance.isReady(); }));
     auto beforeOrder = site.store.put("servers/i-9", target.registration("orders", "ready", "v2"));
     auto atOrder = site.store.put("op/rollout/orders", order);
-    REQUIRE(isCompletedUnderLoad(site, target, instance));
+    bool isCompleted = isCompletedUnderLoad(site, target, instance);
+    for (const auto& it : instance.linesContaining("roll"))
+        UNSCOPED_INFO(it);
+    REQUIRE(isCompleted);
     auto stages = instance.linesContaining("what=rollout_stage").size();
 
     SECTION("the record was lost, the order was not")
@@ -85,6 +88,30 @@
         CHECK(absl::StrContains(lines[n], "stage=completed"));
 }
 
+// Guards against a bad release that keeps its share because the record that the store lost cannot be written again yet.
+TEST_CASE("a bad release is held back although its record cannot be written after the store came back")
+{
+    Site site;
+    ScriptedUpstream target("i-9", [](const RawRequest& request, RawConnection& connection) {
+        return connection.write(responseBytes(500, "no", { { "X-Attempt-Id", request.field("X-Attempt-Id") }, { "X-Server-Seal", "seal" } }));
+    });
+    EdgeInstance instance("edge-1", site.store.address());
+    REQUIRE(waitUntil(5s, [&] { return instance.isReady(); }));
+    auto beforeOrder = site.store.put("servers/i-9", target.registration("orders", "ready", "v2"));
+    site.store.put("op/rollout/orders", R"({"backend":"orders","target":"v2","durationS":30})");
+    REQUIRE(waitUntil(3s, [&] { return !instance.linesContaining("stage=canary").empty(); }));
+    site.store.restore(beforeOrder);
+    REQUIRE(hasSeenEra(instance, 1));
+    site.store.setFault(StoreFault::Busy);
+    int n = 0;
+    CHECK(waitUntil(4s, [&] {
+        auto id = absl::StrCat("id-", ++n);
+        if (unitHash("rollout", id) < 0.05)
+            sendRequest(instance, requestBytes("GET", "/status/x", id));
+        return !instance.linesContaining("what=release_bad").empty();
+    }));
+}
+
 // Guards against a roll-out that an instance starts again since it read only the older copy.
 TEST_CASE("an instance that starts after the store came back learns the stage of a roll-out from its peer")
 {
