Do not pass on a peer's refusal as 'not run' if an attempt before may have run

What callers would have been told: an attempt at an upstream is lost, the links turn out to be lost, the request goes by way of a peer, and the peer refuses it with 408, 421, 429 or 503. The refusal was passed on, although it speaks for the peer's part only: the attempt before may have run. The relay now leaves such a refusal aside, and the caller gets 502. Requests that may run once were not affected, since they are not sent again after an attempt that may have run.

--- a/src/core/requests/execution_tracker.h
+++ b/src/core/requests/execution_tracker.h
@@ -7,6 +7,9 @@
 
 namespace skylarkhitch {
 
+// Whether callers take a status to mean that the request was not run.
+constexpr bool impliesNotRun(int status) { return status == 408 || status == 421 || status == 429 || status == 503; }
+
 // Tracks the attempts of one request.
 class ExecutionTracker {
 public:
--- a/src/edge/request_forwarder.cpp
+++ b/src/edge/request_forwarder.cpp
@@ -95,9 +95,6 @@
             traffic.recordServedParts(request.parts, bootNow());
     }
 
-    // Whether callers take a status to mean that the request was not run.
-    bool impliesNotRun(int status) { return status == 408 || status == 421 || status == 429 || status == 503; }
-
     EdgeResponse toCallerResponse(UpstreamResponse response, std::string body = {})
     {
         return { response.status, std::move(response.reason), std::move(response.forwardedHeaders), std::move(body) };
@@ -221,7 +218,8 @@
         m_triedPeers.insert(peer->id);
         LogLine(LogLevel::Info, "request_relayed").with("id", m_admitted.request.id.value).with("peer", peer->id.value).with("cause", "links_lost").with("ms_left", timeLeft().count()).with("relays", static_cast<std::int64_t>(m_triedPeers.size()));
         m_relay.emplace(m_traffic, m_caller, m_received, m_events);
-        auto end = co_await m_relay->sendTo(*peer, timeLeft());
+        RelayTerms terms { .timeLeft = timeLeft(), .mayHaveRun = m_execution.executed() != Executed::No };
+        auto end = co_await m_relay->sendTo(*peer, terms);
         m_firstByteAt = m_relay->firstByteAt();
         if (m_caller->hasDisconnected() || end == RequestRelay::End::Answered) {
             logOutcome(m_caller->hasDisconnected() ? "caller_left" : m_relay->status() < 500 ? "none"
@@ -231,8 +229,10 @@
         }
         if (end == RequestRelay::End::NotSent)
             continue;
-        m_execution.attemptSent();
-        m_execution.attemptEnded(AttemptEnd::Cut);
+        if (end != RequestRelay::End::Refused) {
+            m_execution.attemptSent();
+            m_execution.attemptEnded(AttemptEnd::Cut);
+        }
         co_await respondWithError(end == RequestRelay::End::TimedOut ? ErrorKind::DeadlineExceeded : ErrorKind::UpstreamFailed);
         co_return;
     }
--- a/src/edge/request_relay.cpp
+++ b/src/edge/request_relay.cpp
@@ -1,6 +1,7 @@
 #include "edge/request_relay.h"
 
 #include "adapters/log.h"
+#include "core/requests/execution_tracker.h"
 #include "platform/request_codec.h"
 
 namespace skylarkhitch {
@@ -28,13 +29,13 @@
         m_connection->close();
 }
 
-Awaitable<RequestRelay::End> RequestRelay::sendTo(RelayCandidate peer, Milliseconds timeLeft)
+Awaitable<RequestRelay::End> RequestRelay::sendTo(RelayCandidate peer, RelayTerms terms)
 {
     m_connection = m_traffic.connections().create();
     m_traffic.relays().begun(peer.id);
     auto end = End::Lost;
     try {
-        end = co_await exchange(peer, timeLeft);
+        end = co_await exchange(peer, terms);
     } catch (const std::exception& e) {
         // The request may have run, as after a lost connection.
         LogLine(LogLevel::Error, "relay_error").with("peer", peer.id.value).with("error", e.what());
@@ -44,18 +45,20 @@
     co_return end;
 }
 
-Awaitable<RequestRelay::End> RequestRelay::exchange(const RelayCandidate& peer, Milliseconds timeLeft)
+Awaitable<RequestRelay::End> RequestRelay::exchange(const RelayCandidate& peer, const RelayTerms& terms)
 {
-    if (!co_await m_connection->open(peer.address, std::min(connectTimeout, timeLeft)))
+    if (!co_await m_connection->open(peer.address, std::min(connectTimeout, terms.timeLeft)))
         co_return End::NotSent;
-    m_connection->setDeadline(timeLeft);
-    auto head = platform::encodeRelayedHead(m_received.method, m_received.target, m_received.fields, m_received.body ? m_received.body->size() : 0, { m_traffic.settings().instance, timeLeft, m_events.last() });
+    m_connection->setDeadline(terms.timeLeft);
+    auto head = platform::encodeRelayedHead(m_received.method, m_received.target, m_received.fields, m_received.body ? m_received.body->size() : 0, { m_traffic.settings().instance, terms.timeLeft, m_events.last() });
     if (!co_await m_connection->send(std::move(head), m_received.body))
         co_return End::NotSent;
     ResponseHead responseHead;
     if (auto end = co_await m_connection->readHead(responseHead); end != TransferEnd::Ok)
         co_return endOf(end);
     m_status = responseHead.status;
+    if (terms.mayHaveRun && impliesNotRun(m_status))
+        co_return End::Refused;
     auto response = platform::decodeResponse(responseHead.status, std::move(responseHead.reason), responseHead.fields);
     bool isStream = response.isEventStream && response.status < 300;
     EdgeResponse callerHead { response.status, std::move(response.reason), std::move(response.forwardedHeaders), {} };
--- a/src/edge/request_relay.h
+++ b/src/edge/request_relay.h
@@ -11,11 +11,20 @@
 
 namespace skylarkhitch {
 
+// What a peer has to know of a request beyond what its caller sent, and what the caller may be told.
+struct RelayTerms {
+    Milliseconds timeLeft {};
+    // An attempt before may have run the request.
+    bool mayHaveRun = false;
+};
+
 class RequestRelay {
 public:
     enum class End {
         // The caller got the peer's response.
         Answered,
+        // The peer did not run the request. Its response was not passed on, since that would not be true of all attempts.
+        Refused,
         // The peer was not reached, so the request has not run.
         NotSent,
         // The connection was lost, or the response is not valid. The request may have run.
@@ -27,7 +36,7 @@
     RequestRelay(TrafficState&, std::shared_ptr<CallerConnection>, const ReceivedRequest&, EventStreamParser& events);
 
     // Sends the request to the peer and relays its response, within the time.
-    Awaitable<End> sendTo(RelayCandidate, Milliseconds timeLeft);
+    Awaitable<End> sendTo(RelayCandidate, RelayTerms);
     // Ends the request, since its caller has left.
     void close();
 
@@ -37,7 +46,7 @@
     std::optional<TimePoint> firstByteAt() const { return m_firstByteAt; }
 
 private:
-    Awaitable<End> exchange(const RelayCandidate&, Milliseconds timeLeft);
+    Awaitable<End> exchange(const RelayCandidate&, const RelayTerms&);
     Awaitable<End> relayBuffered(EdgeResponse head);
     // Relays an event stream in whole events. Its head is left out if the caller has one already.
     Awaitable<End> relayStream(EdgeResponse head);
