Ask another peer when one cannot serve a request that goes by way of it

A peer that had just lost its links as well, or was about to stop, refused the request with 503, and its caller got that, although a third instance might have served it.

Before: test_request_relay, 'a peer that cannot serve leaves the request to another one', fails; after: passes. New in test_lost_links: a request that came from a peer is not sent on, and upstreams do not see the field that says so; it passed before as well, so no loop was found.

--- a/src/edge/request_forwarder.cpp
+++ b/src/edge/request_forwarder.cpp
@@ -227,7 +227,8 @@
                 m_relay->status());
             co_return;
         }
-        if (end == RequestRelay::End::NotSent)
+        bool mayAskAnother = end == RequestRelay::End::NotSent || (end == RequestRelay::End::Refused && m_relay->status() == errorInfo(ErrorKind::NoHealthyUpstream).httpStatus);
+        if (mayAskAnother)
             continue;
         if (end != RequestRelay::End::Refused) {
             m_execution.attemptSent();
--- a/src/edge/request_relay.cpp
+++ b/src/edge/request_relay.cpp
@@ -10,6 +10,8 @@
 
     // A live peer accepts a connection within a few milliseconds.
     constexpr Milliseconds connectTimeout { 200 };
+    // The peer reaches no upstream itself, has no configuration, or is about to stop.
+    constexpr int serviceUnavailable = 503;
     // As for the responses of upstreams, which peers pass on unchanged.
     constexpr std::size_t maxBufferedBytes = std::size_t { 8 } << 20;
 
@@ -57,7 +59,7 @@
     if (auto end = co_await m_connection->readHead(responseHead); end != TransferEnd::Ok)
         co_return endOf(end);
     m_status = responseHead.status;
-    if (terms.mayHaveRun && impliesNotRun(m_status))
+    if (m_status == serviceUnavailable || (terms.mayHaveRun && impliesNotRun(m_status)))
         co_return End::Refused;
     auto response = platform::decodeResponse(responseHead.status, std::move(responseHead.reason), responseHead.fields);
     bool isStream = response.isEventStream && response.status < 300;
--- a/src/edge/request_relay.h
+++ b/src/edge/request_relay.h
@@ -23,7 +23,8 @@
     enum class End {
         // The caller got the peer's response.
         Answered,
-        // The peer did not run the request. Its response was not passed on, since that would not be true of all attempts.
+        // The peer did not run the request. Its response was not passed on: another peer may serve the request (status 503), or it is
+        // not true of all attempts.
         Refused,
         // The peer was not reached, so the request has not run.
         NotSent,
--- a/test/correctness/request_relay_test.cpp
+++ b/test/correctness/request_relay_test.cpp
@@ -95,6 +95,14 @@
     }
 }
 
+// Guards against a request that is given up at a peer which has just lost its links as well, or is about to stop.
+TEST_CASE("a peer that cannot serve leaves the request to another one")
+{
+    LoopbackServer peer([](const RawRequest&, RawConnection& connection) { return connection.write(responseBytes(503, "", { { "Retry-After", "2" } })); });
+    Relaying relaying(peer.address(), { .timeLeft = 2000ms });
+    CHECK(statusOf(relaying.send()) == statusFor(RequestRelay::End::Refused));
+}
+
 // Guards against a request that is sent again after it may have run, and against one that is given up although it was not sent.
 TEST_CASE("the end of a relay tells whether the request may have run")
 {
--- a/test/processes/lost_links_test.cpp
+++ b/test/processes/lost_links_test.cpp
@@ -215,3 +215,24 @@
     }
     CHECK(absl::StrContains(lost.directoryResponse(), entryAddress(lost)));
 }
+
+// Guards against a request that two instances without links send to each other.
+TEST_CASE("a request that came from a peer is not sent on to another one")
+{
+    CutSite site(Cut::Refused);
+    EdgeInstance whole("edge-1", site.store.address());
+    EdgeInstance lost("edge-2", site.cutStore.address(), whole.peerAddress());
+    REQUIRE(waitUntil(5s, [&] { return whole.isReady() && lost.isReady(); }));
+    std::this_thread::sleep_for(contactTime);
+    auto response = sendRequest(lost, requestBytes("POST", "/booking/x", "b-1", "Skylarkhitch-Relayed-By: edge-9\r\n", "body"));
+    CHECK(statusOf(response) == 503);
+    CHECK(site.receivedWithId("b-1") == 0);
+    CHECK(lost.linesContaining("what=request_relayed").empty());
+
+    SECTION("an upstream never sees the field")
+    {
+        CHECK(statusOf(sendRequest(whole, requestBytes("POST", "/booking/x", "b-2", "Skylarkhitch-Relayed-By: edge-9\r\n", "body"))) == 200);
+        REQUIRE(site.receivedWithId("b-2") == 1);
+        CHECK(site.allRequests().back().field("Skylarkhitch-Relayed-By").empty());
+    }
+}
