Go on with a stream by way of a peer on the model of its beginning

A stream under way whose links were lost went on by way of a peer as a request that leaves the model to the router, so the peer began with the smallest model: a caller whose stream had begun on a larger one got the rest from another. The request now names the model if the caller has a part of the stream already. Found by reading the change again; no play shows it.

Before: test_request_relay, 'a stream that goes on by way of a peer names its last event and its model', fails in the model; after: passes.

--- a/src/edge/request_forwarder.cpp
+++ b/src/edge/request_forwarder.cpp
@@ -218,7 +218,9 @@
         m_triedPeers.insert(peer->id);
         LogLine(LogLevel::Info, "request_relayed").with("id", m_admitted.request.id.value).with("peer", peer->id.value).with("cause", "links_lost").with("ms_left", timeLeft().count()).with("relays", static_cast<std::int64_t>(m_triedPeers.size()));
         m_relay.emplace(m_traffic, m_caller, m_received, m_events);
-        RelayTerms terms { .timeLeft = timeLeft(), .mayHaveRun = m_execution.executed() != Executed::No };
+        // The rest of a stream comes from the model of its beginning; otherwise the peer chooses.
+        auto model = m_caller->hasStartedResponse() ? m_model : std::nullopt;
+        RelayTerms terms { .timeLeft = timeLeft(), .lastEvent = m_events.last(), .model = model, .mayHaveRun = m_execution.executed() != Executed::No };
         auto end = co_await m_relay->sendTo(*peer, terms);
         m_firstByteAt = m_relay->firstByteAt();
         if (m_caller->hasDisconnected() || end == RequestRelay::End::Answered) {
--- a/src/edge/request_relay.cpp
+++ b/src/edge/request_relay.cpp
@@ -52,7 +52,7 @@
     if (!co_await m_connection->open(peer.address, std::min(connectTimeout, terms.timeLeft)))
         co_return End::NotSent;
     m_connection->setDeadline(terms.timeLeft);
-    auto head = platform::encodeRelayedHead(m_received.method, m_received.target, m_received.fields, m_received.body ? m_received.body->size() : 0, { m_traffic.settings().instance, terms.timeLeft, m_events.last() });
+    auto head = platform::encodeRelayedHead(m_received.method, m_received.target, m_received.fields, m_received.body ? m_received.body->size() : 0, { m_traffic.settings().instance, terms.timeLeft, terms.lastEvent, terms.model });
     if (!co_await m_connection->send(std::move(head), m_received.body))
         co_return End::NotSent;
     ResponseHead responseHead;
--- a/src/edge/request_relay.h
+++ b/src/edge/request_relay.h
@@ -14,6 +14,10 @@
 // What a peer has to know of a request beyond what its caller sent, and what the caller may be told.
 struct RelayTerms {
     Milliseconds timeLeft {};
+    // Number of the last stream event that the caller has.
+    std::optional<std::int64_t> lastEvent;
+    // The model of the events that the caller has, if the router chose it.
+    std::optional<ModelId> model;
     // An attempt before may have run the request.
     bool mayHaveRun = false;
 };
--- a/test/correctness/request_relay_test.cpp
+++ b/test/correctness/request_relay_test.cpp
@@ -50,7 +50,7 @@
 private:
     Awaitable<void> serve(std::shared_ptr<CallerConnection> caller, ReceivedRequest request)
     {
-        EventStreamParser events;
+        EventStreamParser events(m_terms.lastEvent);
         RequestRelay relay(m_traffic, caller, request, events);
         // Built before the call: g++ 12 destroys an aggregate inside a co_await expression twice.
         RelayCandidate peer { { "edge-2" }, {}, m_peer };
@@ -130,3 +130,20 @@
         CHECK(statusOf(relaying.send()) == statusFor(RequestRelay::End::TimedOut));
     }
 }
+
+// Guards against a stream whose rest comes from another model than its beginning.
+TEST_CASE("a stream that goes on by way of a peer names its last event and its model")
+{
+    RawRequest received;
+    LoopbackServer peer([&](const RawRequest& request, RawConnection& connection) {
+        received = request;
+        return connection.write(responseBytes(200, "hello"));
+    });
+    Relaying relaying(peer.address(), { .timeLeft = 2000ms, .lastEvent = 7, .model = ModelId { "large" } });
+    CHECK(statusOf(relaying.send("X-Model-Name: *\r\nLast-Event-Id: 3\r\n")) == 200);
+    CHECK(received.field("Last-Event-Id") == "7");
+    CHECK(received.field("X-Model-Name") == "large");
+    CHECK(received.field("X-Attempt-Id") == "id-1");
+    CHECK(std::stoi(received.field("X-Deadline-Ms")) <= 2000);
+    CHECK(std::count_if(received.fields.begin(), received.fields.end(), [](const auto& it) { return it.name == "X-Model-Name" || it.name == "Last-Event-Id"; }) == 2);
+}
