Hold late responses against an upstream only once another one was reached

Between the moment at which links fall silent and the moment at which that is known (up to a second), a request with a short limit, such as a status call of 375 ms, ended as late, and that counted against the upstream and its release: blame for the instance's own links. Failures to connect waited for a connection to another upstream already; late responses now do, too. If the links turn out to be lost, both are dropped. Found by reading the change again.

Checks of links go on while the instance stops, since it serves its callers until its end; there was no reason to leave them out.

The new case of test_traffic_state needs the new interface, so it was not run on the code before, which counted a late response at once.

--- a/src/core/routing/link_monitor.cpp
+++ b/src/core/routing/link_monitor.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-    // Failures to connect that wait for the result of a round.
+    // Failures that wait for the result of a round.
     constexpr std::size_t maxFailures = 256;
 
 }
@@ -22,7 +22,7 @@
     confirmFailures();
 }
 
-void LinkMonitor::notConnected(UnreachedUpstream failure)
+void LinkMonitor::heardNothing(SilentUpstream failure)
 {
     if (isLost())
         return;
--- a/src/core/routing/link_monitor.h
+++ b/src/core/routing/link_monitor.h
@@ -2,9 +2,10 @@
 
 // Tells an instance's own lost links from upstreams that are down. As long as connections are established, its links are
 // whole. If one fails, or none was made for a while, a few upstreams of different services and failure domains are checked
-// together; if none of them is reached, the links are lost. Failures to connect count against their upstreams only once
-// another one was reached.
+// together; if none of them is reached, the links are lost. Failures to connect, and responses that are late, count against
+// their upstreams only once another one was reached.
 
+#include "core/membership/fleet_heartbeat.h"
 #include "core/routing/upstream_registry.h"
 
 #include <random>
@@ -25,10 +26,20 @@
     Milliseconds togetherTime { 100 };
 };
 
-// A failure to connect to an upstream on behalf of a request.
-struct UnreachedUpstream {
+// A response that did not arrive in time.
+struct LateResponse {
+    // Identifies the upstream's process, by the id and the start time of the upstream.
+    std::string process;
+    ReleaseRoute route;
+    TimePoint at;
+};
+
+// An upstream that could not be connected to, or did not respond in time.
+struct SilentUpstream {
     UpstreamId upstream;
     RequestId request;
+    // Not set if no connection was established.
+    std::optional<LateResponse> late;
 };
 
 // The links were lost or regained.
@@ -49,9 +60,10 @@
     {
     }
 
-    // A request's connection to an upstream was established, or was not.
+    // A request's connection to an upstream was established.
     void connected(TimePoint now);
-    void notConnected(UnreachedUpstream);
+    // A request's connection was not established, or its response is late.
+    void heardNothing(SilentUpstream);
     // An established connection to an upstream was lost. Returns true if others were lost together with it, so that the upstream
     // is not to blame.
     bool connectionLost(const UpstreamId&, TimePoint now);
@@ -65,7 +77,7 @@
     // Whether the links were lost at any time since then.
     bool wereLostSince(TimePoint since) const { return isLost() || m_regainedAt > since; }
     // Failures that are the upstreams' own.
-    std::vector<UnreachedUpstream> takeFailures() { return std::exchange(m_confirmed, {}); }
+    std::vector<SilentUpstream> takeFailures() { return std::exchange(m_confirmed, {}); }
     std::vector<LinkEvent> takeEvents() { return std::exchange(m_events, {}); }
 
 private:
@@ -87,8 +99,8 @@
     TimePoint m_roundEndedAt {};
     int m_goodRounds = 0;
     bool m_isSuspected = false;
-    std::vector<UnreachedUpstream> m_failures;
-    std::vector<UnreachedUpstream> m_confirmed;
+    std::vector<SilentUpstream> m_failures;
+    std::vector<SilentUpstream> m_confirmed;
     std::vector<LinkEvent> m_events;
     std::map<UpstreamId, TimePoint> m_lostConnections;
 };
--- a/src/edge/link_checker.cpp
+++ b/src/edge/link_checker.cpp
@@ -11,7 +11,7 @@
 
 void LinkChecker::checkIfDue()
 {
-    if (!m_traffic.view() || m_traffic.isStopping())
+    if (!m_traffic.view())
         return;
     for (auto& it : m_traffic.links().beginRound(m_traffic.view()->upstreams, bootNow()))
         spawn(m_loop, check(std::move(it)), "check_link");
--- a/src/edge/request_forwarder.cpp
+++ b/src/edge/request_forwarder.cpp
@@ -284,7 +284,7 @@
     m_connection = connection;
     if (!isReused && !co_await connection->open(upstream.address, std::min(connectTimeout, timeLeft()))) {
         if (!m_caller->hasDisconnected())
-            m_traffic.recordNotConnected({ upstream.id, m_admitted.request.id });
+            m_traffic.recordSilence({ upstream.id, m_admitted.request.id, {} });
         co_return AttemptResult { AttemptEnd::NotSent, false };
     }
     if (!isReused)
@@ -609,6 +609,10 @@
         LogLine(LogLevel::Warning, "own_link_lost").with("id", m_admitted.request.id.value).with("upstream", upstream.id.value).with("end", attemptEndName(end)).with("ms", toMilliseconds(now - m_sentAt).count());
         return;
     }
+    if (end == AttemptEnd::TimedOut) {
+        m_traffic.recordSilence({ upstream.id, m_admitted.request.id, LateResponse { processName(upstream), releaseRoute(upstream), now } });
+        return;
+    }
     if (end != AttemptEnd::NotSent)
         m_traffic.recordBrokenResponse(processName(upstream), releaseRoute(upstream), now);
     if (end == AttemptEnd::Cut) {
--- a/src/edge/traffic_state.cpp
+++ b/src/edge/traffic_state.cpp
@@ -234,9 +234,9 @@
     announceLinks();
 }
 
-void TrafficState::recordNotConnected(UnreachedUpstream failure)
+void TrafficState::recordSilence(SilentUpstream failure)
 {
-    m_links.notConnected(std::move(failure));
+    m_links.heardNothing(std::move(failure));
     if (m_onSuspectedLinks)
         m_onSuspectedLinks();
 }
@@ -271,8 +271,10 @@
 {
     auto now = bootNow();
     for (const auto& it : m_links.takeFailures()) {
+        if (it.late)
+            recordBrokenResponse(it.late->process, it.late->route, it.late->at);
         if (m_balancer.failed(it.upstream, now))
-            LogLine(LogLevel::Warning, "upstream_ejected").with("id", it.request.value).with("upstream", it.upstream.value).with("last_end", "not_sent");
+            LogLine(LogLevel::Warning, "upstream_ejected").with("id", it.request.value).with("upstream", it.upstream.value).with("last_end", it.late ? "timed_out" : "not_sent");
     }
     for (const auto& it : m_links.takeEvents()) {
         auto reaching = std::count_if(m_view->entries.begin(), m_view->entries.end(), [&](const auto& entry) { return entry.reachesUpstreams && entry.id != m_settings.instance; });
--- a/src/edge/traffic_state.h
+++ b/src/edge/traffic_state.h
@@ -120,10 +120,11 @@
 
     // Called when upstreams should be checked soon.
     void onSuspectedLinks(std::function<void()> callback) { m_onSuspectedLinks = std::move(callback); }
-    // Records that a request's connection to an upstream was established, or was not. The latter counts against the upstream once
-    // another one is reached.
+    // Records that a request's connection to an upstream was established.
     void recordConnected(TimePoint now);
-    void recordNotConnected(UnreachedUpstream);
+    // Records that one was not established, or that a response is late. Counts against the upstream, and a late response against
+    // its release, once another upstream is reached.
+    void recordSilence(SilentUpstream);
     void recordLinkCheck(bool isReached);
     // Whether an attempt that was sent then ended because of this instance's own links. Counts as evidence for later ones.
     bool isOwnLoss(const UpstreamId&, AttemptEnd, TimePoint sentAt, TimePoint now);
--- a/test/correctness/link_monitor_test.cpp
+++ b/test/correctness/link_monitor_test.cpp
@@ -47,7 +47,7 @@
 
     SECTION("under load a failed connection starts a round, which spreads over services and domains")
     {
-        monitor.notConnected({ { "s0-0" }, { "id-1" } });
+        monitor.heardNothing({ { "s0-0" }, { "id-1" }, {} });
         auto chosen = monitor.beginRound(all, start + 300ms);
         REQUIRE(chosen.size() == 4);
         std::set<ServiceId> services;
@@ -95,7 +95,7 @@
     SECTION("one service is down, the other is not: its failures count against it")
     {
         for (int n = 0; n < 3; ++n)
-            monitor.notConnected({ { "s0-" + std::to_string(n) }, { "id" } });
+            monitor.heardNothing({ { "s0-" + std::to_string(n) }, { "id" }, {} });
         CHECK(monitor.takeFailures().empty());
         runRound(monitor, all, start + 300ms, [](const UpstreamEntry& it) { return it.service.value == "s1"; });
         CHECK_FALSE(monitor.isLost());
@@ -103,7 +103,7 @@
     }
     SECTION("the retry of the request reaches another one: the failure counts at once")
     {
-        monitor.notConnected({ { "s0-0" }, { "id-1" } });
+        monitor.heardNothing({ { "s0-0" }, { "id-1" }, {} });
         monitor.connected(start + 5ms);
         REQUIRE(monitor.takeFailures().size() == 1);
         CHECK(monitor.beginRound(all, start + 300ms).empty());
--- a/test/correctness/traffic_state_test.cpp
+++ b/test/correctness/traffic_state_test.cpp
@@ -37,6 +37,40 @@
 
 }
 
+// Guards against upstreams and releases that are blamed for responses which the instance's own lost links held up.
+TEST_CASE("late responses count against their upstream only once it is known that the links are whole")
+{
+    EventLoop loop;
+    EdgeMetrics metrics;
+    TrafficState traffic(loop, TrafficSettings {}, metrics);
+    auto view = canaryView(true, bootNow());
+    traffic.setView(std::make_shared<const FleetView>(view));
+    const ReleaseRoute route { assist, "v2", "r", {} };
+    for (int n = 0; n < 3; ++n)
+        traffic.recordSilence({ { "i-2" }, { "id" }, LateResponse { "i-2/1", route, bootNow() } });
+    auto checks = traffic.links().beginRound(view.upstreams, bootNow()).size();
+    REQUIRE(checks == 2);
+    auto failures = [&] {
+        traffic.recordAnswer("i-2/1", bootNow() + 1s);
+        return traffic.report().evidence[route].failed;
+    };
+    CHECK_FALSE(traffic.balancer().isEjected({ "i-2" }, bootNow()));
+    SECTION("they are lost: neither the upstream nor its release is to blame")
+    {
+        for (std::size_t n = 0; n < checks; ++n)
+            traffic.recordLinkCheck(false);
+        CHECK(traffic.links().isLost());
+        CHECK_FALSE(traffic.balancer().isEjected({ "i-2" }, bootNow()));
+        CHECK(failures() == 0);
+    }
+    SECTION("another upstream is reached: the upstream is ejected, and its release has three failures")
+    {
+        traffic.recordLinkCheck(true);
+        CHECK(traffic.balancer().isEjected({ "i-2" }, bootNow()));
+        CHECK(failures() == 3);
+    }
+}
+
 // Guards against an active session being moved to the target by an instance that has not learned yet which release serves it.
 TEST_CASE("the canary stage waits until all instances know which releases serve active sessions")
 {
