Send nothing to upstreams that say they leave or ask for time

A worker that leaves says so in its answers (Server-Leaving), and a request may not reach it later than drainMs after, whatever the store says. A worker that answers 503 may add Retry-After, and wants nothing from this instance until then. Cause: neither field was read. Change: the process of a leaving upstream is ended as one at whose address another answers; a new module, limits/upstream_pauses, holds back those that ask for time, the latest end that the process named counts. Both are looked at before each choice and again once a connection is open, and no fallback to ejected upstreams undoes them. If all want nothing, the request is refused at once (upstreams_paused) with the time until the first returns. Instances return spread over up to a quarter of the time. Ruled out: the departures of the registry, which only tell eras of the store apart. Not built: peers do not tell each other of either.

--- a/src/core/error_kind.h
+++ b/src/core/error_kind.h
@@ -58,6 +58,8 @@
     PromptPartQuarantined,
     // The request limits that the upstreams state leave no room for the request.
     UpstreamLimitReached,
+    // All upstreams for the request want nothing for a while.
+    UpstreamsPaused,
     // An edit of the configuration is not based on the current revision.
     EditConflict,
     // No configuration is known yet.
--- a/src/core/requests/upstream_response.h
+++ b/src/core/requests/upstream_response.h
@@ -35,6 +35,12 @@
     std::optional<double> requestLimit;
     // A limit is stated that is not a number of at least 0.
     bool isRequestLimitMalformed = false;
+    // The upstream gets no more work.
+    bool isLeaving = false;
+    // How long an upstream that turned the request away wants nothing from this instance; empty if it does not say.
+    std::optional<Milliseconds> pause;
+    // A time is stated that cannot be read.
+    bool isPauseMalformed = false;
     // The model's confidence in its response, from 0 to 1.
     std::optional<double> confidence;
     // Header fields that are forwarded to the caller, in their original order.
--- a/src/edge/request_forwarder.cpp
+++ b/src/edge/request_forwarder.cpp
@@ -187,7 +187,7 @@
         }
         const auto* upstream = chooseUpstream(now);
         if (!upstream) {
-            co_await respondWithError(m_limitedFor ? ErrorKind::UpstreamLimitReached : ErrorKind::NoHealthyUpstream);
+            co_await respondWithError(noUpstreamError());
             co_return;
         }
         auto result = co_await makeAttempt(*upstream);
@@ -260,8 +260,10 @@
     // Uses the current view, not the one at admission: an upstream may have left in the meantime.
     auto eligible = m_traffic.findEligibleUpstreams(m_admitted.service->name, m_admitted.request, now);
     m_limitedFor.reset();
+    m_pausedFor.reset();
     if (!eligible.service)
         return nullptr;
+    m_pausedFor = m_traffic.removePaused(eligible.allowed, now);
     auto allowed = eligible.allowed;
     m_traffic.removeLimited(eligible.allowed, m_admitted.rank, now);
     if (eligible.allowed.size() < allowed.size())
@@ -291,8 +293,8 @@
         m_traffic.recordConnected(bootNow());
     if (m_caller->hasDisconnected())
         co_return AttemptResult { AttemptEnd::NotSent, true };
-    // The part may have been quarantined while the connection was opened.
-    if (!m_isProbe && m_traffic.promptParts().quarantinedPart(m_parts)) {
+    // While the connection was opened, the part may have been quarantined, or the upstream may have said that it wants nothing more.
+    if ((!m_isProbe && m_traffic.promptParts().quarantinedPart(m_parts)) || m_traffic.isHeld(upstream, bootNow())) {
         connection->close();
         co_return AttemptResult { AttemptEnd::NotSent, false };
     }
@@ -380,6 +382,7 @@
     auto response = platform::decodeResponse(head.status, std::move(head.reason), head.fields);
     if (response.load)
         m_traffic.balancer().reported(upstream.id, *response.load, bootNow());
+    recordWishes(upstream, response);
     // A response that does not name this request may be a late response to another one.
     if (response.answeredRequest != m_admitted.request.id && !response.notRun)
         co_return AttemptResult { toAttemptEnd(connection->reject("response to another request")), false };
@@ -553,6 +556,13 @@
     return m_traffic.takeRetry(m_admitted.service->name, now);
 }
 
+ErrorKind RequestForwarder::noUpstreamError() const
+{
+    if (m_pausedFor)
+        return ErrorKind::UpstreamsPaused;
+    return m_limitedFor ? ErrorKind::UpstreamLimitReached : ErrorKind::NoHealthyUpstream;
+}
+
 ErrorKind RequestForwarder::errorFor(const AttemptResult& result) const
 {
     if (m_traffic.isExiting(bootNow()))
@@ -561,12 +571,18 @@
         return ErrorKind::DeadlineExceeded;
     if (result.end == AttemptEnd::NotSent)
         return ErrorKind::NoHealthyUpstream;
-    return result.end == AttemptEnd::RefusedNotRun ? ErrorKind::Overloaded : ErrorKind::UpstreamFailed;
+    if (result.end == AttemptEnd::RefusedNotRun)
+        return m_pausedFor ? ErrorKind::UpstreamsPaused : ErrorKind::Overloaded;
+    return ErrorKind::UpstreamFailed;
 }
 
 Milliseconds RequestForwarder::retryAfter(const ErrorInfo& error) const
 {
-    auto time = error.kind == ErrorKind::UpstreamLimitReached ? m_limitedFor.value_or(error.retryAfter) : error.retryAfter;
+    auto time = error.retryAfter;
+    if (error.kind == ErrorKind::UpstreamLimitReached)
+        time = m_limitedFor.value_or(time);
+    if (error.kind == ErrorKind::UpstreamsPaused)
+        time = m_pausedFor.value_or(time);
     return std::max(minRetryAfter, std::min(time, Milliseconds(timeLeft() / waitDivisor)));
 }
 
@@ -650,6 +666,21 @@
     m_traffic.recordServedParts(m_parts, now);
 }
 
+void RequestForwarder::recordWishes(const UpstreamEntry& upstream, const UpstreamResponse& response)
+{
+    // Another upstream answered, so what it says of itself does not concern this one.
+    if (response.wrongInstance)
+        return;
+    if (response.isLeaving && !m_traffic.endedIncarnations().contains(upstream)) {
+        m_traffic.endedIncarnations().end(upstream);
+        LogLine(LogLevel::Info, "upstream_leaving").with("id", m_admitted.request.id.value).with("upstream", upstream.id.value).with("born", upstream.born).with("status", response.status);
+    }
+    if (response.isPauseMalformed)
+        LogLine(LogLevel::Warning, "retry_after_malformed").with("id", m_admitted.request.id.value).with("upstream", upstream.id.value);
+    if (response.pause && m_traffic.pauses().record(processName(upstream), *response.pause, bootNow()))
+        LogLine(LogLevel::Info, "upstream_paused").with("id", m_admitted.request.id.value).with("upstream", upstream.id.value).with("ms", response.pause->count());
+}
+
 void RequestForwarder::recordLimit(const UpstreamEntry& upstream, const UpstreamResponse& response)
 {
     // What cannot be read neither states a limit nor ends one.
--- a/src/edge/request_forwarder.h
+++ b/src/edge/request_forwarder.h
@@ -40,7 +40,7 @@
     Awaitable<void> serveByWayOfPeer();
     // Adds the request to the base of the service's retry budget, once.
     void countArrival();
-    // Returns null if there is none. Sets m_limitedFor.
+    // Returns null if there is none. Sets m_limitedFor and m_pausedFor.
     const UpstreamEntry* chooseUpstream(TimePoint now);
     // Makes one attempt and records its outcome in the state shared by all requests.
     Awaitable<AttemptResult> makeAttempt(UpstreamEntry);
@@ -70,6 +70,8 @@
     bool reserveRetry(const AttemptResult&, TimePoint now);
     // Time after which the caller of a refused request may come back.
     Milliseconds retryAfter(const ErrorInfo&) const;
+    // Error for the caller if chooseUpstream() found none.
+    ErrorKind noUpstreamError() const;
     // Error for the caller if no attempt follows this one.
     ErrorKind errorFor(const AttemptResult&) const;
     // Ends a request for which no attempt gave the final response: resets the connection if a response was started, else relays
@@ -77,6 +79,8 @@
     Awaitable<void> respondWithError(ErrorKind);
     void recordUpstreamFailure(const UpstreamEntry&, AttemptEnd);
     void recordUpstreamSuccess(const UpstreamEntry&);
+    // Records that the upstream leaves or asks for time.
+    void recordWishes(const UpstreamEntry&, const UpstreamResponse&);
     void recordLimit(const UpstreamEntry&, const UpstreamResponse&);
     // Records that the upstream completed a stream.
     void recordStreamServed(const UpstreamEntry&, bool endedWithConnection);
@@ -132,6 +136,8 @@
     TimePoint m_sentAt {};
     // Set if there are upstreams for the request, but the limits that they state leave no room for it: the time until one has.
     std::optional<Milliseconds> m_limitedFor;
+    // Set if there are upstreams for the request, but all of them want nothing for now: the time until the first one does.
+    std::optional<Milliseconds> m_pausedFor;
     // When the first part of the response was sent to the caller.
     std::optional<TimePoint> m_firstByteAt;
 };
--- a/src/edge/traffic_state.cpp
+++ b/src/edge/traffic_state.cpp
@@ -65,6 +65,7 @@
     , m_connections(loop)
     , m_bodyMemory(maxBodyMemoryBytes)
     , m_limits(m_settings.instance)
+    , m_pauses(m_settings.instance)
     , m_sessions(m_settings.sessionIdleTimeout)
     , m_startedAt(bootNow())
 {
@@ -142,6 +143,25 @@
         std::erase_if(upstreams, [&](const auto* it) { return !m_limits.maySend(processName(*it), rank, now); });
 }
 
+bool TrafficState::isHeld(const UpstreamEntry& upstream, TimePoint now) const
+{
+    return m_endedIncarnations.contains(upstream) || (!m_pauses.empty() && m_pauses.isPaused(processName(upstream), now));
+}
+
+std::optional<Milliseconds> TrafficState::removePaused(std::vector<const UpstreamEntry*>& upstreams, TimePoint now) const
+{
+    std::optional<Milliseconds> first;
+    if (m_pauses.empty())
+        return first;
+    std::erase_if(upstreams, [&](const auto* it) {
+        auto left = m_pauses.timeLeft(processName(*it), now);
+        if (left > Milliseconds(0))
+            first = std::min(first.value_or(left), left);
+        return left > Milliseconds(0);
+    });
+    return upstreams.empty() ? first : std::nullopt;
+}
+
 Milliseconds TrafficState::timeToUnlimited(const std::vector<const UpstreamEntry*>& upstreams, TimePoint now) const
 {
     std::optional<Milliseconds> time;
@@ -292,6 +312,7 @@
     m_crashes.forget(now - crashRetention);
     m_limits.assignShares(now);
     announceLimits();
+    m_pauses.forget(now);
     m_promptParts.forget(now);
     evaluateCrashes(now);
     m_brokenResponses.forget(now - brokenResponseRetention);
--- a/src/edge/traffic_state.h
+++ b/src/edge/traffic_state.h
@@ -5,6 +5,7 @@
 #include "core/limits/crash_guard.h"
 #include "core/limits/prompt_part_guard.h"
 #include "core/limits/upstream_limits.h"
+#include "core/limits/upstream_pauses.h"
 #include "core/messages.h"
 #include "core/rollout/broken_responses.h"
 #include "core/rollout/session_releases.h"
@@ -77,8 +78,13 @@
     EligibleUpstreams findEligibleUpstreams(const ServiceId&, const RoutedRequest&, TimePoint now);
     // Records which release served the request's session, for sessions that the canary stage would move.
     void recordSessionRelease(const RoutedRequest&, const std::string& release, TimePoint now);
-    // Upstream processes that get no more requests, since another upstream answered at their address.
+    // Upstream processes that get no more requests, since they leave or another upstream answered at their address.
     EndedIncarnations& endedIncarnations() { return m_endedIncarnations; }
+    // Whether nothing may be sent to the process of the upstream, even if no other upstream is left.
+    bool isHeld(const UpstreamEntry&, TimePoint now) const;
+    // Removes the upstreams that want nothing for now. Returns the time until the first of them does if none is left.
+    std::optional<Milliseconds> removePaused(std::vector<const UpstreamEntry*>&, TimePoint now) const;
+    UpstreamPauses& pauses() { return m_pauses; }
 
     // Adds a request to the base of the service's retry budget.
     void requestArrived(const ServiceId&, TimePoint now);
@@ -172,6 +178,7 @@
     CrashGuard m_crashes;
     PromptPartGuard m_promptParts;
     UpstreamLimits m_limits;
+    UpstreamPauses m_pauses;
     std::function<void()> m_onUrgentNews;
     UnansweredRequests m_waiting;
     SessionReleases m_sessions;
--- a/test/correctness/upstream_limits_test.cpp
+++ b/test/correctness/upstream_limits_test.cpp
@@ -1,6 +1,7 @@
 // Tests how instances divide the request limits that upstreams state.
 
 #include "core/limits/upstream_limits.h"
+#include "core/limits/upstream_pauses.h"
 #include "core/membership/fleet_membership.h"
 
 #include <absl/strings/str_cat.h>
@@ -299,3 +300,51 @@
         }
     }
 }
+
+// Guards against instances that return together to an upstream that asked them all for the same time.
+TEST_CASE("an upstream that asked for time gets it")
+{
+    UpstreamPauses pauses({ "edge-1" });
+    CHECK(pauses.record("i-1/1", 2s, start));
+    SECTION("from this instance, whatever the upstream's later processes do")
+    {
+        CHECK(pauses.isPaused("i-1/1", start + 1999ms));
+        CHECK_FALSE(pauses.isPaused("i-1/1", start + 2501ms));
+        CHECK_FALSE(pauses.isPaused("i-1/2", start));
+    }
+    SECTION("a later and shorter time takes nothing back")
+    {
+        CHECK_FALSE(pauses.record("i-1/1", 100ms, start + 500ms));
+        CHECK(pauses.isPaused("i-1/1", start + 1999ms));
+    }
+    SECTION("a later end extends it")
+    {
+        CHECK(pauses.record("i-1/1", 4s, start + 500ms));
+        CHECK(pauses.isPaused("i-1/1", start + 4499ms));
+    }
+    SECTION("a time without end is bounded")
+    {
+        pauses.record("i-1/1", Milliseconds::max(), start);
+        CHECK(pauses.timeLeft("i-1/1", start) <= UpstreamPauses::maxTime + UpstreamPauses::maxSpread);
+        pauses.record("i-2/1", Milliseconds::min(), start);
+        CHECK_FALSE(pauses.isPaused("i-2/1", start + 1ms));
+    }
+    SECTION("what has passed is forgotten")
+    {
+        pauses.forget(start + 3s);
+        CHECK(pauses.empty());
+    }
+    SECTION("295 instances return one after the other within the spread")
+    {
+        std::set<Milliseconds> ends;
+        for (int n = 0; n < 295; ++n) {
+            UpstreamPauses other({ absl::StrCat("edge-", n) });
+            other.record("i-1/1", 4s, start);
+            auto left = other.timeLeft("i-1/1", start);
+            CHECK(left >= 4s);
+            CHECK(left <= 5s);
+            ends.insert(left);
+        }
+        CHECK(ends.size() > 200);
+    }
+}
--- /dev/null
+++ b/test/processes/upstream_signals_test.cpp
@@ -0,0 +1,167 @@
+// Tests with an instance as a process and upstreams that say in their answers that they leave, or how long they want nothing.
+
+#include "processes/edge_site.h"
+
+#include <absl/strings/match.h>
+#include <absl/strings/str_cat.h>
+#include <catch2/catch.hpp>
+#include <thread>
+
+using namespace skylarkhitch;
+using namespace skylarkhitch::standin;
+using namespace std::chrono_literals;
+
+namespace {
+
+ScriptedUpstream::Script respondWithFields(int status, const HeaderFields& fields)
+{
+    return [status, fields](const RawRequest& request, RawConnection& connection) {
+        auto all = fields;
+        all.push_back({ "X-Attempt-Id", request.field("X-Attempt-Id") });
+        return connection.write(responseBytes(status, "hello", all));
+    };
+}
+
+// Sends requests that may be repeated, and returns how many got this status.
+int sendMany(const EdgeInstance& instance, const std::string& prefix, int count, int status)
+{
+    int n = 0;
+    for (int i = 0; i < count; ++i)
+        n += statusOf(sendRequest(instance, requestBytes("GET", "/status/x", absl::StrCat(prefix, i)))) == status ? 1 : 0;
+    return n;
+}
+
+const HeaderFields leaving { { "Server-Leaving", "1" } };
+
+}
+
+// Guards against requests at an upstream that empties itself and whose entry in the store says nothing of it.
+TEST_CASE("an upstream that says it leaves gets nothing more")
+{
+    Site site;
+    EdgeInstance instance("edge-1", site.store.address());
+    REQUIRE(waitUntil(5s, [&] { return instance.isReady(); }));
+    // Sends until the first upstream has answered once with its script, and returns how many requests it has got then.
+    auto askFirst = [&] {
+        for (int n = 0; n < 100 && site.first.count() == 0; ++n)
+            sendRequest(instance, requestBytes("GET", "/status/x", absl::StrCat("ask-", n)));
+        REQUIRE(site.first.count() == 1);
+    };
+    SECTION("although it serves well")
+    {
+        site.first.setScript(respondWithFields(200, leaving));
+        askFirst();
+        CHECK(sendMany(instance, "a-", 30, 200) == 30);
+        CHECK(site.first.count() == 1);
+        CHECK(instance.linesContaining("upstream_leaving").size() == 1);
+        SECTION("whatever its entry says later, and although a later answer no longer says so")
+        {
+            site.first.setScript(respondWith("hello"));
+            site.store.put("servers/i-1", site.first.registration("orders"));
+            std::this_thread::sleep_for(800ms);
+            CHECK(sendMany(instance, "b-", 20, 200) == 20);
+            CHECK(site.first.count() == 1);
+        }
+        SECTION("until it has started again")
+        {
+            site.first.setScript(respondWith("hello"));
+            site.store.put("servers/i-1", site.first.registration("orders", "ready", "v1", 2));
+            CHECK(waitUntil(3s, [&] { return sendMany(instance, absl::StrCat("c-", site.first.count(), "-"), 4, 200) == 4 && site.first.count() > 1; }));
+        }
+        SECTION("also if it is the last one: then the request is refused at once")
+        {
+            site.second.setScript(respondWithFields(200, leaving));
+            sendMany(instance, "d-", 5, 200);
+            auto before = site.first.count() + site.second.count();
+            auto begin = std::chrono::steady_clock::now();
+            auto response = sendRequest(instance, requestBytes("GET", "/status/x", "last"));
+            CHECK(statusOf(response) == 503);
+            CHECK(absl::StrContains(response, "Retry-After: "));
+            CHECK(std::chrono::steady_clock::now() - begin < 300ms);
+            CHECK(site.first.count() + site.second.count() == before);
+        }
+    }
+    SECTION("also if the answer is a refusal")
+    {
+        site.first.setScript(respondWithFields(503, { { "Server-Leaving", "1" }, { "X-Not-Executed", "1" } }));
+        askFirst();
+        CHECK(sendMany(instance, "a-", 30, 200) == 30);
+        CHECK(site.first.count() == 1);
+    }
+    SECTION("also if the answer breaks off after its head")
+    {
+        site.first.setScript([](const RawRequest& request, RawConnection& connection) {
+            connection.write(absl::StrCat("HTTP/1.1 200 OK\r\nServer-Leaving: 1\r\nX-Attempt-Id: ", request.field("X-Attempt-Id"), "\r\nContent-Length: 100\r\n\r\nhel"));
+            connection.reset();
+            return false;
+        });
+        askFirst();
+        CHECK(sendMany(instance, "a-", 30, 200) == 30);
+        CHECK(site.first.count() == 1);
+    }
+    SECTION("and the caller does not see the field")
+    {
+        site.setScripts(respondWithFields(200, leaving));
+        CHECK_FALSE(absl::StrContains(sendRequest(instance, requestBytes("GET", "/status/x", "e-1")), "Server-Leaving"));
+    }
+}
+
+// Guards against requests that keep an upstream busy with refusals, and against "ask those that failed if no other is left".
+TEST_CASE("an upstream that asks for time gets nothing until then")
+{
+    Site site;
+    EdgeInstance instance("edge-1", site.store.address());
+    REQUIRE(waitUntil(5s, [&] { return instance.isReady(); }));
+    auto refuse = [](const std::string& time) { return respondWithFields(503, { { "X-Not-Executed", "1" }, { "Retry-After", time } }); };
+    auto askFirst = [&] {
+        for (int n = 0; n < 100 && site.first.count() == 0; ++n)
+            sendRequest(instance, requestBytes("GET", "/status/x", absl::StrCat("ask-", n)));
+        REQUIRE(site.first.count() == 1);
+    };
+    SECTION("others serve meanwhile, and then it serves again")
+    {
+        site.first.setScript(refuse("1.5"));
+        askFirst();
+        site.first.setScript(respondWith("hello"));
+        auto end = std::chrono::steady_clock::now() + 1400ms;
+        for (int n = 0; std::chrono::steady_clock::now() < end; ++n)
+            CHECK(sendMany(instance, absl::StrCat("a-", n, "-"), 1, 200) == 1);
+        CHECK(site.first.count() == 1);
+        CHECK(instance.linesContaining("upstream_ejected").empty());
+        CHECK(waitUntil(3s, [&] { return sendMany(instance, absl::StrCat("b-", site.first.count(), "-"), 3, 200) == 3 && site.first.count() > 1; }));
+    }
+    SECTION("if all ask for time, requests are refused at once with the time until the first returns")
+    {
+        site.setScripts(refuse("2"));
+        sendMany(instance, "a-", 3, 503);
+        auto before = site.received();
+        auto begin = std::chrono::steady_clock::now();
+        auto response = sendRequest(instance, requestBytes("GET", "/status/x", "late", {}, {}, 9000ms));
+        CHECK(statusOf(response) == 503);
+        CHECK(std::chrono::steady_clock::now() - begin < 300ms);
+        CHECK(site.received() == before);
+        double seconds = 0;
+        auto position = response.find("Retry-After: ");
+        REQUIRE(position != std::string::npos);
+        seconds = std::stod(response.substr(position + 13));
+        // The configured time limit of the route is 3 s, of which callers wait a third.
+        CHECK(seconds > 0.5);
+        CHECK(seconds <= 1.0);
+        CHECK_FALSE(instance.linesContaining("upstreams_paused").empty());
+    }
+    SECTION("a time that cannot be is logged and does no harm")
+    {
+        for (const auto* it : { "-5", "soon", "nan", "1e999", "inf", "" }) {
+            site.first.setScript(refuse(it));
+            auto before = site.first.count();
+            for (int n = 0; n < 40 && site.first.count() < before + 2; ++n)
+                sendRequest(instance, requestBytes("GET", "/status/x", absl::StrCat("x-", it, n)));
+            CHECK(site.first.count() >= before + 2);
+        }
+        CHECK_FALSE(instance.linesContaining("retry_after_malformed").empty());
+        site.first.setScript(respondWith("hello"));
+        auto before = site.first.count();
+        CHECK(waitUntil(3s, [&] { return sendMany(instance, absl::StrCat("y-", site.first.count(), "-"), 3, 200) == 3 && site.first.count() > before; }));
+        CHECK(instance.isReady());
+    }
+}
