Judge a release's failures with regard to chance, route by route

What callers saw: good releases that were reverted ("failed 6 of 12" on a route where a quarter of the requests fail with either release); the roll-out is missed. Cause: failure rates were compared with a fixed margin, however few the requests, and over all routes together, so that a different mix of routes counted as a difference of the releases. Change: a one-sided test of the target's failures against those expected at the rates of both, summed over routes (Mantel-Haenszel), 3 standard errors, beside the margin as before. Without requests of the others each failure counts as before. Test: 6 of 12 against 25 of 100 is not evidence, 40 of 80 is; the first failed before.

--- a/src/core/rollout/release_plan.cpp
+++ b/src/core/rollout/release_plan.cpp
@@ -40,9 +40,37 @@
         return it.done == 0 ? 0 : static_cast<double>(it.latency.count()) / static_cast<double>(it.done);
     }
 
-    bool hasHigherFailureRate(const CounterPair& counters, const RolloutSettings& settings)
+    // The failures of the target, and those expected from the others, summed over routes and models: releases that get different
+    // mixes of routes are compared route by route.
+    struct FailureComparison {
+        std::int64_t failed = 0;
+        double finished = 0;
+        // Failures of the target at the others' rates.
+        double expected = 0;
+        // Failures above those at the rates of both together, and the variance of that number if both had these rates.
+        double excess = 0;
+        double variance = 0;
+    };
+
+    void addFailures(FailureComparison& sum, const CounterPair& counters)
+    {
+        auto target = static_cast<double>(counters.target.done + counters.target.failed);
+        auto others = static_cast<double>(counters.others.done + counters.others.failed);
+        if (target == 0)
+            return;
+        sum.failed += counters.target.failed;
+        sum.finished += target;
+        sum.expected += target * failureRate(counters.others);
+        auto rate = static_cast<double>(counters.target.failed + counters.others.failed) / (target + others);
+        // Without requests of the others there is nothing to compare with, and each failure counts.
+        sum.excess += static_cast<double>(counters.target.failed) - (others > 0 ? target * rate : 0);
+        sum.variance += target * rate * (1 - rate) * others / (target + others);
+    }
+
+    bool hasMoreFailures(const FailureComparison& sum, const RolloutSettings& settings)
     {
-        return counters.target.failed >= settings.minFailures && failureRate(counters.target) > failureRate(counters.others) + settings.failureMargin;
+        bool isHigher = sum.failed >= settings.minFailures && static_cast<double>(sum.failed) > sum.expected + settings.failureMargin * sum.finished;
+        return isHigher && sum.excess > settings.failureStandardErrors * std::sqrt(sum.variance);
     }
 
     // Abandoned requests of the target that count in a comparison: at most as many as the others would have completed in the
@@ -152,6 +180,7 @@
     CounterPair all;
     LatencyRatio ratio;
     TypicalLatencies typical;
+    FailureComparison failures;
     ReleaseVerdict verdict;
     bool isLoadDivided = stage == RolloutStage::Canary || stage == RolloutStage::Half;
     for (auto& [key, it] : routes) {
@@ -164,12 +193,15 @@
         addTypical(typical, it, settings);
         if (isLoadDivided && isSlower(routeRatio, settings.minComparedResponsesOfOne, settings))
             verdict.reason = absl::StrCat("route ", key.first, ": ", slowReason(routeRatio));
-        if (hasHigherFailureRate(it, settings))
+        FailureComparison routeFailures;
+        addFailures(routeFailures, it);
+        addFailures(failures, it);
+        if (hasMoreFailures(routeFailures, settings))
             verdict.reason = absl::StrCat("route ", key.first, ": failed ", it.target.failed, " of ", it.target.done + it.target.failed);
     }
     verdict.latencyRatio = ratio.expected > 0 ? ratio.target / ratio.expected : 0;
     verdict.finishedRequests = all.target.done + all.target.failed;
-    if (hasHigherFailureRate(all, settings))
+    if (hasMoreFailures(failures, settings))
         verdict.reason = absl::StrCat("failed ", all.target.failed, " of ", verdict.finishedRequests, "; other releases failed ", all.others.failed, " of ", all.others.done + all.others.failed);
     else if (isSlower(ratio, settings.minComparedResponses, settings))
         verdict.reason = slowReason(ratio);
--- a/src/core/rollout/release_plan.h
+++ b/src/core/rollout/release_plan.h
@@ -49,6 +49,9 @@
     // The target is bad if its failure rate, overall or for one route and model, exceeds that of the other releases by more
     // than this.
     double failureMargin = 0.1;
+    // Distance of the two rates, in standard errors, beyond which the difference is not chance. It is tested several times a
+    // second and for each route.
+    double failureStandardErrors = 3;
     // Completed requests per route and model, of the target and of the others each, required to compare mean latencies. Requests
     // of the target that waited long and were abandoned count as well, also in the next two settings.
     std::int64_t minResponsesPerRouteAndModel = 4;
--- a/test/correctness/release_plan_test.cpp
+++ b/test/correctness/release_plan_test.cpp
@@ -56,6 +56,18 @@
         evidence[releaseRoute("v2")] = { 10, 10, 600ms };
         CHECK_FALSE(judgeRelease(order, evidence).isBad);
     }
+    // Guards against a good release that is reverted by the luck of a dozen requests on a route where either release fails a quarter.
+    SECTION("a higher failure rate that chance explains is not evidence")
+    {
+        evidence[releaseRoute("v1", "tags")] = { 75, 25, 4500ms };
+        evidence[releaseRoute("v2", "tags")] = { 6, 6, 360ms };
+        CHECK_FALSE(judgeRelease(order, evidence).isBad);
+        SECTION("and with more requests it is")
+        {
+            evidence[releaseRoute("v2", "tags")] = { 40, 40, 2400ms };
+            CHECK(judgeRelease(order, evidence).isBad);
+        }
+    }
     SECTION("failures on one route are detected among many successes on others")
     {
         evidence[releaseRoute("v2")] = { 100, 0, 6000ms };
