Let three instances of a small site follow the store, and pass on no mere renewals

What callers saw: nothing directly. Cause: up to 24 peers every instance watched the store, and each heartbeat of an upstream ends a watch. In larger sites each such heartbeat made the followers' copy newer, so that all other instances fetched it from them over a new connection, all the time. Change: a site without domains of its own size has three followers in all; a watch is renewed after 600 ms instead of 300; a lease every 2.5 s where the instance follows nothing. A write that changes nothing but the number of writes in an upstream's entry is a renewal: it is not news for peers and does not reach the decoder, only the number and the revision are kept. An instance counts as evidence that the store is reachable only with a reply of the last 2.9 s, since those that follow nothing hear from it every 2.5 s. Tests: three of 18 follow, in whatever domains; others take over; renewals are no news. All fail on the code before.

--- a/src/core/membership/fleet_membership.cpp
+++ b/src/core/membership/fleet_membership.cpp
@@ -87,17 +87,23 @@
 
 bool FleetMembership::shouldFollowStore(TimePoint now) const
 {
-    if (isFullMesh())
-        return true;
+    auto followers = isFullMesh() ? followersOfSmallSite : followersPerDomain;
     std::size_t precedingFollowers = 0, freshFollowers = 0;
     for (const auto* it : livePeers(now)) {
         const auto& heartbeat = it->heartbeat;
-        if (heartbeat.domain != m_domain || !heartbeat.storeReachable || heartbeat.leaving || heartbeat.storeAge < Milliseconds(0))
+        bool isCandidate = isFullMesh() || heartbeat.domain == m_domain;
+        if (!isCandidate || !heartbeat.storeReachable || heartbeat.leaving || heartbeat.storeAge < Milliseconds(0))
             continue;
         precedingFollowers += heartbeat.from.instance < m_self.instance ? 1 : 0;
         freshFollowers += now - it->lastHeartbeatAt + heartbeat.storeAge < maxFollowerStoreAge ? 1 : 0;
     }
-    return precedingFollowers < followersPerDomain || freshFollowers == 0;
+    return precedingFollowers < followers || freshFollowers == 0;
+}
+
+bool FleetMembership::reachesStore(const FleetPeer& peer, TimePoint now) const
+{
+    const auto& heartbeat = peer.heartbeat;
+    return heartbeat.storeReachable && heartbeat.storeAge >= Milliseconds(0) && now - peer.lastHeartbeatAt + heartbeat.storeAge <= maxStoreSilence;
 }
 
 const FleetPeer* FleetMembership::peerAheadOf(std::int64_t storeRevision, TimePoint now) const
--- a/src/core/membership/fleet_membership.h
+++ b/src/core/membership/fleet_membership.h
@@ -45,9 +45,14 @@
     // Number of instances in a domain that follow the store, that is, read its changes as they occur. The other instances
     // of the domain get the changes from a peer.
     static constexpr std::size_t followersPerDomain = 2;
-    // An instance also follows the store itself if no peer in its domain that reaches the store had a reply from it within
-    // this time. Followers get a reply every second.
+    // The same for a small site as a whole.
+    static constexpr std::size_t followersOfSmallSite = 3;
+    // An instance also follows the store itself if no peer in its domain (or small site) that reaches the store had a reply from
+    // it within this time. Followers get a reply every second.
     static constexpr Milliseconds maxFollowerStoreAge { 1400 };
+    // An instance that has had no reply for longer is no evidence that the store is reachable. Those that do not follow the store
+    // have one every 2.5 s.
+    static constexpr Milliseconds maxStoreSilence { 2900 };
 
     FleetMembership(Incarnation self, DomainId domain, std::string ownPeerAddress)
         : m_self(std::move(self))
@@ -72,9 +77,11 @@
     std::size_t size(TimePoint now) const;
     // Whether each heartbeat goes to all known peers.
     bool isFullMesh() const { return m_ownDomainPeers + m_otherDomainPeers <= maxReceivers; }
-    // Whether this instance should follow the store itself. In a small site every instance does; in a large one, the
-    // followers of each domain, and others while no peer in their domain has had a recent store reply.
+    // Whether this instance should follow the store itself: a few instances of a small site, and of each domain of a large one, and
+    // others while none of them has had a recent store reply.
     bool shouldFollowStore(TimePoint now) const;
+    // Whether the peer has had a recent store reply.
+    bool reachesStore(const FleetPeer&, TimePoint now) const;
     // Returns the live peer with the highest mirror revision above the given one, or null if there is none. A peer of the
     // own domain comes before all others.
     const FleetPeer* peerAheadOf(std::int64_t storeRevision, TimePoint now) const;
--- a/src/core/membership/store_mirror.cpp
+++ b/src/core/membership/store_mirror.cpp
@@ -1,5 +1,7 @@
 #include "core/membership/store_mirror.h"
 
+#include "core/membership/store_revision.h"
+
 #include <algorithm>
 #include <nlohmann/json.hpp>
 #include <set>
@@ -40,6 +42,9 @@
 {
     if (update.revision <= m_revision && m_revision != 0)
         return false;
+    bool isOtherEra = eraOf(update.revision) != eraOf(m_revision);
+    if (m_revision == 0 || isOtherEra)
+        m_newsRevision = update.revision;
     if (update.isSnapshot)
         applySnapshot(update);
     else {
@@ -82,13 +87,13 @@
     // A snapshot may have included this change already. It still goes into the history, from which peers get their changes.
     bool isNew = it == m_items.end() || it->second.revision < change.revision;
     if (isNew && change.value) {
-        auto& item = m_items[change.key];
-        item = { *change.value, change.revision };
-        m_observer(change.key, &item);
+        if (!write(change.key, { *change.value, change.revision }))
+            return;
     } else if (isNew && it != m_items.end()) {
         m_items.erase(it);
         m_observer(change.key, nullptr);
     }
+    m_newsRevision = std::max(m_newsRevision, change.revision);
     m_history.push_back(change);
     if (m_history.size() > maxHistory) {
         m_historyAfter = m_history.front().revision;
@@ -96,16 +101,24 @@
     }
 }
 
+bool StoreMirror::write(const std::string& key, Item item)
+{
+    auto [it, isAdded] = m_items.try_emplace(key);
+    bool isRenewal = !isAdded && m_renewals.isRenewal && m_renewals.isRenewal(key, it->second.value, item.value);
+    it->second = std::move(item);
+    (isRenewal ? m_renewals.observer : m_observer)(key, &it->second);
+    return !isRenewal;
+}
+
 void StoreMirror::applySnapshot(const MirrorUpdate& update)
 {
     std::set<std::string> kept;
     for (const auto& it : update.changes) {
         kept.insert(it.key);
-        auto& item = m_items[it.key];
-        if (item.revision >= it.revision || !it.value)
-            continue;
-        item = { *it.value, it.revision };
-        m_observer(it.key, &item);
+        auto known = m_items.find(it.key);
+        bool isKnown = known != m_items.end() && known->second.revision >= it.revision;
+        if (it.value && !isKnown && write(it.key, { *it.value, it.revision }))
+            m_newsRevision = update.revision;
     }
     for (auto it = m_items.begin(); it != m_items.end();) {
         if (kept.contains(it->first)) {
@@ -114,6 +127,7 @@
         }
         auto key = it->first;
         it = m_items.erase(it);
+        m_newsRevision = update.revision;
         m_observer(key, nullptr);
     }
     m_history.clear();
--- a/src/core/membership/store_mirror.h
+++ b/src/core/membership/store_mirror.h
@@ -2,7 +2,7 @@
 
 // An instance's local copy of the platform store. The store numbers its changes, so a mirror holds the state at one
 // revision. Mirrors exchange the changes between two revisions, so that an instance whose store calls fail can catch up
-// from a peer.
+// from a peer. Writes that only show that the writer of an item is alive are no news: mirrors do not exchange them.
 
 #include <cstdint>
 #include <deque>
@@ -44,9 +44,15 @@
     };
     // Called for each key whose item changed, with null if the key was removed.
     using Observer = std::function<void(const std::string& key, const Item*)>;
+    // Recognizes writes that only renew an item, and learns of them instead of the observer.
+    struct Renewals {
+        std::function<bool(const std::string& key, const std::string& before, const std::string& after)> isRenewal;
+        Observer observer;
+    };
 
-    explicit StoreMirror(Observer observer)
+    explicit StoreMirror(Observer observer, Renewals renewals = {})
         : m_observer(std::move(observer))
+        , m_renewals(std::move(renewals))
     {
     }
 
@@ -59,6 +65,8 @@
 
     // Current revision; 0 before the first update.
     std::int64_t revision() const { return m_revision; }
+    // The revision of the last change that was more than a renewal. A mirror at a lower revision lacks something.
+    std::int64_t newsRevision() const { return m_newsRevision; }
     const Item* find(const std::string& key) const;
     const std::map<std::string, Item>& items() const { return m_items; }
 
@@ -67,14 +75,18 @@
     static constexpr std::size_t maxHistory = 1024;
 
     void applyChange(const StoreChange&);
+    // Stores the value of an item and tells the observer. Returns false if it only renews the item.
+    bool write(const std::string& key, Item);
     void applySnapshot(const MirrorUpdate&);
 
     Observer m_observer;
+    Renewals m_renewals;
     std::map<std::string, Item> m_items;
     std::deque<StoreChange> m_history;
     // The history has all changes after this revision.
     std::int64_t m_historyAfter = 0;
     std::int64_t m_revision = 0;
+    std::int64_t m_newsRevision = 0;
 };
 
 }
--- a/src/core/routing/upstream_registry.cpp
+++ b/src/core/routing/upstream_registry.cpp
@@ -36,6 +36,18 @@
     return isSame ? Change::None : Change::Updated;
 }
 
+bool UpstreamRegistry::renewed(const UpstreamId& id, std::int64_t writes, std::int64_t revision, TimePoint now)
+{
+    auto it = m_upstreams.find(id);
+    if (it == m_upstreams.end() || m_heldBack.contains(id) || it->second.removeAt)
+        return false;
+    it->second.version.writes = writes;
+    it->second.version.revision = revision;
+    if (!it->second.entry.takesWork)
+        m_departures.record({ id, it->second.version, true }, now);
+    return true;
+}
+
 void UpstreamRegistry::holdBack(const UpstreamId& id)
 {
     m_heldBack.insert(id);
--- a/src/core/routing/upstream_registry.h
+++ b/src/core/routing/upstream_registry.h
@@ -62,6 +62,9 @@
 
     // Adds or updates an entry.
     Change registered(const UpstreamEntry&, const EntryVersion&, TimePoint now);
+    // The upstream wrote its entry again without a change. Returns false if the entry is unknown or held back, so that
+    // registered() must decide.
+    bool renewed(const UpstreamId&, std::int64_t writes, std::int64_t revision, TimePoint now);
     // Removes an entry, after a delay if it may have expired because of an outage of the store, since the upstream may be alive.
     // Draining upstreams are removed at once.
     void removed(const UpstreamId&, bool mayHaveExpired, TimePoint now);
--- a/src/edge/control_plane.cpp
+++ b/src/edge/control_plane.cpp
@@ -12,7 +12,7 @@
 
     // Delay after each watch response. Every heartbeat of an upstream changes a key and every response is billed, so the delay
     // collects changes into fewer responses.
-    constexpr Milliseconds watchPause { 300 };
+    constexpr Milliseconds watchPause { 600 };
     // Bounds of the random delay after a failed store call, so that instances that started together spread their retries.
     constexpr Milliseconds minRetryDelay { 150 };
     constexpr Milliseconds maxRetryDelay { 450 };
@@ -28,6 +28,8 @@
     // store is reachable, at a tenth of the price of other calls.
     constexpr Milliseconds registrationLease { 10000 };
     constexpr Milliseconds leaseRenewalPeriod { 1000 };
+    // The same for an instance that does not follow the store.
+    constexpr Milliseconds idleLeaseRenewalPeriod { 2500 };
     // Number of peer addresses in each heartbeat. A new instance learns of all peers within a few heartbeats.
     constexpr std::size_t maxKnownPeers = 4;
     constexpr std::size_t maxDatagramBytes = std::size_t { 64 } * 1024;
@@ -60,7 +62,7 @@
     , m_process(metrics)
     , m_outputs(std::move(outputs))
     , m_store(loop, settings.store, metrics)
-    , m_mirror([this](const std::string& key, const StoreMirror::Item* item) { itemChanged(key, item); })
+    , m_mirror([this](const std::string& key, const StoreMirror::Item* item) { itemChanged(key, item); }, { platform::isRenewal, [this](const std::string& key, const StoreMirror::Item* item) { itemRenewed(key, *item); } })
     , m_rollouts(loop, m_store, [this] { m_viewChanged = true; })
     , m_fleet(m_self, settings.domain, settings.peerListen)
     , m_heartbeatSocket(loop, udpEndpoint(settings.peerListen))
@@ -150,7 +152,7 @@
         }
         if (lease != 0 && !isRegistered)
             isRegistered = co_await writeRegistration(lease);
-        co_await sleepFor(m_loop, leaseRenewalPeriod);
+        co_await sleepFor(m_loop, m_fleet.shouldFollowStore(bootNow()) || !isRegistered ? leaseRenewalPeriod : idleLeaseRenewalPeriod);
     }
 }
 
@@ -189,6 +191,13 @@
     }
 }
 
+void ControlPlane::itemRenewed(const std::string& key, const StoreMirror::Item& item)
+{
+    UpstreamId id { platform::decodeDocumentKey(key).name };
+    if (!m_upstreams.renewed(id, platform::decodeWrites(item.value), item.revision, bootNow()))
+        itemChanged(key, &item);
+}
+
 void ControlPlane::takeConfiguration(const std::string& text, const std::string& source)
 {
     platform::DecodeError error;
@@ -462,7 +471,7 @@
     heartbeat.ready = m_trafficReport.ready && !m_leaving;
     heartbeat.leaving = m_leaving;
     heartbeat.reachesUpstreams = !m_trafficReport.areLinksLost;
-    heartbeat.storeRevision = m_mirror.revision();
+    heartbeat.storeRevision = m_mirror.newsRevision();
     heartbeat.storeReachable = m_store.isReachable();
     if (m_store.lastResponseAt() != TimePoint {})
         heartbeat.storeAge = toMilliseconds(now - m_store.lastResponseAt());
@@ -495,9 +504,9 @@
 void ControlPlane::updateStoreState(TimePoint now)
 {
     auto peers = m_fleet.livePeers(now);
-    bool isUnreachable = !m_store.isReachable();
+    bool isUnreachable = !m_store.isReachable() || now - m_store.lastResponseAt() > FleetMembership::maxStoreSilence;
     for (const auto* it : peers)
-        isUnreachable = isUnreachable && !it->heartbeat.storeReachable;
+        isUnreachable = isUnreachable && !m_fleet.reachesStore(*it, now);
     // An instance that hears no peer cannot tell an outage of the store from its own isolation. It protects its own entries until
     // a peer tells it more, but claims no outage to others.
     bool isIsolated = peers.empty() && !m_fleet.peers().empty();
--- a/src/edge/control_plane.h
+++ b/src/edge/control_plane.h
@@ -62,6 +62,7 @@
     // Applies an update to the copy of the store, and publishes what it changes.
     void applyUpdate(const MirrorUpdate&);
     void itemChanged(const std::string& key, const StoreMirror::Item*);
+    void itemRenewed(const std::string& key, const StoreMirror::Item&);
     // Takes over a configuration that was read from the given source if it can be read and is later than the one in force.
     void takeConfiguration(const std::string& text, const std::string& source);
     void upstreamChanged(const std::string& id, const StoreMirror::Item*);
--- a/test/correctness/fleet_test.cpp
+++ b/test/correctness/fleet_test.cpp
@@ -191,6 +191,83 @@
     SECTION("the size of the fleet includes all listed instances") { CHECK(membership.size(start) == 80); }
 }
 
+// Guards against store calls that grow with the instances of a site.
+TEST_CASE("three instances of a small site follow the store, in whatever domains they are")
+{
+    constexpr int instances = 18;
+    auto followers = [&](const std::function<void(FleetHeartbeat&, int)>& change) {
+        int count = 0;
+        for (int self = 0; self < instances; ++self) {
+            auto name = [](int n) { return "edge-" + std::to_string(10 + n); };
+            FleetMembership membership({ { name(self) }, 1 }, { std::to_string(self % 5) }, name(self) + ":70");
+            for (int n = 0; n < instances; ++n) {
+                auto it = heartbeat(name(n), 1, 1);
+                it.domain = { std::to_string(n % 5) };
+                change(it, n);
+                membership.onHeartbeat(it, start);
+            }
+            membership.nextReceivers(start);
+            count += membership.shouldFollowStore(start) ? 1 : 0;
+        }
+        return count;
+    };
+    CHECK(followers([](FleetHeartbeat&, int) {}) == 3);
+    SECTION("others in their place if the store turns them away or they leave")
+    {
+        CHECK(followers([](FleetHeartbeat& it, int n) { it.storeReachable = n >= 3; }) >= 3);
+        CHECK(followers([](FleetHeartbeat& it, int n) { it.leaving = n < 2; }) >= 3);
+    }
+    SECTION("all of them if none has had a reply lately")
+    {
+        CHECK(followers([](FleetHeartbeat& it, int) { it.storeAge = 3s; }) == instances);
+    }
+    SECTION("an instance whose last reply is old is no evidence that the store is reachable")
+    {
+        FleetMembership membership({ { "self" }, 1 }, { "a" }, "self:70");
+        membership.onHeartbeat(heartbeat("edge-1", 1, 1), start);
+        const auto& peer = membership.peers().at({ "edge-1" });
+        CHECK(membership.reachesStore(peer, start + 2s));
+        CHECK_FALSE(membership.reachesStore(peer, start + 3s));
+    }
+}
+
+// Guards against instances that pass on every heartbeat of every upstream.
+TEST_CASE("writes that only renew an item are no news")
+{
+    int changes = 0, renewals = 0;
+    auto isRenewal = [](const std::string&, const std::string& before, const std::string& after) { return before.substr(0, 1) == after.substr(0, 1); };
+    StoreMirror mirror([&](const std::string&, const StoreMirror::Item*) { ++changes; }, { isRenewal, [&](const std::string&, const StoreMirror::Item*) { ++renewals; } });
+    REQUIRE(mirror.applyUpdate({ 10, true, { { "a", 4, "a1" }, { "b", 9, "b1" } } }));
+    CHECK(mirror.newsRevision() == 10);
+    mirror.applyUpdate({ 14, false, { { "a", 12, "a2" }, { "b", 14, "b2" } } });
+    CHECK(mirror.revision() == 14);
+    CHECK(mirror.newsRevision() == 10);
+    CHECK(mirror.find("a")->value == "a2");
+    CHECK(renewals == 2);
+    CHECK(mirror.changesSince(10).changes.empty());
+    SECTION("a change among them is")
+    {
+        mirror.applyUpdate({ 17, false, { { "a", 15, "c" }, { "b", 17, "b3" } } });
+        CHECK(mirror.newsRevision() == 15);
+        CHECK(mirror.changesSince(10).changes.size() == 1);
+        CHECK(changes == 3);
+    }
+    SECTION("so are a removal and a key that was not there")
+    {
+        mirror.applyUpdate({ 16, false, { { "a", 16, std::nullopt } } });
+        CHECK(mirror.newsRevision() == 16);
+        mirror.applyUpdate({ 17, false, { { "a", 17, "a9" } } });
+        CHECK(mirror.newsRevision() == 17);
+    }
+    SECTION("a whole read without a change is none, one that lacks a key is")
+    {
+        mirror.applyUpdate({ 20, true, { { "a", 18, "a3" }, { "b", 19, "b3" } } });
+        CHECK(mirror.newsRevision() == 10);
+        mirror.applyUpdate({ 21, true, { { "a", 18, "a3" } } });
+        CHECK(mirror.newsRevision() == 21);
+    }
+}
+
 TEST_CASE("a copy of the store is updated and replicated to peers")
 {
     std::vector<std::string> seen;
--- a/test/correctness/platform_test.cpp
+++ b/test/correctness/platform_test.cpp
@@ -234,3 +234,16 @@
         CHECK(decode(503, { { "Retry-After", "1e300" } }).pause == UpstreamPauses::maxTime);
     }
 }
+
+TEST_CASE("an upstream's entry that differs only in the number of writes is a renewal")
+{
+    auto entry = [](const std::string& seq, const std::string& state = "ready") { return absl::StrCat(R"({"backend":"a","state":")", state, R"(",)", R"("seq":)", seq, R"(,"born":17})"); };
+    CHECK(isRenewal("servers/i-1", entry("4"), entry("15")));
+    CHECK_FALSE(isRenewal("servers/i-1", entry("4"), entry("5", "draining")));
+    CHECK_FALSE(isRenewal("op/config", entry("4"), entry("5")));
+    CHECK_FALSE(isRenewal("servers/i-1", entry("4"), entry("\"x\"")));
+    CHECK_FALSE(isRenewal("servers/i-1", "{}", "{}"));
+    CHECK_FALSE(isRenewal("servers/i-1", "\"seq\":", "\"seq\":4"));
+    CHECK(decodeWrites(entry("15")) == 15);
+    CHECK(decodeWrites("{}") == 0);
+}
