--- a/src/core/membership/fleet_heartbeat.cpp
+++ b/src/core/membership/fleet_heartbeat.cpp
@@ -1,7 +1,5 @@
 #include "core/membership/fleet_heartbeat.h"
 
-#include <algorithm>
-#include <cmath>
 #include <nlohmann/json.hpp>
 
 namespace skylarkhitch {
@@ -10,22 +8,6 @@
 
     using Json = nlohmann::json;
 
-    Json workToJson(const FleetHeartbeat& heartbeat)
-    {
-        Json rows = Json::array();
-        for (const auto& [id, it] : heartbeat.work)
-            rows.push_back(Json::array({ id.value, it.requests, it.waitingTokens }));
-        return rows;
-    }
-
-    Json evidenceToJson(const FleetHeartbeat& heartbeat)
-    {
-        Json rows = Json::array();
-        for (const auto& [key, it] : heartbeat.evidence)
-            rows.push_back(Json::array({ key.service.value, key.release, key.route, key.model.value, it.done, it.failed, it.latency.count(), it.logLatencies.count, it.logLatencies.sum, it.logLatencies.squareSum, it.abandoned }));
-        return rows;
-    }
-
     Json crashesToJson(const FleetHeartbeat& heartbeat)
     {
         Json rows = Json::array();
@@ -42,14 +24,6 @@
         return rows;
     }
 
-    // Instances of earlier versions do not send these.
-    LogLatencies logLatenciesFrom(const Json& row)
-    {
-        return row.size() > 9 ? LogLatencies { row.at(7), row.at(8), row.at(9) } : LogLatencies {};
-    }
-
-    std::int64_t abandonedFrom(const Json& row) { return row.size() > 10 ? row.at(10).get<std::int64_t>() : 0; }
-
     FleetHeartbeat heartbeatFrom(const Json& json)
     {
         FleetHeartbeat heartbeat;
@@ -63,10 +37,8 @@
         heartbeat.storeAge = Milliseconds(json.at(9).get<std::int64_t>());
         if (!json.at(10).is_null())
             heartbeat.sinceStoreUnreachable = Milliseconds(json.at(10).get<std::int64_t>());
-        for (const auto& it : json.at(11))
-            heartbeat.work[UpstreamId { it.at(0) }] = { it.at(1), it.at(2) };
-        for (const auto& it : json.at(12))
-            heartbeat.evidence[{ { it.at(0) }, it.at(1), it.at(2), { it.at(3) } }] = { it.at(4), it.at(5), Milliseconds(it.at(6).get<std::int64_t>()), logLatenciesFrom(it), abandonedFrom(it) };
+        heartbeat.work = workFrom(json.at(11));
+        heartbeat.evidence = evidenceFrom(json.at(12));
         for (const auto& it : json.at(13))
             heartbeat.crashes[it.at(0)] = it.at(1);
         for (const auto& it : json.at(14))
@@ -86,53 +58,28 @@
             heartbeat.configurationVersion = json.at(21);
         if (json.size() > 22)
             heartbeat.reachesUpstreams = json.at(22);
+        if (json.size() > 23) {
+            heartbeat.readsDigests = true;
+            heartbeat.asksForDigest = json.at(23).at(0);
+            if (!json.at(23).at(1).is_null())
+                heartbeat.digest = fleetDigestFrom(json.at(23).at(1));
+        }
         return heartbeat;
     }
 
 }
 
-void addSuccess(ReleaseCounters& counters, Milliseconds latency)
-{
-    ++counters.done;
-    counters.latency += latency;
-    auto logarithm = std::log(static_cast<double>(std::max<std::int64_t>(1, latency.count())));
-    ++counters.logLatencies.count;
-    counters.logLatencies.sum += logarithm;
-    counters.logLatencies.squareSum += logarithm * logarithm;
-}
-
-void addSuccessWithoutLatency(ReleaseCounters& counters)
-{
-    if (counters.done > 0)
-        counters.latency += counters.latency / counters.done;
-    ++counters.done;
-}
-
-void addAbandoned(ReleaseCounters& counters, Milliseconds waited)
-{
-    ++counters.abandoned;
-    counters.latency += waited;
-}
-
-void add(ReleaseCounters& sum, const ReleaseCounters& it)
-{
-    sum.done += it.done;
-    sum.failed += it.failed;
-    sum.latency += it.latency;
-    sum.logLatencies.count += it.logLatencies.count;
-    sum.logLatencies.sum += it.logLatencies.sum;
-    sum.logLatencies.squareSum += it.logLatencies.squareSum;
-    sum.abandoned += it.abandoned;
-}
-
 std::string encodeHeartbeat(const FleetHeartbeat& heartbeat)
 {
     Json sinceUnreachable = heartbeat.sinceStoreUnreachable ? Json(heartbeat.sinceStoreUnreachable->count()) : Json();
     Json json = Json::array({ heartbeat.from.instance.value, heartbeat.from.number, heartbeat.domain.value, heartbeat.addresses.entry, heartbeat.addresses.peers, heartbeat.sequence,
-        heartbeat.ready, heartbeat.leaving, heartbeat.storeRevision, heartbeat.storeAge.count(), sinceUnreachable, workToJson(heartbeat), evidenceToJson(heartbeat), crashesToJson(heartbeat),
+        heartbeat.ready, heartbeat.leaving, heartbeat.storeRevision, heartbeat.storeAge.count(), sinceUnreachable, workToJson(heartbeat.work), evidenceToJson(heartbeat.evidence), crashesToJson(heartbeat),
         sessionsToJson(heartbeat), heartbeat.known, heartbeat.storeReachable, toJson(heartbeat.promptParts), toJson(heartbeat.limits), toJson(heartbeat.rollouts), toJson(heartbeat.heldBack), heartbeat.configurationVersion, heartbeat.reachesUpstreams });
-    auto bytes = Json::to_cbor(json);
-    return { bytes.begin(), bytes.end() };
+    if (heartbeat.readsDigests)
+        json.push_back(Json::array({ heartbeat.asksForDigest, heartbeat.digest ? toJson(*heartbeat.digest) : Json() }));
+    std::string bytes;
+    Json::to_cbor(json, bytes);
+    return bytes;
 }
 
 std::optional<FleetHeartbeat> decodeHeartbeat(const std::string& bytes)
--- a/src/core/membership/fleet_heartbeat.h
+++ b/src/core/membership/fleet_heartbeat.h
@@ -7,6 +7,8 @@
 #include "core/ids.h"
 #include "core/limits/prompt_part_news.h"
 #include "core/limits/upstream_limit_news.h"
+#include "core/membership/fleet_counters.h"
+#include "core/membership/fleet_digest.h"
 #include "core/rollout/rollout_news.h"
 #include "core/routing/upstream_departures.h"
 
@@ -17,61 +19,6 @@
 
 namespace skylarkhitch {
 
-// The requests of one instance that are in flight on one upstream.
-struct UpstreamWork {
-    std::int64_t requests = 0;
-    // Prompt tokens of requests that have not received their first event.
-    std::int64_t waitingTokens = 0;
-};
-
-// Logarithms of latencies in milliseconds. Their mean is that of typical responses, which a few very slow ones barely change.
-struct LogLatencies {
-    std::int64_t count = 0;
-    double sum = 0;
-    double squareSum = 0;
-
-    friend bool operator==(const LogLatencies&, const LogLatencies&) = default;
-};
-
-// Results of the requests of one route and model on one release of a service.
-struct ReleaseCounters {
-    // Requests that succeeded.
-    std::int64_t done = 0;
-    std::int64_t failed = 0;
-    // Sum of the latencies of the successful requests: the time to the response, or to the first event of a stream. Includes the
-    // time that abandoned requests waited.
-    Milliseconds latency {};
-    // Of the successful requests alone.
-    LogLatencies logLatencies;
-    // Requests whose callers left before the response, or before the first event of a stream.
-    std::int64_t abandoned = 0;
-
-    friend bool operator==(const ReleaseCounters&, const ReleaseCounters&) = default;
-};
-
-// Counts a successful request.
-void addSuccess(ReleaseCounters&, Milliseconds latency);
-// Counts a successful request whose latency is no evidence, since its upstream states a limit: it changes no mean.
-void addSuccessWithoutLatency(ReleaseCounters&);
-// Counts a request whose caller left after the given time.
-void addAbandoned(ReleaseCounters&, Milliseconds waited);
-// Adds the counters of another instance or release.
-void add(ReleaseCounters& sum, const ReleaseCounters&);
-
-// The requests that are counted together in ReleaseCounters.
-struct ReleaseRoute {
-    ServiceId service;
-    std::string release;
-    std::string route;
-    // Empty if the router does not choose the model. Models differ in speed, so their latencies are not compared.
-    ModelId model;
-
-    friend auto operator<=>(const ReleaseRoute&, const ReleaseRoute&) = default; // NOLINT(modernize-use-nullptr): a false report on <=>
-};
-
-// Counters from which a rollout judges a release against the others.
-using ReleaseEvidence = std::map<ReleaseRoute, ReleaseCounters>;
-
 // A recently served session and the release that served it.
 struct RecentSession {
     std::uint64_t session = 0;
@@ -126,6 +73,11 @@
     std::vector<UpstreamDeparture> heldBack;
     // Some of the peer addresses that the sender knows, from which a new instance discovers its peers.
     std::vector<std::string> known;
+    // Whether the sender understands digests; instances of earlier versions do not.
+    bool readsDigests = false;
+    // The sender wants digests from the receiver.
+    bool asksForDigest = false;
+    std::optional<FleetDigest> digest;
 };
 
 std::string encodeHeartbeat(const FleetHeartbeat&);
--- a/src/core/membership/fleet_membership.cpp
+++ b/src/core/membership/fleet_membership.cpp
@@ -1,5 +1,8 @@
 #include "core/membership/fleet_membership.h"
 
+#include "core/hashing.h"
+
+#include <absl/strings/str_cat.h>
 #include <algorithm>
 
 namespace skylarkhitch {
@@ -11,12 +14,171 @@
     auto& peer = m_peers[heartbeat.from.instance];
     bool isOld = heartbeat.from.number < peer.heartbeat.from.number
         || (heartbeat.from.number == peer.heartbeat.from.number && heartbeat.sequence <= peer.heartbeat.sequence);
+    // The same heartbeat may come with a digest, or asking for one, and without.
+    bool isSame = heartbeat.from.number == peer.heartbeat.from.number && heartbeat.sequence == peer.heartbeat.sequence;
+    if (isSame && heartbeat.readsDigests)
+        learnRelayed(heartbeat, now);
     if (isOld)
         return false;
-    peer = { heartbeat, now };
+    bool isOtherIncarnation = heartbeat.from.number != peer.heartbeat.from.number;
+    peer = { heartbeat, now, now, isOtherIncarnation ? now : peer.knownSince };
+    if (!heartbeat.readsDigests) {
+        m_olderAddresses.insert(heartbeat.addresses.peers);
+        m_readers.erase(heartbeat.addresses.peers);
+        return true;
+    }
+    m_olderAddresses.erase(heartbeat.addresses.peers);
+    m_keys[incarnationKey(heartbeat.from)] = heartbeat.from.instance;
+    m_readers[heartbeat.addresses.peers] = heartbeat.from.instance;
+    peer.heartbeat.digest.reset();
+    learnRelayed(heartbeat, now);
     return true;
 }
 
+void FleetMembership::learnRelayed(const FleetHeartbeat& heartbeat, TimePoint now)
+{
+    m_relay.onHeartbeat(heartbeat, now);
+    if (heartbeat.digest)
+        learn(*heartbeat.digest, now);
+}
+
+void FleetMembership::learn(const FleetDigest& digest, TimePoint now)
+{
+    for (const auto& it : digest.identities)
+        learnIdentity(it, now);
+    for (const auto& it : digest.rows) {
+        auto key = m_keys.find(it.key);
+        auto peer = key == m_keys.end() ? m_peers.end() : m_peers.find(key->second);
+        auto at = now - Milliseconds(std::int64_t { 10 } * it.age);
+        if (peer == m_peers.end() || incarnationKey(peer->second.heartbeat.from) != it.key || at <= peer->second.lastHeartbeatAt)
+            continue;
+        peer->second.lastHeartbeatAt = at;
+        auto& heartbeat = peer->second.heartbeat;
+        heartbeat.ready = it.ready;
+        // An incarnation that leaves does not come back.
+        heartbeat.leaving = heartbeat.leaving || it.leaving;
+        heartbeat.reachesUpstreams = it.reachesUpstreams;
+        heartbeat.storeReachable = it.storeReachable;
+    }
+    for (const auto& [id, crashes] : digest.crashes) {
+        if (id == m_self.instance || (m_relayedCrashes.size() >= maxRelayedCrashes && !m_relayedCrashes.contains(id)))
+            continue;
+        auto& known = m_relayedCrashes[id];
+        for (const auto& [fingerprint, n] : crashes)
+            known[fingerprint] = std::max(known[fingerprint], n);
+    }
+}
+
+void FleetMembership::learnIdentity(const InstanceIdentity& identity, TimePoint now)
+{
+    const auto& incarnation = identity.incarnation;
+    if (incarnation.instance == m_self.instance)
+        return;
+    auto known = m_peers.find(incarnation.instance);
+    if (known != m_peers.end() && known->second.heartbeat.from.number >= incarnation.number)
+        return;
+    FleetPeer peer;
+    peer.heartbeat.from = incarnation;
+    peer.heartbeat.domain = identity.domain;
+    peer.heartbeat.addresses = { identity.entryAddress, identity.peerAddress };
+    peer.heartbeat.readsDigests = true;
+    peer.knownSince = now;
+    m_peers[incarnation.instance] = std::move(peer);
+    m_keys[incarnationKey(incarnation)] = incarnation.instance;
+    m_readers[identity.peerAddress] = incarnation.instance;
+}
+
+LivenessRow FleetMembership::rowOf(const FleetPeer& peer, TimePoint now) const
+{
+    const auto& it = peer.heartbeat;
+    auto age = std::clamp<std::int64_t>(toMilliseconds(now - peer.lastHeartbeatAt).count() / 10, 0, UINT16_MAX);
+    return { incarnationKey(it.from), static_cast<std::uint16_t>(it.sequence), static_cast<std::uint16_t>(age), it.ready, it.leaving, it.reachesUpstreams, it.storeReachable };
+}
+
+FleetDigest FleetMembership::digest(const FleetHeartbeat& own, DigestScope scope, TimePoint now)
+{
+    FleetDigest digest;
+    bool isWholeSite = scope != DigestScope::OwnDomain, hasAll = scope == DigestScope::WholeSiteForNewMembers;
+    m_siteDigests += scope == DigestScope::WholeSite ? 1 : 0;
+    std::vector<const FleetPeer*> told;
+    for (const auto& [id, it] : m_peers) {
+        bool isOwnDomain = it.heartbeat.domain == m_domain;
+        if (!it.heartbeat.readsDigests || now - it.lastHeartbeatAt > relayedRetention || !(isOwnDomain || isWholeSite))
+            continue;
+        told.push_back(&it);
+        auto row = rowOf(it, now);
+        if (isOwnDomain || hasAll || row.key % otherDomainParts == m_siteDigests % otherDomainParts)
+            digest.rows.push_back(row);
+    }
+    // The start differs from digest to digest, so that each receiver gets all identities in time.
+    auto start = static_cast<std::size_t>(hashOf("identities", absl::StrCat(m_digests++)));
+    std::size_t newIdentities = 0, others = 0;
+    for (std::size_t n = 0; n < told.size(); ++n) {
+        const auto& it = *told[(start + n) % told.size()];
+        bool isNew = now - it.knownSince < newIdentityTime;
+        auto& count = isNew ? newIdentities : others;
+        if (hasAll || count++ < (isNew ? maxNewIdentities : identitiesInTurn))
+            digest.identities.push_back({ it.heartbeat.from, it.heartbeat.domain, it.heartbeat.addresses.entry, it.heartbeat.addresses.peers });
+    }
+    digest.sums = m_relay.ownSums(own, summedPeers(now), isWholeSite, now);
+    digest.crashes = peerCrashes(now);
+    if (!own.crashes.empty())
+        digest.crashes[m_self.instance] = own.crashes;
+    return digest;
+}
+
+std::vector<const FleetHeartbeat*> FleetMembership::summedPeers(TimePoint now) const
+{
+    std::vector<const FleetHeartbeat*> peers;
+    for (const auto& [id, it] : m_peers) {
+        if (it.lastHeardAt != TimePoint {} && it.heartbeat.domain == m_domain && now - it.lastHeardAt <= relayedLifetime)
+            peers.push_back(&it.heartbeat);
+    }
+    return peers;
+}
+
+std::map<UpstreamId, UpstreamWork> FleetMembership::peerWork(TimePoint now) const
+{
+    FleetHeartbeat nothing;
+    if (!isFullMesh()) {
+        auto own = m_relay.ownSums(nothing, summedPeers(now), true, now);
+        auto relayed = m_relay.workOfOthers(own.instances, now);
+        return relayed ? *std::move(relayed) : std::move(own.work);
+    }
+    std::map<UpstreamId, UpstreamWork> sum;
+    for (const auto* peer : livePeers(now)) {
+        for (const auto& [id, work] : peer->heartbeat.work) {
+            sum[id].requests += work.requests;
+            sum[id].waitingTokens += work.waitingTokens;
+        }
+    }
+    return sum;
+}
+
+ReleaseEvidence FleetMembership::siteEvidence(const ReleaseEvidence& own, TimePoint now) const
+{
+    std::vector<const FleetHeartbeat*> heard;
+    for (const auto& [id, it] : m_peers) {
+        if (it.lastHeardAt != TimePoint {} && (isFullMesh() || it.heartbeat.domain == m_domain || !it.heartbeat.readsDigests))
+            heard.push_back(&it.heartbeat);
+    }
+    FleetHeartbeat self;
+    self.evidence = own;
+    auto sums = m_relay.ownSums(self, heard, !isFullMesh(), now);
+    const auto* relayed = isFullMesh() ? nullptr : m_relay.evidence(sums.instances, now);
+    return relayed ? *relayed : std::move(sums.evidence);
+}
+
+std::map<InstanceId, std::map<std::string, std::int64_t>> FleetMembership::peerCrashes(TimePoint now) const
+{
+    auto crashes = m_relayedCrashes;
+    for (const auto* it : livePeers(now)) {
+        if (!it->heartbeat.crashes.empty())
+            crashes[it->heartbeat.from.instance] = it->heartbeat.crashes;
+    }
+    return crashes;
+}
+
 void FleetMembership::addSeedAddress(const std::string& peerAddress)
 {
     if (peerAddress != m_ownAddress)
@@ -26,6 +188,8 @@
 bool FleetMembership::isLive(const FleetPeer& peer, TimePoint now) const
 {
     bool isOwnDomain = peer.heartbeat.domain == m_domain;
+    if (peer.heartbeat.readsDigests && !isFullMesh())
+        return now - peer.lastHeartbeatAt <= (isOwnDomain ? relayedLifetime : relayedLifetimeElsewhere);
     auto peers = isOwnDomain ? m_ownDomainPeers : m_otherDomainPeers;
     auto receiversPerHeartbeat = isOwnDomain ? maxReceivers : otherDomainReceivers;
     auto rotationLength = isFullMesh() ? 1 : (peers + receiversPerHeartbeat - 1) / receiversPerHeartbeat;
@@ -58,28 +222,60 @@
     return addresses;
 }
 
+const FleetPeer* FleetMembership::findReader(const std::string& address) const
+{
+    auto it = m_readers.find(address);
+    return it == m_readers.end() ? nullptr : &m_peers.at(it->second);
+}
+
 std::vector<std::string> FleetMembership::nextReceivers(TimePoint now)
 {
-    std::vector<std::string> ownDomain, otherDomains;
-    for (const auto& [address, domain] : addresses(now))
-        (domain == m_domain ? ownDomain : otherDomains).push_back(address);
-    m_ownDomainPeers = ownDomain.size();
-    m_otherDomainPeers = otherDomains.size();
-    auto chosen = ownDomain;
+    std::vector<std::string> ownDomain, otherDomains, silentOwnDomain, silentOthers;
+    auto known = addresses(now);
+    m_ownDomainPeers = static_cast<std::size_t>(std::count_if(known.begin(), known.end(), [&](const auto& it) { return it.second == m_domain; }));
+    m_otherDomainPeers = known.size() - m_ownDomainPeers;
+    for (const auto& [address, domain] : known) {
+        bool isOwn = domain == m_domain;
+        const auto* reader = findReader(address);
+        if (!reader)
+            (isOwn ? ownDomain : otherDomains).push_back(address);
+        else if (!isLive(*reader, now))
+            (isOwn ? silentOwnDomain : silentOthers).push_back(address);
+        else if (isFullMesh())
+            (isOwn ? ownDomain : otherDomains).push_back(address);
+    }
+    std::vector<std::string> chosen;
+    auto choose = [&](const std::vector<std::string>& addresses, std::size_t max, std::size_t& next) {
+        for (std::size_t n = 0; n < std::min(max, addresses.size()); ++n)
+            chosen.push_back(addresses[addresses.size() <= max ? n : next++ % addresses.size()]);
+    };
     if (isFullMesh()) {
-        chosen.insert(chosen.end(), otherDomains.begin(), otherDomains.end());
+        for (auto* it : { &ownDomain, &silentOwnDomain, &otherDomains, &silentOthers })
+            chosen.insert(chosen.end(), it->begin(), it->end());
         return chosen;
     }
-    if (ownDomain.size() > maxReceivers) {
-        chosen.clear();
-        for (std::size_t n = 0; n < maxReceivers; ++n)
-            chosen.push_back(ownDomain[m_ownDomainNext++ % ownDomain.size()]);
-    }
-    for (std::size_t n = 0; n < std::min(otherDomainReceivers, otherDomains.size()); ++n)
-        chosen.push_back(otherDomains[m_otherDomainNext++ % otherDomains.size()]);
+    choose(ownDomain, maxReceivers, m_ownDomainNext);
+    choose(otherDomains, otherDomainReceivers, m_otherDomainNext);
+    choose(silentOwnDomain, silentReceivers, m_silentNext);
+    choose(silentOthers, silentReceivers, m_silentOthersNext);
     return chosen;
 }
 
+FleetRelay::Targets FleetMembership::nextTargets(bool isUrgent, TimePoint now)
+{
+    if (isFullMesh())
+        return {};
+    FleetRelay::Candidates candidates;
+    for (const auto& [address, domain] : addresses(now)) {
+        const auto* reader = findReader(address);
+        if (!reader && !m_olderAddresses.contains(address))
+            candidates[domain].push_back({ address, true, {} });
+        else if (reader && !reader->heartbeat.leaving)
+            candidates[domain].push_back({ address, isLive(*reader, now), reader->lastHeardAt });
+    }
+    return m_relay.nextTargets(candidates, isUrgent, now);
+}
+
 std::size_t FleetMembership::size(TimePoint now) const
 {
     return std::max(livePeers(now).size(), addresses(now).size()) + 1;
@@ -89,21 +285,25 @@
 {
     auto followers = isFullMesh() ? followersOfSmallSite : followersPerDomain;
     std::size_t precedingFollowers = 0, freshFollowers = 0;
+    // Where hubs relay, they are the followers.
+    bool isRelayed = false;
     for (const auto* it : livePeers(now)) {
         const auto& heartbeat = it->heartbeat;
         bool isCandidate = isFullMesh() || heartbeat.domain == m_domain;
         if (!isCandidate || !heartbeat.storeReachable || heartbeat.leaving || heartbeat.storeAge < Milliseconds(0))
             continue;
+        isRelayed = isRelayed || (heartbeat.readsDigests && !isFullMesh());
         precedingFollowers += heartbeat.from.instance < m_self.instance ? 1 : 0;
-        freshFollowers += now - it->lastHeartbeatAt + heartbeat.storeAge < maxFollowerStoreAge ? 1 : 0;
+        freshFollowers += now - it->lastHeardAt + heartbeat.storeAge < maxFollowerStoreAge ? 1 : 0;
     }
-    return precedingFollowers < followers || freshFollowers == 0;
+    bool isFollower = isRelayed ? m_relay.isAmongHubs() : precedingFollowers < followers;
+    return isFollower || freshFollowers == 0;
 }
 
 bool FleetMembership::reachesStore(const FleetPeer& peer, TimePoint now) const
 {
     const auto& heartbeat = peer.heartbeat;
-    return heartbeat.storeReachable && heartbeat.storeAge >= Milliseconds(0) && now - peer.lastHeartbeatAt + heartbeat.storeAge <= maxStoreSilence;
+    return heartbeat.storeReachable && heartbeat.storeAge >= Milliseconds(0) && now - peer.lastHeardAt + heartbeat.storeAge <= maxStoreSilence;
 }
 
 const FleetPeer* FleetMembership::peerAheadOf(std::int64_t storeRevision, TimePoint now) const
--- a/src/core/membership/fleet_membership.h
+++ b/src/core/membership/fleet_membership.h
@@ -3,12 +3,13 @@
 // The other instances of the edge daemon, as known from their heartbeats. An instance is live while its heartbeats arrive.
 // One that is leaving or not ready stays a peer but gets no new callers.
 //
-// In a small site every instance sends heartbeats to all others. In a large one each heartbeat goes to the peers in the
-// instance's own failure domain and to a few other peers in rotation: loads and addresses matter most within a domain,
-// and traffic between domains is charged.
+// In a small site every instance sends heartbeats to all others. In a large one each instance sends them to the hubs of its own
+// failure domain and gets digests of the whole site in return, see fleet_relay.h. Instances of earlier versions and addresses from
+// which nothing was heard yet get heartbeats in rotation, most of them in the own domain: traffic between domains is charged.
 
-#include "core/membership/fleet_heartbeat.h"
+#include "core/membership/fleet_relay.h"
 
+#include <absl/container/flat_hash_map.h>
 #include <set>
 
 namespace skylarkhitch {
@@ -21,8 +22,14 @@
 
 // An instance with its last heartbeat and when that arrived.
 struct FleetPeer {
+    // Without what hubs do not relay, if it was not heard directly.
     FleetHeartbeat heartbeat;
+    // When the last one arrived here, or at an instance that told of it.
     TimePoint lastHeartbeatAt;
+    // When the last one arrived here; TimePoint {} if none did.
+    TimePoint lastHeardAt;
+    // When the incarnation became known.
+    TimePoint knownSince;
 };
 
 class FleetMembership {
@@ -42,6 +49,15 @@
     static constexpr std::size_t maxReceivers = 24;
     // Number of peers in other domains that get each heartbeat in a larger site.
     static constexpr std::size_t otherDomainReceivers = 3;
+    // Number of peers in the own domain, and in others, that read digests but are not live, and that get each heartbeat in a larger
+    // site: parts of a site that were cut off from each other find each other again.
+    static constexpr std::size_t silentReceivers = 2;
+    // How long an instance that reads digests is live after its last heartbeat, in a large site: in the own domain it reaches a hub
+    // twice a second, and the hub tells the domain twice a second. What hubs of other domains tell is passed on in parts.
+    static constexpr Milliseconds relayedLifetime { 2100 };
+    static constexpr Milliseconds relayedLifetimeElsewhere { 4600 };
+    // Peers that were not live for longer are not told to others.
+    static constexpr Milliseconds relayedRetention { 10000 };
     // Number of instances in a domain that follow the store, that is, read its changes as they occur. The other instances
     // of the domain get the changes from a peer.
     static constexpr std::size_t followersPerDomain = 2;
@@ -58,6 +74,7 @@
         : m_self(std::move(self))
         , m_domain(std::move(domain))
         , m_ownAddress(std::move(ownPeerAddress))
+        , m_relay(m_self, m_domain, m_ownAddress)
     {
     }
 
@@ -69,8 +86,24 @@
     void setListedPeers(std::map<std::string, DomainId> peers) { m_listedPeers = std::move(peers); }
 
     std::vector<const FleetPeer*> livePeers(TimePoint now) const;
-    // Returns the addresses that get the next heartbeat, and advances the rotation.
+    // Returns the addresses that get the next heartbeat without asking for a digest, and advances the rotation.
     std::vector<std::string> nextReceivers(TimePoint now);
+    // Returns those that are asked for a digest or get one. None in a small site. An urgent heartbeat goes to all of them at once.
+    FleetRelay::Targets nextTargets(bool isUrgent, TimePoint now);
+    enum class DigestScope { OwnDomain,
+        WholeSite,
+        // With all identities, not only those that are new and a few others.
+        WholeSiteForNewMembers };
+    FleetDigest digest(const FleetHeartbeat& own, DigestScope, TimePoint now);
+    // Remembers a heartbeat that is sent.
+    void sent(const FleetHeartbeat& own) { m_relay.sent(own); }
+    // Requests in flight of all other live instances, as far as known.
+    std::map<UpstreamId, UpstreamWork> peerWork(TimePoint now) const;
+    // Results at all instances, given this one's own. Includes the last ones of peers that are no longer live.
+    ReleaseEvidence siteEvidence(const ReleaseEvidence& own, TimePoint now) const;
+    // Crash counts of the peers, by request fingerprint.
+    std::map<InstanceId, std::map<std::string, std::int64_t>> peerCrashes(TimePoint now) const;
+    bool isHub() const { return m_relay.isHub(); }
     // All peers that have sent a heartbeat, live or not.
     const std::map<InstanceId, FleetPeer>& peers() const { return m_peers; }
     // Number of known instances, including this one.
@@ -88,8 +121,26 @@
     // Returns a live peer whose configuration is the latest of all and later than the given version, or null if there is none.
     const FleetPeer* peerWithLaterConfiguration(std::int64_t version, TimePoint now) const;
 
-private:
     bool isLive(const FleetPeer&, TimePoint now) const;
+
+private:
+    static constexpr std::size_t maxNewIdentities = 128;
+    static constexpr std::size_t identitiesInTurn = 4;
+    // Identities count as new for this long.
+    static constexpr Milliseconds newIdentityTime { 5000 };
+    // Parts in which digests tell of the instances of other domains. An odd number, since a member gets every second digest.
+    static constexpr std::size_t otherDomainParts = 3;
+    static constexpr std::size_t maxRelayedCrashes = 64;
+
+    // Takes in the part of a heartbeat that concerns relaying.
+    void learnRelayed(const FleetHeartbeat&, TimePoint now);
+    void learn(const FleetDigest&, TimePoint now);
+    void learnIdentity(const InstanceIdentity&, TimePoint now);
+    LivenessRow rowOf(const FleetPeer&, TimePoint now) const;
+    // The heartbeats of peers heard directly, whose requests in flight and results go into the sums of the own domain.
+    std::vector<const FleetHeartbeat*> summedPeers(TimePoint now) const;
+    // The instance with this address if it reads digests, or null.
+    const FleetPeer* findReader(const std::string& address) const;
     // Addresses of all peers with their domains; a domain is empty if it is unknown.
     std::map<std::string, DomainId> addresses(TimePoint now) const;
 
@@ -106,6 +157,19 @@
     // Positions of the rotation in nextReceivers().
     std::size_t m_ownDomainNext = 0;
     std::size_t m_otherDomainNext = 0;
+    std::size_t m_silentNext = 0;
+    std::size_t m_silentOthersNext = 0;
+    FleetRelay m_relay;
+    // The instances by the key of their last incarnation, and those that read digests by their address.
+    absl::flat_hash_map<std::uint32_t, InstanceId> m_keys;
+    absl::flat_hash_map<std::string, InstanceId> m_readers;
+    // Addresses of instances of earlier versions.
+    std::set<std::string> m_olderAddresses;
+    // What hubs told of crashes.
+    std::map<InstanceId, std::map<std::string, std::int64_t>> m_relayedCrashes;
+    // Number of digests of the whole site, and of all digests.
+    std::size_t m_siteDigests = 0;
+    std::size_t m_digests = 0;
 };
 
 }
--- /dev/null
+++ b/src/core/membership/fleet_relay.h
@@ -0,0 +1,95 @@
+#pragma once
+
+// The part of an instance in relaying the state of others in a large site: which hubs it asks, which instances ask it, and the sums
+// that it knows. It is a hub if its domain's instances or other hubs take it for one, whatever it thinks itself.
+
+#include "core/membership/fleet_heartbeat.h"
+#include "core/membership/hub_choice.h"
+
+#include <deque>
+#include <optional>
+
+namespace skylarkhitch {
+
+class FleetRelay {
+public:
+    // An instance that asked for digests gets them for this long.
+    static constexpr Milliseconds subscriptionTime { 1600 };
+    // Sums of requests in flight that are older are not used.
+    static constexpr Milliseconds maxSumsAge { 1600 };
+    // The same for results in a digest of the whole site. Of another domain the last ones are used, however old.
+    static constexpr Milliseconds maxEvidenceAge { 5000 };
+
+    // The peers of each domain that may be hubs.
+    using Candidates = std::map<DomainId, std::vector<HubChoice::Instance>>;
+    // Where the next heartbeat goes.
+    struct Targets {
+        // Hubs of the own domain.
+        std::vector<std::string> hubs;
+        // Instances of the own domain that asked; they get a digest of the whole site, those that are new with all identities.
+        std::vector<std::string> members;
+        std::vector<std::string> newMembers;
+        // Hubs of other domains, and instances there that asked; they get a digest of the own domain.
+        std::vector<std::string> otherDomains;
+    };
+
+    FleetRelay(Incarnation self, DomainId domain, std::string ownAddress)
+        : m_self(std::move(self))
+        , m_domain(std::move(domain))
+        , m_ownAddress(std::move(ownAddress))
+    {
+    }
+
+    // Takes in a peer's heartbeat.
+    void onHeartbeat(const FleetHeartbeat&, TimePoint now);
+    // Returns the receivers of the next heartbeat. In turn, half of the hubs and of those that asked get each one; all of them if it
+    // is urgent.
+    Targets nextTargets(const Candidates&, bool isUrgent, TimePoint now);
+    // Whether this instance relays: it takes itself for a hub, or others do.
+    bool isHub() const { return m_isAmongHubs || !m_subscribers.empty(); }
+    bool isAmongHubs() const { return m_isAmongHubs; }
+    // Remembers what was in flight when a heartbeat was sent.
+    void sent(const FleetHeartbeat&);
+
+    // Sums of this instance, of the peers heard directly, and of the other domains' hubs if they are asked for.
+    FleetSums ownSums(const FleetHeartbeat& own, const std::vector<const FleetHeartbeat*>& ownDomain, bool isWholeSite, TimePoint now) const;
+    // Requests in flight at others according to a hub's last digest; nullopt if none is recent or none has more instances.
+    std::optional<std::map<UpstreamId, UpstreamWork>> workOfOthers(std::size_t moreThan, TimePoint now) const;
+    // Results at all instances according to the last digest; null if none is recent or none has more instances.
+    const ReleaseEvidence* evidence(std::size_t moreThan, TimePoint now) const;
+
+private:
+    struct ReceivedSums {
+        FleetSums sums;
+        TimePoint at;
+        // The last heartbeat of this instance that is in the sums.
+        std::optional<std::uint16_t> ownSequence;
+    };
+    struct Subscriber {
+        DomainId domain;
+        TimePoint askedAt;
+        bool isNew = true;
+    };
+    struct SentWork {
+        std::uint16_t sequence = 0;
+        std::map<UpstreamId, UpstreamWork> work;
+    };
+    static constexpr std::size_t keptSentWork = 16;
+
+    // Keeps the sums of a digest unless a recent one has more instances.
+    static void keepBest(ReceivedSums& known, ReceivedSums received);
+
+    Incarnation m_self;
+    DomainId m_domain;
+    std::string m_ownAddress;
+    HubChoice m_ownHubs;
+    std::map<DomainId, HubChoice> m_otherHubs;
+    std::map<std::string, Subscriber> m_subscribers;
+    ReceivedSums m_site;
+    std::map<DomainId, ReceivedSums> m_domains;
+    std::deque<SentWork> m_sentWork;
+    std::size_t m_turn = 0;
+    bool m_isAmongHubs = false;
+};
+
+}
--- /dev/null
+++ b/src/core/membership/hub_choice.cpp
@@ -0,0 +1,53 @@
+#include "core/membership/hub_choice.h"
+
+#include "core/hashing.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace skylarkhitch {
+
+namespace {
+
+    std::uint64_t rankOf(const std::string& address) { return hashOf("hub", address); }
+
+}
+
+std::vector<std::string> HubChoice::choose(const std::vector<Instance>& instances, TimePoint now)
+{
+    std::vector<std::tuple<bool, std::uint64_t, const Instance*>> ranked;
+    ranked.reserve(instances.size());
+    for (const auto& it : instances)
+        ranked.emplace_back(!it.isLive, rankOf(it.address), &it);
+    std::sort(ranked.begin(), ranked.end());
+    std::vector<std::string> hubs;
+    absl::flat_hash_map<std::string, Candidate> asked;
+    for (const auto& [isDead, rank, instance] : ranked) {
+        const auto& [address, isLive, heardAt] = *instance;
+        auto known = m_candidates.find(address);
+        auto candidate = known == m_candidates.end() ? Candidate { now, {} } : known->second;
+        if (now < candidate.passedOverUntil && heardAt <= candidate.passedOverUntil - retryTime) {
+            asked[address] = candidate;
+            continue;
+        }
+        if (candidate.passedOverUntil != TimePoint {})
+            candidate = { now, {} };
+        if (now - std::max(candidate.askedAt, heardAt) > answerTime) {
+            asked[address] = { candidate.askedAt, now + retryTime };
+            continue;
+        }
+        asked[address] = candidate;
+        hubs.push_back(address);
+        if (hubs.size() == hubsPerDomain)
+            break;
+    }
+    m_candidates = std::move(asked);
+    return hubs;
+}
+
+bool HubChoice::isAmongHubs(const std::string& address, const std::vector<std::string>& hubs)
+{
+    return hubs.size() < hubsPerDomain || rankOf(address) < rankOf(hubs[hubsPerDomain - 1]);
+}
+
+}
--- a/src/core/rollout/session_releases.cpp
+++ b/src/core/rollout/session_releases.cpp
@@ -49,14 +49,27 @@
         if (now - it.at <= m_sessionTimeout)
             sessions.push_back({ session, it.release, std::max(Milliseconds(0), toMilliseconds(now - it.at)) });
     }
-    if (sessions.size() > max) {
-        auto end = sessions.begin() + static_cast<std::ptrdiff_t>(max);
-        std::nth_element(sessions.begin(), end, sessions.end(), [](const auto& a, const auto& b) { return a.age < b.age; });
-        sessions.resize(max);
-    }
+    keepMostRecent(sessions, max);
+    return sessions;
+}
+
+std::vector<RecentSession> SessionReleases::inTurn(TimePoint now, std::size_t turn, std::size_t max) const
+{
+    auto sessions = all(now, m_sightings.size());
+    std::erase_if(sessions, [&](const auto& it) { return it.age > recentTime && it.session % parts != turn % parts; });
+    keepMostRecent(sessions, max);
     return sessions;
 }
 
+void SessionReleases::keepMostRecent(std::vector<RecentSession>& sessions, std::size_t max)
+{
+    if (sessions.size() <= max)
+        return;
+    auto end = sessions.begin() + static_cast<std::ptrdiff_t>(max);
+    std::nth_element(sessions.begin(), end, sessions.end(), [](const auto& a, const auto& b) { return a.age < b.age; });
+    sessions.resize(max);
+}
+
 void SessionReleases::forget(TimePoint now)
 {
     absl::erase_if(m_sightings, [&](const auto& it) { return now - it.second.at > m_sessionTimeout; });
--- a/src/core/rollout/session_releases.h
+++ b/src/core/rollout/session_releases.h
@@ -30,10 +30,19 @@
     // The same with those learned from others, for the heartbeats of a site whose instances do not all hear each other: the most
     // recent ones, `max` at most.
     std::vector<RecentSession> all(TimePoint now, std::size_t max) const;
+    // The same for one heartbeat of several: those seen lately, and of the others one part after the other.
+    std::vector<RecentSession> inTurn(TimePoint now, std::size_t turn, std::size_t max) const;
     // Drops the sessions that are no longer active.
     void forget(TimePoint now);
 
 private:
+    // Sightings that each heartbeat has.
+    static constexpr Milliseconds recentTime { 1500 };
+    // Parts of the others. An odd number, since a receiver may get every second heartbeat.
+    static constexpr std::size_t parts = 3;
+
+    static void keepMostRecent(std::vector<RecentSession>&, std::size_t max);
+
     struct Sighting {
         std::string release;
         TimePoint at;
--- a/src/core/routing/routing_configuration.h
+++ b/src/core/routing/routing_configuration.h
@@ -71,6 +71,8 @@
     std::int64_t maxConnections = 0;
     // Set if the upstreams are model engines.
     std::optional<EngineProfile> engine;
+    // Requests per second that a cold upstream takes from all instances together; 0 if its upstreams are never cold.
+    double coldRequestsPerSecond = 0;
 };
 
 // Size and time limits for requests from callers.
--- a/src/core/routing/upstream_registry.cpp
+++ b/src/core/routing/upstream_registry.cpp
@@ -31,7 +31,11 @@
     else
         m_departures.record({ entry.id, version, true }, now);
     auto& state = m_upstreams[entry.id];
-    bool isSame = state.entry == entry && !state.removeAt;
+    auto known = state.entry;
+    bool isColdSame = known.coldUntil != TimePoint {} && entry.coldUntil != TimePoint {} && known.coldUntil < entry.coldUntil + coldTolerance && entry.coldUntil < known.coldUntil + coldTolerance;
+    if (isColdSame)
+        known.coldUntil = entry.coldUntil;
+    bool isSame = known == entry && !state.removeAt;
     state = { entry, version, {} };
     return isSame ? Change::None : Change::Updated;
 }
--- a/src/core/routing/upstream_registry.h
+++ b/src/core/routing/upstream_registry.h
@@ -27,6 +27,8 @@
     std::int64_t born = 0;
     // Loaded models, with the version of their weights.
     std::map<ModelId, std::int64_t> models;
+    // Until then it is cold and takes few requests; TimePoint {} if it is not cold.
+    TimePoint coldUntil {};
 
     friend bool operator==(const UpstreamEntry&, const UpstreamEntry&) = default;
 };
@@ -53,6 +55,8 @@
     static constexpr Milliseconds reregistrationTime { 2200 };
     // An entry that disappears within this time after an outage of the store may have expired because of it.
     static constexpr Milliseconds outageMemory { 2500 };
+    // The end of a cold time is stated anew with each write; a difference below this is none.
+    static constexpr Milliseconds coldTolerance { 500 };
 
     enum class Change { None,
         // The entry is new, differs or was missing.
--- a/src/edge/control_plane.cpp
+++ b/src/edge/control_plane.cpp
@@ -12,7 +12,7 @@
 
     // Delay after each watch response. Every heartbeat of an upstream changes a key and every response is billed, so the delay
     // collects changes into fewer responses.
-    constexpr Milliseconds watchPause { 600 };
+    constexpr Milliseconds watchPause { 900 };
     // Bounds of the random delay after a failed store call, so that instances that started together spread their retries.
     constexpr Milliseconds minRetryDelay { 150 };
     constexpr Milliseconds maxRetryDelay { 450 };
@@ -41,7 +41,9 @@
 
     bool hasValidAddresses(const FleetHeartbeat& heartbeat)
     {
-        return isEndpoint(heartbeat.addresses.entry) && isEndpoint(heartbeat.addresses.peers) && std::all_of(heartbeat.known.begin(), heartbeat.known.end(), isEndpoint);
+        bool areOwnValid = isEndpoint(heartbeat.addresses.entry) && isEndpoint(heartbeat.addresses.peers) && std::all_of(heartbeat.known.begin(), heartbeat.known.end(), isEndpoint);
+        auto isValid = [](const InstanceIdentity& it) { return isEndpoint(it.entryAddress) && isEndpoint(it.peerAddress); };
+        return areOwnValid && (!heartbeat.digest || std::all_of(heartbeat.digest->identities.begin(), heartbeat.digest->identities.end(), isValid));
     }
 
     std::shared_ptr<ServerState> makeInternalServerState(RequestHandler handler)
@@ -235,11 +237,13 @@
         LogLine(LogLevel::Warning, "upstream_unreadable").with("upstream", id).with("error", error.message);
         return;
     }
-    const auto& entry = registered->entry;
+    auto& entry = registered->entry;
+    if (registered->coldFor > Milliseconds(0))
+        entry.coldUntil = now + registered->coldFor;
     auto change = m_upstreams.registered(entry, { entry.born, registered->writes, item->revision }, now);
     if (change == UpstreamRegistry::Change::None)
         return;
-    LogLine(LogLevel::Info, change == UpstreamRegistry::Change::HeldBack ? "upstream_held_back" : "upstream").with("upstream", id).with("service", entry.service.value).with("address", entry.address).with("release", entry.release).with("takes_work", entry.takesWork ? "yes" : "no").with("born", entry.born);
+    LogLine(LogLevel::Info, change == UpstreamRegistry::Change::HeldBack ? "upstream_held_back" : "upstream").with("upstream", id).with("service", entry.service.value).with("address", entry.address).with("release", entry.release).with("takes_work", entry.takesWork ? "yes" : "no").with("born", entry.born).with("cold_ms", registered->coldFor.count());
     m_viewChanged = true;
 }
 
@@ -303,8 +307,10 @@
     PeerNews news { std::move(heartbeat->promptParts), std::move(heartbeat->limits) };
     if (!news.empty())
         m_outputs.publishPeerNews(std::move(news));
-    catchUpIfBehind(now);
-    fetchLaterConfiguration(now);
+    if (heartbeat->storeRevision > m_mirror.revision())
+        catchUpIfBehind(now);
+    if (heartbeat->configurationVersion > (m_configuration ? m_configuration->version : 0))
+        fetchLaterConfiguration(now);
 }
 
 // Fetches changes from a peer that is ahead if the store does not deliver them.
@@ -440,11 +446,11 @@
     m_trafficReport = std::move(report);
     m_process.update(m_trafficReport.cpuTime, now);
     updateStoreState(now);
-    sendHeartbeat(now);
+    sendHeartbeat(m_trafficReport.isUrgent, now);
     catchUpIfBehind(now);
     if (m_upstreams.removeExpired(now))
         m_viewChanged = true;
-    m_rollouts.advance({ mergedEvidence(), isCoordinator(now), [this](const RolloutOrder& order) { return oldReleaseIsIdle(order); } }, now);
+    m_rollouts.advance({ m_fleet.siteEvidence(m_trafficReport.evidence, now), isCoordinator(now), [this](const RolloutOrder& order) { return oldReleaseIsIdle(order); } }, now);
     FleetState fleet { m_fleet.size(now), entries(now) };
     m_viewChanged = m_viewChanged || fleet != m_lastFleet;
     m_lastFleet = std::move(fleet);
@@ -457,11 +463,11 @@
     m_leaving = true;
     m_trafficReport.ready = false;
     m_viewChanged = true;
-    sendHeartbeat(bootNow());
+    sendHeartbeat(true, bootNow());
     publish(bootNow());
 }
 
-void ControlPlane::sendHeartbeat(TimePoint now)
+void ControlPlane::sendHeartbeat(bool isUrgent, TimePoint now)
 {
     FleetHeartbeat heartbeat;
     heartbeat.from = m_self;
@@ -489,11 +495,39 @@
     heartbeat.configurationVersion = m_configuration ? m_configuration->version : 0;
     heartbeat.rollouts = m_rollouts.news();
     heartbeat.heldBack = m_upstreams.heldBack();
+    heartbeat.readsDigests = true;
     auto livePeers = m_fleet.livePeers(now);
     for (std::size_t n = 0; n < std::min(livePeers.size(), maxKnownPeers); ++n)
         heartbeat.known.push_back(livePeers[m_nextKnownPeer++ % livePeers.size()]->heartbeat.addresses.peers);
+    sendTo(m_fleet.nextReceivers(now), heartbeat);
+    sendToHubs(std::move(heartbeat), isUrgent, now);
+}
+
+void ControlPlane::sendToHubs(FleetHeartbeat heartbeat, bool isUrgent, TimePoint now)
+{
+    auto targets = m_fleet.nextTargets(isUrgent, now);
+    m_fleet.sent(heartbeat);
+    using Scope = FleetMembership::DigestScope;
+    auto sendDigest = [&](const std::vector<std::string>& receivers, Scope scope) {
+        if (receivers.empty())
+            return;
+        heartbeat.digest = m_fleet.digest(heartbeat, scope, now);
+        sendTo(receivers, heartbeat);
+        heartbeat.digest.reset();
+    };
+    sendDigest(targets.members, Scope::WholeSite);
+    sendDigest(targets.newMembers, Scope::WholeSiteForNewMembers);
+    heartbeat.asksForDigest = true;
+    sendDigest(targets.otherDomains, Scope::OwnDomain);
+    sendTo(targets.hubs, heartbeat);
+}
+
+void ControlPlane::sendTo(const std::vector<std::string>& receivers, const FleetHeartbeat& heartbeat)
+{
+    if (receivers.empty())
+        return;
     auto bytes = encodeHeartbeat(heartbeat);
-    for (const auto& it : m_fleet.nextReceivers(now)) {
+    for (const auto& it : receivers) {
         boost::system::error_code ec;
         m_heartbeatSocket.send_to(asio::buffer(bytes), udpEndpoint(it), 0, ec);
         // A heartbeat that cannot be sent counts as lost on the network; the next one carries the same state.
@@ -521,7 +555,7 @@
     auto last = m_storeUnreachableAt;
     for (const auto* it : m_fleet.livePeers(now)) {
         if (it->heartbeat.sinceStoreUnreachable)
-            last = std::max(last, std::optional(it->lastHeartbeatAt - *it->heartbeat.sinceStoreUnreachable));
+            last = std::max(last, std::optional(it->lastHeardAt - *it->heartbeat.sinceStoreUnreachable));
     }
     return last;
 }
@@ -555,44 +589,22 @@
         if (work.requests > 0 && isOld(id))
             return false;
     }
-    for (const auto& [id, work] : peerWork(bootNow())) {
+    for (const auto& [id, work] : m_fleet.peerWork(bootNow())) {
         if (work.requests > 0 && isOld(id))
             return false;
     }
     return true;
 }
 
-// Includes the last counters of peers that are no longer live.
-ReleaseEvidence ControlPlane::mergedEvidence() const
-{
-    auto evidence = m_trafficReport.evidence;
-    for (const auto& [id, peer] : m_fleet.peers()) {
-        for (const auto& [key, it] : peer.heartbeat.evidence)
-            add(evidence[key], it);
-    }
-    return evidence;
-}
-
-absl::flat_hash_map<UpstreamId, UpstreamWork> ControlPlane::peerWork(TimePoint now) const
-{
-    absl::flat_hash_map<UpstreamId, UpstreamWork> sum;
-    for (const auto* peer : m_fleet.livePeers(now)) {
-        for (const auto& [id, work] : peer->heartbeat.work) {
-            sum[id].requests += work.requests;
-            sum[id].waitingTokens += work.waitingTokens;
-        }
-    }
-    return sum;
-}
-
 PeerUpdate ControlPlane::peerUpdate(TimePoint now) const
 {
     PeerUpdate peerUpdate;
-    peerUpdate.work = peerWork(now);
+    auto work = m_fleet.peerWork(now);
+    peerUpdate.work = { work.begin(), work.end() };
+    peerUpdate.crashes = m_fleet.peerCrashes(now);
     for (const auto* peer : m_fleet.livePeers(now)) {
-        peerUpdate.crashes[peer->heartbeat.from.instance] = peer->heartbeat.crashes;
         for (auto it : peer->heartbeat.sessions) {
-            it.age += toMilliseconds(now - peer->lastHeartbeatAt);
+            it.age += toMilliseconds(now - peer->lastHeardAt);
             peerUpdate.sessions.push_back(it);
         }
     }
@@ -616,7 +628,7 @@
     auto fresh = m_store.lastResponseAt();
     for (const auto* it : m_fleet.livePeers(now)) {
         if (it->heartbeat.storeAge >= Milliseconds(0) && it->heartbeat.storeRevision <= m_mirror.revision())
-            fresh = std::max(fresh, it->lastHeartbeatAt - it->heartbeat.storeAge);
+            fresh = std::max(fresh, it->lastHeardAt - it->heartbeat.storeAge);
     }
     return fresh;
 }
--- a/src/edge/control_plane.h
+++ b/src/edge/control_plane.h
@@ -68,7 +68,11 @@
     void upstreamChanged(const std::string& id, const StoreMirror::Item*);
     void instancesChanged();
 
-    void sendHeartbeat(TimePoint now);
+    // An urgent heartbeat goes to all that get any at once.
+    void sendHeartbeat(bool isUrgent, TimePoint now);
+    // Sends the heartbeat to hubs, and with a digest to those that asked for one.
+    void sendToHubs(FleetHeartbeat, bool isUrgent, TimePoint now);
+    void sendTo(const std::vector<std::string>& receivers, const FleetHeartbeat&);
     void handleHeartbeat(const std::string& bytes);
     // Called when the control thread is active, to find out whether the process was paused before.
     void noticePause(TimePoint now);
@@ -84,8 +88,6 @@
     bool mayHaveExpired(TimePoint now) const;
     bool isCoordinator(TimePoint now) const;
     bool oldReleaseIsIdle(const RolloutOrder&) const;
-    ReleaseEvidence mergedEvidence() const;
-    absl::flat_hash_map<UpstreamId, UpstreamWork> peerWork(TimePoint now) const;
     void publish(TimePoint now);
     PeerUpdate peerUpdate(TimePoint now) const;
     std::vector<EntryInstance> entries(TimePoint now) const;
--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -136,9 +136,11 @@
             return { .status = 200, .fields = { { "Content-Type", "application/json" } }, .body = platform::encodeEntryResponse(chosen, m_settings.entryCacheTime()) };
         }
 
-        void sendReport()
+        void sendReport(bool isUrgent)
         {
-            asio::post(m_controlLoop, [this, report = m_traffic.report()]() mutable { m_control.handleTrafficReport(std::move(report)); });
+            auto report = m_traffic.report();
+            report.isUrgent = isUrgent;
+            asio::post(m_controlLoop, [this, report = std::move(report)]() mutable { m_control.handleTrafficReport(std::move(report)); });
         }
 
         // Sends a report early, and evaluates the crashes that may have caused it. Waits until all that one crash of an upstream
@@ -149,7 +151,7 @@
             co_await sleepFor(m_trafficLoop, std::max(urgentReportDelay, toMilliseconds(m_urgentReportAt + period - bootNow())));
             m_isUrgentReportPending = false;
             m_urgentReportAt = bootNow();
-            sendReport();
+            sendReport(true);
             co_await sleepFor(m_trafficLoop, PromptPartGuard::evaluationDelay);
             m_traffic.evaluateCrashes(bootNow());
         }
@@ -157,7 +159,7 @@
         Awaitable<void> reportLoop()
         {
             for (;;) {
-                sendReport();
+                sendReport(false);
                 m_linkChecker.checkIfDue();
                 co_await sleepFor(m_trafficLoop, FleetMembership::heartbeatPeriod);
             }
--- a/src/edge/fleet_view.h
+++ b/src/edge/fleet_view.h
@@ -86,6 +86,8 @@
     bool areLinksLost = false;
     std::size_t quarantinedParts = 0;
     std::size_t limitedUpstreams = 0;
+    // It was sent early, since it has news that must take effect at once.
+    bool isUrgent = false;
     // CPU time that the traffic thread has used since it started.
     Microseconds cpuTime {};
 };
--- a/src/edge/store_client.cpp
+++ b/src/edge/store_client.cpp
@@ -147,6 +147,9 @@
 
 Awaitable<StoreClient::StoreUpdateResult> StoreClient::watch(std::int64_t after)
 {
+    // Another call has shown a new era between two watches. The store may have given the revision out again, and then waits.
+    if (m_era && era() != eraOf(after))
+        co_return StoreUpdateResult { historyLost, {} };
     CallOptions options { &m_watchConnection, watchWait + watchMargin, maxItemTime, maxItemBytes, "watch", true };
     auto response = co_await sendRequest(platform::watchRequest(allKeysPrefix, storeRevision(after), watchWait), options);
     StoreUpdateResult result { response.status, {} };
--- a/src/edge/traffic_state.cpp
+++ b/src/edge/traffic_state.cpp
@@ -35,8 +35,8 @@
 
     constexpr std::string_view rolloutHashSalt = "rollout";
     // Time in which what instances pass on reaches all of a large site.
-    constexpr Milliseconds largeSiteNewsTime { 2000 };
-    constexpr std::size_t maxPassedOnSessions = 256;
+    constexpr Milliseconds largeSiteNewsTime { 2900 };
+    constexpr std::size_t maxPassedOnSessions = 512;
 
     // Processes that a log line names at most.
     constexpr std::size_t maxLoggedProcesses = 5;
@@ -99,6 +99,37 @@
             instances.push_back(it.id);
     }
     m_limits.setInstances(std::move(instances));
+    limitCold(bootNow());
+}
+
+void TrafficState::limitCold(TimePoint now)
+{
+    for (const auto& [id, entries] : m_view->upstreams) {
+        const auto* service = m_view->configuration ? m_view->configuration->findService(id) : nullptr;
+        if (!service || service->coldRequestsPerSecond <= 0)
+            continue;
+        for (const auto& it : entries) {
+            if (it.coldUntil <= now)
+                continue;
+            auto process = processName(it);
+            bool isNew = m_cold.insert_or_assign(process, ColdProcess { it.coldUntil, service->coldRequestsPerSecond }).second;
+            if (isNew)
+                recordLimit(process, std::nullopt, now);
+        }
+    }
+}
+
+void TrafficState::endCold(TimePoint now)
+{
+    std::vector<std::string> ended;
+    for (const auto& [process, it] : m_cold) {
+        if (it.until <= now)
+            ended.push_back(process);
+    }
+    for (const auto& it : ended) {
+        m_cold.erase(it);
+        recordLimit(it, std::nullopt, now);
+    }
 }
 
 Awaitable<void> TrafficState::awaitConfiguration(TimePoint until)
@@ -133,6 +164,9 @@
 
 void TrafficState::recordLimit(const std::string& upstreamProcess, std::optional<double> requestsPerSecond, TimePoint now)
 {
+    auto cold = m_cold.find(upstreamProcess);
+    if (cold != m_cold.end())
+        requestsPerSecond = std::min(requestsPerSecond.value_or(cold->second.requestsPerSecond), cold->second.requestsPerSecond);
     m_limits.recordResponse(upstreamProcess, requestsPerSecond, now);
     announceLimits();
 }
@@ -307,16 +341,18 @@
 TrafficReport TrafficState::report()
 {
     auto now = bootNow();
+    ++m_reports;
     m_connections.closeExpired(now);
     m_sessions.forget(now);
     m_crashes.forget(now - crashRetention);
+    endCold(now);
     m_limits.assignShares(now);
     announceLimits();
     m_pauses.forget(now);
     m_promptParts.forget(now);
     evaluateCrashes(now);
     m_brokenResponses.forget(now - brokenResponseRetention);
-    return { m_balancer.ownWork(), m_evidence, m_crashes.own(), { m_promptParts.news(now), m_limits.news(now) }, sessionsForPeers(now), isReady(), m_links.isLost(), m_promptParts.quarantinedCount(), m_limits.limitedCount(), threadCpuTime() };
+    return { m_balancer.ownWork(), m_evidence, m_crashes.own(), { m_promptParts.news(now), m_limits.news(now) }, sessionsForPeers(now), isReady(), m_links.isLost(), m_promptParts.quarantinedCount(), m_limits.limitedCount(), false, threadCpuTime() };
 }
 
 EligibleUpstreams TrafficState::findEligibleUpstreams(const ServiceId& id, const RoutedRequest& request, TimePoint now)
@@ -345,7 +381,7 @@
 {
     auto isUnderWay = [](const auto& it) { return it.second.stage == RolloutStage::Canary || it.second.stage == RolloutStage::Half; };
     bool passesOn = isInLargeSite() && std::any_of(m_view->rollouts.begin(), m_view->rollouts.end(), isUnderWay);
-    return passesOn ? m_sessions.all(now, maxPassedOnSessions) : m_sessions.own(now);
+    return passesOn ? m_sessions.inTurn(now, m_reports, maxPassedOnSessions) : m_sessions.own(now);
 }
 
 bool TrafficState::awaitsSessions(const RolloutView& rollout, TimePoint now) const
--- a/src/edge/traffic_state.h
+++ b/src/edge/traffic_state.h
@@ -158,6 +158,10 @@
     // Whether this instance, of all that take callers, is the one that probes the part.
     bool probesPart(const std::string& part) const;
     void withdrawWaiting(const std::string& part);
+    // Limits the requests to the upstreams of the view that are cold.
+    void limitCold(TimePoint now);
+    // Ends the limits of those that are cold no longer.
+    void endCold(TimePoint now);
     // Logs what the prompt part guard decided, withdraws the requests that this concerns, and asks for a report if peers must know of it.
     void announcePromptParts();
     // The same for limits of upstreams.
@@ -179,6 +183,11 @@
     PromptPartGuard m_promptParts;
     UpstreamLimits m_limits;
     UpstreamPauses m_pauses;
+    struct ColdProcess {
+        TimePoint until;
+        double requestsPerSecond = 0;
+    };
+    absl::flat_hash_map<std::string, ColdProcess> m_cold;
     std::function<void()> m_onUrgentNews;
     UnansweredRequests m_waiting;
     SessionReleases m_sessions;
@@ -189,6 +198,8 @@
     // When the process ends; set once it stops.
     std::optional<TimePoint> m_exitAt;
     TimePoint m_startedAt;
+    // Number of reports.
+    std::size_t m_reports = 0;
     // Timers of requests that wait for the first configuration. Each expires at its request's limit; the arrival of a
     // configuration cancels them all.
     std::list<asio::steady_timer*> m_configurationTimers;
--- /dev/null
+++ b/test/correctness/fleet_relay_test.cpp
@@ -0,0 +1,482 @@
+// Tests the relaying of heartbeats by hubs: simulated sites on virtual time, whose instances exchange heartbeats over a network that
+// loses, repeats, delays and reorders them, and the decoder with bytes that nobody sent.
+
+#include "core/membership/fleet_membership.h"
+
+#include <absl/strings/str_cat.h>
+#include <catch2/catch.hpp>
+#include <random>
+#include <rapidcheck.h>
+
+using namespace skylarkhitch;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr TimePoint start { 1000s };
+
+class RelayedSite {
+public:
+    using Link = std::function<bool(const std::string& from, const std::string& to)>;
+
+    RelayedSite(int count, int domains, unsigned seed = 7)
+        : m_random(seed)
+    {
+        for (int n = 0; n < count; ++n)
+            m_addresses[absl::StrCat("edge-", n)] = { absl::StrCat("domain-", n % domains) };
+        for (const auto& [name, domain] : m_addresses)
+            begin(name);
+    }
+
+    void begin(const std::string& name)
+    {
+        auto it = m_instances.insert_or_assign(name, std::make_unique<Instance>(Instance { FleetMembership({ { name }, ++m_incarnations }, m_addresses.at(name), name), m_incarnations, 0, m_now + 10ms * static_cast<int>(m_random() % 25) })).first;
+        it->second->membership.setListedPeers(m_addresses);
+    }
+    void kill(const std::string& name) { m_instances.erase(name); }
+    void setLossPercent(unsigned percent) { m_lossPercent = percent; }
+    // Messages for which the predicate does not hold are lost.
+    void setLink(Link link) { m_link = std::move(link); }
+    // Instances of an earlier version, which neither read nor send digests.
+    void makeOld(const std::string& name) { m_instances.at(name)->isOld = true; }
+
+    void run(Milliseconds time)
+    {
+        for (auto end = m_now + time; m_now < end; m_now += 10ms) {
+            deliver();
+            for (auto& [name, it] : m_instances) {
+                if (it->nextAt <= m_now)
+                    send(name, *it);
+            }
+        }
+    }
+
+    TimePoint now() const { return m_now; }
+    std::size_t size() const { return m_instances.size(); }
+    const FleetMembership& membership(const std::string& name) const { return m_instances.at(name)->membership; }
+    DomainId domainOf(const std::string& name) const { return m_addresses.at(name); }
+    std::vector<std::string> hubs() const
+    {
+        std::vector<std::string> names;
+        for (const auto& [name, it] : m_instances) {
+            if (it->membership.isHub())
+                names.push_back(name);
+        }
+        return names;
+    }
+    // How many instances count the other one as live.
+    std::size_t countingLive(const std::string& other, const std::function<bool(const std::string&)>& isAsked) const
+    {
+        std::size_t count = 0;
+        for (const auto& [name, it] : m_instances) {
+            for (const auto* peer : it->membership.livePeers(m_now))
+                count += isAsked(name) && peer->heartbeat.from.instance.value == other ? 1 : 0;
+        }
+        return count;
+    }
+    // The smallest number of others that an instance counts as live.
+    std::size_t leastLive() const
+    {
+        auto least = m_instances.size();
+        for (const auto& [name, it] : m_instances)
+            least = std::min(least, it->membership.livePeers(m_now).size());
+        return least;
+    }
+    // The smallest and largest sum of requests at others and of results that an instance knows. Each has one of both.
+    struct Known {
+        std::int64_t least = 1 << 30;
+        std::int64_t most = 0;
+        void add(std::int64_t n)
+        {
+            least = std::min(least, n);
+            most = std::max(most, n);
+        }
+    };
+    Known knownRequests() const
+    {
+        Known known;
+        for (const auto& [name, it] : m_instances) {
+            std::int64_t sum = 0;
+            for (const auto& [id, work] : it->membership.peerWork(m_now))
+                sum += work.requests;
+            known.add(sum);
+        }
+        return known;
+    }
+    Known knownResults() const
+    {
+        Known known;
+        for (const auto& [name, it] : m_instances) {
+            std::int64_t sum = 0;
+            for (const auto& [key, counters] : it->membership.siteEvidence({ { { { "s" }, "v2", "r", {} }, { .done = 1 } } }, m_now))
+                sum += counters.done;
+            known.add(sum);
+        }
+        return known;
+    }
+    std::size_t followers() const
+    {
+        std::size_t count = 0;
+        for (const auto& [name, it] : m_instances)
+            count += it->membership.shouldFollowStore(m_now) ? 1 : 0;
+        return count;
+    }
+    // Messages sent since the last call: in all, and by the instance that sent most.
+    std::pair<std::size_t, std::size_t> takeMessages()
+    {
+        std::size_t sum = 0, most = 0;
+        for (auto& [name, it] : m_instances) {
+            sum += it->messages;
+            most = std::max(most, it->messages);
+            it->messages = 0;
+        }
+        return { sum, most };
+    }
+
+private:
+    struct Instance {
+        FleetMembership membership;
+        std::uint64_t incarnation = 0;
+        std::uint64_t sequence = 0;
+        TimePoint nextAt;
+        bool isOld = false;
+        std::size_t messages = 0;
+    };
+    struct Message {
+        TimePoint at;
+        std::string to;
+        std::shared_ptr<const FleetHeartbeat> heartbeat;
+    };
+
+    void send(const std::string& name, Instance& it)
+    {
+        it.nextAt += FleetMembership::heartbeatPeriod;
+        FleetHeartbeat heartbeat;
+        heartbeat.from = { { name }, it.incarnation };
+        heartbeat.domain = m_addresses.at(name);
+        heartbeat.addresses = { absl::StrCat("entry-", name), name };
+        heartbeat.sequence = ++it.sequence;
+        heartbeat.ready = heartbeat.storeReachable = true;
+        heartbeat.storeAge = 100ms;
+        heartbeat.work[{ absl::StrCat("u-", it.incarnation % 48) }] = { 1, 100 };
+        heartbeat.evidence[{ { "s" }, "v2", "r", {} }] = { .done = 1 };
+        heartbeat.readsDigests = !it.isOld;
+        auto pass = [&](const std::vector<std::string>& receivers) {
+            auto shared = std::make_shared<const FleetHeartbeat>(heartbeat);
+            for (const auto& to : receivers)
+                passTo(name, it, to, shared);
+        };
+        pass(it.membership.nextReceivers(m_now));
+        if (it.isOld)
+            return;
+        auto targets = it.membership.nextTargets(false, m_now);
+        it.membership.sent(heartbeat);
+        using Scope = FleetMembership::DigestScope;
+        auto passDigest = [&](const std::vector<std::string>& receivers, Scope scope) {
+            if (receivers.empty())
+                return;
+            heartbeat.digest = it.membership.digest(heartbeat, scope, m_now);
+            pass(receivers);
+            heartbeat.digest.reset();
+        };
+        passDigest(targets.members, Scope::WholeSite);
+        passDigest(targets.newMembers, Scope::WholeSiteForNewMembers);
+        heartbeat.asksForDigest = true;
+        passDigest(targets.otherDomains, Scope::OwnDomain);
+        pass(targets.hubs);
+    }
+
+    void passTo(const std::string& from, Instance& it, const std::string& to, const std::shared_ptr<const FleetHeartbeat>& heartbeat)
+    {
+        ++it.messages;
+        if (m_random() % 100 < m_lossPercent || (m_link && !m_link(from, to)))
+            return;
+        int copies = m_random() % 100 < m_lossPercent ? 2 : 1;
+        for (int n = 0; n < copies; ++n)
+            m_messages.push_back({ m_now + 10ms * (1 + static_cast<int>(m_random() % (m_lossPercent > 0 ? 20 : 1))), to, heartbeat });
+    }
+
+    void deliver()
+    {
+        std::vector<Message> due;
+        std::erase_if(m_messages, [&](auto& it) {
+            if (it.at > m_now)
+                return false;
+            due.push_back(std::move(it));
+            return true;
+        });
+        for (const auto& message : due) {
+            auto it = m_instances.find(message.to);
+            if (it == m_instances.end())
+                continue;
+            if (it->second->isOld && message.heartbeat->readsDigests) {
+                auto plain = *message.heartbeat;
+                plain.readsDigests = plain.asksForDigest = false;
+                plain.digest.reset();
+                it->second->membership.onHeartbeat(plain, m_now);
+            } else
+                it->second->membership.onHeartbeat(*message.heartbeat, m_now);
+        }
+    }
+
+    std::map<std::string, DomainId> m_addresses;
+    std::map<std::string, std::unique_ptr<Instance>> m_instances;
+    std::vector<Message> m_messages;
+    std::mt19937 m_random;
+    unsigned m_lossPercent = 0;
+    Link m_link;
+    std::uint64_t m_incarnations = 0;
+    TimePoint m_now = start;
+};
+
+}
+
+// Guards against a cost of heartbeats that grows with the site, and against news that reach few or late.
+TEST_CASE("the instances of a large site know each other by way of hubs")
+{
+    for (int count : { 60, 350 }) {
+        DYNAMIC_SECTION(count << " instances in five domains")
+        {
+            RelayedSite site(count, 5);
+            auto others = static_cast<std::size_t>(count - 1);
+            site.run(5s);
+            CHECK(site.leastLive() == others);
+            SECTION("two hubs in each domain, which alone follow the store")
+            {
+                site.run(3s);
+                CHECK(site.hubs().size() == 10);
+                CHECK(site.followers() == 10);
+            }
+            SECTION("an instance sends four messages a second, a hub two a second to each of its domain")
+            {
+                site.takeMessages();
+                site.run(4s);
+                auto [sum, most] = site.takeMessages();
+                auto perDomain = static_cast<std::size_t>(count / 5);
+                CHECK(sum <= 4 * (static_cast<std::size_t>(count) * 4 + 10 * (2 * perDomain + 20)));
+                CHECK(most <= 4 * (2 * perDomain + 24));
+            }
+            SECTION("each knows the requests of all others, without its own, and the results of all")
+            {
+                CHECK(site.knownRequests().least >= count - 1);
+                CHECK(site.knownRequests().most <= count);
+                CHECK(site.knownResults().least == count);
+                CHECK(site.knownResults().most == count);
+            }
+            SECTION("nobody counts an instance that ended for longer than the stated time, nor again later")
+            {
+                const std::string lost = "edge-3";
+                auto isOwn = [&](const std::string& name) { return site.domainOf(name) == site.domainOf(lost); };
+                auto isAny = [](const std::string&) { return true; };
+                site.kill(lost);
+                site.run(FleetMembership::relayedLifetime + FleetMembership::heartbeatPeriod);
+                CHECK(site.countingLive(lost, isOwn) == 0);
+                site.run(FleetMembership::relayedLifetimeElsewhere - FleetMembership::relayedLifetime);
+                CHECK(site.countingLive(lost, isAny) == 0);
+                for (int n = 0; n < 20; ++n) {
+                    site.run(500ms);
+                    CHECK(site.countingLive(lost, isAny) == 0);
+                }
+                SECTION("and all count its next incarnation soon after it started")
+                {
+                    site.begin(lost);
+                    site.run(3s);
+                    CHECK(site.countingLive(lost, isAny) == others);
+                }
+            }
+            SECTION("losses, repetitions and reordering take nobody for dead")
+            {
+                site.setLossPercent(5);
+                site.run(2s);
+                auto least = site.size();
+                for (int n = 0; n < 20; ++n) {
+                    site.run(250ms);
+                    least = std::min(least, site.leastLive());
+                }
+                CHECK(least == others);
+                CHECK(site.knownResults().most <= count);
+            }
+            SECTION("the loss of all hubs takes nobody else with it")
+            {
+                auto hubs = site.hubs();
+                for (const auto& it : hubs)
+                    site.kill(it);
+                site.run(6s);
+                CHECK(site.leastLive() == site.size() - 1);
+                CHECK(site.knownResults().least >= static_cast<std::int64_t>(site.size()));
+                CHECK(site.followers() == 10);
+            }
+        }
+    }
+}
+
+// Guards against instances that depend on one hub and on links in both directions.
+TEST_CASE("instances of a large site know each other although some links are cut")
+{
+    RelayedSite site(295, 5, 11);
+    site.run(5s);
+    auto hub = site.hubs().front();
+    SECTION("a hub that hears nobody")
+    {
+        site.setLink([&](const std::string&, const std::string& to) { return to != hub; });
+        site.run(6s);
+        CHECK(site.countingLive("edge-7", [&](const auto& name) { return name != hub; }) == 293);
+    }
+    SECTION("a hub that half of its domain does not reach")
+    {
+        auto isCut = [&](const std::string& name) { return std::hash<std::string> {}(name) % 2 == 0; };
+        site.setLink([&](const std::string& from, const std::string& to) { return !(to == hub && isCut(from)) && !(from == hub && isCut(to)); });
+        site.run(6s);
+        CHECK(site.leastLive() == 294);
+    }
+    SECTION("two halves that do not reach each other, and then do")
+    {
+        auto half = [](const std::string& name) { return std::hash<std::string> {}(name) % 2; };
+        site.setLink([&](const std::string& from, const std::string& to) { return half(from) == half(to); });
+        site.run(8s);
+        CHECK(site.leastLive() > 100);
+        CHECK(site.leastLive() < 200);
+        site.setLink({});
+        site.run(9s);
+        CHECK(site.leastLive() == 294);
+    }
+}
+
+// Guards against machines replaced one after the other, some of which run the earlier build.
+TEST_CASE("instances that read no digests and those that do know each other")
+{
+    RelayedSite site(120, 4, 5);
+    for (int n = 0; n < 120; n += 2)
+        site.makeOld(absl::StrCat("edge-", n));
+    site.run(12s);
+    CHECK(site.leastLive() == 119);
+    site.setLossPercent(3);
+    site.run(10s);
+    CHECK(site.leastLive() >= 118);
+}
+
+TEST_CASE("a small site needs no hubs")
+{
+    RelayedSite site(8, 3);
+    site.run(3s);
+    CHECK(site.leastLive() == 7);
+    CHECK(site.knownRequests().least == 7);
+    CHECK(site.knownResults().least == 8);
+    CHECK(site.followers() == 3);
+    site.kill("edge-3");
+    site.run(1350ms);
+    CHECK(site.leastLive() == 6);
+    CHECK(site.countingLive("edge-3", [](const auto&) { return true; }) == 0);
+}
+
+namespace {
+
+FleetHeartbeat fullHeartbeat()
+{
+    FleetHeartbeat it;
+    it.from = { { "edge-1" }, 7 };
+    it.domain = { "a" };
+    it.addresses = { "10.0.0.1:80", "10.0.0.1:70" };
+    it.sequence = 9;
+    it.ready = true;
+    it.work[{ "u-1" }] = { 2, 300 };
+    it.readsDigests = it.asksForDigest = true;
+    it.digest.emplace();
+    it.digest->rows = { { 0xdeadbeef, 65535, 12, true, false, true, true }, { 1, 2, 3, false, true, false, false } };
+    it.digest->identities = { { { { "edge-2" }, 1ULL << 63 }, { "b" }, "10.0.0.2:80", "10.0.0.2:70" } };
+    it.digest->sums = { 3, { { { "u-1" }, { 5, 700 } } }, { { { { "s" }, "v2", "r", { "m" } }, { .done = 4, .failed = 1 } } } };
+    it.digest->crashes[{ "edge-2" }]["f00d"] = 2;
+    return it;
+}
+
+// Takes the bytes in, whatever they are.
+void takeIn(const std::string& bytes)
+{
+    FleetMembership membership({ { "self" }, 1 }, { "a" }, "self:70");
+    if (auto heartbeat = decodeHeartbeat(bytes)) {
+        membership.onHeartbeat(*heartbeat, start);
+        membership.nextReceivers(start);
+        membership.nextTargets(true, start);
+        membership.digest({}, FleetMembership::DigestScope::WholeSite, start);
+    }
+}
+
+}
+
+// Guards against a malformed datagram that ends a process or takes memory without limit.
+TEST_CASE("heartbeats with digests are read whole or not at all")
+{
+    auto sent = fullHeartbeat();
+    auto bytes = encodeHeartbeat(sent);
+    auto decoded = decodeHeartbeat(bytes);
+    REQUIRE(decoded);
+    REQUIRE(decoded->digest);
+    CHECK(decoded->asksForDigest);
+    CHECK(decoded->digest->rows == sent.digest->rows);
+    CHECK(decoded->digest->identities == sent.digest->identities);
+    CHECK(decoded->digest->sums.instances == 3);
+    CHECK(decoded->digest->sums.work.at({ "u-1" }).requests == 5);
+    CHECK(decoded->digest->sums.evidence == sent.digest->sums.evidence);
+    CHECK(decoded->digest->crashes == sent.digest->crashes);
+    SECTION("cut bytes are not read")
+    {
+        for (std::size_t n = 0; n < bytes.size(); ++n)
+            CHECK_FALSE(decodeHeartbeat(bytes.substr(0, n)));
+    }
+    SECTION("flipped and random bytes do no harm")
+    {
+        CHECK(rc::check("flipped", [&] {
+            auto flipped = bytes;
+            for (int n = *rc::gen::inRange(1, 6); n > 0; --n)
+                flipped[*rc::gen::inRange<std::size_t>(0, flipped.size())] = *rc::gen::arbitrary<char>();
+            takeIn(flipped);
+        }));
+        CHECK(rc::check("random", [&] { takeIn(*rc::gen::arbitrary<std::string>()); }));
+    }
+    SECTION("more rows and identities than a site can have are ignored")
+    {
+        sent.digest->rows.assign(maxDigestRows + 500, { 1, 2, 3 });
+        sent.digest->identities.assign(maxDigestIdentities + 10, sent.digest->identities.front());
+        auto large = decodeHeartbeat(encodeHeartbeat(sent));
+        REQUIRE(large);
+        CHECK(large->digest->rows.size() == maxDigestRows);
+        CHECK(large->digest->identities.size() == maxDigestIdentities);
+    }
+}
+
+// Guards against digests whose effect depends on their order or on repetition.
+TEST_CASE("digests may come in any order and repeatedly")
+{
+    CHECK(rc::check("order and repetition", [] {
+        std::vector<FleetHeartbeat> heartbeats;
+        std::uint64_t latest = 0;
+        for (int n = 0; n < 8; ++n) {
+            FleetHeartbeat it;
+            it.from = { { absl::StrCat("hub-", n) }, 1 };
+            it.domain = { "a" };
+            it.sequence = 1;
+            it.readsDigests = true;
+            it.digest.emplace();
+            auto number = *rc::gen::inRange<std::uint64_t>(1, 4);
+            latest = std::max(latest, number);
+            it.digest->identities = { { { { "edge-9" }, number }, { "a" }, "10.0.0.9:80", "10.0.0.9:70" } };
+            it.digest->rows = { { incarnationKey({ { "edge-9" }, number }), 1, static_cast<std::uint16_t>(*rc::gen::inRange(0, 90)), true, false, true, true } };
+            heartbeats.push_back(std::move(it));
+        }
+        auto youngest = std::numeric_limits<int>::max();
+        for (const auto& it : heartbeats) {
+            if (it.digest->identities[0].incarnation.number == latest)
+                youngest = std::min<int>(youngest, it.digest->rows[0].age);
+        }
+        std::shuffle(heartbeats.begin(), heartbeats.end(), std::mt19937(*rc::gen::arbitrary<unsigned>()));
+        FleetMembership membership({ { "self" }, 1 }, { "a" }, "self:70");
+        for (int round = 0; round < 2; ++round) {
+            for (const auto& it : heartbeats)
+                membership.onHeartbeat(it, start);
+        }
+        const auto& peer = membership.peers().at({ "edge-9" });
+        RC_ASSERT(peer.heartbeat.from.number == latest);
+        RC_ASSERT(peer.lastHeartbeatAt == start - Milliseconds(10 * youngest));
+        RC_ASSERT(peer.heartbeat.ready);
+    }));
+}
--- a/test/correctness/platform_test.cpp
+++ b/test/correctness/platform_test.cpp
@@ -247,3 +247,17 @@
     CHECK(decodeWrites(entry("15")) == 15);
     CHECK(decodeWrites("{}") == 0);
 }
+
+TEST_CASE("how long an upstream stays cold, and what it takes then, is read")
+{
+    DecodeError error;
+    auto entry = [](const std::string& cold) { return absl::StrCat(R"({"backend":"a","address":"10.0.0.1:80","zone":"z","version":"v1","capacity":4,"state":"ready","coldRemainingMs":)", cold, R"(,"seq":2})"); };
+    CHECK(decodeUpstream("i-1", entry("2500"), error)->coldFor == 2500ms);
+    CHECK(decodeUpstream("i-1", entry("-3"), error)->coldFor == 0ms);
+    CHECK(decodeUpstream("i-1", entry("1e300"), error)->coldFor == 600s);
+    CHECK(decodeUpstream("i-1", entry("\"long\""), error)->coldFor == 0ms);
+    auto configuration = decodeConfiguration(R"({"version":1,"routes":[],"backends":[{"name":"a","coldPerS":12.5},{"name":"b"}]})", error);
+    REQUIRE(configuration);
+    CHECK(configuration->services.at({ "a" }).coldRequestsPerSecond == 12.5);
+    CHECK(configuration->services.at({ "b" }).coldRequestsPerSecond == 0);
+}
--- a/test/correctness/traffic_state_test.cpp
+++ b/test/correctness/traffic_state_test.cpp
@@ -5,6 +5,7 @@
 
 #include <absl/strings/str_cat.h>
 #include <catch2/catch.hpp>
+#include <thread>
 
 using namespace skylarkhitch;
 using namespace std::chrono_literals;
@@ -109,3 +110,48 @@
         }
     }
 }
+
+// Guards against an upstream that has just started and crashes under its share of the load.
+TEST_CASE("a cold upstream gets few requests until it is warm")
+{
+    EventLoop loop;
+    EdgeMetrics metrics;
+    TrafficState traffic(loop, TrafficSettings { { "edge-1" } }, metrics);
+    auto view = canaryView(true, bootNow());
+    view.rollouts.clear();
+    view.entries = { { { "edge-1" }, { "a" }, "10.0.1.1:80" } };
+    auto configuration = *view.configuration;
+    configuration.services[assist].coldRequestsPerSecond = 4;
+    view.configuration = std::make_shared<RoutingConfiguration>(configuration);
+    auto& upstream = view.upstreams[assist].front();
+    upstream.coldUntil = bootNow() + 150ms;
+    traffic.setView(std::make_shared<const FleetView>(view));
+    auto allowed = [&] {
+        int count = 0;
+        for (int n = 0; n < 20; ++n) {
+            auto eligible = traffic.findEligibleUpstreams(assist, {}, bootNow()).allowed;
+            traffic.removeLimited(eligible, 1, bootNow());
+            if (std::any_of(eligible.begin(), eligible.end(), [](const auto* it) { return it->id.value == "i-1"; })) {
+                traffic.limits().sent("i-1/1", bootNow());
+                traffic.recordLimit("i-1/1", std::nullopt, bootNow());
+                ++count;
+            }
+        }
+        return count;
+    };
+    CHECK(allowed() <= 2);
+    SECTION("and then as many as others")
+    {
+        std::this_thread::sleep_for(200ms);
+        traffic.report();
+        CHECK(allowed() == 20);
+    }
+    SECTION("a service whose upstreams are never cold has no such limit")
+    {
+        TrafficState other(loop, TrafficSettings { { "edge-1" } }, metrics);
+        configuration.services[assist].coldRequestsPerSecond = 0;
+        view.configuration = std::make_shared<RoutingConfiguration>(configuration);
+        other.setView(std::make_shared<const FleetView>(view));
+        CHECK_FALSE(other.limits().isLimited("i-1/1"));
+    }
+}
