--- a/src/core/membership/fleet_membership.cpp
+++ b/src/core/membership/fleet_membership.cpp
@@ -231,10 +231,10 @@
 std::vector<std::string> FleetMembership::nextReceivers(TimePoint now)
 {
     std::vector<std::string> ownDomain, otherDomains, silentOwnDomain, silentOthers;
-    auto known = addresses(now);
-    m_ownDomainPeers = static_cast<std::size_t>(std::count_if(known.begin(), known.end(), [&](const auto& it) { return it.second == m_domain; }));
-    m_otherDomainPeers = known.size() - m_ownDomainPeers;
-    for (const auto& [address, domain] : known) {
+    m_addresses = addresses(now);
+    m_ownDomainPeers = static_cast<std::size_t>(std::count_if(m_addresses.begin(), m_addresses.end(), [&](const auto& it) { return it.second == m_domain; }));
+    m_otherDomainPeers = m_addresses.size() - m_ownDomainPeers;
+    for (const auto& [address, domain] : m_addresses) {
         bool isOwn = domain == m_domain;
         const auto* reader = findReader(address);
         if (!reader)
@@ -266,7 +266,7 @@
     if (isFullMesh())
         return {};
     FleetRelay::Candidates candidates;
-    for (const auto& [address, domain] : addresses(now)) {
+    for (const auto& [address, domain] : m_addresses) {
         const auto* reader = findReader(address);
         if (!reader && !m_olderAddresses.contains(address))
             candidates[domain].push_back({ address, true, {} });
@@ -278,7 +278,8 @@
 
 std::size_t FleetMembership::size(TimePoint now) const
 {
-    return std::max(livePeers(now).size(), addresses(now).size()) + 1;
+    auto addressCount = m_addresses.empty() ? addresses(now).size() : m_addresses.size();
+    return std::max(livePeers(now).size(), addressCount) + 1;
 }
 
 bool FleetMembership::shouldFollowStore(TimePoint now) const
--- a/src/core/membership/fleet_membership.h
+++ b/src/core/membership/fleet_membership.h
@@ -88,7 +88,7 @@
     std::vector<const FleetPeer*> livePeers(TimePoint now) const;
     // Returns the addresses that get the next heartbeat without asking for a digest, and advances the rotation.
     std::vector<std::string> nextReceivers(TimePoint now);
-    // Returns those that are asked for a digest or get one. None in a small site. An urgent heartbeat goes to all of them at once.
+    // Returns those that are asked for a digest or get one; to be called after nextReceivers(). None in a small site. An urgent heartbeat goes to all of them at once.
     FleetRelay::Targets nextTargets(bool isUrgent, TimePoint now);
     enum class DigestScope { OwnDomain,
         WholeSite,
@@ -150,8 +150,9 @@
     std::map<InstanceId, FleetPeer> m_peers;
     std::set<std::string> m_seedAddresses;
     std::map<std::string, DomainId> m_listedPeers;
-    // Number of peers in the own domain and in others when the last heartbeat was sent. isLive() derives from them how
+    // The addresses of all peers, and the number of peers in the own domain and in others, when the last heartbeat was sent. isLive() derives from them how
     // often each peer sends heartbeats to this instance.
+    std::map<std::string, DomainId> m_addresses;
     std::size_t m_ownDomainPeers = 0;
     std::size_t m_otherDomainPeers = 0;
     // Positions of the rotation in nextReceivers().
--- a/src/edge/control_plane.cpp
+++ b/src/edge/control_plane.cpp
@@ -644,7 +644,7 @@
         view->upstreams[it.service].push_back(it);
     view->rollouts = m_rollouts.rolloutViews();
     view->entries = entries(now);
-    view->knownInstances = m_fleet.size(now);
+    view->knownInstances = m_lastFleet.known > 0 ? m_lastFleet.known : m_fleet.size(now);
     view->isFullMesh = m_fleet.isFullMesh();
     view->storeRevision = m_mirror.revision();
     view->upToDateAt = upToDateAt(now);
