Take no earlier refusal for the answer to a request, and let slow streams go on

What callers could see: (1) an upstream that writes an earlier refusal once more on a kept connection made an instance say "not run, try again" (429) for a request that the upstream runs, or run it at a second one. Cause: a response that says it has not run was taken without regard to the request that it names, and streams that may not be resumed used kept connections. Now a refusal that names another request is a malformed response (outcome unknown, 502), and whatever may run once has a connection of its own. (2) A stream whose events come later than twice the target was cut where no other upstream may be asked, which helps nobody. Now only the time of the request ends it there; bytes that are no event move no deadline, as before. (3) Ruled out by a new test that passed at once: an error of the upstream that is asked after a stream broke off does not reach the caller. Refusals that name no request are taken on kept connections where the route allows repetition, since not all upstreams name one.

--- a/src/edge/request_forwarder.cpp
+++ b/src/edge/request_forwarder.cpp
@@ -277,9 +277,9 @@
 {
     m_triedUpstreams.push_back(upstream.id);
     m_traffic.limits().sent(processName(upstream), bootNow());
-    // A non-idempotent request gets a new connection: on a reused one, a late response to an earlier request could be taken
-    // for its own.
-    auto connection = m_admitted.route->kind == RouteKind::NonIdempotent ? nullptr : m_traffic.connections().acquire(upstream, bootNow());
+    // A request that may run once gets a new connection: on a reused one, a late response or a refusal of an earlier request could
+    // be taken for its own.
+    auto connection = !m_admitted.route->isRetryable() ? nullptr : m_traffic.connections().acquire(upstream, bootNow());
     bool isReused = connection != nullptr;
     if (!connection)
         connection = m_traffic.connections().create();
@@ -372,7 +372,7 @@
 
 Awaitable<RequestForwarder::AttemptResult> RequestForwarder::sendAndReceive(const UpstreamEntry& upstream, std::shared_ptr<UpstreamConnection> connection)
 {
-    connection->setDeadline(responseTimeout(m_admitted.route->isRetryable() && m_possibleRuns < m_admitted.route->maxAttempts));
+    connection->setDeadline(responseTimeout());
     if (!co_await connection->send(requestHead(upstream), m_admitted.request.body))
         co_return AttemptResult { AttemptEnd::NotSent, false };
     ResponseHead head;
@@ -383,8 +383,9 @@
     if (response.load)
         m_traffic.balancer().reported(upstream.id, *response.load, bootNow());
     recordWishes(upstream, response);
-    // A response that does not name this request may be a late response to another one.
-    if (response.answeredRequest != m_admitted.request.id && !response.notRun)
+    // A response that does not name this request may be a late response to another one. Refusals may name none.
+    bool namesOther = response.answeredRequest != m_admitted.request.id && !(response.notRun && response.answeredRequest.empty());
+    if (namesOther)
         co_return AttemptResult { toAttemptEnd(connection->reject("response to another request")), false };
     if (response.wrongInstance)
         m_traffic.endedIncarnations().end(upstream);
@@ -433,6 +434,7 @@
     }
     auto status = response.status;
     recordFirstByte(now);
+    countOutcome(isGood ? "none" : "upstream_error");
     co_await m_caller->respond(toCallerResponse(std::move(response), std::move(body.bytes)));
     logOutcome(isGood ? "none" : "upstream_error", status);
     co_return result;
@@ -474,6 +476,7 @@
         if (isComplete) {
             recordStreamServed(upstream, connection->endsWithConnection());
             releaseConnection(upstream, connection, keepAliveTimeout, bootNow());
+            countOutcome("none");
             co_await m_caller->endBody();
             logOutcome("none", 200);
             co_return AttemptResult { AttemptEnd::Completed, true };
@@ -485,7 +488,7 @@
             continue;
         recordOutlived(upstream, bootNow());
         auto gap = std::max(minEventGapTimeout, scaled(m_admitted.route->targetGap, eventGapTimeoutFactor));
-        connection->setDeadline(std::min(gap, timeLeft()));
+        connection->setDeadline(mayTryAnother() ? std::min(gap, timeLeft()) : timeLeft());
     }
 }
 
@@ -696,10 +699,16 @@
     m_traffic.metrics().firstByte(m_admitted.team.value_or(TeamId {}), m_admitted.rank, now - m_received.receivedAt);
 }
 
-void RequestForwarder::logOutcome(std::string_view error, int status) const
+void RequestForwarder::countOutcome(std::string_view error)
 {
+    if (!std::exchange(m_isOutcomeCounted, true))
+        m_traffic.metrics().requestEnded(m_admitted.team.value_or(TeamId {}), m_admitted.rank, std::string(error), bootNow() - m_received.receivedAt);
+}
+
+void RequestForwarder::logOutcome(std::string_view error, int status)
+{
+    countOutcome(error);
     auto now = bootNow();
-    m_traffic.metrics().requestEnded(m_admitted.team.value_or(TeamId {}), m_admitted.rank, std::string(error), now - m_received.receivedAt);
     LogLine line(error == "none" || error == "caller_left" ? LogLevel::Info : LogLevel::Warning, "request");
     line.with("id", m_admitted.request.id.value).with("status", status).with("error", error).with("route", m_admitted.route ? m_admitted.route->name : "").with("team", m_admitted.team ? m_admitted.team->value : "");
     line.with("service", serviceName()).with("upstream", m_triedUpstreams.empty() ? "" : m_triedUpstreams.back().value).with("upstreams_tried", static_cast<std::int64_t>(m_triedUpstreams.size()));
@@ -724,9 +733,11 @@
     return std::max(Milliseconds(0), toMilliseconds(m_admitted.deadline - bootNow()));
 }
 
-Milliseconds RequestForwarder::responseTimeout(bool mayTryAnother) const
+bool RequestForwarder::mayTryAnother() const { return m_admitted.route->isRetryable() && m_possibleRuns < m_admitted.route->maxAttempts; }
+
+Milliseconds RequestForwarder::responseTimeout() const
 {
-    if (!mayTryAnother)
+    if (!mayTryAnother())
         return timeLeft();
     auto timeout = m_admitted.route->kind == RouteKind::Streaming
         ? std::max(minFirstEventTimeout, scaled(m_admitted.route->targetLatency, firstEventTimeoutFactor))
--- a/src/edge/request_forwarder.h
+++ b/src/edge/request_forwarder.h
@@ -87,12 +87,16 @@
     // Records that the upstream still runs after it began the response, once that has lasted long enough.
     void recordOutlived(const UpstreamEntry&, TimePoint now);
     void recordFirstByte(TimePoint now);
-    void logOutcome(std::string_view error, int status) const;
+    // Counts the outcome in the metrics, once, and before the last byte of the response: callers may look at them right after it.
+    void countOutcome(std::string_view error);
+    void logOutcome(std::string_view error, int status);
     // Empty before the request is admitted.
     std::string serviceName() const { return m_admitted.service ? m_admitted.service->name.value : std::string(); }
     Milliseconds timeLeft() const;
+    // Whether the route allows another attempt after the current one.
+    bool mayTryAnother() const;
     // Time to wait for the response head, or for a stream's first event. Shorter if another upstream may be tried.
-    Milliseconds responseTimeout(bool mayTryAnother) const;
+    Milliseconds responseTimeout() const;
 
     TrafficState& m_traffic;
     std::shared_ptr<CallerConnection> m_caller;
@@ -115,6 +119,7 @@
     // Peers by way of which the request was sent.
     std::set<InstanceId> m_triedPeers;
     bool m_isArrivalCounted = false;
+    bool m_isOutcomeCounted = false;
     std::vector<UpstreamId> m_triedUpstreams;
     // Attempts that reached an upstream, whether it ran the request or not.
     std::int64_t m_deliveredAttempts = 0;
--- a/test/processes/upstream_signals_test.cpp
+++ b/test/processes/upstream_signals_test.cpp
@@ -1,9 +1,11 @@
-// Tests with an instance as a process and upstreams that say in their answers that they leave, or how long they want nothing.
+// Tests with an instance as a process and upstreams whose answers say more than a result: that they leave, how long they want nothing, or
+// what an earlier request got.
 
 #include "processes/edge_site.h"
 
 #include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
+#include <atomic>
 #include <catch2/catch.hpp>
 #include <thread>
 
@@ -165,3 +167,112 @@
         CHECK(instance.isReady());
     }
 }
+
+// Guards against callers that are told "not run, try again" for a request that an upstream runs.
+TEST_CASE("an earlier refusal that is written once more is not taken for the answer to a later request")
+{
+    Site site;
+    EdgeInstance instance("edge-1", site.store.address());
+    REQUIRE(waitUntil(5s, [&] { return instance.isReady(); }));
+    // Refuses its first request, and writes that refusal again in answer to each later one, which it runs.
+    auto repeatRefusal = [refused = std::make_shared<std::map<std::thread::id, std::string>>(), mutex = std::make_shared<std::mutex>()](const RawRequest& request, RawConnection& connection) {
+        std::lock_guard lock(*mutex);
+        auto& first = (*refused)[std::this_thread::get_id()];
+        if (first.empty())
+            first = request.field("X-Attempt-Id");
+        return connection.write(responseBytes(503, "", { { "X-Attempt-Id", first }, { "X-Not-Executed", "1" }, { "Keep-Alive", "timeout=5" } }));
+    };
+    SECTION("where the route allows several runs, its outcome is unknown")
+    {
+        site.setScripts(repeatRefusal);
+        CHECK(statusOf(sendRequest(instance, requestBytes("GET", "/status/x", "first"))) == 429);
+        CHECK(statusOf(sendRequest(instance, requestBytes("GET", "/status/x", "second"))) == 502);
+        CHECK_FALSE(instance.linesContaining("cause=\"response to another request\"").empty());
+    }
+    SECTION("where a stream cannot be resumed, each request has a connection of its own")
+    {
+        auto configuration = nlohmann::json::parse(sampleConfiguration(5));
+        for (auto& it : configuration["routes"])
+            it["streamResume"] = false;
+        site.store.put("op/config", configuration.dump());
+        REQUIRE(waitUntil(3s, [&] { return !instance.linesContaining("configuration version=5").empty(); }));
+        auto connections = std::make_shared<std::map<std::thread::id, int>>();
+        auto mutex = std::make_shared<std::mutex>();
+        auto stream = streamEvents(2, 2ms);
+        site.setEngineScripts([=](const RawRequest& request, RawConnection& connection) {
+            {
+                std::lock_guard lock(*mutex);
+                ++(*connections)[std::this_thread::get_id()];
+            }
+            return stream(request, connection);
+        });
+        for (int n = 0; n < 8; ++n)
+            CHECK(statusOf(sendRequest(instance, requestBytes("POST", "/draft/x", absl::StrCat("own-", n), "X-Model-Name: *\r\nX-Token-Count: 10,5\r\n", "p"))) == 200);
+        std::lock_guard lock(*mutex);
+        for (const auto& [thread, n] : *connections)
+            CHECK(n == 1);
+    }
+}
+
+// Guards against callers that find an error's text in the middle of their stream, or an end after it.
+TEST_CASE("a stream that broke off does not end with the error of the upstream that was asked next")
+{
+    Site site;
+    EdgeInstance instance("edge-1", site.store.address());
+    REQUIRE(waitUntil(5s, [&] { return instance.isReady(); }));
+    auto answers = std::make_shared<std::atomic<int>>(0);
+    int status = GENERATE(500, 503, 404);
+    CAPTURE(status);
+    site.setEngineScripts([answers, status](const RawRequest& request, RawConnection& connection) {
+        if (++*answers > 1)
+            return connection.write(responseBytes(status, "what went wrong", { { "X-Attempt-Id", request.field("X-Attempt-Id") } }));
+        connection.write(absl::StrCat("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\nX-Confidence: 100\r\nX-Attempt-Id: ", request.field("X-Attempt-Id"), "\r\n\r\n", chunk("id: 1\ndata: a\n\n")));
+        std::this_thread::sleep_for(20ms);
+        connection.reset();
+        return false;
+    });
+    auto response = sendRequest(instance, requestBytes("POST", "/draft/x", "broken", "X-Model-Name: *\r\nX-Token-Count: 10,5\r\n", "p"));
+    CHECK(statusOf(response) == 200);
+    CHECK(absl::StrContains(response, "data: a"));
+    CHECK_FALSE(absl::StrContains(response, "what went wrong"));
+    CHECK_FALSE(absl::StrContains(response, absl::StrCat("HTTP/1.1 ", status)));
+    CHECK_FALSE(absl::EndsWith(response, "0\r\n\r\n"));
+    CHECK(*answers > 1);
+}
+
+// Guards against sound streams that are cut because their upstream is slow for a while.
+TEST_CASE("a slow stream goes on where no other upstream may be asked")
+{
+    Site site;
+    auto configuration = nlohmann::json::parse(sampleConfiguration(5));
+    for (auto& it : configuration["routes"]) {
+        it["streamResume"] = false;
+        it["timeoutMs"] = 8000;
+    }
+    site.store.put("op/config", configuration.dump());
+    EdgeInstance instance("edge-1", site.store.address());
+    REQUIRE(waitUntil(5s, [&] { return instance.isReady(); }));
+    SECTION("although its events come later than twice the target")
+    {
+        site.setEngineScripts(streamEvents(3, 2100ms));
+        auto connection = RawConnection::connect(instance.port());
+        REQUIRE(connection);
+        connection->write(requestBytes("POST", "/draft/x", "slow", "X-Model-Name: *\r\nX-Token-Count: 10,5\r\n", "p", 8000ms));
+        auto response = connection->readResponse(9s);
+        CHECK(absl::StrContains(response, "id: 3"));
+        CHECK(absl::EndsWith(response, "0\r\n\r\n"));
+    }
+    SECTION("and one that only sends bytes that are no event ends with its time")
+    {
+        site.setEngineScripts([](const RawRequest& request, RawConnection& connection) {
+            connection.write(absl::StrCat("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\nX-Confidence: 100\r\nX-Attempt-Id: ", request.field("X-Attempt-Id"), "\r\n\r\n", chunk("id: 1\ndata: a\n\n")));
+            for (int n = 0; n < 40 && connection.write(chunk(":\n")); ++n)
+                std::this_thread::sleep_for(150ms);
+            return false;
+        });
+        auto begin = std::chrono::steady_clock::now();
+        auto response = sendRequest(instance, requestBytes("POST", "/draft/x", "stalled", "X-Model-Name: *\r\nX-Token-Count: 10,5\r\n", "p", 3000ms));
+        CHECK(std::chrono::steady_clock::now() - begin < 3600ms);
+        CHECK_FALSE(absl::EndsWith(response, "0\r\n\r\n"));
+    }
+}
