--- a/test/correctness/fleet_test.cpp
+++ b/test/correctness/fleet_test.cpp
@@ -4,7 +4,9 @@
 #include "core/membership/store_mirror.h"
 #include "core/requests/event_stream_parser.h"
 
+#include <absl/strings/escaping.h>
 #include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
 
 using namespace skylarkhitch;
 using namespace std::chrono_literals;
@@ -83,6 +85,43 @@
     SECTION("a message of another type is rejected") { CHECK_FALSE(decodeHeartbeat("\x83\x01\x02\x03")); }
 }
 
+// Guards against machines that are replaced one after the other and do not understand each other's heartbeats.
+TEST_CASE("heartbeats of the build b7be96e are read, and it finds in ours all that it reads")
+{
+    // Written by that build.
+    auto bytes = absl::HexStringToBytes(
+        "9766656467652d31096768616c6c652d616b31302e302e302e313a38306b31302e302e302e313a373003f5f40518281904b0818363692d3103190fa0"
+        "818b6661737369737462763265636172647365736d616c6c070119038407fa42060000fa432140000281826466303064028183184d62763219012c81"
+        "6b31302e302e302e323a3730f58380808080818566617373697374627632184d6466756c6c1a004c4b40818563692d3318640414f50cf4");
+    auto decoded = decodeHeartbeat(bytes);
+    REQUIRE(decoded);
+    CHECK(decoded->from == Incarnation { { "edge-1" }, 9 });
+    CHECK(decoded->storeRevision == 5);
+    CHECK(decoded->sinceStoreUnreachable == 1200ms);
+    CHECK(decoded->work.at({ "i-1" }).waitingTokens == 4000);
+    CHECK(decoded->evidence.at({ { "assist" }, "v2", "cards", { "small" } }) == ReleaseCounters { 7, 1, 900ms, { 7, 33.5, 161.25 }, 2 });
+    CHECK(decoded->crashes.at("f00d") == 2);
+    CHECK(decoded->sessions.at(0).age == 300ms);
+    CHECK(decoded->rollouts.at(0).stage == RolloutStage::Full);
+    CHECK(decoded->heldBack.at(0).isDraining);
+    CHECK(decoded->configurationVersion == 12);
+    CHECK_FALSE(decoded->reachesUpstreams);
+    CHECK_FALSE(decoded->readsDigests);
+    SECTION("written again it is the same")
+    {
+        CHECK(encodeHeartbeat(*decoded) == bytes);
+    }
+    SECTION("the fields of that build stay what they were; one that it ignores follows")
+    {
+        decoded->readsDigests = decoded->asksForDigest = true;
+        decoded->digest.emplace();
+        auto ours = nlohmann::json::from_cbor(encodeHeartbeat(*decoded));
+        REQUIRE(ours.size() == 24);
+        ours.erase(23);
+        CHECK(ours == nlohmann::json::from_cbor(bytes));
+    }
+}
+
 TEST_CASE("a success whose latency is no evidence changes no mean latency")
 {
     ReleaseCounters counters;
