--- a/src/core/limits/upstream_limits.cpp
+++ b/src/core/limits/upstream_limits.cpp
@@ -123,7 +123,10 @@
     auto it = m_limits.find(process);
     if (it == m_limits.end() || !it->second.requestsPerSecond)
         return true;
-    return it->second.ownRate > 0 && savedAt(it->second, now) >= (rank == 0 ? 0 : 1);
+    // A process that was paused may have lost its shares without having noticed.
+    const auto& shares = it->second.shares;
+    bool ownsShare = std::any_of(shares.begin(), shares.end(), [&](const Owner& owner) { return owner.instance == m_self && isCurrent(owner, now); });
+    return ownsShare && it->second.ownRate > 0 && savedAt(it->second, now) >= (rank == 0 ? 0 : 1);
 }
 
 void UpstreamLimits::sent(const std::string& process, TimePoint now)
--- a/src/core/membership/fleet_membership.cpp
+++ b/src/core/membership/fleet_membership.cpp
@@ -166,7 +166,9 @@
     self.evidence = own;
     auto sums = m_relay.ownSums(self, heard, !isFullMesh(), now);
     const auto* relayed = isFullMesh() ? nullptr : m_relay.evidence(sums.instances, now);
-    return relayed ? *relayed : std::move(sums.evidence);
+    if (relayed)
+        return *relayed;
+    return std::move(sums.evidence);
 }
 
 std::map<InstanceId, std::map<std::string, std::int64_t>> FleetMembership::peerCrashes(TimePoint now) const
@@ -237,11 +239,9 @@
     for (const auto& [address, domain] : m_addresses) {
         bool isOwn = domain == m_domain;
         const auto* reader = findReader(address);
-        if (!reader)
-            (isOwn ? ownDomain : otherDomains).push_back(address);
-        else if (!isLive(*reader, now))
+        if (reader && !isLive(*reader, now))
             (isOwn ? silentOwnDomain : silentOthers).push_back(address);
-        else if (isFullMesh())
+        else if (!reader || isFullMesh())
             (isOwn ? ownDomain : otherDomains).push_back(address);
     }
     std::vector<std::string> chosen;
--- a/test/correctness/upstream_limits_test.cpp
+++ b/test/correctness/upstream_limits_test.cpp
@@ -348,3 +348,21 @@
         CHECK(ends.size() > 200);
     }
 }
+
+// Guards against a process that was paused and sends on a share that others have taken meanwhile.
+TEST_CASE("a share that was not renewed in time gives no room")
+{
+    UpstreamLimits limits({ "edge-1" });
+    limits.setInstances({ { "edge-1" } });
+    limits.recordResponse("i-1/1", 4, start);
+    limits.assignShares(start);
+    REQUIRE(limits.maySend("i-1/1", 1, start + 1s));
+    auto resumedAt = start + UpstreamLimits::ownershipLifetime + 1s;
+    CHECK_FALSE(limits.maySend("i-1/1", 1, resumedAt));
+    CHECK_FALSE(limits.maySend("i-1/1", 0, resumedAt));
+    SECTION("until it is the instance's own again")
+    {
+        limits.assignShares(resumedAt);
+        CHECK(limits.maySend("i-1/1", 0, resumedAt + 1s));
+    }
+}
--- a/test/performance/core_benchmark.cpp
+++ b/test/performance/core_benchmark.cpp
@@ -2,6 +2,7 @@
 
 #include "core/ledger/ledger_shard.h"
 #include "core/limits/admission.h"
+#include "core/membership/fleet_membership.h"
 #include "core/membership/membership.h"
 #include "core/rollout/version_evidence.h"
 #include "core/routing/session_pins.h"
@@ -85,6 +86,59 @@
 }
 BENCHMARK(takeHeartbeat)->Arg(10)->Arg(100)->Arg(455)->Arg(910)->Complexity();
 
+FleetHeartbeat makeFleetHeartbeat(int instance, int upstreams, std::uint64_t sequence)
+{
+    FleetHeartbeat it;
+    it.from = { { "edge-" + std::to_string(instance) }, 1 };
+    it.domain = { "d" + std::to_string(instance % 5) };
+    it.addresses = { "10.1.0.1:80", "10.1." + std::to_string(instance / 250) + "." + std::to_string(instance % 250) + ":70" };
+    it.sequence = sequence;
+    it.ready = it.storeReachable = it.readsDigests = true;
+    for (int n = 0; n < upstreams; ++n)
+        it.work[{ "upstream-" + std::to_string(n) }] = { 1, 2000 };
+    return it;
+}
+
+// One heartbeat of an instance of a large site: encoded, decoded and taken in by a hub that knows the given number of peers.
+void takeFleetHeartbeat(benchmark::State& state)
+{
+    auto peers = static_cast<int>(state.range(0)), upstreams = static_cast<int>(state.range(1));
+    FleetMembership hub({ { "hub" }, 1 }, { "d0" }, "10.0.0.1:70");
+    for (int n = 0; n < peers; ++n)
+        hub.onHeartbeat(makeFleetHeartbeat(n, 4, 1), start);
+    std::uint64_t sequence = 1;
+    std::size_t bytes = 0;
+    for (auto _ : state) {
+        auto encoded = encodeHeartbeat(makeFleetHeartbeat(0, upstreams, ++sequence));
+        bytes = encoded.size();
+        hub.onHeartbeat(*decodeHeartbeat(encoded), start);
+    }
+    state.counters["bytes"] = static_cast<double>(bytes);
+}
+BENCHMARK(takeFleetHeartbeat)->ArgsProduct({ { 24, 60, 300 }, { 4, 40, 245 } });
+
+// One digest of the whole site: made and encoded by a hub, decoded and taken in by an instance of its domain.
+void takeDigest(benchmark::State& state)
+{
+    auto peers = static_cast<int>(state.range(0)), upstreams = static_cast<int>(state.range(1));
+    FleetMembership hub({ { "hub" }, 1 }, { "d0" }, "10.0.0.1:70");
+    FleetMembership member({ { "member" }, 1 }, { "d0" }, "10.0.0.2:70");
+    auto own = makeFleetHeartbeat(400, upstreams, 1);
+    for (int n = 0; n < peers; ++n)
+        hub.onHeartbeat(makeFleetHeartbeat(n, std::max(1, upstreams / 10), 1), start);
+    std::size_t bytes = 0;
+    auto now = start + FleetMembership::relayedLifetime;
+    for (auto _ : state) {
+        ++own.sequence;
+        own.digest = hub.digest(own, FleetMembership::DigestScope::WholeSite, now);
+        auto encoded = encodeHeartbeat(own);
+        bytes = encoded.size();
+        member.onHeartbeat(*decodeHeartbeat(encoded), now);
+    }
+    state.counters["bytes"] = static_cast<double>(bytes);
+}
+BENCHMARK(takeDigest)->ArgsProduct({ { 24, 60, 300 }, { 4, 40, 245 } });
+
 void admit(benchmark::State& state)
 {
     Admission admission;
