Forget crashes that their witness no longer tells of, also across hubs

What callers saw: nothing yet; found by reading. In a large site a request that had crashed upstreams stayed refused for ever. Cause: hubs merged the crash counts that other hubs told by maximum and passed them on, so each kept the other's memory alive after the witness had forgotten (crashes are kept for 120 s). Change: each digest replaces what was known of an instance, with the time; what a hub of the own domain told is not passed on.

--- a/src/core/membership/fleet_digest.h
+++ b/src/core/membership/fleet_digest.h
@@ -49,12 +49,14 @@
     ReleaseEvidence evidence;
 };
 
+// Of each instance, the fingerprints of requests that crashed upstreams, with the number of upstreams that each crashed.
+using CrashCounts = std::map<InstanceId, std::map<std::string, std::int64_t>>;
+
 struct FleetDigest {
     std::vector<LivenessRow> rows;
     std::vector<InstanceIdentity> identities;
     FleetSums sums;
-    // Of each instance, the fingerprints of requests that crashed upstreams, with the number of upstreams that each crashed.
-    std::map<InstanceId, std::map<std::string, std::int64_t>> crashes;
+    CrashCounts crashes;
 };
 
 // Bounds of what is taken from one digest; the rest of a longer one is ignored.
--- a/src/core/membership/fleet_membership.cpp
+++ b/src/core/membership/fleet_membership.cpp
@@ -39,11 +39,12 @@
 {
     m_relay.onHeartbeat(heartbeat, now);
     if (heartbeat.digest)
-        learn(*heartbeat.digest, now);
+        learn(*heartbeat.digest, heartbeat.domain == m_domain, now);
 }
 
-void FleetMembership::learn(const FleetDigest& digest, TimePoint now)
+void FleetMembership::learn(const FleetDigest& digest, bool isOwnDomain, TimePoint now)
 {
+    std::erase_if(m_relayedCrashes, [&](const auto& it) { return now - it.second.at > relayedCrashTime; });
     for (const auto& it : digest.identities)
         learnIdentity(it, now);
     for (const auto& it : digest.rows) {
@@ -61,11 +62,8 @@
         heartbeat.storeReachable = it.storeReachable;
     }
     for (const auto& [id, crashes] : digest.crashes) {
-        if (id == m_self.instance || (m_relayedCrashes.size() >= maxRelayedCrashes && !m_relayedCrashes.contains(id)))
-            continue;
-        auto& known = m_relayedCrashes[id];
-        for (const auto& [fingerprint, n] : crashes)
-            known[fingerprint] = std::max(known[fingerprint], n);
+        if (id != m_self.instance && (m_relayedCrashes.size() < maxRelayedCrashes || m_relayedCrashes.contains(id)))
+            m_relayedCrashes[id] = { crashes, isOwnDomain, now };
     }
 }
 
@@ -121,9 +119,14 @@
             digest.identities.push_back({ it.heartbeat.from, it.heartbeat.domain, it.heartbeat.addresses.entry, it.heartbeat.addresses.peers });
     }
     digest.sums = m_relay.ownSums(own, summedPeers(now), isWholeSite, now);
-    digest.crashes = peerCrashes(now);
+    digest.crashes = heardCrashes(now);
     if (!own.crashes.empty())
         digest.crashes[m_self.instance] = own.crashes;
+    for (const auto& [id, it] : m_relayedCrashes) {
+        // What came from a hub of the own domain is not passed on, so that nothing goes round.
+        if (isWholeSite && !it.isFromOwnDomain)
+            digest.crashes.try_emplace(id, it.crashes);
+    }
     return digest;
 }
 
@@ -171,12 +174,23 @@
     return std::move(sums.evidence);
 }
 
-std::map<InstanceId, std::map<std::string, std::int64_t>> FleetMembership::peerCrashes(TimePoint now) const
+CrashCounts FleetMembership::heardCrashes(TimePoint now) const
 {
-    auto crashes = m_relayedCrashes;
-    for (const auto* it : livePeers(now)) {
-        if (!it->heartbeat.crashes.empty())
-            crashes[it->heartbeat.from.instance] = it->heartbeat.crashes;
+    CrashCounts crashes;
+    for (const auto& [id, it] : m_peers) {
+        bool isHeard = it.lastHeardAt != TimePoint {} && isLive(it, now) && (isFullMesh() || now - it.lastHeardAt <= relayedCrashTime);
+        if (isHeard && !it.heartbeat.crashes.empty())
+            crashes[id] = it.heartbeat.crashes;
+    }
+    return crashes;
+}
+
+CrashCounts FleetMembership::peerCrashes(TimePoint now) const
+{
+    auto crashes = heardCrashes(now);
+    for (const auto& [id, it] : m_relayedCrashes) {
+        if (now - it.at <= relayedCrashTime)
+            crashes.try_emplace(id, it.crashes);
     }
     return crashes;
 }
--- a/src/core/membership/fleet_membership.h
+++ b/src/core/membership/fleet_membership.h
@@ -102,7 +102,7 @@
     // Results at all instances, given this one's own. Includes the last ones of peers that are no longer live.
     ReleaseEvidence siteEvidence(const ReleaseEvidence& own, TimePoint now) const;
     // Crash counts of the peers, by request fingerprint.
-    std::map<InstanceId, std::map<std::string, std::int64_t>> peerCrashes(TimePoint now) const;
+    CrashCounts peerCrashes(TimePoint now) const;
     bool isHub() const { return m_relay.isHub(); }
     // All peers that have sent a heartbeat, live or not.
     const std::map<InstanceId, FleetPeer>& peers() const { return m_peers; }
@@ -130,11 +130,16 @@
     static constexpr Milliseconds newIdentityTime { 5000 };
     // Parts in which digests tell of the instances of other domains. An odd number, since a member gets every second digest.
     static constexpr std::size_t otherDomainParts = 3;
+    // Instances of which crashes are kept that hubs told, and for how long after they last did. A hub tells twice a second, and its
+    // domain forgets one such time after it.
     static constexpr std::size_t maxRelayedCrashes = 64;
+    static constexpr Milliseconds relayedCrashTime { 2500 };
 
     // Takes in the part of a heartbeat that concerns relaying.
     void learnRelayed(const FleetHeartbeat&, TimePoint now);
-    void learn(const FleetDigest&, TimePoint now);
+    void learn(const FleetDigest&, bool isOwnDomain, TimePoint now);
+    // Crash counts of the peers heard directly.
+    CrashCounts heardCrashes(TimePoint now) const;
     void learnIdentity(const InstanceIdentity&, TimePoint now);
     LivenessRow rowOf(const FleetPeer&, TimePoint now) const;
     // The heartbeats of peers heard directly, whose requests in flight and results go into the sums of the own domain.
@@ -166,8 +171,12 @@
     absl::flat_hash_map<std::string, InstanceId> m_readers;
     // Addresses of instances of earlier versions.
     std::set<std::string> m_olderAddresses;
-    // What hubs told of crashes.
-    std::map<InstanceId, std::map<std::string, std::int64_t>> m_relayedCrashes;
+    struct RelayedCrashes {
+        std::map<std::string, std::int64_t> crashes;
+        bool isFromOwnDomain = false;
+        TimePoint at;
+    };
+    std::map<InstanceId, RelayedCrashes> m_relayedCrashes;
     // Number of digests of the whole site, and of all digests.
     std::size_t m_siteDigests = 0;
     std::size_t m_digests = 0;
--- a/test/correctness/fleet_relay_test.cpp
+++ b/test/correctness/fleet_relay_test.cpp
@@ -37,6 +37,13 @@
     void setLossPercent(unsigned percent) { m_lossPercent = percent; }
     // Messages for which the predicate does not hold are lost.
     void setLink(Link link) { m_link = std::move(link); }
+    // Makes an instance tell of a request that crashed upstreams; 0 if it has forgotten it.
+    void setCrashes(const std::string& name, std::int64_t count) { m_instances.at(name)->crashes = count; }
+    // How many others know of it.
+    std::size_t knowingCrashes(const std::string& name) const
+    {
+        return static_cast<std::size_t>(std::count_if(m_instances.begin(), m_instances.end(), [&](const auto& it) { return it.second->membership.peerCrashes(m_now).contains({ name }); }));
+    }
     // Instances of an earlier version, which neither read nor send digests.
     void makeOld(const std::string& name) { m_instances.at(name)->isOld = true; }
 
@@ -141,6 +148,7 @@
         TimePoint nextAt;
         bool isOld = false;
         std::size_t messages = 0;
+        std::int64_t crashes = 0;
     };
     struct Message {
         TimePoint at;
@@ -161,6 +169,8 @@
         heartbeat.work[{ absl::StrCat("u-", it.incarnation % 48) }] = { 1, 100 };
         heartbeat.evidence[{ { "s" }, "v2", "r", {} }] = { .done = 1 };
         heartbeat.readsDigests = !it.isOld;
+        if (it.crashes > 0)
+            heartbeat.crashes["f00d"] = it.crashes;
         auto pass = [&](const std::vector<std::string>& receivers) {
             auto shared = std::make_shared<const FleetHeartbeat>(heartbeat);
             for (const auto& to : receivers)
@@ -342,6 +352,19 @@
     }
 }
 
+// Guards against requests that are refused for ever, since hubs tell each other of a crash that its witness has forgotten.
+TEST_CASE("what crashed upstreams is known to all while its witness tells of it")
+{
+    RelayedSite site(120, 4, 3);
+    site.run(5s);
+    site.setCrashes("edge-5", 2);
+    site.run(3s);
+    CHECK(site.knowingCrashes("edge-5") == 119);
+    site.setCrashes("edge-5", 0);
+    site.run(8s);
+    CHECK(site.knowingCrashes("edge-5") == 0);
+}
+
 // Guards against machines replaced one after the other, some of which run the earlier build.
 TEST_CASE("instances that read no digests and those that do know each other")
 {
