Judge a release's latencies with regard to outliers

What callers saw: a good release taken back after a second. Cause: the verdict on mean latencies needs eight responses and nothing of their spread, and the one on typical latencies takes the others' spread for both releases, which does not contain the outlier. Change: a mean that is too high counts only if the logarithms of the latencies, with each release's own variance, are two standard errors above those of the others; typical latencies use the larger variance. One late response of n is always about one standard error, so it cannot decide by itself; half or a quarter of the responses do, from 8 and 24 on. Where most responses have no logarithms (earlier builds, callers that left) nothing changes.

--- a/src/core/rollout/release_plan.cpp
+++ b/src/core/rollout/release_plan.cpp
@@ -25,6 +25,10 @@
         double target = 0;
         double expected = 0;
         std::int64_t comparedResponses = 0;
+        // Responses of which the logarithms of the latencies are known, their excess over the others' mean, and its variance.
+        std::int64_t logCount = 0;
+        double logExcess = 0;
+        double logVariance = 0;
     };
 
     double failureRate(const ReleaseCounters& it)
@@ -83,13 +87,36 @@
         return std::min(counters.target.abandoned, static_cast<std::int64_t>(static_cast<double>(counters.target.latency.count()) / slowestGoodLatency));
     }
 
+    double logVarianceOf(const LogLatencies& it)
+    {
+        auto n = static_cast<double>(it.count);
+        auto mean = it.sum / n;
+        return std::max(minLogVariance, it.squareSum / n - mean * mean);
+    }
+
+    // Each release has its own variance here: a single outlier raises that of the target more than its mean.
+    void addLogarithms(LatencyRatio& ratio, const CounterPair& counters)
+    {
+        const auto& target = counters.target.logLatencies;
+        const auto& others = counters.others.logLatencies;
+        if (target.count == 0 || others.count == 0)
+            return;
+        auto n = static_cast<double>(target.count);
+        auto othersCount = static_cast<double>(others.count);
+        ratio.logCount = target.count;
+        ratio.logExcess = target.sum - n * others.sum / othersCount;
+        ratio.logVariance = logVarianceOf(target) * n + logVarianceOf(others) * n * n / othersCount;
+    }
+
     // The latencies of one route and model; empty without enough requests of both.
     LatencyRatio compareLatencies(const CounterPair& counters, const RolloutSettings& settings)
     {
         auto compared = counters.target.done + comparedAbandoned(counters, settings);
         if (compared < settings.minResponsesPerRouteAndModel || counters.others.done < settings.minResponsesPerRouteAndModel)
             return {};
-        return { static_cast<double>(counters.target.latency.count()), meanLatency(counters.others) * static_cast<double>(counters.target.done), compared };
+        LatencyRatio ratio { static_cast<double>(counters.target.latency.count()), meanLatency(counters.others) * static_cast<double>(counters.target.done), compared };
+        addLogarithms(ratio, counters);
+        return ratio;
     }
 
     void add(LatencyRatio& sum, const LatencyRatio& it)
@@ -97,12 +124,23 @@
         sum.target += it.target;
         sum.expected += it.expected;
         sum.comparedResponses += it.comparedResponses;
+        sum.logCount += it.logCount;
+        sum.logExcess += it.logExcess;
+        sum.logVariance += it.logVariance;
+    }
+
+    // Whether one or two slow responses among the target's may explain a high mean. Unknown, and so no objection, if most responses
+    // are of instances that send no logarithms, or if their callers left.
+    bool mayBeOutliers(const LatencyRatio& ratio, const RolloutSettings& settings)
+    {
+        return ratio.logCount * 2 > ratio.comparedResponses && ratio.logExcess <= settings.slownessStandardErrors * std::sqrt(ratio.logVariance);
     }
 
     bool isSlower(const LatencyRatio& ratio, std::int64_t minComparedResponses, const RolloutSettings& settings)
     {
         auto margin = static_cast<double>(settings.minLatencyDifference.count() * ratio.comparedResponses);
-        return ratio.comparedResponses >= minComparedResponses && ratio.target > ratio.expected * settings.maxLatencyRatio && ratio.target > ratio.expected + margin;
+        bool isHigher = ratio.comparedResponses >= minComparedResponses && ratio.target > ratio.expected * settings.maxLatencyRatio && ratio.target > ratio.expected + margin;
+        return isHigher && !mayBeOutliers(ratio, settings);
     }
 
     // Sums over routes and models, each weighted by the target's responses.
@@ -120,11 +158,9 @@
             return;
         auto n = static_cast<double>(target.count);
         auto othersCount = static_cast<double>(others.count);
-        auto mean = others.sum / othersCount;
-        // The others' variance serves for both, since the target has too few responses at first.
-        auto variance = std::max(minLogVariance, others.squareSum / othersCount - mean * mean);
-        sum.logRatio += target.sum - n * mean;
-        sum.variance += variance * (n + n * n / othersCount);
+        // Few responses of the target may show too little variance, and an outlier among them shows only there.
+        sum.logRatio += target.sum - n * others.sum / othersCount;
+        sum.variance += std::max(logVarianceOf(target), logVarianceOf(others)) * (n + n * n / othersCount);
         sum.comparedResponses += target.count;
     }
 
--- a/src/core/rollout/release_plan.h
+++ b/src/core/rollout/release_plan.h
@@ -64,6 +64,8 @@
     // The target's engines are nearly idle while the others carry the load: good targets take 0.4 to 0.9 of the others' time
     // (benchmark, standard days), so a target that is several times slower shows a ratio of about two.
     double maxLatencyRatio = 1.8;
+    // Distance of the logarithms of the latencies, in standard errors, beyond which that ratio is not the work of a few outliers.
+    double slownessStandardErrors = 2;
     // Ratio of the typical latencies (geometric means) above which a target that shares the load with the others may be too slow.
     double maxTypicalRatio = 1.2;
     // Completed requests of the others per route and model, and of the target in all, required to compare typical latencies.
--- a/test/correctness/release_plan_test.cpp
+++ b/test/correctness/release_plan_test.cpp
@@ -165,6 +165,44 @@
     }
 }
 
+// Guards against a good release that is reverted for one response that a pause of its machine held up.
+TEST_CASE("a few late responses among quick ones are not evidence against a release")
+{
+    ReleaseEvidence evidence { { releaseRoute("v1"), responses(400, { 1ms, 2ms, 3ms, 2ms }) } };
+    SECTION("one of fourteen")
+    {
+        auto target = responses(13, { 1ms, 2ms, 3ms });
+        addSuccess(target, 500ms);
+        evidence[releaseRoute("v2")] = target;
+        CHECK_FALSE(judgeRelease(order, evidence).isBad);
+        SECTION("even if callers of others left early")
+        {
+            addAbandoned(evidence[releaseRoute("v2")], 1ms);
+            CHECK_FALSE(judgeRelease(order, evidence).isBad);
+        }
+    }
+    SECTION("one of each of two routes")
+    {
+        evidence[releaseRoute("v1", "tags")] = responses(400, { 4ms, 6ms });
+        for (const auto* route : { "cards", "tags" }) {
+            auto target = responses(7, { 2ms, 4ms });
+            addSuccess(target, 400ms);
+            evidence[releaseRoute("v2", route)] = target;
+        }
+        CHECK_FALSE(judgeRelease(order, evidence).isBad);
+    }
+    SECTION("but half of them are, also of few")
+    {
+        evidence[releaseRoute("v2")] = responses(8, { 2ms, 500ms });
+        CHECK(judgeRelease(order, evidence).isBad);
+    }
+    SECTION("and a quarter of twenty-four")
+    {
+        evidence[releaseRoute("v2")] = responses(24, { 1ms, 2ms, 3ms, 500ms });
+        CHECK(judgeRelease(order, evidence).isBad);
+    }
+}
+
 // Guards against a slow release being given all sessions: responses of the old release vary so widely under load that the mean
 // latency of a slow one on idle engines is hardly above it.
 TEST_CASE("a slow release is found by its typical latency although the mean hides it")
