Let others follow the store in turn in an outage, and ask it less often

Cause, read in the code: (1) while no follower had had a reply for 1.4 s, every instance followed the store, so an outage of 4.5 s was 295 instances that called two or three times a second, and refused calls are priced as well; (2) watches paused 0.9 s whatever time the platform gives for changes; (3) instances that read nothing themselves renewed a lease of 10 s every 2.5 s, mostly to learn whether the store is reachable, which their hubs tell them. Change: `membership/store_following` decides who follows: the standing ones, and while these lack replies two others at once and two more each second. Retries double from 0.2..0.4 s to 0.8..1.6 s, except before the first copy. Watches pause for 0.45 of the shorter of the platform's times for configurations and for draining (0.9 s where it gives 2 s, 1.8 s for 4 s; two new settings). Leases last 30 s and are renewed every 10 s by instances of a large site that do not follow. Hubs tell the age of their copy wherever it comes from, so that nobody takes their place while the store turns only them away. "Reaches the store" now means a reply within 2.9 s everywhere, so that the writer of rollouts is one that follows. Tests: test_fleet, "while the followers of the store lack replies". One check was wrong: it asked that all 18 instances follow when none had a reply lately, which is the storm; in its place stand exact numbers (5 at once, at most 12 of 60 after 4 s, all of them in the end, two again afterwards). test_fleet_relay: still 10 followers at 60 and 350, also after the loss of all hubs.

--- a/src/config/edge_settings.cpp
+++ b/src/config/edge_settings.cpp
@@ -19,6 +19,8 @@
         { "seed_port", &EdgeSettings::seedPort, "port", { 0, 65535 }, false, "port that overrides the port of every seed; 0 keeps the ports of the seeds" },
         { "store", &EdgeSettings::store, "ip:port", {}, true, "address of the platform's store" },
         { "log_level", &EdgeSettings::logLevel, "-", {}, false, "minimum level of log lines: debug, info, warning or error" },
+        { "configuration_limit_ms", &EdgeSettings::configurationLimitMs, "ms", { 100, 60000 }, false, "time within which a new configuration must be in force; bounds how long changes of the store are collected before they are read" },
+        { "drain_limit_ms", &EdgeSettings::drainLimitMs, "ms", { 100, 60000 }, false, "the same for upstreams that drain" },
         { "stop_grace_s", &EdgeSettings::stopGraceSeconds, "s", seconds, false, "time from SIGTERM until the platform kills the process" },
         { "session_s", &EdgeSettings::sessionSeconds, "s", seconds, false, "idle time after which the next request of a session may use another release" },
         { "entry_keep_s", &EdgeSettings::entryKeepSeconds, "s", { 1, 60 }, false, "how long callers may cache the entry addresses that they were given" },
--- a/src/config/edge_settings.h
+++ b/src/config/edge_settings.h
@@ -28,6 +28,9 @@
     // Address (ip:port) of the platform's store.
     std::string store;
     std::string logLevel = "info";
+    // Times within which a new configuration must be in force, and within which an upstream that drains must get nothing more.
+    double configurationLimitMs = 2000;
+    double drainLimitMs = 2000;
     // Time from SIGTERM until the platform kills the process.
     double stopGraceSeconds = 8;
     // Idle time after which the next request of a session may use another release.
@@ -40,6 +43,8 @@
     // Additional retries per window, over all instances.
     double retryHeadroom = 10;
 
+    Milliseconds configurationLimit() const { return Milliseconds(static_cast<std::int64_t>(configurationLimitMs)); }
+    Milliseconds drainLimit() const { return Milliseconds(static_cast<std::int64_t>(drainLimitMs)); }
     Milliseconds stopGrace() const { return inMilliseconds(stopGraceSeconds); }
     Milliseconds sessionIdleTimeout() const { return inMilliseconds(sessionSeconds); }
     Milliseconds entryCacheTime() const { return inMilliseconds(entryKeepSeconds); }
--- a/src/core/membership/fleet_membership.cpp
+++ b/src/core/membership/fleet_membership.cpp
@@ -296,25 +296,39 @@
     return std::max(livePeers(now).size(), addressCount) + 1;
 }
 
-bool FleetMembership::shouldFollowStore(TimePoint now) const
+StoreFollowing::Peers FleetMembership::storeFollowingPeers(TimePoint now) const
 {
-    auto followers = isFullMesh() ? followersOfSmallSite : followersPerDomain;
-    std::size_t precedingFollowers = 0, freshFollowers = 0;
-    // Where hubs relay, they are the followers.
-    bool isRelayed = false;
-    for (const auto* it : livePeers(now)) {
+    StoreFollowing::Peers peers { .followers = isFullMesh() ? followersOfSmallSite : followersPerDomain };
+    auto live = livePeers(now);
+    bool isRelayed = !isFullMesh() && std::any_of(live.begin(), live.end(), [&](const auto* it) { return it->heartbeat.readsDigests && it->heartbeat.domain == m_domain; });
+    for (const auto* it : live) {
         const auto& heartbeat = it->heartbeat;
         bool isCandidate = isFullMesh() || heartbeat.domain == m_domain;
-        if (!isCandidate || !heartbeat.storeReachable || heartbeat.leaving || heartbeat.storeAge < Milliseconds(0))
+        if (!isCandidate || heartbeat.leaving)
             continue;
-        isRelayed = isRelayed || (heartbeat.readsDigests && !isFullMesh());
-        precedingFollowers += heartbeat.from.instance < m_self.instance ? 1 : 0;
-        freshFollowers += now - it->lastHeardAt + heartbeat.storeAge < maxFollowerStoreAge ? 1 : 0;
+        bool precedes = heartbeat.from.instance < m_self.instance;
+        peers.preceding += precedes ? 1 : 0;
+        if (heartbeat.storeAge < Milliseconds(0))
+            continue;
+        auto age = now - it->lastHeardAt + heartbeat.storeAge;
+        if (heartbeat.storeReachable) {
+            peers.precedingReaching += precedes ? 1 : 0;
+            peers.areReplied = peers.areReplied || age < maxFollowerStoreAge;
+        }
+        // A hub that the store turns away has its changes from another one.
+        peers.areReplied = peers.areReplied || (isRelayed && age < maxHubStoreAge);
     }
-    bool isFollower = isRelayed ? m_relay.isAmongHubs() : precedingFollowers < followers;
-    return isFollower || freshFollowers == 0;
+    // Where hubs relay, they are the followers.
+    if (isRelayed) {
+        peers.isHub = m_relay.isAmongHubs();
+        peers.followers = 0;
+        peers.precedingReaching = 0;
+    }
+    return peers;
 }
 
+bool FleetMembership::shouldFollowStore(TimePoint now) { return m_storeFollowing.shouldFollow(storeFollowingPeers(now), now); }
+
 bool FleetMembership::reachesStore(const FleetPeer& peer, TimePoint now) const
 {
     const auto& heartbeat = peer.heartbeat;
--- a/src/core/membership/fleet_membership.h
+++ b/src/core/membership/fleet_membership.h
@@ -8,6 +8,7 @@
 // which nothing was heard yet get heartbeats in rotation, most of them in the own domain: traffic between domains is charged.
 
 #include "core/membership/fleet_relay.h"
+#include "core/membership/store_following.h"
 
 #include <absl/container/flat_hash_map.h>
 #include <set>
@@ -63,9 +64,11 @@
     static constexpr std::size_t followersPerDomain = 2;
     // The same for a small site as a whole.
     static constexpr std::size_t followersOfSmallSite = 3;
-    // An instance also follows the store itself if no peer in its domain (or small site) that reaches the store had a reply from
-    // it within this time. Followers get a reply every second.
+    // Others take the place of followers if no peer in the domain (or small site) that reaches the store had a reply from it within
+    // this time. Followers get a reply every second.
     static constexpr Milliseconds maxFollowerStoreAge { 1400 };
+    // The same for hubs, which may have it from each other.
+    static constexpr Milliseconds maxHubStoreAge { 2900 };
     // An instance that has had no reply for longer is no evidence that the store is reachable. Those that do not follow the store
     // have one every 2.5 s.
     static constexpr Milliseconds maxStoreSilence { 2900 };
@@ -111,8 +114,8 @@
     // Whether each heartbeat goes to all known peers.
     bool isFullMesh() const { return m_ownDomainPeers + m_otherDomainPeers <= maxReceivers; }
     // Whether this instance should follow the store itself: a few instances of a small site, and of each domain of a large one, and
-    // others while none of them has had a recent store reply.
-    bool shouldFollowStore(TimePoint now) const;
+    // others in turn while these lack replies of the store.
+    bool shouldFollowStore(TimePoint now);
     // Whether the peer has had a recent store reply.
     bool reachesStore(const FleetPeer&, TimePoint now) const;
     // Returns the live peer with the highest mirror revision above the given one, or null if there is none. A peer of the
@@ -135,6 +138,8 @@
     static constexpr std::size_t maxRelayedCrashes = 64;
     static constexpr Milliseconds relayedCrashTime { 2500 };
 
+    // What the peers tell that matters to StoreFollowing.
+    StoreFollowing::Peers storeFollowingPeers(TimePoint now) const;
     // Takes in the part of a heartbeat that concerns relaying.
     void learnRelayed(const FleetHeartbeat&, TimePoint now);
     void learn(const FleetDigest&, bool isOwnDomain, TimePoint now);
@@ -166,6 +171,7 @@
     std::size_t m_silentNext = 0;
     std::size_t m_silentOthersNext = 0;
     FleetRelay m_relay;
+    StoreFollowing m_storeFollowing;
     // The instances by the key of their last incarnation, and those that read digests by their address.
     absl::flat_hash_map<std::uint32_t, InstanceId> m_keys;
     absl::flat_hash_map<std::string, InstanceId> m_readers;
--- a/src/edge/control_plane.h
+++ b/src/edge/control_plane.h
@@ -58,7 +58,11 @@
     Awaitable<void> servePeer(std::shared_ptr<CallerConnection>, ReceivedRequest);
     Awaitable<void> serveMetrics(std::shared_ptr<CallerConnection>, ReceivedRequest);
 
-    Milliseconds retryDelay();
+    // Time between two calls of the store's watch.
+    Milliseconds watchPause() const;
+    Milliseconds leaseRenewalTime(bool isRegistered);
+    // Whether the store served this instance lately.
+    bool reachesStore(TimePoint now) const;
     // Applies an update to the copy of the store, and publishes what it changes.
     void applyUpdate(const MirrorUpdate&);
     void itemChanged(const std::string& key, const StoreMirror::Item*);
