Leave a stream at an upstream that is silent for two seconds

Cause: the least time for silence was shorter than what sound upstreams take at times. Change: one bound of 2.5 s for both; twice the allowed pause and 1.5 times the target where these are longer, as before.

--- a/src/edge/request_forwarder.cpp
+++ b/src/edge/request_forwarder.cpp
@@ -20,12 +20,12 @@
     // Attempts allowed beyond the route's own limit, for upstreams that could not be reached.
     constexpr std::size_t maxUnreachableUpstreams = 6;
     // An upstream that has not answered within this multiple of the target latency has probably lost the request. The event
-    // stream factors apply to the first event and to the gap between events.
+    // stream factors apply to the first event and to the gap between events. A sound upstream may be silent for a second or two,
+    // and another one would read the whole prompt again.
     constexpr double responseTimeoutFactor = 2.5;
     constexpr double firstEventTimeoutFactor = 1.5;
-    constexpr Milliseconds minFirstEventTimeout { 2000 };
     constexpr double eventGapTimeoutFactor = 2;
-    constexpr Milliseconds minEventGapTimeout { 1500 };
+    constexpr Milliseconds minStreamSilence { 2500 };
     // Peers that a request is sent to in turn while they cannot be reached.
     constexpr std::size_t maxRelays = 3;
     // With less time than this left, no other upstream could still answer.
@@ -487,7 +487,7 @@
         if (events.events == 0)
             continue;
         recordOutlived(upstream, bootNow());
-        auto gap = std::max(minEventGapTimeout, scaled(m_admitted.route->targetGap, eventGapTimeoutFactor));
+        auto gap = std::max(minStreamSilence, scaled(m_admitted.route->targetGap, eventGapTimeoutFactor));
         connection->setDeadline(mayTryAnother() ? std::min(gap, timeLeft()) : timeLeft());
     }
 }
@@ -740,7 +740,7 @@
     if (!mayTryAnother())
         return timeLeft();
     auto timeout = m_admitted.route->kind == RouteKind::Streaming
-        ? std::max(minFirstEventTimeout, scaled(m_admitted.route->targetLatency, firstEventTimeoutFactor))
+        ? std::max(minStreamSilence, scaled(m_admitted.route->targetLatency, firstEventTimeoutFactor))
         : scaled(m_admitted.route->targetLatency, responseTimeoutFactor);
     return std::min(timeout, timeLeft());
 }
--- a/test/processes/upstream_signals_test.cpp
+++ b/test/processes/upstream_signals_test.cpp
@@ -276,3 +276,31 @@
         CHECK_FALSE(absl::EndsWith(response, "0\r\n\r\n"));
     }
 }
+
+// Guards against a second run of a long prompt, and against upstreams that are taken for dead, because one is silent for a moment.
+TEST_CASE("a stream is not begun again elsewhere while its upstream is silent for two seconds")
+{
+    Site site;
+    EdgeInstance instance("edge-1", site.store.address());
+    REQUIRE(waitUntil(5s, [&] { return instance.isReady(); }));
+    auto asked = std::make_shared<std::atomic<int>>(0);
+    auto pauseBefore = GENERATE(1, 2);
+    CAPTURE(pauseBefore);
+    site.setEngineScripts([asked, pauseBefore](const RawRequest& request, RawConnection& connection) {
+        ++*asked;
+        connection.write(absl::StrCat("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\nX-Confidence: 100\r\nX-Attempt-Id: ", request.field("X-Attempt-Id"), "\r\n\r\n"));
+        for (int n = 1; n <= 3; ++n) {
+            if (n == pauseBefore)
+                std::this_thread::sleep_for(2200ms);
+            connection.write(chunk(absl::StrCat("id: ", n, "\ndata: a\n\n")));
+        }
+        return connection.write("0\r\n\r\n");
+    });
+    auto connection = RawConnection::connect(instance.port());
+    REQUIRE(connection);
+    connection->write(requestBytes("POST", "/draft/x", "silent", "X-Model-Name: *\r\nX-Token-Count: 10,5\r\n", "p", 8000ms));
+    auto response = connection->readResponse(9s);
+    CHECK(absl::StrContains(response, "id: 3"));
+    CHECK(*asked == 1);
+    CHECK(instance.linesContaining("upstream_ejected").empty());
+}
