Pack the sums of a digest

What callers saw: nothing by itself. At 245 upstreams in use the sums of requests in flight, as JSON, were most of what a digest costs to take in; every instance of a large site takes in four a second. Change: the sums are bytes: for each upstream the length and text of its id and two numbers of seven bits a byte. Bounded to 4,000 rows; what follows a row that cannot be read is ignored.

--- a/src/core/membership/fleet_digest.cpp
+++ b/src/core/membership/fleet_digest.cpp
@@ -3,7 +3,9 @@
 #include "core/hashing.h"
 
 #include <absl/strings/str_cat.h>
+#include <algorithm>
 #include <nlohmann/json.hpp>
+#include <optional>
 
 namespace skylarkhitch {
 
@@ -59,6 +61,61 @@
         return rows;
     }
 
+    // Unsigned integers of any size, seven bits a byte, the lowest first.
+    void appendNumber(std::vector<std::uint8_t>& bytes, std::int64_t value)
+    {
+        auto rest = static_cast<std::uint64_t>(std::max<std::int64_t>(0, value));
+        for (; rest >= 0x80; rest >>= 7)
+            bytes.push_back(static_cast<std::uint8_t>(rest | 0x80));
+        bytes.push_back(static_cast<std::uint8_t>(rest));
+    }
+
+    // Reads from the position on and advances it. Returns nullopt at a number that is cut off or too large.
+    std::optional<std::int64_t> readNumber(const std::vector<std::uint8_t>& bytes, std::size_t& position)
+    {
+        std::uint64_t value = 0;
+        for (unsigned shift = 0; shift < 63 && position < bytes.size(); shift += 7) {
+            auto byte = bytes[position++];
+            value |= static_cast<std::uint64_t>(byte & 0x7f) << shift;
+            if (byte < 0x80)
+                return static_cast<std::int64_t>(value);
+        }
+        return std::nullopt;
+    }
+
+    // The sums name most upstreams of the site, so as JSON they took most of the time that a digest takes to decode.
+    Json packedWork(const std::map<UpstreamId, UpstreamWork>& work)
+    {
+        std::vector<std::uint8_t> bytes;
+        for (const auto& [id, it] : work) {
+            appendNumber(bytes, static_cast<std::int64_t>(id.value.size()));
+            bytes.insert(bytes.end(), id.value.begin(), id.value.end());
+            appendNumber(bytes, it.requests);
+            appendNumber(bytes, it.waitingTokens);
+        }
+        return Json::binary(std::move(bytes));
+    }
+
+    // What follows a row that cannot be read is ignored.
+    std::map<UpstreamId, UpstreamWork> workFromPacked(const Json& json)
+    {
+        std::map<UpstreamId, UpstreamWork> work;
+        const std::vector<std::uint8_t>& bytes = json.get_binary();
+        for (std::size_t n = 0; n < bytes.size() && work.size() < maxDigestUpstreams;) {
+            auto size = readNumber(bytes, n);
+            if (!size || static_cast<std::uint64_t>(*size) > bytes.size() - n)
+                break;
+            std::string id(bytes.begin() + static_cast<std::ptrdiff_t>(n), bytes.begin() + static_cast<std::ptrdiff_t>(n) + static_cast<std::ptrdiff_t>(*size));
+            n += static_cast<std::size_t>(*size);
+            auto requests = readNumber(bytes, n);
+            auto tokens = requests ? readNumber(bytes, n) : std::nullopt;
+            if (!tokens)
+                break;
+            work.emplace_hint(work.end(), UpstreamId { std::move(id) }, UpstreamWork { *requests, *tokens });
+        }
+        return work;
+    }
+
     Json identitiesToJson(const std::vector<InstanceIdentity>& identities)
     {
         Json rows = Json::array();
@@ -88,7 +145,7 @@
 
 Json toJson(const FleetDigest& digest)
 {
-    return Json::array({ rowsToJson(digest.rows), identitiesToJson(digest.identities), digest.sums.instances, workToJson(digest.sums.work), evidenceToJson(digest.sums.evidence), crashesToJson(digest) });
+    return Json::array({ rowsToJson(digest.rows), identitiesToJson(digest.identities), digest.sums.instances, packedWork(digest.sums.work), evidenceToJson(digest.sums.evidence), crashesToJson(digest) });
 }
 
 FleetDigest fleetDigestFrom(const Json& json)
@@ -100,7 +157,7 @@
             digest.identities.push_back({ { { it.at(0) }, it.at(1) }, { it.at(2) }, it.at(3), it.at(4) });
     }
     digest.sums.instances = json.at(2);
-    digest.sums.work = workFrom(json.at(3));
+    digest.sums.work = workFromPacked(json.at(3));
     digest.sums.evidence = evidenceFrom(json.at(4));
     for (const auto& row : json.at(5)) {
         auto& crashes = digest.crashes[{ row.at(0) }];
--- a/src/core/membership/fleet_digest.h
+++ b/src/core/membership/fleet_digest.h
@@ -62,6 +62,7 @@
 // Bounds of what is taken from one digest; the rest of a longer one is ignored.
 constexpr std::size_t maxDigestRows = 2000;
 constexpr std::size_t maxDigestIdentities = 1000;
+constexpr std::size_t maxDigestUpstreams = 4000;
 
 nlohmann::json toJson(const FleetDigest&);
 // Throws nlohmann::json::exception if the value does not have the form of toJson().
--- a/test/correctness/fleet_relay_test.cpp
+++ b/test/correctness/fleet_relay_test.cpp
@@ -441,6 +441,22 @@
     CHECK(decoded->digest->sums.work.at({ "u-1" }).requests == 5);
     CHECK(decoded->digest->sums.evidence == sent.digest->sums.evidence);
     CHECK(decoded->digest->crashes == sent.digest->crashes);
+    SECTION("sums of any size and of many upstreams are read as they were")
+    {
+        auto& work = sent.digest->sums.work;
+        work[{ "" }] = { 0, 0 };
+        work[{ std::string(300, 'u') }] = { 127, 128 };
+        work[{ "large" }] = { 16384, std::int64_t { 1 } << 60 };
+        for (int n = 0; n < 900; ++n)
+            work[{ absl::StrCat("i-", n) }] = { n, 1000 * n };
+        auto many = decodeHeartbeat(encodeHeartbeat(sent));
+        REQUIRE(many);
+        REQUIRE(many->digest->sums.work.size() == work.size());
+        for (const auto& [id, it] : work) {
+            CHECK(many->digest->sums.work.at(id).requests == it.requests);
+            CHECK(many->digest->sums.work.at(id).waitingTokens == it.waitingTokens);
+        }
+    }
     SECTION("cut bytes are not read")
     {
         for (std::size_t n = 0; n < bytes.size(); ++n)
@@ -456,14 +472,17 @@
         }));
         CHECK(rc::check("random", [&] { takeIn(*rc::gen::arbitrary<std::string>()); }));
     }
-    SECTION("more rows and identities than a site can have are ignored")
+    SECTION("more rows, identities and upstreams than a site can have are ignored")
     {
+        for (std::size_t n = 0; n < maxDigestUpstreams + 10; ++n)
+            sent.digest->sums.work[{ absl::StrCat("i-", n) }] = { 1, 1 };
         sent.digest->rows.assign(maxDigestRows + 500, { 1, 2, 3 });
         sent.digest->identities.assign(maxDigestIdentities + 10, sent.digest->identities.front());
         auto large = decodeHeartbeat(encodeHeartbeat(sent));
         REQUIRE(large);
         CHECK(large->digest->rows.size() == maxDigestRows);
         CHECK(large->digest->identities.size() == maxDigestIdentities);
+        CHECK(large->digest->sums.work.size() == maxDigestUpstreams);
     }
 }
 
