Send brittle upstreams what certainly fits

A brittle upstream crashes if all instances together make it reject more than N requests in a second, and takes the requests that run there with it. An owner never has more there at once than its part of the places, and sends nothing for max(1 s, 8/N) after a rejection. It is no failure and no ejection. Others take the work; if all are full, requests are refused at once with the time until a share has room, by rank as with other limits. Weighed: the fleet's count of requests against its places, with a part of the admissible rejections for each instance: at 295 instances the count is half a second old, and the part allows 295 rejections at the beginning.

--- a/src/core/limits/upstream_limits.cpp
+++ b/src/core/limits/upstream_limits.cpp
@@ -150,6 +150,14 @@
     return Milliseconds(static_cast<std::int64_t>(std::ceil(1000 * missing / rate)));
 }
 
+double UpstreamLimits::ownPart(const std::string& process) const
+{
+    auto it = m_limits.find(process);
+    if (it == m_limits.end() || !it->second.requestsPerSecond)
+        return 1;
+    return it->second.ownRate / std::max(minRate, *it->second.requestsPerSecond);
+}
+
 bool UpstreamLimits::isLimited(const std::string& process) const
 {
     auto it = m_limits.find(process);
--- a/src/core/limits/upstream_limits.h
+++ b/src/core/limits/upstream_limits.h
@@ -68,6 +68,8 @@
     // Time until a request may be sent to the process: by this instance if it has a share of the limit, else by another one as
     // the limit alone says.
     Milliseconds timeToNext(const std::string& process, TimePoint now) const;
+    // The part of the process's limit that this instance owns; 1 if it has none.
+    double ownPart(const std::string& process) const;
     // Whether the process has a limit.
     bool isLimited(const std::string& process) const;
 
--- a/src/core/requests/upstream_response.h
+++ b/src/core/requests/upstream_response.h
@@ -35,6 +35,8 @@
     std::optional<double> requestLimit;
     // A limit is stated that is not a number of at least 0.
     bool isRequestLimitMalformed = false;
+    // Rejections per second, of all instances together, beyond which the upstream crashes; empty if it says nothing of the kind.
+    std::optional<double> admissibleRejections;
     // The upstream gets no more work.
     bool isLeaving = false;
     // How long an upstream that turned the request away wants nothing from this instance; empty if it does not say.
--- a/src/core/routing/upstream_balancer.cpp
+++ b/src/core/routing/upstream_balancer.cpp
@@ -220,11 +220,16 @@
     return it != m_states.end() && it->second.ejectedUntil > now;
 }
 
+std::int64_t UpstreamBalancer::ownRequestsOn(const UpstreamId& id) const
+{
+    auto it = m_states.find(id);
+    return it == m_states.end() ? 0 : it->second.own.requests;
+}
+
 std::int64_t UpstreamBalancer::requestsOn(const UpstreamId& id) const
 {
-    auto own = m_states.find(id);
     auto peers = m_peerWork.find(id);
-    return (own == m_states.end() ? 0 : own->second.own.requests) + (peers == m_peerWork.end() ? 0 : peers->second.requests);
+    return ownRequestsOn(id) + (peers == m_peerWork.end() ? 0 : peers->second.requests);
 }
 
 std::int64_t UpstreamBalancer::workOn(const UpstreamId& id) const
--- a/src/core/routing/upstream_balancer.h
+++ b/src/core/routing/upstream_balancer.h
@@ -86,6 +86,8 @@
     void keepOnly(const std::vector<UpstreamEntry>&);
 
     bool isEjected(const UpstreamId&, TimePoint now) const;
+    // Requests of this instance on an upstream.
+    std::int64_t ownRequestsOn(const UpstreamId&) const;
     // Requests of all instances on an upstream.
     std::int64_t requestsOn(const UpstreamId&) const;
     // Work of all instances on an upstream, in prompt tokens: prompts not yet read, and workPerRequest for each request.
--- a/src/edge/request_forwarder.cpp
+++ b/src/edge/request_forwarder.cpp
@@ -690,7 +690,7 @@
     if (response.isRequestLimitMalformed)
         LogLine(LogLevel::Warning, "upstream_limit_malformed").with("id", m_admitted.request.id.value).with("upstream", upstream.id.value);
     else
-        m_traffic.recordLimit(processName(upstream), response.requestLimit, bootNow());
+        m_traffic.recordLimit(upstream, response, bootNow());
 }
 
 void RequestForwarder::recordFirstByte(TimePoint now)
--- a/src/edge/traffic_state.cpp
+++ b/src/edge/traffic_state.cpp
@@ -2,6 +2,7 @@
 
 #include "adapters/log.h"
 #include "core/hashing.h"
+#include "core/limits/brittle_upstreams.h"
 #include "edge/process_state.h"
 
 #include <absl/container/flat_hash_set.h>
@@ -91,6 +92,7 @@
         for (const auto& it : all)
             processes.insert(processName(it));
         m_limits.keepOnly([&](const std::string& it) { return processes.contains(it); });
+        absl::erase_if(m_brittle, [&](const std::string& it) { return !processes.contains(it); });
     }
     // Instances without links to the upstreams send no requests, so they own no shares.
     std::vector<InstanceId> instances;
@@ -171,10 +173,29 @@
     announceLimits();
 }
 
+void TrafficState::recordLimit(const UpstreamEntry& upstream, const UpstreamResponse& response, TimePoint now)
+{
+    auto process = processName(upstream);
+    if (!response.admissibleRejections) {
+        m_brittle.erase(process);
+        recordLimit(process, response.requestLimit, now);
+        return;
+    }
+    if (m_brittle.insert(process).second)
+        LogLine(LogLevel::Info, "upstream_brittle").with("process", process).with("rejections_per_second", absl::StrCat(*response.admissibleRejections)).with("slots", upstream.slots);
+    recordLimit(process, brittleRequestLimit(upstream.slots, response.requestLimit), now);
+    if (response.notRun)
+        m_pauses.record(process, brittlePause(*response.admissibleRejections), now);
+}
+
 void TrafficState::removeLimited(std::vector<const UpstreamEntry*>& upstreams, std::int64_t rank, TimePoint now) const
 {
     if (m_limits.limitedCount() > 0)
-        std::erase_if(upstreams, [&](const auto* it) { return !m_limits.maySend(processName(*it), rank, now); });
+        std::erase_if(upstreams, [&](const auto* it) {
+            auto process = processName(*it);
+            bool isFull = m_brittle.contains(process) && !fitsOwnPlaces(m_balancer.ownRequestsOn(it->id), it->slots, m_limits.ownPart(process));
+            return isFull || !m_limits.maySend(process, rank, now);
+        });
 }
 
 bool TrafficState::isHeld(const UpstreamEntry& upstream, TimePoint now) const
--- a/src/edge/traffic_state.h
+++ b/src/edge/traffic_state.h
@@ -16,6 +16,7 @@
 #include "edge/edge_metrics.h"
 #include "edge/fleet_view.h"
 
+#include <absl/container/flat_hash_set.h>
 #include <list>
 
 namespace skylarkhitch {
@@ -114,7 +115,10 @@
     void removeWaiting(UnansweredRequests::iterator it) { m_waiting.erase(it); }
     // Evaluates the crashes whose evidence is complete.
     void evaluateCrashes(TimePoint now);
-    // Records what a response of the upstream process says about its request limit.
+    // Records what a response of the upstream says of its request limit and of the rejections that it bears, and whether it rejected
+    // the request.
+    void recordLimit(const UpstreamEntry&, const UpstreamResponse&, TimePoint now);
+    // Records that the upstream process wants at most so many requests per second, or any number.
     void recordLimit(const std::string& upstreamProcess, std::optional<double> requestsPerSecond, TimePoint now);
     // Removes the upstreams to which the limits that they state allow this instance no request of the rank now.
     void removeLimited(std::vector<const UpstreamEntry*>&, std::int64_t rank, TimePoint now) const;
@@ -188,6 +192,8 @@
         double requestsPerSecond = 0;
     };
     absl::flat_hash_map<std::string, ColdProcess> m_cold;
+    // Processes that crash if they must reject too many requests, see limits/brittle_upstreams.h.
+    absl::flat_hash_set<std::string> m_brittle;
     std::function<void()> m_onUrgentNews;
     UnansweredRequests m_waiting;
     SessionReleases m_sessions;
--- a/test/correctness/platform_test.cpp
+++ b/test/correctness/platform_test.cpp
@@ -215,6 +215,16 @@
             CHECK(decode(status, { { "Server-Leaving", "1" } }).isLeaving);
         CHECK_FALSE(decode(200, {}).isLeaving);
     }
+    SECTION("how many rejections it bears, and none if that cannot be read")
+    {
+        CHECK(decode(503, { { "Server-Brittle", "4" } }).admissibleRejections == 4);
+        CHECK(decode(200, { { "Server-Brittle", "0.5" } }).admissibleRejections == 0.5);
+        CHECK_FALSE(decode(200, {}).admissibleRejections);
+        for (const auto* it : { "-1", "many", "nan", "inf", "" })
+            CHECK(decode(200, { { "Server-Brittle", it } }).admissibleRejections == 0);
+        for (const auto& it : decode(200, { { "Server-Brittle", "4" } }).forwardedHeaders)
+            CHECK(it.name != "Server-Brittle");
+    }
     SECTION("how long it wants nothing: seconds, fractions of them or a date, and only with a refusal")
     {
         CHECK(decode(503, { { "Retry-After", "2" } }).pause == 2000ms);
--- a/test/correctness/traffic_state_test.cpp
+++ b/test/correctness/traffic_state_test.cpp
@@ -111,6 +111,52 @@
     }
 }
 
+// Guards against a healthy upstream that crashes since it must reject too much.
+TEST_CASE("a brittle upstream gets what certainly fits")
+{
+    EventLoop loop;
+    EdgeMetrics metrics;
+    TrafficState traffic(loop, TrafficSettings { { "edge-1" } }, metrics);
+    auto view = canaryView(true, bootNow());
+    view.rollouts.clear();
+    view.entries = { { { "edge-1" }, { "a" }, "10.0.1.1:80" } };
+    for (auto& it : view.upstreams.at(assist))
+        it.slots = 4;
+    traffic.setView(std::make_shared<const FleetView>(view));
+    const auto& upstream = view.upstreams.at(assist).front();
+    auto now = bootNow();
+    auto mayGet = [&](TimePoint at) {
+        std::vector<const UpstreamEntry*> upstreams { &upstream };
+        traffic.limits().assignShares(at);
+        traffic.removeLimited(upstreams, 1, at);
+        return !upstreams.empty() && !traffic.removePaused(upstreams, at);
+    };
+    CHECK(mayGet(now));
+    traffic.recordLimit(upstream, { .status = 200, .admissibleRejections = 2 }, now);
+    CHECK_FALSE(mayGet(now));
+    CHECK(mayGet(now + 1s));
+    SECTION("never more requests at once than it has places")
+    {
+        for (int n = 0; n < 4; ++n)
+            traffic.balancer().sent(upstream.id, 0);
+        CHECK_FALSE(mayGet(now + 60s));
+        traffic.balancer().ended(upstream.id, 0, false);
+        CHECK(mayGet(now + 60s));
+    }
+    SECTION("nothing for a while after it has rejected a request, which is no failure of it")
+    {
+        traffic.recordLimit(upstream, { .status = 503, .notRun = true, .admissibleRejections = 2 }, now);
+        CHECK_FALSE(mayGet(now + 3900ms));
+        CHECK(mayGet(now + 6s));
+        CHECK_FALSE(traffic.balancer().isEjected(upstream.id, now));
+    }
+    SECTION("everything once it says so no more")
+    {
+        traffic.recordLimit(upstream, { .status = 200 }, now);
+        CHECK(mayGet(now));
+    }
+}
+
 // Guards against an upstream that has just started and crashes under its share of the load.
 TEST_CASE("a cold upstream gets few requests until it is warm")
 {
--- a/test/correctness/upstream_limits_test.cpp
+++ b/test/correctness/upstream_limits_test.cpp
@@ -1,5 +1,6 @@
 // Tests how instances divide the request limits that upstreams state.
 
+#include "core/limits/brittle_upstreams.h"
 #include "core/limits/upstream_limits.h"
 #include "core/limits/upstream_pauses.h"
 #include "core/membership/fleet_membership.h"
@@ -193,7 +194,9 @@
             if (m_now.time_since_epoch() % FleetMembership::heartbeatPeriod == 0ms)
                 sendHeartbeats();
             for (auto& [name, it] : m_instances) {
-                if (!it.limits.maySend(process, 1, m_now))
+                if (!it.limits.maySend(process, 1, m_now) || it.pauses.isPaused(process, m_now))
+                    continue;
+                if (m_places > 0 && !tryPlace(it))
                     continue;
                 it.limits.sent(process, m_now);
                 it.limits.recordResponse(process, m_limit, m_now);
@@ -201,13 +204,31 @@
             }
         }
     }
+    // The upstream has this many places, each of which a request takes for up to 0.9 s, and rejects those for which there is none.
+    void makeBrittle(std::size_t places, double admissibleRejections)
+    {
+        m_places = places;
+        m_limit = brittleRequestLimit(static_cast<std::int64_t>(places), std::nullopt);
+        m_admissibleRejections = admissibleRejections;
+    }
+    // From now on each request takes this many times as long.
+    void slowDown(int factor) { m_slowness = factor; }
+    // The most rejections in a second that begins after the time.
+    std::size_t mostRejections(TimePoint after) const
+    {
+        std::size_t most = 0;
+        for (auto first = std::upper_bound(m_rejections.begin(), m_rejections.end(), after); first != m_rejections.end(); ++first)
+            most = std::max(most, static_cast<std::size_t>(std::count_if(first, m_rejections.end(), [&](auto it) { return it < *first + 1s; })));
+        return most;
+    }
+    std::size_t served() const { return m_sends.size() - m_rejections.size(); }
     // The instance that sent last.
     std::string sender() const { return m_sends.back().second; }
     void kill(const std::string& name) { m_instances.erase(name); }
     void begin(const std::string& name)
     {
         auto domain = m_addresses.at(name);
-        auto& it = m_instances.emplace(name, Instance { { { { name }, ++m_incarnations }, domain, name }, UpstreamLimits({ name }), 0, m_incarnations }).first->second;
+        auto& it = m_instances.emplace(name, Instance { { { { name }, ++m_incarnations }, domain, name }, UpstreamLimits({ name }), UpstreamPauses({ name }), {}, 0, m_incarnations }).first->second;
         it.membership.setListedPeers(m_addresses);
         it.limits.setInstances({ { name } });
     }
@@ -228,10 +249,30 @@
     struct Instance {
         FleetMembership membership;
         UpstreamLimits limits;
+        UpstreamPauses pauses;
+        std::vector<TimePoint> ends;
         std::uint64_t sequence = 0;
         std::uint64_t incarnation = 0;
     };
 
+    // Returns false if the instance sends nothing, as it has its part of the places.
+    bool tryPlace(Instance& instance)
+    {
+        auto hasEnded = [&](auto it) { return it <= m_now; };
+        std::erase_if(m_ends, hasEnded);
+        std::erase_if(instance.ends, hasEnded);
+        if (!fitsOwnPlaces(static_cast<std::int64_t>(instance.ends.size()), static_cast<std::int64_t>(m_places), instance.limits.ownPart(process)))
+            return false;
+        if (m_ends.size() < m_places) {
+            m_ends.push_back(m_now + m_slowness * Milliseconds(300 + static_cast<int>(m_random() % 600)));
+            instance.ends.push_back(m_ends.back());
+            return true;
+        }
+        m_rejections.push_back(m_now);
+        instance.pauses.record(process, brittlePause(m_admissibleRejections), m_now);
+        return true;
+    }
+
     void sendHeartbeats()
     {
         std::vector<std::pair<std::string, FleetHeartbeat>> sent;
@@ -263,6 +304,11 @@
     std::map<std::string, DomainId> m_addresses;
     std::map<std::string, Instance> m_instances;
     std::vector<std::pair<TimePoint, std::string>> m_sends;
+    std::size_t m_places = 0;
+    double m_admissibleRejections = 0;
+    int m_slowness = 1;
+    std::vector<TimePoint> m_ends;
+    std::vector<TimePoint> m_rejections;
     std::uint64_t m_incarnations = 0;
     std::mt19937 m_random { 5 };
     TimePoint m_now = start;
@@ -301,6 +347,44 @@
     }
 }
 
+// Guards against hundreds of instances that each send a brittle upstream what the others' old counts seem to leave room for.
+TEST_CASE("the instances of a site make a brittle upstream reject few requests")
+{
+    // An upstream says that it is brittle for this long before it lets fewer requests wait.
+    constexpr auto brittleNotice = 3s;
+    for (int count : { 8, 295 }) {
+        for (std::size_t places : { 6, 12, 64 }) {
+            DYNAMIC_SECTION(count << " instances with more requests than its " << places << " places take")
+            {
+                LimitedFleet fleet(count, 0);
+                fleet.makeBrittle(places, 3);
+                fleet.run(12s);
+                CHECK(fleet.mostRejections(start + brittleNotice) <= 3);
+                CHECK(static_cast<double>(fleet.served()) >= 0.7 * 12 * static_cast<double>(places));
+                SECTION("also once it takes three times as long")
+                {
+                    fleet.slowDown(3);
+                    fleet.run(12s);
+                    CHECK(fleet.mostRejections(start + brittleNotice) <= 3);
+                }
+            }
+        }
+    }
+    SECTION("an instance that was rejected gives way for its part of what is admissible")
+    {
+        CHECK(brittlePause(16) == 1s);
+        CHECK(brittlePause(2) == 4s);
+        CHECK(brittlePause(0) == 10s);
+        CHECK(brittlePause(0.0001) == 10s);
+    }
+    SECTION("a request limit that it states as well counts if it is lower")
+    {
+        CHECK(brittleRequestLimit(12, 3) == 3);
+        CHECK(brittleRequestLimit(12, 300) == 12);
+        CHECK(brittleRequestLimit(0, std::nullopt) == 1);
+    }
+}
+
 // Guards against instances that return together to an upstream that asked them all for the same time.
 TEST_CASE("an upstream that asked for time gets it")
 {
