Ask only hubs of other domains for digests, and keep everybody's turn

What callers saw: nothing by itself. Cause: (1) an instance asked everybody that it sent a digest to in other domains, also those that had only asked it. At a start, when few instances know each other, many take each other for hubs for a moment; two that did renewed each other's subscription from then on for ever, and "is a hub" meant "has any subscriber". (2) The turn in which a subscriber gets digests was its position among all, so each one that came or went changed the turns of those behind it; a digest holds a third of the other domains' instances, and whoever changed turns could miss the same third until it took them for dead. Change: only the hubs in an instance's own view are asked; others that asked get digests without a question. A hub is one that takes itself for one or that its own domain asks. Turns are by the hash of the address. Subscriptions last 2.6 s, five questions.

--- a/src/core/membership/fleet_relay.cpp
+++ b/src/core/membership/fleet_relay.cpp
@@ -1,5 +1,7 @@
 #include "core/membership/fleet_relay.h"
 
+#include "core/hashing.h"
+
 #include <algorithm>
 
 namespace skylarkhitch {
@@ -34,6 +36,7 @@
     if (heartbeat.asksForDigest) {
         auto& subscriber = m_subscribers[heartbeat.addresses.peers];
         subscriber.domain = heartbeat.domain;
+        subscriber.turn = hashOf("turn", heartbeat.addresses.peers);
         subscriber.askedAt = now;
     }
     if (!heartbeat.digest)
@@ -62,13 +65,15 @@
             targets.hubs.push_back(hubs[n]);
     }
     std::erase_if(m_subscribers, [&](const auto& it) { return now - it.second.askedAt > subscriptionTime; });
-    std::size_t position = 0;
+    m_hasMembers = false;
     for (auto& [address, it] : m_subscribers) {
-        ++position;
-        if (!isDue(position) && !it.isNew)
+        bool isMember = it.domain == m_domain;
+        m_hasMembers = m_hasMembers || isMember;
+        // Not by position: a digest has a part of the site, and whoever changes turns may miss the same part again and again.
+        if (!isDue(it.turn) && !it.isNew)
             continue;
         auto& members = it.isNew ? targets.newMembers : targets.members;
-        (it.domain == m_domain ? members : targets.otherDomains).push_back(address);
+        (isMember ? members : targets.otherSubscribers).push_back(address);
         it.isNew = false;
     }
     if (!isHub())
@@ -78,9 +83,9 @@
             continue;
         auto others = m_otherHubs[domain].choose(instances, now);
         for (std::size_t n = 0; n < others.size(); ++n) {
-            // Those that asked get it anyway.
-            if (isDue(n) && !m_subscribers.contains(others[n]))
-                targets.otherDomains.push_back(others[n]);
+            std::erase(targets.otherSubscribers, others[n]);
+            if (isDue(n))
+                targets.otherHubs.push_back(others[n]);
         }
     }
     return targets;
--- a/src/core/membership/fleet_relay.h
+++ b/src/core/membership/fleet_relay.h
@@ -14,7 +14,7 @@
 class FleetRelay {
 public:
     // An instance that asked for digests gets them for this long.
-    static constexpr Milliseconds subscriptionTime { 1600 };
+    static constexpr Milliseconds subscriptionTime { 2600 };
     // Sums of requests in flight that are older are not used.
     static constexpr Milliseconds maxSumsAge { 1600 };
     // The same for results in a digest of the whole site. Of another domain the last ones are used, however old.
@@ -29,8 +29,11 @@
         // Instances of the own domain that asked; they get a digest of the whole site, those that are new with all identities.
         std::vector<std::string> members;
         std::vector<std::string> newMembers;
-        // Hubs of other domains, and instances there that asked; they get a digest of the own domain.
-        std::vector<std::string> otherDomains;
+        // Hubs of other domains; they get a digest of the own domain, and are asked for one.
+        std::vector<std::string> otherHubs;
+        // Instances of other domains that asked, but are no hubs in this one's view; they get a digest of the own domain. They are not
+        // asked in return: two that took each other for hubs for a moment would go on for ever.
+        std::vector<std::string> otherSubscribers;
     };
 
     FleetRelay(Incarnation self, DomainId domain, std::string ownAddress)
@@ -45,8 +48,8 @@
     // Returns the receivers of the next heartbeat. In turn, half of the hubs and of those that asked get each one; all of them if it
     // is urgent.
     Targets nextTargets(const Candidates&, bool isUrgent, TimePoint now);
-    // Whether this instance relays: it takes itself for a hub, or others do.
-    bool isHub() const { return m_isAmongHubs || !m_subscribers.empty(); }
+    // Whether this instance relays for its domain: it takes itself for a hub, or others there do.
+    bool isHub() const { return m_isAmongHubs || m_hasMembers; }
     bool isAmongHubs() const { return m_isAmongHubs; }
     // Remembers what was in flight when a heartbeat was sent.
     void sent(const FleetHeartbeat&);
@@ -68,6 +71,8 @@
     struct Subscriber {
         DomainId domain;
         TimePoint askedAt;
+        // Which of the heartbeats it gets.
+        std::uint64_t turn = 0;
         bool isNew = true;
     };
     struct SentWork {
@@ -90,6 +95,8 @@
     std::deque<SentWork> m_sentWork;
     std::size_t m_turn = 0;
     bool m_isAmongHubs = false;
+    // Instances of the own domain ask this one.
+    bool m_hasMembers = false;
 };
 
 }
--- a/src/edge/control_plane.cpp
+++ b/src/edge/control_plane.cpp
@@ -534,8 +534,9 @@
     };
     sendDigest(targets.members, Scope::WholeSite);
     sendDigest(targets.newMembers, Scope::WholeSiteForNewMembers);
+    sendDigest(targets.otherSubscribers, Scope::OwnDomain);
     heartbeat.asksForDigest = true;
-    sendDigest(targets.otherDomains, Scope::OwnDomain);
+    sendDigest(targets.otherHubs, Scope::OwnDomain);
     sendTo(targets.hubs, heartbeat);
 }
 
--- a/test/correctness/fleet_relay_test.cpp
+++ b/test/correctness/fleet_relay_test.cpp
@@ -33,6 +33,23 @@
         auto it = m_instances.insert_or_assign(name, std::make_unique<Instance>(Instance { FleetMembership({ { name }, ++m_incarnations }, m_addresses.at(name), name), m_incarnations, 0, m_now + 10ms * static_cast<int>(m_random() % 25) })).first;
         it->second->membership.setListedPeers(m_addresses);
     }
+    // All instances start at once and know these addresses only, until tellList().
+    void beginWithSeeds(const std::vector<std::string>& seeds)
+    {
+        m_instances.clear();
+        for (const auto& [name, domain] : m_addresses) {
+            begin(name);
+            auto& membership = m_instances.at(name)->membership;
+            membership.setListedPeers({});
+            for (const auto& it : seeds)
+                membership.addSeedAddress(it);
+        }
+    }
+    void tellList()
+    {
+        for (auto& [name, it] : m_instances)
+            it->membership.setListedPeers(m_addresses);
+    }
     void kill(const std::string& name) { m_instances.erase(name); }
     void setLossPercent(unsigned percent) { m_lossPercent = percent; }
     // Messages for which the predicate does not hold are lost.
@@ -191,8 +208,9 @@
         };
         passDigest(targets.members, Scope::WholeSite);
         passDigest(targets.newMembers, Scope::WholeSiteForNewMembers);
+        passDigest(targets.otherSubscribers, Scope::OwnDomain);
         heartbeat.asksForDigest = true;
-        passDigest(targets.otherDomains, Scope::OwnDomain);
+        passDigest(targets.otherHubs, Scope::OwnDomain);
         pass(targets.hubs);
     }
 
@@ -378,6 +396,38 @@
     CHECK(site.leastLive() >= 118);
 }
 
+// Guards against instances that were taken for hubs for a moment and exchange digests from then on for ever.
+TEST_CASE("instances of a large site that start together with a few seeds settle on the hubs")
+{
+    RelayedSite site(295, 5, 13);
+    site.beginWithSeeds({ "edge-0", "edge-1", "edge-2" });
+    site.run(1s);
+    site.tellList();
+    site.run(9s);
+    CHECK(site.leastLive() == 294);
+    CHECK(site.hubs().size() == 10);
+    site.takeMessages();
+    site.run(4s);
+    // Four a second of each instance, two a second of each hub to each of its domain, and four a second to each other domain.
+    auto [sum, most] = site.takeMessages();
+    CHECK(sum <= 4 * (295 * 4 + 295 * 2 * 2 + 10 * 4 * 4) * 11 / 10);
+    CHECK(most <= 4 * (4 + 59 * 2 + 4 * 4) * 11 / 10);
+    SECTION("also after half of them were killed at once and have started again")
+    {
+        for (int n = 0; n < 295; n += 2)
+            site.kill(absl::StrCat("edge-", n));
+        site.run(4s);
+        for (int n = 0; n < 295; n += 2)
+            site.begin(absl::StrCat("edge-", n));
+        site.run(12s);
+        CHECK(site.leastLive() == 294);
+        CHECK(site.hubs().size() == 10);
+        site.takeMessages();
+        site.run(4s);
+        CHECK(site.takeMessages().first <= 4 * (295 * 4 + 295 * 2 * 2 + 10 * 4 * 4) * 11 / 10);
+    }
+}
+
 TEST_CASE("a small site needs no hubs")
 {
     RelayedSite site(8, 3);
