Relay on the largest machines, and do not answer each other's news with a storm

Each instance passed on at once whatever it learned of a crash, and since each of 295 adds requests and parts to what is known, every heartbeat set off others: a hub's each to 60 instances with a whole digest of 12 KB, every instance's also to 7 more, of 4 KB. Hubs on machines with 0.12 of a core then did not answer within 1.3 s, so 66 to 85 instances became hubs, and some 60 instances at a time took their links for lost, since they could not open a connection within 0.2 s. Change: in a large site only hubs pass on at once what they learned; all others tell at once what they saw themselves, to their hubs. Heartbeats between the regular ones carry no digest and take nobody's turn. Tests: test_traffic_state "only what passes news on", test_fleet_relay "urgent news reaches all by way of the hubs alone" (60 and 350: at most two messages for each instance) and "the largest machines of a domain are its hubs" (kills and returns).

--- a/src/config/edge_settings.h
+++ b/src/config/edge_settings.h
@@ -31,6 +31,8 @@
     // Times within which a new configuration must be in force, and within which an upstream that drains must get nothing more.
     double configurationLimitMs = 2000;
     double drainLimitMs = 2000;
+    // Part of a processor core that this instance has. Instances with more relay for the others of their domain in a large site.
+    double cpuCores = 1;
     // Time from SIGTERM until the platform kills the process.
     double stopGraceSeconds = 8;
     // Idle time after which the next request of a session may use another release.
@@ -45,6 +47,7 @@
 
     Milliseconds configurationLimit() const { return Milliseconds(static_cast<std::int64_t>(configurationLimitMs)); }
     Milliseconds drainLimit() const { return Milliseconds(static_cast<std::int64_t>(drainLimitMs)); }
+    std::int64_t capacity() const { return static_cast<std::int64_t>(100 * cpuCores); }
     Milliseconds stopGrace() const { return inMilliseconds(stopGraceSeconds); }
     Milliseconds sessionIdleTimeout() const { return inMilliseconds(sessionSeconds); }
     Milliseconds entryCacheTime() const { return inMilliseconds(entryKeepSeconds); }
--- a/src/core/membership/fleet_digest.cpp
+++ b/src/core/membership/fleet_digest.cpp
@@ -120,7 +120,7 @@
     {
         Json rows = Json::array();
         for (const auto& it : identities)
-            rows.push_back(Json::array({ it.incarnation.instance.value, it.incarnation.number, it.domain.value, it.entryAddress, it.peerAddress }));
+            rows.push_back(Json::array({ it.incarnation.instance.value, it.incarnation.number, it.domain.value, it.entryAddress, it.peerAddress, it.capacity }));
         return rows;
     }
 
@@ -154,7 +154,7 @@
     digest.rows = rowsFrom(json.at(0));
     for (const auto& it : json.at(1)) {
         if (digest.identities.size() < maxDigestIdentities)
-            digest.identities.push_back({ { { it.at(0) }, it.at(1) }, { it.at(2) }, it.at(3), it.at(4) });
+            digest.identities.push_back({ { { it.at(0) }, it.at(1) }, { it.at(2) }, it.at(3), it.at(4), it.at(5) });
     }
     digest.sums.instances = json.at(2);
     digest.sums.work = workFromPacked(json.at(3));
--- a/src/core/membership/fleet_digest.h
+++ b/src/core/membership/fleet_digest.h
@@ -37,6 +37,8 @@
     // For callers, and for peers.
     std::string entryAddress;
     std::string peerAddress;
+    // Hundredths of a processor core that it has; 0 if unknown.
+    std::int64_t capacity = 0;
 
     friend bool operator==(const InstanceIdentity&, const InstanceIdentity&) = default;
 };
--- a/src/core/membership/fleet_heartbeat.cpp
+++ b/src/core/membership/fleet_heartbeat.cpp
@@ -63,6 +63,7 @@
             heartbeat.asksForDigest = json.at(23).at(0);
             if (!json.at(23).at(1).is_null())
                 heartbeat.digest = fleetDigestFrom(json.at(23).at(1));
+            heartbeat.capacity = json.at(23).at(2);
         }
         return heartbeat;
     }
@@ -76,7 +77,7 @@
         heartbeat.ready, heartbeat.leaving, heartbeat.storeRevision, heartbeat.storeAge.count(), sinceUnreachable, workToJson(heartbeat.work), evidenceToJson(heartbeat.evidence), crashesToJson(heartbeat),
         sessionsToJson(heartbeat), heartbeat.known, heartbeat.storeReachable, toJson(heartbeat.promptParts), toJson(heartbeat.limits), toJson(heartbeat.rollouts), toJson(heartbeat.heldBack), heartbeat.configurationVersion, heartbeat.reachesUpstreams });
     if (heartbeat.readsDigests)
-        json.push_back(Json::array({ heartbeat.asksForDigest, heartbeat.digest ? toJson(*heartbeat.digest) : Json() }));
+        json.push_back(Json::array({ heartbeat.asksForDigest, heartbeat.digest ? toJson(*heartbeat.digest) : Json(), heartbeat.capacity }));
     std::string bytes;
     Json::to_cbor(json, bytes);
     return bytes;
--- a/src/core/membership/fleet_heartbeat.h
+++ b/src/core/membership/fleet_heartbeat.h
@@ -75,6 +75,8 @@
     std::vector<std::string> known;
     // Whether the sender understands digests; instances of earlier versions do not.
     bool readsDigests = false;
+    // Hundredths of a processor core that the sender has; 0 if unknown. Only with readsDigests.
+    std::int64_t capacity = 0;
     // The sender wants digests from the receiver.
     bool asksForDigest = false;
     std::optional<FleetDigest> digest;
--- a/src/core/membership/fleet_membership.cpp
+++ b/src/core/membership/fleet_membership.cpp
@@ -80,6 +80,7 @@
     peer.heartbeat.domain = identity.domain;
     peer.heartbeat.addresses = { identity.entryAddress, identity.peerAddress };
     peer.heartbeat.readsDigests = true;
+    peer.heartbeat.capacity = identity.capacity;
     peer.knownSince = now;
     m_peers[incarnation.instance] = std::move(peer);
     m_keys[incarnationKey(incarnation)] = incarnation.instance;
@@ -116,7 +117,7 @@
         bool isNew = now - it.knownSince < newIdentityTime;
         auto& count = isNew ? newIdentities : others;
         if (hasAll || count++ < (isNew ? maxNewIdentities : identitiesInTurn))
-            digest.identities.push_back({ it.heartbeat.from, it.heartbeat.domain, it.heartbeat.addresses.entry, it.heartbeat.addresses.peers });
+            digest.identities.push_back({ it.heartbeat.from, it.heartbeat.domain, it.heartbeat.addresses.entry, it.heartbeat.addresses.peers, it.heartbeat.capacity });
     }
     digest.sums = m_relay.ownSums(own, summedPeers(now), isWholeSite, now);
     digest.crashes = heardCrashes(now);
@@ -275,7 +276,7 @@
     return chosen;
 }
 
-FleetRelay::Targets FleetMembership::nextTargets(bool isUrgent, TimePoint now)
+FleetRelay::Targets FleetMembership::nextTargets(TimePoint now)
 {
     if (isFullMesh())
         return {};
@@ -283,11 +284,16 @@
     for (const auto& [address, domain] : m_addresses) {
         const auto* reader = findReader(address);
         if (!reader && !m_olderAddresses.contains(address))
-            candidates[domain].push_back({ address, true, {} });
+            candidates[domain].push_back({ address, 0, true, {} });
         else if (reader && !reader->heartbeat.leaving)
-            candidates[domain].push_back({ address, isLive(*reader, now), reader->lastHeardAt });
+            candidates[domain].push_back({ address, reader->heartbeat.capacity, isLive(*reader, now), reader->lastHeardAt });
     }
-    return m_relay.nextTargets(candidates, isUrgent, now);
+    return m_relay.nextTargets(candidates, now);
+}
+
+std::vector<std::string> FleetMembership::urgentReceivers(TimePoint now)
+{
+    return isFullMesh() ? nextReceivers(now) : m_relay.allTargets();
 }
 
 std::size_t FleetMembership::size(TimePoint now) const
--- a/src/core/membership/fleet_membership.h
+++ b/src/core/membership/fleet_membership.h
@@ -73,11 +73,12 @@
     // have one every 2.5 s.
     static constexpr Milliseconds maxStoreSilence { 2900 };
 
-    FleetMembership(Incarnation self, DomainId domain, std::string ownPeerAddress)
+    // The capacity is in hundredths of a processor core.
+    FleetMembership(Incarnation self, DomainId domain, std::string ownPeerAddress, std::int64_t capacity = 0)
         : m_self(std::move(self))
         , m_domain(std::move(domain))
         , m_ownAddress(std::move(ownPeerAddress))
-        , m_relay(m_self, m_domain, m_ownAddress)
+        , m_relay(m_self, m_domain, m_ownAddress, capacity)
     {
     }
 
@@ -91,8 +92,11 @@
     std::vector<const FleetPeer*> livePeers(TimePoint now) const;
     // Returns the addresses that get the next heartbeat without asking for a digest, and advances the rotation.
     std::vector<std::string> nextReceivers(TimePoint now);
-    // Returns those that are asked for a digest or get one; to be called after nextReceivers(). None in a small site. An urgent heartbeat goes to all of them at once.
-    FleetRelay::Targets nextTargets(bool isUrgent, TimePoint now);
+    // Returns those that are asked for a digest or get one; to be called after nextReceivers(). None in a small site.
+    FleetRelay::Targets nextTargets(TimePoint now);
+    // Returns the addresses that get a heartbeat between the regular ones: all peers of a small site. In a large one the hubs, and of a
+    // hub those to which it relays.
+    std::vector<std::string> urgentReceivers(TimePoint now);
     enum class DigestScope { OwnDomain,
         WholeSite,
         // With all identities, not only those that are new and a few others.
@@ -107,6 +111,8 @@
     // Crash counts of the peers, by request fingerprint.
     CrashCounts peerCrashes(TimePoint now) const;
     bool isHub() const { return m_relay.isHub(); }
+    // Whether peers learn from this instance what it learns from others.
+    bool passesOnNews() const { return isFullMesh() || isHub(); }
     // All peers that have sent a heartbeat, live or not.
     const std::map<InstanceId, FleetPeer>& peers() const { return m_peers; }
     // Number of known instances, including this one.
--- a/src/core/membership/fleet_relay.cpp
+++ b/src/core/membership/fleet_relay.cpp
@@ -50,19 +50,21 @@
     keepBest(heartbeat.domain == m_domain ? m_site : m_domains[heartbeat.domain], std::move(received));
 }
 
-FleetRelay::Targets FleetRelay::nextTargets(const Candidates& candidates, bool isUrgent, TimePoint now)
+FleetRelay::Targets FleetRelay::nextTargets(const Candidates& candidates, TimePoint now)
 {
     auto turn = m_turn++;
-    auto isDue = [&](std::size_t position) { return isUrgent || position % 2 == turn % 2; };
+    auto isDue = [&](std::size_t position) { return position % 2 == turn % 2; };
     Targets targets;
     auto own = candidates.find(m_domain);
-    auto hubs = own == candidates.end() ? std::vector<std::string> {} : m_ownHubs.choose(own->second, now);
-    m_isAmongHubs = HubChoice::isAmongHubs(m_ownAddress, hubs);
+    auto hubs = own == candidates.end() ? std::vector<HubChoice::Instance> {} : m_ownHubs.choose(own->second, now);
+    m_isAmongHubs = HubChoice::isAmongHubs({ m_ownAddress, m_capacity }, hubs);
     if (m_isAmongHubs && hubs.size() == HubChoice::hubsPerDomain)
         hubs.pop_back();
+    m_chosenHubs.clear();
     for (std::size_t n = 0; n < hubs.size(); ++n) {
+        m_chosenHubs.insert(hubs[n].address);
         if (hubs.size() == 1 || isDue(n))
-            targets.hubs.push_back(hubs[n]);
+            targets.hubs.push_back(hubs[n].address);
     }
     std::erase_if(m_subscribers, [&](const auto& it) { return now - it.second.askedAt > subscriptionTime; });
     m_hasMembers = false;
@@ -83,14 +85,23 @@
             continue;
         auto others = m_otherHubs[domain].choose(instances, now);
         for (std::size_t n = 0; n < others.size(); ++n) {
-            std::erase(targets.otherSubscribers, others[n]);
+            m_chosenHubs.insert(others[n].address);
+            std::erase(targets.otherSubscribers, others[n].address);
             if (isDue(n))
-                targets.otherHubs.push_back(others[n]);
+                targets.otherHubs.push_back(others[n].address);
         }
     }
     return targets;
 }
 
+std::vector<std::string> FleetRelay::allTargets() const
+{
+    auto all = m_chosenHubs;
+    for (const auto& [address, it] : m_subscribers)
+        all.insert(address);
+    return { all.begin(), all.end() };
+}
+
 void FleetRelay::sent(const FleetHeartbeat& own)
 {
     m_sentWork.push_back({ static_cast<std::uint16_t>(own.sequence), own.work });
--- a/src/core/membership/fleet_relay.h
+++ b/src/core/membership/fleet_relay.h
@@ -8,6 +8,7 @@
 
 #include <deque>
 #include <optional>
+#include <set>
 
 namespace skylarkhitch {
 
@@ -36,18 +37,21 @@
         std::vector<std::string> otherSubscribers;
     };
 
-    FleetRelay(Incarnation self, DomainId domain, std::string ownAddress)
+    // The capacity is in hundredths of a processor core.
+    FleetRelay(Incarnation self, DomainId domain, std::string ownAddress, std::int64_t capacity)
         : m_self(std::move(self))
         , m_domain(std::move(domain))
         , m_ownAddress(std::move(ownAddress))
+        , m_capacity(capacity)
     {
     }
 
     // Takes in a peer's heartbeat.
     void onHeartbeat(const FleetHeartbeat&, TimePoint now);
-    // Returns the receivers of the next heartbeat. In turn, half of the hubs and of those that asked get each one; all of them if it
-    // is urgent.
-    Targets nextTargets(const Candidates&, bool isUrgent, TimePoint now);
+    // Returns the receivers of the next regular heartbeat. In turn, half of the hubs and of those that asked get each one.
+    Targets nextTargets(const Candidates&, TimePoint now);
+    // Returns all of them, for a heartbeat that is sent between the regular ones, without a digest.
+    std::vector<std::string> allTargets() const;
     // Whether this instance relays for its domain: it takes itself for a hub, or others there do.
     bool isHub() const { return m_isAmongHubs || m_hasMembers; }
     bool isAmongHubs() const { return m_isAmongHubs; }
@@ -87,8 +91,11 @@
     Incarnation m_self;
     DomainId m_domain;
     std::string m_ownAddress;
+    std::int64_t m_capacity = 0;
     HubChoice m_ownHubs;
     std::map<DomainId, HubChoice> m_otherHubs;
+    // The hubs of the own domain and of others when the last regular heartbeat was sent.
+    std::set<std::string> m_chosenHubs;
     std::map<std::string, Subscriber> m_subscribers;
     ReceivedSums m_site;
     std::map<DomainId, ReceivedSums> m_domains;
--- a/src/core/membership/hub_choice.cpp
+++ b/src/core/membership/hub_choice.cpp
@@ -9,21 +9,23 @@
 
 namespace {
 
-    std::uint64_t rankOf(const std::string& address) { return hashOf("hub", address); }
+    // The lower one comes first.
+    std::pair<std::int64_t, std::uint64_t> rankOf(const HubChoice::Instance& it) { return { -it.capacity, hashOf("hub", it.address) }; }
 
 }
 
-std::vector<std::string> HubChoice::choose(const std::vector<Instance>& instances, TimePoint now)
+std::vector<HubChoice::Instance> HubChoice::choose(const std::vector<Instance>& instances, TimePoint now)
 {
-    std::vector<std::tuple<bool, std::uint64_t, const Instance*>> ranked;
+    std::vector<std::tuple<bool, std::pair<std::int64_t, std::uint64_t>, const Instance*>> ranked;
     ranked.reserve(instances.size());
     for (const auto& it : instances)
-        ranked.emplace_back(!it.isLive, rankOf(it.address), &it);
+        ranked.emplace_back(!it.isLive, rankOf(it), &it);
     std::sort(ranked.begin(), ranked.end());
-    std::vector<std::string> hubs;
+    std::vector<Instance> hubs;
     absl::flat_hash_map<std::string, Candidate> asked;
     for (const auto& [isDead, rank, instance] : ranked) {
-        const auto& [address, isLive, heardAt] = *instance;
+        const auto& address = instance->address;
+        auto heardAt = instance->lastHeardAt;
         auto known = m_candidates.find(address);
         auto candidate = known == m_candidates.end() ? Candidate { now, {} } : known->second;
         if (now < candidate.passedOverUntil && heardAt <= candidate.passedOverUntil - retryTime) {
@@ -37,7 +39,7 @@
             continue;
         }
         asked[address] = candidate;
-        hubs.push_back(address);
+        hubs.push_back(*instance);
         if (hubs.size() == hubsPerDomain)
             break;
     }
@@ -45,9 +47,9 @@
     return hubs;
 }
 
-bool HubChoice::isAmongHubs(const std::string& address, const std::vector<std::string>& hubs)
+bool HubChoice::isAmongHubs(const Instance& instance, const std::vector<Instance>& hubs)
 {
-    return hubs.size() < hubsPerDomain || rankOf(address) < rankOf(hubs[hubsPerDomain - 1]);
+    return hubs.size() < hubsPerDomain || rankOf(instance) < rankOf(hubs[hubsPerDomain - 1]);
 }
 
 }
--- a/src/core/membership/hub_choice.h
+++ b/src/core/membership/hub_choice.h
@@ -1,7 +1,7 @@
 #pragma once
 
-// Chooses the hubs of a failure domain: the first of its instances, in an order that all instances agree on, that answer. One that
-// does not answer is passed over for a while, so that instances with different links may use different hubs.
+// Chooses the hubs of a failure domain: the first of its instances, in an order that all instances agree on, that answer. Those on
+// larger machines come first, since a hub has more to do the larger its domain is. One that does not answer is passed over for a while, so that instances with different links may use different hubs.
 
 #include "core/ids.h"
 
@@ -22,16 +22,18 @@
 
     struct Instance {
         std::string address;
+        // Hundredths of a processor core that it has; 0 if unknown.
+        std::int64_t capacity = 0;
         // It is not known to be dead. Those that are come after all others.
         bool isLive = true;
         // When a message came from it; TimePoint {} if none did.
         TimePoint lastHeardAt {};
     };
 
-    // Returns the addresses of the hubs among the instances, in their order. The order in which the instances are given does not matter.
-    std::vector<std::string> choose(const std::vector<Instance>&, TimePoint now);
-    // Whether an instance with this address comes before the second of these hubs, and so is a hub of its domain itself.
-    static bool isAmongHubs(const std::string& address, const std::vector<std::string>& hubs);
+    // Returns the hubs among the instances, in their order. The order in which the instances are given does not matter.
+    std::vector<Instance> choose(const std::vector<Instance>&, TimePoint now);
+    // Whether an instance with this address and capacity comes before the second of these hubs, and so is a hub of its domain itself.
+    static bool isAmongHubs(const Instance&, const std::vector<Instance>& hubs);
 
 private:
     struct Candidate {
--- a/src/edge/control_plane.cpp
+++ b/src/edge/control_plane.cpp
@@ -65,7 +65,7 @@
     , m_store(loop, settings.store, metrics)
     , m_mirror([this](const std::string& key, const StoreMirror::Item* item) { itemChanged(key, item); }, { platform::isRenewal, [this](const std::string& key, const StoreMirror::Item* item) { itemRenewed(key, *item); } })
     , m_rollouts(loop, m_store, [this] { m_viewChanged = true; })
-    , m_fleet(m_self, settings.domain, settings.peerListen)
+    , m_fleet(m_self, settings.domain, settings.peerListen, settings.capacity())
     , m_heartbeatSocket(loop, udpEndpoint(settings.peerListen))
     , m_random(m_self.number)
 {
@@ -466,7 +466,7 @@
     if (m_upstreams.removeExpired(now))
         m_viewChanged = true;
     m_rollouts.advance({ m_fleet.siteEvidence(m_trafficReport.evidence, now), isCoordinator(now), [this](const RolloutOrder& order) { return oldReleaseIsIdle(order); } }, now);
-    FleetState fleet { m_fleet.size(now), entries(now) };
+    FleetState fleet { m_fleet.size(now), m_fleet.passesOnNews(), entries(now) };
     m_viewChanged = m_viewChanged || fleet != m_lastFleet;
     m_lastFleet = std::move(fleet);
     m_outputs.publishPeerUpdate(peerUpdate(now));
@@ -513,17 +513,22 @@
     heartbeat.rollouts = m_rollouts.news();
     heartbeat.heldBack = m_upstreams.heldBack();
     heartbeat.readsDigests = true;
+    heartbeat.capacity = m_settings.capacity();
     auto livePeers = m_fleet.livePeers(now);
     for (std::size_t n = 0; n < std::min(livePeers.size(), maxKnownPeers); ++n)
         heartbeat.known.push_back(livePeers[m_nextKnownPeer++ % livePeers.size()]->heartbeat.addresses.peers);
+    m_fleet.sent(heartbeat);
+    if (isUrgent) {
+        sendTo(m_fleet.urgentReceivers(now), heartbeat);
+        return;
+    }
     sendTo(m_fleet.nextReceivers(now), heartbeat);
-    sendToHubs(std::move(heartbeat), isUrgent, now);
+    sendToHubs(std::move(heartbeat), now);
 }
 
-void ControlPlane::sendToHubs(FleetHeartbeat heartbeat, bool isUrgent, TimePoint now)
+void ControlPlane::sendToHubs(FleetHeartbeat heartbeat, TimePoint now)
 {
-    auto targets = m_fleet.nextTargets(isUrgent, now);
-    m_fleet.sent(heartbeat);
+    auto targets = m_fleet.nextTargets(now);
     using Scope = FleetMembership::DigestScope;
     auto sendDigest = [&](const std::vector<std::string>& receivers, Scope scope) {
         if (receivers.empty())
@@ -664,6 +669,7 @@
     view->entries = entries(now);
     view->knownInstances = m_lastFleet.known > 0 ? m_lastFleet.known : m_fleet.size(now);
     view->isFullMesh = m_fleet.isFullMesh();
+    view->passesOnNews = m_fleet.passesOnNews();
     view->storeRevision = m_mirror.revision();
     view->upToDateAt = upToDateAt(now);
     m_outputs.publishView(view);
--- a/src/edge/control_plane.h
+++ b/src/edge/control_plane.h
@@ -41,6 +41,7 @@
     struct FleetState {
         // Number of known instances, live or not, including this one.
         std::size_t known = 0;
+        bool passesOnNews = true;
         // Live instances that accept new callers.
         std::vector<EntryInstance> entries;
 
@@ -72,10 +73,10 @@
     void upstreamChanged(const std::string& id, const StoreMirror::Item*);
     void instancesChanged();
 
-    // An urgent heartbeat goes to all that get any at once.
+    // An urgent heartbeat is one between the regular ones: it goes to all that get any, without digests.
     void sendHeartbeat(bool isUrgent, TimePoint now);
     // Sends the heartbeat to hubs, and with a digest to those that asked for one.
-    void sendToHubs(FleetHeartbeat, bool isUrgent, TimePoint now);
+    void sendToHubs(FleetHeartbeat, TimePoint now);
     void sendTo(const std::vector<std::string>& receivers, const FleetHeartbeat&);
     void handleHeartbeat(const std::string& bytes);
     // Called when the control thread is active, to find out whether the process was paused before.
--- a/src/edge/fleet_view.h
+++ b/src/edge/fleet_view.h
@@ -47,6 +47,8 @@
     std::size_t knownInstances = 1;
     // Whether each instance sends each heartbeat to all others.
     bool isFullMesh = true;
+    // Whether peers learn from this instance what it learns from others.
+    bool passesOnNews = true;
     // Revision of the local copy of the store that the view was built from.
     std::int64_t storeRevision = 0;
     // When that copy was last known to be current, as of when the view was built.
--- a/src/edge/traffic_state.cpp
+++ b/src/edge/traffic_state.cpp
@@ -159,6 +159,10 @@
 void TrafficState::learn(const PeerNews& news)
 {
     m_promptParts.learn(news.promptParts, bootNow());
+    // In a large site a hub told it to all others, too. If each of them passed it on at once, one crash would set off a heartbeat of
+    // every instance for everything that each of them adds.
+    if (m_view && !m_view->passesOnNews)
+        m_promptParts.takeUrgent();
     announcePromptParts();
     m_limits.learn(news.limits, bootNow());
     announceLimits();
--- a/test/correctness/fleet_relay_test.cpp
+++ b/test/correctness/fleet_relay_test.cpp
@@ -30,7 +30,7 @@
 
     void begin(const std::string& name)
     {
-        auto it = m_instances.insert_or_assign(name, std::make_unique<Instance>(Instance { FleetMembership({ { name }, ++m_incarnations }, m_addresses.at(name), name), m_incarnations, 0, m_now + 10ms * static_cast<int>(m_random() % 25) })).first;
+        auto it = m_instances.insert_or_assign(name, std::make_unique<Instance>(Instance { FleetMembership({ { name }, ++m_incarnations }, m_addresses.at(name), name, capacityOf(name)), m_incarnations, 0, m_now + 10ms * static_cast<int>(m_random() % 25) })).first;
         it->second->membership.setListedPeers(m_addresses);
     }
     // All instances start at once and know these addresses only, until tellList().
@@ -51,6 +51,8 @@
             it->membership.setListedPeers(m_addresses);
     }
     void kill(const std::string& name) { m_instances.erase(name); }
+    // Instances that begin from now on have a large machine if they are listed here, or else a small one.
+    void setLarge(std::set<std::string> names) { m_large = std::move(names); }
     void setLossPercent(unsigned percent) { m_lossPercent = percent; }
     // Messages for which the predicate does not hold are lost.
     void setLink(Link link) { m_link = std::move(link); }
@@ -77,6 +79,29 @@
 
     TimePoint now() const { return m_now; }
     std::size_t size() const { return m_instances.size(); }
+    // The number of messages with which an instance tells all others that it reaches something at once, and hubs pass it on, and the
+    // number of those that it reaches.
+    std::pair<std::size_t, std::size_t> spread(const std::string& from)
+    {
+        std::set<std::string> told { from };
+        std::vector<std::string> next { from };
+        std::size_t messages = 0;
+        while (!next.empty()) {
+            std::vector<std::string> telling;
+            std::swap(telling, next);
+            for (const auto& name : telling) {
+                auto& membership = m_instances.at(name)->membership;
+                if (name != from && !membership.passesOnNews())
+                    continue;
+                for (const auto& to : membership.urgentReceivers(m_now)) {
+                    ++messages;
+                    if (m_instances.contains(to) && told.insert(to).second)
+                        next.push_back(to);
+                }
+            }
+        }
+        return { messages, told.size() };
+    }
     const FleetMembership& membership(const std::string& name) const { return m_instances.at(name)->membership; }
     DomainId domainOf(const std::string& name) const { return m_addresses.at(name); }
     std::vector<std::string> hubs() const
@@ -186,6 +211,7 @@
         heartbeat.work[{ absl::StrCat("u-", it.incarnation % 48) }] = { 1, 100 };
         heartbeat.evidence[{ { "s" }, "v2", "r", {} }] = { .done = 1 };
         heartbeat.readsDigests = !it.isOld;
+        heartbeat.capacity = capacityOf(name);
         if (it.crashes > 0)
             heartbeat.crashes["f00d"] = it.crashes;
         auto pass = [&](const std::vector<std::string>& receivers) {
@@ -196,7 +222,7 @@
         pass(it.membership.nextReceivers(m_now));
         if (it.isOld)
             return;
-        auto targets = it.membership.nextTargets(false, m_now);
+        auto targets = it.membership.nextTargets(m_now);
         it.membership.sent(heartbeat);
         using Scope = FleetMembership::DigestScope;
         auto passDigest = [&](const std::vector<std::string>& receivers, Scope scope) {
@@ -214,6 +240,8 @@
         pass(targets.hubs);
     }
 
+    std::int64_t capacityOf(const std::string& name) const { return m_large.contains(name) ? 50 : 12; }
+
     void passTo(const std::string& from, Instance& it, const std::string& to, const std::shared_ptr<const FleetHeartbeat>& heartbeat)
     {
         ++it.messages;
@@ -247,6 +275,7 @@
         }
     }
 
+    std::set<std::string> m_large;
     std::map<std::string, DomainId> m_addresses;
     std::map<std::string, std::unique_ptr<Instance>> m_instances;
     std::vector<Message> m_messages;
@@ -275,6 +304,14 @@
                 CHECK(site.hubs().size() == 10);
                 CHECK(site.followers() == 10);
             }
+            SECTION("urgent news reaches all by way of the hubs alone")
+            {
+                site.run(3s);
+                auto [messages, told] = site.spread("edge-7");
+                CHECK(told == site.size());
+                // Both hubs of a domain tell its instances, and the hubs tell each other.
+                CHECK(messages <= 2 * site.size() + 2 + 10 * 9);
+            }
             SECTION("an instance sends four messages a second, a hub two a second to each of its domain")
             {
                 site.takeMessages();
@@ -428,6 +465,43 @@
     }
 }
 
+// Guards against small machines that spend on relaying what their requests need.
+TEST_CASE("the largest machines of a domain are its hubs")
+{
+    RelayedSite site(295, 5, 17);
+    std::set<std::string> large;
+    // Three in each domain.
+    for (int n = 100; n < 115; ++n)
+        large.insert(absl::StrCat("edge-", n));
+    site.setLarge(large);
+    site.beginWithSeeds({ "edge-0", "edge-1", "edge-2" });
+    site.run(1s);
+    site.tellList();
+    site.run(11s);
+    auto areLarge = [&] {
+        auto hubs = site.hubs();
+        return hubs.size() == 10 && std::all_of(hubs.begin(), hubs.end(), [&](const auto& it) { return large.contains(it); });
+    };
+    CHECK(areLarge());
+    CHECK(site.leastLive() == 294);
+    SECTION("and smaller ones in their place")
+    {
+        for (const auto& it : large)
+            site.kill(it);
+        site.run(6s);
+        CHECK(site.leastLive() == 279);
+        CHECK(site.hubs().size() == 10);
+        SECTION("until they are back")
+        {
+            for (const auto& it : large)
+                site.begin(it);
+            site.run(12s);
+            CHECK(areLarge());
+            CHECK(site.leastLive() == 294);
+        }
+    }
+}
+
 TEST_CASE("a small site needs no hubs")
 {
     RelayedSite site(8, 3);
@@ -456,7 +530,7 @@
     it.readsDigests = it.asksForDigest = true;
     it.digest.emplace();
     it.digest->rows = { { 0xdeadbeef, 65535, 12, true, false, true, true }, { 1, 2, 3, false, true, false, false } };
-    it.digest->identities = { { { { "edge-2" }, 1ULL << 63 }, { "b" }, "10.0.0.2:80", "10.0.0.2:70" } };
+    it.digest->identities = { { { { "edge-2" }, 1ULL << 63 }, { "b" }, "10.0.0.2:80", "10.0.0.2:70", 50 } };
     it.digest->sums = { 3, { { { "u-1" }, { 5, 700 } } }, { { { { "s" }, "v2", "r", { "m" } }, { .done = 4, .failed = 1 } } } };
     it.digest->crashes[{ "edge-2" }]["f00d"] = 2;
     return it;
@@ -469,7 +543,8 @@
     if (auto heartbeat = decodeHeartbeat(bytes)) {
         membership.onHeartbeat(*heartbeat, start);
         membership.nextReceivers(start);
-        membership.nextTargets(true, start);
+        membership.nextTargets(start);
+        membership.urgentReceivers(start);
         membership.digest({}, FleetMembership::DigestScope::WholeSite, start);
     }
 }
--- a/test/correctness/traffic_state_test.cpp
+++ b/test/correctness/traffic_state_test.cpp
@@ -157,6 +157,35 @@
     }
 }
 
+// Guards against a storm of heartbeats after crashes of upstreams, in which every instance of a large site passes on all that the others
+// add to what is known of them.
+TEST_CASE("only what passes news on tells at once what it learned of crashes")
+{
+    EventLoop loop;
+    EdgeMetrics metrics;
+    TrafficState traffic(loop, TrafficSettings { { "edge-1" } }, metrics);
+    int urgent = 0;
+    traffic.onUrgentNews([&] { ++urgent; });
+    auto view = canaryView(false, bootNow());
+    PeerNews news;
+    news.promptParts.crashes = { { "i-1/1", 100ms, std::nullopt, { "part" }, { 7 } } };
+    SECTION("a hub does")
+    {
+        traffic.setView(std::make_shared<const FleetView>(view));
+        traffic.learn(news);
+        CHECK(urgent == 1);
+    }
+    SECTION("another instance does not, but tells what it saw itself")
+    {
+        view.passesOnNews = false;
+        traffic.setView(std::make_shared<const FleetView>(view));
+        traffic.learn(news);
+        CHECK(urgent == 0);
+        traffic.recordLostRequest({ "i-2/1", { "r-1" }, { "part" }, bootNow() }, bootNow());
+        CHECK(urgent == 1);
+    }
+}
+
 // Guards against an upstream that has just started and crashes under its share of the load.
 TEST_CASE("a cold upstream gets few requests until it is warm")
 {
