Object to a slow verdict only where no callers left, and give streams half of the time

(1) "a release whose callers leave before its slow responses is reverted": the objection that a few outliers may explain a high mean looked at the logarithms of completed responses, among which the slow ones are missing if callers left before them. Now it holds only if nine tenths of the target's requests, abandoned ones included, have logarithms. Two sections in test_release_plan (others under a millisecond). (2) "an event stream without a complete event is given up and resumed elsewhere": 2.5 s of silence left a caller with 2.5 s no time for another upstream. Now the least silence is at most half of what the caller has left. The section on silence of two seconds gives its route 8 s instead of 3 s, since callers with 3 s are better served elsewhere.

--- a/src/core/rollout/release_plan.cpp
+++ b/src/core/rollout/release_plan.cpp
@@ -25,6 +25,8 @@
         double target = 0;
         double expected = 0;
         std::int64_t comparedResponses = 0;
+        // The target's responses and abandoned requests.
+        std::int64_t requests = 0;
         // Responses of which the logarithms of the latencies are known, their excess over the others' mean, and its variance.
         std::int64_t logCount = 0;
         double logExcess = 0;
@@ -99,6 +101,7 @@
     {
         const auto& target = counters.target.logLatencies;
         const auto& others = counters.others.logLatencies;
+        ratio.requests = counters.target.done + counters.target.abandoned;
         if (target.count == 0 || others.count == 0)
             return;
         auto n = static_cast<double>(target.count);
@@ -124,16 +127,17 @@
         sum.target += it.target;
         sum.expected += it.expected;
         sum.comparedResponses += it.comparedResponses;
+        sum.requests += it.requests;
         sum.logCount += it.logCount;
         sum.logExcess += it.logExcess;
         sum.logVariance += it.logVariance;
     }
 
-    // Whether one or two slow responses among the target's may explain a high mean. Unknown, and so no objection, if most responses
-    // are of instances that send no logarithms, or if their callers left.
+    // Whether one or two slow responses among the target's may explain a high mean. Unknown, and so no objection, if responses are
+    // of instances that send no logarithms, or if callers left: the slow ones are then missing among the logarithms.
     bool mayBeOutliers(const LatencyRatio& ratio, const RolloutSettings& settings)
     {
-        return ratio.logCount * 2 > ratio.comparedResponses && ratio.logExcess <= settings.slownessStandardErrors * std::sqrt(ratio.logVariance);
+        return ratio.logCount * 10 >= ratio.requests * 9 && ratio.logExcess <= settings.slownessStandardErrors * std::sqrt(ratio.logVariance);
     }
 
     bool isSlower(const LatencyRatio& ratio, std::int64_t minComparedResponses, const RolloutSettings& settings)
--- a/src/edge/request_forwarder.cpp
+++ b/src/edge/request_forwarder.cpp
@@ -26,6 +26,8 @@
     constexpr double firstEventTimeoutFactor = 1.5;
     constexpr double eventGapTimeoutFactor = 2;
     constexpr Milliseconds minStreamSilence { 2500 };
+    // A caller with little time is better served by another upstream, so the least silence is at most this part (1/n) of it.
+    constexpr int silenceDivisor = 2;
     // Peers that a request is sent to in turn while they cannot be reached.
     constexpr std::size_t maxRelays = 3;
     // With less time than this left, no other upstream could still answer.
@@ -43,6 +45,8 @@
         return Milliseconds(static_cast<std::int64_t>(static_cast<double>(time.count()) * factor));
     }
 
+    Milliseconds leastSilence(Milliseconds timeLeft) { return std::min(minStreamSilence, Milliseconds(timeLeft / silenceDivisor)); }
+
     // Time in which the losses of connections that one crash causes become known, including those that peers see.
     constexpr Milliseconds crashEvidenceTime { 40 };
     // Bytes that a process sent before its crash are read within this time after it.
@@ -487,7 +491,7 @@
         if (events.events == 0)
             continue;
         recordOutlived(upstream, bootNow());
-        auto gap = std::max(minStreamSilence, scaled(m_admitted.route->targetGap, eventGapTimeoutFactor));
+        auto gap = std::max(leastSilence(timeLeft()), scaled(m_admitted.route->targetGap, eventGapTimeoutFactor));
         connection->setDeadline(mayTryAnother() ? std::min(gap, timeLeft()) : timeLeft());
     }
 }
@@ -740,7 +744,7 @@
     if (!mayTryAnother())
         return timeLeft();
     auto timeout = m_admitted.route->kind == RouteKind::Streaming
-        ? std::max(minStreamSilence, scaled(m_admitted.route->targetLatency, firstEventTimeoutFactor))
+        ? std::max(leastSilence(timeLeft()), scaled(m_admitted.route->targetLatency, firstEventTimeoutFactor))
         : scaled(m_admitted.route->targetLatency, responseTimeoutFactor);
     return std::min(timeout, timeLeft());
 }
--- a/test/correctness/release_plan_test.cpp
+++ b/test/correctness/release_plan_test.cpp
@@ -196,6 +196,19 @@
         evidence[releaseRoute("v2")] = responses(8, { 2ms, 500ms });
         CHECK(judgeRelease(order, evidence).isBad);
     }
+    SECTION("and so are those whose callers left")
+    {
+        auto target = responses(20, { 1ms, 2ms, 3ms });
+        for (int n = 0; n < 10; ++n)
+            addAbandoned(target, 500ms);
+        evidence[releaseRoute("v2")] = target;
+        CHECK(judgeRelease(order, evidence).isBad);
+        SECTION("also if the others take less than a millisecond")
+        {
+            evidence[releaseRoute("v1")] = responses(10, { 0ms });
+            CHECK(judgeRelease(order, evidence).isBad);
+        }
+    }
     SECTION("and a quarter of twenty-four")
     {
         evidence[releaseRoute("v2")] = responses(24, { 1ms, 2ms, 3ms, 500ms });
--- a/test/processes/upstream_signals_test.cpp
+++ b/test/processes/upstream_signals_test.cpp
@@ -281,6 +281,10 @@
 TEST_CASE("a stream is not begun again elsewhere while its upstream is silent for two seconds")
 {
     Site site;
+    auto configuration = nlohmann::json::parse(sampleConfiguration(5));
+    for (auto& it : configuration["routes"])
+        it["timeoutMs"] = 8000;
+    site.store.put("op/config", configuration.dump());
     EdgeInstance instance("edge-1", site.store.address());
     REQUIRE(waitUntil(5s, [&] { return instance.isReady(); }));
     auto asked = std::make_shared<std::atomic<int>>(0);
