Read each entry of the list of instances once

Change: `membership/listed_instances` keeps the entries by key, each read when it changes, and hands the list over once an update. Test: test_fleet, "the list of instances follows its entries one by one".

--- a/src/core/membership/fleet_membership.h
+++ b/src/core/membership/fleet_membership.h
@@ -8,6 +8,7 @@
 // which nothing was heard yet get heartbeats in rotation, most of them in the own domain: traffic between domains is charged.
 
 #include "core/membership/fleet_relay.h"
+#include "core/membership/listed_instances.h"
 #include "core/membership/store_following.h"
 
 #include <absl/container/flat_hash_map.h>
@@ -15,12 +16,6 @@
 
 namespace skylarkhitch {
 
-// A peer in the platform's list of instances.
-struct ListedPeer {
-    std::string address;
-    DomainId domain;
-};
-
 // An instance with its last heartbeat and when that arrived.
 struct FleetPeer {
     // Without what hubs do not relay, if it was not heard directly.
--- a/src/edge/control_plane.cpp
+++ b/src/edge/control_plane.cpp
@@ -202,7 +202,7 @@
     case platform::DocumentKind::RolloutRecord:
         return m_rollouts.recordChanged({ document.name }, item);
     case platform::DocumentKind::Instance:
-        return instancesChanged();
+        return instanceChanged(key, item);
     case platform::DocumentKind::Other:
         return;
     }
@@ -262,24 +262,17 @@
     m_viewChanged = true;
 }
 
-void ControlPlane::instancesChanged()
+void ControlPlane::instanceChanged(const std::string& key, const StoreMirror::Item* item)
 {
-    std::map<std::string, DomainId> peers;
-    for (const auto& [key, item] : m_mirror.items()) {
-        if (platform::decodeDocumentKey(key).kind != platform::DocumentKind::Instance)
-            continue;
-        platform::DecodeError error;
-        auto peer = platform::decodeInstance(item.value, error);
-        if (peer && !isEndpoint(peer->address)) {
-            error.message = "address is not of the form ip:port";
-            peer.reset();
-        }
-        if (peer)
-            peers[peer->address] = peer->domain;
-        else
-            LogLine(LogLevel::Warning, "instance_unreadable").with("key", key).with("error", error.message);
+    platform::DecodeError error;
+    auto peer = item ? platform::decodeInstance(item->value, error) : std::nullopt;
+    if (peer && !isEndpoint(peer->address)) {
+        error.message = "address is not of the form ip:port";
+        peer.reset();
     }
-    m_fleet.setListedPeers(std::move(peers));
+    if (item && !peer)
+        LogLine(LogLevel::Warning, "instance_unreadable").with("key", key).with("error", error.message);
+    m_listed.set(key, std::move(peer));
 }
 
 Awaitable<void> ControlPlane::receiveHeartbeats()
@@ -412,6 +405,8 @@
     }
     m_mirror.applyUpdate(update);
     m_isReadingCopy = false;
+    if (m_listed.takeChanged())
+        m_fleet.setListedPeers(m_listed.peers());
     publish(bootNow());
 }
 
--- a/src/edge/control_plane.h
+++ b/src/edge/control_plane.h
@@ -71,7 +71,7 @@
     // Takes over a configuration that was read from the given source if it can be read and is later than the one in force.
     void takeConfiguration(const std::string& text, const std::string& source);
     void upstreamChanged(const std::string& id, const StoreMirror::Item*);
-    void instancesChanged();
+    void instanceChanged(const std::string& key, const StoreMirror::Item*);
 
     // An urgent heartbeat is one between the regular ones: it goes to all that get any, without digests.
     void sendHeartbeat(bool isUrgent, TimePoint now);
@@ -109,6 +109,7 @@
     UpstreamRegistry m_upstreams;
     RolloutController m_rollouts;
     FleetMembership m_fleet;
+    ListedInstances m_listed;
     asio::ip::udp::socket m_heartbeatSocket;
     std::mt19937_64 m_random;
     std::unique_ptr<HttpListener> m_peerListener;
--- a/test/correctness/fleet_test.cpp
+++ b/test/correctness/fleet_test.cpp
@@ -327,6 +327,39 @@
     }
 }
 
+// Guards against a start of a large site in which each instance reads the whole list again with each of its entries.
+TEST_CASE("the list of instances follows its entries one by one")
+{
+    ListedInstances listed;
+    CHECK_FALSE(listed.takeChanged());
+    listed.set("a", ListedPeer { "10.0.0.1:70", { "d1" } });
+    listed.set("b", ListedPeer { "10.0.0.2:70", { "d2" } });
+    CHECK(listed.takeChanged());
+    CHECK(listed.peers() == std::map<std::string, DomainId> { { "10.0.0.1:70", { "d1" } }, { "10.0.0.2:70", { "d2" } } });
+    SECTION("an entry that is written again changes nothing")
+    {
+        listed.set("a", ListedPeer { "10.0.0.1:70", { "d1" } });
+        listed.set("c", std::nullopt);
+        CHECK_FALSE(listed.takeChanged());
+    }
+    SECTION("one with another address replaces the earlier one")
+    {
+        listed.set("a", ListedPeer { "10.0.0.3:70", { "d1" } });
+        CHECK(listed.takeChanged());
+        CHECK(listed.peers().contains("10.0.0.3:70"));
+        CHECK_FALSE(listed.peers().contains("10.0.0.1:70"));
+    }
+    SECTION("one that is removed or can no longer be read is gone, and another one with its address stays")
+    {
+        listed.set("c", ListedPeer { "10.0.0.1:70", { "d1" } });
+        listed.set("a", std::nullopt);
+        CHECK(listed.takeChanged());
+        CHECK(listed.peers().size() == 2);
+        listed.set("c", std::nullopt);
+        CHECK(listed.peers().size() == 1);
+    }
+}
+
 // Guards against instances that pass on every heartbeat of every upstream.
 TEST_CASE("writes that only renew an item are no news")
 {
