Say in the log why a process ends by itself

Callers of one instance got no answer to seven requests in one moment, as if its process had ended, and the log could not tell: an uncaught exception went to standard error as the library words it, a violated invariant as prose, and the lines still in the queue were lost. On-call could not distinguish an end by itself from a kill or a signal.

Both are now one structured line (uncaught_exception, invariant_violated) that is written at once, on standard error. A start line after neither these nor stopped means a kill from outside or a crash. An alternative stack for a line on SIGSEGV was left out: it would be the only code that runs in a signal handler.

--- a/src/adapters/log.cpp
+++ b/src/adapters/log.cpp
@@ -17,6 +17,9 @@
 #include <boost/log/sources/severity_logger.hpp>
 #include <boost/log/support/date_time.hpp>
 #include <boost/log/utility/setup/common_attributes.hpp>
+#include <cstdio>
+#include <cstdlib>
+#include <exception>
 #include <iostream>
 #include <mutex>
 
@@ -129,6 +132,24 @@
         return isAdmitted;
     }
 
+    // Written at once, since the lines that wait in the queue are lost when the process aborts.
+    [[noreturn]] void onTerminate()
+    {
+        std::string line = "level=error what=uncaught_exception error=";
+        try {
+            auto error = std::current_exception();
+            if (error)
+                std::rethrow_exception(error);
+            appendValue(line, "none");
+        } catch (const std::exception& e) {
+            appendValue(line, e.what());
+        } catch (...) {
+            appendValue(line, "not a standard exception");
+        }
+        std::fprintf(stderr, "%s\n", line.c_str());
+        std::abort();
+    }
+
     using Logger = boost::log::sources::severity_logger_mt<LogLevel>;
 
     Logger& logger()
@@ -160,6 +181,7 @@
 {
     namespace expr = boost::log::expressions;
     setLogLevel(level);
+    std::set_terminate(onTerminate);
     boost::log::add_common_attributes();
     boost::log::core::get()->add_global_attribute("Instance", boost::log::attributes::constant<std::string>(instance));
     auto backend = boost::make_shared<sinks::text_ostream_backend>();
--- a/src/adapters/log.h
+++ b/src/adapters/log.h
@@ -21,7 +21,8 @@
 
 // Whether the text is the name of a level.
 bool isLogLevel(const std::string&);
-// Starts logging; lines below the named level are discarded. Throws UsageError for an unknown level name.
+// Starts logging; lines below the named level are discarded. Throws UsageError for an unknown level name. From then on an exception
+// that nothing handles is written to standard error, as the line "uncaught_exception", before it ends the process.
 void startLog(const std::string& level, const std::string& instance, LogTarget target = LogTarget::StandardError);
 // Changes the minimum level that is written. Throws UsageError for an unknown level name.
 void setLogLevel(const std::string& level);
--- a/src/core/check.cpp
+++ b/src/core/check.cpp
@@ -7,12 +7,12 @@
 
 InvariantReport::InvariantReport(const char* file, int line, const char* condition)
 {
-    m_stream << file << ":" << line << ": invariant violated: " << condition << ": ";
+    m_stream << "level=error what=invariant_violated at=" << file << ":" << line << " condition=\"" << condition << "\" detail=\"";
 }
 
 InvariantReport::~InvariantReport()
 {
-    std::fprintf(stderr, "%s\n", m_stream.str().c_str());
+    std::fprintf(stderr, "%s\"\n", m_stream.str().c_str());
     std::abort();
 }
 
--- a/src/core/check.h
+++ b/src/core/check.h
@@ -28,7 +28,7 @@
         std::ostringstream m_stream;
     };
 
-    // Accumulates a message, writes it to standard error and aborts at the end of the full expression.
+    // Accumulates a message, writes it to standard error as a log line and aborts at the end of the full expression.
     class InvariantReport {
     public:
         InvariantReport(const char* file, int line, const char* condition);
