Keep event loops and essential tasks running after an exception

What callers would see: all requests of an instance closed without an answer at the same moment, or an instance that stays up and no longer accepts connections, hears its peers or follows the store. Cause: an exception that left a handler posted to an event loop or a timer's callback left io_context::run() and ended the process; a loop such as receive_heartbeats that ended by one was logged and never started again; an exception while one item of the store was applied kept the items after it from being applied, at each new try; flags such as m_catchingUp stayed set for ever.

Boost.Asio allows run() to be called again after an exception, and goes on with the next handler. Essential tasks are started again after 100 ms. Items are applied one by one, and flags are reset by their scope.

--- a/src/edge/caller_connection.cpp
+++ b/src/edge/caller_connection.cpp
@@ -326,7 +326,8 @@
     , m_acceptor(loop, tcpEndpoint(address), true)
     , m_server(std::move(server))
 {
-    spawn(m_loop, acceptLoop(), "accept");
+    spawnRestarting(
+        m_loop, [this] { return acceptLoop(); }, "accept");
 }
 
 void HttpListener::stop()
--- a/src/edge/control_plane.cpp
+++ b/src/edge/control_plane.cpp
@@ -3,6 +3,7 @@
 #include "adapters/log.h"
 #include "core/membership/store_revision.h"
 
+#include <absl/cleanup/cleanup.h>
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 
@@ -63,7 +64,7 @@
     , m_process(metrics)
     , m_outputs(std::move(outputs))
     , m_store(loop, settings.store, metrics)
-    , m_mirror([this](const std::string& key, const StoreMirror::Item* item) { itemChanged(key, item); }, { platform::isRenewal, [this](const std::string& key, const StoreMirror::Item* item) { itemRenewed(key, *item); } })
+    , m_mirror(contained(&ControlPlane::itemChanged), { platform::isRenewal, contained(&ControlPlane::itemRenewed) })
     , m_rollouts(loop, m_store, [this] { m_viewChanged = true; })
     , m_fleet(m_self, settings.domain, settings.peerListen, settings.capacity())
     , m_heartbeatSocket(loop, udpEndpoint(settings.peerListen))
@@ -77,9 +78,12 @@
 {
     m_peerListener = std::make_unique<HttpListener>(m_loop, m_settings.peerListen, makeInternalServerState([this](std::shared_ptr<CallerConnection> connection, ReceivedRequest request) { return servePeer(std::move(connection), std::move(request)); }));
     m_metricsListener = std::make_unique<HttpListener>(m_loop, m_settings.metricsListen, makeInternalServerState([this](std::shared_ptr<CallerConnection> connection, ReceivedRequest request) { return serveMetrics(std::move(connection), std::move(request)); }));
-    spawn(m_loop, receiveHeartbeats(), "receive_heartbeats");
-    spawn(m_loop, followStore(), "follow_store");
-    spawn(m_loop, maintainRegistration(), "maintain_registration");
+    spawnRestarting(
+        m_loop, [this] { return receiveHeartbeats(); }, "receive_heartbeats");
+    spawnRestarting(
+        m_loop, [this] { return followStore(); }, "follow_store");
+    spawnRestarting(
+        m_loop, [this] { return maintainRegistration(); }, "maintain_registration");
 }
 
 void ControlPlane::addSeeds(const std::vector<std::string>& seeds)
@@ -185,6 +189,17 @@
     co_return listed.isOk();
 }
 
+StoreMirror::Observer ControlPlane::contained(ItemHandler handler)
+{
+    return [this, handler](const std::string& key, const StoreMirror::Item* item) {
+        try {
+            (this->*handler)(key, item);
+        } catch (const std::exception& e) {
+            LogLine(LogLevel::Error, "item_failed").with("key", key).with("error", e.what());
+        }
+    };
+}
+
 void ControlPlane::itemChanged(const std::string& key, const StoreMirror::Item* item)
 {
     auto document = platform::decodeDocumentKey(key);
@@ -208,11 +223,11 @@
     }
 }
 
-void ControlPlane::itemRenewed(const std::string& key, const StoreMirror::Item& item)
+void ControlPlane::itemRenewed(const std::string& key, const StoreMirror::Item* item)
 {
     UpstreamId id { platform::decodeDocumentKey(key).name };
-    if (!m_upstreams.renewed(id, platform::decodeWrites(item.value), item.revision, bootNow()))
-        itemChanged(key, &item);
+    if (!m_upstreams.renewed(id, platform::decodeWrites(item->value), item->revision, bootNow()))
+        itemChanged(key, item);
 }
 
 void ControlPlane::takeConfiguration(const std::string& text, const std::string& source)
@@ -360,9 +375,9 @@
 
 Awaitable<void> ControlPlane::catchUpFromPeer(std::string peerAddress, std::string name)
 {
+    absl::Cleanup ended = [this] { m_catchingUp = false; };
     auto body = co_await fetchFromPeer(peerAddress, absl::StrCat(mirrorPath, m_mirror.revision()));
     auto update = body ? decodeUpdate(*body) : std::nullopt;
-    m_catchingUp = false;
     LogLine(update ? LogLevel::Info : LogLevel::Warning, "peer_catch_up").with("peer", name).with("from", m_mirror.revision()).with("to", update ? update->revision : 0);
     if (update)
         applyUpdate(*update);
@@ -383,8 +398,8 @@
 
 Awaitable<void> ControlPlane::takeConfigurationFromPeer(std::string peerAddress, std::string name)
 {
+    absl::Cleanup ended = [this] { m_fetchingConfiguration = false; };
     auto text = co_await fetchFromPeer(peerAddress, configurationPath);
-    m_fetchingConfiguration = false;
     if (!text) {
         LogLine(LogLevel::Warning, "peer_configuration_not_delivered").with("peer", name);
         co_return;
@@ -395,6 +410,7 @@
 
 void ControlPlane::applyUpdate(const MirrorUpdate& update)
 {
+    absl::Cleanup ended = [this] { m_isReadingCopy = false; };
     m_isReadingCopy = m_mirror.revision() > 0 && eraOf(update.revision) > eraOf(m_mirror.revision());
     if (m_isReadingCopy) {
         bool isFirst = !m_fleet.peerAheadOf(revisionInEra(0, eraOf(update.revision)), bootNow());
@@ -404,7 +420,7 @@
             m_storeUnreachableAt = bootNow();
     }
     m_mirror.applyUpdate(update);
-    m_isReadingCopy = false;
+    std::move(ended).Invoke();
     if (m_listed.takeChanged())
         m_fleet.setListedPeers(m_listed.peers());
     publish(bootNow());
--- a/src/edge/control_plane.h
+++ b/src/edge/control_plane.h
@@ -66,8 +66,12 @@
     bool reachesStore(TimePoint now) const;
     // Applies an update to the copy of the store, and publishes what it changes.
     void applyUpdate(const MirrorUpdate&);
+    using ItemHandler = void (ControlPlane::*)(const std::string& key, const StoreMirror::Item*);
+    // Returns an observer of the copy that calls the handler. An exception that leaves the handler concerns its item only: it is
+    // logged, and the items after it are applied.
+    StoreMirror::Observer contained(ItemHandler);
     void itemChanged(const std::string& key, const StoreMirror::Item*);
-    void itemRenewed(const std::string& key, const StoreMirror::Item&);
+    void itemRenewed(const std::string& key, const StoreMirror::Item*);
     // Takes over a configuration that was read from the given source if it can be read and is later than the one in force.
     void takeConfiguration(const std::string& text, const std::string& source);
     void upstreamChanged(const std::string& id, const StoreMirror::Item*);
--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -64,13 +64,15 @@
                     spawn(m_trafficLoop, sendUrgentReport(), "urgent_report");
             });
             m_traffic.onSuspectedLinks([this] { m_linkChecker.checkIfDue(); });
-            spawn(m_trafficLoop, reportLoop(), "report");
-            spawn(m_trafficLoop, watchSettings(), "watch_settings");
+            spawnRestarting(
+                m_trafficLoop, [this] { return reportLoop(); }, "report");
+            spawnRestarting(
+                m_trafficLoop, [this] { return watchSettings(); }, "watch_settings");
             awaitSignal();
             auto work = asio::make_work_guard(m_controlLoop);
-            std::thread controlThread([this] { m_controlLoop.run(); });
+            std::thread controlThread([this] { runLoop(m_controlLoop, "control"); });
             LogLine(LogLevel::Info, "start").with("entry", m_settings.entryListen).with("peers", m_settings.peerListen).with("store", m_settings.store).with("domain", m_settings.domain.value);
-            m_trafficLoop.run();
+            runLoop(m_trafficLoop, "traffic");
             m_controlLoop.stop();
             controlThread.join();
             return 0;
--- a/src/edge/event_loop.cpp
+++ b/src/edge/event_loop.cpp
@@ -25,7 +25,11 @@
 
     using SteadyClock = std::chrono::steady_clock;
 
+    // Delay before a coroutine that failed is started again, so that one that fails at once does not take the loop's whole time.
+    constexpr Milliseconds restartDelay { 100 };
+
     std::atomic<std::int64_t> failedTaskCount = 0;
+    std::atomic<std::int64_t> failedHandlerCount = 0;
 
     std::string describe(const std::exception_ptr& error)
     {
@@ -38,6 +42,27 @@
         }
     }
 
+    void reportFailedTask(const char* name, const std::exception_ptr& error)
+    {
+        ++failedTaskCount;
+        LogLine(LogLevel::Error, "task_failed").with("task", name).with("error", describe(error));
+    }
+
+    Awaitable<void> runRestarting(EventLoop& loop, std::function<Awaitable<void>()> makeTask, const char* name)
+    {
+        for (;;) {
+            std::exception_ptr error;
+            try {
+                co_await makeTask();
+                co_return;
+            } catch (...) {
+                error = std::current_exception();
+            }
+            reportFailedTask(name, error);
+            co_await sleepFor(loop, restartDelay);
+        }
+    }
+
     using HostAndPort = std::pair<asio::ip::address, std::uint16_t>;
 
     std::optional<HostAndPort> parseAddress(const std::string& text)
@@ -69,15 +94,33 @@
 void spawn(EventLoop& loop, Awaitable<void> task, const char* name)
 {
     asio::co_spawn(loop, std::move(task), [name](const std::exception_ptr& error) {
-        if (!error)
-            return;
-        ++failedTaskCount;
-        LogLine(LogLevel::Error, "task_failed").with("task", name).with("error", describe(error));
+        if (error)
+            reportFailedTask(name, error);
     });
 }
 
+void spawnRestarting(EventLoop& loop, std::function<Awaitable<void>()> makeTask, const char* name)
+{
+    spawn(loop, runRestarting(loop, std::move(makeTask), name), name);
+}
+
+void runLoop(EventLoop& loop, const char* name)
+{
+    for (;;) {
+        try {
+            loop.run();
+            return;
+        } catch (...) {
+            ++failedHandlerCount;
+            LogLine(LogLevel::Error, "event_failed").with("loop", name).with("error", describe(std::current_exception()));
+        }
+    }
+}
+
 std::int64_t failedTasks() { return failedTaskCount; }
 
+std::int64_t failedHandlers() { return failedHandlerCount; }
+
 Awaitable<void> sleepFor(EventLoop& loop, Milliseconds time)
 {
     asio::steady_timer timer(loop, time);
--- a/src/edge/event_loop.h
+++ b/src/edge/event_loop.h
@@ -32,8 +32,18 @@
 // Starts a coroutine that nothing waits for. An exception that leaves it is logged with the name and counted.
 void spawn(EventLoop&, Awaitable<void>, const char* name);
 
+// Starts a coroutine that the instance cannot do without. If it ends by an exception, that is logged with the name and counted, and
+// a new one is started after a short delay. One that returns is not started again.
+void spawnRestarting(EventLoop&, std::function<Awaitable<void>()> makeTask, const char* name);
+
+// Runs the loop until it is stopped or out of work. An exception that leaves a handler is logged with the name and counted; the loop
+// goes on with the next handler, so that one event that cannot be handled does not end the process.
+void runLoop(EventLoop&, const char* name);
+
 // Coroutines of the process that ended by an exception.
 std::int64_t failedTasks();
+// Handlers of event loops that ended by an exception.
+std::int64_t failedHandlers();
 
 // Suspends the calling coroutine for the given time.
 Awaitable<void> sleepFor(EventLoop&, Milliseconds);
--- a/src/edge/process_state.cpp
+++ b/src/edge/process_state.cpp
@@ -45,7 +45,7 @@
         return;
     auto times = threadTimes(m_trafficCpuTime);
     auto log = logTotals();
-    LogLine(LogLevel::Info, "process_state").with("traffic_cpu_ms", toMilliseconds(times.traffic).count()).with("control_cpu_ms", toMilliseconds(times.control).count()).with("other_cpu_ms", toMilliseconds(times.others).count()).with("log_lines", static_cast<std::int64_t>(log.lines)).with("log_bytes", static_cast<std::int64_t>(log.bytes)).with("log_suppressed", static_cast<std::int64_t>(log.suppressed)).with("log_dropped", static_cast<std::int64_t>(log.dropped)).with("failed_tasks", failedTasks());
+    LogLine(LogLevel::Info, "process_state").with("traffic_cpu_ms", toMilliseconds(times.traffic).count()).with("control_cpu_ms", toMilliseconds(times.control).count()).with("other_cpu_ms", toMilliseconds(times.others).count()).with("log_lines", static_cast<std::int64_t>(log.lines)).with("log_bytes", static_cast<std::int64_t>(log.bytes)).with("log_suppressed", static_cast<std::int64_t>(log.suppressed)).with("log_dropped", static_cast<std::int64_t>(log.dropped)).with("failed_tasks", failedTasks()).with("failed_events", failedHandlers());
 }
 
 void ProcessState::publish()
@@ -60,6 +60,7 @@
     m_metrics.setState("log_lines_suppressed", static_cast<double>(log.suppressed));
     m_metrics.setState("log_lines_dropped", static_cast<double>(log.dropped));
     m_metrics.setState("failed_tasks", static_cast<double>(failedTasks()));
+    m_metrics.setState("failed_events", static_cast<double>(failedHandlers()));
 }
 
 }
--- a/src/edge/rollout_controller.cpp
+++ b/src/edge/rollout_controller.cpp
@@ -4,6 +4,8 @@
 #include "adapters/wall_clock.h"
 #include "core/membership/store_revision.h"
 
+#include <absl/cleanup/cleanup.h>
+
 namespace skylarkhitch {
 
 namespace {
@@ -143,6 +145,7 @@
 
 Awaitable<void> RolloutController::writeRecord(ServiceId service, RolloutRecord record, std::int64_t recordRevision)
 {
+    absl::Cleanup ended = [this, service] { m_pendingWrites.erase(service); };
     auto request = platform::transactionRequest(platform::rolloutTransaction(service, record, recordRevision));
     auto response = co_await m_store.call(std::move(request), "rollout");
     // After a conflict or without a response, the watch delivers the current record, and the next evaluation decides again.
@@ -152,7 +155,6 @@
     } else
         LogLine(LogLevel::Warning, "rollout_not_written").with("service", service.value).with("stage", stageName(record.stage)).with("status", response.status);
     co_await sleepFor(m_loop, writePause);
-    m_pendingWrites.erase(service);
 }
 
 std::map<ServiceId, RolloutView> RolloutController::rolloutViews() const
--- a/test/correctness/caller_connection_test.cpp
+++ b/test/correctness/caller_connection_test.cpp
@@ -26,7 +26,7 @@
         m_state->handler = std::move(handler);
         m_state->limits = [limits] { return limits; };
         m_listener = std::make_unique<HttpListener>(m_loop, absl::StrCat("127.0.0.1:", m_port), m_state);
-        m_thread = std::thread([this] { m_loop.run(); });
+        m_thread = std::thread([this] { runLoop(m_loop, "server"); });
     }
     ~Server()
     {
@@ -46,6 +46,7 @@
         connection->write(absl::StrCat("GET ", target, " HTTP/1.1\r\nHost: x\r\n\r\n"));
         return connection->readResponse(2s);
     }
+    EventLoop& loop() { return m_loop; }
     // Requests that a handler is serving.
     std::int64_t requests()
     {
@@ -177,3 +178,33 @@
     REQUIRE(waitUntil(2s, [&] { return server.requests() == 0; }));
     CHECK_FALSE(hasRunLate);
 }
+
+// Guards against requests of all callers that end without a response at the same moment, because an event of one connection could
+// not be handled.
+TEST_CASE("an exception in an event of one connection leaves the requests of the others alone")
+{
+    constexpr int others = 7;
+    std::atomic<int> waiting = 0;
+    EventLoop* loop = nullptr;
+    auto handler = [&](std::shared_ptr<CallerConnection> connection, ReceivedRequest request) -> Awaitable<void> {
+        EdgeResponse response { .status = 200 };
+        if (request.target == "/left")
+            connection->onDisconnect([] { throw std::runtime_error("event failed"); });
+        ++waiting;
+        co_await sleepFor(*loop, Milliseconds(500));
+        co_await connection->respond(std::move(response));
+    };
+    Server server(handler);
+    loop = &server.loop();
+    std::vector<std::unique_ptr<RawConnection>> callers;
+    for (int n = 0; n < others; ++n) {
+        callers.push_back(server.connect());
+        callers.back()->write("GET /kept HTTP/1.1\r\nHost: x\r\n\r\n");
+    }
+    auto leaving = server.connect();
+    leaving->write("GET /left HTTP/1.1\r\nHost: x\r\n\r\n");
+    REQUIRE(waitUntil(2s, [&] { return waiting == others + 1; }));
+    leaving->reset();
+    for (auto& it : callers)
+        CHECK(absl::StartsWith(it->readResponse(2s), "HTTP/1.1 200"));
+}
