Let a further signal during a drain cut no request

Cause: stop() ended the traffic loop at once when it was called again. SIGINT during a drain did the same. The end of the process was not named in the log, as `stopped` was never written then.

Signals and the steps of a stop move to edge/planned_stop. The first SIGTERM or SIGINT sets the time of the exit. A further SIGTERM changes nothing; SIGINT ends the drain now, with an error for each request and none sent to another upstream. Each signal is one line, `what=signal`, with its name and whether a stop was under way. The wait for the next signal begins before this one is handled, so that a reload that fails does not leave the instance deaf; a step of the stop that fails by an exception does not keep the next one from its work.

Ruled out: SIGHUP during a drain and signals before the first configuration did no harm before either, except for the missing log line and a stop that a second SIGTERM broke off (a request that waited for the configuration got no 503 then).

The steps that fail (reload, drain, end of the requests) are shown by test_planned_stop_steps on the new class only, as the code before had no seam for them.

--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -4,11 +4,11 @@
 #include "adapters/wall_clock.h"
 #include "edge/control_plane.h"
 #include "edge/link_checker.h"
+#include "edge/planned_stop.h"
 #include "edge/request_forwarder.h"
 #include "edge/traffic_state.h"
 #include "platform/request_codec.h"
 
-#include <boost/asio/signal_set.hpp>
 #include <csignal>
 #include <thread>
 
@@ -19,12 +19,8 @@
     // Callers cache entry addresses for up to three times the TTL that they were given. After that, no caller connects to an
     // address that is no longer returned.
     constexpr int maxAddressCacheFactor = 3;
-    // Time reserved before the platform kills the process, to close unfinished requests so that callers can resume them.
-    constexpr Milliseconds shutdownMargin { 400 };
-    constexpr Milliseconds shutdownPollPeriod { 50 };
-    // Time for the last error responses to be written, a part of shutdownMargin.
-    constexpr Milliseconds lastResponsesTime { 200 };
-    constexpr Milliseconds lastResponsesPollPeriod { 5 };
+    // Time that a request needs at most from a caller that used an address at the last moment.
+    constexpr Milliseconds lateCallerTime { 400 };
     constexpr Milliseconds urgentReportDelay { 10 };
     // Shortest time between two urgent reports. In a large site each of them may cause some more at many instances.
     constexpr Milliseconds urgentReportPeriod { 20 };
@@ -46,7 +42,7 @@
             , m_traffic(m_trafficLoop, { settings.instance, settings.domain, m_self.number, settings.sessionIdleTimeout(), { settings.retryRatio, settings.retryHeadroom, settings.retryWindow() } }, m_metrics)
             , m_control(m_controlLoop, settings, m_self, m_metrics, outputs())
             , m_linkChecker(m_trafficLoop, m_traffic)
-            , m_signals(m_trafficLoop, SIGTERM, SIGINT, SIGHUP)
+            , m_stop(m_trafficLoop, settings.stopGrace(), stopActions())
         {
         }
 
@@ -68,7 +64,7 @@
                 m_trafficLoop, [this] { return reportLoop(); }, "report");
             spawnRestarting(
                 m_trafficLoop, [this] { return watchSettings(); }, "watch_settings");
-            awaitSignal();
+            m_stop.awaitSignals();
             auto work = asio::make_work_guard(m_controlLoop);
             std::thread controlThread([this] { runLoop(m_controlLoop, "control"); });
             LogLine(LogLevel::Info, "start").with("entry", m_settings.entryListen).with("peers", m_settings.peerListen).with("store", m_settings.store).with("domain", m_settings.domain.value);
@@ -167,19 +163,6 @@
             }
         }
 
-        void awaitSignal()
-        {
-            m_signals.async_wait([this](const boost::system::error_code& ec, int signal) {
-                if (ec)
-                    return;
-                if (signal == SIGHUP)
-                    reload();
-                else
-                    spawn(m_trafficLoop, stop(), "stop");
-                awaitSignal();
-            });
-        }
-
         Awaitable<void> watchSettings()
         {
             for (;;) {
@@ -208,42 +191,26 @@
             asio::post(m_controlLoop, [this, seeds = settings->seeds] { m_control.addSeeds(seeds); });
         }
 
-        // Shuts down gracefully: directs callers to other instances, serves requests that still arrive, and exits once no more can
-        // arrive and none is in flight, or when the grace period is over. Exits at once if called a second time.
-        Awaitable<void> stop()
+        // Callers are directed to other instances. Requests that still arrive are served until no more can arrive.
+        StopActions stopActions()
         {
-            if (m_traffic.isStopping()) {
-                m_trafficLoop.stop();
-                co_return;
-            }
-            auto startedAt = bootNow();
-            LogLine(LogLevel::Info, "stop").with("requests", m_entryServer->requests).with("connections", m_entryServer->connections);
-            auto limit = startedAt + m_settings.stopGrace() - shutdownMargin;
-            m_traffic.stop(limit);
-            m_entryServer->closing = true;
-            asio::post(m_controlLoop, [this] { m_control.leave(); });
-            auto callersGone = startedAt + m_settings.entryCacheTime() * maxAddressCacheFactor + shutdownMargin;
-            while (bootNow() < limit) {
-                if (bootNow() >= callersGone) {
+            return {
+                .reload = [this] { reload(); },
+                .beginDrain = [this](TimePoint exitAt) {
+                    LogLine(LogLevel::Info, "stop").with("requests", m_entryServer->requests).with("connections", m_entryServer->connections);
+                    m_traffic.stop(exitAt);
+                    m_entryServer->closing = true;
+                    asio::post(m_controlLoop, [this] { m_control.leave(); }); },
+                .isDrained = [this](Milliseconds elapsed) {
+                    if (elapsed < m_settings.entryCacheTime() * maxAddressCacheFactor + lateCallerTime)
+                        return false;
                     m_entry->stop();
-                    if (m_entryServer->requests == 0)
-                        break;
-                }
-                co_await sleepFor(m_trafficLoop, shutdownPollPeriod);
-            }
-            auto cut = m_entryServer->requests;
-            co_await endRequests();
-            LogLine(LogLevel::Info, "stopped").with("cut", cut).with("ms", toMilliseconds(bootNow() - startedAt).count());
-            m_trafficLoop.stop();
-        }
-
-        // Ends the requests that are still at work: their callers get an error response, or a reset in the middle of a stream.
-        Awaitable<void> endRequests()
-        {
-            m_traffic.connections().closeAll();
-            auto limit = bootNow() + lastResponsesTime;
-            while (m_entryServer->requests > 0 && bootNow() < limit)
-                co_await sleepFor(m_trafficLoop, lastResponsesPollPeriod);
+                    return m_entryServer->requests == 0; },
+                .endRequests = [this] {
+                    m_traffic.stop(bootNow());
+                    m_traffic.connections().closeAll(); },
+                .requests = [this] { return m_entryServer->requests; },
+            };
         }
 
         EdgeSettings m_settings;
@@ -255,7 +222,7 @@
         TrafficState m_traffic;
         ControlPlane m_control;
         LinkChecker m_linkChecker;
-        asio::signal_set m_signals;
+        PlannedStop m_stop;
         std::shared_ptr<ServerState> m_entryServer;
         std::shared_ptr<ServerState> m_platformServer;
         HttpListener* m_entry = nullptr;
