Scan JSON and CBOR for their bounds before a document is built

What callers saw: none is known to have seen it. 8 MB of nested arrays from a peer end the process that fetches its changes, and with it every request in flight there; an entry of 1 MB of brackets takes 78 MB while it is read.

Cause: Json::from_cbor() recurses once a level, also in byte strings and texts of no stated length; copies and dump() recurse as well. Json::parse() does not, but each level takes some 70 bytes. Nothing limited either.

Ruled out: other exceptions than nlohmann's that leave decodeHeartbeat() or decodeUpdate(). Stated lengths that the bytes do not have and 20,000 messages with changed bytes showed none on the code before. Both functions catch std::exception now all the same, since readers throw others.

Change: parseJson() and parseCbor() scan the bytes first, without recursion and without memory of their size, for 64 levels and 131,072 values at most. CBOR must state all lengths, have the bytes that they state and no tags, as instances write it.

Before: test_odd_entries "documents that are nested deeply are not built" failed: an entry with 65 levels was read, and the process ended with SIGSEGV at the first update of 8 MB of arrays. After: all 80,058 assertions hold.

--- a/src/core/membership/fleet_heartbeat.cpp
+++ b/src/core/membership/fleet_heartbeat.cpp
@@ -1,5 +1,7 @@
 #include "core/membership/fleet_heartbeat.h"
 
+#include "core/bounded_document.h"
+
 #include <nlohmann/json.hpp>
 
 namespace skylarkhitch {
@@ -86,8 +88,8 @@
 std::optional<FleetHeartbeat> decodeHeartbeat(const std::string& bytes)
 {
     try {
-        return heartbeatFrom(Json::from_cbor(bytes));
-    } catch (const Json::exception&) {
+        return heartbeatFrom(parseCbor(bytes));
+    } catch (const std::exception&) {
         return std::nullopt;
     }
 }
--- a/src/core/membership/peer_message.cpp
+++ b/src/core/membership/peer_message.cpp
@@ -1,5 +1,7 @@
 #include "core/membership/peer_message.h"
 
+#include "core/bounded_document.h"
+
 #include <nlohmann/json.hpp>
 
 namespace skylarkhitch {
@@ -142,7 +144,7 @@
 std::optional<PeerEnvelope> decodeEnvelope(const std::string& bytes)
 {
     try {
-        auto json = Json::from_cbor(bytes);
+        auto json = parseCbor(bytes);
         Incarnation from { InstanceId { json.at(0) }, json.at(1) };
         return PeerEnvelope { std::move(from), messageFrom(json.at(2).get<std::size_t>(), json.at(3)) };
     } catch (const std::exception&) {
@@ -158,7 +160,7 @@
 std::optional<ConfigurationDocument> decodeDocument(const std::string& bytes)
 {
     try {
-        return documentFrom(Json::from_cbor(bytes));
+        return documentFrom(parseCbor(bytes));
     } catch (const std::exception&) {
         return std::nullopt;
     }
--- a/src/core/membership/store_mirror.cpp
+++ b/src/core/membership/store_mirror.cpp
@@ -1,5 +1,6 @@
 #include "core/membership/store_mirror.h"
 
+#include "core/bounded_document.h"
 #include "core/membership/store_revision.h"
 
 #include <algorithm>
@@ -22,7 +23,7 @@
 std::optional<MirrorUpdate> decodeUpdate(const std::string& bytes)
 {
     try {
-        auto json = Json::from_cbor(bytes);
+        auto json = parseCbor(bytes);
         MirrorUpdate update { json.at(0), json.at(1), {} };
         for (const auto& it : json.at(2)) {
             StoreChange change { it.at(0), it.at(1), {} };
@@ -33,7 +34,7 @@
             update.changes.push_back(std::move(change));
         }
         return update;
-    } catch (const Json::exception&) {
+    } catch (const std::exception&) {
         return std::nullopt;
     }
 }
--- a/test/performance/core_benchmark.cpp
+++ b/test/performance/core_benchmark.cpp
@@ -243,6 +243,25 @@
 }
 BENCHMARK(memberMemory)->Arg(10)->Arg(50)->Arg(910)->Iterations(1);
 
+// Reads a heartbeat of an entry instance with this many upstreams in use and as many counters of releases.
+void decodeFleetHeartbeat(benchmark::State& state)
+{
+    FleetHeartbeat heartbeat;
+    heartbeat.from = { { "edge-delta-c-1" }, 1 };
+    heartbeat.domain = { "delta-c" };
+    heartbeat.addresses = { "10.0.0.1:8080", "10.0.0.1:7340" };
+    for (int n = 0; n < static_cast<int>(state.range(0)); ++n) {
+        heartbeat.work[{ "i-774cc643bb" + std::to_string(n) }] = { n % 8, 1000 + n };
+        heartbeat.evidence[{ { "assist" }, "v" + std::to_string(n % 2), "cards-" + std::to_string(n), { "small" } }] = { 700, 1, Milliseconds(90000), { 700, 3300.5, 16100.25 }, 2 };
+        heartbeat.sessions.push_back({ 0x774cc643bbULL + static_cast<std::uint64_t>(n), "v2", Milliseconds(300) });
+    }
+    auto bytes = encodeHeartbeat(heartbeat);
+    for (auto _ : state)
+        benchmark::DoNotOptimize(decodeHeartbeat(bytes));
+    state.counters["bytes"] = static_cast<double>(bytes.size());
+}
+BENCHMARK(decodeFleetHeartbeat)->Arg(2)->Arg(20)->Arg(200);
+
 }
 
 BENCHMARK_MAIN();
