Pass on only what can be answered before the exit

Callers on kept connections saw calls that may run once end with 502 and streams break off in the middle when the grace period of a stop ended: the instance took requests up to half a second before its exit, whatever they took.

Cause: isExiting() knew only a fixed time before the exit, and nothing of the request.

core/limits/stop_admission expects the time of a request from what whole requests of its route took in the last minute, with a stricter margin for those that may run once or cannot be resumed; requests that were cut or are at work count for at least the time that they lasted. A request whose time limit ends before the exit always fits. The rule holds each time a request would be sent: first, again, to a larger model, by way of a peer. What does not fit is refused with 503 (not run), Retry-After and Connection: close.

A section of test_held_up, "callers whose upstreams are still at work then", sent a call of an unknown route one second before the exit and expected it to be passed on and to end 502, which is the fault. Its checks are the same; the instance now knows the routes as fast, so that the requests are passed on, and the upstreams become slow after that. That the call of an unknown route is refused is checked in test_planned_stop.

--- a/src/edge/request_forwarder.cpp
+++ b/src/edge/request_forwarder.cpp
@@ -116,21 +116,24 @@
 Awaitable<void> RequestForwarder::run()
 {
     auto self = shared_from_this();
-    std::string failure;
+    std::optional<std::string> failure;
     try {
         co_await admitAndServe();
-        co_return;
     } catch (const std::exception& e) {
         failure = e.what();
     }
-    LogLine(LogLevel::Error, "request_failed").with("id", m_admitted.request.id.value).with("error", failure);
+    if (m_servedSince)
+        m_traffic.stopAdmission().ended(m_admitted.route->name, *m_servedSince, m_isAnswered, bootNow());
+    if (!failure)
+        co_return;
+    LogLine(LogLevel::Error, "request_failed").with("id", m_admitted.request.id.value).with("error", *failure);
     co_await respondWithError(ErrorKind::Internal);
 }
 
 Awaitable<void> RequestForwarder::admitAndServe()
 {
     auto error = admit();
-    if (error == ErrorKind::NotConfigured) {
+    if (error == ErrorKind::NotConfigured && !m_traffic.isExiting(bootNow())) {
         co_await m_traffic.awaitConfiguration(bootNow() + timeLeft() / waitDivisor);
         if (m_caller->hasDisconnected()) {
             logOutcome("caller_left", 0);
@@ -161,8 +164,6 @@
     platform::decodeRequest(m_received.fields, request);
     m_view = m_traffic.view();
     m_admitted.configuration = m_view ? m_view->configuration : nullptr;
-    if (m_traffic.isExiting(bootNow()))
-        return ErrorKind::InstanceDraining;
     if (auto error = admitRequest(m_admitted, m_received.receivedAt); error != ErrorKind::None)
         return error;
     m_events = EventStreamParser(request.lastEvent);
@@ -180,6 +181,14 @@
             co_await respondWithError(ErrorKind::DeadlineExceeded);
             co_return;
         }
+        if (!fitsBeforeExit(now)) {
+            co_await respondWithError(ErrorKind::InstanceDraining);
+            co_return;
+        }
+        if (!m_servedSince) {
+            m_servedSince = now;
+            m_traffic.stopAdmission().began(m_admitted.route->name, now);
+        }
         if (m_traffic.links().isLost()) {
             co_await serveByWayOfPeer();
             co_return;
@@ -199,8 +208,10 @@
             logOutcome("caller_left", 0);
             co_return;
         }
-        if (result.isFinal)
+        if (result.isFinal) {
+            m_isAnswered = result.end == AttemptEnd::Completed;
             co_return;
+        }
         if (result.end == AttemptEnd::Dropped)
             continue;
         bool willRetry = result.retryTaken || reserveRetry(result, bootNow());
@@ -212,10 +223,20 @@
     }
 }
 
+bool RequestForwarder::fitsBeforeExit(TimePoint now) const
+{
+    const auto& route = *m_admitted.route;
+    PendingWork work { route.name, route.isRetryable() ? CutCost::Repeatable : CutCost::Final, m_admitted.deadline };
+    // A call that takes longer would be sent again elsewhere.
+    if (route.kind == RouteKind::Idempotent)
+        work.defaultTime = scaled(route.targetLatency, responseTimeoutFactor);
+    return m_traffic.fitsBeforeExit(work, now);
+}
+
 Awaitable<void> RequestForwarder::serveByWayOfPeer()
 {
     // A request that came from a peer does not go to another one, so that none goes round.
-    while (!m_admitted.request.isRelayed && m_triedPeers.size() < maxRelays && timeLeft() >= minUsefulTime) {
+    while (!m_admitted.request.isRelayed && m_triedPeers.size() < maxRelays && timeLeft() >= minUsefulTime && fitsBeforeExit(bootNow())) {
         auto peer = m_traffic.chooseRelay(m_triedPeers);
         if (!peer)
             break;
@@ -228,6 +249,7 @@
         auto end = co_await m_relay->sendTo(*peer, terms);
         m_firstByteAt = m_relay->firstByteAt();
         if (m_caller->hasDisconnected() || end == RequestRelay::End::Answered) {
+            m_isAnswered = !m_caller->hasDisconnected();
             logOutcome(m_caller->hasDisconnected() ? "caller_left" : m_relay->status() < 500 ? "none"
                                                                                              : "upstream_error",
                 m_relay->status());
@@ -297,8 +319,9 @@
         m_traffic.recordConnected(bootNow());
     if (m_caller->hasDisconnected())
         co_return AttemptResult { AttemptEnd::NotSent, true };
-    // While the connection was opened, the part may have been quarantined, or the upstream may have said that it wants nothing more.
-    if ((!m_isProbe && m_traffic.promptParts().quarantinedPart(m_parts)) || m_traffic.isHeld(upstream, bootNow())) {
+    // While the connection was opened, the part may have been quarantined, or the upstream may have said that it wants nothing more,
+    // or the time until the exit may have become too short.
+    if ((!m_isProbe && m_traffic.promptParts().quarantinedPart(m_parts)) || m_traffic.isHeld(upstream, bootNow()) || !fitsBeforeExit(bootNow())) {
         connection->close();
         co_return AttemptResult { AttemptEnd::NotSent, false };
     }
@@ -498,7 +521,7 @@
 
 bool RequestForwarder::escalateModel(const UpstreamEntry& upstream, const UpstreamResponse& response)
 {
-    if (!m_model || !response.confidence || m_caller->hasStartedResponse() || m_events.last() || m_possibleRuns >= m_admitted.route->maxAttempts)
+    if (!m_model || !response.confidence || m_caller->hasStartedResponse() || m_events.last() || m_possibleRuns >= m_admitted.route->maxAttempts || !fitsBeforeExit(bootNow()))
         return false;
     const auto* larger = largerModel(*m_admitted.route, *m_model);
     if (!larger)
@@ -548,7 +571,7 @@
 
 bool RequestForwarder::reserveRetry(const AttemptResult& result, TimePoint now)
 {
-    if (timeLeft() < minUsefulTime || m_traffic.isExiting(now) || m_triedUpstreams.size() >= maxUnreachableUpstreams + static_cast<std::size_t>(m_admitted.route->maxAttempts))
+    if (timeLeft() < minUsefulTime || !fitsBeforeExit(now) || m_triedUpstreams.size() >= maxUnreachableUpstreams + static_cast<std::size_t>(m_admitted.route->maxAttempts))
         return false;
     // No attempt has reached an upstream yet: the next one needs no retry budget.
     if (result.end == AttemptEnd::NotSent && m_deliveredAttempts == 0)
@@ -572,7 +595,9 @@
 
 ErrorKind RequestForwarder::errorFor(const AttemptResult& result) const
 {
-    if (m_traffic.isExiting(bootNow()))
+    auto now = bootNow();
+    bool isKeptBack = m_execution.executed() == Executed::No && !fitsBeforeExit(now);
+    if (m_traffic.isExiting(now) || isKeptBack)
         return ErrorKind::InstanceDraining;
     if (timeLeft() < minUsefulTime)
         return ErrorKind::DeadlineExceeded;
--- a/src/edge/request_forwarder.h
+++ b/src/edge/request_forwarder.h
@@ -36,6 +36,8 @@
     ErrorKind admit();
     // Makes attempts until one gives the final response or no further attempt is allowed.
     Awaitable<void> serve();
+    // Whether the request may be sent now, see TrafficState.
+    bool fitsBeforeExit(TimePoint now) const;
     // Sends the request by way of a peer, since this instance has lost its links to the upstreams.
     Awaitable<void> serveByWayOfPeer();
     // Adds the request to the base of the service's retry budget, once.
@@ -143,6 +145,10 @@
     std::optional<Milliseconds> m_limitedFor;
     // Set if there are upstreams for the request, but all of them want nothing for now: the time until the first one does.
     std::optional<Milliseconds> m_pausedFor;
+    // When the request could be sent first.
+    std::optional<TimePoint> m_servedSince;
+    // The caller got a whole answer.
+    bool m_isAnswered = false;
     // When the first part of the response was sent to the caller.
     std::optional<TimePoint> m_firstByteAt;
 };
--- a/src/edge/traffic_state.cpp
+++ b/src/edge/traffic_state.cpp
@@ -29,8 +29,6 @@
         return request.session.empty() ? std::string_view(request.id.value) : std::string_view(request.session);
     }
 
-    // An instance that stops refuses requests in this time before it exits.
-    constexpr Milliseconds minTimeBeforeExit { 500 };
     // An instance may have less than 100 MB of memory in all.
     constexpr std::size_t maxBodyMemoryBytes = std::size_t { 8 } << 20;
 
@@ -74,7 +72,7 @@
 
 void TrafficState::stop(TimePoint exitAt) { m_exitAt = exitAt; }
 
-bool TrafficState::isExiting(TimePoint now) const { return m_exitAt && now + minTimeBeforeExit >= *m_exitAt; }
+bool TrafficState::isExiting(TimePoint now) const { return m_exitAt && now + StopAdmission::minTime >= *m_exitAt; }
 
 void TrafficState::setView(FleetViewPtr view)
 {
@@ -377,6 +375,7 @@
     m_promptParts.forget(now);
     evaluateCrashes(now);
     m_brokenResponses.forget(now - brokenResponseRetention);
+    m_stopAdmission.forget(now);
     return { m_balancer.ownWork(), m_evidence, m_crashes.own(), { m_promptParts.news(now), m_limits.news(now) }, sessionsForPeers(now), isReady(), m_links.isLost(), m_promptParts.quarantinedCount(), m_limits.limitedCount(), false, threadCpuTime() };
 }
 
--- a/src/edge/traffic_state.h
+++ b/src/edge/traffic_state.h
@@ -4,6 +4,7 @@
 
 #include "core/limits/crash_guard.h"
 #include "core/limits/prompt_part_guard.h"
+#include "core/limits/stop_admission.h"
 #include "core/limits/upstream_limits.h"
 #include "core/limits/upstream_pauses.h"
 #include "core/messages.h"
@@ -72,8 +73,12 @@
     // Makes the instance report that it is not ready, so that no new callers are sent to it. At `exitAt` the process ends.
     void stop(TimePoint exitAt);
     bool isStopping() const { return m_exitAt.has_value(); }
-    // Whether the process ends so soon that a request that arrives now could not be answered.
+    // Whether the process ends so soon that what ends now is taken to end because of that.
     bool isExiting(TimePoint now) const;
+    // Whether the request may be sent now, as it is expected to be answered before the process ends; true unless the instance
+    // stops.
+    bool fitsBeforeExit(const PendingWork& work, TimePoint now) const { return !m_exitAt || m_stopAdmission.fits(work, *m_exitAt, now); }
+    StopAdmission& stopAdmission() { return m_stopAdmission; }
 
     // Finds the upstreams that may run a request of a service now, according to the current view and rollout.
     EligibleUpstreams findEligibleUpstreams(const ServiceId&, const RoutedRequest&, TimePoint now);
@@ -203,6 +208,7 @@
     EndedIncarnations m_endedIncarnations;
     // When the process ends; set once it stops.
     std::optional<TimePoint> m_exitAt;
+    StopAdmission m_stopAdmission;
     TimePoint m_startedAt;
     // Number of reports.
     std::size_t m_reports = 0;
--- a/test/processes/held_up_test.cpp
+++ b/test/processes/held_up_test.cpp
@@ -628,7 +628,8 @@
     for (int n = 0; n < count; ++n) {
         connections.push_back(RawConnection::connect(instance.port()));
         REQUIRE(connections.back());
-        connections.back()->write(bytesOf(Kind::Status, absl::StrCat("id-first-", n)));
+        // All kinds are fast before the signal, so the instance expects to answer them in time.
+        connections.back()->write(bytesOf(allKinds[n % std::size(allKinds)], absl::StrCat("id-first-", n)));
         REQUIRE(isWhole(connections.back()->readResponse()));
     }
     auto startedAt = Clock::now();
--- a/test/processes/planned_stop_test.cpp
+++ b/test/processes/planned_stop_test.cpp
@@ -6,8 +6,11 @@
 #include <absl/strings/match.h>
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
+#include <absl/strings/str_replace.h>
+#include <atomic>
 #include <catch2/catch.hpp>
 #include <csignal>
+#include <map>
 #include <thread>
 
 using namespace skylarkhitch;
@@ -178,3 +181,189 @@
     CHECK(instance.process().waitForExit(Seconds(5)) == 0);
     CHECK(instance.linesContaining("what=stopped cut=0").size() == 1);
 }
+
+namespace {
+
+// What a caller saw of one request.
+struct SeenRequest {
+    Kind kind;
+    std::string id;
+    Clock::time_point sentAt;
+    Clock::time_point endedAt;
+    std::string response;
+};
+
+// Sends requests one after another, on one connection as long as it is kept and then on new ones, until no connection can be
+// made. After a refusal, waits as long as callers are told. `works` is the work of the requests in turn.
+std::vector<SeenRequest> sendUntilGone(int port, Kind kind, const std::string& idPrefix, const std::vector<std::chrono::milliseconds>& works)
+{
+    std::vector<SeenRequest> seen;
+    auto connection = RawConnection::connect(port);
+    while (connection) {
+        SeenRequest request { kind, absl::StrCat(idPrefix, "-", seen.size()), Clock::now() };
+        connection->write(bytesOf(kind, request.id, works[seen.size() % works.size()]));
+        request.response = connection->readResponse();
+        request.endedAt = Clock::now();
+        bool isKept = connection->isOpen() && !request.response.empty() && !absl::StrContains(request.response, "Connection: close");
+        std::this_thread::sleep_for(statusOf(request.response) == 503 ? 100ms : 1ms);
+        seen.push_back(std::move(request));
+        if (!isKept)
+            connection = RawConnection::connect(port);
+    }
+    return seen;
+}
+
+// A refusal is answered within this time on a machine that is busy.
+constexpr std::chrono::milliseconds refusalTime { 200 };
+
+// Checks a request that an instance got during its drain: the whole answer came, or it was refused at once, and then no upstream
+// has seen it.
+void checkServedOrRefused(Site& site, const SeenRequest& request)
+{
+    CAPTURE(request.id, request.response.substr(0, shownBytes));
+    if (isWhole(request.response))
+        return;
+    CHECK(site.receivedWithId(request.id) == 0);
+    // The end of the process may cross a request.
+    if (request.response.empty())
+        return;
+    CHECK(statusOf(request.response) == 503);
+    CHECK(absl::StrContains(request.response, "Retry-After: 0."));
+    CHECK(absl::StrContains(request.response, "Connection: close\r\n"));
+    CHECK(request.endedAt - request.sentAt < refusalTime);
+}
+
+// Serves enough requests of a kind for the instance to know how long they take.
+void serveSome(EdgeInstance& instance, Kind kind, std::chrono::milliseconds work)
+{
+    constexpr int count = 6;
+    std::vector<std::unique_ptr<RawConnection>> connections;
+    for (int n = 0; n < count; ++n) {
+        connections.push_back(RawConnection::connect(instance.port()));
+        REQUIRE(connections.back());
+        connections.back()->write(bytesOf(kind, absl::StrCat("id-before-", n), work));
+    }
+    for (const auto& it : connections)
+        REQUIRE(isWhole(it->readResponse()));
+}
+
+}
+
+// Guards against requests that are taken during the drain although they cannot end in time: calls that may run once then end with
+// an error that does not say whether they ran, and streams break off in the middle.
+TEST_CASE("an instance that stops passes on only what it can answer")
+{
+    Site site;
+    workAsAsked(site);
+    EdgeInstance instance("edge-1", site.store.address());
+    REQUIRE(waitUntil(5s, [&] { return instance.isReady(); }));
+
+    auto stopBetweenCallers = [&](const std::vector<std::chrono::milliseconds>& signals) {
+        struct Caller {
+            Kind kind;
+            std::vector<std::chrono::milliseconds> works;
+            // Requests that are sent this long after SIGTERM would certainly fit into the time for stopping.
+            std::chrono::milliseconds servedUntil;
+        };
+        const Caller kinds[] = { { Kind::Booking, { 50ms, 1600ms }, 800ms }, { Kind::Draft, { 1200ms }, 1500ms }, { Kind::Status, { 40ms }, 2500ms } };
+        constexpr int count = 12;
+        std::vector<std::vector<SeenRequest>> seen(count);
+        std::vector<std::thread> threads;
+        for (int n = 0; n < count; ++n) {
+            threads.emplace_back([&, n] {
+                // So that their requests do not begin and end together.
+                std::this_thread::sleep_for(n * 100ms);
+                seen[n] = sendUntilGone(instance.port(), kinds[n % 3].kind, absl::StrCat("id-", n), kinds[n % 3].works);
+            });
+        }
+        std::this_thread::sleep_for(4s);
+        auto stoppedAt = Clock::now();
+        for (auto pause : signals) {
+            instance.signal(SIGTERM);
+            std::this_thread::sleep_for(pause);
+        }
+        auto status = instance.process().waitForExit(Seconds(6));
+        for (auto& it : threads)
+            it.join();
+        CHECK(status == 0);
+        std::map<Kind, int> servedInDrain;
+        int refused = 0;
+        for (int n = 0; n < count; ++n) {
+            for (const auto& it : seen[n]) {
+                checkServedOrRefused(site, it);
+                bool isServed = isWhole(it.response);
+                if (it.sentAt < stoppedAt + kinds[n % 3].servedUntil) {
+                    CAPTURE(it.id, it.response.substr(0, shownBytes));
+                    CHECK(isServed);
+                }
+                servedInDrain[it.kind] += isServed && it.sentAt > stoppedAt ? 1 : 0;
+                refused += statusOf(it.response) == 503 ? 1 : 0;
+            }
+        }
+        CHECK(servedInDrain.size() == std::size(kinds));
+        CHECK(refused > 0);
+        CHECK(instance.linesContaining("what=stopped cut=0").size() == 1);
+    };
+    SECTION("callers that send until it is gone") { stopBetweenCallers({ 0ms }); }
+    SECTION("the same with SIGTERM that is repeated") { stopBetweenCallers({ 600ms, 900ms, 0ms }); }
+
+    auto sendAfterStop = [&](std::chrono::milliseconds sinceStop, Kind kind, std::chrono::milliseconds work, std::chrono::milliseconds timeout = 3000ms) {
+        auto connection = RawConnection::connect(instance.port());
+        REQUIRE(connection);
+        auto stoppedAt = Clock::now();
+        instance.signal(SIGTERM);
+        std::this_thread::sleep_until(stoppedAt + sinceStop);
+        SeenRequest request { kind, "id-late", Clock::now() };
+        connection->write(bytesOf(kind, request.id, work, timeout));
+        request.response = connection->readResponse();
+        request.endedAt = Clock::now();
+        return request;
+    };
+    SECTION("nothing is known of the route: a call that may run once is refused")
+    {
+        auto request = sendAfterStop(1500ms, Kind::Booking, 2500ms);
+        checkServedOrRefused(site, request);
+    }
+    SECTION("nothing is known of the route: a call whose time limit ends before the exit is served")
+    {
+        auto request = sendAfterStop(1500ms, Kind::Booking, 300ms, 1900ms);
+        CHECK(isWhole(request.response));
+    }
+    SECTION("nothing is known of the route: a call that may be repeated is served as long as it is expected to be fast")
+    {
+        auto request = sendAfterStop(1500ms, Kind::Status, 100ms);
+        CHECK(isWhole(request.response));
+    }
+    SECTION("a call that its upstream refused late is not sent to another one")
+    {
+        serveSome(instance, Kind::Booking, 1000ms);
+        std::atomic<int> sent = 0;
+        site.setScripts([&](const RawRequest& request, RawConnection& connection) {
+            if (connection.isClosedWithin(1300ms))
+                return false;
+            if (sent++ > 0)
+                return respondWith("hello")(request, connection);
+            return connection.write(responseBytes(503, "", { { "X-Attempt-Id", request.field("X-Attempt-Id") }, { "X-Not-Executed", "1" } }));
+        });
+        auto request = sendAfterStop(1200ms, Kind::Booking, 0ms);
+        CAPTURE(request.response);
+        CHECK(statusOf(request.response) == 503);
+        CHECK(site.receivedWithId(request.id) == 1);
+    }
+    SECTION("an answer is not dropped for that of a larger model which comes too late")
+    {
+        // A larger model is asked only within the target.
+        site.store.put("op/config", absl::StrReplaceAll(sampleConfiguration(4), { { "\"targetLatencyMs\":200", "\"targetLatencyMs\":3000" } }));
+        REQUIRE(waitUntil(2s, [&] { return !instance.linesContaining("what=configuration version=4").empty(); }));
+        serveSome(instance, Kind::Draft, 1000ms);
+        site.setEngineScripts([&](const RawRequest& request, RawConnection& connection) {
+            if (request.field("X-Model-Name") != "small")
+                return streamEvents(30, eventGap)(request, connection);
+            return !connection.isClosedWithin(1000ms) && streamEvents(3, 5ms, { .confidence = 10 })(request, connection);
+        });
+        auto request = sendAfterStop(1400ms, Kind::Draft, 0ms);
+        CAPTURE(request.response);
+        CHECK(isWhole(request.response));
+        CHECK(site.receivedWithId(request.id) == 1);
+    }
+}
