Let one odd item of the store hide no other, and read all after a watch that cannot be read

What callers saw: nothing is known; an instance would stay with the configuration and the upstreams that it has.

Cause: decodePage() and decodeChanges() threw the whole answer away if one item in it could not be read, and so did an answer to a watch of more than 8 MB, which six values of 1 MB make. followStore() then asked for the same changes again, for ever.

Change: an item whose key or revision cannot be read is left out. A value that cannot be read, or that is longer than documents of its kind may be, is replaced by an empty one, which names nothing; the others and the revision stay. Values of keys that no instance reads are not kept. Each such item has a log line. After an answer to a watch that cannot be read as a whole or is too long, everything is read at once, as after status 410; the pause after a read bounds the calls. Such an answer alone does not show that the store is down: the read does. A page that others follow and none of whose keys can be read is a failed read. It was taken for the last page before, which would have removed all further items.

--- a/src/edge/control_plane.cpp
+++ b/src/edge/control_plane.cpp
@@ -117,7 +117,8 @@
         if (isOk) {
             applyUpdate(*result.update);
             needsFullRead = false;
-        } else if (result.status == 410) {
+        } else if (result.status == 410 || result.isUnreadable) {
+            // The same watch would get the same answer again, so everything is read at once; there is a pause after that.
             LogLine(LogLevel::Warning, "store_history_lost").with("revision", m_mirror.revision());
             needsFullRead = true;
             continue;
--- a/src/edge/store_client.cpp
+++ b/src/edge/store_client.cpp
@@ -37,6 +37,12 @@
             it.revision = revisionInEra(it.revision, era);
     }
 
+    void logUnreadable(const std::vector<platform::DecodeError>& errors)
+    {
+        for (const auto& it : errors)
+            LogLine(LogLevel::Warning, "store_item_unreadable").with("error", it.message);
+    }
+
     bool isStoreReachable(int status) { return status != 0 && status != 429 && status != 503; }
 
 }
@@ -73,6 +79,7 @@
             auto body = co_await connection->readWholeBody(options.maxBytes, times);
             if (body.end == TransferEnd::Ok)
                 response = { responseHead.status, std::move(body.bytes) };
+            response.isMalformed = body.end == TransferEnd::Malformed;
             if (options.isLongPoll)
                 m_pendingWatch.reset();
             if (isStoreReachable(response.status) && !acceptEra(response, platform::decodeStoreEra(responseHead.fields)))
@@ -88,7 +95,9 @@
         connection->close();
     m_metrics.storeCall(options.name, response.status);
     bool wasCancelled = options.isLongPoll && std::exchange(m_watchCancelled, false);
-    if (response.status != 0 || !wasCancelled)
+    // The read that follows a watch with an answer that cannot be taken shows whether the store is reachable.
+    bool isUndecided = options.isLongPoll && (wasCancelled || response.isMalformed);
+    if (response.status != 0 || !isUndecided)
         updateReachability(response.status);
     co_return response;
 }
@@ -152,13 +161,18 @@
         co_return StoreUpdateResult { historyLost, {} };
     CallOptions options { &m_watchConnection, watchWait + watchMargin, maxItemTime, maxItemBytes, "watch", true };
     auto response = co_await sendRequest(platform::watchRequest(allKeysPrefix, storeRevision(after), watchWait), options);
-    StoreUpdateResult result { response.status, {} };
+    StoreUpdateResult result { response.status, {}, response.isMalformed };
+    if (response.isMalformed)
+        LogLine(LogLevel::Error, "store_answer_unreadable").with("call", "watch");
     if (!response.isOk())
         co_return result;
     // The revision may have been given out again, so the changes may not be those after the known state.
     if (response.era != eraOf(after))
         co_return StoreUpdateResult { historyLost, {} };
-    result.update = platform::decodeChanges(response.body);
+    std::vector<platform::DecodeError> errors;
+    result.update = platform::decodeChanges(response.body, errors);
+    result.isUnreadable = !result.update;
+    logUnreadable(errors);
     if (result.update)
         addEra(*result.update, response.era);
     else
@@ -175,7 +189,9 @@
     auto& after = m_partialRead->after;
     for (;;) {
         auto response = co_await sendRequest(platform::pageRequest(allKeysPrefix, after), options);
-        auto page = response.isOk() ? platform::decodePage(response.body) : std::nullopt;
+        std::vector<platform::DecodeError> errors;
+        auto page = response.isOk() ? platform::decodePage(response.body, errors) : std::nullopt;
+        logUnreadable(errors);
         if (!page) {
             LogLine(LogLevel::Warning, "store_read_failed").with("status", response.status).with("after", after);
             co_return StoreUpdateResult { response.status, {} };
@@ -188,10 +204,10 @@
         // Later pages may come from later revisions. The watch continues from the first page's revision, so it misses no change.
         if (update.revision == 0)
             update.revision = page->revision;
-        update.changes.insert(update.changes.end(), page->items.begin(), page->items.end());
-        if (!page->hasMore || page->items.empty())
+        after = page->items.empty() ? std::string() : page->items.back().key;
+        update.changes.insert(update.changes.end(), std::make_move_iterator(page->items.begin()), std::make_move_iterator(page->items.end()));
+        if (!page->hasMore)
             break;
-        after = page->items.back().key;
     }
     addEra(update, m_partialRead->era);
     StoreUpdateResult result { 200, std::move(update) };
--- a/src/edge/store_client.h
+++ b/src/edge/store_client.h
@@ -15,6 +15,8 @@
     std::string body;
     // The store's era, see store_revision.h; the last known one if the response names none.
     std::int64_t era = 0;
+    // There was a head, but its body was not as HTTP wants it, or too long.
+    bool isMalformed = false;
 
     bool isOk() const { return status == 200; }
 };
@@ -31,6 +33,8 @@
     struct StoreUpdateResult {
         int status = 0;
         std::optional<MirrorUpdate> update;
+        // The changes came, but cannot be read or are too many. The same call would get them again.
+        bool isUnreadable = false;
     };
     // Waits for the first change after a revision. The update has no changes if none came within the wait time. If the store has
     // begun another era, the result has status 410.
--- a/test/correctness/odd_entries_test.cpp
+++ b/test/correctness/odd_entries_test.cpp
@@ -6,8 +6,10 @@
 #include "core/membership/store_mirror.h"
 #include "platform/store_codec.h"
 
+#include <absl/strings/escaping.h>
 #include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
 #include <catch2/catch.hpp>
 #include <random>
 
@@ -101,3 +103,64 @@
         }
     }
 }
+
+// Guards against instances that learn of no change because the store's answer has one odd item.
+TEST_CASE("an odd item in an answer of the store hides no other")
+{
+    auto item = [](const std::string& key, const std::string& value, const std::string& revision) { return absl::StrCat(R"({"key":)", key, R"(,"value":)", value, R"(,"revision":)", revision, "}"); };
+    auto encoded = [](std::size_t bytes) { return absl::StrCat("\"", absl::Base64Escape(std::string(bytes, 'x')), "\""); };
+    const std::string sound = item(R"("servers/i-1")", R"("bm9kZS0x")", "411");
+    const std::string lastSound = item(R"("servers/i-9")", R"("bm9kZS0x")", "419");
+    std::vector<DecodeError> errors;
+    SECTION("one without a key or a revision that can be read is left out")
+    {
+        const std::string odd[] = { "7", "null", "[]", "{}", item("7", R"("bm9kZS0x")", "412"), item("null", R"("bm9kZS0x")", "412"), item(R"("servers/i-2")", R"("bm9kZS0x")", R"("412")"), R"({"key":"servers/i-2","value":"bm9kZS0x"})" };
+        auto items = absl::StrCat(sound, ",", absl::StrJoin(odd, ","), ",", lastSound);
+        auto page = decodePage(absl::StrCat(R"({"items":[)", items, R"(],"morePages":true,"currentRev":420})"), errors);
+        REQUIRE(page);
+        CHECK(page->hasMore);
+        CHECK(page->revision == 420);
+        REQUIRE(page->items.size() == 2);
+        CHECK(page->items[1].key == "servers/i-9");
+        CHECK(errors.size() == std::size(odd));
+        auto changes = decodeChanges(absl::StrCat(R"({"events":[)", items, R"(],"currentRev":420})"), errors);
+        REQUIRE(changes);
+        CHECK(changes->revision == 420);
+        REQUIRE(changes->changes.size() == 2);
+        CHECK(changes->changes[0].value == "node-1");
+        CHECK(errors.size() == 2 * std::size(odd));
+    }
+    SECTION("one whose value cannot be read is there, with a value that names nothing")
+    {
+        const std::string odd[] = { item(R"("servers/i-2")", R"("*")", "412"), item(R"("servers/i-3")", "7", "413"), item(R"("servers/i-4")", "null", "414"), R"({"key":"servers/i-5","revision":415})",
+            R"({"key":"servers/i-6","revision":416,"deleted":"true"})", item(R"("servers/i-7")", encoded(mebibyte), "417") };
+        auto changes = decodeChanges(absl::StrCat(R"({"events":[)", sound, ",", absl::StrJoin(odd, ","), ",", lastSound, R"(],"currentRev":420})"), errors);
+        REQUIRE(changes);
+        REQUIRE(changes->changes.size() == 2 + std::size(odd));
+        CHECK(changes->changes.back().value == "node-1");
+        for (std::size_t n = 1; n <= std::size(odd); ++n)
+            CHECK(changes->changes[n].value == "");
+        REQUIRE(errors.size() == std::size(odd));
+        for (std::size_t n = 0; n < errors.size(); ++n)
+            CHECK(absl::StartsWith(errors[n].message, absl::StrCat("servers/i-", n + 2)));
+    }
+    SECTION("a value as long as the documents of its kind may be is read, a longer one is not, and keys of no kind are not kept")
+    {
+        const std::pair<const char*, std::size_t> longest[] = { { "op/config", mebibyte }, { "op/rollout/s", 65536 }, { "skylarkhitch/rollout/s", 262144 }, { "servers/i-1", 65536 }, { "skylarkhitch/instances/edge-2", 65536 }, { "status/rollout/s", 0 } };
+        for (const auto& [key, bytes] : longest) {
+            for (auto more : { 0, 1 }) {
+                CAPTURE(key, more);
+                auto changes = decodeChanges(absl::StrCat(R"({"events":[)", item(absl::StrCat("\"", key, "\""), encoded(bytes + static_cast<std::size_t>(more)), "412"), R"(],"currentRev":420})"), errors);
+                REQUIRE(changes);
+                CHECK(changes->changes.at(0).value->size() == (more ? 0 : bytes));
+                CHECK(errors.size() == (more && bytes > 0 ? 1 : 0));
+                errors.clear();
+            }
+        }
+    }
+    SECTION("a page without a key is no end of a read that goes on")
+    {
+        CHECK_FALSE(decodePage(R"({"items":[{}],"morePages":true,"currentRev":420})", errors));
+        CHECK(decodePage(R"({"items":[{}],"morePages":false,"currentRev":420})", errors));
+    }
+}
--- a/test/processes/edge_test.cpp
+++ b/test/processes/edge_test.cpp
@@ -8,6 +8,7 @@
 #include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_split.h>
+#include <atomic>
 #include <catch2/catch.hpp>
 #include <csignal>
 
@@ -165,6 +166,70 @@
     }
 }
 
+namespace {
+
+constexpr std::size_t mebibyte = std::size_t { 1 } << 20;
+
+// A relay to a store that replaces the answers to watches.
+class WatchReplacer {
+public:
+    WatchReplacer(FleetStore& store, std::string body)
+        : m_store(std::atoi(store.address().substr(store.address().rfind(':') + 1).c_str()))
+        , m_body(std::move(body))
+        , m_server([this](const RawRequest& request, RawConnection& connection) { return serve(request, connection); })
+    {
+    }
+
+    std::string address() const { return m_server.address(); }
+    void begin() { m_isReplacing = true; }
+    int replaced() const { return m_replaced; }
+
+private:
+    bool serve(const RawRequest& request, RawConnection& connection)
+    {
+        auto store = RawConnection::connect(m_store);
+        auto head = absl::StrCat(request.method, " ", request.target, " HTTP/1.1\r\n");
+        for (const auto& it : request.fields)
+            absl::StrAppend(&head, it.name, ": ", it.value, "\r\n");
+        store->write(absl::StrCat(head, "\r\n", request.body));
+        auto response = store->readResponse(10s);
+        if (!m_isReplacing || request.path() != "/-/kv-watch")
+            return connection.write(response);
+        ++m_replaced;
+        return connection.write(responseBytes(200, m_body, { { "Store-Era", "0" } }));
+    }
+
+    int m_store;
+    std::string m_body;
+    std::atomic<bool> m_isReplacing = false;
+    std::atomic<int> m_replaced = 0;
+    LoopbackServer m_server;
+};
+
+}
+
+// Guards against instances that ask for the same changes for ever because they cannot read the answer.
+TEST_CASE("an answer to a watch that cannot be read is made up for by a read")
+{
+    auto body = GENERATE(as<std::string> {}, R"({"events":"none"})", "[", std::string(9 * mebibyte, 'x'));
+    CAPTURE(body.size());
+    Site site;
+    WatchReplacer relay(site.store, body);
+    EdgeInstance instance("edge-1", relay.address());
+    REQUIRE(waitUntil(5s, [&] { return instance.isReady(); }));
+    relay.begin();
+    for (int version : { 20, 21, 22 }) {
+        site.store.put("op/config", sampleConfiguration(version));
+        CHECK(waitUntil(2s, [&] { return !instance.linesContaining(absl::StrCat("what=configuration version=", version)).empty(); }));
+    }
+    CHECK(relay.replaced() > 0);
+    // One read each, and a pause between them.
+    CHECK(relay.replaced() < 12);
+    CHECK(instance.linesContaining("what=store_answer_unreadable").size() >= 3);
+    // The relay need not wait for the pending one.
+    site.store.cutWatches();
+}
+
 TEST_CASE("a request that two readers could take differently is refused and not forwarded")
 {
     Site site;
