Read numbers of others with the range that their use allows

What callers saw: nothing is known. An entry of an upstream with a capacity of 1e300, true or 2^64 was used; a time limit of 1e300 ms became any number; a heartbeat with an age near 2^63 ms overflowed where it is added to a point in time.

Cause: get<double>() cast to an integer and implicit conversions of at() are undefined for numbers out of range (saturated on arm64, the lowest number on x86-64), and take booleans and fractions for integers. Sums and conversions to microseconds overflow.

Change: readers with stated ranges in core/bounded_document. An upstream's entry with a number out of range names no upstream. A configuration, order or record of a roll-out with one is unreadable, and the error names the field. In messages of peers, and in the counters of a record, numbers are taken as the nearest one that can be, since a dropped heartbeat makes its sender look dead; what is no number, or no whole one where that is due, makes the message malformed. 64.0 is a whole number, since JSON does not tell it from 64. Lists must be arrays: null as the list of routes or keys took all of them away. Only the number of writes at the top level of an entry, stated once and in range, shows a renewal; before, the first text that looked like it did, wherever it stood. A number of writes of another type names no upstream; it was taken for 0. How long an upstream stays cold is clamped as before.

Ruled out: no answer of the code before to these numbers ended the process on arm64.

Both ends of each range are in the tests.

--- a/src/core/bounded_document.cpp
+++ b/src/core/bounded_document.cpp
@@ -1,6 +1,9 @@
 #include "core/bounded_document.h"
 
+#include <absl/strings/str_cat.h>
+#include <algorithm>
 #include <array>
+#include <cmath>
 #include <limits>
 #include <nlohmann/json.hpp>
 #include <stdexcept>
@@ -28,8 +31,7 @@
         for (std::size_t n = 0; n < text.size(); ++n) {
             switch (text[n]) {
             case '"':
-                for (n = text.find_first_of("\"\\", n + 1); n != std::string_view::npos && text[n] == '\\';)
-                    n = text.find_first_of("\"\\", n + 2);
+                n = endOfString(text, n);
                 if (n == std::string_view::npos)
                     return;
                 break;
@@ -148,6 +150,27 @@
         std::array<std::uint64_t, maxDocumentDepth> m_missing {};
     };
 
+    template <typename Value, typename Read>
+    Value readField(const Json& object, const char* name, const std::optional<Value>& ifAbsent, Read read)
+    {
+        auto it = object.find(name);
+        if (it == object.end() && ifAbsent)
+            return *ifAbsent;
+        try {
+            return read(it == object.end() ? object.at(name) : *it);
+        } catch (const std::exception& e) {
+            throw std::invalid_argument(absl::StrCat("field '", name, "': ", e.what()));
+        }
+    }
+
+}
+
+std::size_t endOfString(std::string_view text, std::size_t quote)
+{
+    auto n = text.find_first_of("\"\\", quote + 1);
+    while (n != std::string_view::npos && text[n] == '\\')
+        n = text.find_first_of("\"\\", n + 2);
+    return n;
 }
 
 Json parseJson(const std::string& text)
@@ -162,4 +185,92 @@
     return Json::from_cbor(bytes);
 }
 
+std::int64_t clampedIntegerFrom(const Json& json, IntegerRange range)
+{
+    if (json.is_number_unsigned()) {
+        auto value = json.get<std::uint64_t>();
+        if (value > static_cast<std::uint64_t>(std::numeric_limits<std::int64_t>::max()))
+            return range.max;
+        return std::clamp(static_cast<std::int64_t>(value), range.min, range.max);
+    }
+    if (json.is_number_integer())
+        return std::clamp(json.get<std::int64_t>(), range.min, range.max);
+    // JSON does not distinguish 64 and 64.0.
+    auto value = json.is_number_float() ? json.get<double>() : std::nan("");
+    if (!(std::trunc(value) == value))
+        throw std::invalid_argument("not a whole number");
+    if (value <= static_cast<double>(range.min))
+        return range.min;
+    // The double next to the highest integer may be above it.
+    return value >= static_cast<double>(range.max) ? range.max : static_cast<std::int64_t>(value);
+}
+
+std::int64_t integerFrom(const Json& json, IntegerRange range)
+{
+    constexpr IntegerRange all { std::numeric_limits<std::int64_t>::min(), std::numeric_limits<std::int64_t>::max() };
+    auto value = clampedIntegerFrom(json, all);
+    bool isClamped = value == all.min || value == all.max;
+    if (isClamped || value < range.min || value > range.max)
+        throw std::invalid_argument(absl::StrCat("not from ", range.min, " to ", range.max));
+    return value;
+}
+
+std::uint64_t unsignedFrom(const Json& json)
+{
+    bool isUnsigned = json.is_number_unsigned() || (json.is_number_integer() && json.get<std::int64_t>() >= 0);
+    if (!isUnsigned)
+        throw std::invalid_argument("not an unsigned number");
+    return json.get<std::uint64_t>();
+}
+
+double clampedNumberFrom(const Json& json, NumberRange range)
+{
+    auto value = json.is_number() ? json.get<double>() : std::nan("");
+    if (std::isnan(value))
+        throw std::invalid_argument("not a number");
+    return std::clamp(value, range.min, range.max);
+}
+
+double numberFrom(const Json& json, NumberRange range)
+{
+    auto value = clampedNumberFrom(json, range);
+    if (value != json.get<double>())
+        throw std::invalid_argument(absl::StrCat("not from ", range.min, " to ", range.max));
+    return value;
+}
+
+Milliseconds timeFrom(const Json& json)
+{
+    return Milliseconds(static_cast<std::int64_t>(numberFrom(json, { 0, static_cast<double>(maxStatedTime.count()) })));
+}
+
+std::int64_t countFrom(const Json& json) { return clampedIntegerFrom(json, {}); }
+
+Milliseconds ageFrom(const Json& json, Milliseconds min) { return Milliseconds(clampedIntegerFrom(json, { min.count(), maxStatedTime.count() })); }
+
+TimePoint timePointFrom(const Json& json) { return TimePoint { Microseconds(clampedIntegerFrom(json, { 0, maxStatedMicroseconds })) }; }
+
+const Json& arrayField(const Json& object, const char* name)
+{
+    const auto& field = object.at(name);
+    if (!field.is_array())
+        throw std::invalid_argument(absl::StrCat("field '", name, "' is no array"));
+    return field;
+}
+
+std::int64_t integerField(const Json& object, const char* name, IntegerRange range, std::optional<std::int64_t> ifAbsent)
+{
+    return readField(object, name, ifAbsent, [range](const Json& json) { return integerFrom(json, range); });
+}
+
+double numberField(const Json& object, const char* name, NumberRange range, std::optional<double> ifAbsent)
+{
+    return readField(object, name, ifAbsent, [range](const Json& json) { return numberFrom(json, range); });
+}
+
+Milliseconds timeField(const Json& object, const char* name, std::optional<Milliseconds> ifAbsent)
+{
+    return readField(object, name, ifAbsent, timeFrom);
+}
+
 }
--- a/src/core/limits/prompt_part_news.cpp
+++ b/src/core/limits/prompt_part_news.cpp
@@ -1,5 +1,7 @@
 #include "core/limits/prompt_part_news.h"
 
+#include "core/bounded_document.h"
+
 #include <nlohmann/json.hpp>
 
 namespace skylarkhitch {
@@ -8,7 +10,13 @@
 
     using Json = nlohmann::json;
 
-    Milliseconds millisecondsFrom(const Json& json) { return Milliseconds(json.get<std::int64_t>()); }
+    std::vector<std::uint64_t> hashesFrom(const Json& json)
+    {
+        std::vector<std::uint64_t> hashes;
+        for (const auto& it : json)
+            hashes.push_back(unsignedFrom(it));
+        return hashes;
+    }
 
 }
 
@@ -28,15 +36,15 @@
 {
     PromptPartNews news;
     for (const auto& it : json.at(0)) {
-        SuspectedCrash crash { it.at(0), millisecondsFrom(it.at(1)), std::nullopt, it.at(3).get<std::vector<std::string>>(), it.at(4).get<std::vector<std::uint64_t>>() };
+        SuspectedCrash crash { it.at(0), ageFrom(it.at(1)), std::nullopt, it.at(3).get<std::vector<std::string>>(), hashesFrom(it.at(4)) };
         if (!it.at(2).is_null())
-            crash.runningAge = millisecondsFrom(it.at(2));
+            crash.runningAge = ageFrom(it.at(2));
         news.crashes.push_back(std::move(crash));
     }
     for (const auto& it : json.at(1))
-        news.served.push_back({ it.at(0), millisecondsFrom(it.at(1)) });
+        news.served.push_back({ it.at(0), ageFrom(it.at(1)) });
     for (const auto& it : json.at(2))
-        news.quarantined.push_back({ it.at(0), millisecondsFrom(it.at(1)), millisecondsFrom(it.at(2)), it.at(3), it.at(4), millisecondsFrom(it.at(5)) });
+        news.quarantined.push_back({ it.at(0), ageFrom(it.at(1)), ageFrom(it.at(2)), countFrom(it.at(3)), countFrom(it.at(4)), ageFrom(it.at(5)) });
     return news;
 }
 
--- a/src/core/limits/prompt_part_news.h
+++ b/src/core/limits/prompt_part_news.h
@@ -55,7 +55,7 @@
 };
 
 nlohmann::json toJson(const PromptPartNews&);
-// Throws nlohmann::json::exception if the value does not have the form of toJson().
+// Throws std::exception if the value does not have the form of toJson().
 PromptPartNews promptPartNewsFrom(const nlohmann::json&);
 
 }
--- a/src/core/limits/upstream_limit_news.cpp
+++ b/src/core/limits/upstream_limit_news.cpp
@@ -1,5 +1,7 @@
 #include "core/limits/upstream_limit_news.h"
 
+#include "core/bounded_document.h"
+
 #include <nlohmann/json.hpp>
 
 namespace skylarkhitch {
@@ -30,11 +32,11 @@
 {
     std::vector<StatedLimit> limits;
     for (const auto& it : json) {
-        StatedLimit limit { it.at(0), std::nullopt, Milliseconds(it.at(2).get<std::int64_t>()), {} };
+        StatedLimit limit { it.at(0), std::nullopt, ageFrom(it.at(2)), {} };
         if (!it.at(1).is_null())
-            limit.requestsPerSecond = it.at(1).get<double>();
+            limit.requestsPerSecond = clampedNumberFrom(it.at(1), {});
         for (const auto& owner : it.at(3))
-            limit.owners.push_back({ owner.at(0).get<std::size_t>(), { owner.at(1) }, Milliseconds(owner.at(2).get<std::int64_t>()) });
+            limit.owners.push_back({ static_cast<std::size_t>(countFrom(owner.at(0))), { owner.at(1) }, ageFrom(owner.at(2)) });
         limits.push_back(std::move(limit));
     }
     return limits;
--- a/src/core/limits/upstream_limit_news.h
+++ b/src/core/limits/upstream_limit_news.h
@@ -31,7 +31,7 @@
 };
 
 nlohmann::json toJson(const std::vector<StatedLimit>&);
-// Throws nlohmann::json::exception if the value does not have the form of toJson().
+// Throws std::exception if the value does not have the form of toJson().
 std::vector<StatedLimit> statedLimitsFrom(const nlohmann::json&);
 
 }
--- a/src/core/membership/fleet_counters.cpp
+++ b/src/core/membership/fleet_counters.cpp
@@ -1,5 +1,7 @@
 #include "core/membership/fleet_counters.h"
 
+#include "core/bounded_document.h"
+
 #include <algorithm>
 #include <cmath>
 #include <nlohmann/json.hpp>
@@ -10,13 +12,19 @@
 
 namespace {
 
+    // Sums of logarithms of latencies, or of their squares.
+    double sumFrom(const Json& json) { return clampedNumberFrom(json, { 0, static_cast<double>(maxWholeNumber) }); }
+
+    // The sum of latencies of all requests of a release; as microseconds it still is a whole number.
+    Milliseconds latencySumFrom(const Json& json) { return Milliseconds(clampedIntegerFrom(json, { 0, maxWholeNumber / 1000 })); }
+
     // Instances of earlier versions do not send these.
     LogLatencies logLatenciesFrom(const Json& row)
     {
-        return row.size() > 9 ? LogLatencies { row.at(7), row.at(8), row.at(9) } : LogLatencies {};
+        return row.size() > 9 ? LogLatencies { countFrom(row.at(7)), sumFrom(row.at(8)), sumFrom(row.at(9)) } : LogLatencies {};
     }
 
-    std::int64_t abandonedFrom(const Json& row) { return row.size() > 10 ? row.at(10).get<std::int64_t>() : 0; }
+    std::int64_t abandonedFrom(const Json& row) { return row.size() > 10 ? countFrom(row.at(10)) : 0; }
 
 }
 
@@ -74,7 +82,7 @@
 {
     std::map<UpstreamId, UpstreamWork> work;
     for (const auto& it : rows)
-        work[UpstreamId { it.at(0) }] = { it.at(1), it.at(2) };
+        work[UpstreamId { it.at(0) }] = { countFrom(it.at(1)), countFrom(it.at(2)) };
     return work;
 }
 
@@ -82,7 +90,7 @@
 {
     ReleaseEvidence evidence;
     for (const auto& it : rows)
-        evidence[{ { it.at(0) }, it.at(1), it.at(2), { it.at(3) } }] = { it.at(4), it.at(5), Milliseconds(it.at(6).get<std::int64_t>()), logLatenciesFrom(it), abandonedFrom(it) };
+        evidence[{ { it.at(0) }, it.at(1), it.at(2), { it.at(3) } }] = { countFrom(it.at(4)), countFrom(it.at(5)), latencySumFrom(it.at(6)), logLatenciesFrom(it), abandonedFrom(it) };
     return evidence;
 }
 
--- a/src/core/membership/fleet_counters.h
+++ b/src/core/membership/fleet_counters.h
@@ -68,7 +68,7 @@
 
 nlohmann::json workToJson(const std::map<UpstreamId, UpstreamWork>&);
 nlohmann::json evidenceToJson(const ReleaseEvidence&);
-// These throw nlohmann::json::exception if the value does not have the form of the functions above.
+// These throw std::exception if the value does not have the form of the functions above.
 std::map<UpstreamId, UpstreamWork> workFrom(const nlohmann::json&);
 ReleaseEvidence evidenceFrom(const nlohmann::json&);
 
--- a/src/core/membership/fleet_digest.cpp
+++ b/src/core/membership/fleet_digest.cpp
@@ -1,5 +1,6 @@
 #include "core/membership/fleet_digest.h"
 
+#include "core/bounded_document.h"
 #include "core/hashing.h"
 
 #include <absl/strings/str_cat.h>
@@ -78,7 +79,7 @@
             auto byte = bytes[position++];
             value |= static_cast<std::uint64_t>(byte & 0x7f) << shift;
             if (byte < 0x80)
-                return static_cast<std::int64_t>(value);
+                return std::min(static_cast<std::int64_t>(value), maxWholeNumber);
         }
         return std::nullopt;
     }
@@ -154,15 +155,15 @@
     digest.rows = rowsFrom(json.at(0));
     for (const auto& it : json.at(1)) {
         if (digest.identities.size() < maxDigestIdentities)
-            digest.identities.push_back({ { { it.at(0) }, it.at(1) }, { it.at(2) }, it.at(3), it.at(4), it.at(5) });
+            digest.identities.push_back({ { { it.at(0) }, unsignedFrom(it.at(1)) }, { it.at(2) }, it.at(3), it.at(4), countFrom(it.at(5)) });
     }
-    digest.sums.instances = json.at(2);
+    digest.sums.instances = static_cast<std::size_t>(countFrom(json.at(2)));
     digest.sums.work = workFromPacked(json.at(3));
     digest.sums.evidence = evidenceFrom(json.at(4));
     for (const auto& row : json.at(5)) {
         auto& crashes = digest.crashes[{ row.at(0) }];
         for (std::size_t n = 1; n < row.size(); ++n)
-            crashes[row.at(n).at(0)] = row.at(n).at(1);
+            crashes[row.at(n).at(0)] = countFrom(row.at(n).at(1));
     }
     return digest;
 }
--- a/src/core/membership/fleet_digest.h
+++ b/src/core/membership/fleet_digest.h
@@ -67,7 +67,7 @@
 constexpr std::size_t maxDigestUpstreams = 4000;
 
 nlohmann::json toJson(const FleetDigest&);
-// Throws nlohmann::json::exception if the value does not have the form of toJson().
+// Throws std::exception if the value does not have the form of toJson().
 FleetDigest fleetDigestFrom(const nlohmann::json&);
 
 }
--- a/src/core/membership/fleet_heartbeat.cpp
+++ b/src/core/membership/fleet_heartbeat.cpp
@@ -1,6 +1,7 @@
 #include "core/membership/fleet_heartbeat.h"
 
 #include "core/bounded_document.h"
+#include "core/membership/store_revision.h"
 
 #include <nlohmann/json.hpp>
 
@@ -29,22 +30,22 @@
     FleetHeartbeat heartbeatFrom(const Json& json)
     {
         FleetHeartbeat heartbeat;
-        heartbeat.from = { { json.at(0) }, json.at(1) };
+        heartbeat.from = { { json.at(0) }, unsignedFrom(json.at(1)) };
         heartbeat.domain = { json.at(2) };
         heartbeat.addresses = { json.at(3), json.at(4) };
-        heartbeat.sequence = json.at(5);
+        heartbeat.sequence = unsignedFrom(json.at(5));
         heartbeat.ready = json.at(6);
         heartbeat.leaving = json.at(7);
-        heartbeat.storeRevision = json.at(8);
-        heartbeat.storeAge = Milliseconds(json.at(9).get<std::int64_t>());
+        heartbeat.storeRevision = clampedIntegerFrom(json.at(8), { 0, maxRevision });
+        heartbeat.storeAge = ageFrom(json.at(9), Milliseconds(-1));
         if (!json.at(10).is_null())
-            heartbeat.sinceStoreUnreachable = Milliseconds(json.at(10).get<std::int64_t>());
+            heartbeat.sinceStoreUnreachable = ageFrom(json.at(10));
         heartbeat.work = workFrom(json.at(11));
         heartbeat.evidence = evidenceFrom(json.at(12));
         for (const auto& it : json.at(13))
-            heartbeat.crashes[it.at(0)] = it.at(1);
+            heartbeat.crashes[it.at(0)] = countFrom(it.at(1));
         for (const auto& it : json.at(14))
-            heartbeat.sessions.push_back({ it.at(0), it.at(1), Milliseconds(it.at(2).get<std::int64_t>()) });
+            heartbeat.sessions.push_back({ unsignedFrom(it.at(0)), it.at(1), ageFrom(it.at(2)) });
         heartbeat.known = json.at(15).get<std::vector<std::string>>();
         heartbeat.storeReachable = json.at(16);
         // Instances of earlier versions do not send the rest.
@@ -57,7 +58,7 @@
         if (json.size() > 20)
             heartbeat.heldBack = upstreamDeparturesFrom(json.at(20));
         if (json.size() > 21)
-            heartbeat.configurationVersion = json.at(21);
+            heartbeat.configurationVersion = countFrom(json.at(21));
         if (json.size() > 22)
             heartbeat.reachesUpstreams = json.at(22);
         if (json.size() > 23) {
@@ -65,7 +66,7 @@
             heartbeat.asksForDigest = json.at(23).at(0);
             if (!json.at(23).at(1).is_null())
                 heartbeat.digest = fleetDigestFrom(json.at(23).at(1));
-            heartbeat.capacity = json.at(23).at(2);
+            heartbeat.capacity = countFrom(json.at(23).at(2));
         }
         return heartbeat;
     }
--- a/src/core/membership/peer_message.cpp
+++ b/src/core/membership/peer_message.cpp
@@ -2,6 +2,7 @@
 
 #include "core/bounded_document.h"
 
+#include <limits>
 #include <nlohmann/json.hpp>
 
 namespace skylarkhitch {
@@ -38,8 +39,6 @@
 
     Json timeToJson(TimePoint at) { return at.time_since_epoch().count(); }
 
-    TimePoint timeFrom(const Json& json) { return TimePoint { Microseconds { json.get<std::int64_t>() } }; }
-
     Json documentToJson(const ConfigurationDocument& it)
     {
         Json history = Json::array();
@@ -50,9 +49,9 @@
 
     ConfigurationDocument documentFrom(const Json& json)
     {
-        ConfigurationDocument document { json.at(0), json.at(1), json.at(2), timeFrom(json.at(3)), json.at(4), {} };
+        ConfigurationDocument document { unsignedFrom(json.at(0)), json.at(1), json.at(2), timePointFrom(json.at(3)), json.at(4), {} };
         for (const auto& it : json.at(5))
-            document.history.push_back({ it.at(0), it.at(1), it.at(2), timeFrom(it.at(3)) });
+            document.history.push_back({ unsignedFrom(it.at(0)), it.at(1), it.at(2), timePointFrom(it.at(3)) });
         return document;
     }
 
@@ -88,15 +87,15 @@
 
     Heartbeat heartbeatFrom(const Json& json)
     {
-        Heartbeat heartbeat { DomainId { json.at(0) }, json.at(1), json.at(2), json.at(3), json.at(4), json.at(5), {}, {}, {}, {} };
+        Heartbeat heartbeat { DomainId { json.at(0) }, json.at(1), unsignedFrom(json.at(2)), json.at(3), json.at(4), unsignedFrom(json.at(5)), {}, {}, {}, {} };
         for (const auto& it : json.at(6))
-            heartbeat.upstreams[UpstreamId { it.at(0) }] = { it.at(1), it.at(2), it.at(3), it.at(4) };
+            heartbeat.upstreams[UpstreamId { it.at(0) }] = { countFrom(it.at(1)), countFrom(it.at(2)), countFrom(it.at(3)), countFrom(it.at(4)) };
         for (const auto& it : json.at(7))
-            heartbeat.versions[VersionId { it.at(0) }] = { it.at(1), it.at(2), it.at(3), it.at(4) };
+            heartbeat.versions[VersionId { it.at(0) }] = { countFrom(it.at(1)), countFrom(it.at(2)), countFrom(it.at(3)), countFrom(it.at(4)) };
         for (const auto& it : json.at(8))
-            heartbeat.crashes[it.at(0)] = it.at(1);
+            heartbeat.crashes[it.at(0)] = countFrom(it.at(1));
         for (const auto& it : json.at(9))
-            heartbeat.demands.push_back({ it.at(0), it.at(1), TeamId { it.at(2) }, it.at(3) });
+            heartbeat.demands.push_back({ it.at(0), countFrom(it.at(1)), TeamId { it.at(2) }, countFrom(it.at(3)) });
         return heartbeat;
     }
 
@@ -106,17 +105,17 @@
         case tagOf<Heartbeat>():
             return heartbeatFrom(json);
         case tagOf<AppendRequest>():
-            return AppendRequest { json.at(0), json.at(1), recordFrom(json.at(2)) };
+            return AppendRequest { unsignedFrom(json.at(0)), static_cast<std::uint32_t>(integerFrom(json.at(1), { 0, std::numeric_limits<std::uint32_t>::max() })), recordFrom(json.at(2)) };
         case tagOf<AppendReply>(): {
-            AppendReply reply { json.at(0), json.at(1), {} };
+            AppendReply reply { unsignedFrom(json.at(0)), static_cast<int>(integerFrom(json.at(1), { 0, std::numeric_limits<int>::max() })), {} };
             if (!json.at(2).is_null())
                 reply.existing = recordFrom(json.at(2));
             return reply;
         }
         case tagOf<HoldRequest>():
-            return HoldRequest { json.at(0), recordFrom(json.at(1)) };
+            return HoldRequest { unsignedFrom(json.at(0)), recordFrom(json.at(1)) };
         case tagOf<HoldReply>():
-            return HoldReply { json.at(0) };
+            return HoldReply { unsignedFrom(json.at(0)) };
         case tagOf<ConfigurationPull>():
             return ConfigurationPull {};
         case tagOf<ConfigurationPush>():
@@ -145,8 +144,8 @@
 {
     try {
         auto json = parseCbor(bytes);
-        Incarnation from { InstanceId { json.at(0) }, json.at(1) };
-        return PeerEnvelope { std::move(from), messageFrom(json.at(2).get<std::size_t>(), json.at(3)) };
+        Incarnation from { InstanceId { json.at(0) }, unsignedFrom(json.at(1)) };
+        return PeerEnvelope { std::move(from), messageFrom(unsignedFrom(json.at(2)), json.at(3)) };
     } catch (const std::exception&) {
         return std::nullopt;
     }
--- a/src/core/membership/store_mirror.cpp
+++ b/src/core/membership/store_mirror.cpp
@@ -24,9 +24,9 @@
 {
     try {
         auto json = parseCbor(bytes);
-        MirrorUpdate update { json.at(0), json.at(1), {} };
+        MirrorUpdate update { integerFrom(json.at(0), { 0, maxRevision }), json.at(1), {} };
         for (const auto& it : json.at(2)) {
-            StoreChange change { it.at(0), it.at(1), {} };
+            StoreChange change { it.at(0), integerFrom(it.at(1), { 0, maxRevision }), {} };
             if (!it.at(2).is_null()) {
                 const auto& value = it.at(2).get_binary();
                 change.value = std::string(value.begin(), value.end());
--- a/src/core/membership/store_revision.h
+++ b/src/core/membership/store_revision.h
@@ -11,6 +11,10 @@
 // The highest era that fits into a revision here.
 constexpr std::int64_t maxStoreEra = (std::int64_t { 1 } << (62 - storeEraShift)) - 1;
 
+// The highest revision that the store may have, and the highest one in any era.
+constexpr std::int64_t maxStoreRevision = (std::int64_t { 1 } << storeEraShift) - 1;
+constexpr std::int64_t maxRevision = (maxStoreEra << storeEraShift) + maxStoreRevision;
+
 constexpr std::int64_t revisionInEra(std::int64_t revision, std::int64_t era) { return (era << storeEraShift) + revision; }
 constexpr std::int64_t eraOf(std::int64_t revision) { return revision >> storeEraShift; }
 // The revision as the store knows it.
--- a/src/core/rollout/rollout_news.cpp
+++ b/src/core/rollout/rollout_news.cpp
@@ -1,5 +1,8 @@
 #include "core/rollout/rollout_news.h"
 
+#include "core/bounded_document.h"
+#include "core/membership/store_revision.h"
+
 #include <nlohmann/json.hpp>
 
 namespace skylarkhitch {
@@ -19,7 +22,7 @@
     std::vector<RolloutNews> news;
     for (const auto& it : rows) {
         if (auto stage = parseStageName(it.at(3).get<std::string>()))
-            news.push_back({ { it.at(0) }, it.at(1), it.at(2), *stage, TimePoint { Microseconds(it.at(4).get<std::int64_t>()) } });
+            news.push_back({ { it.at(0) }, it.at(1), clampedIntegerFrom(it.at(2), { 0, maxRevision }), *stage, timePointFrom(it.at(4)) });
     }
     return news;
 }
--- a/src/core/rollout/rollout_news.h
+++ b/src/core/rollout/rollout_news.h
@@ -22,7 +22,7 @@
 };
 
 nlohmann::json toJson(const std::vector<RolloutNews>&);
-// Throws nlohmann::json::exception if the value does not have the form of toJson(). Stages with unknown names are left out.
+// Throws std::exception if the value does not have the form of toJson(). Stages with unknown names are left out.
 std::vector<RolloutNews> rolloutNewsFrom(const nlohmann::json&);
 
 }
--- a/src/core/routing/upstream_departures.cpp
+++ b/src/core/routing/upstream_departures.cpp
@@ -1,5 +1,6 @@
 #include "core/routing/upstream_departures.h"
 
+#include "core/bounded_document.h"
 #include "core/membership/store_revision.h"
 
 #include <nlohmann/json.hpp>
@@ -20,7 +21,7 @@
 {
     std::vector<UpstreamDeparture> departures;
     for (const auto& it : rows)
-        departures.push_back({ { it.at(0) }, { it.at(1), it.at(2), it.at(3) }, it.at(4) });
+        departures.push_back({ { it.at(0) }, { countFrom(it.at(1)), countFrom(it.at(2)), clampedIntegerFrom(it.at(3), { 0, maxRevision }) }, it.at(4) });
     return departures;
 }
 
--- a/src/core/routing/upstream_departures.h
+++ b/src/core/routing/upstream_departures.h
@@ -31,7 +31,7 @@
 };
 
 nlohmann::json toJson(const std::vector<UpstreamDeparture>&);
-// Throws nlohmann::json::exception if the value does not have the form of toJson().
+// Throws std::exception if the value does not have the form of toJson().
 std::vector<UpstreamDeparture> upstreamDeparturesFrom(const nlohmann::json&);
 
 class UpstreamDepartures {
--- a/test/correctness/odd_entries_test.cpp
+++ b/test/correctness/odd_entries_test.cpp
@@ -11,6 +11,9 @@
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_join.h>
 #include <catch2/catch.hpp>
+#include <cmath>
+#include <limits>
+#include <nlohmann/json.hpp>
 #include <random>
 
 using namespace skylarkhitch;
@@ -164,3 +167,251 @@
         CHECK(decodePage(R"({"items":[{}],"morePages":false,"currentRev":420})", errors));
     }
 }
+
+// Guards against upstreams that are used although their entry states what cannot be, and against times that overflow.
+TEST_CASE("an upstream's entry states numbers that can be, or names no upstream")
+{
+    DecodeError error;
+    auto reads = [&](const std::string& name, const std::string& number) {
+        auto text = upstreamEntry("");
+        auto json = nlohmann::json::parse(text);
+        json.erase(name);
+        text = json.dump();
+        text.pop_back();
+        INFO(name << " " << number);
+        error.message.clear();
+        auto isRead = decodeUpstream("i-1", absl::StrCat(text, ",\"", name, "\":", number, "}"), error).has_value();
+        CHECK(error.message.empty() == isRead);
+        CHECK(absl::StrContains(error.message, name) != isRead);
+        return isRead;
+    };
+    for (const char* it : { "-1", "1e300", "-1e300", "9223372036854775807", "-9223372036854775808", "18446744073709551615", "99999999999999999999999", "1.5", "true", "null", "\"7\"", "[]", "{}" }) {
+        CHECK_FALSE(reads("capacity", it));
+        CHECK_FALSE(reads("born", it));
+        CHECK_FALSE(reads("seq", it));
+    }
+    CHECK_FALSE(reads("capacity", "0"));
+    CHECK(reads("capacity", "1"));
+    CHECK(reads("capacity", "1000000000"));
+    CHECK_FALSE(reads("capacity", "1000000001"));
+    for (const char* it : { "born", "seq" }) {
+        CHECK(reads(it, "0"));
+        CHECK(reads(it, "9007199254740992"));
+        CHECK_FALSE(reads(it, "9007199254740993"));
+    }
+    CHECK(decodeUpstream("i-1", upstreamEntry(R"(,"models":[{"name":"m","version":9007199254740992}])"), error));
+    CHECK_FALSE(decodeUpstream("i-1", upstreamEntry(R"(,"models":[{"name":"m","version":1e300}])"), error));
+    CHECK_FALSE(decodeUpstream("i-1", upstreamEntry(R"(,"models":[{"name":"m","version":true}])"), error));
+}
+
+// Guards against configurations that end requests at once, or end the process, because a number in them overflows.
+TEST_CASE("a configuration states numbers that can be, or is unreadable by name of the field")
+{
+    const std::string sound = R"({"version":3,"routes":[{"name":"r","hostname":"h","prefix":"/","routeType":"streaming","timeoutMs":1000,"targetLatencyMs":10,"gapAimMs":10,"maxAttempts":2,"priority":1,)"
+                              R"("trafficSplit":[{"backend":"s","weight":1}]}],"backends":[{"name":"s","maxConnections":10,"coldPerS":2.5,"engine":{"capacity":8,"kvCapacity":100,"stride":1,"models":[{"name":"m","cost":0.1}]}}],)"
+                              R"("limits":{"maxHeaderBytes":4096,"maxBodyBytes":100,"headerTimeoutMs":500,"idleTimeoutMs":15000},"tenants":[{"name":"t","priority":2,"apiKeys":["k"]}]})";
+    struct Field {
+        const char* path;
+        // The ends of the range, and the numbers next to them that are out of it.
+        std::vector<const char*> inside;
+        std::vector<const char*> outside;
+    };
+    const std::vector<const char*> times { "0", "31536000000", "10.75" }, noTimes { "-1", "31536000001" };
+    const std::vector<const char*> amounts { "0", "1000000000" }, noAmounts { "-1", "1000000001" };
+    const std::vector<const char*> ranks { "-1000000", "1000000" }, noRanks { "-1000001", "1000001" };
+    const std::vector<const char*> large { "0", "1099511627776" }, noLarge { "-1", "1099511627777" };
+    const std::vector<const char*> rates { "0", "0.5", "1e9" }, noRates { "-0.5", "1.1e9" };
+    const Field fields[] = { { "/version", { "0", "9007199254740992" }, { "-1", "9007199254740993" } }, { "/routes/0/timeoutMs", times, noTimes }, { "/routes/0/targetLatencyMs", times, noTimes }, { "/routes/0/gapAimMs", times, noTimes },
+        { "/routes/0/maxAttempts", amounts, noAmounts }, { "/routes/0/priority", ranks, noRanks }, { "/routes/0/trafficSplit/0/weight", amounts, noAmounts }, { "/backends/0/maxConnections", amounts, noAmounts },
+        { "/backends/0/coldPerS", rates, noRates }, { "/backends/0/engine/capacity", amounts, noAmounts }, { "/backends/0/engine/kvCapacity", large, noLarge }, { "/backends/0/engine/stride", amounts, noAmounts },
+        { "/backends/0/engine/models/0/cost", rates, noRates }, { "/limits/maxHeaderBytes", large, noLarge }, { "/limits/maxBodyBytes", large, noLarge }, { "/limits/headerTimeoutMs", times, noTimes },
+        { "/limits/idleTimeoutMs", times, noTimes }, { "/tenants/0/priority", ranks, noRanks } };
+    for (const auto& field : fields) {
+        auto decode = [&](const char* number, DecodeError& error) {
+            auto json = nlohmann::json::parse(sound);
+            json[nlohmann::json::json_pointer(field.path)] = nlohmann::json::parse(number);
+            return decodeConfiguration(json.dump(), error).has_value();
+        };
+        std::string path = field.path;
+        auto name = path.substr(path.rfind('/') + 1);
+        for (const auto* it : field.inside) {
+            DecodeError error;
+            CAPTURE(field.path, it);
+            CHECK(decode(it, error));
+        }
+        auto outside = field.outside;
+        outside.insert(outside.end(), { "1e300", "-1e300", "9223372036854775807", "-9223372036854775808", "18446744073709551615", "true", "\"7\"", "[]" });
+        for (const auto* it : outside) {
+            DecodeError error;
+            CAPTURE(field.path, it);
+            CHECK_FALSE(decode(it, error));
+            CHECK(absl::StrContains(error.message, name));
+        }
+    }
+}
+
+// Guards against configurations that take all routes or keys away because a list in them is something else.
+TEST_CASE("lists in documents are lists, or the document is unreadable")
+{
+    DecodeError error;
+    for (const char* odd : { "null", "7", "{}", R"({"a":1})", "\"text\"", "true" }) {
+        CAPTURE(odd);
+        CHECK_FALSE(decodeConfiguration(absl::StrCat(R"({"version":3,"backends":[],"routes":)", odd, "}"), error));
+        CHECK_FALSE(decodeConfiguration(absl::StrCat(R"({"version":3,"routes":[],"backends":)", odd, "}"), error));
+        CHECK_FALSE(decodeConfiguration(absl::StrCat(R"({"version":3,"routes":[],"backends":[],"tenants":)", odd, "}"), error));
+        CHECK(absl::StrContains(error.message, "tenants"));
+        CHECK_FALSE(decodeUpstream("i-1", upstreamEntry(absl::StrCat(R"(,"models":)", odd)), error));
+        CHECK_FALSE(decodeRolloutRecord(absl::StrCat(R"({"order":1,"target":"v2","stage":"half","started":1,"baseline":)", odd, "}"), error));
+    }
+}
+
+// Guards against roll-outs that never end or end at once because a number of their order or record overflows.
+TEST_CASE("orders and records of roll-outs state numbers that can be")
+{
+    DecodeError error;
+    SECTION("the duration of an order")
+    {
+        auto reads = [&](const std::string& seconds) { return decodeRolloutOrder("s", 9, absl::StrCat(R"({"target":"v2","durationS":)", seconds, "}"), error).has_value(); };
+        CHECK(reads("0"));
+        CHECK(reads("31536000"));
+        for (const char* it : { "-1", "31536001", "1e300", "-1e300", "9223372036854775807", "true", "null", "\"7\"", "[]" })
+            CHECK_FALSE(reads(it));
+    }
+    SECTION("the fields of a record, whose counts are taken as the nearest number that can be")
+    {
+        auto read = [&](const std::string& order, const std::string& started, const std::string& row) { return decodeRolloutRecord(absl::StrCat(R"({"order":)", order, R"(,"target":"v2","stage":"half","started":)", started, R"(,"baseline":[["s","v1","r","m",)", row, "]]}"), error); };
+        CHECK(read("7", "1700000000000000", "3,1,90"));
+        CHECK(read("7", "0", "3,1,90,7,33.5,161.25,2"));
+        CHECK(read("7", "100000000000000000", "3,1,90"));
+        for (const char* it : { "-1", "100000000000000001", "1e300", "9223372036854775807", "-9223372036854775808", "true", "1.5", "\"7\"" }) {
+            CHECK_FALSE(read("7", it, "3,1,90"));
+            CHECK(absl::StrContains(error.message, "started"));
+        }
+        for (const char* it : { "-1", "9223372036854775807", "1e300", "true", "1.5", "\"7\"" })
+            CHECK_FALSE(read(it, "0", "3,1,90"));
+        for (const char* it : { "true,1,90", "3,1.5,90", "3,1,\"90\"", "3,1,null", "3,1" })
+            CHECK_FALSE(read("7", "0", it));
+        auto record = read("7", "0", "-5,18446744073709551615,1e300,7,-1,1e300,9223372036854775807");
+        REQUIRE(record);
+        const auto& counters = record->baseline.begin()->second;
+        CHECK(counters.done == 0);
+        CHECK(counters.failed == std::int64_t { 1 } << 53);
+        CHECK(std::chrono::duration_cast<Microseconds>(counters.latency).count() > 0);
+        CHECK(counters.logLatencies.sum == 0);
+        CHECK(std::isfinite(counters.logLatencies.squareSum));
+        CHECK(counters.abandoned == std::int64_t { 1 } << 53);
+    }
+}
+
+// Guards against instances that end, or take all peers for dead, because a number in a message of one of them overflows.
+TEST_CASE("numbers in messages of peers can be added to each other and to points in time")
+{
+    // Replaces each number of a heartbeat in turn.
+    auto sound = nlohmann::json::from_cbor(encodeHeartbeat(soundHeartbeat()));
+    auto flat = sound.flatten();
+    auto decodeWith = [&](const std::string& path, const nlohmann::json& value) {
+        auto json = sound;
+        json[nlohmann::json::json_pointer(path)] = value;
+        std::string bytes;
+        nlohmann::json::to_cbor(json, bytes);
+        return decodeHeartbeat(bytes);
+    };
+    constexpr auto lowest = std::numeric_limits<std::int64_t>::min(), highest = std::numeric_limits<std::int64_t>::max();
+    const Milliseconds year { std::chrono::hours(24 * 365) };
+    SECTION("ages are taken as the nearest that can be")
+    {
+        CHECK(decodeWith("/9", highest)->storeAge == year);
+        CHECK(decodeWith("/9", lowest)->storeAge == -1ms);
+        CHECK(decodeWith("/9", year.count())->storeAge == year);
+        CHECK(decodeWith("/10", lowest)->sinceStoreUnreachable == 0ms);
+        CHECK(decodeWith("/10", highest)->sinceStoreUnreachable == year);
+        CHECK(decodeWith("/14/0/2", highest)->sessions.at(0).age == year);
+    }
+    SECTION("so are counts")
+    {
+        CHECK(decodeWith("/11/0/1", highest)->work.at({ "i-1" }).requests == std::int64_t { 1 } << 53);
+        CHECK(decodeWith("/11/0/1", lowest)->work.at({ "i-1" }).requests == 0);
+        CHECK(decodeWith("/12/0/4", std::numeric_limits<std::uint64_t>::max())->evidence.begin()->second.done == std::int64_t { 1 } << 53);
+        CHECK(decodeWith("/8", highest)->storeRevision > 0);
+    }
+    SECTION("what is no number, or no whole one, makes a heartbeat malformed")
+    {
+        std::size_t numbers = 0;
+        for (const auto& [path, value] : flat.items()) {
+            if (!value.is_number())
+                continue;
+            ++numbers;
+            INFO(path);
+            CHECK_FALSE(decodeWith(path, "7"));
+            CHECK_FALSE(decodeWith(path, true));
+            CHECK_FALSE(decodeWith(path, std::nan("")));
+            CHECK((value.is_number_float() || !decodeWith(path, 1.5)));
+        }
+        CHECK(numbers > 15);
+    }
+    SECTION("news of peers")
+    {
+        auto heartbeat = soundHeartbeat();
+        heartbeat.sinceStoreUnreachable = Milliseconds(highest);
+        heartbeat.promptParts.crashes = { { "i-1/5", Milliseconds(highest), Milliseconds(lowest), { "dead" }, { 7 } } };
+        heartbeat.promptParts.served = { { "dead", Milliseconds(highest) } };
+        heartbeat.promptParts.quarantined = { { "dead", Milliseconds(highest), Milliseconds(lowest), highest, lowest, Milliseconds(highest) } };
+        heartbeat.limits = { { "i-1/5", 1e300, Milliseconds(highest), { { 3, { "edge-2" }, Milliseconds(lowest) } } } };
+        heartbeat.rollouts = { { { "s" }, "v2", highest, RolloutStage::Half, TimePoint { Microseconds(lowest) } } };
+        heartbeat.heldBack = { { { "i-3" }, { highest, lowest, highest }, true } };
+        heartbeat.digest->sums.work[{ "i-2" }] = { highest, highest };
+        auto decoded = decodeHeartbeat(encodeHeartbeat(heartbeat));
+        REQUIRE(decoded);
+        CHECK(decoded->sinceStoreUnreachable == year);
+        CHECK(decoded->promptParts.crashes.at(0).age == year);
+        CHECK(decoded->promptParts.crashes.at(0).runningAge == 0ms);
+        CHECK(decoded->promptParts.served.at(0).age == year);
+        CHECK(decoded->promptParts.quarantined.at(0).crashes == std::int64_t { 1 } << 53);
+        CHECK(decoded->promptParts.quarantined.at(0).probes == 0);
+        CHECK(decoded->limits.at(0).requestsPerSecond == 1e9);
+        CHECK(decoded->limits.at(0).owners.at(0).age == 0ms);
+        CHECK(decoded->rollouts.at(0).startedAt == TimePoint {});
+        CHECK(decoded->heldBack.at(0).last.writes == 0);
+        CHECK(decoded->digest->sums.work.at({ "i-2" }).requests == std::int64_t { 1 } << 53);
+    }
+    SECTION("an update states revisions that can be")
+    {
+        CHECK(decodeUpdate(encodeUpdate({ (std::int64_t { 1 } << 62) - 1, false, {} })));
+        CHECK_FALSE(decodeUpdate(encodeUpdate({ highest, false, {} })));
+        CHECK_FALSE(decodeUpdate(encodeUpdate({ -1, false, {} })));
+        CHECK_FALSE(decodeUpdate(encodeUpdate({ 5, false, { { "a", highest, "x" } } })));
+    }
+}
+
+// Guards against upstreams whose changed entry is taken for one that was only renewed.
+TEST_CASE("only the number of writes of the entry itself shows a renewal")
+{
+    auto isRenewed = [](const std::string& before, const std::string& after) { return isRenewal("servers/i-1", before, after); };
+    CHECK(isRenewed(R"({"a":"s","seq":4})", R"({"a":"s","seq":5})"));
+    CHECK(isRenewed(R"({"a":"s", "seq" : 4 , "born":5})", R"({"a":"s", "seq" : 15 , "born":5})"));
+    SECTION("not one in a part of it")
+    {
+        CHECK_FALSE(isRenewed(R"({"models":[{"seq":4}],"seq":1})", R"({"models":[{"seq":5}],"seq":1})"));
+        CHECK_FALSE(isRenewed(R"([{"seq":4}])", R"([{"seq":5}])"));
+    }
+    SECTION("not one in the name of another field")
+    {
+        CHECK_FALSE(isRenewed(R"({"a\"seq":4})", R"({"a\"seq":5})"));
+        CHECK_FALSE(isRenewed(R"({"a":"\\","b\"seq":4})", R"({"a":"\\","b\"seq":5})"));
+    }
+    SECTION("not one that is stated twice, is no whole number or too large")
+    {
+        CHECK_FALSE(isRenewed(R"({"seq":4,"seq":9})", R"({"seq":5,"seq":9})"));
+        CHECK_FALSE(isRenewed(R"({"seq":4.5})", R"({"seq":5.5})"));
+        CHECK_FALSE(isRenewed(R"({"seq":4e2})", R"({"seq":5e2})"));
+        CHECK_FALSE(isRenewed(R"({"seq":9007199254740993})", R"({"seq":9007199254740994})"));
+        CHECK_FALSE(isRenewed(R"({"seq":99999999999999999999})", R"({"seq":99999999999999999998})"));
+        CHECK(decodeWrites(R"({"seq":99999999999999999999})") == 0);
+        CHECK(decodeWrites(R"({"models":[{"seq":4}],"seq":1})") == 1);
+    }
+    SECTION("not one in bytes that are no entry")
+    {
+        for (const char* it : { "", "{", "\"seq\":", "{\"seq\":", "{\"seq\":4", "{\"seq", "\xff\xfe{\"seq\":4", "\\" })
+            CHECK_FALSE(isRenewed(it, it));
+    }
+}
