Bound the values and lines of the log

What operators saw: nothing is known. The error of a document that cannot be read repeats its last token, up to 1 MB, in one line.

Cause: a value was written whole, and only bytes under 0x20 were replaced: 0x7f, bytes that are not UTF-8 and the line separators of Unicode went into the log as they came.

Change: a text is cut after 512 bytes and ends with "..." then; fields that begin after 4,096 bytes of a line are left out. Control characters, line and paragraph separators and bytes that are not UTF-8 become spaces; other characters stay. The line of an uncaught exception is bounded in the same way.

--- a/src/adapters/log.cpp
+++ b/src/adapters/log.cpp
@@ -3,6 +3,7 @@
 #include "adapters/log_rate_limiter.h"
 #include "core/check.h"
 
+#include <absl/strings/ascii.h>
 #include <absl/strings/str_cat.h>
 #include <algorithm>
 #include <atomic>
@@ -69,21 +70,60 @@
         return LogLevel::Info;
     }
 
-    // Quotes and escapes a value if necessary and replaces control characters by spaces, so that each event stays on one line.
+    // Longest value in bytes, without quotes and escapes. Fields that begin after this many bytes of a line are left out.
+    constexpr std::size_t maxLoggedValue = 512;
+    constexpr std::size_t maxLineBytes = 4096;
+
+    // The lead bytes of UTF-8 sequences of one length, and the range of the byte after them; all further bytes are 0x80 to 0xbf.
+    struct SequenceKind {
+        unsigned char firstLead;
+        unsigned char lastLead;
+        unsigned char minSecond;
+        unsigned char maxSecond;
+        std::size_t bytes;
+    };
+    // Without the control characters, which begin with 0xc2 and 0x80 to 0x9f, and without the line and paragraph separators.
+    constexpr SequenceKind sequenceKinds[] = { { 0xc2, 0xc2, 0xa0, 0xbf, 2 }, { 0xc3, 0xdf, 0x80, 0xbf, 2 }, { 0xe0, 0xe0, 0xa0, 0xbf, 3 }, { 0xe1, 0xec, 0x80, 0xbf, 3 }, { 0xed, 0xed, 0x80, 0x9f, 3 },
+        { 0xee, 0xef, 0x80, 0xbf, 3 }, { 0xf0, 0xf0, 0x90, 0xbf, 4 }, { 0xf1, 0xf3, 0x80, 0xbf, 4 }, { 0xf4, 0xf4, 0x80, 0x8f, 4 } };
+
+    bool isSequence(std::string_view text, const SequenceKind& kind)
+    {
+        auto at = [&](std::size_t n) { return static_cast<unsigned char>(text[n]); };
+        bool isKind = text.size() >= kind.bytes && at(0) >= kind.firstLead && at(0) <= kind.lastLead && at(1) >= kind.minSecond && at(1) <= kind.maxSecond;
+        for (std::size_t n = 2; isKind && n < kind.bytes; ++n)
+            isKind = at(n) >= 0x80 && at(n) <= 0xbf;
+        return isKind && text.substr(0, kind.bytes) != "\u2028" && text.substr(0, kind.bytes) != "\u2029";
+    }
+
+    // Size of the printable character that the text begins with; 0 if it begins with a control character or is not UTF-8.
+    std::size_t printableBytes(std::string_view text)
+    {
+        if (static_cast<unsigned char>(text[0]) < 0x80)
+            return absl::ascii_isprint(static_cast<unsigned char>(text[0])) ? 1 : 0;
+        const auto* kind = std::find_if(std::begin(sequenceKinds), std::end(sequenceKinds), [&](const auto& it) { return isSequence(text, it); });
+        return kind == std::end(sequenceKinds) ? 0 : kind->bytes;
+    }
+
+    // Quotes and escapes a value if necessary, cuts a long one, and replaces control characters and bytes that are not UTF-8 by spaces,
+    // so that each event stays on one line.
     void appendValue(std::string& line, std::string_view text)
     {
         constexpr std::string_view plain = "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_.:/+";
-        if (!text.empty() && text.find_first_not_of(plain) == std::string_view::npos) {
+        bool isCut = text.size() > maxLoggedValue;
+        text = text.substr(0, maxLoggedValue);
+        if (!isCut && !text.empty() && text.find_first_not_of(plain) == std::string_view::npos) {
             line += text;
             return;
         }
         line += '"';
-        for (char c : text) {
-            if (c == '"' || c == '\\')
+        while (!text.empty()) {
+            auto n = printableBytes(text);
+            if (text[0] == '"' || text[0] == '\\')
                 line += '\\';
-            line += static_cast<unsigned char>(c) < ' ' ? ' ' : c;
+            line += n == 0 ? " " : text.substr(0, n);
+            text.remove_prefix(std::max<std::size_t>(1, n));
         }
-        line += '"';
+        line += isCut ? "...\"" : "\"";
     }
 
     // Shared by all threads that log; the mutex is held only while a line is counted, not while it is written.
@@ -232,7 +272,7 @@
 
 LogLine& LogLine::with(std::string_view name, std::string_view value)
 {
-    if (!m_isAdmitted)
+    if (!m_isAdmitted || m_text.size() > maxLineBytes)
         return *this;
     m_text += ' ';
     m_text += name;
@@ -243,7 +283,7 @@
 
 LogLine& LogLine::with(std::string_view name, std::int64_t value)
 {
-    if (!m_isAdmitted)
+    if (!m_isAdmitted || m_text.size() > maxLineBytes)
         return *this;
     m_text += ' ';
     m_text += name;
--- a/src/adapters/log.h
+++ b/src/adapters/log.h
@@ -50,7 +50,7 @@
     LogLine(const LogLine&) = delete;
     LogLine& operator=(const LogLine&) = delete;
 
-    // Appends a field.
+    // Appends a field. A text is cut after 512 bytes, and fields that begin after 4,096 bytes of a line are left out.
     LogLine& with(std::string_view name, std::string_view value);
     LogLine& with(std::string_view name, std::int64_t value);
 
--- a/test/correctness/log_volume_test.cpp
+++ b/test/correctness/log_volume_test.cpp
@@ -2,6 +2,7 @@
 #include "adapters/log_rate_limiter.h"
 #include "core/check.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <csignal>
 #include <sys/wait.h>
@@ -44,6 +45,18 @@
     return end;
 }
 
+// Writes one line to standard error, in a process of its own, and returns it.
+std::string lineOf(void (*write)())
+{
+    static void (*function)() = nullptr;
+    function = write;
+    return runInProcess([] {
+        ::dup2(STDERR_FILENO, STDOUT_FILENO);
+        function();
+        stopLog();
+    }).errors;
+}
+
 }
 
 // Guards against instances that end by themselves without a line that tells why.
@@ -90,3 +103,39 @@
         CHECK(volume.admits("info/request", now + 1s));
     }
 }
+
+// Guards against logs that fill up, or in which one event looks like several, because a value of others is long or odd.
+TEST_CASE("a line is bounded and stays one line, whatever its values are")
+{
+    SECTION("a long value is cut, and the fields after it are there")
+    {
+        auto line = lineOf([] { LogLine(LogLevel::Error, "odd").with("error", std::string(std::size_t { 1 } << 20, 'x')).with("after", 7); });
+        CHECK(line.size() < 1024);
+        CHECK(line.find("xxx...\" after=7\n") != std::string::npos);
+    }
+    SECTION("a value of 512 bytes is whole, one of 513 is cut")
+    {
+        CHECK(lineOf([] { LogLine(LogLevel::Error, "odd").with("error", std::string(512, 'x')); }).find(" error=" + std::string(512, 'x') + "\n") != std::string::npos);
+        CHECK(lineOf([] { LogLine(LogLevel::Error, "odd").with("error", std::string(513, 'x')); }).find(" error=\"" + std::string(512, 'x') + "...\"\n") != std::string::npos);
+    }
+    SECTION("many values are cut")
+    {
+        auto line = lineOf([] {
+            LogLine line(LogLevel::Error, "odd");
+            for (int n = 0; n < 1000; ++n)
+                line.with("error", std::string(1024, '"')).with("n", n);
+        });
+        CHECK(line.size() < 6144);
+    }
+    SECTION("control characters and bytes that are not UTF-8 become spaces, other characters stay")
+    {
+        auto line = lineOf([] { LogLine(LogLevel::Error, "odd").with("error", "a\x01\r\n\x7f\xff\xc2\x85\xe2\x80\xa8\xc3\xa4\xed\xa0\x80z\xf0\x9f\x90\xa6\xc3"); });
+        CHECK(line.find("error=\"a          \xc3\xa4   z\xf0\x9f\x90\xa6 \"\n") != std::string::npos);
+        CHECK(std::count(line.begin(), line.end(), '\n') == 1);
+    }
+    SECTION("the line of an exception that ends the process is bounded too")
+    {
+        auto end = runInProcess([] { std::thread([] { throw std::runtime_error(std::string(std::size_t { 1 } << 20, 'x')); }).join(); });
+        CHECK(end.errors.size() < 1024);
+    }
+}
