Use only addresses that a connection can be opened to

What callers saw: nothing is known. An entry with port 0, or an address that stands for no single host, took requests that then failed; a line break after a port went into the head of requests to peers, and one in an upstream's id into requests to it.

Cause: isEndpoint() is made for addresses to listen on. It takes port 0, signs and blanks around the port, and all that Boost.Asio reads as an address. Ids, which are parts of keys that others write, were not looked at.

Change: isDialable() takes an IPv4 or IPv6 address of one host without brackets, a colon, and a port from 1 to 65535 in digits. Entries of upstreams and instances need such an address, and an upstream an id of visible ASCII characters. Addresses to listen on, seeds and addresses in heartbeats of peers are checked as before; listening on port 0 remains possible.

--- a/src/edge/control_plane.cpp
+++ b/src/edge/control_plane.cpp
@@ -260,10 +260,6 @@
     }
     platform::DecodeError error;
     auto registered = platform::decodeUpstream(id, item->value, error);
-    if (registered && !isEndpoint(registered->entry.address)) {
-        error.message = "address is not of the form ip:port";
-        registered.reset();
-    }
     if (!registered) {
         LogLine(LogLevel::Warning, "upstream_unreadable").with("upstream", id).with("error", error.message);
         return;
@@ -282,10 +278,6 @@
 {
     platform::DecodeError error;
     auto peer = item ? platform::decodeInstance(item->value, error) : std::nullopt;
-    if (peer && !isEndpoint(peer->address)) {
-        error.message = "address is not of the form ip:port";
-        peer.reset();
-    }
     if (item && !peer)
         LogLine(LogLevel::Warning, "instance_unreadable").with("key", key).with("error", error.message);
     m_listed.set(key, std::move(peer));
--- a/test/correctness/odd_entries_test.cpp
+++ b/test/correctness/odd_entries_test.cpp
@@ -415,3 +415,35 @@
             CHECK_FALSE(isRenewed(it, it));
     }
 }
+
+// Guards against upstreams and instances to which every connection fails, or whose address or id adds lines to a request.
+TEST_CASE("an entry names an address that a connection can be opened to, or nothing")
+{
+    DecodeError error;
+    auto upstreamReads = [&](const std::string& address) {
+        auto json = nlohmann::json::parse(upstreamEntry(""));
+        json["address"] = address;
+        return decodeUpstream("i-1", json.dump(), error).has_value();
+    };
+    auto instanceReads = [&](const std::string& address) { return decodeInstance(nlohmann::json { { "peers", address }, { "domain", "halle-a" } }.dump(), error).has_value(); };
+    const std::string good[] = { "10.0.0.9:1", "10.0.0.9:65535", "127.0.0.1:80", "::1:80", "2001:db8::7:80" };
+    for (const auto& it : good) {
+        CAPTURE(it);
+        CHECK(upstreamReads(it));
+        CHECK(instanceReads(it));
+    }
+    const std::string odd[] = { "", ":", ":80", "10.0.0.9", "10.0.0.9:", "10.0.0.9:0", "10.0.0.9:00", "10.0.0.9:65536", "10.0.0.9:65616", "10.0.0.9:4294967376", "10.0.0.9:99999999999999999999", "10.0.0.9:-1", "10.0.0.9:+80", "10.0.0.9: 80",
+        "10.0.0.9:80 ", "10.0.0.9:80\n", "10.0.0.9:80\r\nX-Other: 1", "10.0.0.9:8x", "10.0.0.9:0x50", "10.0.0.9:80.0", "10.0.0.9:1e2", "10.0.0.9:80/x", " 10.0.0.9:80", "10.0.0:80", "10.0.0.256:80", "010.0.0.9.1:80", "0.0.0.0:80", "255.255.255.255:80", "224.0.0.1:80",
+        "nowhere:80", "localhost:80", "[::1]:80", "[::1:80", ":::80", "::", "ff02::1:80", "fe80::1%lo:80", "1::2::3:80", "http://10.0.0.9:80", std::string("10.0.0.9\0x:80", 13), std::string("10.0.0.9:80\0", 12), std::string(60000, '1') + ":80", "10.0.0.9:" + std::string(60000, '8') };
+    for (const auto& it : odd) {
+        CAPTURE(it);
+        CHECK_FALSE(upstreamReads(it));
+        CHECK_FALSE(instanceReads(it));
+    }
+    SECTION("an upstream's id can be sent in a header")
+    {
+        CHECK(decodeUpstream("i-7f3a91c2", upstreamEntry(""), error));
+        for (const char* it : { "i-1\r\nX-Other: 1", "i 1", "i-1\x7f", "\xff\xfe", "i-\xc3\xa4" })
+            CHECK_FALSE(decodeUpstream(it, upstreamEntry(""), error));
+    }
+}
