Take a response for complete only after the end of its head

What callers saw: an empty 200 (201, 404, ...) for a call whose service stopped while it wrote the head of its response. "503" with X-Not-Run in a head that broke off was reported as "not run" (ran: no), although the call may have run. The same for all users of the client: HttpStore took a write for refused (409), a key for missing (404) or a removal for done (200); load reports counted an upstream as reachable.

Cause: libcurl 7.88 ends a transfer without an error if the connection is closed in order within the head and neither a length nor chunks were stated before; the end of the transfer was all that the client looked at. It also kept the fields of interim responses and trailers as fields of the response, so that an X-Not-Run in either would have counted.

Change: libcurl's header callback gets the empty line after each head. A response is complete only after that of the final one (a status of 200 or more); all else that was sent ends as Cut, which is not repeated for calls that may run once, and answered with outcome_unknown, or 502. Interim fields are dropped with their head, and trailers are left out.

Ruled out by the same table, which passed before: bodies cut short with a stated length, chunks without their end, and resets at any byte. A body without length or chunks that is cut by an orderly close cannot be told from a whole one; that is in INVARIANTS.md. A chunked body whose last LF alone is missing is taken for complete by libcurl, and is complete by RFC 9112, section 8.

--- a/src/adapters/http_client.cpp
+++ b/src/adapters/http_client.cpp
@@ -18,6 +18,8 @@
     constexpr int pollTimeoutMs = 500;
     // Limit of a body that is collected for onEnd; a call whose body exceeds it ends with Cut.
     constexpr std::size_t maxBodyBytes = 64 << 20;
+    // Responses with a lower status are interim ones, which a final one follows.
+    constexpr long firstFinalStatus = 200;
 
     struct CurlDeleter {
         void operator()(CURL* easy) const { curl_easy_cleanup(easy); }
@@ -34,6 +36,9 @@
         std::unique_ptr<curl_slist, CurlDeleter> headers;
         // Number of times that libcurl was about to send the request.
         int sends = 0;
+        // Whether the empty line after the head of the final response was received. libcurl does not report an error if the
+        // connection is closed before it.
+        bool headEnded = false;
     };
 
     // libcurl calls this once a connection is established and before it sends the request, including each time it resends it.
@@ -59,10 +64,21 @@
         return size;
     }
 
+    // libcurl passes complete lines: those of interim responses, of the final one, and of its trailers.
     std::size_t onHeader(char* data, std::size_t, std::size_t size, void* userData)
     {
         auto& transfer = *static_cast<Transfer*>(userData);
         std::string line(data, size);
+        if (transfer.headEnded)
+            return size;
+        if (line == "\r\n" || line == "\n") {
+            long status = 0;
+            curl_easy_getinfo(transfer.easy.get(), CURLINFO_RESPONSE_CODE, &status);
+            transfer.headEnded = status >= firstFinalStatus;
+            if (!transfer.headEnded)
+                transfer.result.headers.clear();
+            return size;
+        }
         auto colon = line.find(':');
         if (colon != std::string::npos) {
             auto value = line.substr(colon + 1);
@@ -76,7 +92,7 @@
     // is therefore derived from the number of sends and not from the error code.
     HttpEnd httpEndFor(const Transfer& transfer, CURLcode code)
     {
-        if (code == CURLE_OK)
+        if (code == CURLE_OK && transfer.headEnded)
             return HttpEnd::Complete;
         if (transfer.sends == 0)
             return HttpEnd::NotSent;
--- a/src/adapters/http_client.h
+++ b/src/adapters/http_client.h
@@ -30,11 +30,12 @@
 };
 
 enum class HttpEnd {
-    // The complete response was received, with any status.
+    // The complete response was received, with any status: the head up to its empty line, and the body up to its stated end. A body
+    // without a stated end ends when the server closes the connection in order.
     Complete,
     // No byte of the request was sent, for example because the connection was refused or connecting timed out.
     NotSent,
-    // The connection was lost after libcurl began to send the request, or the client aborted the transfer: the body was too
+    // The connection was lost or closed after libcurl began to send the request and before the response was complete, or the client aborted the transfer: the body was too
     // large, or the request would have been resent without mayResend.
     Cut,
     // The timeout expired after libcurl began to send the request.
@@ -43,9 +44,9 @@
 
 struct HttpResult {
     HttpEnd end = HttpEnd::Complete;
-    // 0 if no response was received.
+    // 0 if no response was received. A response that is not complete may have one.
     int status = 0;
-    // Header names are in lower case.
+    // Fields of the final response's head, without trailers and the fields of interim responses. Names are in lower case.
     std::map<std::string, std::string> headers;
     // Empty if onData received the body.
     std::string body;
