Bound the memory that entries and their history take

What callers saw: nothing is known. Machines have 88 to 160 MB, and a process over that is killed with all that it serves.

The history for peers kept 1,024 changes with their values, whatever their size: a value of 1 MB that is written again and again stays there as often. An answer to a watch could have 8 MB and is held several times while it is decoded; its changes were held through the pause after it.

An answer to a watch may have 2 MiB and a page 4 MiB; if there is more, everything is read page by page, as after an answer that cannot be read. An update is let go once it is applied, and encoded with one copy less.

The store of the tests ends a page after 1 MiB of values, as the platform's does. New process tests: values of 23 kinds under keys of all kinds, written over each other in six rounds, while callers of two instances are served and configurations come; one of the instances has everything from the other. And deep values one after the other.

--- a/src/core/membership/store_mirror.cpp
+++ b/src/core/membership/store_mirror.cpp
@@ -11,13 +11,20 @@
 
 using Json = nlohmann::json;
 
+namespace {
+
+    std::size_t bytesOf(const StoreChange& change) { return change.key.size() + (change.value ? change.value->size() : 0); }
+
+}
+
 std::string encodeUpdate(const MirrorUpdate& update)
 {
     Json changes = Json::array();
     for (const auto& it : update.changes)
         changes.push_back(Json::array({ it.key, it.revision, it.value ? Json::binary({ it.value->begin(), it.value->end() }) : Json() }));
-    auto bytes = Json::to_cbor(Json::array({ update.revision, update.isSnapshot, changes }));
-    return { bytes.begin(), bytes.end() };
+    std::string bytes;
+    Json::to_cbor(Json::array({ update.revision, update.isSnapshot, std::move(changes) }), bytes);
+    return bytes;
 }
 
 std::optional<MirrorUpdate> decodeUpdate(const std::string& bytes)
@@ -95,9 +102,16 @@
         m_observer(change.key, nullptr);
     }
     m_newsRevision = std::max(m_newsRevision, change.revision);
+    remember(change);
+}
+
+void StoreMirror::remember(const StoreChange& change)
+{
     m_history.push_back(change);
-    if (m_history.size() > maxHistory) {
+    m_historyBytes += bytesOf(change);
+    while (m_history.size() > maxHistory || m_historyBytes > maxHistoryBytes) {
         m_historyAfter = m_history.front().revision;
+        m_historyBytes -= bytesOf(m_history.front());
         m_history.pop_front();
     }
 }
@@ -132,6 +146,7 @@
         m_observer(key, nullptr);
     }
     m_history.clear();
+    m_historyBytes = 0;
     m_historyAfter = update.revision;
 }
 
--- a/src/core/membership/store_mirror.h
+++ b/src/core/membership/store_mirror.h
@@ -73,8 +73,12 @@
 private:
     // Maximum number of changes kept for peers that are slightly behind.
     static constexpr std::size_t maxHistory = 1024;
+    // Maximum size of their keys and values, in bytes. Peers that lack changes which are gone get a snapshot.
+    static constexpr std::size_t maxHistoryBytes = std::size_t { 2 } << 20;
 
     void applyChange(const StoreChange&);
+    // Appends a change to the history and drops the oldest ones that are too many.
+    void remember(const StoreChange&);
     // Stores the value of an item and tells the observer. Returns false if it only renews the item.
     bool write(const std::string& key, Item);
     void applySnapshot(const MirrorUpdate&);
@@ -83,6 +87,7 @@
     Renewals m_renewals;
     std::map<std::string, Item> m_items;
     std::deque<StoreChange> m_history;
+    std::size_t m_historyBytes = 0;
     // The history has all changes after this revision.
     std::int64_t m_historyAfter = 0;
     std::int64_t m_revision = 0;
--- a/src/edge/control_plane.cpp
+++ b/src/edge/control_plane.cpp
@@ -115,7 +115,7 @@
             result = co_await m_store.watch(m_mirror.revision());
         bool isOk = result.update.has_value();
         if (isOk) {
-            applyUpdate(*result.update);
+            applyUpdate(*std::exchange(result.update, {}));
             needsFullRead = false;
         } else if (result.status == 410 || result.isUnreadable) {
             // The same watch would get the same answer again, so everything is read at once; there is a pause after that.
--- a/src/edge/store_client.cpp
+++ b/src/edge/store_client.cpp
@@ -19,8 +19,10 @@
     // A partial read that is older than this is started again: the following watch continues from the revision of the first
     // page, and the platform keeps changes for only 20 s.
     constexpr Seconds maxPartialReadAge { 10 };
-    // Limits of a response of a watch or a read, and of other calls. The memory of an instance may be less than 100 MB.
-    constexpr std::size_t maxItemBytes = std::size_t { 8 } << 20;
+    // Limits of a response of a read, of a watch, and of other calls. The memory of an instance may be less than 100 MB. A page of a read
+    // is about a megabyte long, and one item more. If there are more changes than a watch may deliver, they are read.
+    constexpr std::size_t maxPageBytes = std::size_t { 4 } << 20;
+    constexpr std::size_t maxWatchBytes = std::size_t { 2 } << 20;
     constexpr std::size_t maxCallBytes = std::size_t { 1 } << 20;
     // Time limit for the body of a watch or a read.
     constexpr Milliseconds maxItemTime { 10000 };
@@ -159,7 +161,7 @@
     // Another call has shown a new era between two watches. The store may have given the revision out again, and then waits.
     if (m_era && era() != eraOf(after))
         co_return StoreUpdateResult { historyLost, {} };
-    CallOptions options { &m_watchConnection, watchWait + watchMargin, maxItemTime, maxItemBytes, "watch", true };
+    CallOptions options { &m_watchConnection, watchWait + watchMargin, maxItemTime, maxWatchBytes, "watch", true };
     auto response = co_await sendRequest(platform::watchRequest(allKeysPrefix, storeRevision(after), watchWait), options);
     StoreUpdateResult result { response.status, {}, response.isMalformed };
     if (response.isMalformed)
@@ -182,7 +184,7 @@
 
 Awaitable<StoreClient::StoreUpdateResult> StoreClient::readAll()
 {
-    CallOptions options { &m_watchConnection, callTimeout, maxItemTime, maxItemBytes, "read" };
+    CallOptions options { &m_watchConnection, callTimeout, maxItemTime, maxPageBytes, "read" };
     if (!m_partialRead || bootNow() - m_partialRead->startedAt > maxPartialReadAge)
         m_partialRead = PartialRead { .startedAt = bootNow() };
     auto& update = m_partialRead->update;
--- a/test/correctness/fleet_test.cpp
+++ b/test/correctness/fleet_test.cpp
@@ -397,6 +397,39 @@
     }
 }
 
+// Guards against instances that take all memory for changes that their peers may ask for.
+TEST_CASE("the changes that are kept for peers are bounded in bytes")
+{
+    StoreMirror mirror([](const std::string&, const StoreMirror::Item*) {});
+    REQUIRE(mirror.applyUpdate({ 10, true, { { "a", 4, "1" } } }));
+    constexpr std::size_t longValue = 600000;
+    for (std::int64_t n = 11; n <= 40; ++n)
+        mirror.applyUpdate({ n, false, { { "servers/i-" + std::to_string(n % 2), n, std::string(longValue, 'x') } } });
+    std::size_t bytes = 0;
+    std::int64_t oldest = 40;
+    // From each revision from which a peer gets changes.
+    for (; oldest > 10 && !mirror.changesSince(oldest - 1).isSnapshot; --oldest)
+        bytes += longValue;
+    CHECK(bytes > longValue);
+    CHECK(bytes <= std::size_t { 2 } << 20);
+    SECTION("a peer that is further behind gets everything")
+    {
+        auto update = mirror.changesSince(oldest - 1);
+        CHECK(update.isSnapshot);
+        CHECK(update.changes.size() == 3);
+    }
+    SECTION("a change that is longer than all that is kept leaves nothing, and later ones are kept")
+    {
+        mirror.applyUpdate({ 41, false, { { "op/config", 41, std::string(std::size_t { 3 } << 20, 'x') } } });
+        CHECK(mirror.changesSince(40).isSnapshot);
+        CHECK(mirror.changesSince(41).changes.empty());
+        mirror.applyUpdate({ 42, false, { { "a", 42, "2" } } });
+        CHECK_FALSE(mirror.changesSince(41).isSnapshot);
+        CHECK(mirror.changesSince(41).changes.size() == 1);
+        CHECK(mirror.changesSince(40).isSnapshot);
+    }
+}
+
 TEST_CASE("a copy of the store is updated and replicated to peers")
 {
     std::vector<std::string> seen;
--- a/test/fakes/fleet_standin.cpp
+++ b/test/fakes/fleet_standin.cpp
@@ -161,10 +161,12 @@
     std::lock_guard lock(m_mutex);
     Json items = Json::array();
     bool hasMore = false;
+    std::size_t bytes = 0;
     for (auto it = m_items.upper_bound(after); it != m_items.end() && !hasMore; ++it) {
         if (!absl::StartsWith(it->first, prefix))
             continue;
-        hasMore = items.size() == m_pageSize;
+        hasMore = items.size() == m_pageSize || bytes >= maxPageBytes;
+        bytes += it->second.value.size();
         if (!hasMore)
             items.push_back(itemJson(it->first, it->second.value, it->second.revision));
     }
--- a/test/fakes/fleet_standin.h
+++ b/test/fakes/fleet_standin.h
@@ -28,6 +28,8 @@
     Conflicts };
 
 constexpr std::chrono::milliseconds slowReadTime { 200 };
+// A page of a range read has no further items once its values have this many bytes.
+constexpr std::size_t maxPageBytes = std::size_t { 1 } << 20;
 
 // What happens to pending watches when the store returns to an older copy.
 enum class WatchEnd { Cut,
--- a/test/processes/edge_test.cpp
+++ b/test/processes/edge_test.cpp
@@ -11,6 +11,8 @@
 #include <atomic>
 #include <catch2/catch.hpp>
 #include <csignal>
+#include <fstream>
+#include <thread>
 
 using namespace skylarkhitch;
 using namespace skylarkhitch::standin;
@@ -170,6 +172,67 @@
 
 constexpr std::size_t mebibyte = std::size_t { 1 } << 20;
 
+// Sends requests one after the other until it is stopped, and counts the responses.
+class SteadyCaller {
+public:
+    explicit SteadyCaller(const EdgeInstance& instance)
+        : m_thread([this, &instance] {
+            for (int n = 0; !m_stopping; ++n) {
+                auto connection = RawConnection::connect(instance.port());
+                bool isServed = connection && connection->write(requestBytes("GET", "/status/x", absl::StrCat(instance.name(), "-", n))) && statusOf(connection->readResponse()) == 200;
+                ++(isServed ? m_served : m_failed);
+                std::this_thread::sleep_for(10ms);
+            }
+        })
+    {
+    }
+    ~SteadyCaller() { stop(); }
+    SteadyCaller(const SteadyCaller&) = delete;
+    SteadyCaller& operator=(const SteadyCaller&) = delete;
+
+    void stop()
+    {
+        m_stopping = true;
+        if (m_thread.joinable())
+            m_thread.join();
+    }
+    int served() const { return m_served; }
+    int failed() const { return m_failed; }
+
+private:
+    std::atomic<bool> m_stopping = false;
+    std::atomic<int> m_served = 0;
+    std::atomic<int> m_failed = 0;
+    std::thread m_thread;
+};
+
+// Values that name nothing to use, whatever key they are under.
+std::vector<std::string> oddValues()
+{
+    auto upstream = [](const std::string& fields) { return absl::StrCat(R"({"backend":"orders","zone":"halle-a","version":"v1","state":"ready",)", fields, "}"); };
+    std::string wide = "[";
+    while (wide.size() < mebibyte - 4)
+        wide += "[],";
+    return { "", "{", "null", "7", "\xff\xfe\n", std::string(mebibyte, '['), std::string(mebibyte / 2, '[') + std::string(mebibyte / 2, ']'), wide + "[]]", "\"" + std::string(mebibyte - 2, 'x'), std::string(mebibyte, '7'), std::string(mebibyte, '\xff'),
+        std::string(65536, '['), std::string(65536, '"'), std::string(65536, '7'), upstream(R"("address":"127.0.0.1:0","capacity":8)"), upstream(R"("address":"127.0.0.1:65616","capacity":8)"), upstream(R"("address":"127.0.0.1:9\r\n","capacity":8)"),
+        upstream(R"("address":"127.0.0.1:9","capacity":1e300)"), upstream(R"("address":"127.0.0.1:9","capacity":true)"), upstream(R"("address":"127.0.0.1:9","capacity":8,"born":18446744073709551615)"),
+        R"({"peers":"127.0.0.1:0","domain":"halle-a"})", R"({"target":"v2","durationS":1e300})", R"({"order":1,"target":"v2","stage":"half","started":9223372036854775807,"baseline":[]})" };
+}
+
+// How much more memory an instance may take than one whose store has no odd entries, in bytes.
+constexpr std::int64_t maxMemoryGrowth = 16 * static_cast<std::int64_t>(mebibyte);
+
+// The largest resident memory of a process so far, in bytes.
+std::int64_t maxMemoryOf(EdgeInstance& instance)
+{
+    std::ifstream in(absl::StrCat("/proc/", instance.process().pid(), "/status"));
+    for (std::string line; std::getline(in, line);) {
+        if (absl::StartsWith(line, "VmHWM:"))
+            return std::atoll(line.c_str() + 6) * 1024;
+    }
+    return 0;
+}
+
 // A relay to a store that replaces the answers to watches.
 class WatchReplacer {
 public:
@@ -208,6 +271,75 @@
 
 }
 
+// Guards against instances that end, restart, grow or no longer follow the store because of what another writer left there.
+TEST_CASE("odd entries of other writers change nothing for callers, and every configuration is followed")
+{
+    Site site, quietSite;
+    EdgeInstance one("edge-1", site.store.address());
+    EdgeInstance two("edge-2", site.store.secondAddress(), one.peerAddress());
+    EdgeInstance quiet("edge-3", quietSite.store.address());
+    REQUIRE(waitUntil(5s, [&] { return one.isReady() && two.isReady() && quiet.isReady(); }));
+    // From now on edge-2 has everything from edge-1.
+    site.store.setSecondFault(StoreFault::Busy);
+    SteadyCaller callersOfOne(one), callersOfTwo(two), callersOfQuiet(quiet);
+    const auto values = oddValues();
+    const char* prefixes[] = { "servers/odd-", "skylarkhitch/instances/odd-", "op/rollout/odd-", "skylarkhitch/rollout/odd-", "elsewhere/odd-" };
+    for (int round = 0; round < 6; ++round) {
+        // Every value comes under another key in each round, over the one of the round before.
+        for (std::size_t n = 0; n < values.size(); ++n)
+            site.store.put(absl::StrCat(prefixes[n % std::size(prefixes)], n), values[(n + static_cast<std::size_t>(round) * 7) % values.size()]);
+        site.store.put("op/config", values[static_cast<std::size_t>(round) * 3 % values.size()]);
+        auto version = 100 + round;
+        site.store.put("op/config", sampleConfiguration(version));
+        quietSite.store.put("op/config", sampleConfiguration(version));
+        auto line = absl::StrCat("what=configuration version=", version);
+        CHECK(waitUntil(2s, [&] { return !one.linesContaining(line).empty() && !two.linesContaining(line).empty(); }));
+    }
+    for (auto* it : { &callersOfOne, &callersOfTwo, &callersOfQuiet }) {
+        it->stop();
+        CHECK(it->failed() == 0);
+        CHECK(it->served() > 50);
+    }
+    for (auto* it : { &one, &two }) {
+        CHECK(it->isReady());
+        CHECK(it->ownEnds() == 0);
+        for (const char* what : { "what=start ", "what=task_failed", "what=event_failed", "what=item_failed" }) {
+            CAPTURE(it->name(), what);
+            CHECK(it->linesContaining(what).size() == (std::string(what) == "what=start " ? 1 : 0));
+        }
+        for (const auto& line : it->linesContaining(""))
+            CHECK(line.size() < 6144);
+        auto growth = maxMemoryOf(*it) - maxMemoryOf(quiet);
+        CAPTURE(it->name(), growth);
+        CHECK(growth < maxMemoryGrowth);
+    }
+}
+
+// Guards against instances that end because the memory of their machine does not hold an entry while it is read.
+TEST_CASE("entries that are nested deeply take little memory, however often they are read")
+{
+    Site site, quietSite;
+    EdgeInstance instance("edge-1", site.store.address());
+    EdgeInstance quiet("edge-2", quietSite.store.address());
+    REQUIRE(waitUntil(5s, [&] { return instance.isReady() && quiet.isReady(); }));
+    const char* keys[] = { "servers/odd", "skylarkhitch/instances/odd", "op/rollout/odd", "skylarkhitch/rollout/odd", "op/config" };
+    const std::string values[] = { std::string(mebibyte, '['), std::string(mebibyte / 2, '[') + std::string(mebibyte / 2, ']') };
+    int version = 100;
+    for (const auto* key : keys) {
+        for (const auto& value : values) {
+            site.store.put(key, value);
+            // Alone in an answer of the store, so that it is read.
+            std::this_thread::sleep_for(1200ms);
+        }
+        site.store.put("op/config", sampleConfiguration(++version));
+        CHECK(waitUntil(2s, [&] { return !instance.linesContaining(absl::StrCat("what=configuration version=", version)).empty(); }));
+    }
+    auto growth = maxMemoryOf(instance) - maxMemoryOf(quiet);
+    CAPTURE(growth);
+    CHECK(growth < maxMemoryGrowth);
+    CHECK(instance.ownEnds() == 0);
+}
+
 // Guards against instances that ask for the same changes for ever because they cannot read the answer.
 TEST_CASE("an answer to a watch that cannot be read is made up for by a read")
 {
