--- a/test/correctness/odd_entries_test.cpp
+++ b/test/correctness/odd_entries_test.cpp
@@ -447,3 +447,31 @@
             CHECK_FALSE(decodeUpstream(it, upstreamEntry(""), error));
     }
 }
+
+// Guards against instances that fail again and again to write the stage of a roll-out whose names a peer stated.
+TEST_CASE("names that are not UTF-8 can be written")
+{
+    RolloutRecord record { 7, "v\xff", RolloutStage::Half, TimePoint { 5s }, { { { { "s\xfe" }, "v1", "r", { "m" } }, { 3, 1, 90ms } } } };
+    CHECK_NOTHROW(transactionRequest(rolloutTransaction({ "s\xff" }, record, 0)));
+    DecodeError error;
+    CHECK(decodeRolloutRecord(rolloutTransaction({ "s\xff" }, record, 0).puts.at(0).value, error));
+}
+
+// Guards against instances that use, or end because of, orders and records of roll-outs or a list of instances that others wrote.
+TEST_CASE("odd orders, records and entries of instances name nothing")
+{
+    const std::string odd[] = { "", "{", "}", "null", "true", "7", "[]", "{}", "\"text\"", "\xff\xfe", std::string("\0", 1), std::string(65536, '['), nested(65), std::string(65536, '"'), std::string(60000, '7'), R"({"target":7,"durationS":5})",
+        R"({"target":"v2","durationS":"5"})", R"({"target":["v2"],"durationS":5})", R"({"order":1,"target":"v2","stage":"melting","started":1,"baseline":[]})", R"({"order":1,"target":"v2","stage":7,"started":1,"baseline":[]})",
+        R"({"order":1,"target":"v2","stage":"half","started":1,"baseline":{"a":1}})", R"({"order":1,"target":"v2","stage":"half","started":1,"baseline":[[]]})", R"({"order":1,"target":"v2","stage":"half","started":1,"baseline":[7]})",
+        R"({"order":1,"target":"v2","stage":"half","started":1})", R"({"peers":"10.0.0.9:80"})", R"({"peers":7,"domain":"halle-a"})", R"({"peers":"10.0.0.9:80","domain":null})", R"({"peers":["10.0.0.9:80"],"domain":"halle-a"})" };
+    for (const auto& it : odd) {
+        CAPTURE(it.substr(0, 100));
+        DecodeError error;
+        CHECK_FALSE(decodeRolloutOrder("s", 9, it, error));
+        CHECK_FALSE(error.message.empty());
+        CHECK_FALSE(decodeRolloutRecord(it, error));
+        CHECK_FALSE(decodeInstance(it, error));
+        CHECK_FALSE(decodeConfiguration(it, error));
+        CHECK_FALSE(decodeUpstream("i-1", it, error));
+    }
+}
