Refuse chat bodies that are nested too deeply

What callers saw: one request, with any bearer key, ended the process and with it the requests of all callers: a chat body of two million brackets (2 MB, of the 8 MB that are read). Whose key it is, is checked after the body is parsed.

Cause: the JSON library parses without recursion, but copies, compares and writes a value with one call for each level; the body without "model" is written again for the engine, and the stack overflowed.

Change: a body of more than 128 levels of arrays and objects is refused as malformed_request (400), by a scan of the text before it is parsed. core/document_depth has the same for CBOR.

--- a/src/daemon/request_parser.cpp
+++ b/src/daemon/request_parser.cpp
@@ -1,11 +1,11 @@
 #include "daemon/request_parser.h"
 
 #include "adapters/digest.h"
+#include "core/document_depth.h"
 
 #include <absl/strings/match.h>
 #include <absl/strings/numbers.h>
 #include <algorithm>
-#include <nlohmann/json.hpp>
 
 namespace skylarkhitch {
 
@@ -86,6 +86,10 @@
         void readChat()
         {
             auto& request = m_parsed.request;
+            if (isJsonDeeperThan(m_http.body, maxDocumentDepth)) {
+                fail(ErrorKind::MalformedRequest, "body: nested more deeply than " + std::to_string(maxDocumentDepth) + " levels");
+                return;
+            }
             auto json = Json::parse(m_http.body, nullptr, false);
             if (!json.is_object()) {
                 fail(ErrorKind::MalformedRequest, "body: expected a JSON object");
--- a/test/processes/odd_document_test.cpp
+++ b/test/processes/odd_document_test.cpp
@@ -1,5 +1,5 @@
-// Tests an instance on a platform without declared routes with bytes of others that it cannot use: of callers, upstreams, operators
-// and the platform.
+// Tests an instance on a platform without declared routes with bytes of others
+// that it cannot use: of callers, upstreams, operators and the platform.
 
 #include "adapters/digest.h"
 #include "adapters/http_client.h"
@@ -54,7 +54,17 @@
     return {};
 }
 
-// A server that answers each path with the raw bytes that were set for it, and then closes the connection.
+// The same text many times, for documents that are nested deeply.
+std::string repeated(const std::string& text, std::size_t n)
+{
+    std::string all;
+    for (std::size_t k = 0; k < n; ++k)
+        all += text;
+    return all;
+}
+
+// A server that answers each path with the raw bytes that were set for it, and
+// then closes the connection.
 class ScriptedServer {
 public:
     // Paths without bytes get status 404.
@@ -86,31 +96,49 @@
     mutable std::mutex m_mutex;
     std::map<std::string, std::string> m_answers;
     std::map<std::string, int> m_requests;
-    LoopbackServer m_server { [this](const RawRequest& request, RawConnection& connection) { return serve(request, connection); } };
+    LoopbackServer m_server {
+        [this](const RawRequest& request, RawConnection& connection) {
+            return serve(request, connection);
+        }
+    };
 };
 
 // One instance with a scripted engine, service and platform.
 class OddSite {
 public:
-    // A standalone instance has its configuration from a file and asks no platform.
+    // A standalone instance has its configuration from a file and asks no
+    // platform.
     explicit OddSite(bool standalone)
     {
-        auto pattern = (std::filesystem::temp_directory_path() / "skylarkhitch-XXXXXX").string();
+        auto pattern = (std::filesystem::temp_directory_path() / "skylarkhitch-XXXXXX")
+                           .string();
         m_directory = mkdtemp(pattern.data());
-        engine.answer("/v1/load", responseBytes(200, R"({"running":0,"waiting":0})"));
-        service.answer("/v1/load", responseBytes(200, R"({"running":0,"waiting":0})"));
-        engine.answer("/v1/chat/completions", responseBytes(200, chatAnswer(R"({"prompt_tokens":2,"completion_tokens":3})")));
+        engine.answer("/v1/load",
+            responseBytes(200, R"({"running":0,"waiting":0})"));
+        service.answer("/v1/load",
+            responseBytes(200, R"({"running":0,"waiting":0})"));
+        engine.answer(
+            "/v1/chat/completions",
+            responseBytes(
+                200, chatAnswer(R"({"prompt_tokens":2,"completion_tokens":3})")));
         platform.answer("/v1/instances", responseBytes(200, "[]"));
         std::ofstream(m_directory + "/configuration.yaml") << configuration();
         std::ofstream settings(m_directory + "/settings.yaml");
-        settings << "instance: entry-0\ndomain: d0\nlisten: 127.0.0.1:0\noperator_listen: 127.0.0.1:0\npeer_listen: 127.0.0.1:0\npeer_secret: test\n"
-                 << "drain_grace_ms: 100\nheartbeat_ms: 200\nlist_period_ms: 100\nload_period_ms: 100\nseed: 7\nlog_level: warning\n"
+        settings << "instance: entry-0\ndomain: d0\nlisten: "
+                    "127.0.0.1:0\noperator_listen: 127.0.0.1:0\npeer_listen: "
+                    "127.0.0.1:0\npeer_secret: test\n"
+                 << "drain_grace_ms: 100\nheartbeat_ms: 200\nlist_period_ms: "
+                    "100\nload_period_ms: 100\nseed: 7\nlog_level: warning\n"
                  << "rating_address: " << platform.address() << "\n"
-                 << "platform: " << (standalone ? "memory" : platform.address()) << "\n";
+                 << "platform: " << (standalone ? "memory" : platform.address())
+                 << "\n";
         if (standalone)
-            settings << "configuration_file: " << m_directory << "/configuration.yaml\n";
+            settings << "configuration_file: " << m_directory
+                     << "/configuration.yaml\n";
         settings.close();
-        m_process = std::make_unique<ChildProcess>(std::vector<std::string> { std::string(SKYLARKHITCH_BINARY_DIR) + "/skylarkhitchd", "--settings", m_directory + "/settings.yaml" });
+        m_process = std::make_unique<ChildProcess>(std::vector<std::string> {
+            std::string(SKYLARKHITCH_BINARY_DIR) + "/skylarkhitchd", "--settings",
+            m_directory + "/settings.yaml" });
         m_callers = fieldOf(m_process->firstLine(), "callers");
         m_operators = fieldOf(m_process->firstLine(), "operators");
         if (standalone)
@@ -123,27 +151,41 @@
         return R"({"choices":[{"message":{"content":"hi"}}],"usage":)" + usage + "}";
     }
 
-    HttpResult call(const std::string& method, const std::string& path, const std::string& body = {}, std::vector<HttpHeader> headers = {})
+    HttpResult call(const std::string& method, const std::string& path,
+        const std::string& body = {},
+        std::vector<HttpHeader> headers = {})
     {
         return send(m_callers, method, path, body, std::move(headers));
     }
-    HttpResult operate(const std::string& method, const std::string& path, const std::string& body = {}) { return send(m_operators, method, path, body, {}); }
+    HttpResult operate(const std::string& method, const std::string& path,
+        const std::string& body = {})
+    {
+        return send(m_operators, method, path, body, {});
+    }
     HttpResult chat(const std::string& more = {})
     {
-        return call("POST", "/v1/chat/completions", R"({"model":"small","messages":[{"role":"user","content":"hi"}])" + more + "}", { callerKey });
+        return call(
+            "POST", "/v1/chat/completions",
+            R"({"model":"small","messages":[{"role":"user","content":"hi"}])" + more + "}",
+            { callerKey });
     }
     // Whether the process runs and serves callers.
     bool serves()
     {
         return !m_process->exitStatus() && call("GET", "/healthz").status == 200 && chat().status == 200;
     }
-    bool runs() { return !m_process->exitStatus() && call("GET", "/healthz").status == 200; }
+    bool runs()
+    {
+        return !m_process->exitStatus() && call("GET", "/healthz").status == 200;
+    }
     // The value of a gauge of the instance's state, or -1 if there is none.
     double gauge(const std::string& name)
     {
         auto text = operate("GET", "/metrics").body;
         auto at = text.find("skylarkhitch_state{name=\"" + name + "\"}");
-        return at == std::string::npos ? -1 : std::stod(text.substr(text.find('}', at) + 1));
+        return at == std::string::npos
+            ? -1
+            : std::stod(text.substr(text.find('}', at) + 1));
     }
 
     ScriptedServer engine;
@@ -153,21 +195,35 @@
 private:
     std::string configuration() const
     {
-        return absl::StrCat("ranks:\n  urgent: { order: 0, deadline_ms: 5000, guaranteed_share: 0.3 }\n",
-            "models:\n  small: { current: small-1 }\nversions:\n  small-1: { model: small, cost_per_output_token: 2, quality: 0.6 }\n",
-            "teams:\n  weavers: { key_sha256: [", sha256Hex("key"), "], models: [small], services: [orders] }\n",
-            "services:\n  orders: { cost_per_call: 500, rank: urgent }\nlimits: { rated_share: 1, attempt_timeout_ms: 2000 }\nupstreams:\n",
-            "  orders-a: { address: \"", service.address(), "\", domain: d0, service: orders }\n",
-            "  small-a: { address: \"", engine.address(), "\", domain: d0, version: small-1 }\n");
+        return absl::StrCat(
+            "ranks:\n  urgent: { order: 0, deadline_ms: 5000, guaranteed_share: "
+            "0.3 }\n",
+            "models:\n  small: { current: small-1 }\nversions:\n  small-1: { "
+            "model: small, cost_per_output_token: 2, quality: 0.6 }\n",
+            "teams:\n  weavers: { key_sha256: [", sha256Hex("key"),
+            "], models: [small], services: [orders] }\n",
+            "services:\n  orders: { cost_per_call: 500, rank: urgent }\nlimits: { "
+            "rated_share: 1, attempt_timeout_ms: 2000 }\nupstreams:\n",
+            "  orders-a: { address: \"", service.address(),
+            "\", domain: d0, service: orders }\n", "  small-a: { address: \"",
+            engine.address(), "\", domain: d0, version: small-1 }\n");
     }
 
-    HttpResult send(const std::string& address, const std::string& method, const std::string& path, const std::string& body, std::vector<HttpHeader> headers)
+    HttpResult send(const std::string& address, const std::string& method,
+        const std::string& path, const std::string& body,
+        std::vector<HttpHeader> headers)
     {
-        HttpCall http { .method = method, .address = address, .path = path, .headers = std::move(headers), .timeout = Seconds(10) };
+        HttpCall http { .method = method,
+            .address = address,
+            .path = path,
+            .headers = std::move(headers),
+            .timeout = Seconds(10) };
         if (method != "GET")
             http.body = std::make_shared<const std::string>(body);
         std::promise<HttpResult> result;
-        m_client.start(std::move(http), { .onEnd = [&](HttpResult it) { result.set_value(std::move(it)); } });
+        m_client.start(std::move(http), { .onEnd = [&](HttpResult it) {
+            result.set_value(std::move(it));
+        } });
         return result.get_future().get();
     }
 
@@ -181,21 +237,28 @@
 std::string errorKind(const HttpResult& result)
 {
     auto json = Json::parse(result.body, nullptr, false);
-    return json.is_object() && json.contains("error") && json["error"].is_object() ? json["error"].value("kind", "") : "";
+    return json.is_object() && json.contains("error") && json["error"].is_object()
+        ? json["error"].value("kind", "")
+        : "";
 }
 
-}
+} // namespace
 
-// Guards against an empty 200 for a call whose service stopped while it wrote the head of its response.
-TEST_CASE("a call whose response breaks off in its head has an unknown outcome")
+// Guards against an empty 200 for a call whose service stopped while it wrote
+// the head of its response.
+TEST_CASE(
+    "a call whose response breaks off in its head has an unknown outcome")
 {
     OddSite site(true);
-    auto head = GENERATE(std::string("HTTP/1.1 200 OK\r\n"), std::string("HTTP/1.1 201 Created\r\nContent-Ty"), std::string("HTTP/1.1 503 Busy\r\nX-Not-Run: true\r\n"));
+    auto head = GENERATE(std::string("HTTP/1.1 200 OK\r\n"),
+        std::string("HTTP/1.1 201 Created\r\nContent-Ty"),
+        std::string("HTTP/1.1 503 Busy\r\nX-Not-Run: true\r\n"));
     CAPTURE(head);
     site.service.answer("/slots", head);
     SECTION("and is not sent again")
     {
-        auto result = site.call("POST", "/services/orders/slots", "loom 1", { callerKey, { "Idempotency-Key", "k" } });
+        auto result = site.call("POST", "/services/orders/slots", "loom 1",
+            { callerKey, { "Idempotency-Key", "k" } });
         CHECK(result.status >= 400);
         CHECK(errorKind(result) == "outcome_unknown");
         CHECK(result.headers["x-ran"] == "unknown");
@@ -208,3 +271,18 @@
         CHECK(result.headers["x-ran"] != "no");
     }
 }
+
+// Guards against a request whose body, nested deeply, ends the process and with
+// it the requests of all callers.
+TEST_CASE("a chat body that is nested too deeply is refused as malformed")
+{
+    OddSite site(true);
+    auto levels = std::size_t { 1'000'000 };
+    auto nested = GENERATE_COPY(repeated("[", levels) + repeated("]", levels),
+        repeated("{\"a\":", levels) + "1" + repeated("}", levels),
+        repeated("[", levels));
+    auto result = site.chat(R"(,"more":)" + nested);
+    CHECK(result.status == 400);
+    CHECK(errorKind(result) == "malformed_request");
+    CHECK(site.serves());
+}
