Read odd lists, loads, ratings and counts without ending the process

What callers saw: all instances of a site ended at the same moment, and again after each start, once the platform's list had one entry whose role was a number, or whose peer_address was not ip:port; one instance after another once an upstream reported a load that was text. A response whose usage was negative or out of range was billed so (costs of -5 and 9,223,372,036,854,775,805 millionths), and a rating of 1e300 had the version quarantined for all.

Cause: fields were read by their expected type, and the exception left a callback of libcurl; a peer's address was parsed on the thread of the peer transport. Numbers were converted without regard to their range. A rating was copied with all its levels.

Change: daemon/platform_documents parses the list, loads and ratings; a field of another type counts as missing, and an entry hides no other. An entry instance without an id is left out. Counts that are not from 0 to 10^9 are zero, ratings outside of 0 to 1 are none. A peer address that is not ip:port is logged once, as peer_address_invalid, and its messages wait. An incomplete load report is not read.

Failed before, in test_odd_document: "an odd entry of the instance list hides no other" 15 of 33 checks, with six kinds of entries (uncaught_exception: type_error 302, "not an address of the form ip:port"); "numbers of upstreams that cannot be used count as zero" 17 of 29 (type_error 302; an 18th failed since the test expected a wrong cost, which was corrected); "ratings that cannot be used are none" 9 of 22. None fails now. Passed before, so ruled out: entries without role or that are no objects, and deeply nested ones.

--- a/src/adapters/http_server.cpp
+++ b/src/adapters/http_server.cpp
@@ -272,17 +272,25 @@
     return it == query.end() ? std::string() : it->second;
 }
 
-HostPort parseHostPort(const std::string& text)
+std::optional<HostPort> tryParseHostPort(const std::string& text)
 {
     auto colon = text.rfind(':');
     HostPort parsed;
     bool valid = colon != std::string::npos && absl::SimpleAtoi(text.substr(colon + 1), &parsed.port) && parsed.port >= 0 && parsed.port < 65536;
     parsed.host = text.substr(0, colon);
     in_addr ip {};
-    USAGE_CHECK(valid && inet_pton(AF_INET, parsed.host.c_str(), &ip) == 1) << "'" << text << "' is not an address of the form ip:port";
+    if (!valid || inet_pton(AF_INET, parsed.host.c_str(), &ip) != 1)
+        return std::nullopt;
     return parsed;
 }
 
+HostPort parseHostPort(const std::string& text)
+{
+    auto parsed = tryParseHostPort(text);
+    USAGE_CHECK(parsed) << "'" << text << "' is not an address of the form ip:port";
+    return *parsed;
+}
+
 class HttpServer::Impl {
 public:
     Impl(HttpServerSettings settings, HttpHandler handler)
--- a/src/adapters/http_server.h
+++ b/src/adapters/http_server.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -97,5 +98,7 @@
 };
 // Parses "ip:port" with an IPv4 address. Throws UsageError if the text does not have that form.
 HostPort parseHostPort(const std::string&);
+// The same for text from outside: returns nullopt if it does not have that form.
+std::optional<HostPort> tryParseHostPort(const std::string&);
 
 }
--- a/src/adapters/http_upstream_client.cpp
+++ b/src/adapters/http_upstream_client.cpp
@@ -1,8 +1,9 @@
 #include "adapters/http_upstream_client.h"
 
+#include "adapters/json_count.h"
+
 #include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
-#include <nlohmann/json.hpp>
 
 namespace skylarkhitch {
 
@@ -15,13 +16,6 @@
     // and the rest is processed as a new line.
     constexpr std::size_t maxLineBytes = 1 << 20;
 
-    // A count that is missing or not a number is zero: an exception would leave a callback of libcurl and end the process.
-    std::int64_t countOf(const Json& json, const char* name)
-    {
-        auto it = json.find(name);
-        return it != json.end() && it->is_number() ? it->get<std::int64_t>() : 0;
-    }
-
     Usage parseUsage(const Json& json)
     {
         auto it = json.find("usage");
--- a/src/adapters/peer_transport.cpp
+++ b/src/adapters/peer_transport.cpp
@@ -1,6 +1,7 @@
 #include "adapters/peer_transport.h"
 
 #include "adapters/http_server.h"
+#include "adapters/log.h"
 #include "adapters/peer_frame.h"
 #include "adapters/wall_clock.h"
 #include "core/check.h"
@@ -31,6 +32,8 @@
     constexpr Milliseconds inboundIdleTimeout { 60000 };
     constexpr std::size_t readBufferBytes = std::size_t { 64 } * 1024;
     constexpr int pollTimeoutMs = 200;
+    // Limit of an address in a log line, in bytes.
+    constexpr std::size_t maxLoggedAddressBytes = 64;
 
     using SteadyTime = std::chrono::steady_clock::time_point;
 
@@ -271,6 +274,8 @@
         if (out.address == address)
             return;
         out.address = address;
+        if (!tryParseHostPort(address))
+            LogLine(LogLevel::Warning, "peer_address_invalid").with("peer", id.value).with("address", address.substr(0, maxLoggedAddressBytes));
         m_addressChanged.push_back(id);
         wake();
     }
@@ -378,8 +383,11 @@
         for (auto& [id, out] : m_outbound) {
             if (out.queue.empty() || out.address.empty())
                 continue;
-            if (!out.connection && now >= out.retryAt)
+            if (!out.connection && now >= out.retryAt) {
                 out.connection = connect(out.address);
+                if (!out.connection)
+                    out.retryAt = now + reconnectDelay;
+            }
             if (!out.connection)
                 continue;
             for (; !out.queue.empty() && out.connection->openStreams() < maxQueuedMessages; out.queue.pop_front())
@@ -387,13 +395,16 @@
         }
     }
 
+    // Returns null if the address is not of the form ip:port, or the connection fails at once.
     static std::unique_ptr<Connection> connect(const std::string& text)
     {
-        auto hostPort = parseHostPort(text);
+        auto hostPort = tryParseHostPort(text);
+        if (!hostPort)
+            return nullptr;
         sockaddr_in address {};
         address.sin_family = AF_INET;
-        address.sin_port = htons(static_cast<std::uint16_t>(hostPort.port));
-        inet_pton(AF_INET, hostPort.host.c_str(), &address.sin_addr);
+        address.sin_port = htons(static_cast<std::uint16_t>(hostPort->port));
+        inet_pton(AF_INET, hostPort->host.c_str(), &address.sin_addr);
         Socket socket(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
         configureSocket(socket.fd());
         if (::connect(socket.fd(), reinterpret_cast<sockaddr*>(&address), sizeof address) != 0 && errno != EINPROGRESS)
--- a/src/adapters/peer_transport.h
+++ b/src/adapters/peer_transport.h
@@ -41,7 +41,8 @@
 
     // Queues the message and returns at once. Messages to an instance whose address is not set wait in the queue.
     void send(const InstanceId&, const PeerEnvelope&) override;
-    // Sets the ip:port on which an instance listens for peers. If it changes, the connection to the instance is reopened.
+    // Sets the ip:port on which an instance listens for peers. If it changes, the connection to the instance is reopened. Messages
+    // to an instance whose address is not of that form wait in the queue.
     void setAddress(const InstanceId&, const std::string& address);
     // Returns the port that this instance listens on.
     int port() const;
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -9,6 +9,7 @@
 #include "core/check.h"
 #include "daemon/caller_api.h"
 #include "daemon/operator_api.h"
+#include "daemon/platform_documents.h"
 #include "daemon/platform_poller.h"
 
 #include <arpa/inet.h>
@@ -203,12 +204,11 @@
 
         void onRatingResult(const RequestId& request, AttemptId attempt, const HttpResult& result)
         {
-            auto json = nlohmann::json::parse(result.body, nullptr, false);
-            bool valid = result.end == HttpEnd::Complete && result.status == 200 && json.is_object() && json.value("rating", nlohmann::json()).is_number();
+            auto rating = parseRating(result);
             std::error_code ec;
-            if (!valid)
+            if (!rating)
                 ec = ErrorKind::UpstreamFailed;
-            m_control.post(RatingReceived { request, attempt, ec, valid ? json["rating"].get<double>() : 0 });
+            m_control.post(RatingReceived { request, attempt, ec, rating.value_or(0) });
         }
 
         NodeSettings m_node;
--- a/src/daemon/platform_poller.cpp
+++ b/src/daemon/platform_poller.cpp
@@ -1,28 +1,14 @@
 #include "daemon/platform_poller.h"
 
-#include <nlohmann/json.hpp>
+#include "daemon/platform_documents.h"
 
 namespace skylarkhitch {
 
 namespace {
 
-    using Json = nlohmann::json;
-
     constexpr Milliseconds listTimeout { 2000 };
     constexpr Milliseconds loadTimeout { 1000 };
 
-    LoadReported parseLoadReport(const UpstreamId& id, TimePoint askedAt, const HttpResult& result)
-    {
-        LoadReported report { .upstream = id, .askedAt = askedAt, .reachable = result.end == HttpEnd::Complete };
-        auto json = Json::parse(result.body, nullptr, false);
-        if (!json.is_object())
-            return report;
-        report.running = json.value("running", std::int64_t { 0 });
-        report.waiting = json.value("waiting", std::int64_t { 0 });
-        report.leaving = json.value("leaving", false);
-        return report;
-    }
-
 }
 
 PlatformPoller::PlatformPoller(PollerSettings settings, HttpClient& client, ControlLoop& control, PeerTransport* peers)
@@ -73,21 +59,14 @@
 
 void PlatformPoller::onInstanceList(const HttpResult& result)
 {
-    auto json = Json::parse(result.body, nullptr, false);
-    if (result.end != HttpEnd::Complete || !json.is_array())
+    auto list = parseInstanceList(result);
+    if (!list)
         return;
-    InstancesListed listed;
-    for (const auto& it : json) {
-        if (!it.is_object())
-            continue;
-        bool isEntry = it.value("role", "") == "entry";
-        ListedInstance instance { it.value("id", ""), isEntry ? InstanceRole::Entry : InstanceRole::Upstream, it.value("address", ""), it.value("state", "") == "leaving" };
-        auto peerAddress = it.value("peer_address", "");
-        if (isEntry && m_peers && !peerAddress.empty())
-            m_peers->setAddress({ instance.id }, peerAddress);
-        listed.instances.push_back(std::move(instance));
+    if (m_peers) {
+        for (const auto& [id, address] : list->peerAddresses)
+            m_peers->setAddress(id, address);
     }
-    m_control.post(std::move(listed));
+    m_control.post(std::move(list->listed));
 }
 
 void PlatformPoller::requestLoads()
--- a/test/processes/odd_document_test.cpp
+++ b/test/processes/odd_document_test.cpp
@@ -286,3 +286,129 @@
     CHECK(errorKind(result) == "malformed_request");
     CHECK(site.serves());
 }
+
+// Guards against a load report or counts of one upstream that end the process.
+TEST_CASE("numbers of upstreams that cannot be used count as zero")
+{
+    OddSite site(true);
+    SECTION("in load reports")
+    {
+        for (const auto* report :
+            { R"({"running":"many","waiting":0})",
+                R"({"running":null,"waiting":[1]})",
+                R"({"running":1e300,"waiting":-1e300})",
+                R"({"running":18446744073709551615,"waiting":-5})",
+                R"({"running":1,"leaving":"yes"})", R"([1])", "{" }) {
+            CAPTURE(report);
+            auto before = site.engine.requests("/v1/load");
+            site.engine.answer("/v1/load", responseBytes(200, report));
+            CHECK(eventually(
+                [&] { return site.engine.requests("/v1/load") > before + 2; }));
+            CHECK(site.serves());
+        }
+    }
+    SECTION("in the usage of a response")
+    {
+        for (
+            const auto* usage :
+            { R"({"prompt_tokens":-5,"completion_tokens":-3})",
+                R"({"prompt_tokens":1e300,"completion_tokens":1e300})",
+                R"({"prompt_tokens":18446744073709551615,"completion_tokens":9223372036854775807})",
+                R"({"prompt_tokens":"2","completion_tokens":{}})", "[]" }) {
+            CAPTURE(usage);
+            site.engine.answer("/v1/chat/completions",
+                responseBytes(200, OddSite::chatAnswer(usage)));
+            auto result = site.chat();
+            CHECK(result.status == 200);
+            CHECK(result.headers["x-cost-micros"] == "0");
+        }
+        site.engine.answer(
+            "/v1/chat/completions",
+            responseBytes(200,
+                OddSite::chatAnswer(
+                    R"({"prompt_tokens":2,"completion_tokens":3})")));
+        // Two tokens of input for 1 each, three of output for 2 each.
+        CHECK(site.chat().headers["x-cost-micros"] == "8");
+    }
+    SECTION("in a response that is nested deeply")
+    {
+        site.engine.answer(
+            "/v1/chat/completions",
+            responseBytes(200, OddSite::chatAnswer(repeated("[", 1'000'000) + repeated("]", 1'000'000))));
+        site.chat();
+        site.engine.answer("/v1/chat/completions",
+            responseBytes(200, OddSite::chatAnswer("{}")));
+        CHECK(eventually([&] { return site.serves(); }));
+    }
+}
+
+// Guards against a rating of one response that ends the process.
+TEST_CASE("ratings that cannot be used are none")
+{
+    OddSite site(true);
+    for (const auto& rating :
+        { std::string(R"({"rating":"good"})"), std::string(R"({"rating":1e300})"),
+            std::string(R"({"rating":-1})"), std::string("[]"), std::string("{"),
+            R"({"rating":)" + repeated("[", 1'000'000) + repeated("]", 1'000'000) + "}" }) {
+        CAPTURE(rating.substr(0, 40));
+        site.platform.answer("/v1/ratings", responseBytes(200, rating));
+        auto before = site.platform.requests("/v1/ratings");
+        CHECK(site.chat().status == 200);
+        CHECK(eventually(
+            [&] { return site.platform.requests("/v1/ratings") > before; }));
+        CHECK(site.serves());
+    }
+    // A rating that was taken although it is out of range would have the version
+    // quarantined, or its mean show it.
+    auto versions = Json::parse(site.operate("GET", "/admin/status").body)["versions"];
+    CHECK(versions[0]["health"] == "healthy");
+    CHECK(versions[0]["mean_rating"].get<double>() <= 1);
+    CHECK(versions[0]["mean_rating"].get<double>() >= 0);
+}
+
+// Guards against one odd entry of the instance list that ends the processes
+// that read the list, or hides the entries after it.
+TEST_CASE("an odd entry of the instance list hides no other")
+{
+    const Json good = { { "id", "entry-8" },
+        { "role", "entry" },
+        { "address", "127.0.0.1:1" },
+        { "peer_address", "127.0.0.1:1" },
+        { "state", "live" } };
+    for (
+        const std::string odd :
+        { R"({"id":"entry-9","role":5})", R"({"id":7,"role":"entry"})",
+            R"({"role":"entry"})",
+            R"({"id":"entry-9","role":"entry","address":["x"],"peer_address":null,"state":{}})",
+            R"({"id":"entry-9","role":"entry","peer_address":"nonsense"})",
+            R"({"id":"entry-9","role":"entry","peer_address":"127.0.0.1:99999"})",
+            R"({"id":"entry-9","role":"entry","peer_address":"host.example:80"})",
+            R"([[["entry"]]])", "null", "1e300" }) {
+        DYNAMIC_SECTION("of " << odd)
+        {
+            OddSite site(false);
+            site.platform.answer(
+                "/v1/instances",
+                responseBytes(200, "[" + odd + "," + good.dump() + "]"));
+            CHECK(eventually([&] {
+                return site.operate("GET", "/admin/status").body.find("entry-8") != std::string::npos;
+            }));
+            auto before = site.platform.requests("/v1/instances");
+            // Heartbeats are sent to the listed entries meanwhile.
+            CHECK(eventually([&] {
+                return site.platform.requests("/v1/instances") > before + 5;
+            }));
+            CHECK(site.runs());
+        }
+    }
+    SECTION("even if it is nested deeply")
+    {
+        OddSite site(false);
+        site.platform.answer("/v1/instances",
+            responseBytes(200, "[" + repeated("[", 1'000'000) + repeated("]", 1'000'000) + "," + good.dump() + "]"));
+        CHECK(eventually([&] {
+            return site.operate("GET", "/admin/status").body.find("entry-8") != std::string::npos;
+        }));
+        CHECK(site.runs());
+    }
+}
