Answer operators whose questions and edits cannot be used

What callers saw: an operator's request ended the instance, and with it the requests of all callers: GET /admin/explain with bytes that are not UTF-8 in the query, POST /admin/config with an author that is not text, or with a configuration nested 300,000 levels deep.

Cause: answers were written without a rule for invalid UTF-8, on the control thread; the author was read by its expected type, and the configuration copied and written with all its levels, in a callback of libmicrohttpd.

Change: invalid bytes are written as replacement characters; an edit is checked for types and depth (128 levels) and refused with 400.

Ruled out: bytes that are not UTF-8 in a caller's path or in /v1/entry; the error bodies replace them already.

Failed before: test_odd_document, "what an operator sends that cannot be used is answered with an error", 17 of 24 checks (uncaught_exception: type_error 302 and 316; the deep edit ended the process without a line). None fails now.

--- a/src/daemon/caller_api.cpp
+++ b/src/daemon/caller_api.cpp
@@ -42,7 +42,7 @@
 
     void respondJson(HttpReply& reply, int status, const Json& json)
     {
-        reply.respond(status, { { "Content-Type", "application/json" } }, json.dump());
+        reply.respond(status, { { "Content-Type", "application/json" } }, json.dump(-1, ' ', false, Json::error_handler_t::replace));
     }
 
     Json modelsJson(const Configuration& configuration, const Team& team)
--- a/src/daemon/operator_api.cpp
+++ b/src/daemon/operator_api.cpp
@@ -1,6 +1,6 @@
 #include "daemon/operator_api.h"
 
-#include <nlohmann/json.hpp>
+#include "core/document_depth.h"
 
 namespace skylarkhitch {
 
@@ -13,7 +13,7 @@
 
     void respondJson(HttpReply& reply, int status, const Json& json)
     {
-        reply.respond(status, { { "Content-Type", "application/json" } }, json.dump());
+        reply.respond(status, { { "Content-Type", "application/json" } }, json.dump(-1, ' ', false, Json::error_handler_t::replace));
     }
 
     const char* stateName(MemberState state)
@@ -200,17 +200,20 @@
     m_control.postTask([reply](Router& router, TimePoint, Outbox&) {
         const auto& document = router.configManager().document();
         Json json = { { "revision", document.revision }, { "author", document.author }, { "history", historyJson(document) } };
-        json["configuration"] = document.text.empty() ? Json() : Json::parse(document.text, nullptr, false);
+        json["configuration"] = document.text.empty() ? Json() : parseBoundedJson(document.text);
         respondJson(*reply, 200, json);
     });
 }
 
 void OperatorApi::serveEdit(const HttpRequest& request, const std::shared_ptr<HttpReply>& reply)
 {
-    auto json = Json::parse(request.body, nullptr, false);
-    bool valid = json.is_object() && json.value("edit_id", Json()).is_string() && json.value("base", Json()).is_number_unsigned() && json.value("configuration", Json()).is_object();
+    auto json = parseBoundedJson(request.body);
+    auto has = [&](const char* name, bool (*isOfType)(const Json&)) { return json.contains(name) && isOfType(json[name]); };
+    auto isText = [](const Json& it) { return it.is_string(); };
+    bool valid = json.is_object() && has("edit_id", isText) && has("base", [](const Json& it) { return it.is_number_unsigned(); })
+        && has("configuration", [](const Json& it) { return it.is_object(); }) && (!json.contains("author") || has("author", isText));
     if (!valid)
-        return respondJson(*reply, 400, { { "error", "expected an object with edit_id, base and configuration" } });
+        return respondJson(*reply, 400, { { "error", "expected an object with edit_id, base, configuration and, if it is given, author as text, nested at most " + std::to_string(maxDocumentDepth) + " levels deep" } });
     EditRequested edit;
     edit.base = json["base"];
     edit.document.editId = json["edit_id"];
--- a/test/processes/odd_document_test.cpp
+++ b/test/processes/odd_document_test.cpp
@@ -412,3 +412,48 @@
         CHECK(site.runs());
     }
 }
+
+// Guards against a question or an edit of an operator that ends the process.
+TEST_CASE(
+    "what an operator sends that cannot be used is answered with an error")
+{
+    OddSite site(true);
+    auto revision = Json::parse(site.operate("GET", "/admin/config").body)["revision"].dump();
+    SECTION("an edit whose fields have other types")
+    {
+        for (const auto& edit :
+            { std::string(R"({"edit_id":"e","base":)" + revision + R"(,"author":5,"configuration":{}})"),
+                std::string(R"({"edit_id":"e","base":1e300,"configuration":{}})"),
+                std::string(R"({"edit_id":"e","base":-1,"configuration":{}})"),
+                std::string(R"({"edit_id":null,"base":1,"configuration":[]})"),
+                std::string("[]"), std::string("{") }) {
+            CAPTURE(edit);
+            CHECK(site.operate("POST", "/admin/config", edit).status == 400);
+            CHECK(site.serves());
+        }
+    }
+    SECTION("an edit that is nested too deeply")
+    {
+        auto levels = std::size_t { 300'000 };
+        auto result = site.operate(
+            "POST", "/admin/config",
+            R"({"edit_id":"e","base":)" + revision + R"(,"configuration":)" + repeated("{\"a\":", levels) + "1" + repeated("}", levels) + "}");
+        CHECK(result.status == 400);
+        CHECK(site.serves());
+    }
+    SECTION("a question with bytes that are not UTF-8")
+    {
+        CHECK(site.operate("GET", "/admin/explain?team=%ff&target=%fe").status == 200);
+        CHECK(site.operate("GET",
+                      "/admin/explain?team=weavers&target=%fe&session=%00")
+                  .status
+            == 200);
+        CHECK(site.serves());
+    }
+    SECTION("a caller's target with bytes that are not UTF-8")
+    {
+        CHECK(site.call("GET", "/services/%ff/x", "", { callerKey }).status >= 400);
+        CHECK(site.call("GET", "/v1/entry?session=%ff&domain=%fe").status < 500);
+        CHECK(site.serves());
+    }
+}
