Leave keys that are not of the ledger out of it

What callers saw: one odd key under ledger/ in the store ended the process that an operator asked for the bills; an instance that reads the shard of such a key would end by the same exception, on its control thread.

Cause: the numbers in keys were parsed by functions that throw.

Change: keys of another form are left out, in the bills and in decodeShard(); segments that cannot be decoded make their shard unreadable as before.

--- a/src/core/ledger/ledger_compaction.cpp
+++ b/src/core/ledger/ledger_compaction.cpp
@@ -1,5 +1,7 @@
 #include "core/ledger/ledger_compaction.h"
 
+#include <absl/strings/match.h>
+#include <absl/strings/numbers.h>
 #include <absl/strings/str_format.h>
 #include <algorithm>
 #include <nlohmann/json.hpp>
@@ -93,7 +95,11 @@
             contents.totalsRevision = it.revision;
             continue;
         }
-        auto number = std::stoull(it.key.substr(shardPrefix(shard).size()));
+        // A key of another form is not one of the ledger's.
+        std::uint64_t number = 0;
+        auto prefix = shardPrefix(shard);
+        if (!absl::StartsWith(it.key, prefix) || !absl::SimpleAtoi(it.key.substr(prefix.size()), &number))
+            continue;
         // The totals include this segment: a compaction was interrupted before it deleted the segment, or the deletion
         // failed.
         if (contents.totals.compactedThrough && number <= *contents.totals.compactedThrough)
--- a/src/core/ledger/ledger_compaction.h
+++ b/src/core/ledger/ledger_compaction.h
@@ -60,7 +60,7 @@
 std::string segmentKey(std::uint32_t shard, std::uint64_t segment);
 
 // Decodes the items under a shard's prefix, without segments that the totals include. Returns nullopt if the totals or any
-// other segment are malformed.
+// other segment are malformed; items with keys of another form are left out.
 std::optional<ShardContents> decodeShard(std::uint32_t shard, std::vector<StoreItem>);
 
 // Whether a segment is sealed and all its records are at least compactAfter old.
--- a/src/daemon/operator_api.cpp
+++ b/src/daemon/operator_api.cpp
@@ -2,6 +2,8 @@
 
 #include "core/document_depth.h"
 
+#include <absl/strings/numbers.h>
+
 namespace skylarkhitch {
 
 namespace {
@@ -106,13 +108,24 @@
         return history;
     }
 
+    // Returns the number of the shard that a key of the ledger belongs to.
+    std::optional<std::uint32_t> shardOf(const std::string& key)
+    {
+        std::uint32_t shard = 0;
+        if (key.size() < ledgerPrefix.size() || !absl::SimpleAtoi(key.substr(ledgerPrefix.size(), 2), &shard))
+            return std::nullopt;
+        return shard;
+    }
+
     // Sums the bills of all shards that can be decoded; the others are left out. LedgerIndex counts each key once, even if a
     // shard holds several copies of its record.
     Json billsJson(const StoreReply& reply)
     {
         std::map<std::uint32_t, std::vector<StoreItem>> shards;
-        for (const auto& item : reply.items)
-            shards[static_cast<std::uint32_t>(std::stoul(item.key.substr(ledgerPrefix.size(), 2)))].push_back(item);
+        for (const auto& item : reply.items) {
+            if (auto shard = shardOf(item.key))
+                shards[*shard].push_back(item);
+        }
         std::map<TeamId, Bill> bills;
         for (auto& [shard, items] : shards) {
             auto contents = decodeShard(shard, std::move(items));
--- a/test/correctness/messages_test.cpp
+++ b/test/correctness/messages_test.cpp
@@ -1,5 +1,6 @@
 #include "adapters/digest.h"
 #include "adapters/peer_frame.h"
+#include "core/ledger/ledger_compaction.h"
 #include "daemon/request_parser.h"
 
 #include <catch2/catch.hpp>
@@ -86,6 +87,20 @@
     CHECK(decodeDocument(encodeDocument(document))->history.size() == 1);
 }
 
+// Guards against one odd key of the store that ends the process which reads the ledger.
+TEST_CASE("keys that are not of the ledger hide none of its segments")
+{
+    StoreItem segment { segmentKey(1, 3), encodeBatch({ "b", {}, true }), 1 };
+    for (const auto* key : { "", "x", "ledger/1", "ledger/01", "ledger/01/", "ledger/01/x", "ledger/01/-1", "ledger/01/99999999999999999999999" }) {
+        CAPTURE(key);
+        auto contents = decodeShard(1, { { key, "", 1 }, segment });
+        REQUIRE(contents);
+        REQUIRE(contents->segments.size() == 1);
+        CHECK(contents->segments[0].number == 3);
+    }
+    CHECK_FALSE(decodeShard(1, { { segmentKey(1, 2), "garbage", 1 }, segment }));
+}
+
 TEST_CASE("a caller's request is validated when it is parsed")
 {
     SECTION("a valid request is accepted, and only the model is removed from its body")
--- a/test/processes/odd_document_test.cpp
+++ b/test/processes/odd_document_test.cpp
@@ -457,3 +457,21 @@
         CHECK(site.serves());
     }
 }
+
+// Guards against one odd key of the store that ends the process which an
+// operator asks for the bills.
+TEST_CASE("keys of the ledger that cannot be read are left out of the bills")
+{
+    OddSite site(false);
+    auto key = GENERATE(std::string("ledger/zz/1"), std::string("ledger/"),
+        std::string("l"), std::string(""),
+        std::string("ledger/-1/1"), std::string("ledger/1"),
+        std::string("ledger/01/x"), std::string("ledger/01/-1"));
+    CAPTURE(key);
+    site.platform.answer(
+        "/v1/kv/ledger/",
+        responseBytes(
+            200, Json::array({ { { "Key", key }, { "Value", "" }, { "ModifyIndex", 1 } } }).dump()));
+    CHECK(site.operate("GET", "/admin/bills").status == 200);
+    CHECK(site.runs());
+}
