Refuse binary documents that are nested too deeply

What callers would see: a message of a peer (up to 4 MB) or an item of the store that is nested deeply ends the process that reads it. Messages of peers are read only after their authentication, so it takes a peer or a writer of the store that is at fault.

Cause: from_cbor() calls itself for each level of arrays, maps and strings of indefinite length.

The depth is found without recursion, by the heads of the items. The decoders of core/membership/fleet_* and store_mirror are not changed here.

Ruled out: YAML. yaml-cpp limits its depth itself; one million levels of five kinds give an error (test_document_depth).

Failed before: test_document_depth, "binary documents that are nested deeply are refused": SIGSEGV with the first of seven kinds (lists of one); the others were not reached. None fails now.

--- a/src/core/ledger/ledger_record.cpp
+++ b/src/core/ledger/ledger_record.cpp
@@ -1,6 +1,7 @@
 #include "core/ledger/ledger_record.h"
 
-#include <nlohmann/json.hpp>
+#include "core/document_depth.h"
+
 #include <sstream>
 
 namespace skylarkhitch {
@@ -119,6 +120,8 @@
 
 std::optional<std::vector<LedgerBatch>> decodeSegment(const std::string& bytes)
 {
+    if (isCborDeeperThan(bytes, maxDocumentDepth))
+        return std::nullopt;
     std::vector<LedgerBatch> batches;
     std::istringstream in(bytes);
     try {
@@ -138,7 +141,7 @@
 std::optional<LedgerRecord> decodeRecord(const std::string& bytes)
 {
     try {
-        return recordFrom(Json::from_cbor(bytes));
+        return recordFrom(decodeBoundedCbor(bytes));
     } catch (const std::exception&) {
         return std::nullopt;
     }
--- a/src/core/membership/peer_message.cpp
+++ b/src/core/membership/peer_message.cpp
@@ -1,6 +1,6 @@
 #include "core/membership/peer_message.h"
 
-#include <nlohmann/json.hpp>
+#include "core/document_depth.h"
 
 namespace skylarkhitch {
 
@@ -142,7 +142,7 @@
 std::optional<PeerEnvelope> decodeEnvelope(const std::string& bytes)
 {
     try {
-        auto json = Json::from_cbor(bytes);
+        auto json = decodeBoundedCbor(bytes);
         Incarnation from { InstanceId { json.at(0) }, json.at(1) };
         return PeerEnvelope { std::move(from), messageFrom(json.at(2).get<std::size_t>(), json.at(3)) };
     } catch (const std::exception&) {
@@ -158,7 +158,7 @@
 std::optional<ConfigurationDocument> decodeDocument(const std::string& bytes)
 {
     try {
-        return documentFrom(Json::from_cbor(bytes));
+        return documentFrom(decodeBoundedCbor(bytes));
     } catch (const std::exception&) {
         return std::nullopt;
     }
--- a/test/correctness/document_depth_test.cpp
+++ b/test/correctness/document_depth_test.cpp
@@ -1,6 +1,10 @@
 // Tests that documents which are nested deeply are refused, whoever sends them.
 
+#include "config/document_tree.h"
 #include "core/document_depth.h"
+#include "core/ledger/ledger_compaction.h"
+#include "core/ledger/ledger_record.h"
+#include "core/membership/peer_message.h"
 
 #include <catch2/catch.hpp>
 
@@ -8,6 +12,8 @@
 
 namespace {
 
+constexpr std::size_t manyLevels = std::size_t { 4 } << 20;
+
 std::string repeated(const std::string& text, std::size_t n)
 {
     std::string all;
@@ -18,6 +24,41 @@
 
 }
 
+// Guards against a document of a peer or of the store that ends the processes that read it.
+TEST_CASE("binary documents that are nested deeply are refused")
+{
+    struct Opening {
+        const char* name;
+        std::string bytes;
+    };
+    auto it = GENERATE(Opening { "lists of one", "\x81" }, Opening { "lists of any length", "\x9f" }, Opening { "maps of one", std::string("\xa1\x01") }, Opening { "maps of any length", "\xbf\x61k" },
+        Opening { "strings in parts", "\x7f" }, Opening { "bytes in parts", "\x5f" }, Opening { "tags", "\xc1" });
+    CAPTURE(it.name);
+    auto bytes = repeated(it.bytes, manyLevels / it.bytes.size());
+    CHECK_FALSE(decodeEnvelope(bytes));
+    CHECK_FALSE(decodeDocument(bytes));
+    CHECK_FALSE(decodeRecord(bytes));
+    CHECK_FALSE(decodeSegment(bytes));
+    CHECK_FALSE(decodeTotals(bytes));
+    SECTION("also as a part of a valid one")
+    {
+        auto head = std::string("\x84\x61") + "a" + "\x01\x05";
+        CHECK_FALSE(decodeEnvelope(head + bytes));
+        // Two items in a row, the second of which is nested deeply.
+        CHECK_FALSE(decodeSegment(encodeBatch({}) + bytes));
+    }
+}
+
+// Guards against a settings or configuration file that ends the process which reads it.
+TEST_CASE("YAML that is nested deeply is refused")
+{
+    auto levels = std::size_t { 1'000'000 };
+    auto text = GENERATE_COPY(repeated("[", levels), repeated("[", levels) + repeated("]", levels), repeated("{a: ", levels) + repeated("}", levels), repeated("- ", levels) + "x", repeated("? ", levels));
+    std::vector<DocumentError> errors;
+    parseYaml(text, "file", errors);
+    CHECK_FALSE(errors.empty());
+}
+
 // Guards against a limit that refuses documents which are not nested too deeply.
 TEST_CASE("the depth of a document is that of its arrays and objects")
 {
