Let an exception in a callback end only what it handled

What callers would see: all requests of an instance closed without an answer at the same moment, because of one request, answer, message or question that could not be handled.

Cause: an exception left a callback of libcurl, libmicrohttpd or nghttp2, or the function of a thread (control, peers, poller, client), and ended the process.

Change: each such exception is logged as callback_failed, in a line of bounded length, and counted as failed_callbacks. A request whose handler or event fails is answered with 500 and "ran": "unknown". An exception while a body is received ends that call with Cut. Timers that fail are tried again after 20 ms. Failures of INTERNAL_CHECK abort as before.

Failed before: test_callback_guard, all five cases, each run by itself: SIGABRT (terminate). None fails now, three runs.

--- a/src/adapters/http_client.cpp
+++ b/src/adapters/http_client.cpp
@@ -1,5 +1,6 @@
 #include "adapters/http_client.h"
 
+#include "adapters/callback_guard.h"
 #include "core/check.h"
 
 #include <absl/strings/ascii.h>
@@ -49,9 +50,8 @@
         return transfer.sends > 1 && !transfer.call.mayResend ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
     }
 
-    std::size_t onBody(char* data, std::size_t, std::size_t size, void* userData)
+    std::size_t receiveBody(Transfer& transfer, const char* data, std::size_t size)
     {
-        auto& transfer = *static_cast<Transfer*>(userData);
         if (transfer.callbacks.onData) {
             long status = 0;
             curl_easy_getinfo(transfer.easy.get(), CURLINFO_RESPONSE_CODE, &status);
@@ -64,20 +64,26 @@
         return size;
     }
 
+    // A callback that takes less than all bytes ends the transfer.
+    std::size_t onBody(char* data, std::size_t, std::size_t size, void* userData)
+    {
+        std::size_t taken = 0;
+        runGuarded("http_client_body", [&] { taken = receiveBody(*static_cast<Transfer*>(userData), data, size); });
+        return taken;
+    }
+
     // libcurl passes complete lines: those of interim responses, of the final one, and of its trailers.
-    std::size_t onHeader(char* data, std::size_t, std::size_t size, void* userData)
+    void receiveHeadLine(Transfer& transfer, const std::string& line)
     {
-        auto& transfer = *static_cast<Transfer*>(userData);
-        std::string line(data, size);
         if (transfer.headEnded)
-            return size;
+            return;
         if (line == "\r\n" || line == "\n") {
             long status = 0;
             curl_easy_getinfo(transfer.easy.get(), CURLINFO_RESPONSE_CODE, &status);
             transfer.headEnded = status >= firstFinalStatus;
             if (!transfer.headEnded)
                 transfer.result.headers.clear();
-            return size;
+            return;
         }
         auto colon = line.find(':');
         if (colon != std::string::npos) {
@@ -85,7 +91,11 @@
             absl::StripAsciiWhitespace(&value);
             transfer.result.headers[absl::AsciiStrToLower(line.substr(0, colon))] = value;
         }
-        return size;
+    }
+
+    std::size_t onHeader(char* data, std::size_t, std::size_t size, void* userData)
+    {
+        return runGuarded("http_client_head", [&] { receiveHeadLine(*static_cast<Transfer*>(userData), std::string(data, size)); }) ? size : 0;
     }
 
     // A failed reconnect does not mean that the request was not sent: it may have been sent on an earlier connection. NotSent
@@ -146,10 +156,12 @@
     void run()
     {
         while (!m_stopping) {
-            processPendingCalls();
-            int running = 0;
-            curl_multi_perform(m_multi, &running);
-            completeTransfers();
+            runGuarded("http_client", [this] {
+                processPendingCalls();
+                int running = 0;
+                curl_multi_perform(m_multi, &running);
+                completeTransfers();
+            });
             curl_multi_poll(m_multi, nullptr, 0, pollTimeoutMs, nullptr);
         }
     }
@@ -242,7 +254,7 @@
             curl_multi_remove_handle(m_multi, easy);
             auto owned = std::move(m_transfers[transfer->id]);
             m_transfers.erase(owned->id);
-            owned->callbacks.onEnd(std::move(owned->result));
+            runGuarded("http_client_end", [&] { owned->callbacks.onEnd(std::move(owned->result)); });
         }
     }
 
--- a/src/adapters/http_client.h
+++ b/src/adapters/http_client.h
@@ -2,7 +2,8 @@
 
 // An HTTP/1.1 client (libcurl's multi interface on one thread). Connections are kept alive and reused. Callbacks run on
 // the client's thread. onEnd is called once, when the call ends; it is not called if the client has processed a
-// cancellation of the call or is destroyed before that.
+// cancellation of the call or is destroyed before that. An exception that leaves a callback is logged and counted (see
+// callback_guard.h); one that leaves onData ends the call with Cut.
 
 #include "adapters/http_server.h"
 
--- a/src/adapters/http_server.cpp
+++ b/src/adapters/http_server.cpp
@@ -1,5 +1,6 @@
 #include "adapters/http_server.h"
 
+#include "adapters/callback_guard.h"
 #include "core/check.h"
 
 #include <absl/strings/ascii.h>
@@ -26,6 +27,8 @@
     // Memory allocated for each connection; limits the size of a request's header.
     constexpr std::size_t connectionMemoryBytes = std::size_t { 8 } * 1024;
     constexpr Milliseconds disconnectCheckPeriod { 200 };
+    // The response to a request whose handler failed before it responded. Whether the handler had passed the request on is not known.
+    constexpr std::string_view failedHandlerBody = R"({"error":{"kind":"internal","message":"the request could not be handled","ran":"unknown"}})";
 
     class Reply;
 
@@ -132,7 +135,7 @@
                 m_aborted = true;
             }
             if (callback)
-                callback();
+                runGuarded("http_server_disconnected", callback);
         }
 
     private:
@@ -348,7 +351,10 @@
 private:
     static MHD_Result access(void* self, MHD_Connection* connection, const char* url, const char* method, const char*, const char* data, std::size_t* size, void** context)
     {
-        return static_cast<Impl*>(self)->onAccess(connection, url, method, data, size, context);
+        // The connection is closed if no response can be queued.
+        auto result = MHD_NO;
+        runGuarded("http_server_request", [&] { result = static_cast<Impl*>(self)->onAccess(connection, url, method, data, size, context); });
+        return result;
     }
 
     MHD_Result onAccess(MHD_Connection* connection, const char* url, const char* method, const char* data, std::size_t* size, void** context)
@@ -362,7 +368,8 @@
             return receiveBody(exchange, data, size);
         if (!exchange.handled) {
             exchange.handled = true;
-            m_handler(std::move(exchange.request), exchange.reply);
+            if (!runGuarded("http_server_handler", [&] { m_handler(std::move(exchange.request), exchange.reply); }))
+                exchange.reply->respond(500, { { "Content-Type", "application/json" } }, std::string(failedHandlerBody));
         }
         return exchange.reply->queueOrSuspend();
     }
@@ -412,7 +419,7 @@
     {
         while (!m_stopping) {
             std::this_thread::sleep_for(disconnectCheckPeriod);
-            m_suspended.abortDisconnected();
+            runGuarded("http_server_watch", [this] { m_suspended.abortDisconnected(); });
         }
     }
 
--- a/src/adapters/peer_transport.cpp
+++ b/src/adapters/peer_transport.cpp
@@ -1,5 +1,6 @@
 #include "adapters/peer_transport.h"
 
+#include "adapters/callback_guard.h"
 #include "adapters/http_server.h"
 #include "adapters/log.h"
 #include "adapters/peer_frame.h"
@@ -177,13 +178,18 @@
             return static_cast<ssize_t>(n);
         }
 
+        // An exception in a callback of nghttp2 ends the connection.
         static int onDataChunk(nghttp2_session* session, std::uint8_t, std::int32_t stream, const std::uint8_t* data, std::size_t size, void* self)
         {
-            auto& frame = static_cast<Connection*>(self)->m_frames[stream];
-            if (frame.size() + size > maxFrameBytes)
-                return nghttp2_submit_rst_stream(session, NGHTTP2_FLAG_NONE, stream, NGHTTP2_ENHANCE_YOUR_CALM);
-            frame.append(reinterpret_cast<const char*>(data), size);
-            return 0;
+            int result = 0;
+            bool ended = runGuarded("peer_data", [&] {
+                auto& frame = static_cast<Connection*>(self)->m_frames[stream];
+                if (frame.size() + size > maxFrameBytes)
+                    result = nghttp2_submit_rst_stream(session, NGHTTP2_FLAG_NONE, stream, NGHTTP2_ENHANCE_YOUR_CALM);
+                else
+                    frame.append(reinterpret_cast<const char*>(data), size);
+            });
+            return ended ? result : NGHTTP2_ERR_CALLBACK_FAILURE;
         }
 
         static int onFrameReceived(nghttp2_session* session, const nghttp2_frame* frame, void* self)
@@ -195,7 +201,8 @@
                 return 0;
             auto it = connection.m_frames.find(frame->hd.stream_id);
             if (it != connection.m_frames.end()) {
-                connection.m_onFrame(std::move(it->second));
+                // The frames after one that could not be handled are received all the same.
+                runGuarded("peer_frame", [&] { connection.m_onFrame(std::move(it->second)); });
                 connection.m_frames.erase(it);
             }
             const std::string status = "204";
@@ -243,7 +250,10 @@
         , m_wake(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC))
     {
         listen();
-        m_thread = std::thread([this] { run(); });
+        m_thread = std::thread([this] {
+            while (!m_stopping)
+                runGuarded("peer_transport", [this] { run(); });
+        });
     }
 
     ~Impl()
--- a/src/daemon/control_loop.cpp
+++ b/src/daemon/control_loop.cpp
@@ -1,11 +1,28 @@
 #include "daemon/control_loop.h"
 
+#include "adapters/callback_guard.h"
+
 namespace skylarkhitch {
 
 namespace {
 
     using Steady = std::chrono::steady_clock;
 
+    // Delay after timers that failed, which are due again at once.
+    constexpr Milliseconds failedTimerDelay { 20 };
+
+    std::optional<RequestId> requestOf(const Event* event)
+    {
+        const auto* received = event ? std::get_if<RequestReceived>(event) : nullptr;
+        return received ? std::optional(received->request.id) : std::nullopt;
+    }
+
+    CallerResponse internalError(const RequestId& request)
+    {
+        CallerResponseHead head { .status = errorInfo(ErrorKind::Internal).httpStatus, .ran = Executed::Unknown };
+        return { request, head, errorBody(ErrorKind::Internal, "the request could not be handled", Executed::Unknown, request) };
+    }
+
     // Wall-clock time that never goes backwards: the wall clock at the first call plus the steady-clock time since then.
     TimePoint monotonicNow()
     {
@@ -58,21 +75,31 @@
 
 void ControlLoop::process(QueueItem item, TimePoint now, Outbox& out)
 {
-    if (auto* event = std::get_if<Event>(&item))
-        m_router.handle(std::move(*event), now, out);
-    else
-        std::get<ControlTask>(item)(m_router, now, out);
+    auto* event = std::get_if<Event>(&item);
+    auto request = requestOf(event);
+    bool ended = runGuarded("control_event", [&] {
+        if (event)
+            m_router.handle(std::move(*event), now, out);
+        else
+            std::get<ControlTask>(item)(m_router, now, out);
+    });
+    // A request that was taken is answered, whatever happened to its event.
+    if (!ended && request)
+        out.push_back(internalError(*request));
 }
 
 void ControlLoop::run()
 {
     std::deque<QueueItem> items;
     Outbox out;
+    bool timersFailed = false;
     for (;;) {
         {
             std::unique_lock lock(m_mutex);
             auto now = monotonicNow();
             auto wait = m_router.nextWake(now) - now;
+            if (timersFailed)
+                wait = std::max<Microseconds>(wait, failedTimerDelay);
             m_queueChanged.wait_for(lock, wait, [&] { return m_stopping || !m_queue.empty(); });
             if (m_stopping)
                 return;
@@ -82,10 +109,9 @@
         for (auto& it : items)
             process(std::move(it), now, out);
         items.clear();
-        if (m_router.nextWake(now) <= now)
-            m_router.handle(TimerFired {}, now, out);
+        timersFailed = m_router.nextWake(now) <= now && !runGuarded("control_timer", [&] { m_router.handle(TimerFired {}, now, out); });
         for (auto& it : out)
-            m_sink(std::move(it));
+            runGuarded("control_action", [&] { m_sink(std::move(it)); });
         out.clear();
     }
 }
--- a/src/daemon/control_loop.h
+++ b/src/daemon/control_loop.h
@@ -1,7 +1,8 @@
 #pragma once
 
 // Runs the core on a single control thread: queues events and tasks from other threads and passes the core's actions to
-// the adapters.
+// the adapters. An exception in an event, a task or an action is logged and counted (see callback_guard.h), and the next one
+// follows; a request whose event fails is answered with the error "internal".
 
 #include "core/router.h"
 
--- a/src/daemon/operator_api.cpp
+++ b/src/daemon/operator_api.cpp
@@ -1,5 +1,6 @@
 #include "daemon/operator_api.h"
 
+#include "adapters/callback_guard.h"
 #include "core/document_depth.h"
 
 #include <absl/strings/numbers.h>
@@ -196,6 +197,7 @@
         m_metrics.setGauge("records_unsettled", static_cast<double>(router.ledger().unconfirmedRecords()));
         m_metrics.setGauge("records_held", static_cast<double>(router.ledger().heldRecords()));
         m_metrics.setGauge("store_calls", static_cast<double>(router.store().sent()));
+        m_metrics.setGauge("failed_callbacks", static_cast<double>(failedCallbacks()));
         m_metrics.setGauge("members", static_cast<double>(router.membership().members().size() + 1));
         if (m_peers) {
             auto counts = m_peers->counts();
--- a/src/daemon/platform_poller.cpp
+++ b/src/daemon/platform_poller.cpp
@@ -1,5 +1,6 @@
 #include "daemon/platform_poller.h"
 
+#include "adapters/callback_guard.h"
 #include "daemon/platform_documents.h"
 
 namespace skylarkhitch {
@@ -40,11 +41,11 @@
         auto now = Clock::now();
         if (now >= nextList && !m_settings.listAddress.empty()) {
             nextList = now + m_settings.listPeriod;
-            requestInstanceList();
+            runGuarded("instance_list", [this] { requestInstanceList(); });
         }
         if (now >= nextLoad) {
             nextLoad = now + m_settings.loadPeriod;
-            requestLoads();
+            runGuarded("loads", [this] { requestLoads(); });
         }
         auto next = m_settings.listAddress.empty() ? nextLoad : std::min(nextList, nextLoad);
         m_stopRequested.wait_until(lock, next, [&] { return m_stopping; });
