Check the depth of all documents in one place

core/document_depth and core/bounded_document both walked through CBOR and JSON. The first is gone: the ledger, the operators' edits and the callers' chat bodies use checkJson() and checkCborSequence() of the second. A chat body may have 128 levels as before; other documents 64 (the ledger and edits had 128, what is written there has under ten).

test_document_depth checks the same cases on the joined functions; lengths beyond the end, which only ended the scan before, are refused now, and the test requires that.

--- a/src/core/bounded_document.cpp
+++ b/src/core/bounded_document.cpp
@@ -16,61 +16,36 @@
     using Json = nlohmann::json;
 
     // Throws if a document has more values or levels than allowed.
-    void checkBounds(std::size_t depth, std::size_t values)
+    void checkBounds(std::size_t depth, std::size_t values, const DocumentBounds& bounds)
     {
-        if (depth > maxDocumentDepth)
+        if (depth > bounds.depth)
             throw std::invalid_argument("document is nested too deeply");
-        if (values > maxDocumentValues)
+        if (values > bounds.values)
             throw std::invalid_argument("document has too many values");
     }
 
-    // Finds brackets and commas outside of strings. Whether the text is JSON is left to the parser.
-    void scanJson(std::string_view text)
-    {
-        std::size_t depth = 0, values = 1;
-        for (std::size_t n = 0; n < text.size(); ++n) {
-            switch (text[n]) {
-            case '"':
-                n = endOfString(text, n);
-                if (n == std::string_view::npos)
-                    return;
-                break;
-            case '[':
-            case '{':
-                checkBounds(++depth, ++values);
-                break;
-            case ']':
-            case '}':
-                depth -= depth > 0 ? 1 : 0;
-                break;
-            case ',':
-                checkBounds(depth, ++values);
-                break;
-            }
-        }
-    }
-
     [[noreturn]] void rejectCbor() { throw std::invalid_argument("bytes are no CBOR of an instance"); }
 
-    // Walks through the bytes of a CBOR document without recursion.
+    // Walks through the bytes of CBOR items without recursion.
     class CborScan {
     public:
-        explicit CborScan(std::string_view bytes)
+        CborScan(std::string_view bytes, DocumentBounds bounds)
             : m_bytes(bytes)
+            , m_bounds { std::min(bounds.depth, maxDocumentDepth), bounds.values }
         {
         }
 
-        void run()
+        bool isAtEnd() const { return m_position == m_bytes.size(); }
+
+        void readItem()
         {
             std::size_t values = 0;
             do {
-                checkBounds(m_depth, ++values);
+                checkBounds(m_depth, ++values, m_bounds);
                 readValue();
                 while (m_depth > 0 && m_missing[m_depth - 1] == 0)
                     --m_depth;
             } while (m_depth > 0);
-            if (m_position != m_bytes.size())
-                rejectCbor();
         }
 
     private:
@@ -113,7 +88,7 @@
         {
             if (values > rest())
                 rejectCbor();
-            checkBounds(m_depth + 1, 0);
+            checkBounds(m_depth + 1, 0, m_bounds);
             m_missing[m_depth++] = values;
         }
 
@@ -144,6 +119,7 @@
         }
 
         std::string_view m_bytes;
+        DocumentBounds m_bounds;
         std::size_t m_position = 0;
         std::size_t m_depth = 0;
         // Of each array and map around the position, the values that follow.
@@ -173,15 +149,47 @@
     return n;
 }
 
+void checkJson(std::string_view text, DocumentBounds bounds)
+{
+    std::size_t depth = 0, values = 1;
+    for (std::size_t n = 0; n < text.size(); ++n) {
+        switch (text[n]) {
+        case '"':
+            n = endOfString(text, n);
+            if (n == std::string_view::npos)
+                return;
+            break;
+        case '[':
+        case '{':
+            checkBounds(++depth, ++values, bounds);
+            break;
+        case ']':
+        case '}':
+            depth -= depth > 0 ? 1 : 0;
+            break;
+        case ',':
+            checkBounds(depth, ++values, bounds);
+            break;
+        }
+    }
+}
+
+void checkCborSequence(std::string_view bytes, DocumentBounds bounds)
+{
+    for (CborScan scan(bytes, bounds); !scan.isAtEnd();)
+        scan.readItem();
+}
+
 Json parseJson(const std::string& text)
 {
-    scanJson(text);
+    checkJson(text);
     return Json::parse(text);
 }
 
+// The parser refuses bytes after the first item.
 Json parseCbor(const std::string& bytes)
 {
-    CborScan(bytes).run();
+    checkCborSequence(bytes);
     return Json::from_cbor(bytes);
 }
 
--- a/src/core/bounded_document.h
+++ b/src/core/bounded_document.h
@@ -20,11 +20,22 @@
 // Values of a document, those in arrays and objects included.
 constexpr std::size_t maxDocumentValues = std::size_t { 1 } << 17;
 
+// Limits of a document. Of CBOR, the depth is at most maxDocumentDepth.
+struct DocumentBounds {
+    std::size_t depth = maxDocumentDepth;
+    std::size_t values = maxDocumentValues;
+};
+
+// Throws if the text exceeds the bounds. Whether it is JSON is left to the parser.
+void checkJson(std::string_view text, DocumentBounds = {});
+// Throws if one of the CBOR items, any number of which may follow each other, exceeds the bounds or is not as instances write it: without
+// tags, and with a length for all that has one.
+void checkCborSequence(std::string_view bytes, DocumentBounds = {});
+// Check a document and parse it.
 nlohmann::json parseJson(const std::string& text);
+nlohmann::json parseCbor(const std::string& bytes);
 // The position of the quote that ends a string of JSON, from the one that begins it; npos if there is none.
 std::size_t endOfString(std::string_view text, std::size_t quote);
-// Of CBOR, what instances write: no tags, and a length for all that has one.
-nlohmann::json parseCbor(const std::string& bytes);
 
 // The largest whole number that all readers of JSON read exactly. Sums of it over thousands of terms do not overflow.
 constexpr std::int64_t maxWholeNumber = std::int64_t { 1 } << 53;
--- a/src/core/ledger/ledger_compaction.cpp
+++ b/src/core/ledger/ledger_compaction.cpp
@@ -1,11 +1,12 @@
 #include "core/ledger/ledger_compaction.h"
 
-#include "core/document_depth.h"
+#include "core/bounded_document.h"
 
 #include <absl/strings/match.h>
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_format.h>
 #include <algorithm>
+#include <nlohmann/json.hpp>
 
 namespace skylarkhitch {
 
@@ -55,7 +56,7 @@
 std::optional<LedgerTotals> decodeTotals(const std::string& bytes)
 {
     try {
-        auto json = decodeBoundedCbor(bytes);
+        auto json = parseCbor(bytes);
         LedgerTotals totals;
         if (!json.at(0).is_null())
             totals.compactedThrough = json.at(0).get<std::uint64_t>();
--- a/src/core/ledger/ledger_record.cpp
+++ b/src/core/ledger/ledger_record.cpp
@@ -1,7 +1,8 @@
 #include "core/ledger/ledger_record.h"
 
-#include "core/document_depth.h"
+#include "core/bounded_document.h"
 
+#include <nlohmann/json.hpp>
 #include <sstream>
 
 namespace skylarkhitch {
@@ -120,11 +121,10 @@
 
 std::optional<std::vector<LedgerBatch>> decodeSegment(const std::string& bytes)
 {
-    if (isCborDeeperThan(bytes, maxDocumentDepth))
-        return std::nullopt;
     std::vector<LedgerBatch> batches;
     std::istringstream in(bytes);
     try {
+        checkCborSequence(bytes);
         while (in.peek() != std::char_traits<char>::eof())
             batches.push_back(batchFrom(Json::from_cbor(in, false)));
     } catch (const std::exception&) {
@@ -141,7 +141,7 @@
 std::optional<LedgerRecord> decodeRecord(const std::string& bytes)
 {
     try {
-        return recordFrom(decodeBoundedCbor(bytes));
+        return recordFrom(parseCbor(bytes));
     } catch (const std::exception&) {
         return std::nullopt;
     }
--- a/src/daemon/operator_api.cpp
+++ b/src/daemon/operator_api.cpp
@@ -1,9 +1,10 @@
 #include "daemon/operator_api.h"
 
 #include "adapters/callback_guard.h"
-#include "core/document_depth.h"
+#include "core/bounded_document.h"
 
 #include <absl/strings/numbers.h>
+#include <nlohmann/json.hpp>
 
 namespace skylarkhitch {
 
@@ -14,6 +15,16 @@
     constexpr Milliseconds storeTimeout { 5000 };
     constexpr std::string_view ledgerPrefix = "ledger/";
 
+    // A discarded value if the text is no JSON within the bounds of documents.
+    Json parseOrDiscard(const std::string& text)
+    {
+        try {
+            return parseJson(text);
+        } catch (const std::exception&) {
+            return Json(Json::value_t::discarded);
+        }
+    }
+
     void respondJson(HttpReply& reply, int status, const Json& json)
     {
         reply.respond(status, { { "Content-Type", "application/json" } }, json.dump(-1, ' ', false, Json::error_handler_t::replace));
@@ -215,14 +226,14 @@
     m_control.postTask([reply](Router& router, TimePoint, Outbox&) {
         const auto& document = router.configManager().document();
         Json json = { { "revision", document.revision }, { "author", document.author }, { "history", historyJson(document) } };
-        json["configuration"] = document.text.empty() ? Json() : parseBoundedJson(document.text);
+        json["configuration"] = document.text.empty() ? Json() : parseOrDiscard(document.text);
         respondJson(*reply, 200, json);
     });
 }
 
 void OperatorApi::serveEdit(const HttpRequest& request, const std::shared_ptr<HttpReply>& reply)
 {
-    auto json = parseBoundedJson(request.body);
+    auto json = parseOrDiscard(request.body);
     auto has = [&](const char* name, bool (*isOfType)(const Json&)) { return json.contains(name) && isOfType(json[name]); };
     auto isText = [](const Json& it) { return it.is_string(); };
     bool valid = json.is_object() && has("edit_id", isText) && has("base", [](const Json& it) { return it.is_number_unsigned(); })
--- a/src/daemon/request_parser.cpp
+++ b/src/daemon/request_parser.cpp
@@ -1,11 +1,13 @@
 #include "daemon/request_parser.h"
 
 #include "adapters/digest.h"
-#include "core/document_depth.h"
+#include "core/bounded_document.h"
 
 #include <absl/strings/match.h>
 #include <absl/strings/numbers.h>
 #include <algorithm>
+#include <limits>
+#include <nlohmann/json.hpp>
 
 namespace skylarkhitch {
 
@@ -14,6 +16,8 @@
     // Preserves the order and the names of the fields that are forwarded.
     using Json = nlohmann::ordered_json;
 
+    // The number of values is limited by the size of the body.
+    constexpr DocumentBounds chatBounds { 128, std::numeric_limits<std::size_t>::max() };
     constexpr std::size_t maxNameLength = 128;
     constexpr std::int64_t maxDeadlineMs = 3600000;
     constexpr std::int64_t maxRequestedTokens = 1000000;
@@ -86,8 +90,10 @@
         void readChat()
         {
             auto& request = m_parsed.request;
-            if (isJsonDeeperThan(m_http.body, maxDocumentDepth)) {
-                fail(ErrorKind::MalformedRequest, "body: nested more deeply than " + std::to_string(maxDocumentDepth) + " levels");
+            try {
+                checkJson(m_http.body, chatBounds);
+            } catch (const std::exception&) {
+                fail(ErrorKind::MalformedRequest, "body: nested more deeply than " + std::to_string(chatBounds.depth) + " levels");
                 return;
             }
             auto json = Json::parse(m_http.body, nullptr, false);
--- a/test/correctness/document_depth_test.cpp
+++ b/test/correctness/document_depth_test.cpp
@@ -1,12 +1,13 @@
 // Tests that documents which are nested deeply are refused, whoever sends them.
 
 #include "config/document_tree.h"
-#include "core/document_depth.h"
+#include "core/bounded_document.h"
 #include "core/ledger/ledger_compaction.h"
 #include "core/ledger/ledger_record.h"
 #include "core/membership/peer_message.h"
 
 #include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
 
 using namespace skylarkhitch;
 
@@ -63,16 +64,17 @@
 TEST_CASE("the depth of a document is that of its arrays and objects")
 {
     auto levels = [](std::size_t n) { return repeated("[", n) + repeated("]", n); };
+    constexpr std::size_t anyNumber = std::size_t { 1 } << 30;
     SECTION("of JSON")
     {
-        CHECK_FALSE(isJsonDeeperThan(levels(4), 4));
-        CHECK(isJsonDeeperThan(levels(5), 4));
-        CHECK(isJsonDeeperThan(R"({"a":[{"b":[{}]}]})", 4));
-        CHECK_FALSE(isJsonDeeperThan(repeated("[],{},", 100), 1));
-        CHECK_FALSE(isJsonDeeperThan(R"(["[[[[","\"[[[[","\\","{{{{"])", 1));
-        CHECK(parseBoundedJson(levels(maxDocumentDepth)).is_array());
-        CHECK(parseBoundedJson(levels(maxDocumentDepth + 1)).is_discarded());
-        CHECK(parseBoundedJson("[1").is_discarded());
+        CHECK_NOTHROW(checkJson(levels(4), { 4, anyNumber }));
+        CHECK_THROWS(checkJson(levels(5), { 4, anyNumber }));
+        CHECK_THROWS(checkJson(R"({"a":[{"b":[{}]}]})", { 4, anyNumber }));
+        CHECK_NOTHROW(checkJson(repeated("[],{},", 100), { 1, anyNumber }));
+        CHECK_NOTHROW(checkJson(R"(["[[[[","\"[[[[","\\","{{{{"])", { 1, anyNumber }));
+        CHECK(parseJson(levels(maxDocumentDepth)).is_array());
+        CHECK_THROWS(parseJson(levels(maxDocumentDepth + 1)));
+        CHECK_THROWS(parseJson("[1"));
     }
     SECTION("of CBOR")
     {
@@ -81,22 +83,24 @@
             nlohmann::json::to_cbor(nlohmann::json::parse(levels(n)), bytes);
             return bytes;
         };
-        CHECK_FALSE(isCborDeeperThan(cbor(4), 4));
-        CHECK(isCborDeeperThan(cbor(5), 4));
-        CHECK(decodeBoundedCbor(cbor(maxDocumentDepth)).is_array());
-        CHECK_THROWS(decodeBoundedCbor(cbor(maxDocumentDepth + 1)));
+        CHECK_NOTHROW(checkCborSequence(cbor(4), { 4, anyNumber }));
+        CHECK_THROWS(checkCborSequence(cbor(5), { 4, anyNumber }));
+        CHECK(parseCbor(cbor(maxDocumentDepth)).is_array());
+        CHECK_THROWS(parseCbor(cbor(maxDocumentDepth + 1)));
+        CHECK_THROWS(parseCbor(cbor(1) + cbor(1)));
         // Members, strings, numbers of all sizes and items in a row do not add up.
         nlohmann::json wide = nlohmann::json::array();
         for (int n = 0; n < 1000; ++n)
             wide.push_back({ { "text", std::string(300, '\x9f') }, { "numbers", { n, n << 20, -n, n * 0.5, std::uint64_t { 1 } << 60 } }, { "bytes", nlohmann::json::binary(std::vector<std::uint8_t>(70000 / 100, 0x5f)) }, { "none", nullptr } });
         std::string bytes;
         nlohmann::json::to_cbor(wide, bytes);
-        CHECK_FALSE(isCborDeeperThan(bytes, 3));
-        CHECK(isCborDeeperThan(bytes, 2));
-        CHECK_FALSE(isCborDeeperThan(bytes + bytes, 3));
-        // A map of the largest stated size, and lengths beyond the end.
-        CHECK_FALSE(isCborDeeperThan(std::string("\xbb\xff\xff\xff\xff\xff\xff\xff\xff\x01", 10), 1));
-        CHECK_FALSE(isCborDeeperThan(std::string("\x5b\xff\xff\xff\xff\xff\xff\xff\xff", 9), 1));
-        CHECK_FALSE(isCborDeeperThan("\x9b\x01", 1));
+        CHECK_NOTHROW(checkCborSequence(bytes, { 3, anyNumber }));
+        CHECK_THROWS(checkCborSequence(bytes, { 2, anyNumber }));
+        CHECK_NOTHROW(checkCborSequence(bytes + bytes, { 3, anyNumber }));
+        // A map of the largest stated size, lengths beyond the end, and an item without the values that it states.
+        CHECK_THROWS(checkCborSequence(std::string("\xbb\xff\xff\xff\xff\xff\xff\xff\xff\x01", 10)));
+        CHECK_THROWS(checkCborSequence(std::string("\x5b\xff\xff\xff\xff\xff\xff\xff\xff", 9)));
+        CHECK_THROWS(checkCborSequence("\x9b\x01"));
+        CHECK_THROWS(checkCborSequence("\x82\x01"));
     }
 }
