--- a/test/correctness/cut_response_test.cpp
+++ b/test/correctness/cut_response_test.cpp
@@ -3,61 +3,17 @@
 #include "adapters/http_client.h"
 #include "adapters/http_store.h"
 #include "adapters/http_upstream_client.h"
-#include "fakes/loopback_server.h"
+#include "fakes/cut_responses.h"
 
 #include <catch2/catch.hpp>
 #include <future>
-#include <mutex>
 
 using namespace skylarkhitch;
-using standin::LoopbackServer;
-using standin::RawConnection;
-using standin::RawRequest;
+using standin::Close;
+using standin::CuttingServer;
 
 namespace {
 
-enum class Close { Orderly,
-    Reset };
-
-// Answers each request with the same bytes and then closes the connection.
-class CuttingServer {
-public:
-    void answerWith(std::string bytes, Close close)
-    {
-        std::lock_guard lock(m_mutex);
-        m_bytes = std::move(bytes);
-        m_close = close;
-        m_requests = 0;
-    }
-    std::string address() const { return m_server.address(); }
-    // Requests received since answerWith().
-    int requests() const
-    {
-        std::lock_guard lock(m_mutex);
-        return m_requests;
-    }
-
-private:
-    bool serve(RawConnection& connection)
-    {
-        std::unique_lock lock(m_mutex);
-        ++m_requests;
-        auto bytes = m_bytes;
-        auto close = m_close;
-        lock.unlock();
-        connection.write(bytes);
-        if (close == Close::Reset)
-            connection.reset();
-        return false;
-    }
-
-    mutable std::mutex m_mutex;
-    std::string m_bytes;
-    Close m_close = Close::Orderly;
-    int m_requests = 0;
-    LoopbackServer m_server { [this](const RawRequest&, RawConnection& connection) { return serve(connection); } };
-};
-
 HttpResult send(HttpClient& client, HttpCall call)
 {
     std::promise<HttpResult> result;
@@ -65,47 +21,6 @@
     return result.get_future().get();
 }
 
-struct ResponseCase {
-    const char* name;
-    const char* method;
-    std::string bytes;
-    int status;
-    std::string body;
-    // Whether the end of the body is the end of the connection, so that any cut within the body looks like its end.
-    bool endsWithConnection = false;
-    bool hasChunks = false;
-};
-
-const std::vector<ResponseCase> responses {
-    { "a stated length", "GET", "HTTP/1.1 200 OK\r\nX-Build: 7\r\nContent-Length: 5\r\n\r\nhello", 200, "hello" },
-    { "a stated length of zero", "POST", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX-Build: 7\r\n\r\n", 200, "" },
-    { "chunks", "POST", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nX-Build: 7\r\n\r\n3\r\nhel\r\n2\r\nlo\r\n0\r\n\r\n", 200, "hello", false, true },
-    { "chunks with a trailer", "GET", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\nX-Sum: 1\r\n\r\n", 200, "hello", false, true },
-    { "neither length nor chunks", "GET", "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\nhello", 200, "hello", true },
-    { "neither length nor chunks, and HTTP/1.0", "POST", "HTTP/1.0 200 OK\r\nX-Build: 7\r\n\r\nhello", 200, "hello", true },
-    { "status 204", "DELETE", "HTTP/1.1 204 No Content\r\nX-Build: 7\r\n\r\n", 204, "" },
-    { "status 304", "GET", "HTTP/1.1 304 Not Modified\r\nETag: \"a\"\r\n\r\n", 304, "" },
-    { "the method HEAD", "HEAD", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nX-Build: 7\r\n\r\n", 200, "" },
-    { "status 100 first", "POST", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", 200, "ok" },
-    { "status 100 and 103 first", "GET", "HTTP/1.1 100 Continue\r\nX-A: 1\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 201 Created\r\nX-Build: 7\r\nContent-Length: 2\r\n\r\nok", 201, "ok" },
-    { "folded fields", "GET", "HTTP/1.1 200 OK\r\nX-Note: a\r\n  b\r\n\tc\r\nContent-Length: 2\r\n\r\nok", 200, "ok" },
-    { "line ends without CR", "GET", "HTTP/1.1 200 OK\nX-Build: 7\nContent-Length: 2\n\nok", 200, "ok" },
-    { "status 404", "GET", "HTTP/1.1 404 Not Found\r\nX-Build: 7\r\nContent-Length: 2\r\n\r\n{}", 404, "{}" },
-    { "status 409", "PUT", "HTTP/1.1 409 Conflict\r\nX-Build: 7\r\nContent-Length: 2\r\n\r\n{}", 409, "{}" },
-};
-
-// Index of the first byte after the head of the final response.
-std::size_t headLength(const std::string& bytes)
-{
-    std::size_t end = 0;
-    for (bool isFinal = false; !isFinal;) {
-        isFinal = bytes.compare(end + 9, 1, "1") != 0;
-        auto crlf = bytes.find("\r\n\r\n", end);
-        end = crlf != std::string::npos ? crlf + 4 : bytes.find("\n\n", end) + 2;
-    }
-    return end;
-}
-
 }
 
 // Guards against the start of a response that counts as a whole one: a service stops while it writes the head of its response,
@@ -114,7 +29,7 @@
 {
     CuttingServer server;
     HttpClient client;
-    for (const auto& it : responses) {
+    for (const auto& it : standin::cutResponses()) {
         DYNAMIC_SECTION("with " << it.name)
         {
             HttpCall call { .method = it.method, .address = server.address(), .path = "/", .timeout = Milliseconds(5000), .freshConnection = true, .mayResend = false };
@@ -130,7 +45,7 @@
             }
             SECTION("and one whose connection is closed in order is cut")
             {
-                auto head = headLength(it.bytes);
+                auto head = standin::headLength(it.bytes);
                 for (std::size_t n = 0; n < it.bytes.size(); ++n) {
                     bool isIndistinguishable = it.endsWithConnection && n >= head;
                     server.answerWith(it.bytes.substr(0, n), Close::Orderly);
