--- a/src/core/router.cpp
+++ b/src/core/router.cpp
@@ -337,6 +337,15 @@
     return it == m_teamsByKey.end() ? nullptr : &m_appliedConfiguration->teams.at(it->second);
 }
 
+void Router::endRequests(TimePoint now, Outbox& out)
+{
+    for (const auto& id : m_requests.ids()) {
+        if (auto* state = m_requests.find(id))
+            state->flow->deadlineExpired(*state, now, out);
+    }
+    deliverLedgerResults(now, out);
+}
+
 bool Router::drained(TimePoint now) const
 {
     if (!m_drainingSince)
--- a/src/core/router.h
+++ b/src/core/router.h
@@ -50,6 +50,9 @@
     // Whether the process may exit: a drain was requested, its grace period is over, all requests are finished and all
     // ledger records are stored.
     bool drained(TimePoint) const;
+    // Ends the requests at work as if their deadlines had passed, since the process exits: each gets its response or an error. One
+    // that waits for a record of its response is ended by a second call.
+    void endRequests(TimePoint, Outbox&);
     // Whether this instance rejects new requests because of RouterSettings::cutOffAfter.
     bool cutOff() const { return m_cutOff; }
 
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -14,10 +14,12 @@
 #include <arpa/inet.h>
 #include <csignal>
 #include <fstream>
+#include <functional>
 #include <iostream>
 #include <nlohmann/json.hpp>
 #include <sstream>
 #include <sys/socket.h>
+#include <thread>
 #include <unistd.h>
 
 namespace skylarkhitch {
@@ -26,6 +28,11 @@
 
     constexpr Milliseconds ratingTimeout { 3000 };
     constexpr Milliseconds drainCheckPeriod { 20 };
+    // At an early exit, requests whose responses are being recorded get this time until they end with an error.
+    constexpr Milliseconds recordingTime { 400 };
+    constexpr Milliseconds maxEndingTime { 1000 };
+    // Time for the last responses to be written.
+    constexpr Milliseconds lastResponsesTime { 200 };
     constexpr std::size_t bodyLimitBytes = 8 << 20;
 
     std::string readFile(const std::string& path)
@@ -104,17 +111,28 @@
 
         bool drained()
         {
-            std::mutex mutex;
-            std::condition_variable answered;
-            std::optional<bool> result;
-            m_control.postTask([&](Router& router, TimePoint now, Outbox&) {
-                std::lock_guard lock(mutex);
-                result = router.drained(now);
-                answered.notify_one();
-            });
-            std::unique_lock lock(mutex);
-            answered.wait(lock, [&] { return result.has_value(); });
-            return *result;
+            return ask([](Router& router, TimePoint now, Outbox&) { return router.drained(now); });
+        }
+
+        // Ends the requests at work with an error each, and waits until the errors are written.
+        void endRequests()
+        {
+            auto startedAt = std::chrono::steady_clock::now();
+            auto elapsed = [&] { return std::chrono::steady_clock::now() - startedAt; };
+            Milliseconds nextEnd { 0 };
+            bool isAnyLeft = true;
+            while (isAnyLeft && elapsed() < maxEndingTime) {
+                bool endsNow = elapsed() >= nextEnd;
+                if (endsNow)
+                    nextEnd += recordingTime;
+                isAnyLeft = ask([endsNow](Router& router, TimePoint now, Outbox& out) {
+                    if (endsNow)
+                        router.endRequests(now, out);
+                    return router.requestsInFlight() > 0;
+                });
+                std::this_thread::sleep_for(drainCheckPeriod);
+            }
+            std::this_thread::sleep_for(lastResponsesTime);
         }
 
         void stop()
@@ -128,6 +146,22 @@
         }
 
     private:
+        // Runs a question on the control thread and returns its result.
+        bool ask(std::function<bool(Router&, TimePoint, Outbox&)> question)
+        {
+            std::mutex mutex;
+            std::condition_variable answered;
+            std::optional<bool> result;
+            m_control.postTask([&](Router& router, TimePoint now, Outbox& out) {
+                std::lock_guard lock(mutex);
+                result = question(router, now, out);
+                answered.notify_one();
+            });
+            std::unique_lock lock(mutex);
+            answered.wait(lock, [&] { return result.has_value(); });
+            return *result;
+        }
+
         void makeStore()
         {
             if (m_node.platform == "memory")
@@ -251,10 +285,18 @@
         return set;
     }
 
-    bool waitForSignal(const sigset_t& set, Milliseconds time)
+    // Returns the signal that came within the time, or nullopt.
+    std::optional<int> waitForSignal(const sigset_t& set, Milliseconds time)
     {
         timespec wait { time.count() / 1000, time.count() % 1000 * 1000000 };
-        return sigtimedwait(&set, nullptr, &wait) > 0;
+        auto signal = sigtimedwait(&set, nullptr, &wait);
+        return signal > 0 ? std::optional(signal) : std::nullopt;
+    }
+
+    void logSignal(const NodeSettings& node, int signal, bool isStopping)
+    {
+        std::string name = signal == SIGINT ? "SIGINT" : "SIGTERM";
+        logChange(LogLevel::Info, "signal", node.instance.value, name + (isStopping ? " while stopping" : ""));
     }
 
 }
@@ -281,17 +323,23 @@
     daemon.start();
     std::cout << "ready callers=" << node.listen << " operators=" << node.operatorListen << " peers=" << node.peerListen << std::endl;
     // A completed drain that an operator requested ends the process too. drain_limit_ms counts only from a signal.
-    while (!waitForSignal(signals, drainCheckPeriod)) {
-        if (daemon.drained())
-            break;
-    }
+    std::optional<int> firstSignal;
+    while (!firstSignal && !daemon.drained())
+        firstSignal = waitForSignal(signals, drainCheckPeriod);
+    if (firstSignal)
+        logSignal(node, *firstSignal, false);
     daemon.drain();
     auto limit = std::chrono::steady_clock::now() + node.drainLimit;
     bool drainedInTime = true;
     while (!daemon.drained()) {
-        bool secondSignal = waitForSignal(signals, drainCheckPeriod);
-        if (secondSignal || std::chrono::steady_clock::now() >= limit) {
-            logChange(LogLevel::Error, "instance", node.instance.value, secondSignal ? "stopped by a second signal before the drain was over" : "the drain took longer than drain_limit_ms");
+        auto signal = waitForSignal(signals, drainCheckPeriod);
+        if (signal)
+            logSignal(node, *signal, true);
+        // Signals come in series and overlap, so a further SIGTERM changes nothing.
+        bool isCutShort = signal == SIGINT;
+        if (isCutShort || std::chrono::steady_clock::now() >= limit) {
+            logChange(LogLevel::Error, "instance", node.instance.value, isCutShort ? "stopped by SIGINT before the drain was over" : "the drain took longer than drain_limit_ms");
+            daemon.endRequests();
             drainedInTime = false;
             break;
         }
--- a/test/processes/process_test.cpp
+++ b/test/processes/process_test.cpp
@@ -287,6 +287,34 @@
         CHECK(site.entries[0].process->waitForExit(Seconds(20)) == 0);
         CHECK(site.call(site.entries[1].callerAddress, "GET", "/v1/entry?domain=d0").json()["address"] != site.entries[0].callerAddress);
     }
+    // Guards against signals in series that cut what is in flight.
+    SECTION("SIGTERM that is repeated changes nothing")
+    {
+        site.startChat(0, "small");
+        CHECK(ProcessSite::eventually([&] { return site.status(0)["requests_in_flight"] == 1; }));
+        for (int n = 0; n < 3; ++n) {
+            site.entries[0].process->signal(SIGTERM);
+            std::this_thread::sleep_for(Milliseconds(50));
+        }
+        auto stream = site.finishChat();
+        CHECK(streamedText(stream) == expectedTokens());
+        REQUIRE_FALSE(stream.events().empty());
+        CHECK(stream.events().back() == "[DONE]");
+        CHECK(site.entries[0].process->waitForExit(Seconds(20)) == 0);
+    }
+    // Guards against requests without an answer where an operator does not wait for the end of the drain.
+    SECTION("SIGINT during a planned stop ends it early, and the request in flight gets an error")
+    {
+        site.startChat(0, "small");
+        CHECK(ProcessSite::eventually([&] { return site.status(0)["requests_in_flight"] == 1; }));
+        site.entries[0].process->signal(SIGTERM);
+        std::this_thread::sleep_for(Milliseconds(50));
+        site.entries[0].process->signal(SIGINT);
+        auto stream = site.finishChat();
+        CHECK_FALSE(stream.errorKind().empty());
+        CHECK(stream.executed() == "unknown");
+        CHECK(site.entries[0].process->waitForExit(Seconds(2)) == 1);
+    }
     SECTION("an upstream that reports draining, or is listed as leaving, gets no new requests after 3 s")
     {
         auto leaving = GENERATE(true, false);
