--- a/test/processes/odd_document_test.cpp
+++ b/test/processes/odd_document_test.cpp
@@ -242,7 +242,7 @@
         : "";
 }
 
-} // namespace
+}
 
 // Guards against an empty 200 for a call whose service stopped while it wrote
 // the head of its response.
