--- a/test/processes/odd_document_test.cpp
+++ b/test/processes/odd_document_test.cpp
@@ -169,15 +169,10 @@
             R"({"model":"small","messages":[{"role":"user","content":"hi"}])" + more + "}",
             { callerKey });
     }
-    // Whether the process runs and serves callers.
-    bool serves()
-    {
-        return !m_process->exitStatus() && call("GET", "/healthz").status == 200 && chat().status == 200;
-    }
-    bool runs()
-    {
-        return !m_process->exitStatus() && call("GET", "/healthz").status == 200;
-    }
+    // Whether the process runs and serves, and no exception had to be contained.
+    bool runs() { return !m_process->exitStatus() && call("GET", "/healthz").status == 200 && gauge("failed_callbacks") == 0; }
+    // The same, and callers' chats are answered.
+    bool serves() { return runs() && chat().status == 200; }
     // The value of a gauge of the instance's state, or -1 if there is none.
     double gauge(const std::string& name)
     {
