--- a/src/adapters/http_client.cpp
+++ b/src/adapters/http_client.cpp
@@ -1,5 +1,6 @@
 #include "adapters/http_client.h"
 
+#include "adapters/callback_guard.h"
 #include "core/check.h"
 
 #include <absl/strings/ascii.h>
@@ -18,6 +19,8 @@
     constexpr int pollTimeoutMs = 500;
     // Limit of a body that is collected for onEnd; a call whose body exceeds it ends with Cut.
     constexpr std::size_t maxBodyBytes = 64 << 20;
+    // Responses with a lower status are interim ones, which a final one follows.
+    constexpr long firstFinalStatus = 200;
 
     struct CurlDeleter {
         void operator()(CURL* easy) const { curl_easy_cleanup(easy); }
@@ -34,6 +37,9 @@
         std::unique_ptr<curl_slist, CurlDeleter> headers;
         // Number of times that libcurl was about to send the request.
         int sends = 0;
+        // Whether the empty line after the head of the final response was received. libcurl does not report an error if the
+        // connection is closed before it.
+        bool headEnded = false;
     };
 
     // libcurl calls this once a connection is established and before it sends the request, including each time it resends it.
@@ -44,9 +50,8 @@
         return transfer.sends > 1 && !transfer.call.mayResend ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
     }
 
-    std::size_t onBody(char* data, std::size_t, std::size_t size, void* userData)
+    std::size_t receiveBody(Transfer& transfer, const char* data, std::size_t size)
     {
-        auto& transfer = *static_cast<Transfer*>(userData);
         if (transfer.callbacks.onData) {
             long status = 0;
             curl_easy_getinfo(transfer.easy.get(), CURLINFO_RESPONSE_CODE, &status);
@@ -59,24 +64,45 @@
         return size;
     }
 
-    std::size_t onHeader(char* data, std::size_t, std::size_t size, void* userData)
+    // A callback that takes less than all bytes ends the transfer.
+    std::size_t onBody(char* data, std::size_t, std::size_t size, void* userData)
     {
-        auto& transfer = *static_cast<Transfer*>(userData);
-        std::string line(data, size);
+        std::size_t taken = 0;
+        runGuarded("http_client_body", [&] { taken = receiveBody(*static_cast<Transfer*>(userData), data, size); });
+        return taken;
+    }
+
+    // libcurl passes complete lines: those of interim responses, of the final one, and of its trailers.
+    void receiveHeadLine(Transfer& transfer, const std::string& line)
+    {
+        if (transfer.headEnded)
+            return;
+        if (line == "\r\n" || line == "\n") {
+            long status = 0;
+            curl_easy_getinfo(transfer.easy.get(), CURLINFO_RESPONSE_CODE, &status);
+            transfer.headEnded = status >= firstFinalStatus;
+            if (!transfer.headEnded)
+                transfer.result.headers.clear();
+            return;
+        }
         auto colon = line.find(':');
         if (colon != std::string::npos) {
             auto value = line.substr(colon + 1);
             absl::StripAsciiWhitespace(&value);
             transfer.result.headers[absl::AsciiStrToLower(line.substr(0, colon))] = value;
         }
-        return size;
+    }
+
+    std::size_t onHeader(char* data, std::size_t, std::size_t size, void* userData)
+    {
+        return runGuarded("http_client_head", [&] { receiveHeadLine(*static_cast<Transfer*>(userData), std::string(data, size)); }) ? size : 0;
     }
 
     // A failed reconnect does not mean that the request was not sent: it may have been sent on an earlier connection. NotSent
     // is therefore derived from the number of sends and not from the error code.
     HttpEnd httpEndFor(const Transfer& transfer, CURLcode code)
     {
-        if (code == CURLE_OK)
+        if (code == CURLE_OK && transfer.headEnded)
             return HttpEnd::Complete;
         if (transfer.sends == 0)
             return HttpEnd::NotSent;
@@ -130,10 +156,12 @@
     void run()
     {
         while (!m_stopping) {
-            processPendingCalls();
-            int running = 0;
-            curl_multi_perform(m_multi, &running);
-            completeTransfers();
+            runGuarded("http_client", [this] {
+                processPendingCalls();
+                int running = 0;
+                curl_multi_perform(m_multi, &running);
+                completeTransfers();
+            });
             curl_multi_poll(m_multi, nullptr, 0, pollTimeoutMs, nullptr);
         }
     }
@@ -226,7 +254,7 @@
             curl_multi_remove_handle(m_multi, easy);
             auto owned = std::move(m_transfers[transfer->id]);
             m_transfers.erase(owned->id);
-            owned->callbacks.onEnd(std::move(owned->result));
+            runGuarded("http_client_end", [&] { owned->callbacks.onEnd(std::move(owned->result)); });
         }
     }
 
--- a/src/adapters/peer_transport.cpp
+++ b/src/adapters/peer_transport.cpp
@@ -1,6 +1,8 @@
 #include "adapters/peer_transport.h"
 
+#include "adapters/callback_guard.h"
 #include "adapters/http_server.h"
+#include "adapters/log.h"
 #include "adapters/peer_frame.h"
 #include "adapters/wall_clock.h"
 #include "core/check.h"
@@ -31,6 +33,8 @@
     constexpr Milliseconds inboundIdleTimeout { 60000 };
     constexpr std::size_t readBufferBytes = std::size_t { 64 } * 1024;
     constexpr int pollTimeoutMs = 200;
+    // Limit of an address in a log line, in bytes.
+    constexpr std::size_t maxLoggedAddressBytes = 64;
 
     using SteadyTime = std::chrono::steady_clock::time_point;
 
@@ -174,13 +178,18 @@
             return static_cast<ssize_t>(n);
         }
 
+        // An exception in a callback of nghttp2 ends the connection.
         static int onDataChunk(nghttp2_session* session, std::uint8_t, std::int32_t stream, const std::uint8_t* data, std::size_t size, void* self)
         {
-            auto& frame = static_cast<Connection*>(self)->m_frames[stream];
-            if (frame.size() + size > maxFrameBytes)
-                return nghttp2_submit_rst_stream(session, NGHTTP2_FLAG_NONE, stream, NGHTTP2_ENHANCE_YOUR_CALM);
-            frame.append(reinterpret_cast<const char*>(data), size);
-            return 0;
+            int result = 0;
+            bool ended = runGuarded("peer_data", [&] {
+                auto& frame = static_cast<Connection*>(self)->m_frames[stream];
+                if (frame.size() + size > maxFrameBytes)
+                    result = nghttp2_submit_rst_stream(session, NGHTTP2_FLAG_NONE, stream, NGHTTP2_ENHANCE_YOUR_CALM);
+                else
+                    frame.append(reinterpret_cast<const char*>(data), size);
+            });
+            return ended ? result : NGHTTP2_ERR_CALLBACK_FAILURE;
         }
 
         static int onFrameReceived(nghttp2_session* session, const nghttp2_frame* frame, void* self)
@@ -192,7 +201,8 @@
                 return 0;
             auto it = connection.m_frames.find(frame->hd.stream_id);
             if (it != connection.m_frames.end()) {
-                connection.m_onFrame(std::move(it->second));
+                // The frames after one that could not be handled are received all the same.
+                runGuarded("peer_frame", [&] { connection.m_onFrame(std::move(it->second)); });
                 connection.m_frames.erase(it);
             }
             const std::string status = "204";
@@ -240,7 +250,10 @@
         , m_wake(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC))
     {
         listen();
-        m_thread = std::thread([this] { run(); });
+        m_thread = std::thread([this] {
+            while (!m_stopping)
+                runGuarded("peer_transport", [this] { run(); });
+        });
     }
 
     ~Impl()
@@ -271,6 +284,8 @@
         if (out.address == address)
             return;
         out.address = address;
+        if (!tryParseHostPort(address))
+            LogLine(LogLevel::Warning, "peer_address_invalid").with("peer", id.value).with("address", address.substr(0, maxLoggedAddressBytes));
         m_addressChanged.push_back(id);
         wake();
     }
@@ -378,8 +393,11 @@
         for (auto& [id, out] : m_outbound) {
             if (out.queue.empty() || out.address.empty())
                 continue;
-            if (!out.connection && now >= out.retryAt)
+            if (!out.connection && now >= out.retryAt) {
                 out.connection = connect(out.address);
+                if (!out.connection)
+                    out.retryAt = now + reconnectDelay;
+            }
             if (!out.connection)
                 continue;
             for (; !out.queue.empty() && out.connection->openStreams() < maxQueuedMessages; out.queue.pop_front())
@@ -387,13 +405,16 @@
         }
     }
 
+    // Returns null if the address is not of the form ip:port, or the connection fails at once.
     static std::unique_ptr<Connection> connect(const std::string& text)
     {
-        auto hostPort = parseHostPort(text);
+        auto hostPort = tryParseHostPort(text);
+        if (!hostPort)
+            return nullptr;
         sockaddr_in address {};
         address.sin_family = AF_INET;
-        address.sin_port = htons(static_cast<std::uint16_t>(hostPort.port));
-        inet_pton(AF_INET, hostPort.host.c_str(), &address.sin_addr);
+        address.sin_port = htons(static_cast<std::uint16_t>(hostPort->port));
+        inet_pton(AF_INET, hostPort->host.c_str(), &address.sin_addr);
         Socket socket(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
         configureSocket(socket.fd());
         if (::connect(socket.fd(), reinterpret_cast<sockaddr*>(&address), sizeof address) != 0 && errno != EINPROGRESS)
--- a/src/core/ledger/ledger_compaction.cpp
+++ b/src/core/ledger/ledger_compaction.cpp
@@ -1,5 +1,9 @@
 #include "core/ledger/ledger_compaction.h"
 
+#include "core/bounded_document.h"
+
+#include <absl/strings/match.h>
+#include <absl/strings/numbers.h>
 #include <absl/strings/str_format.h>
 #include <algorithm>
 #include <nlohmann/json.hpp>
@@ -52,7 +56,7 @@
 std::optional<LedgerTotals> decodeTotals(const std::string& bytes)
 {
     try {
-        auto json = Json::from_cbor(bytes);
+        auto json = parseCbor(bytes);
         LedgerTotals totals;
         if (!json.at(0).is_null())
             totals.compactedThrough = json.at(0).get<std::uint64_t>();
@@ -93,7 +97,11 @@
             contents.totalsRevision = it.revision;
             continue;
         }
-        auto number = std::stoull(it.key.substr(shardPrefix(shard).size()));
+        // A key of another form is not one of the ledger's.
+        std::uint64_t number = 0;
+        auto prefix = shardPrefix(shard);
+        if (!absl::StartsWith(it.key, prefix) || !absl::SimpleAtoi(it.key.substr(prefix.size()), &number))
+            continue;
         // The totals include this segment: a compaction was interrupted before it deleted the segment, or the deletion
         // failed.
         if (contents.totals.compactedThrough && number <= *contents.totals.compactedThrough)
--- a/src/core/ledger/ledger_record.cpp
+++ b/src/core/ledger/ledger_record.cpp
@@ -1,5 +1,7 @@
 #include "core/ledger/ledger_record.h"
 
+#include "core/bounded_document.h"
+
 #include <nlohmann/json.hpp>
 #include <sstream>
 
@@ -122,6 +124,7 @@
     std::vector<LedgerBatch> batches;
     std::istringstream in(bytes);
     try {
+        checkCborSequence(bytes);
         while (in.peek() != std::char_traits<char>::eof())
             batches.push_back(batchFrom(Json::from_cbor(in, false)));
     } catch (const std::exception&) {
@@ -138,7 +141,7 @@
 std::optional<LedgerRecord> decodeRecord(const std::string& bytes)
 {
     try {
-        return recordFrom(Json::from_cbor(bytes));
+        return recordFrom(parseCbor(bytes));
     } catch (const std::exception&) {
         return std::nullopt;
     }
--- a/src/edge/control_plane.cpp
+++ b/src/edge/control_plane.cpp
@@ -115,9 +115,10 @@
             result = co_await m_store.watch(m_mirror.revision());
         bool isOk = result.update.has_value();
         if (isOk) {
-            applyUpdate(*result.update);
+            applyUpdate(*std::exchange(result.update, {}));
             needsFullRead = false;
-        } else if (result.status == 410) {
+        } else if (result.status == 410 || result.isUnreadable) {
+            // The same watch would get the same answer again, so everything is read at once; there is a pause after that.
             LogLine(LogLevel::Warning, "store_history_lost").with("revision", m_mirror.revision());
             needsFullRead = true;
             continue;
@@ -259,10 +260,6 @@
     }
     platform::DecodeError error;
     auto registered = platform::decodeUpstream(id, item->value, error);
-    if (registered && !isEndpoint(registered->entry.address)) {
-        error.message = "address is not of the form ip:port";
-        registered.reset();
-    }
     if (!registered) {
         LogLine(LogLevel::Warning, "upstream_unreadable").with("upstream", id).with("error", error.message);
         return;
@@ -281,10 +278,6 @@
 {
     platform::DecodeError error;
     auto peer = item ? platform::decodeInstance(item->value, error) : std::nullopt;
-    if (peer && !isEndpoint(peer->address)) {
-        error.message = "address is not of the form ip:port";
-        peer.reset();
-    }
     if (item && !peer)
         LogLine(LogLevel::Warning, "instance_unreadable").with("key", key).with("error", error.message);
     m_listed.set(key, std::move(peer));
--- a/src/edge/store_client.cpp
+++ b/src/edge/store_client.cpp
@@ -19,8 +19,10 @@
     // A partial read that is older than this is started again: the following watch continues from the revision of the first
     // page, and the platform keeps changes for only 20 s.
     constexpr Seconds maxPartialReadAge { 10 };
-    // Limits of a response of a watch or a read, and of other calls. The memory of an instance may be less than 100 MB.
-    constexpr std::size_t maxItemBytes = std::size_t { 8 } << 20;
+    // Limits of a response of a read, of a watch, and of other calls. The memory of an instance may be less than 100 MB. A page of a read
+    // is about a megabyte long, and one item more. If there are more changes than a watch may deliver, they are read.
+    constexpr std::size_t maxPageBytes = std::size_t { 4 } << 20;
+    constexpr std::size_t maxWatchBytes = std::size_t { 2 } << 20;
     constexpr std::size_t maxCallBytes = std::size_t { 1 } << 20;
     // Time limit for the body of a watch or a read.
     constexpr Milliseconds maxItemTime { 10000 };
@@ -37,6 +39,12 @@
             it.revision = revisionInEra(it.revision, era);
     }
 
+    void logUnreadable(const std::vector<platform::DecodeError>& errors)
+    {
+        for (const auto& it : errors)
+            LogLine(LogLevel::Warning, "store_item_unreadable").with("error", it.message);
+    }
+
     bool isStoreReachable(int status) { return status != 0 && status != 429 && status != 503; }
 
 }
@@ -73,6 +81,7 @@
             auto body = co_await connection->readWholeBody(options.maxBytes, times);
             if (body.end == TransferEnd::Ok)
                 response = { responseHead.status, std::move(body.bytes) };
+            response.isMalformed = body.end == TransferEnd::Malformed;
             if (options.isLongPoll)
                 m_pendingWatch.reset();
             if (isStoreReachable(response.status) && !acceptEra(response, platform::decodeStoreEra(responseHead.fields)))
@@ -88,7 +97,9 @@
         connection->close();
     m_metrics.storeCall(options.name, response.status);
     bool wasCancelled = options.isLongPoll && std::exchange(m_watchCancelled, false);
-    if (response.status != 0 || !wasCancelled)
+    // The read that follows a watch with an answer that cannot be taken shows whether the store is reachable.
+    bool isUndecided = options.isLongPoll && (wasCancelled || response.isMalformed);
+    if (response.status != 0 || !isUndecided)
         updateReachability(response.status);
     co_return response;
 }
@@ -150,15 +161,20 @@
     // Another call has shown a new era between two watches. The store may have given the revision out again, and then waits.
     if (m_era && era() != eraOf(after))
         co_return StoreUpdateResult { historyLost, {} };
-    CallOptions options { &m_watchConnection, watchWait + watchMargin, maxItemTime, maxItemBytes, "watch", true };
+    CallOptions options { &m_watchConnection, watchWait + watchMargin, maxItemTime, maxWatchBytes, "watch", true };
     auto response = co_await sendRequest(platform::watchRequest(allKeysPrefix, storeRevision(after), watchWait), options);
-    StoreUpdateResult result { response.status, {} };
+    StoreUpdateResult result { response.status, {}, response.isMalformed };
+    if (response.isMalformed)
+        LogLine(LogLevel::Error, "store_answer_unreadable").with("call", "watch");
     if (!response.isOk())
         co_return result;
     // The revision may have been given out again, so the changes may not be those after the known state.
     if (response.era != eraOf(after))
         co_return StoreUpdateResult { historyLost, {} };
-    result.update = platform::decodeChanges(response.body);
+    std::vector<platform::DecodeError> errors;
+    result.update = platform::decodeChanges(response.body, errors);
+    result.isUnreadable = !result.update;
+    logUnreadable(errors);
     if (result.update)
         addEra(*result.update, response.era);
     else
@@ -168,14 +184,16 @@
 
 Awaitable<StoreClient::StoreUpdateResult> StoreClient::readAll()
 {
-    CallOptions options { &m_watchConnection, callTimeout, maxItemTime, maxItemBytes, "read" };
+    CallOptions options { &m_watchConnection, callTimeout, maxItemTime, maxPageBytes, "read" };
     if (!m_partialRead || bootNow() - m_partialRead->startedAt > maxPartialReadAge)
         m_partialRead = PartialRead { .startedAt = bootNow() };
     auto& update = m_partialRead->update;
     auto& after = m_partialRead->after;
     for (;;) {
         auto response = co_await sendRequest(platform::pageRequest(allKeysPrefix, after), options);
-        auto page = response.isOk() ? platform::decodePage(response.body) : std::nullopt;
+        std::vector<platform::DecodeError> errors;
+        auto page = response.isOk() ? platform::decodePage(response.body, errors) : std::nullopt;
+        logUnreadable(errors);
         if (!page) {
             LogLine(LogLevel::Warning, "store_read_failed").with("status", response.status).with("after", after);
             co_return StoreUpdateResult { response.status, {} };
@@ -188,10 +206,10 @@
         // Later pages may come from later revisions. The watch continues from the first page's revision, so it misses no change.
         if (update.revision == 0)
             update.revision = page->revision;
-        update.changes.insert(update.changes.end(), page->items.begin(), page->items.end());
-        if (!page->hasMore || page->items.empty())
+        after = page->items.empty() ? std::string() : page->items.back().key;
+        update.changes.insert(update.changes.end(), std::make_move_iterator(page->items.begin()), std::make_move_iterator(page->items.end()));
+        if (!page->hasMore)
             break;
-        after = page->items.back().key;
     }
     addEra(update, m_partialRead->era);
     StoreUpdateResult result { 200, std::move(update) };
