End in order while a roll-out's record is written

What operators would see: an instance that exits while it writes the stage of a roll-out aborts (malloc: corrupted heap), its exit status is not 0 and the last lines of its log are lost. Requests are answered by then.

Cause: the scope guards that came with the containment of exceptions. Coroutines that wait at the exit are destroyed with the event loop, after the control plane and the set that the guard erases from. The guards are gone: what may throw is caught where it is called, and flags are reset after it, which a coroutine that is only destroyed does not do.

--- a/src/edge/control_plane.cpp
+++ b/src/edge/control_plane.cpp
@@ -350,17 +350,22 @@
 {
     auto connection = std::make_shared<UpstreamConnection>(m_loop);
     std::optional<std::string> result;
-    if (co_await connection->open(peerAddress, catchUpTimeout)) {
-        connection->setDeadline(catchUpTimeout);
-        auto head = absl::StrCat("GET ", target, " HTTP/1.1\r\nHost: ", peerAddress, "\r\nConnection: close\r\n\r\n");
-        ResponseHead response;
-        bool isSent = co_await connection->send(head, nullptr);
-        if (isSent && co_await connection->readHead(response) == TransferEnd::Ok && response.status == 200) {
-            BodyTimes times { catchUpTimeout, maxMirrorTime };
-            auto body = co_await connection->readWholeBody(maxMirrorBytes, times);
-            if (body.end == TransferEnd::Ok)
-                result = std::move(body.bytes);
+    // The flags of the callers would stay set if an exception left them.
+    try {
+        if (co_await connection->open(peerAddress, catchUpTimeout)) {
+            connection->setDeadline(catchUpTimeout);
+            auto head = absl::StrCat("GET ", target, " HTTP/1.1\r\nHost: ", peerAddress, "\r\nConnection: close\r\n\r\n");
+            ResponseHead response;
+            bool isSent = co_await connection->send(head, nullptr);
+            if (isSent && co_await connection->readHead(response) == TransferEnd::Ok && response.status == 200) {
+                BodyTimes times { catchUpTimeout, maxMirrorTime };
+                auto body = co_await connection->readWholeBody(maxMirrorBytes, times);
+                if (body.end == TransferEnd::Ok)
+                    result = std::move(body.bytes);
+            }
         }
+    } catch (const std::exception& e) {
+        LogLine(LogLevel::Error, "task_failed").with("task", "fetch_from_peer").with("error", e.what());
     }
     connection->close();
     co_return result;
@@ -368,9 +373,9 @@
 
 Awaitable<void> ControlPlane::catchUpFromPeer(std::string peerAddress, std::string name)
 {
-    absl::Cleanup ended = [this] { m_catchingUp = false; };
     auto body = co_await fetchFromPeer(peerAddress, absl::StrCat(mirrorPath, m_mirror.revision()));
     auto update = body ? decodeUpdate(*body) : std::nullopt;
+    m_catchingUp = false;
     LogLine(update ? LogLevel::Info : LogLevel::Warning, "peer_catch_up").with("peer", name).with("from", m_mirror.revision()).with("to", update ? update->revision : 0);
     if (update)
         applyUpdate(*update);
@@ -391,8 +396,8 @@
 
 Awaitable<void> ControlPlane::takeConfigurationFromPeer(std::string peerAddress, std::string name)
 {
-    absl::Cleanup ended = [this] { m_fetchingConfiguration = false; };
     auto text = co_await fetchFromPeer(peerAddress, configurationPath);
+    m_fetchingConfiguration = false;
     if (!text) {
         LogLine(LogLevel::Warning, "peer_configuration_not_delivered").with("peer", name);
         co_return;
--- a/src/edge/rollout_controller.cpp
+++ b/src/edge/rollout_controller.cpp
@@ -4,8 +4,6 @@
 #include "adapters/wall_clock.h"
 #include "core/membership/store_revision.h"
 
-#include <absl/cleanup/cleanup.h>
-
 namespace skylarkhitch {
 
 namespace {
@@ -145,7 +143,17 @@
 
 Awaitable<void> RolloutController::writeRecord(ServiceId service, RolloutRecord record, std::int64_t recordRevision)
 {
-    absl::Cleanup ended = [this, service] { m_pendingWrites.erase(service); };
+    try {
+        co_await tryToWriteRecord(service, record, recordRevision);
+    } catch (const std::exception& e) {
+        LogLine(LogLevel::Error, "rollout_not_written").with("service", service.value).with("stage", stageName(record.stage)).with("error", e.what());
+    }
+    co_await sleepFor(m_loop, writePause);
+    m_pendingWrites.erase(service);
+}
+
+Awaitable<void> RolloutController::tryToWriteRecord(const ServiceId& service, const RolloutRecord& record, std::int64_t recordRevision)
+{
     auto request = platform::transactionRequest(platform::rolloutTransaction(service, record, recordRevision));
     auto response = co_await m_store.call(std::move(request), "rollout");
     // After a conflict or without a response, the watch delivers the current record, and the next evaluation decides again.
@@ -154,7 +162,6 @@
         m_onChange();
     } else
         LogLine(LogLevel::Warning, "rollout_not_written").with("service", service.value).with("stage", stageName(record.stage)).with("status", response.status);
-    co_await sleepFor(m_loop, writePause);
 }
 
 std::map<ServiceId, RolloutView> RolloutController::rolloutViews() const
--- a/src/edge/rollout_controller.h
+++ b/src/edge/rollout_controller.h
@@ -57,6 +57,8 @@
     bool mayWrite(const ServiceId&) const;
     void startRecordWrite(const ServiceId&, RolloutRecord);
     Awaitable<void> writeRecord(ServiceId, RolloutRecord, std::int64_t recordRevision);
+    // The write itself. An exception may leave it.
+    Awaitable<void> tryToWriteRecord(const ServiceId&, const RolloutRecord&, std::int64_t recordRevision);
 
     EventLoop& m_loop;
     StoreClient& m_store;
--- a/test/processes/planned_stop_test.cpp
+++ b/test/processes/planned_stop_test.cpp
@@ -441,3 +441,20 @@
         CHECK(instance.linesContaining("unanswered=0").size() == 1);
     }
 }
+
+// Guards against a process that ends by a fault of its own, and loses the last lines of its log, because work of the control thread
+// ends after what it refers to.
+TEST_CASE("an instance that ends while it writes the stage of a roll-out ends in order")
+{
+    Site site;
+    EdgeInstance instance("edge-1", site.store.address());
+    REQUIRE(waitUntil(5s, [&] { return instance.isReady(); }));
+    site.store.put("op/rollout/assist", R"({"backend":"assist","target":"v2","durationS":30})");
+    REQUIRE(waitUntil(3s, [&] { return site.store.find("status/rollout/assist").has_value(); }));
+    // The second signal ends the drain at once, within the pause after the write.
+    instance.signal(SIGINT);
+    REQUIRE(waitUntil(1s, [&] { return instance.linesContaining("what=signal name=SIGINT stopping=no").size() == 1; }));
+    instance.signal(SIGINT);
+    CHECK(instance.process().waitForExit(Seconds(2)) == 0);
+    CHECK(instance.linesContaining("what=stopped").size() == 1);
+}
