Read sums of digests up to 2^60, and keep sums of sums in range

What callers saw: nothing.

Change: such sums are read up to 2^60, and stay there when they are added to each other, which two of them can be without overflow.

--- a/src/core/bounded_document.h
+++ b/src/core/bounded_document.h
@@ -28,6 +28,8 @@
 
 // The largest whole number that all readers of JSON read exactly. Sums of it over thousands of terms do not overflow.
 constexpr std::int64_t maxWholeNumber = std::int64_t { 1 } << 53;
+// The largest sum that instances tell each other. Two of them can be added.
+constexpr std::int64_t maxSum = std::int64_t { 1 } << 60;
 // The longest time that a document may state: a year, so that it can be added to any point in time.
 constexpr Milliseconds maxStatedTime { std::chrono::hours(24 * 365) };
 // Points in time that may be stated, in microseconds since the epoch: some thousand years.
--- a/src/core/membership/fleet_digest.cpp
+++ b/src/core/membership/fleet_digest.cpp
@@ -79,7 +79,7 @@
             auto byte = bytes[position++];
             value |= static_cast<std::uint64_t>(byte & 0x7f) << shift;
             if (byte < 0x80)
-                return std::min(static_cast<std::int64_t>(value), maxWholeNumber);
+                return std::min(static_cast<std::int64_t>(value), maxSum);
         }
         return std::nullopt;
     }
--- a/src/core/membership/fleet_relay.cpp
+++ b/src/core/membership/fleet_relay.cpp
@@ -1,5 +1,6 @@
 #include "core/membership/fleet_relay.h"
 
+#include "core/bounded_document.h"
 #include "core/hashing.h"
 
 #include <algorithm>
@@ -11,8 +12,9 @@
     void addWork(std::map<UpstreamId, UpstreamWork>& sum, const std::map<UpstreamId, UpstreamWork>& work)
     {
         for (const auto& [id, it] : work) {
-            sum[id].requests += it.requests;
-            sum[id].waitingTokens += it.waitingTokens;
+            auto& target = sum[id];
+            target.requests = std::min(maxSum, target.requests + it.requests);
+            target.waitingTokens = std::min(maxSum, target.waitingTokens + it.waitingTokens);
         }
     }
 
