--- a/test/correctness/platform_test.cpp
+++ b/test/correctness/platform_test.cpp
@@ -1,6 +1,8 @@
 // Tests the codecs between the platform's formats and the router's types.
 
 #include "core/limits/upstream_pauses.h"
+#include "core/requests/admit_request.h"
+#include "core/routing/upstream_balancer.h"
 #include "platform/request_codec.h"
 #include "platform/store_codec.h"
 
@@ -274,3 +276,64 @@
     CHECK(configuration->services.at({ "a" }).coldRequestsPerSecond == 12.5);
     CHECK(configuration->services.at({ "b" }).coldRequestsPerSecond == 0);
 }
+
+// Guards against a number of one caller that decides where the requests of all others go, or for which a request that fits is refused.
+TEST_CASE("numbers of callers that cannot be change nothing for others and refuse nothing")
+{
+    const TimePoint now { 100s };
+    UpstreamBalancer balancer { 7 };
+    auto entry = [](const std::string& id) { return UpstreamEntry { { id }, { "assist" }, "10.0.0.1:80", { "a" }, "v1", 8, true, 1, {} }; };
+    std::vector<UpstreamEntry> entries { entry("e1"), entry("e2") };
+    auto decoded = [](const std::string& counts) {
+        RoutedRequest request;
+        decodeRequest({ { "X-Attempt-Id", "r" }, { "X-Token-Count", counts } }, request);
+        return request;
+    };
+    RoutedService engines { { "assist" }, "/", 0, EngineProfile {} };
+    // How many of 100 requests go to an engine.
+    auto requestsTo = [&](const std::string& id) {
+        auto request = decoded("900,50");
+        std::vector<UpstreamId> tried;
+        UpstreamQuery query { &request, &engines, { &entries[0], &entries[1] }, &tried, { "a" } };
+        int count = 0;
+        for (int n = 0; n < 100; ++n)
+            count += balancer.choose(query, now)->id.value == id ? 1 : 0;
+        return count;
+    };
+
+    SECTION("a prompt of less than no tokens attracts no other request")
+    {
+        balancer.sent({ "e1" }, decoded("-9000000000,50").promptTokens);
+        CHECK(requestsTo("e1") <= 50);
+    }
+    SECTION("a prompt that is longer than any does not decide the lengths that are typical")
+    {
+        for (int n = 0; n < 100; ++n)
+            balancer.recordPrompt("draft", decoded("900,50").promptTokens);
+        balancer.recordPrompt("other", decoded("9223372036854775807,50").promptTokens);
+        for (int n = 0; n < 100; ++n)
+            balancer.recordPrompt("draft", decoded("900,50").promptTokens);
+        CHECK(balancer.promptRatio("draft") > 0.1);
+    }
+    SECTION("a caller that states the longest time has the time of the route")
+    {
+        auto configuration = std::make_shared<RoutingConfiguration>();
+        Route route;
+        route.host = "a.example";
+        route.prefix = "/";
+        route.timeout = 3000ms;
+        route.split = { { { "assist" }, 1 } };
+        configuration->routes = { route };
+        configuration->services[{ "assist" }] = engines;
+        for (const char* it : { "9223372036854775807", "9223372036854775" }) {
+            AdmittedRequest admitted;
+            admitted.configuration = configuration;
+            decodeRequest({ { "Host", "a.example" }, { "X-Attempt-Id", "r" }, { "X-Deadline-Ms", it } }, admitted.request);
+            admitted.request.target = "/x";
+            admitted.request.body = std::make_shared<const std::string>();
+            CAPTURE(it);
+            CHECK(admitRequest(admitted, now) == ErrorKind::None);
+            CHECK(admitted.deadline == now + 3000ms);
+        }
+    }
+}
