Let no limit on heads wrap around

What callers would see: 431 for each request once a configuration states a limit on heads of 4 GB or more. Cause: the parser's limit has 32 bits, and the configuration's was cut to them. It is now the smaller of the two.

--- a/src/edge/request_reader.cpp
+++ b/src/edge/request_reader.cpp
@@ -2,7 +2,9 @@
 
 #include <absl/strings/ascii.h>
 #include <absl/strings/string_view.h>
+#include <algorithm>
 #include <boost/asio/buffer.hpp>
+#include <limits>
 
 namespace skylarkhitch {
 
@@ -46,7 +48,8 @@
     : m_maxHeadBytes(maxHeadBytes)
 {
     m_parser.eager(true);
-    m_parser.header_limit(static_cast<std::uint32_t>(maxHeadBytes + headTerminator.size()));
+    // The parser's own limit has 32 bits.
+    m_parser.header_limit(static_cast<std::uint32_t>(std::min<std::size_t>(maxHeadBytes + headTerminator.size(), std::numeric_limits<std::uint32_t>::max())));
     m_parser.body_limit(maxBodyBytes);
 }
 
--- a/test/correctness/caller_connection_test.cpp
+++ b/test/correctness/caller_connection_test.cpp
@@ -208,3 +208,15 @@
     for (auto& it : callers)
         CHECK(absl::StartsWith(it->readResponse(2s), "HTTP/1.1 200"));
 }
+
+// Guards against a limit that the configuration allows, but that refuses every request of all callers.
+TEST_CASE("the largest limits that a configuration may state refuse no request")
+{
+    auto handler = [](std::shared_ptr<CallerConnection> connection, ReceivedRequest) -> Awaitable<void> {
+        EdgeResponse response { .status = 200 };
+        co_await connection->respond(std::move(response));
+    };
+    auto bytes = GENERATE(std::size_t { 1 } << 32, std::size_t { 1 } << 40);
+    Server server(handler, { .maxHeaderBytes = bytes, .maxBodyBytes = bytes });
+    CHECK(absl::StartsWith(server.request("/x"), "HTTP/1.1 200"));
+}
