Test that the end of a stop is over before the platform's kill

A machine with 12 ms of each 100, fifteen requests whose upstreams never answer: the process has ended, and each has its 502, before the kill 4 s after SIGTERM.

--- a/test/processes/planned_stop_test.cpp
+++ b/test/processes/planned_stop_test.cpp
@@ -458,3 +458,44 @@
     CHECK(instance.process().waitForExit(Seconds(2)) == 0);
     CHECK(instance.linesContaining("what=stopped").size() == 1);
 }
+
+// Guards against answers that would come only after the platform has killed the process, which is 4 s after SIGTERM.
+TEST_CASE("on a small machine the end of a stop is over before the platform kills the process")
+{
+    // What an instance has at work, on a machine with an eighth of a core that is shared out in periods of 100 ms.
+    constexpr int count = 15;
+    constexpr auto period = 100ms, share = 12ms;
+    Site site;
+    EdgeInstance instance("edge-1", site.store.address());
+    REQUIRE(waitUntil(5s, [&] { return instance.isReady(); }));
+    workAsAsked(site);
+    serveSome(instance, Kind::Booking, 50ms);
+    serveSome(instance, Kind::Draft, 50ms);
+    instance.signal(SIGTERM);
+    auto stoppedAt = Clock::now();
+    auto neverAnswer = [](const RawRequest&, RawConnection& connection) { return !connection.isClosedWithin(10s); };
+    site.setScripts(neverAnswer);
+    site.setEngineScripts(neverAnswer);
+    std::this_thread::sleep_until(stoppedAt + 2400ms);
+    std::vector<Call> calls;
+    for (int n = 0; n < count; ++n) {
+        calls.push_back({ n % 3 == 2 ? Kind::Draft : Kind::Booking, absl::StrCat("id-", n), RawConnection::connect(instance.port()) });
+        REQUIRE(calls.back().connection);
+        calls.back().connection->write(bytesOf(calls.back().kind, calls.back().id, 50ms));
+    }
+    std::this_thread::sleep_until(stoppedAt + 3400ms);
+    while (!instance.process().exitStatus() && Clock::now() < stoppedAt + EdgeInstance::stopGrace) {
+        instance.signal(SIGSTOP);
+        std::this_thread::sleep_for(period - share);
+        instance.signal(SIGCONT);
+        std::this_thread::sleep_for(share);
+    }
+    bool hasEnded = instance.process().exitStatus().has_value();
+    instance.kill();
+    CHECK(hasEnded);
+    for (const auto& it : calls) {
+        auto response = it.connection->readResponse();
+        CAPTURE(it.id, response.substr(0, shownBytes));
+        CHECK(statusOf(response) == 502);
+    }
+}
