--- a/test/soak/soak_site.h
+++ b/test/soak/soak_site.h
@@ -58,7 +58,7 @@
     void kill(EdgeInstance&);
     void restart(EdgeInstance&);
     void start(EdgeInstance&);
-    // Sends SIGTERM to an instance. Its grace period begins with the first one, or as the process runs again if it is paused.
+    // Sends SIGTERM to an instance. Its grace period begins with the first one, or when the process runs again if it is paused.
     void stop(EdgeInstance&);
     void pause(EdgeInstance&);
     void resume(EdgeInstance&);
