--- a/src/daemon/operator_api.cpp
+++ b/src/daemon/operator_api.cpp
@@ -1,5 +1,9 @@
 #include "daemon/operator_api.h"
 
+#include "adapters/callback_guard.h"
+#include "core/bounded_document.h"
+
+#include <absl/strings/numbers.h>
 #include <nlohmann/json.hpp>
 
 namespace skylarkhitch {
@@ -11,9 +15,19 @@
     constexpr Milliseconds storeTimeout { 5000 };
     constexpr std::string_view ledgerPrefix = "ledger/";
 
+    // A discarded value if the text is no JSON within the bounds of documents.
+    Json parseOrDiscard(const std::string& text)
+    {
+        try {
+            return parseJson(text);
+        } catch (const std::exception&) {
+            return Json(Json::value_t::discarded);
+        }
+    }
+
     void respondJson(HttpReply& reply, int status, const Json& json)
     {
-        reply.respond(status, { { "Content-Type", "application/json" } }, json.dump());
+        reply.respond(status, { { "Content-Type", "application/json" } }, json.dump(-1, ' ', false, Json::error_handler_t::replace));
     }
 
     const char* stateName(MemberState state)
@@ -106,13 +120,24 @@
         return history;
     }
 
+    // Returns the number of the shard that a key of the ledger belongs to.
+    std::optional<std::uint32_t> shardOf(const std::string& key)
+    {
+        std::uint32_t shard = 0;
+        if (key.size() < ledgerPrefix.size() || !absl::SimpleAtoi(key.substr(ledgerPrefix.size(), 2), &shard))
+            return std::nullopt;
+        return shard;
+    }
+
     // Sums the bills of all shards that can be decoded; the others are left out. LedgerIndex counts each key once, even if a
     // shard holds several copies of its record.
     Json billsJson(const StoreReply& reply)
     {
         std::map<std::uint32_t, std::vector<StoreItem>> shards;
-        for (const auto& item : reply.items)
-            shards[static_cast<std::uint32_t>(std::stoul(item.key.substr(ledgerPrefix.size(), 2)))].push_back(item);
+        for (const auto& item : reply.items) {
+            if (auto shard = shardOf(item.key))
+                shards[*shard].push_back(item);
+        }
         std::map<TeamId, Bill> bills;
         for (auto& [shard, items] : shards) {
             auto contents = decodeShard(shard, std::move(items));
@@ -183,6 +208,7 @@
         m_metrics.setGauge("records_unsettled", static_cast<double>(router.ledger().unconfirmedRecords()));
         m_metrics.setGauge("records_held", static_cast<double>(router.ledger().heldRecords()));
         m_metrics.setGauge("store_calls", static_cast<double>(router.store().sent()));
+        m_metrics.setGauge("failed_callbacks", static_cast<double>(failedCallbacks()));
         m_metrics.setGauge("members", static_cast<double>(router.membership().members().size() + 1));
         if (m_peers) {
             auto counts = m_peers->counts();
@@ -200,17 +226,20 @@
     m_control.postTask([reply](Router& router, TimePoint, Outbox&) {
         const auto& document = router.configManager().document();
         Json json = { { "revision", document.revision }, { "author", document.author }, { "history", historyJson(document) } };
-        json["configuration"] = document.text.empty() ? Json() : Json::parse(document.text, nullptr, false);
+        json["configuration"] = document.text.empty() ? Json() : parseOrDiscard(document.text);
         respondJson(*reply, 200, json);
     });
 }
 
 void OperatorApi::serveEdit(const HttpRequest& request, const std::shared_ptr<HttpReply>& reply)
 {
-    auto json = Json::parse(request.body, nullptr, false);
-    bool valid = json.is_object() && json.value("edit_id", Json()).is_string() && json.value("base", Json()).is_number_unsigned() && json.value("configuration", Json()).is_object();
+    auto json = parseOrDiscard(request.body);
+    auto has = [&](const char* name, bool (*isOfType)(const Json&)) { return json.contains(name) && isOfType(json[name]); };
+    auto isText = [](const Json& it) { return it.is_string(); };
+    bool valid = json.is_object() && has("edit_id", isText) && has("base", [](const Json& it) { return it.is_number_unsigned(); })
+        && has("configuration", [](const Json& it) { return it.is_object(); }) && (!json.contains("author") || has("author", isText));
     if (!valid)
-        return respondJson(*reply, 400, { { "error", "expected an object with edit_id, base and configuration" } });
+        return respondJson(*reply, 400, { { "error", "expected an object with edit_id, base, configuration and, if it is given, author as text, nested at most " + std::to_string(maxDocumentDepth) + " levels deep" } });
     EditRequested edit;
     edit.base = json["base"];
     edit.document.editId = json["edit_id"];
--- a/src/daemon/platform_poller.cpp
+++ b/src/daemon/platform_poller.cpp
@@ -1,28 +1,15 @@
 #include "daemon/platform_poller.h"
 
-#include <nlohmann/json.hpp>
+#include "adapters/callback_guard.h"
+#include "daemon/platform_documents.h"
 
 namespace skylarkhitch {
 
 namespace {
 
-    using Json = nlohmann::json;
-
     constexpr Milliseconds listTimeout { 2000 };
     constexpr Milliseconds loadTimeout { 1000 };
 
-    LoadReported parseLoadReport(const UpstreamId& id, TimePoint askedAt, const HttpResult& result)
-    {
-        LoadReported report { .upstream = id, .askedAt = askedAt, .reachable = result.end == HttpEnd::Complete };
-        auto json = Json::parse(result.body, nullptr, false);
-        if (!json.is_object())
-            return report;
-        report.running = json.value("running", std::int64_t { 0 });
-        report.waiting = json.value("waiting", std::int64_t { 0 });
-        report.leaving = json.value("leaving", false);
-        return report;
-    }
-
 }
 
 PlatformPoller::PlatformPoller(PollerSettings settings, HttpClient& client, ControlLoop& control, PeerTransport* peers)
@@ -54,11 +41,11 @@
         auto now = Clock::now();
         if (now >= nextList && !m_settings.listAddress.empty()) {
             nextList = now + m_settings.listPeriod;
-            requestInstanceList();
+            runGuarded("instance_list", [this] { requestInstanceList(); });
         }
         if (now >= nextLoad) {
             nextLoad = now + m_settings.loadPeriod;
-            requestLoads();
+            runGuarded("loads", [this] { requestLoads(); });
         }
         auto next = m_settings.listAddress.empty() ? nextLoad : std::min(nextList, nextLoad);
         m_stopRequested.wait_until(lock, next, [&] { return m_stopping; });
@@ -73,21 +60,14 @@
 
 void PlatformPoller::onInstanceList(const HttpResult& result)
 {
-    auto json = Json::parse(result.body, nullptr, false);
-    if (result.end != HttpEnd::Complete || !json.is_array())
+    auto list = parseInstanceList(result);
+    if (!list)
         return;
-    InstancesListed listed;
-    for (const auto& it : json) {
-        if (!it.is_object())
-            continue;
-        bool isEntry = it.value("role", "") == "entry";
-        ListedInstance instance { it.value("id", ""), isEntry ? InstanceRole::Entry : InstanceRole::Upstream, it.value("address", ""), it.value("state", "") == "leaving" };
-        auto peerAddress = it.value("peer_address", "");
-        if (isEntry && m_peers && !peerAddress.empty())
-            m_peers->setAddress({ instance.id }, peerAddress);
-        listed.instances.push_back(std::move(instance));
+    if (m_peers) {
+        for (const auto& [id, address] : list->peerAddresses)
+            m_peers->setAddress(id, address);
     }
-    m_control.post(std::move(listed));
+    m_control.post(std::move(list->listed));
 }
 
 void PlatformPoller::requestLoads()
