--- a/src/core/limits/stop_admission.cpp
+++ b/src/core/limits/stop_admission.cpp
@@ -9,31 +9,26 @@
 
     Milliseconds scaled(Milliseconds time, double factor)
     {
-        return Milliseconds(
-            static_cast<std::int64_t>(static_cast<double>(time.count()) * factor));
+        return Milliseconds(static_cast<std::int64_t>(static_cast<double>(time.count()) * factor));
     }
 
-    // The time that only the tolerated part of the requests exceeds. `times` is not
-    // empty.
+    // The time that only the tolerated part of the requests exceeds. `times` is not empty.
     Milliseconds slowTime(std::vector<Milliseconds>& times, CutCost cutCost)
     {
-        auto exceeding = cutCost == CutCost::Repeatable
-            ? times.size() / StopAdmission::slowDivisor
-            : 0;
+        auto exceeding = cutCost == CutCost::Repeatable ? times.size() / StopAdmission::slowDivisor : 0;
         auto position = times.end() - 1 - static_cast<std::ptrdiff_t>(exceeding);
         std::nth_element(times.begin(), position, times.end());
         return *position;
     }
 
-} // namespace
+}
 
 void StopAdmission::began(const std::string& route, TimePoint at)
 {
     m_routes[route].running.insert(at);
 }
 
-void StopAdmission::ended(const std::string& route, TimePoint beganAt,
-    bool isWhole, TimePoint now)
+void StopAdmission::ended(const std::string& route, TimePoint beganAt, bool isWhole, TimePoint now)
 {
     auto& times = m_routes[route];
     auto it = times.running.find(beganAt);
@@ -53,14 +48,11 @@
 {
     for (auto it = m_routes.begin(); it != m_routes.end();) {
         dropOld(it->second, now);
-        it = it->second.ended.empty() && it->second.running.empty()
-            ? m_routes.erase(it)
-            : std::next(it);
+        it = it->second.ended.empty() && it->second.running.empty() ? m_routes.erase(it) : std::next(it);
     }
 }
 
-std::optional<Milliseconds> StopAdmission::expectedTime(const PendingWork& work,
-    TimePoint now) const
+std::optional<Milliseconds> StopAdmission::expectedTime(const PendingWork& work, TimePoint now) const
 {
     std::vector<Milliseconds> seen, atLeast;
     if (auto it = m_routes.find(work.route); it != m_routes.end()) {
@@ -89,8 +81,7 @@
     return std::max(scaled(base, margin), minTime);
 }
 
-bool StopAdmission::fits(const PendingWork& work, TimePoint exitAt,
-    TimePoint now) const
+bool StopAdmission::fits(const PendingWork& work, TimePoint exitAt, TimePoint now) const
 {
     if (work.deadline <= exitAt)
         return true;
@@ -98,4 +89,4 @@
     return time && now + *time <= exitAt;
 }
 
-} // namespace skylarkhitch
+}
--- a/test/processes/planned_stop_test.cpp
+++ b/test/processes/planned_stop_test.cpp
@@ -441,3 +441,61 @@
         CHECK(instance.linesContaining("unanswered=0").size() == 1);
     }
 }
+
+// Guards against a process that ends by a fault of its own, and loses the last lines of its log, because work of the control thread
+// ends after what it refers to.
+TEST_CASE("an instance that ends while it writes the stage of a roll-out ends in order")
+{
+    Site site;
+    EdgeInstance instance("edge-1", site.store.address());
+    REQUIRE(waitUntil(5s, [&] { return instance.isReady(); }));
+    site.store.put("op/rollout/assist", R"({"backend":"assist","target":"v2","durationS":30})");
+    REQUIRE(waitUntil(3s, [&] { return site.store.find("status/rollout/assist").has_value(); }));
+    // The second signal ends the drain at once, within the pause after the write.
+    instance.signal(SIGINT);
+    REQUIRE(waitUntil(1s, [&] { return instance.linesContaining("what=signal name=SIGINT stopping=no").size() == 1; }));
+    instance.signal(SIGINT);
+    CHECK(instance.process().waitForExit(Seconds(2)) == 0);
+    CHECK(instance.linesContaining("what=stopped").size() == 1);
+}
+
+// Guards against answers that would come only after the platform has killed the process, which is 4 s after SIGTERM.
+TEST_CASE("on a small machine the end of a stop is over before the platform kills the process")
+{
+    // What an instance has at work, on a machine with an eighth of a core that is shared out in periods of 100 ms.
+    constexpr int count = 15;
+    constexpr auto period = 100ms, share = 12ms;
+    Site site;
+    EdgeInstance instance("edge-1", site.store.address());
+    REQUIRE(waitUntil(5s, [&] { return instance.isReady(); }));
+    workAsAsked(site);
+    serveSome(instance, Kind::Booking, 50ms);
+    serveSome(instance, Kind::Draft, 50ms);
+    instance.signal(SIGTERM);
+    auto stoppedAt = Clock::now();
+    auto neverAnswer = [](const RawRequest&, RawConnection& connection) { return !connection.isClosedWithin(10s); };
+    site.setScripts(neverAnswer);
+    site.setEngineScripts(neverAnswer);
+    std::this_thread::sleep_until(stoppedAt + 2400ms);
+    std::vector<Call> calls;
+    for (int n = 0; n < count; ++n) {
+        calls.push_back({ n % 3 == 2 ? Kind::Draft : Kind::Booking, absl::StrCat("id-", n), RawConnection::connect(instance.port()) });
+        REQUIRE(calls.back().connection);
+        calls.back().connection->write(bytesOf(calls.back().kind, calls.back().id, 50ms));
+    }
+    std::this_thread::sleep_until(stoppedAt + 3400ms);
+    while (!instance.process().exitStatus() && Clock::now() < stoppedAt + EdgeInstance::stopGrace) {
+        instance.signal(SIGSTOP);
+        std::this_thread::sleep_for(period - share);
+        instance.signal(SIGCONT);
+        std::this_thread::sleep_for(share);
+    }
+    bool hasEnded = instance.process().exitStatus().has_value();
+    instance.kill();
+    CHECK(hasEnded);
+    for (const auto& it : calls) {
+        auto response = it.connection->readResponse();
+        CAPTURE(it.id, response.substr(0, shownBytes));
+        CHECK(statusOf(response) == 502);
+    }
+}
