Let a stream that has begun go on elsewhere during a drain

Cause: "Pass on only what can be answered before the exit" holds each time a request would be sent. A stream whose upstream falls silent is sent to another one after 2.5 s; where that was not expected to fit, it was broken off at once. A silent upstream is no reason to end a response sooner, and a response that has begun gains nothing from being refused.

Change: a response that has begun may go on elsewhere until shortly before the exit. Where no other upstream may be tried any more, the one that has the request keeps it until its time limit.

--- a/src/edge/request_forwarder.cpp
+++ b/src/edge/request_forwarder.cpp
@@ -225,6 +225,9 @@
 
 bool RequestForwarder::fitsBeforeExit(TimePoint now) const
 {
+    // A response that has begun would be broken off at once if it did not go on elsewhere.
+    if (m_caller->hasStartedResponse())
+        return !m_traffic.isExiting(now);
     const auto& route = *m_admitted.route;
     PendingWork work { route.name, route.isRetryable() ? CutCost::Repeatable : CutCost::Final, m_admitted.deadline };
     // A call that takes longer would be sent again elsewhere.
@@ -763,7 +766,10 @@
     return std::max(Milliseconds(0), toMilliseconds(m_admitted.deadline - bootNow()));
 }
 
-bool RequestForwarder::mayTryAnother() const { return m_admitted.route->isRetryable() && m_possibleRuns < m_admitted.route->maxAttempts; }
+bool RequestForwarder::mayTryAnother() const
+{
+    return m_admitted.route->isRetryable() && m_possibleRuns < m_admitted.route->maxAttempts && fitsBeforeExit(bootNow());
+}
 
 Milliseconds RequestForwarder::responseTimeout() const
 {
--- a/test/processes/planned_stop_test.cpp
+++ b/test/processes/planned_stop_test.cpp
@@ -442,6 +442,36 @@
     }
 }
 
+// Guards against streams that break off in the middle of a drain because their upstream is silent for a while: no request of the route is
+// expected to end before the exit, so none would be sent again.
+TEST_CASE("a stream that has begun goes on during a drain although its upstream falls silent")
+{
+    Site site;
+    std::atomic<bool> isSilent = true;
+    site.setEngineScripts([&](const RawRequest& request, RawConnection& connection) {
+        // The first engine that is asked is silent after its first event, and longer than an instance waits.
+        if (isSilent.exchange(false)) {
+            connection.write(absl::StrCat("HTTP/1.1 200 OK\r\nX-Attempt-Id: ", request.field("X-Attempt-Id"), "\r\nX-Server-Seal: s\r\nX-Confidence: 100\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", chunk("id: 1\ndata: piece 1\n\n")));
+            return !connection.isClosedWithin(5s);
+        }
+        return streamEvents(3, 20ms)(request, connection);
+    });
+    site.store.put("op/config", absl::StrReplaceAll(sampleConfiguration(8), { { "\"timeoutMs\":3000", "\"timeoutMs\":10000" } }));
+    EdgeInstance instance("edge-1", site.store.address());
+    REQUIRE(waitUntil(5s, [&] { return instance.isReady(); }));
+    auto connection = RawConnection::connect(instance.port());
+    REQUIRE(connection);
+    // Its time limit ends after the exit, and an instance waits for half of it.
+    connection->write(bytesOf(Kind::Draft, "id-1", 0ms, 4200ms));
+    REQUIRE(connection->readUntil([](const std::string& in) { return absl::StrContains(in, "piece 1"); }, 2s));
+    instance.signal(SIGTERM);
+    auto response = connection->readResponse(4s);
+    CAPTURE(response.substr(0, shownBytes));
+    CHECK(absl::StrContains(response, "piece 3"));
+    CHECK(absl::EndsWith(response, "0\r\n\r\n"));
+    CHECK(instance.process().waitForExit(Seconds(5)) == 0);
+}
+
 // Guards against a process that ends by a fault of its own, and loses the last lines of its log, because work of the control thread
 // ends after what it refers to.
 TEST_CASE("an instance that ends while it writes the stage of a roll-out ends in order")
