Log which end of its connection left a request unanswered

Change: CallerConnection::run(), through which each request passes, writes one line "connection_closed_unanswered" for a request whose response is not complete when its handler has ended: id, end, whether the response had begun, time, requests on the connection, and the error of the socket. A request that is answered writes none.

--- a/src/edge/caller_connection.cpp
+++ b/src/edge/caller_connection.cpp
@@ -70,6 +70,9 @@
         m_isHeadRequest = request.method == "HEAD";
         m_isServing = true;
         m_hasStartedResponse = false;
+        m_hasCompletedResponse = false;
+        m_requestId.clear();
+        m_servingSince = bootNow();
         // Also starts the watch for the caller's disconnect, unless the caller is already gone.
         onReadable();
         if (m_hasDisconnected) {
@@ -82,6 +85,8 @@
         --m_server->requests;
         m_isServing = false;
         m_onDisconnect = nullptr;
+        if (!m_hasCompletedResponse)
+            logUnanswered();
     }
     m_deadline.clear();
     boost::system::error_code ec;
@@ -101,7 +106,7 @@
     } catch (const std::exception& e) {
         failure = e.what();
     }
-    LogLine(LogLevel::Error, "handler_failed").with("error", failure);
+    LogLine(LogLevel::Error, "handler_failed").with("id", m_requestId).with("error", failure);
     // The callback belongs to the handler, which has ended.
     m_onDisconnect = nullptr;
     m_keepAlive = false;
@@ -204,7 +209,8 @@
     m_hasStartedResponse = true;
     auto framing = forbidsBody(response.status) ? std::string() : absl::StrCat("Content-Length: ", response.body.size(), "\r\n");
     auto body = m_isHeadRequest ? std::string_view() : std::string_view(response.body);
-    co_return co_await write(serializeHead(response, framing), body);
+    m_hasCompletedResponse = co_await write(serializeHead(response, framing), body);
+    co_return m_hasCompletedResponse;
 }
 
 Awaitable<bool> CallerConnection::beginBody(EdgeResponse response)
@@ -223,7 +229,8 @@
 
 Awaitable<bool> CallerConnection::endBody()
 {
-    co_return co_await write("0\r\n\r\n", {});
+    m_hasCompletedResponse = co_await write("0\r\n\r\n", {});
+    co_return m_hasCompletedResponse;
 }
 
 Awaitable<bool> CallerConnection::write(std::string head, std::string_view body)
@@ -321,6 +328,15 @@
         line.with("error", m_error.message());
 }
 
+void CallerConnection::logUnanswered() const
+{
+    LogLine line(m_end == ConnectionEnd::ClosedByCaller ? LogLevel::Info : LogLevel::Warning, "connection_closed_unanswered");
+    line.with("id", m_requestId).with("end", connectionEndName(m_end)).with("response", m_hasStartedResponse ? "begun" : "none");
+    line.with("ms", toMilliseconds(bootNow() - m_servingSince).count()).with("requests", m_requests);
+    if (m_end == ConnectionEnd::SocketError)
+        line.with("error", m_error.message());
+}
+
 HttpListener::HttpListener(EventLoop& loop, const std::string& address, std::shared_ptr<ServerState> server)
     : m_loop(loop)
     , m_acceptor(loop, tcpEndpoint(address), true)
--- a/src/edge/caller_connection.h
+++ b/src/edge/caller_connection.h
@@ -88,6 +88,8 @@
     // Whether the caller has disconnected or the connection was aborted.
     bool hasDisconnected() const { return m_hasDisconnected; }
     ConnectionEnd end() const { return m_end; }
+    // The id by which log lines name the request that is served.
+    void setRequestId(std::string id) { m_requestId = std::move(id); }
     // The callback runs at most once, when the caller disconnects before the handler has returned. abort() does not run it.
     void onDisconnect(std::function<void()> callback) { m_onDisconnect = std::move(callback); }
     // Whether writing of the response to the current request has started.
@@ -113,6 +115,8 @@
     void onDeadline();
     void handleDisconnect(ConnectionEnd);
     void logClose() const;
+    // Logs the end of a connection whose request has no complete response.
+    void logUnanswered() const;
 
     EventLoop& m_loop;
     TcpSocket m_socket;
@@ -128,11 +132,15 @@
     // Whether a part of the next request was read.
     bool m_requestStarted = false;
     std::int64_t m_requests = 0;
+    std::string m_requestId;
+    TimePoint m_servingSince {};
     // The deadline for reading has passed.
     bool m_isOverdue = false;
     bool m_waitingForInput = false;
     bool m_isServing = false;
     bool m_hasStartedResponse = false;
+    // All bytes of the response have been written to the socket.
+    bool m_hasCompletedResponse = false;
     bool m_hasDisconnected = false;
     bool m_keepAlive = true;
     // The response to a HEAD request has no body, whatever its Content-Length.
--- a/src/edge/request_forwarder.cpp
+++ b/src/edge/request_forwarder.cpp
@@ -162,6 +162,7 @@
     request.target = m_received.target;
     request.body = m_received.body;
     platform::decodeRequest(m_received.fields, request);
+    m_caller->setRequestId(request.id.value);
     m_view = m_traffic.view();
     m_admitted.configuration = m_view ? m_view->configuration : nullptr;
     if (auto error = admitRequest(m_admitted, m_received.receivedAt); error != ErrorKind::None)
--- a/test/processes/edge_test.cpp
+++ b/test/processes/edge_test.cpp
@@ -963,3 +963,57 @@
     CHECK(absl::StrContains(crashLines.front(), "id=id-first"));
     CHECK(absl::StrContains(crashLines.front(), "what=upstream_connection_lost"));
 }
+
+// Guards against a request that was passed on and ends without an answer, while no line says which end of its caller it was.
+TEST_CASE("a connection that closes without an answer is followed from the request's id to the cause")
+{
+    Site site;
+    EdgeInstance instance("edge-1", site.store.address());
+    REQUIRE(waitUntil(5s, [&] { return instance.isReady(); }));
+    auto lineOf = [&](const std::string& id) {
+        auto text = absl::StrCat("what=connection_closed_unanswered id=", id, " ");
+        REQUIRE(waitUntil(2s, [&] { return !instance.linesContaining(text).empty(); }));
+        return instance.linesContaining(text).front();
+    };
+    auto connect = [&] {
+        auto connection = RawConnection::connect(instance.port());
+        connection->write(requestBytes("GET", "/status/x", "id-first"));
+        REQUIRE(statusOf(connection->readResponse()) == 200);
+        return connection;
+    };
+    SECTION("a caller that closes its connection, and one that resets it, before the response")
+    {
+        auto closing = connect();
+        auto resetting = connect();
+        site.setScripts([](const RawRequest&, RawConnection& connection) { return !connection.isClosedWithin(3s); });
+        closing->write(requestBytes("GET", "/status/x", "id-closed"));
+        resetting->write(requestBytes("GET", "/status/x", "id-reset"));
+        REQUIRE(waitUntil(2s, [&] { return site.receivedWithId("id-closed") == 1 && site.receivedWithId("id-reset") == 1; }));
+        closing->shutdown();
+        resetting->reset();
+        auto closed = lineOf("id-closed");
+        CHECK(absl::StrContains(closed, "end=closed_by_caller response=none"));
+        CHECK(absl::StrContains(closed, "requests=2"));
+        CHECK_FALSE(absl::StrContains(closed, "error="));
+        auto wasReset = lineOf("id-reset");
+        CHECK(absl::StrContains(wasReset, "end=socket_error response=none"));
+        CHECK(absl::StrContains(wasReset, "error=\"Connection reset by peer\""));
+    }
+    SECTION("a stream that the instance itself breaks off")
+    {
+        site.setEngineScripts([](const RawRequest& request, RawConnection& connection) {
+            StreamOptions options { .isRunning = [events = 0]() mutable { return events++ == 0; } };
+            return streamEvents(9, 5ms, options)(request, connection);
+        });
+        auto connection = RawConnection::connect(instance.port());
+        connection->write(requestBytes("POST", "/draft/x", "id-broken", "X-Model-Name: *\r\nX-Token-Count: 900,50\r\n", "prompt"));
+        connection->readResponse();
+        CHECK(absl::StrContains(lineOf("id-broken"), "end=aborted response=begun"));
+    }
+    SECTION("a request that is answered leaves no such line")
+    {
+        connect();
+        REQUIRE(waitUntil(2s, [&] { return !instance.linesContaining("what=request id=id-first").empty(); }));
+        CHECK(instance.linesContaining("what=connection_closed_unanswered").empty());
+    }
+}
