Answer a request whose handler returns without a response

What callers would see: nothing until their own time limit; a response that had begun stays open. No handler is known that does this, so this is an invariant that was not checked, and not the cause of a recorded fault. Cause: CallerConnection::serve() took the return of a handler for a response. An exception after a complete response reset the connection. Change: a handler that returns while its caller is there and the response is not complete is logged as "handler_failed" with the id; the caller gets status 500, or a reset if the response had begun. After a complete response nothing is discarded. Evidence: test_caller_connection, "a handler that returns without a response ends its request with an error": 3 checks failed before (no bytes within 2 s, connection not closed), none after.

--- a/src/edge/caller_connection.cpp
+++ b/src/edge/caller_connection.cpp
@@ -102,14 +102,23 @@
     std::string failure;
     try {
         co_await m_server->handler(shared_from_this(), std::move(request));
-        co_return;
+        if (m_hasCompletedResponse || m_hasDisconnected)
+            co_return;
+        failure = "no complete response";
     } catch (const std::exception& e) {
         failure = e.what();
     }
     LogLine(LogLevel::Error, "handler_failed").with("id", m_requestId).with("error", failure);
     // The callback belongs to the handler, which has ended.
     m_onDisconnect = nullptr;
+    co_await endWithError();
+}
+
+Awaitable<void> CallerConnection::endWithError()
+{
     m_keepAlive = false;
+    if (m_hasCompletedResponse)
+        co_return;
     if (m_hasStartedResponse) {
         abort();
         co_return;
--- a/src/edge/caller_connection.h
+++ b/src/edge/caller_connection.h
@@ -52,7 +52,7 @@
 class CallerConnection;
 
 // Serves one request. When the handler returns, it has written the response or aborted the connection, unless the caller has
-// disconnected.
+// disconnected. If it has not, that is logged and the connection answers with an error or is reset.
 using RequestHandler = std::function<Awaitable<void>(std::shared_ptr<CallerConnection>, ReceivedRequest)>;
 
 // State shared by all connections of one server.
@@ -102,8 +102,11 @@
         Rejected };
 
     Awaitable<ReadOutcome> readRequest(ReceivedRequest&);
-    // Calls the handler. If an exception leaves it, the request ends with an error response or a reset.
+    // Calls the handler. If an exception leaves it, or it returns without a response, the request ends with an error response or a
+    // reset.
     Awaitable<void> serve(ReceivedRequest);
+    // Ends the request of a handler that has failed.
+    Awaitable<void> endWithError();
     // Reads more bytes of a request. Once the deadline has passed, takes only what has already arrived.
     Awaitable<bool> readSocket();
     void setReadDeadline(Milliseconds fromNow);
--- a/test/correctness/caller_connection_test.cpp
+++ b/test/correctness/caller_connection_test.cpp
@@ -8,6 +8,8 @@
 #include <atomic>
 #include <catch2/catch.hpp>
 #include <future>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
 #include <thread>
 
 using namespace skylarkhitch;
@@ -34,9 +36,9 @@
         m_thread.join();
     }
 
-    std::unique_ptr<RawConnection> connect() const
+    std::unique_ptr<RawConnection> connect(int receiveBytes = 0) const
     {
-        auto connection = RawConnection::connect(m_port);
+        auto connection = RawConnection::connect(m_port, receiveBytes);
         REQUIRE(connection);
         return connection;
     }
@@ -71,6 +73,40 @@
 
 }
 
+// Guards against callers that wait for a response until their own time limit, because a handler has returned without one.
+TEST_CASE("a handler that returns without a response ends its request with an error")
+{
+    Server server([](std::shared_ptr<CallerConnection> connection, ReceivedRequest request) -> Awaitable<void> {
+        EdgeResponse response { .status = 200 };
+        if (request.target == "/begun") {
+            co_await connection->beginBody(response);
+            co_await connection->writeBody("part");
+        }
+        if (request.target == "/served")
+            co_await connection->respond(response);
+    });
+    SECTION("before the response has started, the caller gets status 500")
+    {
+        auto response = server.request("/silent");
+        CHECK(absl::StartsWith(response, "HTTP/1.1 500"));
+        CHECK(absl::StrContains(response, "Connection: close"));
+    }
+    SECTION("after the response has started, the connection is closed before its last chunk")
+    {
+        auto connection = server.connect();
+        connection->write("GET /begun HTTP/1.1\r\nHost: x\r\n\r\n");
+        CHECK(connection->isClosedWithin(2s));
+    }
+    SECTION("after a response, the connection serves the next request")
+    {
+        auto connection = server.connect();
+        for (int n = 0; n < 2; ++n) {
+            connection->write("GET /served HTTP/1.1\r\nHost: x\r\n\r\n");
+            CHECK(absl::StartsWith(connection->readResponse(2s), "HTTP/1.1 200"));
+        }
+    }
+}
+
 // Guards against connections that close without a response because an exception left the request's handler.
 TEST_CASE("an exception in a handler ends its request with an error")
 {
@@ -81,6 +117,10 @@
             co_await connection->beginBody(response);
             co_await connection->writeBody("part");
         }
+        if (request.target == "/complete") {
+            EdgeResponse whole { .status = 200, .body = "whole" };
+            co_await connection->respond(std::move(whole));
+        }
         if (request.target != "/served")
             throw std::runtime_error("handler failed");
         co_await connection->respond(response);
@@ -96,6 +136,10 @@
         auto response = server.request("/begun");
         CHECK_FALSE(absl::EndsWith(response, "0\r\n\r\n"));
     }
+    SECTION("after the response, the caller has it whole")
+    {
+        CHECK(absl::EndsWith(server.request("/complete"), "whole"));
+    }
     SECTION("the request no longer counts as being served, and others are served")
     {
         server.request("/failing");
