Keep the connection of a caller that waits or reads slowly

What callers saw: a caller that did not read for over two seconds lost its response in the middle (24,576 bytes of 7 MB, then a reset); that of a call that may run once was lost for good. Cause: connections from callers had the options of those to upstreams: keep-alive after 1 s and TCP_USER_TIMEOUT of 2 s. The user timeout also counts while the other side's window is closed, and replaces the number of probes: at 2 s of silence one lost probe is enough. Ruled out: the deadline for a write (30 s), which did not pass. Change: callers' connections have options of their own: the user timeout is that of a write (30 s), probes come after 10 s, 5 s apart, four of them. Connections to upstreams, peers and the store keep theirs, since a silent machine must be found there within seconds. Evidence: test_caller_connection, "a caller that is silent for some seconds keeps its connection": 2 checks failed before, none after.

--- a/src/edge/caller_connection.cpp
+++ b/src/edge/caller_connection.cpp
@@ -59,7 +59,7 @@
 
 Awaitable<void> CallerConnection::run()
 {
-    setConnectionOptions(m_socket);
+    setCallerConnectionOptions(m_socket);
     while (m_keepAlive && !m_hasDisconnected) {
         ReceivedRequest request;
         auto end = co_await readRequest(request);
--- a/src/edge/event_loop.cpp
+++ b/src/edge/event_loop.cpp
@@ -14,14 +14,20 @@
 
 namespace {
 
-    // A connection fails if sent data stays unacknowledged for this time. It must be shorter than the time within which the
-    // platform expects an instance to be reachable again.
-    constexpr int tcpUserTimeoutMs = 2000;
-    // TCP keep-alive: idle time before the first probe, interval between probes, and number of lost probes after which the
-    // connection fails.
-    constexpr int keepAliveIdleSeconds = 1;
-    constexpr int keepAliveIntervalSeconds = 1;
-    constexpr int keepAliveProbes = 2;
+    // When a connection fails whose other side has gone silent.
+    struct SilenceLimits {
+        // For sent data that stays unacknowledged or does not fit into the window of the other side. If it is set, a connection
+        // without such data fails at the first probe that is due after this time, however few probes were lost.
+        Milliseconds userTimeout;
+        // TCP keep-alive: idle time before the first probe, interval between probes, and number of lost probes.
+        Seconds keepAliveIdle, keepAliveInterval;
+        int keepAliveProbes;
+    };
+
+    // The user timeout must be shorter than the time within which the platform expects an instance to be reachable again.
+    constexpr SilenceLimits outgoingLimits { Milliseconds(2000), Seconds(1), Seconds(1), 2 };
+    // As long as a write to a caller may take. Deadlines of requests and of idle connections end what is left of a dead caller.
+    constexpr SilenceLimits callerLimits { Milliseconds(30000), Seconds(10), Seconds(5), 4 };
 
     using SteadyClock = std::chrono::steady_clock;
 
@@ -31,6 +37,22 @@
     std::atomic<std::int64_t> failedTaskCount = 0;
     std::atomic<std::int64_t> failedHandlerCount = 0;
 
+    // Errors are ignored: if the socket is already closed, the next read reports it.
+    void setOptions(TcpSocket& socket, const SilenceLimits& limits)
+    {
+        boost::system::error_code ec;
+        socket.set_option(asio::ip::tcp::no_delay(true), ec);
+        socket.set_option(asio::socket_base::keep_alive(true), ec);
+        auto setTcpOption = [fd = socket.native_handle()](int name, std::int64_t value) {
+            auto n = static_cast<int>(value);
+            setsockopt(fd, IPPROTO_TCP, name, &n, sizeof n);
+        };
+        setTcpOption(TCP_USER_TIMEOUT, limits.userTimeout.count());
+        setTcpOption(TCP_KEEPIDLE, limits.keepAliveIdle.count());
+        setTcpOption(TCP_KEEPINTVL, limits.keepAliveInterval.count());
+        setTcpOption(TCP_KEEPCNT, limits.keepAliveProbes);
+    }
+
     std::string describe(const std::exception_ptr& error)
     {
         try {
@@ -142,18 +164,9 @@
     return { host, port };
 }
 
-void setConnectionOptions(TcpSocket& socket)
-{
-    // Errors are ignored: if the socket is already closed, the next read reports it.
-    boost::system::error_code ec;
-    socket.set_option(asio::ip::tcp::no_delay(true), ec);
-    socket.set_option(asio::socket_base::keep_alive(true), ec);
-    auto fd = socket.native_handle();
-    setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &tcpUserTimeoutMs, sizeof tcpUserTimeoutMs);
-    setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &keepAliveIdleSeconds, sizeof keepAliveIdleSeconds);
-    setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &keepAliveIntervalSeconds, sizeof keepAliveIntervalSeconds);
-    setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &keepAliveProbes, sizeof keepAliveProbes);
-}
+void setConnectionOptions(TcpSocket& socket) { setOptions(socket, outgoingLimits); }
+
+void setCallerConnectionOptions(TcpSocket& socket) { setOptions(socket, callerLimits); }
 
 std::size_t receiveAvailable(TcpSocket& socket, asio::mutable_buffer buf, boost::system::error_code& ec)
 {
--- a/src/edge/event_loop.h
+++ b/src/edge/event_loop.h
@@ -55,10 +55,14 @@
 asio::ip::tcp::endpoint tcpEndpoint(const std::string& address);
 asio::ip::udp::endpoint udpEndpoint(const std::string& address);
 
-// Sets the options for all TCP connections: small writes are sent without delay, and a connection to a host that has gone
-// silent, e.g. after a power failure, fails within seconds.
+// Sets the options of a connection to an upstream, a peer or the store: small writes are sent without delay, and a connection to
+// a host that has gone silent, e.g. after a power failure, fails within seconds.
 void setConnectionOptions(TcpSocket&);
 
+// Sets the options of a connection from a caller. Unlike one to an upstream, it outlasts lost packets and a caller that does not
+// read for a while: a request that nobody waits for costs less than a response that a waiting caller does not get.
+void setCallerConnectionOptions(TcpSocket&);
+
 // Reads what the socket has received, without waiting, and returns the number of bytes. The error is would_block if there is
 // nothing to read, and eof if the peer has ended the stream.
 std::size_t receiveAvailable(TcpSocket&, asio::mutable_buffer, boost::system::error_code&);
--- a/test/correctness/caller_connection_test.cpp
+++ b/test/correctness/caller_connection_test.cpp
@@ -107,6 +107,43 @@
     }
 }
 
+// Guards against a caller that waits or reads slowly and is taken for one that has left, so that its request is dropped.
+TEST_CASE("a caller that is silent for some seconds keeps its connection")
+{
+    SECTION("a caller that does not read for four seconds gets its whole response")
+    {
+        constexpr int receiveBytes = 16 * 1024;
+        constexpr std::size_t bodyBytes = std::size_t { 7 } << 20;
+        std::atomic<bool> isWritten = false;
+        Server server([&](std::shared_ptr<CallerConnection> connection, ReceivedRequest) -> Awaitable<void> {
+            EdgeResponse response { .status = 200, .body = std::string(bodyBytes, 'x') };
+            isWritten = co_await connection->respond(std::move(response));
+        });
+        auto connection = server.connect(receiveBytes);
+        connection->write("GET /x HTTP/1.1\r\nHost: x\r\n\r\n");
+        std::this_thread::sleep_for(4s);
+        CHECK(connection->readResponse(10s).size() > bodyBytes);
+        CHECK(waitUntil(2s, [&] { return isWritten.load(); }));
+    }
+    SECTION("lost packets of ten seconds do not end it")
+    {
+        EventLoop loop;
+        TcpSocket socket(loop, asio::ip::tcp::v4());
+        setCallerConnectionOptions(socket);
+        auto optionOf = [&](int name) {
+            int n = 0;
+            socklen_t size = sizeof n;
+            getsockopt(socket.native_handle(), IPPROTO_TCP, name, &n, &size);
+            return n;
+        };
+        // The connection fails at the first probe that is due after the user timeout, if an earlier one was lost.
+        int idle = optionOf(TCP_KEEPIDLE), interval = optionOf(TCP_KEEPINTVL);
+        CHECK(idle + interval * (optionOf(TCP_KEEPCNT) - 1) >= 10);
+        CHECK(optionOf(TCP_USER_TIMEOUT) >= 1000 * (idle + interval));
+        CHECK(optionOf(TCP_USER_TIMEOUT) >= 10'000);
+    }
+}
+
 // Guards against connections that close without a response because an exception left the request's handler.
 TEST_CASE("an exception in a handler ends its request with an error")
 {
--- a/test/fakes/loopback_server.cpp
+++ b/test/fakes/loopback_server.cpp
@@ -46,9 +46,12 @@
 
 RawConnection::~RawConnection() { ::close(m_fd); }
 
-std::unique_ptr<RawConnection> RawConnection::connect(int port)
+std::unique_ptr<RawConnection> RawConnection::connect(int port, int receiveBytes)
 {
     int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    // Before the connection is opened, which settles the scale of its window.
+    if (receiveBytes > 0)
+        ::setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &receiveBytes, sizeof receiveBytes);
     auto address = loopbackAddress(port);
     if (::connect(fd, reinterpret_cast<sockaddr*>(&address), sizeof address) != 0) {
         ::close(fd);
--- a/test/fakes/loopback_server.h
+++ b/test/fakes/loopback_server.h
@@ -40,7 +40,8 @@
     RawConnection(const RawConnection&) = delete;
     RawConnection& operator=(const RawConnection&) = delete;
 
-    static std::unique_ptr<RawConnection> connect(int port);
+    // `receiveBytes` limits what the kernel buffers of data that is not read yet; 0 leaves its default.
+    static std::unique_ptr<RawConnection> connect(int port, int receiveBytes = 0);
 
     bool write(std::string_view bytes);
     // Reads until the predicate holds for the received data; returns false on connection close or timeout.
