--- a/test/correctness/caller_connection_test.cpp
+++ b/test/correctness/caller_connection_test.cpp
@@ -8,6 +8,8 @@
 #include <atomic>
 #include <catch2/catch.hpp>
 #include <future>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
 #include <thread>
 
 using namespace skylarkhitch;
@@ -34,9 +36,9 @@
         m_thread.join();
     }
 
-    std::unique_ptr<RawConnection> connect() const
+    std::unique_ptr<RawConnection> connect(int receiveBytes = 0) const
     {
-        auto connection = RawConnection::connect(m_port);
+        auto connection = RawConnection::connect(m_port, receiveBytes);
         REQUIRE(connection);
         return connection;
     }
@@ -71,6 +73,77 @@
 
 }
 
+// Guards against callers that wait for a response until their own time limit, because a handler has returned without one.
+TEST_CASE("a handler that returns without a response ends its request with an error")
+{
+    Server server([](std::shared_ptr<CallerConnection> connection, ReceivedRequest request) -> Awaitable<void> {
+        EdgeResponse response { .status = 200 };
+        if (request.target == "/begun") {
+            co_await connection->beginBody(response);
+            co_await connection->writeBody("part");
+        }
+        if (request.target == "/served")
+            co_await connection->respond(response);
+    });
+    SECTION("before the response has started, the caller gets status 500")
+    {
+        auto response = server.request("/silent");
+        CHECK(absl::StartsWith(response, "HTTP/1.1 500"));
+        CHECK(absl::StrContains(response, "Connection: close"));
+    }
+    SECTION("after the response has started, the connection is closed before its last chunk")
+    {
+        auto connection = server.connect();
+        connection->write("GET /begun HTTP/1.1\r\nHost: x\r\n\r\n");
+        CHECK(connection->isClosedWithin(2s));
+    }
+    SECTION("after a response, the connection serves the next request")
+    {
+        auto connection = server.connect();
+        for (int n = 0; n < 2; ++n) {
+            connection->write("GET /served HTTP/1.1\r\nHost: x\r\n\r\n");
+            CHECK(absl::StartsWith(connection->readResponse(2s), "HTTP/1.1 200"));
+        }
+    }
+}
+
+// Guards against a caller that waits or reads slowly and is taken for one that has left, so that its request is dropped.
+TEST_CASE("a caller that is silent for some seconds keeps its connection")
+{
+    SECTION("a caller that does not read for four seconds gets its whole response")
+    {
+        constexpr int receiveBytes = 16 * 1024;
+        constexpr std::size_t bodyBytes = std::size_t { 7 } << 20;
+        std::atomic<bool> isWritten = false;
+        Server server([&](std::shared_ptr<CallerConnection> connection, ReceivedRequest) -> Awaitable<void> {
+            EdgeResponse response { .status = 200, .body = std::string(bodyBytes, 'x') };
+            isWritten = co_await connection->respond(std::move(response));
+        });
+        auto connection = server.connect(receiveBytes);
+        connection->write("GET /x HTTP/1.1\r\nHost: x\r\n\r\n");
+        std::this_thread::sleep_for(4s);
+        CHECK(connection->readResponse(10s).size() > bodyBytes);
+        CHECK(waitUntil(2s, [&] { return isWritten.load(); }));
+    }
+    SECTION("lost packets of ten seconds do not end it")
+    {
+        EventLoop loop;
+        TcpSocket socket(loop, asio::ip::tcp::v4());
+        setCallerConnectionOptions(socket);
+        auto optionOf = [&](int name) {
+            int n = 0;
+            socklen_t size = sizeof n;
+            getsockopt(socket.native_handle(), IPPROTO_TCP, name, &n, &size);
+            return n;
+        };
+        // The connection fails at the first probe that is due after the user timeout, if an earlier one was lost.
+        int idle = optionOf(TCP_KEEPIDLE), interval = optionOf(TCP_KEEPINTVL);
+        CHECK(idle + interval * (optionOf(TCP_KEEPCNT) - 1) >= 10);
+        CHECK(optionOf(TCP_USER_TIMEOUT) >= 1000 * (idle + interval));
+        CHECK(optionOf(TCP_USER_TIMEOUT) >= 10'000);
+    }
+}
+
 // Guards against connections that close without a response because an exception left the request's handler.
 TEST_CASE("an exception in a handler ends its request with an error")
 {
@@ -81,6 +154,10 @@
             co_await connection->beginBody(response);
             co_await connection->writeBody("part");
         }
+        if (request.target == "/complete") {
+            EdgeResponse whole { .status = 200, .body = "whole" };
+            co_await connection->respond(std::move(whole));
+        }
         if (request.target != "/served")
             throw std::runtime_error("handler failed");
         co_await connection->respond(response);
@@ -96,6 +173,10 @@
         auto response = server.request("/begun");
         CHECK_FALSE(absl::EndsWith(response, "0\r\n\r\n"));
     }
+    SECTION("after the response, the caller has it whole")
+    {
+        CHECK(absl::EndsWith(server.request("/complete"), "whole"));
+    }
     SECTION("the request no longer counts as being served, and others are served")
     {
         server.request("/failing");
