Memory and descriptors of an entry instance in its log and metrics

On-call could not tell how much memory a process takes, how much its machine allows, or how many descriptors are open; so an end for want of memory could not be told from another one.

process_state and the gauges state resident memory now and at most so far, open descriptors, connections of callers, and the limits of both, which the settings memory_limit_mb and descriptor_limit state. The platform's template fills them in if the machine has such limits. A resource above 80% of its limit is logged once (resource_nearly_exhausted), and once when it is at 70% or less again (resource_recovered). Memory is looked at each second, descriptors each 10 s. What /proc does not tell is left out. The most so far is VmHWM, as ru_maxrss includes the memory of the program that the process ran before.

--- a/src/config/edge_settings.cpp
+++ b/src/config/edge_settings.cpp
@@ -22,6 +22,8 @@
         { "configuration_limit_ms", &EdgeSettings::configurationLimitMs, "ms", { 100, 60000 }, false, "time within which a new configuration must be in force; bounds how long changes of the store are collected before they are read" },
         { "drain_limit_ms", &EdgeSettings::drainLimitMs, "ms", { 100, 60000 }, false, "the same for upstreams that drain" },
         { "cpu_cores", &EdgeSettings::cpuCores, "cores", { 0.01, 1024 }, false, "processor cores that this instance has; those with more relay for the others of their domain in a large site" },
+        { "memory_limit_mb", &EdgeSettings::memoryLimitMb, "MB", { 0, 1e9 }, false, "memory above which the platform kills the process, for log lines and metrics; 0 if no limit is known" },
+        { "descriptor_limit", &EdgeSettings::descriptorLimit, "descriptors", { 0, 1e9 }, false, "descriptors that the process may have open, for log lines and metrics; 0 if no limit is known" },
         { "stop_grace_s", &EdgeSettings::stopGraceSeconds, "s", seconds, false, "time from SIGTERM until the platform kills the process" },
         { "session_s", &EdgeSettings::sessionSeconds, "s", seconds, false, "idle time after which the next request of a session may use another release" },
         { "entry_keep_s", &EdgeSettings::entryKeepSeconds, "s", { 1, 60 }, false, "how long callers may cache the entry addresses that they were given" },
--- a/src/config/edge_settings.h
+++ b/src/config/edge_settings.h
@@ -33,6 +33,10 @@
     double drainLimitMs = 2000;
     // Part of a processor core that this instance has. Instances with more relay for the others of their domain in a large site.
     double cpuCores = 1;
+    // Memory above which the platform kills the process, and descriptors that it may have open; 0 if no limit is known. They are
+    // for the log and the metrics only.
+    double memoryLimitMb = 0;
+    double descriptorLimit = 0;
     // Time from SIGTERM until the platform kills the process.
     double stopGraceSeconds = 8;
     // Idle time after which the next request of a session may use another release.
@@ -48,6 +52,7 @@
     Milliseconds configurationLimit() const { return Milliseconds(static_cast<std::int64_t>(configurationLimitMs)); }
     Milliseconds drainLimit() const { return Milliseconds(static_cast<std::int64_t>(drainLimitMs)); }
     std::int64_t capacity() const { return static_cast<std::int64_t>(100 * cpuCores); }
+    std::int64_t memoryLimitBytes() const { return static_cast<std::int64_t>(memoryLimitMb * 1024 * 1024); }
     Milliseconds stopGrace() const { return inMilliseconds(stopGraceSeconds); }
     Milliseconds sessionIdleTimeout() const { return inMilliseconds(sessionSeconds); }
     Milliseconds entryCacheTime() const { return inMilliseconds(entryKeepSeconds); }
--- a/src/edge/control_plane.cpp
+++ b/src/edge/control_plane.cpp
@@ -61,7 +61,7 @@
     , m_settings(settings)
     , m_self(std::move(self))
     , m_metrics(metrics)
-    , m_process(metrics)
+    , m_process(metrics, { settings.memoryLimitBytes(), static_cast<std::int64_t>(settings.descriptorLimit) })
     , m_outputs(std::move(outputs))
     , m_store(loop, settings.store, metrics)
     , m_mirror(contained(&ControlPlane::itemChanged), { platform::isRenewal, contained(&ControlPlane::itemRenewed) })
@@ -468,7 +468,7 @@
     noticePause(now);
     m_viewChanged = m_viewChanged || report.ready != m_trafficReport.ready;
     m_trafficReport = std::move(report);
-    m_process.update(m_trafficReport.cpuTime, now);
+    m_process.update(m_trafficReport.cpuTime, m_trafficReport.callerConnections, now);
     updateStoreState(now);
     sendHeartbeat(m_trafficReport.isUrgent, now);
     catchUpIfBehind(now);
--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -138,6 +138,7 @@
         {
             auto report = m_traffic.report();
             report.isUrgent = isUrgent;
+            report.callerConnections = m_entryServer->connections;
             asio::post(m_controlLoop, [this, report = std::move(report)]() mutable { m_control.handleTrafficReport(std::move(report)); });
         }
 
--- a/src/edge/fleet_view.h
+++ b/src/edge/fleet_view.h
@@ -92,6 +92,8 @@
     bool isUrgent = false;
     // CPU time that the traffic thread has used since it started.
     Microseconds cpuTime {};
+    // Open connections from callers.
+    std::int64_t callerConnections = 0;
 };
 
 }
--- a/test/correctness/platform_test.cpp
+++ b/test/correctness/platform_test.cpp
@@ -1,5 +1,6 @@
 // Tests the codecs between the platform's formats and the router's types.
 
+#include "config/edge_settings.h"
 #include "core/limits/upstream_pauses.h"
 #include "core/requests/admit_request.h"
 #include "core/routing/upstream_balancer.h"
@@ -9,11 +10,99 @@
 #include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
 #include <catch2/catch.hpp>
+#include <fstream>
+#include <map>
+#include <sstream>
 
 using namespace skylarkhitch;
 using namespace skylarkhitch::platform;
 using namespace std::chrono_literals;
 
+namespace {
+
+using TemplateFields = std::map<std::string, std::string>;
+
+// Fills in the text between the start and the end tag of the section `name`, or the whole text if it is empty, as the platform does
+// for values that are no lists or tables. Moves `at` behind what was read.
+std::string filledTemplate(const std::string& text, const TemplateFields& fields, std::size_t& at, const std::string& name = {})
+{
+    std::string filled;
+    for (;;) {
+        auto open = text.find("{{", at);
+        filled += text.substr(at, open == std::string::npos ? open : open - at);
+        if (open == std::string::npos) {
+            REQUIRE(name.empty());
+            at = text.size();
+            return filled;
+        }
+        auto close = text.find("}}", open);
+        REQUIRE(close != std::string::npos);
+        auto tag = text.substr(open + 2, close - open - 2);
+        at = close + 2;
+        if (absl::StartsWith(tag, "/")) {
+            REQUIRE(tag.substr(1) == name);
+            return filled;
+        }
+        if (absl::StartsWith(tag, "#")) {
+            auto section = filledTemplate(text, fields, at, tag.substr(1));
+            filled += fields.contains(tag.substr(1)) ? section : "";
+        } else if (auto it = fields.find(tag); it != fields.end()) {
+            filled += it->second;
+        }
+    }
+}
+
+std::optional<EdgeSettings> settingsFromTemplate(const TemplateFields& fields, std::vector<DocumentError>& errors)
+{
+    std::ifstream in(SKYLARKHITCH_SOURCE_DIR "/platform/settings.yaml.template");
+    std::stringstream text;
+    text << in.rdbuf();
+    std::size_t at = 0;
+    auto document = parseYaml(filledTemplate(text.str(), fields, at), "node.yaml", errors);
+    return parseEdgeSettings(document, errors);
+}
+
+}
+
+// Guards against instances that do not start, since a key that the template writes is unknown or has no value.
+TEST_CASE("the platform's template gives the settings of an instance")
+{
+    TemplateFields fields { { "nodeName", "edge-halle-a-1" }, { "zone", "halle-a" }, { "ip", "10.1.0.40" }, { "listen.frontend", "10.1.0.40:8227" }, { "listen.readiness", "10.1.0.40:8220" },
+        { "listen.registry", "10.1.0.40:8224" }, { "internalPorts.0", "7340" }, { "internalPorts.1", "7355" }, { "seedNodes", "10.1.0.40:8229,10.2.0.29:8229" }, { "platform.address", "10.200.1.7:8223" },
+        { "limits.cpuQuota", "0.25" }, { "limits.memoryMb", "110" }, { "limits.maxFds", "4100" }, { "bounds.configApplyMs", "2000" }, { "bounds.drainMs", "2000" }, { "bounds.graceS", "8" },
+        { "bounds.sessionS", "5" }, { "bounds.retryRatio", "0.9" }, { "bounds.retryWindowS", "10" }, { "bounds.retryHeadroom", "56" } };
+    std::vector<DocumentError> errors;
+    SECTION("with the limits of its machine")
+    {
+        auto settings = settingsFromTemplate(fields, errors);
+        REQUIRE(settings);
+        CHECK(settings->instance.value == "edge-halle-a-1");
+        CHECK(settings->seeds.size() == 2);
+        CHECK(settings->memoryLimitBytes() == 110 * 1024 * 1024);
+        CHECK(settings->descriptorLimit == 4100);
+        CHECK(settings->retryHeadroom == 56);
+    }
+    SECTION("a limit that is no whole number is read as well")
+    {
+        fields["limits.memoryMb"] = "110.5";
+        fields["limits.maxFds"] = "4100.0";
+        auto settings = settingsFromTemplate(fields, errors);
+        REQUIRE(settings);
+        CHECK(settings->memoryLimitBytes() == 110 * 1024 * 1024 + 512 * 1024);
+        CHECK(settings->descriptorLimit == 4100);
+    }
+    SECTION("and without them, no limit is known")
+    {
+        fields.erase("limits.memoryMb");
+        fields.erase("limits.maxFds");
+        auto settings = settingsFromTemplate(fields, errors);
+        REQUIRE(settings);
+        CHECK(settings->memoryLimitBytes() == 0);
+        CHECK(settings->descriptorLimit == 0);
+        CHECK(settings->stopGrace() == 8s);
+    }
+}
+
 TEST_CASE("a caller's request is decoded")
 {
     HeaderFields fields { { "Host", "Ficu95.Example:8227" }, { "X-Attempt-Id", "9c41" }, { "X-Deadline-Ms", "25000" }, { "Api-Key", "secret" }, { "Last-Event-Id", "12" },
--- a/test/processes/edge_test.cpp
+++ b/test/processes/edge_test.cpp
@@ -963,3 +963,79 @@
     CHECK(absl::StrContains(crashLines.front(), "id=id-first"));
     CHECK(absl::StrContains(crashLines.front(), "what=upstream_connection_lost"));
 }
+
+namespace {
+
+// The number that a line of the log states under this name, or -1.
+std::int64_t fieldOf(const std::string& line, const std::string& name)
+{
+    auto at = line.find(absl::StrCat(" ", name, "="));
+    return at == std::string::npos ? -1 : std::stoll(line.substr(at + name.size() + 2));
+}
+
+// The value of a gauge of the process, or -1 if the metrics do not have it.
+double gaugeOf(const std::string& metrics, const std::string& name)
+{
+    std::vector<std::string> parts = absl::StrSplit(metrics, absl::StrCat("skylarkhitch_edge_state{name=\"", name, "\"} "));
+    return parts.size() == 2 ? std::stod(parts[1]) : -1;
+}
+
+}
+
+// Guards against processes of which nobody can tell whether they ran out of memory or descriptors.
+TEST_CASE("an instance tells how much memory and how many descriptors it uses")
+{
+    Site site;
+    EdgeInstance instance("edge-1", site.store.address()), small("edge-2", site.store.address()), unlimited("edge-3", site.store.address());
+    instance.addSetting("memory_limit_mb: 4000");
+    instance.addSetting("descriptor_limit: 5000");
+    instance.restart();
+    small.addSetting("memory_limit_mb: 2");
+    small.addSetting("descriptor_limit: 6");
+    small.restart();
+    REQUIRE(waitUntil(5s, [&] { return instance.isReady() && small.isReady() && unlimited.isReady(); }));
+    auto connection = RawConnection::connect(instance.port());
+    REQUIRE(connection);
+
+    // One that is near its limits says so once, soon after its start.
+    REQUIRE(waitUntil(2s, [&] { return small.linesContaining("what=resource_nearly_exhausted").size() == 2; }));
+    auto memory = small.linesContaining("resource=memory").front();
+    CHECK(absl::StrContains(memory, "level=warning"));
+    CHECK(absl::StrContains(memory, "what=resource_nearly_exhausted resource=memory used="));
+    CHECK(absl::StrContains(memory, " limit=2097152 percent="));
+    CHECK(fieldOf(memory, "percent") >= 100);
+    auto descriptors = small.linesContaining("resource=descriptors").front();
+    CHECK(fieldOf(descriptors, "limit") == 6);
+    CHECK(fieldOf(descriptors, "used") > 6);
+
+    // The gauges state use and limits.
+    CHECK(waitUntil(1s, [&] { return gaugeOf(instance.metrics(), "caller_connections") == 1; }));
+    auto metrics = instance.metrics();
+    CHECK(gaugeOf(metrics, "memory_bytes") > 1e6);
+    CHECK(gaugeOf(metrics, "memory_peak_bytes") >= gaugeOf(metrics, "memory_bytes"));
+    CHECK(gaugeOf(metrics, "memory_peak_bytes") < 4e9);
+    CHECK(gaugeOf(metrics, "memory_limit_bytes") == 4000.0 * 1024 * 1024);
+    CHECK(gaugeOf(metrics, "open_descriptors") > 6);
+    CHECK(gaugeOf(metrics, "open_descriptors") < 200);
+    CHECK(gaugeOf(metrics, "descriptor_limit") == 5000);
+    auto withoutLimits = unlimited.metrics();
+    CHECK(gaugeOf(withoutLimits, "memory_bytes") > 1e6);
+    CHECK(gaugeOf(withoutLimits, "memory_limit_bytes") == -1);
+    CHECK(gaugeOf(withoutLimits, "descriptor_limit") == -1);
+
+    // So does the line that each instance writes every 10 s.
+    REQUIRE(waitUntil(13s, [&] { return !instance.linesContaining("what=process_state").empty() && !unlimited.linesContaining("what=process_state").empty() && !small.linesContaining("what=process_state").empty(); }));
+    auto state = instance.linesContaining("what=process_state").front();
+    CHECK(fieldOf(state, "memory_bytes") > 1000000);
+    CHECK(fieldOf(state, "memory_peak_bytes") >= fieldOf(state, "memory_bytes"));
+    CHECK(fieldOf(state, "memory_limit_bytes") == std::int64_t { 4000 } * 1024 * 1024);
+    CHECK(fieldOf(state, "open_descriptors") > 6);
+    CHECK(fieldOf(state, "descriptor_limit") == 5000);
+    CHECK(fieldOf(state, "caller_connections") == 1);
+    CHECK_FALSE(absl::StrContains(unlimited.linesContaining("what=process_state").front(), "_limit"));
+
+    // The warnings did not come again, and not from the others.
+    CHECK(small.linesContaining("what=resource_").size() == 2);
+    CHECK(instance.linesContaining("what=resource_").empty());
+    CHECK(unlimited.linesContaining("what=resource_").empty());
+}
