SIGHUP does not end an instance of src/daemon

It ended the process at once and cut what was in flight, where it is sent to have settings read again, as for an entry instance on a platform that declares routes. It is logged as a signal line now and changes nothing; these settings are not read again.

The signal lines were read by hand, no test reads them.

--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -260,12 +260,13 @@
         std::unique_ptr<HttpServer> m_callerServer;
     };
 
-    sigset_t stopSignals()
+    sigset_t handledSignals()
     {
         sigset_t set;
         sigemptyset(&set);
         sigaddset(&set, SIGTERM);
         sigaddset(&set, SIGINT);
+        sigaddset(&set, SIGHUP);
         return set;
     }
 
@@ -277,10 +278,16 @@
         return signal > 0 ? std::optional(signal) : std::nullopt;
     }
 
+    std::string signalName(int signal)
+    {
+        if (signal == SIGHUP)
+            return "SIGHUP";
+        return signal == SIGINT ? "SIGINT" : "SIGTERM";
+    }
+
     void logSignal(const NodeSettings& node, int signal, bool isStopping)
     {
-        std::string name = signal == SIGINT ? "SIGINT" : "SIGTERM";
-        logChange(LogLevel::Info, "signal", node.instance.value, name + (isStopping ? " while stopping" : ""));
+        logChange(LogLevel::Info, "signal", node.instance.value, signalName(signal) + (isStopping ? " while stopping" : ""));
     }
 
 }
@@ -299,7 +306,7 @@
 int runDaemon(const NodeSettings& node)
 {
     // Blocked before any thread starts, so that only this thread receives them, through sigtimedwait().
-    auto signals = stopSignals();
+    auto signals = handledSignals();
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     std::signal(SIGPIPE, SIG_IGN);
     startLog(node.logLevel, node.instance.value);
@@ -307,11 +314,13 @@
     daemon.start();
     std::cout << "ready callers=" << node.listen << " operators=" << node.operatorListen << " peers=" << node.peerListen << std::endl;
     // A completed drain that an operator requested ends the process too. drain_limit_ms counts only from a signal.
-    std::optional<int> firstSignal;
-    while (!firstSignal && !daemon.drained())
-        firstSignal = waitForSignal(signals, drainCheckPeriod);
-    if (firstSignal)
-        logSignal(node, *firstSignal, false);
+    bool isToldToStop = false;
+    while (!isToldToStop && !daemon.drained()) {
+        auto signal = waitForSignal(signals, drainCheckPeriod);
+        if (signal)
+            logSignal(node, *signal, false);
+        isToldToStop = signal && *signal != SIGHUP;
+    }
     daemon.drain();
     auto limit = std::chrono::steady_clock::now() + node.drainLimit;
     bool drainedInTime = true;
@@ -319,7 +328,7 @@
         auto signal = waitForSignal(signals, drainCheckPeriod);
         if (signal)
             logSignal(node, *signal, true);
-        // Signals come in series and overlap, so a further SIGTERM changes nothing.
+        // Signals come in series and overlap, so a further SIGTERM or a SIGHUP changes nothing.
         bool isCutShort = signal == SIGINT;
         if (isCutShort || std::chrono::steady_clock::now() >= limit) {
             logChange(LogLevel::Error, "instance", node.instance.value, isCutShort ? "stopped by SIGINT before the drain was over" : "the drain took longer than drain_limit_ms");
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -11,9 +11,10 @@
 // address.
 void assignFreePorts(NodeSettings&);
 
-// Runs an instance until SIGTERM, SIGINT or an operator's request has drained it. After the first signal, a second one ends it
-// at once, and so does a drain that takes longer than drain_limit_ms. A drain that an operator requested has no limit until a
-// signal arrives. Returns the exit status of the process: 0 if the drain completed, otherwise 1.
+// Runs an instance until SIGTERM, SIGINT or an operator's request has drained it. SIGINT during a drain that a signal began ends it
+// early, and so does a drain that takes longer than drain_limit_ms. A drain that an operator requested has no limit until a signal
+// arrives. A further SIGTERM changes nothing, and SIGHUP never does: an instance does not read its settings again. Returns the
+// exit status of the process: 0 if the drain completed, otherwise 1.
 int runDaemon(const NodeSettings&);
 
 }
--- a/test/processes/process_test.cpp
+++ b/test/processes/process_test.cpp
@@ -315,6 +315,26 @@
         CHECK(stream.executed() == "unknown");
         CHECK(site.entries[0].process->waitForExit(Seconds(2)) == 1);
     }
+    // Guards against processes that end, and cut what is in flight, where SIGHUP is sent to have settings read again.
+    SECTION("SIGHUP ends neither the process nor its planned stop")
+    {
+        site.startChat(0, "small");
+        CHECK(ProcessSite::eventually([&] { return site.status(0)["requests_in_flight"] == 1; }));
+        site.entries[0].process->signal(SIGHUP);
+        CHECK(streamedText(site.finishChat()) == expectedTokens());
+        CHECK_FALSE(site.entries[0].process->waitForExit(Seconds(1)));
+        REQUIRE(site.chat(0, "small").status == 200);
+
+        site.startChat(0, "small");
+        CHECK(ProcessSite::eventually([&] { return site.status(0)["requests_in_flight"] == 1; }));
+        site.entries[0].process->signal(SIGTERM);
+        for (int n = 0; n < 3; ++n) {
+            std::this_thread::sleep_for(Milliseconds(50));
+            site.entries[0].process->signal(SIGHUP);
+        }
+        CHECK(streamedText(site.finishChat()) == expectedTokens());
+        CHECK(site.entries[0].process->waitForExit(Seconds(20)) == 0);
+    }
     SECTION("an upstream that reports draining, or is listed as leaving, gets no new requests after 3 s")
     {
         auto leaving = GENERATE(true, false);
