Upstreams that left get no requests because some instances lost the store

Requests reached an upstream more than 3,000 ms after the store had acknowledged that it leaves; they ran, and their callers got whole answers, but an upstream that stops after its time would have cut them.

The store did not answer the two hubs of delta-e from 18.2 to 26.3 s (nor one other instance there), and served all others. An instance of a large site hears only its hubs and renews its lease every 10 s. So members of delta-e (nine at 18 to 25 s), whose own last call had succeeded, took "my hubs have no replies" for "the store serves nobody" and told the site, although the hubs' copies were 0.07 to 0.89 s old, by way of the other domains' hubs. Every instance of the site then took the removal of i-c235e3eade (acknowledged at 26.805 s, read at 27.93 s, the claim 1.25 s old) for an entry that had expired in an outage, and kept it for 2.2 s from reading it: until 30.13 s, 3.3 s after the acknowledgement.

Ruled out: a late reading (1.1 s, as planned); a draining entry (the entry was removed); a view that is not published; instances without peers (no instance counted itself as isolated).

Change: - An outage is one for all. In a large site a hub's recent copy is evidence that the store serves someone, though it turns the hub away. An instance that hears nobody claims no outage; before, rows in the digests it had heard counted as hearing. m_isolatedAt ends with the same evidence. - What is missing means gone from a time after the last outage (2.2 s and one pause between watches), whenever its removal is read; before, the wait began with the reading, up to 2.5 s after the outage.

In a large site outages are noticed after 2.1 s without a reply to anyone, so shorter ones protect no entries there.

The test of the registry has the new signature; its case of an outage that goes on states the same times, and one that registers again is added.

--- a/src/core/membership/fleet_membership.cpp
+++ b/src/core/membership/fleet_membership.cpp
@@ -341,6 +341,29 @@
     return heartbeat.storeReachable && heartbeat.storeAge >= Milliseconds(0) && now - peer.lastHeardAt + heartbeat.storeAge <= maxStoreSilence;
 }
 
+TimePoint FleetMembership::lastReplyAt(std::int64_t storeRevision, TimePoint now) const
+{
+    TimePoint last;
+    for (const auto* it : livePeers(now)) {
+        if (it->heartbeat.storeAge >= Milliseconds(0) && it->heartbeat.storeRevision <= storeRevision)
+            last = std::max(last, it->lastHeardAt - it->heartbeat.storeAge);
+    }
+    return last;
+}
+
+bool FleetMembership::isStoreServing(TimePoint now) const
+{
+    auto hasRecentCopy = [&](const FleetPeer& it) { return it.heartbeat.storeAge >= Milliseconds(0) && now - it.lastHeardAt + it.heartbeat.storeAge <= maxRelayedStoreAge; };
+    auto live = livePeers(now);
+    return std::any_of(live.begin(), live.end(), [&](const auto* it) { return reachesStore(*it, now) || (!isFullMesh() && hasRecentCopy(*it)); });
+}
+
+bool FleetMembership::hearsPeers(TimePoint now) const
+{
+    auto live = livePeers(now);
+    return std::any_of(live.begin(), live.end(), [&](const auto* it) { return isFullMesh() || now - it->lastHeardAt <= relayedLifetime; });
+}
+
 const FleetPeer* FleetMembership::peerAheadOf(std::int64_t storeRevision, TimePoint now) const
 {
     const FleetPeer* best = nullptr;
--- a/src/core/membership/fleet_membership.h
+++ b/src/core/membership/fleet_membership.h
@@ -68,6 +68,10 @@
     // have one every 2.5 s.
     static constexpr Milliseconds maxStoreSilence { 2900 };
 
+    // A hub that the store turns away has a copy that is at most this old if the store serves hubs of other domains: these have a
+    // reply every second, and the hubs tell each other and their domains twice a second.
+    static constexpr Milliseconds maxRelayedStoreAge { 2100 };
+
     // The capacity is in hundredths of a processor core.
     FleetMembership(Incarnation self, DomainId domain, std::string ownPeerAddress, std::int64_t capacity = 0)
         : m_self(std::move(self))
@@ -119,6 +123,14 @@
     bool shouldFollowStore(TimePoint now);
     // Whether the peer has had a recent store reply.
     bool reachesStore(const FleetPeer&, TimePoint now) const;
+    // When the store last replied to a live peer whose copy has at most this revision, or to an instance from which that peer has its
+    // copy; TimePoint {} if no reply is known.
+    TimePoint lastReplyAt(std::int64_t storeRevision, TimePoint now) const;
+    // Whether the store serves anyone, as far as the live peers know. An instance of a large site hears only its hubs, and these may
+    // be turned away by a store that serves others; their copy is recent then.
+    bool isStoreServing(TimePoint now) const;
+    // Whether heartbeats arrive here, not only news of peers in those of others.
+    bool hearsPeers(TimePoint now) const;
     // Returns the live peer with the highest mirror revision above the given one, or null if there is none. A peer of the
     // own domain comes before all others.
     const FleetPeer* peerAheadOf(std::int64_t storeRevision, TimePoint now) const;
--- a/src/core/routing/upstream_registry.cpp
+++ b/src/core/routing/upstream_registry.cpp
@@ -35,15 +35,15 @@
     bool isColdSame = known.coldUntil != TimePoint {} && entry.coldUntil != TimePoint {} && known.coldUntil < entry.coldUntil + coldTolerance && entry.coldUntil < known.coldUntil + coldTolerance;
     if (isColdSame)
         known.coldUntil = entry.coldUntil;
-    bool isSame = known == entry && !state.removeAt;
-    state = { entry, version, {} };
+    bool isSame = known == entry && !state.isMissing;
+    state = { entry, version, false };
     return isSame ? Change::None : Change::Updated;
 }
 
 bool UpstreamRegistry::renewed(const UpstreamId& id, std::int64_t writes, std::int64_t revision, TimePoint now)
 {
     auto it = m_upstreams.find(id);
-    if (it == m_upstreams.end() || m_heldBack.contains(id) || it->second.removeAt)
+    if (it == m_upstreams.end() || m_heldBack.contains(id) || it->second.isMissing)
         return false;
     it->second.version.writes = writes;
     it->second.version.revision = revision;
@@ -84,32 +84,24 @@
     return true;
 }
 
-void UpstreamRegistry::removed(const UpstreamId& id, bool mayHaveExpired, TimePoint now)
+void UpstreamRegistry::removed(const UpstreamId& id, TimePoint missingMeansGoneFrom, TimePoint now)
 {
     m_heldBack.erase(id);
     auto it = m_upstreams.find(id);
     if (it == m_upstreams.end())
         return;
-    if (!mayHaveExpired || !it->second.entry.takesWork) {
+    if (now >= missingMeansGoneFrom || !it->second.entry.takesWork) {
         m_departures.record({ id, it->second.version, !it->second.entry.takesWork }, now);
         m_upstreams.erase(it);
         return;
     }
-    it->second.removeAt = now + reregistrationTime;
+    it->second.isMissing = true;
 }
 
-void UpstreamRegistry::storeUnavailable(TimePoint now)
-{
-    for (auto& [id, state] : m_upstreams) {
-        if (state.removeAt)
-            state.removeAt = now + reregistrationTime;
-    }
-}
-
-bool UpstreamRegistry::removeExpired(TimePoint now)
+bool UpstreamRegistry::removeExpired(TimePoint missingMeansGoneFrom, TimePoint now)
 {
     m_departures.forget(now);
-    return std::erase_if(m_upstreams, [&](const auto& it) { return it.second.removeAt && *it.second.removeAt <= now; }) > 0;
+    return now >= missingMeansGoneFrom && std::erase_if(m_upstreams, [](const auto& it) { return it.second.isMissing; }) > 0;
 }
 
 std::vector<UpstreamEntry> UpstreamRegistry::usable() const
--- a/src/core/routing/upstream_registry.h
+++ b/src/core/routing/upstream_registry.h
@@ -6,7 +6,6 @@
 
 #include "core/routing/upstream_departures.h"
 
-#include <optional>
 #include <set>
 
 namespace skylarkhitch {
@@ -50,11 +49,9 @@
 
 class UpstreamRegistry {
 public:
-    // Time from the removal of an entry in the store, or from the end of the outage if that is later, until the entry is
-    // removed here. Applies to entries that may have expired. The platform documentation says "about two seconds".
+    // Time from the return of the store until the upstreams whose entries expired in the outage have registered again. The
+    // platform documentation says "about two seconds".
     static constexpr Milliseconds reregistrationTime { 2200 };
-    // An entry that disappears within this time after an outage of the store may have expired because of it.
-    static constexpr Milliseconds outageMemory { 2500 };
     // The end of a cold time is stated anew with each write; a difference below this is none.
     static constexpr Milliseconds coldTolerance { 500 };
 
@@ -69,20 +66,18 @@
     // The upstream wrote its entry again without a change. Returns false if the entry is unknown or held back, so that
     // registered() must decide.
     bool renewed(const UpstreamId&, std::int64_t writes, std::int64_t revision, TimePoint now);
-    // Removes an entry, after a delay if it may have expired because of an outage of the store, since the upstream may be alive.
-    // Draining upstreams are removed at once.
-    void removed(const UpstreamId&, bool mayHaveExpired, TimePoint now);
-    // The store is unavailable at this time: pending removals become due reregistrationTime after it. Called repeatedly during
-    // an outage.
-    void storeUnavailable(TimePoint now);
-    // Performs the removals that are due; true if any upstream was removed.
-    bool removeExpired(TimePoint now);
+    // The entry is missing from the store. The upstream is removed at once if it is draining, or if missing entries mean that
+    // upstreams are gone from a time that has passed. Before that time the entry may have expired because of an outage of the store,
+    // so the upstream is kept until removeExpired().
+    void removed(const UpstreamId&, TimePoint missingMeansGoneFrom, TimePoint now);
+    // Removes the upstreams that were kept and whose entries are still missing, if that time has passed; true if there were any.
+    bool removeExpired(TimePoint missingMeansGoneFrom, TimePoint now);
     // Departures of the upstreams that are held back.
     std::vector<UpstreamDeparture> heldBack() const;
     // Takes over what a peer holds back. Returns true if an upstream gets no more work for it.
     bool learn(const UpstreamDeparture&, TimePoint now);
 
-    // Upstreams that accept new work, including those whose removal is pending.
+    // Upstreams that accept new work, including those whose entries are missing.
     std::vector<UpstreamEntry> usable() const;
     const UpstreamEntry* find(const UpstreamId&) const;
     std::size_t size() const { return m_upstreams.size(); }
@@ -91,8 +86,8 @@
     struct State {
         UpstreamEntry entry;
         EntryVersion version;
-        // When the entry will be removed; set while it is missing from the store.
-        std::optional<TimePoint> removeAt;
+        // The entry is missing from the store.
+        bool isMissing = false;
     };
 
     // Ends the work of an upstream whose entry is outdated.
--- a/src/edge/control_plane.cpp
+++ b/src/edge/control_plane.cpp
@@ -252,9 +252,9 @@
 {
     auto now = bootNow();
     if (!item) {
-        bool isKept = mayHaveExpired(now);
-        LogLine(LogLevel::Info, "upstream_removed").with("upstream", id).with("kept_for_return", isKept ? "yes" : "no");
-        m_upstreams.removed({ id }, isKept, now);
+        auto goneFrom = missingMeansGoneFrom(now);
+        LogLine(LogLevel::Info, "upstream_removed").with("upstream", id).with("kept_for_return", now < goneFrom ? "yes" : "no").with("kept_ms", std::max(toMilliseconds(goneFrom - now), Milliseconds(0)).count());
+        m_upstreams.removed({ id }, goneFrom, now);
         m_viewChanged = true;
         return;
     }
@@ -311,7 +311,7 @@
         heartbeat->sinceStoreUnreachable.reset();
     if (!m_fleet.onHeartbeat(*heartbeat, now))
         return;
-    if (heartbeat->storeReachable)
+    if (m_fleet.isStoreServing(now))
         m_isolatedAt.reset();
     m_rollouts.learn(heartbeat->rollouts);
     for (const auto& it : heartbeat->heldBack) {
@@ -472,7 +472,7 @@
     updateStoreState(now);
     sendHeartbeat(m_trafficReport.isUrgent, now);
     catchUpIfBehind(now);
-    if (m_upstreams.removeExpired(now))
+    if (m_upstreams.removeExpired(missingMeansGoneFrom(now), now))
         m_viewChanged = true;
     m_rollouts.advance({ m_fleet.siteEvidence(m_trafficReport.evidence, now), isCoordinator(now), [this](const RolloutOrder& order) { return oldReleaseIsIdle(order); } }, now);
     FleetState fleet { m_fleet.size(now), m_fleet.passesOnNews(), entries(now) };
@@ -569,17 +569,12 @@
 
 void ControlPlane::updateStoreState(TimePoint now)
 {
-    auto peers = m_fleet.livePeers(now);
-    bool isUnreachable = !reachesStore(now);
-    for (const auto* it : peers)
-        isUnreachable = isUnreachable && !m_fleet.reachesStore(*it, now);
+    if (reachesStore(now) || m_fleet.isStoreServing(now) || m_mirror.revision() == 0 || mayReadQueuedHeartbeats(now))
+        return;
     // An instance that hears no peer cannot tell an outage of the store from its own isolation. It protects its own entries until
     // a peer tells it more, but claims no outage to others.
-    bool isIsolated = peers.empty() && !m_fleet.peers().empty();
-    if (isUnreachable && m_mirror.revision() > 0 && !mayReadQueuedHeartbeats(now)) {
-        (isIsolated ? m_isolatedAt : m_storeUnreachableAt) = now;
-        m_upstreams.storeUnavailable(now);
-    }
+    bool isIsolated = !m_fleet.hearsPeers(now) && !m_fleet.peers().empty();
+    (isIsolated ? m_isolatedAt : m_storeUnreachableAt) = now;
 }
 
 std::optional<TimePoint> ControlPlane::lastOutageAt(TimePoint now) const
@@ -592,10 +587,11 @@
     return last;
 }
 
-bool ControlPlane::mayHaveExpired(TimePoint now) const
+TimePoint ControlPlane::missingMeansGoneFrom(TimePoint now) const
 {
     auto outage = std::max(lastOutageAt(now), m_isolatedAt);
-    return outage && now - *outage < UpstreamRegistry::outageMemory;
+    // A new registration may have to wait for the next watch.
+    return outage ? *outage + UpstreamRegistry::reregistrationTime + watchPause() : TimePoint {};
 }
 
 // The coordinator is the live instance with the smallest id among those that reach the store and are not shutting down. If two
@@ -657,12 +653,7 @@
 
 TimePoint ControlPlane::upToDateAt(TimePoint now) const
 {
-    auto fresh = m_store.lastResponseAt();
-    for (const auto* it : m_fleet.livePeers(now)) {
-        if (it->heartbeat.storeAge >= Milliseconds(0) && it->heartbeat.storeRevision <= m_mirror.revision())
-            fresh = std::max(fresh, it->lastHeardAt - it->heartbeat.storeAge);
-    }
-    return fresh;
+    return std::max(m_store.lastResponseAt(), m_fleet.lastReplyAt(m_mirror.revision(), now));
 }
 
 void ControlPlane::publish(TimePoint now)
--- a/src/edge/control_plane.h
+++ b/src/edge/control_plane.h
@@ -93,8 +93,9 @@
     // Last time at which the store was unreachable from here and all peers, or had come back from a copy, as far as this instance
     // and its live peers know.
     std::optional<TimePoint> lastOutageAt(TimePoint now) const;
-    // Whether an entry that is missing from the store now may have expired during an outage.
-    bool mayHaveExpired(TimePoint now) const;
+    // From when an entry that is missing from this copy of the store means that the upstream is gone: some time after the last outage.
+    // Before that, the entry may have expired in the outage.
+    TimePoint missingMeansGoneFrom(TimePoint now) const;
     bool isCoordinator(TimePoint now) const;
     bool oldReleaseIsIdle(const RolloutOrder&) const;
     void publish(TimePoint now);
--- a/test/correctness/fleet_relay_test.cpp
+++ b/test/correctness/fleet_relay_test.cpp
@@ -63,6 +63,19 @@
     {
         return static_cast<std::size_t>(std::count_if(m_instances.begin(), m_instances.end(), [&](const auto& it) { return it.second->membership.peerCrashes(m_now).contains({ name }); }));
     }
+    // The store serves the instances for which the predicate holds: hubs ask it every second, others every ten. Without it all have
+    // had a reply lately.
+    void setStore(std::function<bool(const std::string&)> serves) { m_serves = std::move(serves); }
+    // Names of the instances that see no sign of a store that serves anyone.
+    std::vector<std::string> missingStore() const
+    {
+        std::vector<std::string> names;
+        for (const auto& [name, it] : m_instances) {
+            if (!reachesStore(*it) && !it->membership.isStoreServing(m_now))
+                names.push_back(name);
+        }
+        return names;
+    }
     // Instances of an earlier version, which neither read nor send digests.
     void makeOld(const std::string& name) { m_instances.at(name)->isOld = true; }
 
@@ -71,6 +84,8 @@
         for (auto end = m_now + time; m_now < end; m_now += 10ms) {
             deliver();
             for (auto& [name, it] : m_instances) {
+                if (m_serves && m_now >= it->askedStoreAt + (it->membership.isHub() ? 1s : 10s))
+                    askStore(name, *it);
                 if (it->nextAt <= m_now)
                     send(name, *it);
             }
@@ -191,6 +206,9 @@
         bool isOld = false;
         std::size_t messages = 0;
         std::int64_t crashes = 0;
+        TimePoint askedStoreAt;
+        TimePoint lastReplyAt;
+        bool isServed = false;
     };
     struct Message {
         TimePoint at;
@@ -198,6 +216,17 @@
         std::shared_ptr<const FleetHeartbeat> heartbeat;
     };
 
+    void askStore(const std::string& name, Instance& it)
+    {
+        // Instances that are no hubs ask seldom, each at another time.
+        it.askedStoreAt = it.askedStoreAt == TimePoint {} ? m_now - 10ms * static_cast<int>(m_random() % 1000) : m_now;
+        it.isServed = m_serves(name);
+        if (it.isServed)
+            it.lastReplyAt = m_now;
+    }
+
+    bool reachesStore(const Instance& it) const { return it.isServed && m_now - it.lastReplyAt <= FleetMembership::maxStoreSilence; }
+
     void send(const std::string& name, Instance& it)
     {
         it.nextAt += FleetMembership::heartbeatPeriod;
@@ -206,8 +235,13 @@
         heartbeat.domain = m_addresses.at(name);
         heartbeat.addresses = { absl::StrCat("entry-", name), name };
         heartbeat.sequence = ++it.sequence;
-        heartbeat.ready = heartbeat.storeReachable = true;
-        heartbeat.storeAge = 100ms;
+        heartbeat.ready = true;
+        heartbeat.storeReachable = !m_serves || reachesStore(it);
+        auto repliedAt = it.membership.isHub() ? std::max(it.lastReplyAt, it.membership.lastReplyAt(0, m_now)) : it.lastReplyAt;
+        if (!m_serves)
+            heartbeat.storeAge = 100ms;
+        else if (repliedAt != TimePoint {})
+            heartbeat.storeAge = toMilliseconds(m_now - repliedAt);
         heartbeat.work[{ absl::StrCat("u-", it.incarnation % 48) }] = { 1, 100 };
         heartbeat.evidence[{ { "s" }, "v2", "r", {} }] = { .done = 1 };
         heartbeat.readsDigests = !it.isOld;
@@ -282,6 +316,7 @@
     std::mt19937 m_random;
     unsigned m_lossPercent = 0;
     Link m_link;
+    std::function<bool(const std::string&)> m_serves;
     std::uint64_t m_incarnations = 0;
     TimePoint m_now = start;
 };
@@ -407,6 +442,58 @@
     }
 }
 
+// Guards against requests to upstreams that left long before, since instances whose hubs the store turned away told the site of an
+// outage, and every instance kept the upstreams whose entries were missing.
+TEST_CASE("an instance of a large site takes the store for lost only if it serves nobody")
+{
+    RelayedSite site(67, 5);
+    site.setStore([](const std::string&) { return true; });
+    site.run(15s);
+    REQUIRE(site.missingStore().empty());
+    auto missing = [&](Milliseconds time) {
+        std::size_t most = 0;
+        for (auto end = site.now() + time; site.now() < end; site.run(50ms))
+            most = std::max(most, site.missingStore().size());
+        return most;
+    };
+    auto hubs = site.hubs();
+    auto isHub = [&](const std::string& name) { return std::find(hubs.begin(), hubs.end(), name) != hubs.end(); };
+
+    SECTION("the hubs of a domain are turned away")
+    {
+        site.setStore([&](const std::string& name) { return !isHub(name) || site.domainOf(name).value != "domain-4"; });
+        CHECK(missing(20s) == 0);
+    }
+    SECTION("all domains but one are turned away")
+    {
+        site.setStore([&](const std::string& name) { return site.domainOf(name).value == "domain-1"; });
+        CHECK(missing(20s) == 0);
+    }
+    SECTION("all instances notice an outage within three seconds, as long as it lasts, and its end within two")
+    {
+        site.setStore([](const std::string&) { return false; });
+        site.run(4s);
+        for (int n = 0; n < 100; ++n) {
+            site.run(50ms);
+            REQUIRE(site.missingStore().size() == site.size());
+        }
+        site.setStore([](const std::string&) { return true; });
+        site.run(2s);
+        CHECK(missing(10s) == 0);
+    }
+    SECTION("an instance that hears nobody cannot tell an outage from its own isolation")
+    {
+        std::string name = "edge-7";
+        site.setLink([&](const std::string&, const std::string& to) { return to != name; });
+        site.run(2500ms);
+        CHECK_FALSE(site.membership(name).livePeers(site.now()).empty());
+        CHECK_FALSE(site.membership(name).hearsPeers(site.now()));
+        site.setLink({});
+        site.run(1s);
+        CHECK(site.membership(name).hearsPeers(site.now()));
+    }
+}
+
 // Guards against requests that are refused for ever, since hubs tell each other of a crash that its witness has forgotten.
 TEST_CASE("what crashed upstreams is known to all while its witness tells of it")
 {
--- a/test/correctness/routing_test.cpp
+++ b/test/correctness/routing_test.cpp
@@ -202,24 +202,41 @@
     }
     SECTION("an upstream whose entry is deleted while the store is available is removed at once")
     {
-        registry.removed({ "u1" }, false, start);
+        registry.removed({ "u1" }, start, start);
         CHECK(ids() == "u2 ");
     }
     SECTION("an upstream whose entry expired during a store outage is kept until it had time to register again")
     {
-        registry.removed({ "u1" }, true, start);
+        registry.removed({ "u1" }, start + 2s, start);
         CHECK(ids() == "u1 u2 ");
-        registry.storeUnavailable(start + 5s);
-        CHECK_FALSE(registry.removeExpired(start + 7s));
-        CHECK(registry.removeExpired(start + 5s + UpstreamRegistry::reregistrationTime));
-        CHECK(ids() == "u2 ");
+        SECTION("a longer time if the outage goes on")
+        {
+            CHECK_FALSE(registry.removeExpired(start + 7s, start + 2s));
+            CHECK_FALSE(registry.removeExpired(start + 7s, start + 7s - 1ms));
+            CHECK(registry.removeExpired(start + 7s, start + 7s));
+            CHECK(ids() == "u2 ");
+        }
+        SECTION("it stays if it registers again")
+        {
+            registered(upstream("u1"));
+            CHECK_FALSE(registry.removeExpired(start + 2s, start + 3s));
+            CHECK(ids() == "u1 u2 ");
+        }
+    }
+    // Guards against requests to an upstream that left, since an instance that read of it late waited from then on for its return.
+    SECTION("the time for its return does not depend on when the removal of its entry is read")
+    {
+        registry.removed({ "u1" }, start + 2s, start + 1900ms);
+        CHECK(registry.removeExpired(start + 2s, start + 2s));
+        registry.removed({ "u2" }, start + 2s, start + 2s);
+        CHECK(ids().empty());
     }
     SECTION("an upstream that is leaving is not kept after a store outage")
     {
         auto leaving = upstream("u1");
         leaving.takesWork = false;
         registered(leaving);
-        registry.removed({ "u1" }, true, start);
+        registry.removed({ "u1" }, start + 2s, start);
         CHECK(registry.size() == 1);
     }
     SECTION("an incarnation whose address now belongs to another upstream has ended, but a later one with the same id has not")
@@ -260,7 +277,7 @@
     }
     SECTION("its entry was removed: it stays away until it writes again")
     {
-        registry.removed({ "u1" }, false, start);
+        registry.removed({ "u1" }, start, start);
         CHECK(registry.registered(entry, fromCopy, start + 5s) == Change::HeldBack);
         CHECK(registry.usable().empty());
         CHECK(registry.registered(entry, version(100, 6, 18, 2), start + 6s) == Change::Updated);
@@ -269,25 +286,25 @@
     }
     SECTION("an earlier incarnation stays away, a later one does not")
     {
-        registry.removed({ "u1" }, false, start);
+        registry.removed({ "u1" }, start, start);
         CHECK(registry.registered(entry, version(90, 50, 25, 2), start + 5s) == Change::HeldBack);
         CHECK(registry.registered(entry, version(110, 1, 15, 2), start + 5s) == Change::Updated);
     }
     SECTION("within an era of the store, what is written later holds")
     {
-        registry.removed({ "u1" }, false, start);
+        registry.removed({ "u1" }, start, start);
         CHECK(registry.registered(entry, version(100, 4, 40, 1), start + 5s) == Change::Updated);
     }
     SECTION("an entry that does not count its writes is not held back for having been removed")
     {
         registry.registered(entry, version(100, 0, 21, 1), start);
-        registry.removed({ "u1" }, false, start);
+        registry.removed({ "u1" }, start, start);
         CHECK(registry.registered(entry, version(100, 0, 20, 2), start + 5s) == Change::Updated);
     }
     SECTION("an entry that only the copy lacked comes back in whatever form")
     {
-        registry.removed({ "u1" }, true, start);
-        registry.removeExpired(start + 5s);
+        registry.removed({ "u1" }, start + 2s, start);
+        CHECK(registry.removeExpired(start + 2s, start + 5s));
         CHECK(registry.registered(entry, fromCopy, start + 6s) == Change::Updated);
     }
     SECTION("a peer that read only the copy learns what is held back")
@@ -296,7 +313,7 @@
         if (wasDraining)
             registry.registered(draining, version(100, 5, 30, 1), start);
         else
-            registry.removed({ "u1" }, false, start);
+            registry.removed({ "u1" }, start, start);
         registry.registered(entry, fromCopy, start + 5s);
         CHECK(other.registered(entry, fromCopy, start + 5s) == Change::Updated);
         REQUIRE(registry.heldBack().size() == 1);
@@ -307,7 +324,7 @@
 
         SECTION("and that it is over, once the store has removed the entry")
         {
-            registry.removed({ "u1" }, false, start + 8s);
+            registry.removed({ "u1" }, start, start + 8s);
             CHECK(registry.heldBack().empty());
         }
     }
