Keep Catch2's assertions on the thread of the tests

What the tests risked: in test_planned_stop, workOf() used REQUIRE, and the scripts that call it run on the threads of the stand-in upstreams, up to 300 at once. Catch2's assertions are not thread-safe: the thread sanitizer reports the race on its counters, and results could be lost or corrupted. A failing REQUIRE threw through a thread where nothing catches it, which ended the test program, so that the other cases of the run were not reported.

Change: an upstream's thread records a request whose path names no time and closes its connection; each case that uses these scripts ends with the check that there was none, which prints their targets. Nothing is weaker: the same condition is checked for each request, and a path that names no time fails the test as before.

Looked through for the same: all scripts, handlers and std::thread and std::async bodies of test/processes, test/correctness, test/soak, test/matrix and test/fakes. There was no other.

--- a/test/processes/planned_stop_test.cpp
+++ b/test/processes/planned_stop_test.cpp
@@ -11,6 +11,8 @@
 #include <catch2/catch.hpp>
 #include <csignal>
 #include <map>
+#include <mutex>
+#include <optional>
 #include <thread>
 
 using namespace skylarkhitch;
@@ -50,23 +52,56 @@
     return statusOf(response) == 200 && absl::EndsWith(response, isChunked ? "0\r\n\r\n" : "hello");
 }
 
-std::chrono::milliseconds workOf(const RawRequest& request)
+// Nothing if the path does not name a time.
+std::optional<std::chrono::milliseconds> workOf(const RawRequest& request)
 {
     int ms = 0;
     auto path = request.path();
-    REQUIRE(absl::SimpleAtoi(path.substr(path.rfind('/') + 1), &ms));
+    if (!absl::SimpleAtoi(path.substr(path.rfind('/') + 1), &ms))
+        return std::nullopt;
     return std::chrono::milliseconds(ms);
 }
 
-// Upstreams whose work takes the time that the request's path names; engines send events throughout.
-void workAsAsked(Site& site)
+// Requests that upstreams could not work on as asked. Their threads record them and the test checks that there are none, since Catch2's
+// assertions may be used on the test's thread only.
+class OddRequests {
+public:
+    void add(const RawRequest& request)
+    {
+        std::lock_guard lock(m_mutex);
+        m_targets.push_back(request.target);
+    }
+    std::vector<std::string> targets()
+    {
+        std::lock_guard lock(m_mutex);
+        return m_targets;
+    }
+
+private:
+    std::mutex m_mutex;
+    std::vector<std::string> m_targets;
+};
+
+void checkNone(OddRequests& requests) { CHECK(requests.targets() == std::vector<std::string>()); }
+
+// Upstreams whose work takes the time that the request's path names; engines send events throughout. They close the connection of a
+// request whose path names none.
+[[nodiscard]] std::shared_ptr<OddRequests> workAsAsked(Site& site)
 {
-    site.setScripts([](const RawRequest& request, RawConnection& connection) {
-        return !connection.isClosedWithin(workOf(request)) && respondWith("hello")(request, connection);
+    auto oddRequests = std::make_shared<OddRequests>();
+    site.setScripts([oddRequests](const RawRequest& request, RawConnection& connection) {
+        auto work = workOf(request);
+        if (!work)
+            oddRequests->add(request);
+        return work && !connection.isClosedWithin(*work) && respondWith("hello")(request, connection);
     });
-    site.setEngineScripts([](const RawRequest& request, RawConnection& connection) {
-        return streamEvents(static_cast<int>(workOf(request) / eventGap), eventGap)(request, connection);
+    site.setEngineScripts([oddRequests](const RawRequest& request, RawConnection& connection) {
+        auto work = workOf(request);
+        if (!work)
+            oddRequests->add(request);
+        return work && streamEvents(static_cast<int>(*work / eventGap), eventGap)(request, connection);
     });
+    return oddRequests;
 }
 
 // A request on a kept connection.
@@ -109,7 +144,7 @@
 {
     constexpr int callers = 12;
     Site site;
-    workAsAsked(site);
+    auto oddRequests = workAsAsked(site);
     EdgeInstance instance("edge-1", site.store.address());
     REQUIRE(waitUntil(5s, [&] { return instance.isReady(); }));
 
@@ -158,6 +193,7 @@
         CHECK(instance.linesContaining("error=instance_draining").size() == callers);
         CHECK(instance.linesContaining("what=signal name=SIGINT stopping=yes").size() == 1);
     }
+    checkNone(*oddRequests);
 }
 
 // Guards against a stop that ends the process, or its loops, before it has come so far as to serve.
@@ -254,7 +290,7 @@
 TEST_CASE("an instance that stops passes on only what it can answer")
 {
     Site site;
-    workAsAsked(site);
+    auto oddRequests = workAsAsked(site);
     EdgeInstance instance("edge-1", site.store.address());
     REQUIRE(waitUntil(5s, [&] { return instance.isReady(); }));
 
@@ -366,6 +402,7 @@
         CHECK(isWhole(request.response));
         CHECK(site.receivedWithId(request.id) == 1);
     }
+    checkNone(*oddRequests);
 }
 
 namespace {
@@ -393,7 +430,7 @@
     Site site;
     EdgeInstance instance("edge-1", site.store.address());
     REQUIRE(waitUntil(5s, [&] { return instance.isReady(); }));
-    workAsAsked(site);
+    auto oddRequests = workAsAsked(site);
     serveSome(instance, Kind::Booking, 50ms);
     serveSome(instance, Kind::Draft, 50ms);
 
@@ -440,6 +477,7 @@
         }
         CHECK(instance.linesContaining("unanswered=0").size() == 1);
     }
+    checkNone(*oddRequests);
 }
 
 // Guards against streams that break off in the middle of a drain because their upstream is silent for a while: no request of the route is
@@ -498,7 +536,7 @@
     Site site;
     EdgeInstance instance("edge-1", site.store.address());
     REQUIRE(waitUntil(5s, [&] { return instance.isReady(); }));
-    workAsAsked(site);
+    auto oddRequests = workAsAsked(site);
     serveSome(instance, Kind::Booking, 50ms);
     serveSome(instance, Kind::Draft, 50ms);
     instance.signal(SIGTERM);
@@ -528,4 +566,5 @@
         CAPTURE(it.id, response.substr(0, shownBytes));
         CHECK(statusOf(response) == 502);
     }
+    checkNone(*oddRequests);
 }
