Test that the line of an unanswered request names the error that ended it

What on-call sees: connection_closed_unanswered says end=socket_error error="End of file" for a stream whose caller has reset its connection while a write was waiting. The error is the field that the line was made for. Cause, read and seen in the line: the write takes the error off the socket; the pending wait of the same turn then reads the end of the stream, and onReadable() overwrites m_error although the end is already known.

--- a/test/correctness/caller_connection_test.cpp
+++ b/test/correctness/caller_connection_test.cpp
@@ -1,5 +1,6 @@
 // Tests the server side of HTTP/1.1 connections in this process, with handlers of the test.
 
+#include "adapters/log.h"
 #include "edge/caller_connection.h"
 #include "processes/edge_instance.h"
 
@@ -8,7 +9,9 @@
 #include <atomic>
 #include <catch2/catch.hpp>
 #include <future>
+#include <iostream>
 #include <netinet/tcp.h>
+#include <sstream>
 #include <sys/socket.h>
 #include <thread>
 
@@ -71,6 +74,33 @@
     std::thread m_thread;
 };
 
+// Collects the lines of the log while it exists.
+class CollectedLog {
+public:
+    CollectedLog()
+        : m_previous(std::cerr.rdbuf(m_text.rdbuf()))
+    {
+        startLog("info", "test");
+    }
+    ~CollectedLog() { stop(); }
+    CollectedLog(const CollectedLog&) = delete;
+    CollectedLog& operator=(const CollectedLog&) = delete;
+
+    // Returns all lines. Nothing is collected afterwards.
+    std::string stop()
+    {
+        if (m_previous) {
+            stopLog();
+            std::cerr.rdbuf(std::exchange(m_previous, nullptr));
+        }
+        return m_text.str();
+    }
+
+private:
+    std::ostringstream m_text;
+    std::streambuf* m_previous;
+};
+
 }
 
 // Guards against callers that wait for a response until their own time limit, because a handler has returned without one.
@@ -144,6 +174,38 @@
     }
 }
 
+// Guards against a line that names an orderly close as the error of a connection that was reset.
+TEST_CASE("the line for a response that breaks off names the error that ended it")
+{
+    constexpr int receiveBytes = 16 * 1024;
+    constexpr std::size_t pieceBytes = std::size_t { 7 } << 20;
+    std::atomic<bool> isWriting = false;
+    EventLoop* loop = nullptr;
+    CollectedLog log;
+    {
+        Server server([&](std::shared_ptr<CallerConnection> connection, ReceivedRequest) -> Awaitable<void> {
+            connection->setRequestId("id-1");
+            EdgeResponse response { .status = 200 };
+            co_await connection->beginBody(std::move(response));
+            isWriting = true;
+            co_await connection->writeBody(std::string(pieceBytes, 'x'));
+            // As a stream whose upstream is still read.
+            co_await sleepFor(*loop, Milliseconds(50));
+        });
+        loop = &server.loop();
+        auto connection = server.connect(receiveBytes);
+        connection->write("GET /x HTTP/1.1\r\nHost: x\r\n\r\n");
+        REQUIRE(waitUntil(2s, [&] { return isWriting.load(); }));
+        std::this_thread::sleep_for(200ms);
+        connection->reset();
+        REQUIRE(waitUntil(2s, [&] { return server.requests() == 0; }));
+    }
+    auto lines = log.stop();
+    CAPTURE(lines);
+    CHECK(absl::StrContains(lines, "what=connection_closed_unanswered id=id-1 end=socket_error response=begun"));
+    CHECK(absl::StrContains(lines, "error=\"Connection reset by peer\""));
+}
+
 // Guards against connections that close without a response because an exception left the request's handler.
 TEST_CASE("an exception in a handler ends its request with an error")
 {
