Keep the first error of a caller's connection for its line

Cause: a write that fails takes the error off the socket; the pending wait then reads the end of the stream and overwrote the error. Change: handleDisconnect() takes the error and keeps that of the call which ended the connection. Other tests were not run.

--- a/src/edge/caller_connection.cpp
+++ b/src/edge/caller_connection.cpp
@@ -251,10 +251,8 @@
     std::array<asio::const_buffer, 2> buffers { asio::buffer(head), asio::buffer(body.data(), body.size()) };
     co_await asio::async_write(m_socket, buffers, asio::redirect_error(asio::use_awaitable, ec));
     m_deadline.clear();
-    if (ec) {
-        m_error = ec;
-        handleDisconnect(ConnectionEnd::SocketError);
-    }
+    if (ec)
+        handleDisconnect(ConnectionEnd::SocketError, ec);
     co_return !ec;
 }
 
@@ -284,11 +282,13 @@
     m_socket.cancel(ec);
 }
 
-void CallerConnection::handleDisconnect(ConnectionEnd end)
+void CallerConnection::handleDisconnect(ConnectionEnd end, boost::system::error_code error)
 {
+    // After the first error, the socket only reports the end of the stream.
     if (m_hasDisconnected)
         return;
     m_hasDisconnected = true;
+    m_error = error;
     if (m_end == ConnectionEnd::Open)
         m_end = end;
     m_keepAlive = false;
@@ -321,8 +321,7 @@
         watchForDisconnect();
         return;
     }
-    m_error = ec;
-    handleDisconnect(endFor(ec));
+    handleDisconnect(endFor(ec), ec);
 }
 
 // Logs the end of a connection that served no request at that time, unless the caller closed an idle one.
--- a/src/edge/caller_connection.h
+++ b/src/edge/caller_connection.h
@@ -116,7 +116,7 @@
     void watchForDisconnect();
     void onReadable();
     void onDeadline();
-    void handleDisconnect(ConnectionEnd);
+    void handleDisconnect(ConnectionEnd, boost::system::error_code = {});
     void logClose() const;
     // Logs the end of a connection whose request has no complete response.
     void logUnanswered() const;
