Test that an upstream is not blamed for this instance's lack of memory

One caller that does not read its response of 7 MB holds the memory for long bodies. Three responses of 2 MB from a sound upstream then end as 'upstream_answer_malformed cause="too many long bodies"', their callers get 502, and the upstream is ejected. Cause, read: readWholeBody() reports the instance's own limit as TransferEnd::Malformed; makeAttempt() passes that to recordUpstreamFailure(), which counts it towards the ejection and as a broken response of the release. Not mended here. Server::stop() in the test ends its thread before the state that the handlers use goes.

--- a/test/correctness/caller_connection_test.cpp
+++ b/test/correctness/caller_connection_test.cpp
@@ -2,6 +2,7 @@
 
 #include "adapters/log.h"
 #include "edge/caller_connection.h"
+#include "edge/request_forwarder.h"
 #include "processes/edge_instance.h"
 
 #include <absl/strings/match.h>
@@ -33,10 +34,14 @@
         m_listener = std::make_unique<HttpListener>(m_loop, absl::StrCat("127.0.0.1:", m_port), m_state);
         m_thread = std::thread([this] { runLoop(m_loop, "server"); });
     }
-    ~Server()
+    ~Server() { stop(); }
+
+    // Ends the thread. No event of the loop is handled afterwards.
+    void stop()
     {
         m_loop.stop();
-        m_thread.join();
+        if (m_thread.joinable())
+            m_thread.join();
     }
 
     std::unique_ptr<RawConnection> connect(int receiveBytes = 0) const
@@ -174,6 +179,51 @@
     }
 }
 
+// Guards against sound upstreams that are ejected, for all callers, because some caller does not read its long response.
+TEST_CASE("an upstream is not blamed if this instance has no memory left for its response")
+{
+    constexpr int receiveBytes = 16 * 1024;
+    constexpr std::size_t slowBytes = std::size_t { 7 } << 20, otherBytes = std::size_t { 2 } << 20;
+    const ServiceId service { "files" };
+    LoopbackServer upstream([&](const RawRequest& request, RawConnection& connection) {
+        auto id = request.field("X-Attempt-Id");
+        return connection.write(responseBytes(200, std::string(id == "id-slow" ? slowBytes : otherBytes, 'x'), { { "X-Attempt-Id", id } }));
+    });
+    auto configuration = std::make_shared<RoutingConfiguration>();
+    configuration->services[service] = { service, "/", 0, {} };
+    configuration->routes.push_back({ .name = "files", .host = "x", .prefix = "/", .kind = RouteKind::Idempotent, .timeout = 10s, .split = { { service, 1 } } });
+    FleetView view;
+    view.configuration = configuration;
+    view.upstreams[service] = { { { "i-1" }, service, upstream.address(), { "a" }, "v1", 8, true, 1, {} } };
+
+    TrafficState* traffic = nullptr;
+    Server server([&](std::shared_ptr<CallerConnection> connection, ReceivedRequest request) -> Awaitable<void> {
+        auto forwarder = std::make_shared<RequestForwarder>(*traffic, std::move(connection), std::move(request));
+        co_await forwarder->run();
+    });
+    EdgeMetrics metrics;
+    TrafficState state(server.loop(), TrafficSettings {}, metrics);
+    state.setView(std::make_shared<const FleetView>(view));
+    traffic = &state;
+    auto requestOf = [](const std::string& id) { return absl::StrCat("GET /x HTTP/1.1\r\nHost: x\r\nX-Attempt-Id: ", id, "\r\n\r\n"); };
+
+    auto slow = server.connect(receiveBytes);
+    slow->write(requestOf("id-slow"));
+    REQUIRE(slow->readUntil([](const std::string& in) { return !in.empty(); }));
+    for (int n = 0; n < 3; ++n) {
+        auto other = server.connect();
+        other->write(requestOf(absl::StrCat("id-", n)));
+        auto response = other->readResponse();
+        UNSCOPED_INFO(response.substr(0, response.find("\r\n")));
+    }
+    // The slow caller still has its response before it.
+    REQUIRE(waitUntil(2s, [&] { return server.requests() == 1; }));
+    slow->reset();
+    REQUIRE(waitUntil(2s, [&] { return server.requests() == 0; }));
+    server.stop();
+    CHECK_FALSE(state.balancer().isEjected({ "i-1" }, bootNow()));
+}
+
 // Guards against a line that names an orderly close as the error of a connection that was reset.
 TEST_CASE("the line for a response that breaks off names the error that ended it")
 {
