--- a/src/edge/event_loop.cpp
+++ b/src/edge/event_loop.cpp
@@ -26,8 +26,9 @@
 
     // The user timeout must be shorter than the time within which the platform expects an instance to be reachable again.
     constexpr SilenceLimits outgoingLimits { Milliseconds(2000), Seconds(1), Seconds(1), 2 };
-    // As long as a write to a caller may take. Deadlines of requests and of idle connections end what is left of a dead caller.
-    constexpr SilenceLimits callerLimits { Milliseconds(30000), Seconds(10), Seconds(5), 4 };
+    // Longer than a pause of a caller, and not as long as a write may take, since the response that a caller does not read takes
+    // memory. Deadlines of requests and of idle connections end what is left of a dead caller.
+    constexpr SilenceLimits callerLimits { Milliseconds(10000), Seconds(4), Seconds(2), 4 };
 
     using SteadyClock = std::chrono::steady_clock;
 
