Do not blame an upstream for this instance's lack of memory

What callers saw: 502 for all requests to a sound upstream, which was ejected after three long responses found no memory here, because one caller did not read its own response of 7 MB. Cause: readWholeBody() reports the limit of all bodies as a malformed answer, which counts towards the ejection and the verdict on a release. Ruled out: the limit itself, which stays. A body without a stated length may have no end, so it counts against its upstream as before. Change: a response of an allowed length that finds no memory is logged as "body_memory_exhausted" and counts against nobody. Its caller still gets 502. Evidence: test_caller_connection, "an upstream is not blamed if this instance has no memory left": 1 of 8 checks failed before, none now.

--- a/src/edge/request_forwarder.cpp
+++ b/src/edge/request_forwarder.cpp
@@ -369,10 +369,12 @@
     bool isConnectionLost = result.end == AttemptEnd::Cut || result.end == AttemptEnd::TimedOut || result.end == AttemptEnd::NotSent || result.end == AttemptEnd::Malformed;
     if (isConnectionLost) {
         connection->close();
-        if (result.end == AttemptEnd::Malformed)
+        if (connection->lacksMemory())
+            LogLine(LogLevel::Warning, "body_memory_exhausted").with("id", m_admitted.request.id.value).with("upstream", upstream.id.value);
+        else if (result.end == AttemptEnd::Malformed)
             LogLine(LogLevel::Warning, "upstream_answer_malformed").with("id", m_admitted.request.id.value).with("upstream", upstream.id.value).with("cause", connection->malformedCause());
         // At its exit, the instance closes the connections itself.
-        if (!m_caller->hasDisconnected() && !m_traffic.isExiting(bootNow()))
+        if (!m_caller->hasDisconnected() && !connection->lacksMemory() && !m_traffic.isExiting(bootNow()))
             recordUpstreamFailure(upstream, result.end);
         if (result.end == AttemptEnd::Cut)
             co_await awaitCrashEvidence();
--- a/src/edge/upstream_connection.cpp
+++ b/src/edge/upstream_connection.cpp
@@ -162,7 +162,7 @@
         if (whole.bytes.size() + piece.bytes.size() > maxBytes)
             whole.end = reject("body too long");
         else if (memory && !memory->add(piece.bytes.size()))
-            whole.end = reject("too many long bodies");
+            whole.end = rejectForMemory(stated.has_value());
         else
             appendBody(whole.bytes, piece.bytes, maxBytes);
     }
@@ -238,6 +238,12 @@
     return TransferEnd::Malformed;
 }
 
+TransferEnd UpstreamConnection::rejectForMemory(bool hasLength)
+{
+    m_lacksMemory = hasLength;
+    return reject("too many long bodies");
+}
+
 void UpstreamConnection::close()
 {
     m_isUnusable = true;
--- a/src/edge/upstream_connection.h
+++ b/src/edge/upstream_connection.h
@@ -64,6 +64,9 @@
     TransferEnd reject(std::string cause);
     // Why the response was rejected.
     const std::string& malformedCause() const { return m_malformedCause; }
+    // Whether a response of an allowed length was rejected because this instance has no memory left for its body. A body without a
+    // stated length may have no end, so the upstream is to blame for that.
+    bool lacksMemory() const { return m_lacksMemory; }
 
     // Sets the deadline, from now. When it expires, pending operations end. Reads still return what had arrived by then, which
     // after a pause of the process may be the whole response; without it they close the connection and return TimedOut.
@@ -82,6 +85,8 @@
     using Parser = boost::beast::http::response_parser<AppendedBody>;
 
     Awaitable<TransferEnd> readOrParse();
+    // Closes the connection because there is no memory for the body, and returns Malformed.
+    TransferEnd rejectForMemory(bool hasLength);
     void onDeadline();
     // Whether bytes that arrived before the deadline may still be read.
     bool mayReadOverdue() const;
@@ -100,6 +105,7 @@
     // Bytes parsed since the start of the response, including informational ones.
     std::size_t m_parsedBytes = 0;
     std::string m_malformedCause;
+    bool m_lacksMemory = false;
     bool m_isSending = false;
     bool m_isUnusable = false;
 };
