Log one outcome for a request whose caller leaves within its response

What on-call saw: two "request" lines for one id, first "status=200 error=none", then "error=caller_left". Cause: the outcome of a relayed response was logged without regard to whether the caller took it. Change: success is logged only if the whole response was written. Ran: test_caller_connection; no test of its own.

--- a/src/edge/request_forwarder.cpp
+++ b/src/edge/request_forwarder.cpp
@@ -471,8 +471,8 @@
     auto status = response.status;
     recordFirstByte(now);
     countOutcome(isGood ? "none" : "upstream_error");
-    co_await m_caller->respond(toCallerResponse(std::move(response), std::move(body.bytes)));
-    logOutcome(isGood ? "none" : "upstream_error", status);
+    if (co_await m_caller->respond(toCallerResponse(std::move(response), std::move(body.bytes))))
+        logOutcome(isGood ? "none" : "upstream_error", status);
     co_return result;
 }
 
@@ -513,8 +513,8 @@
             recordStreamServed(upstream, connection->endsWithConnection());
             releaseConnection(upstream, connection, keepAliveTimeout, bootNow());
             countOutcome("none");
-            co_await m_caller->endBody();
-            logOutcome("none", 200);
+            if (co_await m_caller->endBody())
+                logOutcome("none", 200);
             co_return AttemptResult { AttemptEnd::Completed, true };
         }
         if (piece.end != TransferEnd::Ok || piece.isLast)
