--- a/test/processes/edge_test.cpp
+++ b/test/processes/edge_test.cpp
@@ -1010,6 +1010,17 @@
         connection->readResponse();
         CHECK(absl::StrContains(lineOf("id-broken"), "end=aborted response=begun"));
     }
+    SECTION("a caller that goes in the middle of a long response has one outcome")
+    {
+        site.setScripts(respondWith(std::string(std::size_t { 4 } << 20, 'x')));
+        auto connection = RawConnection::connect(instance.port(), 16 * 1024);
+        connection->write(requestBytes("GET", "/status/x", "id-long"));
+        REQUIRE(connection->readUntil([](const std::string& in) { return !in.empty(); }));
+        connection->reset();
+        CHECK(absl::StrContains(lineOf("id-long"), "end=socket_error response=begun"));
+        CHECK(instance.linesContaining("what=request id=id-long ").size() == 1);
+        CHECK(instance.linesContaining("what=request id=id-long status=0 error=caller_left").size() == 1);
+    }
     SECTION("a request that is answered leaves no such line")
     {
         connect();
