Name the reset of a connection also if a write got its error

Cause: of a write and a read that wait, only one gets the error of the reset. Change: the error that comes second replaces an end of the stream; the line shows it whatever the end.

--- a/src/edge/caller_connection.cpp
+++ b/src/edge/caller_connection.cpp
@@ -284,7 +284,9 @@
 
 void CallerConnection::handleDisconnect(ConnectionEnd end, boost::system::error_code error)
 {
-    // After the first error, the socket only reports the end of the stream.
+    // Of a write and a read that wait, one gets the error of a connection that was reset, and the other the end of the stream.
+    if (m_hasDisconnected && error && m_error == asio::error::eof)
+        m_error = error;
     if (m_hasDisconnected)
         return;
     m_hasDisconnected = true;
@@ -341,7 +343,7 @@
     LogLine line(m_end == ConnectionEnd::ClosedByCaller ? LogLevel::Info : LogLevel::Warning, "connection_closed_unanswered");
     line.with("id", m_requestId).with("end", connectionEndName(m_end)).with("response", m_hasStartedResponse ? "begun" : "none");
     line.with("ms", toMilliseconds(bootNow() - m_servingSince).count()).with("requests", m_requests);
-    if (m_end == ConnectionEnd::SocketError)
+    if (m_error && m_error != asio::error::eof)
         line.with("error", m_error.message());
 }
 
