--- a/src/edge/caller_connection.cpp
+++ b/src/edge/caller_connection.cpp
@@ -251,10 +251,8 @@
     std::array<asio::const_buffer, 2> buffers { asio::buffer(head), asio::buffer(body.data(), body.size()) };
     co_await asio::async_write(m_socket, buffers, asio::redirect_error(asio::use_awaitable, ec));
     m_deadline.clear();
-    if (ec) {
-        m_error = ec;
-        handleDisconnect(ConnectionEnd::SocketError);
-    }
+    if (ec)
+        handleDisconnect(ConnectionEnd::SocketError, ec);
     co_return !ec;
 }
 
@@ -284,11 +282,15 @@
     m_socket.cancel(ec);
 }
 
-void CallerConnection::handleDisconnect(ConnectionEnd end)
+void CallerConnection::handleDisconnect(ConnectionEnd end, boost::system::error_code error)
 {
+    // Of a write and a read that wait, one gets the error of a connection that was reset, and the other the end of the stream.
+    if (m_hasDisconnected && error && m_error == asio::error::eof)
+        m_error = error;
     if (m_hasDisconnected)
         return;
     m_hasDisconnected = true;
+    m_error = error;
     if (m_end == ConnectionEnd::Open)
         m_end = end;
     m_keepAlive = false;
@@ -321,8 +323,7 @@
         watchForDisconnect();
         return;
     }
-    m_error = ec;
-    handleDisconnect(endFor(ec));
+    handleDisconnect(endFor(ec), ec);
 }
 
 // Logs the end of a connection that served no request at that time, unless the caller closed an idle one.
@@ -342,7 +343,7 @@
     LogLine line(m_end == ConnectionEnd::ClosedByCaller ? LogLevel::Info : LogLevel::Warning, "connection_closed_unanswered");
     line.with("id", m_requestId).with("end", connectionEndName(m_end)).with("response", m_hasStartedResponse ? "begun" : "none");
     line.with("ms", toMilliseconds(bootNow() - m_servingSince).count()).with("requests", m_requests);
-    if (m_end == ConnectionEnd::SocketError)
+    if (m_error && m_error != asio::error::eof)
         line.with("error", m_error.message());
 }
 
--- a/src/edge/request_forwarder.cpp
+++ b/src/edge/request_forwarder.cpp
@@ -369,10 +369,12 @@
     bool isConnectionLost = result.end == AttemptEnd::Cut || result.end == AttemptEnd::TimedOut || result.end == AttemptEnd::NotSent || result.end == AttemptEnd::Malformed;
     if (isConnectionLost) {
         connection->close();
-        if (result.end == AttemptEnd::Malformed)
+        if (connection->lacksMemory())
+            LogLine(LogLevel::Warning, "body_memory_exhausted").with("id", m_admitted.request.id.value).with("upstream", upstream.id.value);
+        else if (result.end == AttemptEnd::Malformed)
             LogLine(LogLevel::Warning, "upstream_answer_malformed").with("id", m_admitted.request.id.value).with("upstream", upstream.id.value).with("cause", connection->malformedCause());
         // At its exit, the instance closes the connections itself.
-        if (!m_caller->hasDisconnected() && !m_traffic.isExiting(bootNow()))
+        if (!m_caller->hasDisconnected() && !connection->lacksMemory() && !m_traffic.isExiting(bootNow()))
             recordUpstreamFailure(upstream, result.end);
         if (result.end == AttemptEnd::Cut)
             co_await awaitCrashEvidence();
@@ -469,8 +471,8 @@
     auto status = response.status;
     recordFirstByte(now);
     countOutcome(isGood ? "none" : "upstream_error");
-    co_await m_caller->respond(toCallerResponse(std::move(response), std::move(body.bytes)));
-    logOutcome(isGood ? "none" : "upstream_error", status);
+    if (co_await m_caller->respond(toCallerResponse(std::move(response), std::move(body.bytes))))
+        logOutcome(isGood ? "none" : "upstream_error", status);
     co_return result;
 }
 
@@ -511,8 +513,8 @@
             recordStreamServed(upstream, connection->endsWithConnection());
             releaseConnection(upstream, connection, keepAliveTimeout, bootNow());
             countOutcome("none");
-            co_await m_caller->endBody();
-            logOutcome("none", 200);
+            if (co_await m_caller->endBody())
+                logOutcome("none", 200);
             co_return AttemptResult { AttemptEnd::Completed, true };
         }
         if (piece.end != TransferEnd::Ok || piece.isLast)
