--- a/review/standins/case_early_answer.cpp
+++ b/review/standins/case_early_answer.cpp
@@ -18,7 +18,8 @@
 
 namespace {
 
-constexpr std::size_t requestBodyBytes = 1 << 20;
+// Within the site's maxBodyBytes, 4,194,304.
+constexpr std::size_t requestBodyBytes = 4'190'000;
 constexpr int rounds = 3, workers = 4;
 constexpr auto callerTimeout = 1500ms;
 
