--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,3 +1,4 @@
 #!/usr/bin/env bash
 # In a planned stop, the upstream of streams that have begun is silent for a second or so.
-exec "$(dirname "$0")/../run_case.sh" "$(dirname "$0")" case_silent_worker
+directory=$(dirname "$0")
+exec "$directory/../run_case.sh" case_silent_worker "$directory/record.txt"
--- a/review/standins/case_early_answer.cpp
+++ b/review/standins/case_early_answer.cpp
@@ -1,7 +1,7 @@
 // An upstream begins to answer a call before it has read the whole of its long body, with an answer that has neither a length nor
 // chunks, and crashes in the middle of both.
 //
-// case_early_answer DIRECTORY; case_early_answer worker ID runs an upstream.
+// case_early_answer RECORD; case_early_answer worker ID runs an upstream.
 
 #include "site.h"
 
--- a/review/standins/case_raised_limit.cpp
+++ b/review/standins/case_raised_limit.cpp
@@ -1,6 +1,6 @@
 // A configuration raises the limit of bodies. Channels that were idle meanwhile still refuse what only the earlier one refused.
 //
-// case_raised_limit DIRECTORY
+// case_raised_limit RECORD
 
 #include "site.h"
 
--- a/review/standins/case_silent_worker.cpp
+++ b/review/standins/case_silent_worker.cpp
@@ -1,7 +1,7 @@
 // A planned stop. Meanwhile the upstream of streams that have begun is silent for a second or so and goes on; the only other upstream is
 // full.
 //
-// case_silent_worker DIRECTORY
+// case_silent_worker RECORD
 
 #include "site.h"
 
--- a/review/standins/case_uploads.cpp
+++ b/review/standins/case_uploads.cpp
@@ -1,7 +1,7 @@
 // Many callers come at once, each with a long body that the configuration allows, and the instance's memory grows over the limit of its
 // machine. The case plays the platform, which kills such a process and starts it again.
 //
-// case_uploads DIRECTORY
+// case_uploads RECORD
 
 #include "site.h"
 
--- a/review/standins/site.cpp
+++ b/review/standins/site.cpp
@@ -45,7 +45,7 @@
     return !text || std::string(text) != "0";
 }
 
-void openRecord(const std::string& directory) { recordFile.open(directory + "/record.txt", std::ios::trunc); }
+void openRecord(const std::string& path) { recordFile.open(path, std::ios::trunc); }
 
 void record(const std::string& line)
 {
--- a/review/standins/site.h
+++ b/review/standins/site.h
@@ -19,9 +19,9 @@
 // Whether the case runs with its disruption.
 bool hasTrouble();
 
-// Appends lines, with the time since the start, to record.txt in the directory of the case.
+// Appends lines, with the time since the start, to the record of the case.
 void record(const std::string& line);
-void openRecord(const std::string& directory);
+void openRecord(const std::string& path);
 
 // A child process; the destructor kills it. Its standard output is recorded, and can be waited for.
 class Process {
