--- a/review/standins/case_raised_limit.cpp
+++ b/review/standins/case_raised_limit.cpp
@@ -51,8 +51,10 @@
         store.put("servers/" + it->id(), registration("orders", it->port(), 1));
     Entry entry("edge-halle-a-1", "halle-a", store.address(), freePorts(5), {});
     entry.start();
-    if (!waitUntil(5s, [&] { return entry.isReady(); }))
+    if (!waitUntil(5s, [&] { return entry.isReady(); })) {
+        record("an instance is not ready");
         return notRun;
+    }
     std::list<Client> clients;
     int requests = 0;
     for (int n = 0; n < callers; ++n, ++requests) {
--- a/review/standins/case_silent_worker.cpp
+++ b/review/standins/case_silent_worker.cpp
@@ -125,8 +125,10 @@
     int lost = 0, whole = 0;
     for (int round = 1; round <= rounds; ++round) {
         stopped.start();
-        if (!waitUntil(5s, [&] { return stopped.isReady() && other.isReady(); }))
+        if (!waitUntil(5s, [&] { return stopped.isReady() && other.isReady(); })) {
+            record("an instance is not ready");
             return notRun;
+        }
         std::vector<std::thread> callers;
         std::mutex mutex;
         for (int n = 1; n <= streams; ++n) {
--- a/review/standins/case_uploads.cpp
+++ b/review/standins/case_uploads.cpp
@@ -234,8 +234,10 @@
     for (int n = 1; n <= instances; ++n)
         machines.emplace_back(n, store);
     for (auto& it : machines) {
-        if (!waitUntil(5s, [&] { return it.entry().isReady(); }))
+        if (!waitUntil(5s, [&] { return it.entry().isReady(); })) {
+            record("an instance is not ready");
             return notRun;
+        }
     }
     Counts counts, steady;
     std::atomic<bool> isEnding = false;
--- a/review/standins/site.cpp
+++ b/review/standins/site.cpp
@@ -148,20 +148,24 @@
     return resident * ::sysconf(_SC_PAGESIZE);
 }
 
+// Below the kernel's range of ports for outgoing connections, so that none of those takes a port before the instance does.
 std::vector<int> freePorts(std::size_t count)
 {
-    std::vector<int> sockets, ports;
-    for (std::size_t n = 0; n < count; ++n) {
-        int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-        auto address = skylarkhitch::standin::loopbackAddress(0);
-        socklen_t size = sizeof address;
-        ::bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof address);
-        ::getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size);
-        sockets.push_back(fd);
-        ports.push_back(ntohs(address.sin_port));
+    constexpr int first = 12000, last = 31000;
+    static int next = first + static_cast<int>(::getpid() * 37 % (last - first));
+    std::vector<int> ports;
+    for (int tries = first; ports.size() < count && tries < last; ++tries) {
+        next = next + 1 < last ? next + 1 : first;
+        auto address = skylarkhitch::standin::loopbackAddress(next);
+        bool isFree = true;
+        for (int type : { SOCK_STREAM, SOCK_DGRAM }) {
+            int fd = ::socket(AF_INET, type | SOCK_CLOEXEC, 0);
+            isFree = ::bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0 && isFree;
+            ::close(fd);
+        }
+        if (isFree)
+            ports.push_back(next);
     }
-    for (int fd : sockets)
-        ::close(fd);
     return ports;
 }
 
