A silent upstream is given up only once another one has begun to respond

What callers saw: streams that had begun were reset, and calls that may be repeated ended with an error, because their sound upstream was silent for a second or two and no other one took the request.

Cause: RequestForwarder shortened the wait as long as the route allows another attempt, and closed the connection before it knew whether there is another upstream, a retry in the budget, and a yes from that upstream.

Ruled out: a look at the list of upstreams first, since "full" is known only from the answer; a longer wait, which only moves the moment.

Change: a silence opens a hedge. The current attempt goes on until the other upstream has begun a response that can go to the caller, and the hedge is closed when the current one sends an event. A hedge is an attempt of the route and takes a retry from the budget, as the retry did. The time of a write to a slow caller is no silence any more. A stream that has begun is given up for lost links only if there is a peer to ask. Lines hedge_started and hedge_ended.

Other tests with processes that touch it: 85 of 85 but for three that asked for the line attempt_failed of the attempt that was given up, which is back; they pass.

--- a/src/core/messages.h
+++ b/src/core/messages.h
@@ -66,7 +66,7 @@
     // The connection was lost before the response was complete, although at least part of the request was sent.
     Cut,
     TimedOut,
-    // This instance discarded the response before any of it reached the caller, to ask another model instead.
+    // This instance discarded the response, or the rest of it, since another attempt serves the request.
     Dropped,
     // The upstream sent bytes that are not a response to the request, or a response that is longer than allowed. Unlike after
     // Cut, the upstream is known to be alive.
--- a/src/edge/request_forwarder.cpp
+++ b/src/edge/request_forwarder.cpp
@@ -19,15 +19,17 @@
     constexpr Milliseconds refusalTimeout { 200 };
     // Attempts allowed beyond the route's own limit, for upstreams that could not be reached.
     constexpr std::size_t maxUnreachableUpstreams = 6;
-    // An upstream that has not answered within this multiple of the target latency has probably lost the request. The event
-    // stream factors apply to the first event and to the gap between events. A sound upstream may be silent for a second or two,
-    // and another one would read the whole prompt again.
+    // An upstream that has not answered within this multiple of the target latency may have lost the request, so another one is asked
+    // to take over. The event stream factors apply to the first event and to the gap between events. A sound upstream may be silent
+    // for a second or two, and another one would read the whole prompt again.
     constexpr double responseTimeoutFactor = 2.5;
     constexpr double firstEventTimeoutFactor = 1.5;
     constexpr double eventGapTimeoutFactor = 2;
     constexpr Milliseconds minStreamSilence { 2500 };
     // A caller with little time is better served by another upstream, so the least silence is at most this part (1/n) of it.
     constexpr int silenceDivisor = 2;
+    // Bytes that had arrived when a silence was noticed are read within this time.
+    constexpr Milliseconds unreadInputTime { 20 };
     // Peers that a request is sent to in turn while they cannot be reached.
     constexpr std::size_t maxRelays = 3;
     // With less time than this left, no other upstream could still answer.
@@ -110,6 +112,8 @@
     : m_traffic(traffic)
     , m_caller(std::move(caller))
     , m_received(std::move(received))
+    , m_hedgeChanged(traffic.loop())
+    , m_silence(traffic.loop(), [this] { onSilence(); })
 {
 }
 
@@ -122,6 +126,8 @@
     } catch (const std::exception& e) {
         failure = e.what();
     }
+    m_silence.clear();
+    dropHedge();
     if (m_servedSince)
         m_traffic.stopAdmission().ended(m_admitted.route->name, *m_servedSince, m_admitted.deadline, m_isAnswered, bootNow());
     if (!failure)
@@ -146,8 +152,10 @@
         co_return;
     }
     m_caller->onDisconnect([this] {
-        if (m_connection)
-            m_connection->close();
+        for (const auto& it : { m_attempt, m_hedge }) {
+            if (it && it->connection)
+                it->connection->close();
+        }
         if (m_relay)
             m_relay->close();
     });
@@ -204,7 +212,19 @@
             co_await respondWithError(noUpstreamError());
             co_return;
         }
-        auto result = co_await makeAttempt(*upstream);
+        auto attempt = std::make_shared<UpstreamAttempt>();
+        attempt->upstream = *upstream;
+        attempt->model = m_model;
+        auto result = co_await makeAttempt(attempt);
+        // The upstream of a hedge may have taken the request over, or may still do so.
+        while (!result.isFinal && m_hedge && !m_caller->hasDisconnected()) {
+            co_await awaitHedge();
+            if (!m_hedge)
+                break;
+            logFailedAttempt(result, true);
+            auto hedge = std::exchange(m_hedge, nullptr);
+            result = co_await makeAttempt(hedge);
+        }
         if (m_caller->hasDisconnected()) {
             logOutcome("caller_left", 0);
             co_return;
@@ -216,7 +236,7 @@
         if (result.end == AttemptEnd::Dropped)
             continue;
         bool willRetry = result.retryTaken || reserveRetry(result, bootNow());
-        LogLine(LogLevel::Info, "attempt_failed").with("id", m_admitted.request.id.value).with("upstream", m_triedUpstreams.back().value).with("end", attemptEndName(result.end)).with("workload_before", m_workBefore).with("attempts_left", m_admitted.route->maxAttempts - m_possibleRuns).with("ms_left", timeLeft().count()).with("retried", willRetry ? "yes" : "no");
+        logFailedAttempt(result, willRetry);
         if (!willRetry) {
             co_await respondWithError(errorFor(result));
             co_return;
@@ -224,6 +244,13 @@
     }
 }
 
+void RequestForwarder::logFailedAttempt(const AttemptResult& result, bool isRetried) const
+{
+    if (result.end == AttemptEnd::Dropped)
+        return;
+    LogLine(LogLevel::Info, "attempt_failed").with("id", m_admitted.request.id.value).with("upstream", m_attempt->upstream.id.value).with("end", attemptEndName(result.end)).with("workload_before", m_attempt->workBefore).with("attempts_left", m_admitted.route->maxAttempts - m_possibleRuns).with("ms_left", timeLeft().count()).with("retried", isRetried ? "yes" : "no");
+}
+
 bool RequestForwarder::fitsBeforeExit(TimePoint now) const
 {
     // A response that has begun would be broken off at once if it did not go on elsewhere.
@@ -306,8 +333,50 @@
     return m_traffic.balancer().choose({ &m_admitted.request, eligible.service, eligible.allowed, &m_triedUpstreams, m_traffic.settings().domain, m_isProbe || m_traffic.promptParts().isSuspected(m_parts) }, now);
 }
 
-Awaitable<RequestForwarder::AttemptResult> RequestForwarder::makeAttempt(UpstreamEntry upstream)
+Awaitable<RequestForwarder::AttemptResult> RequestForwarder::makeAttempt(std::shared_ptr<UpstreamAttempt> attempt)
+{
+    m_attempt = attempt;
+    m_model = attempt->model;
+    m_isSilenceDeferred = false;
+    AttemptResult result { AttemptEnd::Cut, false };
+    std::optional<AttemptEnd> end;
+    if (attempt->response)
+        m_silence.set(silenceLimit(*attempt));
+    else
+        end = co_await beginContained(*attempt);
+    if (end)
+        result.end = *end;
+    else {
+        try {
+            result = co_await relayResponse(*attempt);
+        } catch (const std::exception& e) {
+            // The request may have run, as after a lost connection.
+            LogLine(LogLevel::Error, "attempt_error").with("id", m_admitted.request.id.value).with("upstream", attempt->upstream.id.value).with("error", e.what());
+        }
+    }
+    m_silence.clear();
+    if (result.isFinal)
+        dropHedge();
+    recordEnd(*attempt, result);
+    if (result.end == AttemptEnd::Cut)
+        co_await awaitCrashEvidence();
+    co_return result;
+}
+
+Awaitable<std::optional<AttemptEnd>> RequestForwarder::beginContained(UpstreamAttempt& attempt)
+{
+    try {
+        co_return co_await beginAttempt(attempt);
+    } catch (const std::exception& e) {
+        LogLine(LogLevel::Error, "attempt_error").with("id", m_admitted.request.id.value).with("upstream", attempt.upstream.id.value).with("error", e.what());
+    }
+    // The request may have run, as after a lost connection.
+    co_return attempt.isSent ? AttemptEnd::Cut : AttemptEnd::NotSent;
+}
+
+Awaitable<std::optional<AttemptEnd>> RequestForwarder::beginAttempt(UpstreamAttempt& attempt)
 {
+    const auto& upstream = attempt.upstream;
     m_triedUpstreams.push_back(upstream.id);
     m_traffic.limits().sent(processName(upstream), bootNow());
     // A request that may run once gets a new connection: on a reused one, a late response or a refusal of an earlier request could
@@ -316,88 +385,235 @@
     bool isReused = connection != nullptr;
     if (!connection)
         connection = m_traffic.connections().create();
-    m_connection = connection;
+    attempt.connection = connection;
     if (!isReused && !co_await connection->open(upstream.address, std::min(connectTimeout, timeLeft()))) {
-        if (!m_caller->hasDisconnected())
+        if (!m_caller->hasDisconnected() && !attempt.isSuperseded)
             m_traffic.recordSilence({ upstream.id, m_admitted.request.id, {} });
-        co_return AttemptResult { AttemptEnd::NotSent, false };
+        co_return AttemptEnd::NotSent;
     }
     if (!isReused)
         m_traffic.recordConnected(bootNow());
-    if (m_caller->hasDisconnected())
-        co_return AttemptResult { AttemptEnd::NotSent, true };
-    // While the connection was opened, the part may have been quarantined, or the upstream may have said that it wants nothing more,
-    // or the time until the exit may have become too short.
-    if ((!m_isProbe && m_traffic.promptParts().quarantinedPart(m_parts)) || m_traffic.isHeld(upstream, bootNow()) || !fitsBeforeExit(bootNow())) {
+    // While the connection was opened, the caller may have left or got its response from the other attempt, the part may have been
+    // quarantined, or the upstream may have said that it wants nothing more, or the time until the exit may have become too short.
+    if (m_caller->hasDisconnected() || attempt.isSuperseded || (!m_isProbe && m_traffic.promptParts().quarantinedPart(m_parts)) || m_traffic.isHeld(upstream, bootNow()) || !fitsBeforeExit(bootNow())) {
         connection->close();
-        co_return AttemptResult { AttemptEnd::NotSent, false };
+        co_return AttemptEnd::NotSent;
     }
-    m_sentAt = bootNow();
-    m_firstEventSeen = false;
-    m_hasOutlived = false;
-    m_attemptWork = static_cast<std::int64_t>(static_cast<double>(m_admitted.request.promptTokens) * costWeight());
+    attempt.isSent = true;
+    attempt.sentAt = bootNow();
+    attempt.work = static_cast<std::int64_t>(static_cast<double>(m_admitted.request.promptTokens) * costWeight(attempt));
     m_execution.attemptSent();
     ++m_possibleRuns;
     if (m_admitted.service->engine)
         m_traffic.balancer().recordPrompt(m_admitted.route->name, m_admitted.request.promptTokens);
-    m_workBefore = m_traffic.balancer().workOn(upstream.id);
-    m_traffic.balancer().sent(upstream.id, m_attemptWork);
-    AttemptResult result { AttemptEnd::Cut, false };
-    startWaiting();
-    try {
-        result = co_await sendAndReceive(upstream, connection);
-    } catch (const std::exception& e) {
-        // The request may have run, as after a lost connection.
-        LogLine(LogLevel::Error, "attempt_error").with("id", m_admitted.request.id.value).with("upstream", upstream.id.value).with("error", e.what());
+    attempt.workBefore = m_traffic.balancer().workOn(upstream.id);
+    m_traffic.balancer().sent(upstream.id, attempt.work);
+    startWaiting(attempt);
+    bool isHedge = &attempt != m_attempt.get();
+    if (!isHedge && m_admitted.route->isRetryable())
+        m_silence.set(silenceLimit(attempt));
+    connection->setDeadline(isHedge ? std::min(silenceLimit(attempt), timeLeft()) : timeLeft());
+    if (!co_await connection->send(requestHead(attempt), m_admitted.request.body))
+        co_return AttemptEnd::NotSent;
+    ResponseHead head;
+    auto end = co_await connection->readHead(head);
+    if (end != TransferEnd::Ok)
+        co_return toAttemptEnd(end);
+    auto response = platform::decodeResponse(head.status, std::move(head.reason), head.fields);
+    if (response.load)
+        m_traffic.balancer().reported(upstream.id, *response.load, bootNow());
+    recordWishes(upstream, response);
+    // A response that does not name this request may be a late response to another one. Refusals may name none.
+    bool namesOther = response.answeredRequest != m_admitted.request.id && !(response.notRun && response.answeredRequest.empty());
+    if (namesOther)
+        co_return toAttemptEnd(connection->reject("response to another request"));
+    if (response.wrongInstance)
+        m_traffic.endedIncarnations().end(upstream);
+    else {
+        m_traffic.recordRunning(processName(upstream), attempt.sentAt);
+        recordLimit(upstream, response);
     }
-    stopWaiting();
-    if (m_isWithdrawn && !result.isFinal)
+    if (response.notRun) {
+        spawn(m_traffic.loop(), recycleRefused(m_traffic.connections(), upstream, connection, response.keepAliveTimeout), "recycle_refused");
+        attempt.connection = nullptr;
+        co_return AttemptEnd::RefusedNotRun;
+    }
+    attempt.response = std::move(response);
+    co_return std::nullopt;
+}
+
+void RequestForwarder::recordEnd(UpstreamAttempt& attempt, AttemptResult& result)
+{
+    attempt.hasEnded = true;
+    stopWaiting(attempt);
+    if (!attempt.isSent)
+        return;
+    const auto& upstream = attempt.upstream;
+    bool mayHaveRun = result.end != AttemptEnd::NotSent && result.end != AttemptEnd::RefusedNotRun;
+    if (attempt.isSuperseded && mayHaveRun)
+        result = { attempt.isSilenceRecorded ? AttemptEnd::TimedOut : AttemptEnd::Dropped, false };
+    else if (attempt.isWithdrawn && !result.isFinal)
         result = { AttemptEnd::Dropped, false };
-    m_traffic.balancer().ended(upstream.id, m_attemptWork, m_firstEventSeen);
+    m_traffic.balancer().ended(upstream.id, attempt.work, attempt.firstEventSeen);
     m_execution.attemptEnded(result.end);
-    m_connection = nullptr;
+    auto connection = std::exchange(attempt.connection, nullptr);
     if (result.end != AttemptEnd::NotSent)
         ++m_deliveredAttempts;
     if (result.end == AttemptEnd::NotSent || result.end == AttemptEnd::RefusedNotRun)
         --m_possibleRuns;
     m_traffic.metrics().attemptEnded(serviceName(), attemptEndName(result.end));
-    bool isAbandoned = result.end == AttemptEnd::Cut && m_caller->hasDisconnected() && !m_firstEventSeen;
-    if (isAbandoned && !m_traffic.limits().isLimited(processName(upstream)) && !m_traffic.links().wereLostSince(m_sentAt)) {
+    bool isAbandoned = result.end == AttemptEnd::Cut && m_caller->hasDisconnected() && !attempt.firstEventSeen;
+    if (isAbandoned && !m_traffic.limits().isLimited(processName(upstream)) && !m_traffic.links().wereLostSince(attempt.sentAt)) {
         auto now = bootNow();
-        m_traffic.recordAbandoned(processName(upstream), { releaseRoute(upstream), toMilliseconds(now - m_sentAt), now });
+        m_traffic.recordAbandoned(processName(upstream), { releaseRoute(attempt), toMilliseconds(now - attempt.sentAt), now });
     }
     bool isConnectionLost = result.end == AttemptEnd::Cut || result.end == AttemptEnd::TimedOut || result.end == AttemptEnd::NotSent || result.end == AttemptEnd::Malformed;
-    if (isConnectionLost) {
-        connection->close();
-        if (connection->lacksMemory())
-            LogLine(LogLevel::Warning, "body_memory_exhausted").with("id", m_admitted.request.id.value).with("upstream", upstream.id.value);
-        else if (result.end == AttemptEnd::Malformed)
-            LogLine(LogLevel::Warning, "upstream_answer_malformed").with("id", m_admitted.request.id.value).with("upstream", upstream.id.value).with("cause", connection->malformedCause());
-        // At its exit, the instance closes the connections itself.
-        if (!m_caller->hasDisconnected() && !connection->lacksMemory() && !m_traffic.isExiting(bootNow()))
-            recordUpstreamFailure(upstream, result.end);
-        if (result.end == AttemptEnd::Cut)
-            co_await awaitCrashEvidence();
+    if (!isConnectionLost || !connection)
+        return;
+    connection->close();
+    if (connection->lacksMemory())
+        LogLine(LogLevel::Warning, "body_memory_exhausted").with("id", m_admitted.request.id.value).with("upstream", upstream.id.value);
+    else if (result.end == AttemptEnd::Malformed)
+        LogLine(LogLevel::Warning, "upstream_answer_malformed").with("id", m_admitted.request.id.value).with("upstream", upstream.id.value).with("cause", connection->malformedCause());
+    // At its exit, the instance closes the connections itself.
+    if (!m_caller->hasDisconnected() && !connection->lacksMemory() && !m_traffic.isExiting(bootNow()) && !(result.end == AttemptEnd::TimedOut && attempt.isSilenceRecorded))
+        recordUpstreamFailure(attempt, result.end);
+}
+
+void RequestForwarder::onSilence()
+{
+    if (!m_attempt || m_attempt->hasEnded || !m_attempt->connection || m_hedge)
+        return;
+    // After a pause of the process, what the upstream sent meanwhile is read first.
+    if (m_attempt->connection->hasUnreadInput() && !std::exchange(m_isSilenceDeferred, true)) {
+        m_silence.set(unreadInputTime);
+        return;
     }
-    co_return result;
+    if (!mayTryAnother()) {
+        m_silence.set(silenceLimit(*m_attempt));
+        return;
+    }
+    if (!std::exchange(m_attempt->isSilenceRecorded, true))
+        recordUpstreamFailure(*m_attempt, AttemptEnd::TimedOut);
+    hedgeOrWait({ AttemptEnd::TimedOut, false }, m_model);
 }
 
-void RequestForwarder::startWaiting()
+void RequestForwarder::hedgeOrWait(const AttemptResult& last, const std::optional<ModelId>& model)
+{
+    if (mustLeaveUpstream()) {
+        m_attempt->connection->expire();
+        return;
+    }
+    if (!reserveRetry(last, bootNow()) || !startHedge(model))
+        m_silence.set(silenceLimit(*m_attempt));
+}
+
+bool RequestForwarder::mustLeaveUpstream()
+{
+    if (!m_traffic.links().isLost() || m_admitted.request.isRelayed)
+        return false;
+    return !m_caller->hasStartedResponse() || m_traffic.chooseRelay(m_triedPeers).has_value();
+}
+
+bool RequestForwarder::startHedge(const std::optional<ModelId>& model)
+{
+    auto now = bootNow();
+    if (m_isProbe || m_traffic.promptParts().quarantinedPart(m_parts))
+        return false;
+    const auto* upstream = chooseUpstream(now);
+    if (!upstream)
+        return false;
+    m_hedge = std::make_shared<UpstreamAttempt>();
+    m_hedge->upstream = *upstream;
+    m_hedge->model = model;
+    LogLine(LogLevel::Info, "hedge_started").with("id", m_admitted.request.id.value).with("upstream", upstream->id.value).with("current", m_attempt->upstream.id.value).with("current_ms", toMilliseconds(now - m_attempt->sentAt).count()).with("begun", m_caller->hasStartedResponse() ? "yes" : "no").with("ms_left", timeLeft().count());
+    spawn(m_traffic.loop(), runHedge(shared_from_this(), m_hedge), "hedge");
+    return true;
+}
+
+Awaitable<void> RequestForwarder::runHedge(std::shared_ptr<RequestForwarder> self, std::shared_ptr<UpstreamAttempt> attempt)
+{
+    auto end = co_await self->beginContained(*attempt);
+    bool hasWon = !end && !attempt->isSuperseded && self->canTakeOver(*attempt);
+    LogLine(LogLevel::Info, "hedge_ended").with("id", self->m_admitted.request.id.value).with("upstream", attempt->upstream.id.value).with("end", hasWon ? "took_over" : attempt->isSuperseded ? "not_needed"
+                                                                                                                                                                                               : attemptEndName(end.value_or(AttemptEnd::UpstreamError)));
+    if (hasWon) {
+        auto& current = *self->m_attempt;
+        self->m_silence.clear();
+        attempt->connection->setDeadline(self->timeLeft());
+        if (!current.hasEnded) {
+            current.isSuperseded = true;
+            if (current.connection)
+                current.connection->close();
+        }
+        self->m_hedgeChanged.cancel();
+        co_return;
+    }
+    if (!end) {
+        attempt->connection->close();
+        if (!attempt->isSuperseded) {
+            self->m_traffic.countFailure(self->releaseRoute(*attempt));
+            self->m_traffic.balancer().failed(attempt->upstream.id, bootNow());
+        }
+    }
+    AttemptResult result { end.value_or(AttemptEnd::UpstreamError), false };
+    bool isWanted = self->m_hedge == attempt;
+    self->recordEnd(*attempt, result);
+    if (!isWanted)
+        co_return;
+    self->m_hedge = nullptr;
+    self->m_hedgeChanged.cancel();
+    // If the current attempt has ended as well, serve() decides what follows.
+    if (!self->m_attempt->hasEnded && !self->m_caller->hasDisconnected())
+        self->hedgeOrWait(result, attempt->model);
+}
+
+bool RequestForwarder::canTakeOver(const UpstreamAttempt& attempt) const
+{
+    // The caller already has the head of an event stream, so only the rest of one can follow.
+    if (m_caller->hasStartedResponse())
+        return attempt.response->isEventStream && attempt.response->status < 300;
+    return attempt.response->status < 500;
+}
+
+void RequestForwarder::dropHedge()
+{
+    if (!m_hedge)
+        return;
+    auto hedge = std::exchange(m_hedge, nullptr);
+    hedge->isSuperseded = true;
+    if (hedge->connection)
+        hedge->connection->close();
+    // One that has begun to respond waits for serve() to go on with it; any other ends in runHedge().
+    AttemptResult result { AttemptEnd::Dropped, false };
+    if (hedge->response)
+        recordEnd(*hedge, result);
+}
+
+Awaitable<void> RequestForwarder::awaitHedge()
+{
+    while (m_hedge && !m_hedge->response) {
+        boost::system::error_code ec;
+        m_hedgeChanged.expires_at(asio::steady_timer::time_point::max());
+        co_await m_hedgeChanged.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+    }
+}
+
+void RequestForwarder::startWaiting(UpstreamAttempt& attempt)
 {
-    m_isWithdrawn = false;
     if (m_parts.empty() || m_isProbe)
         return;
-    auto withdraw = [this] {
-        m_isWithdrawn = true;
-        m_connection->close();
+    auto withdraw = [&attempt] {
+        attempt.isWithdrawn = true;
+        attempt.connection->close();
     };
-    m_waiting = m_traffic.addWaiting({ m_parts, withdraw });
+    attempt.waiting = m_traffic.addWaiting({ m_parts, withdraw });
 }
 
-void RequestForwarder::stopWaiting()
+void RequestForwarder::stopWaiting(UpstreamAttempt& attempt)
 {
-    if (m_waiting)
-        m_traffic.removeWaiting(*std::exchange(m_waiting, std::nullopt));
+    if (attempt.waiting)
+        m_traffic.removeWaiting(*std::exchange(attempt.waiting, std::nullopt));
 }
 
 Awaitable<void> RequestForwarder::awaitCrashEvidence()
@@ -406,68 +622,49 @@
         co_await sleepFor(m_traffic.loop(), std::min(crashEvidenceTime, timeLeft()));
 }
 
-Awaitable<RequestForwarder::AttemptResult> RequestForwarder::sendAndReceive(const UpstreamEntry& upstream, std::shared_ptr<UpstreamConnection> connection)
+Awaitable<RequestForwarder::AttemptResult> RequestForwarder::relayResponse(UpstreamAttempt& attempt)
 {
-    connection->setDeadline(responseTimeout());
-    if (!co_await connection->send(requestHead(upstream), m_admitted.request.body))
-        co_return AttemptResult { AttemptEnd::NotSent, false };
-    ResponseHead head;
-    auto end = co_await connection->readHead(head);
-    if (end != TransferEnd::Ok)
-        co_return AttemptResult { toAttemptEnd(end), false };
-    auto response = platform::decodeResponse(head.status, std::move(head.reason), head.fields);
-    if (response.load)
-        m_traffic.balancer().reported(upstream.id, *response.load, bootNow());
-    recordWishes(upstream, response);
-    // A response that does not name this request may be a late response to another one. Refusals may name none.
-    bool namesOther = response.answeredRequest != m_admitted.request.id && !(response.notRun && response.answeredRequest.empty());
-    if (namesOther)
-        co_return AttemptResult { toAttemptEnd(connection->reject("response to another request")), false };
-    if (response.wrongInstance)
-        m_traffic.endedIncarnations().end(upstream);
-    else {
-        m_traffic.recordRunning(processName(upstream), m_sentAt);
-        recordLimit(upstream, response);
-    }
-    if (response.notRun) {
-        spawn(m_traffic.loop(), recycleRefused(m_traffic.connections(), upstream, connection, response.keepAliveTimeout), "recycle_refused");
-        co_return AttemptResult { AttemptEnd::RefusedNotRun, false };
-    }
+    const auto& response = *attempt.response;
     bool isStream = m_admitted.route->kind == RouteKind::Streaming && response.isEventStream && response.status < 300;
-    if (isStream && escalateModel(upstream, response)) {
-        connection->close();
+    if (isStream && escalateModel(attempt)) {
+        attempt.connection->close();
         co_return AttemptResult { AttemptEnd::Dropped, false };
     }
     if (isStream)
-        co_return co_await relayStream(upstream, connection, std::move(response));
-    co_return co_await relayBuffered(upstream, connection, std::move(response));
+        co_return co_await relayStream(attempt);
+    co_return co_await relayBuffered(attempt);
 }
 
-Awaitable<RequestForwarder::AttemptResult> RequestForwarder::relayBuffered(const UpstreamEntry& upstream, std::shared_ptr<UpstreamConnection> connection, UpstreamResponse response)
+Awaitable<RequestForwarder::AttemptResult> RequestForwarder::relayBuffered(UpstreamAttempt& attempt)
 {
+    const auto& upstream = attempt.upstream;
+    auto& response = *attempt.response;
     BodyMemory::Share memory(m_traffic.bodyMemory());
-    auto body = co_await connection->readWholeBody(maxBufferedBytes, std::nullopt, &memory);
-    if (body.end != TransferEnd::Ok)
+    auto body = co_await attempt.connection->readWholeBody(maxBufferedBytes, std::nullopt, &memory);
+    if (body.end != TransferEnd::Ok || attempt.isSuperseded)
         co_return AttemptResult { toAttemptEnd(body.end), false };
+    m_silence.clear();
     auto now = bootNow();
-    releaseConnection(upstream, connection, response.keepAliveTimeout, now);
+    releaseConnection(attempt, response.keepAliveTimeout, now);
     bool isGood = response.status < 500;
     if (isGood) {
-        m_traffic.countSuccess(releaseRoute(upstream), processName(upstream), toMilliseconds(now - m_sentAt));
-        recordUpstreamSuccess(upstream);
+        m_traffic.countSuccess(releaseRoute(attempt), processName(upstream), toMilliseconds(now - attempt.sentAt));
+        recordUpstreamSuccess(attempt);
         m_traffic.recordServedParts(m_parts, now);
     } else {
-        m_traffic.countFailure(releaseRoute(upstream));
+        m_traffic.countFailure(releaseRoute(attempt));
         m_traffic.balancer().failed(upstream.id, now);
     }
     AttemptResult result { isGood ? AttemptEnd::Completed : AttemptEnd::UpstreamError, true };
     // The caller already has the head of an event stream, so this response cannot be sent.
     if (m_caller->hasStartedResponse())
         co_return AttemptResult { AttemptEnd::UpstreamError, false };
-    if (!isGood && reserveRetry({ AttemptEnd::UpstreamError, false }, now)) {
+    bool awaitsHedge = !isGood && m_hedge;
+    if (awaitsHedge || (!isGood && reserveRetry({ AttemptEnd::UpstreamError, false }, now))) {
         m_savedError = toCallerResponse(std::move(response), std::move(body.bytes));
-        co_return AttemptResult { AttemptEnd::UpstreamError, false, true };
+        co_return AttemptResult { AttemptEnd::UpstreamError, false, !awaitsHedge };
     }
+    dropHedge();
     auto status = response.status;
     recordFirstByte(now);
     countOutcome(isGood ? "none" : "upstream_error");
@@ -476,31 +673,42 @@
     co_return result;
 }
 
-Awaitable<RequestForwarder::AttemptResult> RequestForwarder::relayStream(const UpstreamEntry& upstream, std::shared_ptr<UpstreamConnection> connection, UpstreamResponse response)
+Awaitable<RequestForwarder::AttemptResult> RequestForwarder::relayStream(UpstreamAttempt& attempt)
 {
+    const auto& upstream = attempt.upstream;
+    auto connection = attempt.connection;
     m_events.restart();
-    auto keepAliveTimeout = response.keepAliveTimeout;
+    auto keepAliveTimeout = attempt.response->keepAliveTimeout;
     // If the stream resumes at another upstream, the caller already has the head of the first one.
-    auto head = m_caller->hasStartedResponse() ? std::nullopt : std::optional(toCallerResponse(std::move(response)));
+    auto head = m_caller->hasStartedResponse() ? std::nullopt : std::optional(toCallerResponse(std::move(*attempt.response)));
     for (;;) {
         auto piece = co_await connection->readBody();
         if (m_caller->hasDisconnected())
             co_return AttemptResult { AttemptEnd::Cut, true };
+        if (attempt.isSuperseded)
+            co_return AttemptResult { AttemptEnd::Dropped, false };
         auto events = m_events.feed(piece.bytes);
         if (events.isTooLong)
             co_return AttemptResult { toAttemptEnd(connection->reject("event too long")), false };
-        if (events.events > 0 && !m_firstEventSeen) {
+        bool isComplete = piece.isLast && !m_events.hasPartialEvent();
+        if (events.events > 0 || isComplete) {
+            dropHedge();
+            // A caller that reads slowly is no silence of the upstream.
+            m_silence.clear();
+            if (std::exchange(attempt.isSilenceRecorded, false))
+                m_traffic.balancer().succeeded(upstream.id);
+        }
+        if (events.events > 0 && !attempt.firstEventSeen) {
             auto now = bootNow();
-            m_firstEventSeen = true;
-            m_firstEventAt = now;
-            stopWaiting();
-            m_traffic.balancer().begun(upstream.id, m_attemptWork);
-            m_traffic.balancer().recordFirstEvent(m_workBefore + m_attemptWork, toMilliseconds(now - m_sentAt));
-            m_traffic.countSuccess(releaseRoute(upstream), processName(upstream), toMilliseconds(now - m_sentAt));
+            attempt.firstEventSeen = true;
+            attempt.firstEventAt = now;
+            stopWaiting(attempt);
+            m_traffic.balancer().begun(upstream.id, attempt.work);
+            m_traffic.balancer().recordFirstEvent(attempt.workBefore + attempt.work, toMilliseconds(now - attempt.sentAt));
+            m_traffic.countSuccess(releaseRoute(attempt), processName(upstream), toMilliseconds(now - attempt.sentAt));
             m_traffic.recordSessionRelease(m_admitted.request, upstream.release, now);
-            recordUpstreamSuccess(upstream);
+            recordUpstreamSuccess(attempt);
         }
-        bool isComplete = piece.isLast && !m_events.hasPartialEvent();
         if (isComplete)
             events.bytes += m_events.takeComments();
         if (head && (events.events > 0 || isComplete)) {
@@ -510,8 +718,8 @@
         }
         co_await m_caller->writeBody(events.bytes);
         if (isComplete) {
-            recordStreamServed(upstream, connection->endsWithConnection());
-            releaseConnection(upstream, connection, keepAliveTimeout, bootNow());
+            recordStreamServed(attempt, connection->endsWithConnection());
+            releaseConnection(attempt, keepAliveTimeout, bootNow());
             countOutcome("none");
             if (co_await m_caller->endBody())
                 logOutcome("none", 200);
@@ -519,17 +727,19 @@
         }
         if (piece.end != TransferEnd::Ok || piece.isLast)
             co_return AttemptResult { toAttemptEnd(piece.end), false };
-        // Only an event moves the deadline, since an upstream in trouble may send other bytes without end.
+        // Only an event ends a silence, since an upstream in trouble may send other bytes without end.
         if (events.events == 0)
             continue;
-        recordOutlived(upstream, bootNow());
-        auto gap = std::max(leastSilence(timeLeft()), scaled(m_admitted.route->targetGap, eventGapTimeoutFactor));
-        connection->setDeadline(mayTryAnother() ? std::min(gap, timeLeft()) : timeLeft());
+        recordOutlived(attempt, bootNow());
+        m_isSilenceDeferred = false;
+        if (m_admitted.route->isRetryable())
+            m_silence.set(silenceLimit(attempt));
     }
 }
 
-bool RequestForwarder::escalateModel(const UpstreamEntry& upstream, const UpstreamResponse& response)
+bool RequestForwarder::escalateModel(const UpstreamAttempt& attempt)
 {
+    const auto& response = *attempt.response;
     if (!m_model || !response.confidence || m_caller->hasStartedResponse() || m_events.last() || m_possibleRuns >= m_admitted.route->maxAttempts || !fitsBeforeExit(bootNow()))
         return false;
     const auto* larger = largerModel(*m_admitted.route, *m_model);
@@ -546,35 +756,34 @@
     LogLine(LogLevel::Info, "low_confidence_answer").with("id", m_admitted.request.id.value).with("model", m_model->value).with("confidence_percent", percent(*response.confidence)).with("required_percent", percent(needed)).with("mean_work", static_cast<std::int64_t>(load.work)).with("next", hasBudget ? larger->value : "none_within_budget");
     if (!hasBudget)
         return false;
-    m_traffic.countSuccess(releaseRoute(upstream), processName(upstream), toMilliseconds(now - m_sentAt));
+    m_traffic.countSuccess(releaseRoute(attempt), processName(attempt.upstream), toMilliseconds(now - attempt.sentAt));
     m_model = *larger;
     m_triedUpstreams.clear();
     return true;
 }
 
-void RequestForwarder::releaseConnection(const UpstreamEntry& upstream, std::shared_ptr<UpstreamConnection> connection, std::optional<Seconds> idleTimeout, TimePoint now)
+void RequestForwarder::releaseConnection(UpstreamAttempt& attempt, std::optional<Seconds> idleTimeout, TimePoint now)
 {
-    stopWaiting();
-    m_connection = nullptr;
-    m_traffic.connections().recycle(upstream, std::move(connection), idleTimeout, now);
+    stopWaiting(attempt);
+    m_traffic.connections().recycle(attempt.upstream, std::exchange(attempt.connection, nullptr), idleTimeout, now);
 }
 
-double RequestForwarder::costWeight() const
+double RequestForwarder::costWeight(const UpstreamAttempt& attempt) const
 {
-    return m_model && m_admitted.service->engine ? modelWeight(*m_admitted.service->engine, *m_model) : 1;
+    return attempt.model && m_admitted.service->engine ? modelWeight(*m_admitted.service->engine, *attempt.model) : 1;
 }
 
-ReleaseRoute RequestForwarder::releaseRoute(const UpstreamEntry& upstream) const
+ReleaseRoute RequestForwarder::releaseRoute(const UpstreamAttempt& attempt) const
 {
-    return { m_admitted.service->name, upstream.release, m_admitted.route->name, m_model.value_or(ModelId {}) };
+    return { m_admitted.service->name, attempt.upstream.release, m_admitted.route->name, attempt.model.value_or(ModelId {}) };
 }
 
-std::string RequestForwarder::requestHead(const UpstreamEntry& upstream) const
+std::string RequestForwarder::requestHead(const UpstreamAttempt& attempt) const
 {
-    platform::RouterFields routerFields { .upstream = upstream.id, .callerTimeout = timeLeft(), .team = m_admitted.team, .lastEvent = m_events.last() };
+    platform::RouterFields routerFields { .upstream = attempt.upstream.id, .callerTimeout = timeLeft(), .team = m_admitted.team, .lastEvent = m_events.last() };
     if (m_admitted.service->engine)
         routerFields.urgency = std::min(lowestUrgency, m_admitted.rank * urgencyPerRank);
-    routerFields.model = m_model;
+    routerFields.model = attempt.model;
     return platform::encodeRequestHead(m_admitted.request, routerFields);
 }
 
@@ -583,7 +792,7 @@
     if (timeLeft() < minUsefulTime || !fitsBeforeExit(now) || m_triedUpstreams.size() >= maxUnreachableUpstreams + static_cast<std::size_t>(m_admitted.route->maxAttempts))
         return false;
     // No attempt has reached an upstream yet: the next one needs no retry budget.
-    if (result.end == AttemptEnd::NotSent && m_deliveredAttempts == 0)
+    if (result.end == AttemptEnd::NotSent && m_deliveredAttempts == 0 && m_execution.executed() == Executed::No)
         return true;
     bool mayHaveRun = result.end != AttemptEnd::NotSent && result.end != AttemptEnd::RefusedNotRun;
     if (mayHaveRun && !m_admitted.route->isRetryable())
@@ -656,54 +865,56 @@
     co_await m_caller->respond(std::move(response));
 }
 
-void RequestForwarder::recordUpstreamFailure(const UpstreamEntry& upstream, AttemptEnd end)
+void RequestForwarder::recordUpstreamFailure(const UpstreamAttempt& attempt, AttemptEnd end)
 {
+    const auto& upstream = attempt.upstream;
     auto now = bootNow();
     // An upstream that states a limit is in need, so a late response is not its failure.
     if (end == AttemptEnd::TimedOut && m_traffic.limits().isLimited(processName(upstream)))
         return;
-    if (m_traffic.isOwnLoss(upstream.id, end, m_sentAt, now)) {
-        LogLine(LogLevel::Warning, "own_link_lost").with("id", m_admitted.request.id.value).with("upstream", upstream.id.value).with("end", attemptEndName(end)).with("ms", toMilliseconds(now - m_sentAt).count());
+    if (m_traffic.isOwnLoss(upstream.id, end, attempt.sentAt, now)) {
+        LogLine(LogLevel::Warning, "own_link_lost").with("id", m_admitted.request.id.value).with("upstream", upstream.id.value).with("end", attemptEndName(end)).with("ms", toMilliseconds(now - attempt.sentAt).count());
         return;
     }
     if (end == AttemptEnd::TimedOut) {
-        m_traffic.recordSilence({ upstream.id, m_admitted.request.id, LateResponse { processName(upstream), releaseRoute(upstream), now } });
+        m_traffic.recordSilence({ upstream.id, m_admitted.request.id, LateResponse { processName(upstream), releaseRoute(attempt), now } });
         return;
     }
     if (end != AttemptEnd::NotSent)
-        m_traffic.recordBrokenResponse(processName(upstream), releaseRoute(upstream), now);
+        m_traffic.recordBrokenResponse(processName(upstream), releaseRoute(attempt), now);
     if (end == AttemptEnd::Cut) {
-        m_traffic.recordLostRequest({ processName(upstream), m_admitted.request.id, m_parts, m_sentAt }, now);
+        m_traffic.recordLostRequest({ processName(upstream), m_admitted.request.id, m_parts, attempt.sentAt }, now);
         m_traffic.crashes().recordCrash(m_admitted.fingerprint, UpstreamId { processName(upstream) }, now);
-        LogLine(LogLevel::Warning, "upstream_connection_lost").with("id", m_admitted.request.id.value).with("upstream", upstream.id.value).with("born", upstream.born).with("fingerprint", m_admitted.fingerprint).with("crashes", m_traffic.crashes().crashCount(m_admitted.fingerprint)).with("parts", loggedParts(m_admitted.request)).with("ms", toMilliseconds(now - m_sentAt).count()).with("first_event", m_firstEventSeen ? "yes" : "no").with("requests", m_traffic.balancer().requestsOn(upstream.id));
+        LogLine(LogLevel::Warning, "upstream_connection_lost").with("id", m_admitted.request.id.value).with("upstream", upstream.id.value).with("born", upstream.born).with("fingerprint", m_admitted.fingerprint).with("crashes", m_traffic.crashes().crashCount(m_admitted.fingerprint)).with("parts", loggedParts(m_admitted.request)).with("ms", toMilliseconds(now - attempt.sentAt).count()).with("first_event", attempt.firstEventSeen ? "yes" : "no").with("requests", m_traffic.balancer().requestsOn(upstream.id));
     }
     if (m_traffic.balancer().failed(upstream.id, now))
         LogLine(LogLevel::Warning, "upstream_ejected").with("id", m_admitted.request.id.value).with("upstream", upstream.id.value).with("service", serviceName()).with("last_end", attemptEndName(end));
 }
 
-void RequestForwarder::recordUpstreamSuccess(const UpstreamEntry& upstream)
+void RequestForwarder::recordUpstreamSuccess(const UpstreamAttempt& attempt)
 {
+    const auto& upstream = attempt.upstream;
     m_traffic.balancer().succeeded(upstream.id);
-    m_traffic.crashes().recordAlive(UpstreamId { processName(upstream) }, m_sentAt);
-    m_traffic.recordAnswer(processName(upstream), m_sentAt);
+    m_traffic.crashes().recordAlive(UpstreamId { processName(upstream) }, attempt.sentAt);
+    m_traffic.recordAnswer(processName(upstream), attempt.sentAt);
 }
 
-void RequestForwarder::recordStreamServed(const UpstreamEntry& upstream, bool endedWithConnection)
+void RequestForwarder::recordStreamServed(const UpstreamAttempt& attempt, bool endedWithConnection)
 {
-    if (m_parts.empty() || !m_firstEventSeen)
+    if (m_parts.empty() || !attempt.firstEventSeen)
         return;
     if (endedWithConnection)
-        spawn(m_traffic.loop(), settleEndOfConnection(m_traffic, { processName(upstream), m_admitted.request.id, m_parts, m_sentAt }), "settle_end_of_connection");
+        spawn(m_traffic.loop(), settleEndOfConnection(m_traffic, { processName(attempt.upstream), m_admitted.request.id, m_parts, attempt.sentAt }), "settle_end_of_connection");
     else
         m_traffic.recordServedParts(m_parts, bootNow());
 }
 
-void RequestForwarder::recordOutlived(const UpstreamEntry& upstream, TimePoint now)
+void RequestForwarder::recordOutlived(UpstreamAttempt& attempt, TimePoint now)
 {
-    m_traffic.recordRunning(processName(upstream), now - staleBytesTime);
-    if (m_hasOutlived || now < m_firstEventAt + PromptPartGuard::outlivedTime)
+    m_traffic.recordRunning(processName(attempt.upstream), now - staleBytesTime);
+    if (attempt.hasOutlived || now < attempt.firstEventAt + PromptPartGuard::outlivedTime)
         return;
-    m_hasOutlived = true;
+    attempt.hasOutlived = true;
     m_traffic.recordServedParts(m_parts, now);
 }
 
@@ -776,14 +987,13 @@
     return m_admitted.route->isRetryable() && m_possibleRuns < m_admitted.route->maxAttempts && fitsBeforeExit(bootNow());
 }
 
-Milliseconds RequestForwarder::responseTimeout() const
+Milliseconds RequestForwarder::silenceLimit(const UpstreamAttempt& attempt) const
 {
-    if (!mayTryAnother())
-        return timeLeft();
-    auto timeout = m_admitted.route->kind == RouteKind::Streaming
-        ? std::max(leastSilence(timeLeft()), scaled(m_admitted.route->targetLatency, firstEventTimeoutFactor))
-        : scaled(m_admitted.route->targetLatency, responseTimeoutFactor);
-    return std::min(timeout, timeLeft());
+    const auto& route = *m_admitted.route;
+    if (route.kind != RouteKind::Streaming)
+        return std::max(minUsefulTime, scaled(route.targetLatency, responseTimeoutFactor));
+    auto usual = attempt.firstEventSeen ? scaled(route.targetGap, eventGapTimeoutFactor) : scaled(route.targetLatency, firstEventTimeoutFactor);
+    return std::max({ minUsefulTime, leastSilence(timeLeft()), usual });
 }
 
 }
--- a/src/edge/request_forwarder.h
+++ b/src/edge/request_forwarder.h
@@ -11,6 +11,7 @@
 #include "edge/caller_connection.h"
 #include "edge/request_relay.h"
 #include "edge/traffic_state.h"
+#include "edge/upstream_attempt.h"
 
 namespace skylarkhitch {
 
@@ -36,6 +37,8 @@
     ErrorKind admit();
     // Makes attempts until one gives the final response or no further attempt is allowed.
     Awaitable<void> serve();
+    // Logs an attempt that did not serve the request, unless it was dropped for another one.
+    void logFailedAttempt(const AttemptResult&, bool isRetried) const;
     // Whether the request may be sent now, see TrafficState.
     bool fitsBeforeExit(TimePoint now) const;
     // Sends the request by way of a peer, since this instance has lost its links to the upstreams.
@@ -44,30 +47,52 @@
     void countArrival();
     // Returns null if there is none. Sets m_limitedFor and m_pausedFor.
     const UpstreamEntry* chooseUpstream(TimePoint now);
-    // Makes one attempt and records its outcome in the state shared by all requests.
-    Awaitable<AttemptResult> makeAttempt(UpstreamEntry);
+    // Makes one attempt, or goes on with one that has begun, and records its outcome in the state shared by all requests.
+    Awaitable<AttemptResult> makeAttempt(std::shared_ptr<UpstreamAttempt>);
+    // Sends the request and waits until the upstream begins a response. Returns how the attempt ended if it has none.
+    Awaitable<std::optional<AttemptEnd>> beginAttempt(UpstreamAttempt&);
+    // As beginAttempt(), and takes an exception for a lost connection.
+    Awaitable<std::optional<AttemptEnd>> beginContained(UpstreamAttempt&);
+    // Relays the response that the upstream has begun.
+    Awaitable<AttemptResult> relayResponse(UpstreamAttempt&);
+    // Records the outcome of an attempt in the state shared by all requests. Corrects the outcome of one that was withdrawn or superseded.
+    void recordEnd(UpstreamAttempt&, AttemptResult&);
+    // Called when the upstream of the current attempt has been silent for silenceLimit().
+    void onSilence();
+    // Asks another upstream to take over, after this outcome of the last one. If none may be asked, the current attempt goes on.
+    void hedgeOrWait(const AttemptResult&, const std::optional<ModelId>&);
+    // Returns false if there is no upstream to ask. Otherwise the hedge is open until it has failed, or has begun to respond and so
+    // ended the current attempt, or is dropped.
+    bool startHedge(const std::optional<ModelId>&);
+    static Awaitable<void> runHedge(std::shared_ptr<RequestForwarder> self, std::shared_ptr<UpstreamAttempt>);
+    // Whether the response that the attempt has begun can serve the request.
+    bool canTakeOver(const UpstreamAttempt&) const;
+    // Ends the hedge, since the current attempt serves the request.
+    void dropHedge();
+    // Waits until the hedge has begun to respond or there is none.
+    Awaitable<void> awaitHedge();
+    // Whether the current attempt cannot be served any more, since this instance has lost its links to the upstreams.
+    bool mustLeaveUpstream();
     // Whether the request may be sent although a part of its prompt may crash upstreams.
     bool mayBeSent(TimePoint now);
     // Keeps the request in the list of those that are withdrawn when a part of their prompt is quarantined.
-    void startWaiting();
-    void stopWaiting();
+    void startWaiting(UpstreamAttempt&);
+    void stopWaiting(UpstreamAttempt&);
     // Waits until the other losses of connections to the upstream are known, if a part of the prompt may have crashed it.
     Awaitable<void> awaitCrashEvidence();
-    // Sends the request on an open connection and handles the response.
-    Awaitable<AttemptResult> sendAndReceive(const UpstreamEntry&, std::shared_ptr<UpstreamConnection>);
     // Reads the whole response before any of it goes to the caller.
-    Awaitable<AttemptResult> relayBuffered(const UpstreamEntry&, std::shared_ptr<UpstreamConnection>, UpstreamResponse);
+    Awaitable<AttemptResult> relayBuffered(UpstreamAttempt&);
     // Relays an event stream as it arrives, in whole events.
-    Awaitable<AttemptResult> relayStream(const UpstreamEntry&, std::shared_ptr<UpstreamConnection>, UpstreamResponse);
+    Awaitable<AttemptResult> relayStream(UpstreamAttempt&);
     // Returns a connection whose response is complete to the pool. From then on it may serve another request, which must not end
     // when the caller of this one disconnects.
-    void releaseConnection(const UpstreamEntry&, std::shared_ptr<UpstreamConnection>, std::optional<Seconds> idleTimeout, TimePoint now);
+    void releaseConnection(UpstreamAttempt&, std::optional<Seconds> idleTimeout, TimePoint now);
     // Whether the response is dropped to ask a larger model, because the model's confidence is too low. Selects that model.
-    bool escalateModel(const UpstreamEntry&, const UpstreamResponse&);
-    // Work of a prompt token on the model that the router chose, relative to the most expensive model; 1 if it chose none.
-    double costWeight() const;
-    ReleaseRoute releaseRoute(const UpstreamEntry&) const;
-    std::string requestHead(const UpstreamEntry&) const;
+    bool escalateModel(const UpstreamAttempt&);
+    // Work of a prompt token on the attempt's model, relative to the most expensive model; 1 if the router chose none.
+    double costWeight(const UpstreamAttempt&) const;
+    ReleaseRoute releaseRoute(const UpstreamAttempt&) const;
+    std::string requestHead(const UpstreamAttempt&) const;
     // Whether the request may be sent again after this result. Takes a retry from the budget if one is needed.
     bool reserveRetry(const AttemptResult&, TimePoint now);
     // Time after which the caller of a refused request may come back.
@@ -79,15 +104,15 @@
     // Ends a request for which no attempt gave the final response: resets the connection if a response was started, else relays
     // the upstream's error response saved from an earlier attempt, else sends an error response.
     Awaitable<void> respondWithError(ErrorKind);
-    void recordUpstreamFailure(const UpstreamEntry&, AttemptEnd);
-    void recordUpstreamSuccess(const UpstreamEntry&);
+    void recordUpstreamFailure(const UpstreamAttempt&, AttemptEnd);
+    void recordUpstreamSuccess(const UpstreamAttempt&);
     // Records that the upstream leaves or asks for time.
     void recordWishes(const UpstreamEntry&, const UpstreamResponse&);
     void recordLimit(const UpstreamEntry&, const UpstreamResponse&);
     // Records that the upstream completed a stream.
-    void recordStreamServed(const UpstreamEntry&, bool endedWithConnection);
+    void recordStreamServed(const UpstreamAttempt&, bool endedWithConnection);
     // Records that the upstream still runs after it began the response, once that has lasted long enough.
-    void recordOutlived(const UpstreamEntry&, TimePoint now);
+    void recordOutlived(UpstreamAttempt&, TimePoint now);
     void recordFirstByte(TimePoint now);
     // Counts the outcome in the metrics, once, and before the last byte of the response: callers may look at them right after it.
     void countOutcome(std::string_view error);
@@ -97,8 +122,8 @@
     Milliseconds timeLeft() const;
     // Whether the route allows another attempt after the current one.
     bool mayTryAnother() const;
-    // Time to wait for the response head, or for a stream's first event. Shorter if another upstream may be tried.
-    Milliseconds responseTimeout() const;
+    // Time without a response, or without an event of a stream, after which another upstream is asked to take over.
+    Milliseconds silenceLimit(const UpstreamAttempt&) const;
 
     TrafficState& m_traffic;
     std::shared_ptr<CallerConnection> m_caller;
@@ -110,13 +135,17 @@
     std::vector<std::string> m_parts;
     // The request was let through to find out whether a part of its prompt still crashes upstreams.
     bool m_isProbe = false;
-    // Set while the current attempt waits for its first event.
-    std::optional<UnansweredRequests::iterator> m_waiting;
-    // The current attempt was withdrawn from its upstream.
-    bool m_isWithdrawn = false;
     ExecutionTracker m_execution;
     EventStreamParser m_events;
-    std::shared_ptr<UpstreamConnection> m_connection;
+    // The attempt whose response the caller gets; null before the first one.
+    std::shared_ptr<UpstreamAttempt> m_attempt;
+    // The attempt that may take over from it.
+    std::shared_ptr<UpstreamAttempt> m_hedge;
+    // Cancelled when the hedge begins to respond or ends.
+    asio::steady_timer m_hedgeChanged;
+    DeadlineTimer m_silence;
+    // The silence is looked at again, since bytes had arrived that were not read yet.
+    bool m_isSilenceDeferred = false;
     std::optional<RequestRelay> m_relay;
     // Peers by way of which the request was sent.
     std::set<InstanceId> m_triedPeers;
@@ -125,22 +154,12 @@
     std::vector<UpstreamId> m_triedUpstreams;
     // Attempts that reached an upstream, whether it ran the request or not.
     std::int64_t m_deliveredAttempts = 0;
-    // Attempts in which the request ran or may have run, including the current one once it is sent.
+    // Attempts in which the request ran or may have run, including those that are under way once they are sent.
     std::int64_t m_possibleRuns = 0;
     // The model to ask, where the router chooses it.
     std::optional<ModelId> m_model;
-    // Work that the current attempt adds to its upstream, in prompt tokens of the most expensive model.
-    std::int64_t m_attemptWork = 0;
-    // Work of the upstream before the current attempt.
-    std::int64_t m_workBefore = 0;
-    // The first event of the current attempt came, so the engine has processed the prompt.
-    bool m_firstEventSeen = false;
-    TimePoint m_firstEventAt {};
-    // It was recorded that the upstream outlived the start of the current attempt's response.
-    bool m_hasOutlived = false;
     // An upstream's error response, relayed to the caller if no later attempt succeeds.
     std::optional<EdgeResponse> m_savedError;
-    TimePoint m_sentAt {};
     // Set if there are upstreams for the request, but the limits that they state leave no room for it: the time until one has.
     std::optional<Milliseconds> m_limitedFor;
     // Set if there are upstreams for the request, but all of them want nothing for now: the time until the first one does.
--- a/src/edge/upstream_connection.cpp
+++ b/src/edge/upstream_connection.cpp
@@ -251,6 +251,12 @@
     m_socket.close(ec);
 }
 
+bool UpstreamConnection::hasUnreadInput() const
+{
+    boost::system::error_code ec;
+    return m_socket.is_open() && m_socket.available(ec) > 0;
+}
+
 bool UpstreamConnection::isReusable()
 {
     bool isComplete = m_parser && m_parser->is_done() && !m_isSending && !m_isUnusable && m_input.size() == 0 && m_socket.is_open();
--- a/src/edge/upstream_connection.h
+++ b/src/edge/upstream_connection.h
@@ -74,6 +74,8 @@
     void clearDeadline() { m_deadline.clear(); }
     // Lets the deadline expire now.
     void expire() { onDeadline(); }
+    // Whether bytes have arrived that were not read yet.
+    bool hasUnreadInput() const;
     // Closes the connection at once. Pending operations fail, reads with Closed.
     void close();
 
