A small model's answer is given up only once a larger model has begun its own

What callers saw: an error for a request whose answer by the small model lay ready, when no larger model took it: all full, failing or silent.

Change: the larger model is asked by a hedge. The small model's response is held meanwhile; it is closed when the larger one has begun, and relayed if none does.

Evidence: test_silent_upstream "an answer of the small model is given up only once a larger model has begun its own" failed in its four sections before and passes. test_edge, test_crashing_part, test_upstream_signals pass (35 of 35).

--- a/src/edge/request_forwarder.cpp
+++ b/src/edge/request_forwarder.cpp
@@ -626,10 +626,8 @@
 {
     const auto& response = *attempt.response;
     bool isStream = m_admitted.route->kind == RouteKind::Streaming && response.isEventStream && response.status < 300;
-    if (isStream && escalateModel(attempt)) {
-        attempt.connection->close();
+    if (isStream && co_await escalateModel(attempt))
         co_return AttemptResult { AttemptEnd::Dropped, false };
-    }
     if (isStream)
         co_return co_await relayStream(attempt);
     co_return co_await relayBuffered(attempt);
@@ -737,29 +735,38 @@
     }
 }
 
-bool RequestForwarder::escalateModel(const UpstreamAttempt& attempt)
+Awaitable<bool> RequestForwarder::escalateModel(UpstreamAttempt& attempt)
 {
     const auto& response = *attempt.response;
     if (!m_model || !response.confidence || m_caller->hasStartedResponse() || m_events.last() || m_possibleRuns >= m_admitted.route->maxAttempts || !fitsBeforeExit(bootNow()))
-        return false;
+        co_return false;
     const auto* larger = largerModel(*m_admitted.route, *m_model);
     if (!larger)
-        return false;
+        co_return false;
     auto now = bootNow();
     auto eligible = m_traffic.findEligibleUpstreams(m_admitted.service->name, m_admitted.request, now);
     auto& balancer = m_traffic.balancer();
     EngineLoad load { balancer.meanWork(eligible.allowed), m_admitted.request.promptTokens, balancer.promptRatio(m_admitted.route->name), balancer.millisecondsPerToken() };
     auto needed = requiredConfidence(load, m_admitted.rank, m_admitted.route->targetLatency - toMilliseconds(now - m_received.receivedAt));
     if (*response.confidence >= needed)
-        return false;
+        co_return false;
     bool hasBudget = m_traffic.takeRetry(m_admitted.service->name, now, ServiceRetryBudget::largerModelFraction);
     LogLine(LogLevel::Info, "low_confidence_answer").with("id", m_admitted.request.id.value).with("model", m_model->value).with("confidence_percent", percent(*response.confidence)).with("required_percent", percent(needed)).with("mean_work", static_cast<std::int64_t>(load.work)).with("next", hasBudget ? larger->value : "none_within_budget");
     if (!hasBudget)
-        return false;
-    m_traffic.countSuccess(releaseRoute(attempt), processName(attempt.upstream), toMilliseconds(now - attempt.sentAt));
-    m_model = *larger;
-    m_triedUpstreams.clear();
-    return true;
+        co_return false;
+    // Its response is held meanwhile, and relayed if no larger model takes the request. That may run on the same upstream.
+    m_silence.clear();
+    auto tried = std::exchange(m_triedUpstreams, {});
+    if (startHedge(*larger))
+        co_await awaitHedge();
+    if (!attempt.isSuperseded) {
+        m_triedUpstreams = std::move(tried);
+        m_silence.set(silenceLimit(attempt));
+        co_return false;
+    }
+    auto latency = toMilliseconds(now - attempt.sentAt);
+    m_traffic.countSuccess(releaseRoute(attempt), processName(attempt.upstream), latency);
+    co_return true;
 }
 
 void RequestForwarder::releaseConnection(UpstreamAttempt& attempt, std::optional<Seconds> idleTimeout, TimePoint now)
--- a/src/edge/request_forwarder.h
+++ b/src/edge/request_forwarder.h
@@ -87,8 +87,8 @@
     // Returns a connection whose response is complete to the pool. From then on it may serve another request, which must not end
     // when the caller of this one disconnects.
     void releaseConnection(UpstreamAttempt&, std::optional<Seconds> idleTimeout, TimePoint now);
-    // Whether the response is dropped to ask a larger model, because the model's confidence is too low. Selects that model.
-    bool escalateModel(const UpstreamAttempt&);
+    // Asks a larger model if the confidence of the one that has begun a response is too low. Returns whether that has taken over.
+    Awaitable<bool> escalateModel(UpstreamAttempt&);
     // Work of a prompt token on the attempt's model, relative to the most expensive model; 1 if the router chose none.
     double costWeight(const UpstreamAttempt&) const;
     ReleaseRoute releaseRoute(const UpstreamAttempt&) const;
--- a/test/processes/silent_upstream_test.cpp
+++ b/test/processes/silent_upstream_test.cpp
@@ -271,3 +271,62 @@
     CHECK(silent.otherWasAsked);
     CHECK(instance.ownEnds() == 0);
 }
+
+// Guards against an error for a request whose answer by the small model lay ready, since no larger model took it.
+TEST_CASE("an answer of the small model is given up only once a larger model has begun its own")
+{
+    Site site;
+    EdgeInstance instance("edge-1", site.store.address());
+    REQUIRE(waitUntil(5s, [&] { return instance.isReady(); }));
+    std::atomic<int> askedLarger = 0;
+    std::atomic<Clock::time_point> droppedAt {}, takenAt {};
+    auto setLarger = [&](ScriptedUpstream::Script larger) {
+        site.setEngineScripts([&, larger](const RawRequest& request, RawConnection& connection) {
+            if (request.field("X-Model-Name") != "small") {
+                ++askedLarger;
+                return larger(request, connection);
+            }
+            connection.write(absl::StrCat(streamHead(request, 5), eventBytes(1)));
+            if (connection.isClosedWithin(300ms)) {
+                droppedAt = Clock::now();
+                return false;
+            }
+            for (int n = 2; n <= events; ++n)
+                connection.write(eventBytes(n));
+            return connection.write("0\r\n\r\n");
+        });
+    };
+    auto draft = [&] { return sendRequest(instance, draftBytes("unsure", 2500ms)); };
+
+    SECTION("the larger one takes it")
+    {
+        setLarger([&](const RawRequest& request, RawConnection& connection) {
+            std::this_thread::sleep_for(100ms);
+            takenAt = Clock::now();
+            return silentBefore(0, 0ms)(request, connection);
+        });
+        CHECK(isWholeStream(draft()));
+        CHECK(askedLarger == 1);
+        REQUIRE(waitUntil(1s, [&] { return droppedAt.load() != Clock::time_point(); }));
+        CHECK(droppedAt.load() >= takenAt.load());
+    }
+    SECTION("all are full")
+    {
+        setLarger(refuse());
+        CHECK(isWholeStream(draft()));
+        CHECK(askedLarger == 2);
+    }
+    SECTION("all fail")
+    {
+        setLarger(resetConnection());
+        CHECK(isWholeStream(draft()));
+        CHECK(askedLarger >= 1);
+    }
+    SECTION("all are silent")
+    {
+        setLarger(saySomethingNever());
+        CHECK(isWholeStream(draft()));
+        CHECK(askedLarger >= 1);
+    }
+    CHECK(instance.ownEnds() == 0);
+}
