Incomplete events count in the memory of all bodies

What callers would have seen: the process ends by its memory, with the requests of all callers, when many upstreams send long events or comments without an end.

Cause: an incomplete event may have 256 KB, and nothing bounded all of them together; BodyMemory counted bodies only.

Ruled out by the same test: heads, bodies of refusals and small bodies (300 at once take 44 to 47 MB of 88 MB).

Evidence: test_endless_answer "many answers that stay within their own limits" failed before for events (102 MB) and comments (113 MB) of 300 streams, and passes; the machine has 88 MB.

--- a/src/core/requests/event_stream_parser.cpp
+++ b/src/core/requests/event_stream_parser.cpp
@@ -72,7 +72,7 @@
             addEvent(block, chunk);
     }
     m_incomplete.erase(0, start);
-    chunk.isTooLong = m_incomplete.size() + m_comments.size() > maxEventBytes;
+    chunk.isTooLong = bufferedBytes() > maxEventBytes;
     return chunk;
 }
 
--- a/src/core/requests/event_stream_parser.h
+++ b/src/core/requests/event_stream_parser.h
@@ -39,6 +39,8 @@
     // Removes and returns the comments after the last event.
     std::string takeComments() { return std::exchange(m_comments, {}); }
 
+    // Bytes of the incomplete event and of the comments before it.
+    std::size_t bufferedBytes() const { return m_incomplete.size() + m_comments.size(); }
     // Whether the stream currently ends within an event; comments do not count.
     bool hasPartialEvent() const { return !m_incomplete.empty(); }
     // `id` of the last complete event that has one; initially `delivered`.
--- a/src/edge/body_memory.h
+++ b/src/edge/body_memory.h
@@ -1,7 +1,7 @@
 #pragma once
 
-// Limits the memory of all response bodies that are buffered at the same time. Small bodies are always admitted, so that a few
-// long ones do not fail all others.
+// Limits the memory of all response bodies and incomplete events that are buffered at the same time. Small ones are always
+// admitted, so that a few long ones do not fail all others.
 
 #include <cstddef>
 
@@ -14,7 +14,7 @@
     {
     }
 
-    // The memory of one body, which is returned when the object is destroyed.
+    // The memory of one body or event, which is returned when the object is destroyed.
     class Share {
     public:
         explicit Share(BodyMemory& memory)
@@ -35,6 +35,16 @@
             return true;
         }
 
+        // Sets the bytes that are held. Returns false as add() does, and keeps the earlier number then.
+        bool set(std::size_t bytes)
+        {
+            if (bytes > m_bytes)
+                return add(bytes - m_bytes);
+            m_memory.m_used -= m_bytes - bytes;
+            m_bytes = bytes;
+            return true;
+        }
+
     private:
         BodyMemory& m_memory;
         std::size_t m_bytes = 0;
--- a/src/edge/request_forwarder.cpp
+++ b/src/edge/request_forwarder.cpp
@@ -677,6 +677,7 @@
     auto connection = attempt.connection;
     m_events.restart();
     auto keepAliveTimeout = attempt.response->keepAliveTimeout;
+    BodyMemory::Share memory(m_traffic.bodyMemory());
     // If the stream resumes at another upstream, the caller already has the head of the first one.
     auto head = m_caller->hasStartedResponse() ? std::nullopt : std::optional(toCallerResponse(std::move(*attempt.response)));
     for (;;) {
@@ -688,6 +689,8 @@
         auto events = m_events.feed(piece.bytes);
         if (events.isTooLong)
             co_return AttemptResult { toAttemptEnd(connection->reject("event too long")), false };
+        if (!memory.set(m_events.bufferedBytes()))
+            co_return AttemptResult { toAttemptEnd(connection->reject("too many long events")), false };
         bool isComplete = piece.isLast && !m_events.hasPartialEvent();
         if (events.events > 0 || isComplete) {
             dropHedge();
--- a/src/edge/request_relay.cpp
+++ b/src/edge/request_relay.cpp
@@ -85,11 +85,12 @@
 Awaitable<RequestRelay::End> RequestRelay::relayStream(EdgeResponse responseHead)
 {
     m_events.restart();
+    BodyMemory::Share memory(m_traffic.bodyMemory());
     auto head = m_caller->hasStartedResponse() ? std::nullopt : std::optional(std::move(responseHead));
     for (;;) {
         auto piece = co_await m_connection->readBody();
         auto events = m_events.feed(piece.bytes);
-        if (events.isTooLong)
+        if (events.isTooLong || !memory.set(m_events.bufferedBytes()))
             co_return End::Lost;
         bool isComplete = piece.isLast && !m_events.hasPartialEvent();
         if (isComplete)
--- a/src/edge/traffic_state.h
+++ b/src/edge/traffic_state.h
@@ -155,7 +155,7 @@
     EventLoop& loop() { return m_loop; }
     UpstreamBalancer& balancer() { return m_balancer; }
     ConnectionPool& connections() { return m_connections; }
-    // Memory of the response bodies that are buffered.
+    // Memory of the response bodies and incomplete events that are buffered.
     BodyMemory& bodyMemory() { return m_bodyMemory; }
     CrashGuard& crashes() { return m_crashes; }
     EdgeMetrics& metrics() { return m_metrics; }
--- a/test/processes/endless_answer_test.cpp
+++ b/test/processes/endless_answer_test.cpp
@@ -27,6 +27,7 @@
 
 constexpr std::int64_t kibibyte = 1024;
 // An instance has as little as 88 MB of memory.
+constexpr std::int64_t smallestMachine = 88 * 1024 * kibibyte;
 constexpr std::int64_t maxMemoryGrowth = 16 * 1024 * kibibyte;
 // How long a caller waits for its answer.
 constexpr auto callerTimeout = 2500ms;
@@ -543,6 +544,53 @@
     CHECK(memoryOf(pid, "VmHWM") - memoryBefore < 2 * maxMemoryGrowth);
 }
 
+// Guards against limits on one answer that many answers at the same time exceed together, so that the platform ends the process.
+TEST_CASE("many answers that stay within their own limits keep memory within that of a small machine")
+{
+    constexpr int requests = 300;
+    struct Kind {
+        std::string name;
+        // As much as the instance keeps of one answer.
+        std::function<std::string(const RawRequest&)> bytes;
+        bool isStream = false;
+    };
+    const std::vector<Kind> kinds {
+        { "heads", [](const RawRequest&) { return absl::StrCat("HTTP/1.1 200 OK\r\n", repeated(headerLine(), 60 * kibibyte / headerLine().size())); } },
+        { "events", [](const RawRequest& request) { return absl::StrCat(headFor(request, "Content-Type: text/event-stream\r\n"), "id: 1\ndata: ", std::string(250 * kibibyte, 'x')); }, true },
+        { "comments", [](const RawRequest& request) { return absl::StrCat(headFor(request, "Content-Type: text/event-stream\r\n"), repeated(": comment\n\n", 250 * kibibyte / 11)); }, true },
+        { "bodies of refusals", [](const RawRequest& request) { return headFor(request, "X-Not-Executed: 1\r\n", "503 Busy") + std::string(60 * kibibyte, 'x'); } },
+        { "bodies", [](const RawRequest& request) { return headFor(request, "") + std::string(60 * kibibyte, 'x'); } },
+    };
+    auto kind = GENERATE_COPY(from_range(kinds));
+    CAPTURE(kind.name);
+    EndlessWriter writer(Pace::Fast);
+    Site site;
+    auto script = [&](const RawRequest& request, RawConnection& connection) {
+        if (absl::StrContains(request.target, "/other"))
+            return respondWith("hello")(request, connection);
+        writer.write(connection, kind.bytes(request), "");
+        return false;
+    };
+    site.setScripts(script);
+    site.setEngineScripts(script);
+    EdgeInstance instance("edge-1", site.store.address());
+    REQUIRE(waitUntil(5s, [&] { return instance.isReady(); }));
+    OtherCaller others(instance);
+    std::vector<std::future<std::string>> responses;
+    for (int n = 0; n < requests; ++n)
+        responses.push_back(std::async(std::launch::async, [&, n] {
+            auto id = absl::StrCat("id-", n);
+            return responseTo(instance, kind.isStream ? draftBytes(absl::StrCat("/draft/", n), id) : requestBytes("POST", absl::StrCat("/booking/", n), id, "", "slot"));
+        }));
+    for (auto& it : responses)
+        CHECK(statusOf(it.get()) != 200);
+    auto seen = others.stop();
+    CHECK(seen.failed == 0);
+    CHECK(waitUntil(2s, [&] { return writer.hasEndedAll(); }));
+    CHECK(memoryOf(instance.process().pid(), "VmHWM") < smallestMachine);
+    CHECK(instance.ownEnds() == 0);
+}
+
 // Guards against an event without end that is kept, and against counting comments as events.
 TEST_CASE("the parser of event streams limits an event and counts no comments")
 {
