Hedges wait for crash evidence, and leave lost links as attempts did

Found by reading the hedges again; no caller is known to have seen it.

- After a hedge whose connection was lost, the next upstream was asked before the other losses of that crash are known, so the guards against requests that crash upstreams could count too late.
It waits for them, as retries do.
- A request that a peer had sent waited for its silent upstream also when this instance has lost its links; it ends then, so that the peer asks elsewhere.
- Withdrawing an attempt whose connection is back in the pool does nothing.

--- a/src/edge/request_forwarder.cpp
+++ b/src/edge/request_forwarder.cpp
@@ -510,9 +510,10 @@
 
 bool RequestForwarder::mustLeaveUpstream()
 {
-    if (!m_traffic.links().isLost() || m_admitted.request.isRelayed)
+    if (!m_traffic.links().isLost())
         return false;
-    return !m_caller->hasStartedResponse() || m_traffic.chooseRelay(m_triedPeers).has_value();
+    // A stream that has begun would be reset if there were no peer to go on with it.
+    return !m_caller->hasStartedResponse() || (!m_admitted.request.isRelayed && m_traffic.chooseRelay(m_triedPeers));
 }
 
 bool RequestForwarder::startHedge(const std::optional<ModelId>& model)
@@ -535,8 +536,10 @@
 {
     auto end = co_await self->beginContained(*attempt);
     bool hasWon = !end && !attempt->isSuperseded && self->canTakeOver(*attempt);
-    LogLine(LogLevel::Info, "hedge_ended").with("id", self->m_admitted.request.id.value).with("upstream", attempt->upstream.id.value).with("end", hasWon ? "took_over" : attempt->isSuperseded ? "not_needed"
-                                                                                                                                                                                               : attemptEndName(end.value_or(AttemptEnd::UpstreamError)));
+    const char* outcome = hasWon ? "took_over" : attemptEndName(end.value_or(AttemptEnd::UpstreamError));
+    if (attempt->isSuperseded)
+        outcome = "not_needed";
+    LogLine(LogLevel::Info, "hedge_ended").with("id", self->m_admitted.request.id.value).with("upstream", attempt->upstream.id.value).with("end", outcome).with("ms_left", self->timeLeft().count());
     if (hasWon) {
         auto& current = *self->m_attempt;
         self->m_silence.clear();
@@ -557,9 +560,11 @@
         }
     }
     AttemptResult result { end.value_or(AttemptEnd::UpstreamError), false };
-    bool isWanted = self->m_hedge == attempt;
     self->recordEnd(*attempt, result);
-    if (!isWanted)
+    if (result.end == AttemptEnd::Cut)
+        co_await self->awaitCrashEvidence();
+    // It may have been dropped.
+    if (self->m_hedge != attempt)
         co_return;
     self->m_hedge = nullptr;
     self->m_hedgeChanged.cancel();
@@ -605,7 +610,8 @@
         return;
     auto withdraw = [&attempt] {
         attempt.isWithdrawn = true;
-        attempt.connection->close();
+        if (attempt.connection)
+            attempt.connection->close();
     };
     attempt.waiting = m_traffic.addWaiting({ m_parts, withdraw });
 }
