Test of a repeated refusal waits for the line that it asks for

Seen: upstream_signals "an earlier refusal that is written once more" failed once in three runs beside other work; the answer was the expected 502, the line was not in the output yet. Lines go to a writer thread by a queue (adapters/log), so a line may be written after the response that follows it.

--- a/test/processes/upstream_signals_test.cpp
+++ b/test/processes/upstream_signals_test.cpp
@@ -187,7 +187,7 @@
         site.setScripts(repeatRefusal);
         CHECK(statusOf(sendRequest(instance, requestBytes("GET", "/status/x", "first"))) == 429);
         CHECK(statusOf(sendRequest(instance, requestBytes("GET", "/status/x", "second"))) == 502);
-        CHECK_FALSE(instance.linesContaining("cause=\"response to another request\"").empty());
+        CHECK(waitUntil(1s, [&] { return !instance.linesContaining("cause=\"response to another request\"").empty(); }));
     }
     SECTION("where a stream cannot be resumed, each request has a connection of its own")
     {
