--- a/test/processes/silent_upstream_test.cpp
+++ b/test/processes/silent_upstream_test.cpp
@@ -67,7 +67,7 @@
 }
 
 // Accepts the request and never says anything.
-ScriptedUpstream::Script saySomethingNever()
+ScriptedUpstream::Script neverAnswer()
 {
     return [](const RawRequest&, RawConnection& connection) {
         connection.isClosedWithin(8s);
@@ -163,7 +163,7 @@
     }
     SECTION("because it is silent as well")
     {
-        silent.setScripts(silentBefore(silentEvent, 3400ms), saySomethingNever());
+        silent.setScripts(silentBefore(silentEvent, 3400ms), neverAnswer());
         CHECK(isWholeStream(silent.send(instance, draftBytes("silent"))));
         CHECK(silent.otherWasAsked);
     }
@@ -264,7 +264,7 @@
     auto other = GENERATE(0, 1, 2);
     CAPTURE(other);
     silent.setScripts(answerLate, other == 0 ? refuse() : other == 1 ? resetConnection()
-                                                                     : saySomethingNever());
+                                                                     : neverAnswer());
     auto response = silent.send(instance, requestBytes("GET", "/status/x", "call"));
     CHECK(statusOf(response) == 200);
     CHECK(absl::EndsWith(response, "hello"));
@@ -324,7 +324,7 @@
     }
     SECTION("all are silent")
     {
-        setLarger(saySomethingNever());
+        setLarger(neverAnswer());
         CHECK(isWholeStream(draft()));
         CHECK(askedLarger >= 1);
     }
