Test of odd numbers: servers that close a connection say so

Cause: the scripted servers close each connection without announcing it, so a request may be sent on a connection that is about to close; it ends as unknown (502), as it must. Change: their responses say Connection: close; no check changed.

--- a/test/processes/odd_document_test.cpp
+++ b/test/processes/odd_document_test.cpp
@@ -23,12 +23,18 @@
 using standin::LoopbackServer;
 using standin::RawConnection;
 using standin::RawRequest;
-using standin::responseBytes;
 
 namespace {
 
 using Json = nlohmann::json;
 
+// The servers close each connection after its response, so they say so: a connection that closes unannounced may be reused just then,
+// and a request that is lost there is not sent again.
+std::string responseBytes(int status, const std::string& body)
+{
+    return standin::responseBytes(status, body, { { "Connection", "close" } });
+}
+
 constexpr Seconds eventuallyLimit { 15 };
 constexpr Milliseconds eventuallyPeriod { 20 };
 const HttpHeader callerKey { "Authorization", "Bearer key" };
