The request forwarder is parted into the steps of a request

Cause: request_forwarder (1,000 lines) held admission, choice, hedges, models, retries, streams and the outcome line with all their state, so that no step could be read or tested by itself.

Change: one file pair for each step (upstream_selection, upstream_attempt, upstream_evidence, request_hedge, model_escalation, response_relay, peer_fallback, request_outcome), which share a RequestContext; RequestForwarder is the list of steps.

--- /dev/null
+++ b/src/edge/peer_fallback.cpp
@@ -0,0 +1,58 @@
+#include "edge/peer_fallback.h"
+
+#include "adapters/log.h"
+#include "core/scheduling/retry_decision.h"
+
+namespace skylarkhitch {
+
+namespace {
+
+    // Peers that a request is sent to in turn while they cannot be reached.
+    constexpr std::size_t maxRelays = 3;
+
+}
+
+Awaitable<void> PeerFallback::serve()
+{
+    auto& traffic = m_request.traffic;
+    // A request that came from a peer does not go to another one, so that none goes round.
+    while (!m_request.admitted.request.isRelayed && m_request.triedPeers.size() < maxRelays && m_request.timeLeft() >= minUsefulTime && m_request.fitsBeforeExit(bootNow())) {
+        auto peer = traffic.chooseRelay(m_request.triedPeers);
+        if (!peer)
+            break;
+        m_request.triedPeers.insert(peer->id);
+        LogLine(LogLevel::Info, "request_relayed").with("id", m_request.id()).with("peer", peer->id.value).with("cause", "links_lost").with("ms_left", m_request.timeLeft().count()).with("relays", static_cast<std::int64_t>(m_request.triedPeers.size()));
+        m_relay.emplace(traffic, m_request.caller, m_request.received, m_request.events);
+        // The rest of a stream comes from the model of its beginning; otherwise the peer chooses.
+        auto model = m_request.caller->hasStartedResponse() ? m_request.model : std::nullopt;
+        RelayTerms terms { .timeLeft = m_request.timeLeft(), .lastEvent = m_request.events.last(), .model = model, .mayHaveRun = m_request.execution.executed() != Executed::No };
+        auto end = co_await m_relay->sendTo(*peer, terms);
+        m_outcome.setFirstByteAt(m_relay->firstByteAt());
+        if (m_request.caller->hasDisconnected() || end == RequestRelay::End::Answered) {
+            m_request.isAnswered = !m_request.caller->hasDisconnected();
+            m_outcome.log(m_request.caller->hasDisconnected() ? "caller_left" : m_relay->status() < 500 ? "none"
+                                                                                                        : "upstream_error",
+                m_relay->status());
+            co_return;
+        }
+        bool mayAskAnother = end == RequestRelay::End::NotSent || (end == RequestRelay::End::Refused && m_relay->status() == errorInfo(ErrorKind::NoHealthyUpstream).httpStatus);
+        if (mayAskAnother)
+            continue;
+        if (end != RequestRelay::End::Refused) {
+            m_request.execution.attemptSent();
+            m_request.execution.attemptEnded(AttemptEnd::Cut);
+        }
+        auto error = end == RequestRelay::End::TimedOut ? ErrorKind::DeadlineExceeded : ErrorKind::UpstreamFailed;
+        co_await m_outcome.respondWithError(traffic.isExiting(bootNow()) ? ErrorKind::InstanceDraining : error);
+        co_return;
+    }
+    co_await m_outcome.respondWithError(m_request.timeLeft() < minUsefulTime ? ErrorKind::DeadlineExceeded : ErrorKind::NoHealthyUpstream);
+}
+
+void PeerFallback::close()
+{
+    if (m_relay)
+        m_relay->close();
+}
+
+}
--- /dev/null
+++ b/src/edge/peer_fallback.h
@@ -0,0 +1,29 @@
+#pragma once
+
+// Serves a request by way of peers, since this instance has lost its links to the upstreams.
+
+#include "edge/request_outcome.h"
+#include "edge/request_relay.h"
+
+namespace skylarkhitch {
+
+class PeerFallback {
+public:
+    PeerFallback(RequestContext& request, RequestOutcome& outcome)
+        : m_request(request)
+        , m_outcome(outcome)
+    {
+    }
+
+    // Sends the request by way of a peer, or another one while they cannot be reached, until the request is finished.
+    Awaitable<void> serve();
+    // Ends the request, since its caller has left.
+    void close();
+
+private:
+    RequestContext& m_request;
+    RequestOutcome& m_outcome;
+    std::optional<RequestRelay> m_relay;
+};
+
+}
--- a/src/edge/upstream_attempt.h
+++ b/src/edge/upstream_attempt.h
@@ -5,6 +5,7 @@
 
 #include "core/requests/upstream_response.h"
 #include "core/routing/upstream_registry.h"
+#include "edge/request_context.h"
 #include "edge/traffic_state.h"
 #include "edge/upstream_connection.h"
 
@@ -14,6 +15,8 @@
     UpstreamEntry upstream;
     // The model to ask, where the router chooses it.
     std::optional<ModelId> model;
+    // It was started to take over from another attempt.
+    bool isHedge = false;
     // Null before it is chosen, and after it was returned to the pool.
     std::shared_ptr<UpstreamConnection> connection;
     // Set once the upstream has begun a response that is no refusal.
@@ -40,4 +43,31 @@
     bool hasEnded = false;
 };
 
+// Outcome of one attempt, and whether the request is finished with it.
+struct AttemptResult {
+    AttemptEnd end = AttemptEnd::NotSent;
+    bool isFinal = false;
+    // The next attempt was already taken from the retry budget.
+    bool retryTaken = false;
+};
+
+// The name of an end in log lines and metrics.
+const char* attemptEndName(AttemptEnd);
+// The end of an attempt whose response was read until then.
+AttemptEnd toAttemptEnd(TransferEnd);
+ReleaseRoute releaseRoute(const RequestContext&, const UpstreamAttempt&);
+// Time without a response, or without an event of a stream, after which another upstream is asked to take over.
+Milliseconds silenceLimit(const RequestContext&, const UpstreamAttempt&);
+
+// Sends the request and waits until the upstream begins a response. Returns how the attempt ended if it has none. Takes an exception
+// for a lost connection. `silence` starts when the request is sent, unless the attempt is a hedge.
+Awaitable<std::optional<AttemptEnd>> beginAttempt(RequestContext&, UpstreamAttempt&, DeadlineTimer& silence);
+// Records the outcome of an attempt in the state shared by all requests. Corrects the outcome of one that was withdrawn or superseded.
+void recordEnd(RequestContext&, UpstreamAttempt&, AttemptResult&);
+// Removes the attempt from the list of those that are withdrawn when a part of their prompt is quarantined.
+void stopWaiting(RequestContext&, UpstreamAttempt&);
+// Returns a connection whose response is complete to the pool. From then on it may serve another request, which must not end
+// when the caller of this one disconnects.
+void releaseConnection(RequestContext&, UpstreamAttempt&, std::optional<Seconds> idleTimeout, TimePoint now);
+
 }
--- /dev/null
+++ b/src/edge/upstream_selection.h
@@ -0,0 +1,16 @@
+#pragma once
+
+// Selects the upstream of a request's next attempt, if one is allowed.
+
+#include "edge/request_context.h"
+
+namespace skylarkhitch {
+
+// Returns null if there is none. Sets limitedFor and pausedFor.
+const UpstreamEntry* chooseUpstream(RequestContext&, TimePoint now);
+// Whether the request may be sent again after this end of an attempt. Takes a retry from the budget if one is needed.
+bool reserveRetry(RequestContext&, AttemptEnd, TimePoint now);
+// Whether the route allows another attempt after the current one.
+bool mayTryAnother(const RequestContext&);
+
+}
