A retry that reached no upstream stays with its request

Cause: each hop to an engine that refused the connection took a retry, while the budget counts what upstreams receive.

--- a/src/edge/model_escalation.cpp
+++ b/src/edge/model_escalation.cpp
@@ -27,7 +27,7 @@
     auto needed = requiredConfidence(load, request.admitted.rank, request.admitted.route->targetLatency - toMilliseconds(now - request.received.receivedAt));
     if (*response.confidence >= needed)
         co_return false;
-    bool hasBudget = traffic.takeRetry(request.admitted.service->name, now, ServiceRetryBudget::largerModelFraction);
+    bool hasBudget = traffic.takeRetry(request.admitted.service->name, request.retry, now, ServiceRetryBudget::largerModelFraction);
     LogLine(LogLevel::Info, "low_confidence_answer").with("id", request.id()).with("model", request.model->value).with("confidence_percent", percent(*response.confidence)).with("required_percent", percent(needed)).with("mean_work", static_cast<std::int64_t>(load.work)).with("next", hasBudget ? larger->value : "none_within_budget");
     if (!hasBudget)
         co_return false;
--- a/src/edge/request_context.h
+++ b/src/edge/request_context.h
@@ -2,6 +2,7 @@
 
 // State of one request that the steps of its way share, see RequestForwarder.
 
+#include "core/limits/retry_reservation.h"
 #include "core/requests/admit_request.h"
 #include "core/requests/event_stream_parser.h"
 #include "core/requests/execution_tracker.h"
@@ -34,6 +35,8 @@
     std::int64_t deliveredAttempts = 0;
     // Attempts in which the request ran or may have run, including those that are under way once they are sent.
     std::int64_t possibleRuns = 0;
+    // The retry that the next attempt may use.
+    RetryReservation retry;
     // Set if there are upstreams for the request, but the limits that they state leave no room for it: the time until one has.
     std::optional<Milliseconds> limitedFor;
     // Set if there are upstreams for the request, but all of them want nothing for now: the time until the first one does.
--- a/src/edge/traffic_state.cpp
+++ b/src/edge/traffic_state.cpp
@@ -453,9 +453,9 @@
 
 void TrafficState::requestArrived(const ServiceId& service, TimePoint now) { retryBudgetOf(service).requestArrived(now); }
 
-bool TrafficState::takeRetry(const ServiceId& service, TimePoint now, double part)
+bool TrafficState::takeRetry(const ServiceId& service, RetryReservation& retry, TimePoint now, double part)
 {
-    return retryBudgetOf(service).take(m_view->knownInstances, now, part);
+    return retry.take(retryBudgetOf(service), m_view->knownInstances, now, part);
 }
 
 ServiceRetryBudget& TrafficState::retryBudgetOf(const ServiceId& service)
--- a/src/edge/traffic_state.h
+++ b/src/edge/traffic_state.h
@@ -4,6 +4,7 @@
 
 #include "core/limits/crash_guard.h"
 #include "core/limits/prompt_part_guard.h"
+#include "core/limits/retry_reservation.h"
 #include "core/limits/stop_admission.h"
 #include "core/limits/upstream_limits.h"
 #include "core/limits/upstream_pauses.h"
@@ -98,8 +99,9 @@
 
     // Adds a request to the base of the service's retry budget.
     void requestArrived(const ServiceId&, TimePoint now);
-    // Takes one retry from the service's budget, of which only the given part may be used. Returns false if it is spent.
-    bool takeRetry(const ServiceId&, TimePoint now, double part = 1);
+    // Takes one retry from the service's budget, of which only the given part may be used, unless one is held. Returns false if the
+    // budget is spent.
+    bool takeRetry(const ServiceId&, RetryReservation&, TimePoint now, double part = 1);
     // Counts the outcome of a request as evidence on its release.
     void countFailure(const ReleaseRoute& route) { ++m_evidence[route].failed; }
     void countSuccess(const ReleaseRoute&, const std::string& upstreamProcess, Milliseconds latency);
--- a/src/edge/upstream_attempt.cpp
+++ b/src/edge/upstream_attempt.cpp
@@ -86,6 +86,7 @@
             co_return AttemptEnd::NotSent;
         }
         attempt.isSent = true;
+        request.retry.sent();
         attempt.sentAt = bootNow();
         attempt.work = static_cast<std::int64_t>(static_cast<double>(request.admitted.request.promptTokens) * costWeight(request, attempt));
         request.execution.attemptSent();
--- a/src/edge/upstream_selection.cpp
+++ b/src/edge/upstream_selection.cpp
@@ -43,7 +43,7 @@
     auto decision = decideOnRetry(end, state);
     if (decision != RetryDecision::FromBudget)
         return decision == RetryDecision::Free;
-    return chooseUpstream(request, now) && traffic.takeRetry(admitted.service->name, now);
+    return chooseUpstream(request, now) && traffic.takeRetry(admitted.service->name, request.retry, now);
 }
 
 bool mayTryAnother(const RequestContext& request)
--- a/test/correctness/retry_decision_test.cpp
+++ b/test/correctness/retry_decision_test.cpp
@@ -1,6 +1,7 @@
 // Tests whether a request is sent again after an attempt that did not serve it, and how long an upstream may be silent, without a
 // network.
 
+#include "core/limits/retry_reservation.h"
 #include "core/scheduling/retry_decision.h"
 #include "core/scheduling/silence_limit.h"
 
@@ -121,3 +122,35 @@
         }
     }
 }
+
+// A fifth of the engines has crashed, and each request meets some of them before one that takes it.
+TEST_CASE("attempts that reached no upstream leave the retry budget to answers of low confidence")
+{
+    TimePoint now { 60s };
+    ServiceRetryBudget budget({ .ratio = 0.9, .fixedAllowance = 0, .window = 10s });
+    int larger = 0;
+    for (int request = 0; request < 1000; ++request) {
+        budget.requestArrived(now);
+        RetryReservation retry;
+        retry.sent();
+        // Each second answer has low confidence, and the larger model is asked at three engines that are down before a sound one.
+        if (request % 2 == 1)
+            continue;
+        bool mayAsk = retry.take(budget, 1, now, ServiceRetryBudget::largerModelFraction);
+        for (int attempt = 0; mayAsk && attempt < 3; ++attempt)
+            mayAsk = retry.take(budget, 1, now);
+        if (!mayAsk)
+            continue;
+        retry.sent();
+        ++larger;
+    }
+    // The first requests come before there is a budget.
+    CHECK(larger >= 495);
+    SECTION("what was sent is used up")
+    {
+        RetryReservation retry;
+        while (retry.take(budget, 1, now))
+            retry.sent();
+        CHECK_FALSE(retry.isHeld());
+    }
+}
