Calls of services are drawn by the room of their upstreams

Cause: all instances took the least loaded upstream in views that are half a second old. Change: scheduling/room_draw draws an upstream by its free places; requests that may crash their upstream still go to the one with the fewest others.

--- a/src/core/routing/upstream_balancer.cpp
+++ b/src/core/routing/upstream_balancer.cpp
@@ -1,6 +1,7 @@
 #include "core/routing/upstream_balancer.h"
 
 #include "core/hashing.h"
+#include "core/scheduling/room_draw.h"
 
 #include <absl/container/flat_hash_set.h>
 #include <algorithm>
@@ -35,10 +36,6 @@
     constexpr double averageGain = 0.05;
     constexpr double minMillisecondsPerToken = 0.005;
     constexpr double maxMillisecondsPerToken = 0.5;
-    // Penalty for an upstream in another failure domain, as extra load per slot.
-    constexpr double crossDomainLoad = 0.08;
-    // Random jitter in load per slot, so that instances that see the same loads choose different upstreams.
-    constexpr double loadJitter = 0.1;
 
 }
 
@@ -47,7 +44,9 @@
     auto available = candidates(query, now);
     if (available.empty())
         return nullptr;
-    return query.service->engine && !query.mayCrash ? chooseEngine(query, available) : chooseLeastLoaded(query, available, now);
+    if (query.mayCrash)
+        return chooseLeastLoaded(available, now);
+    return query.service->engine ? chooseEngine(query, available) : chooseByRoom(query, available, now);
 }
 
 std::vector<const UpstreamEntry*> UpstreamBalancer::candidates(const UpstreamQuery& query, TimePoint now) const
@@ -87,19 +86,19 @@
     return best;
 }
 
-const UpstreamEntry* UpstreamBalancer::chooseLeastLoaded(const UpstreamQuery& query, const std::vector<const UpstreamEntry*>& available, TimePoint now)
+// The upstream on which the fewest other requests are lost if the request crashes it.
+const UpstreamEntry* UpstreamBalancer::chooseLeastLoaded(const std::vector<const UpstreamEntry*>& available, TimePoint now) const
 {
-    std::uniform_real_distribution<double> jitter(0, loadJitter);
-    const UpstreamEntry* best = nullptr;
-    double bestLoad = 0;
-    for (const auto* it : available) {
-        auto load = loadPerSlot(*it, now) + jitter(m_random) + (it->domain == query.ownDomain ? 0 : crossDomainLoad);
-        if (!best || load < bestLoad) {
-            best = it;
-            bestLoad = load;
-        }
-    }
-    return best;
+    return *std::min_element(available.begin(), available.end(), [&](const auto* a, const auto* b) { return loadPerSlot(*a, now) < loadPerSlot(*b, now); });
+}
+
+const UpstreamEntry* UpstreamBalancer::chooseByRoom(const UpstreamQuery& query, const std::vector<const UpstreamEntry*>& available, TimePoint now)
+{
+    std::vector<RoomCandidate> candidates;
+    candidates.reserve(available.size());
+    for (const auto* it : available)
+        candidates.push_back({ loadPerSlot(*it, now), it->slots, it->domain != query.ownDomain });
+    return available[drawByRoom(candidates, m_random)];
 }
 
 double UpstreamBalancer::loadPerSlot(const UpstreamEntry& entry, TimePoint now) const
--- a/src/core/routing/upstream_balancer.h
+++ b/src/core/routing/upstream_balancer.h
@@ -106,7 +106,8 @@
 
     std::vector<const UpstreamEntry*> candidates(const UpstreamQuery&, TimePoint now) const;
     const UpstreamEntry* chooseEngine(const UpstreamQuery&, const std::vector<const UpstreamEntry*>&);
-    const UpstreamEntry* chooseLeastLoaded(const UpstreamQuery&, const std::vector<const UpstreamEntry*>&, TimePoint now);
+    const UpstreamEntry* chooseLeastLoaded(const std::vector<const UpstreamEntry*>&, TimePoint now) const;
+    const UpstreamEntry* chooseByRoom(const UpstreamQuery&, const std::vector<const UpstreamEntry*>&, TimePoint now);
     double loadPerSlot(const UpstreamEntry&, TimePoint now) const;
 
     UpstreamBalancerSettings m_settings;
