Balancer: choose engines by the shared estimate, behind a setting

Cause: the placement and the estimates were not used, and peers could not learn them. Change: UpstreamBalancer keeps speeds, output lengths and committed memory, and places requests by them if usesEngineEstimates is set; without it the choice and the heartbeats are as before. Rows of heartbeats get four more numbers, digests a seventh element; both are left out or ignored by earlier builds. X-Length-Hint, the pace of the load header and unreadable ones of both are decoded; the hint is still forwarded.

--- a/src/core/membership/fleet_counters.h
+++ b/src/core/membership/fleet_counters.h
@@ -4,6 +4,8 @@
 // results of requests by release.
 
 #include "core/ids.h"
+#include "core/scheduling/engine_memory.h"
+#include "core/scheduling/engine_speed.h"
 
 #include <map>
 #include <nlohmann/json_fwd.hpp>
@@ -11,12 +13,30 @@
 
 namespace skylarkhitch {
 
-// The requests of one instance that are in flight on one upstream.
+// The requests of one instance that are in flight on one upstream, and what it observed of the upstream. Those of several instances
+// are added up.
 struct UpstreamWork {
     std::int64_t requests = 0;
     // Prompt tokens of requests that have not received their first event.
     std::int64_t waitingTokens = 0;
+    // Of all requests in flight; only of model engines.
+    MemoryCommitment committed;
+    SpeedObservations speed;
+
+    friend bool operator==(const UpstreamWork&, const UpstreamWork&) = default;
+};
+
+void add(UpstreamWork& sum, const UpstreamWork&);
+// Takes what one instance had contributed out of a sum, in which no count becomes negative.
+void subtract(UpstreamWork& sum, const UpstreamWork&);
+
+// Whole numbers in which instances tell each other speed observations.
+struct EncodedSpeed {
+    std::int64_t logSum = 0;
+    std::int64_t weight = 0;
 };
+EncodedSpeed encodeSpeed(const SpeedObservations&);
+SpeedObservations decodeSpeed(const EncodedSpeed&);
 
 // Logarithms of latencies in milliseconds. Their mean is that of typical responses, which a few very slow ones barely change.
 struct LogLatencies {
--- a/src/core/membership/fleet_digest.cpp
+++ b/src/core/membership/fleet_digest.cpp
@@ -5,6 +5,7 @@
 
 #include <absl/strings/str_cat.h>
 #include <algorithm>
+#include <array>
 #include <nlohmann/json.hpp>
 #include <optional>
 
@@ -112,11 +113,45 @@
             auto tokens = requests ? readNumber(bytes, n) : std::nullopt;
             if (!tokens)
                 break;
-            work.emplace_hint(work.end(), UpstreamId { std::move(id) }, UpstreamWork { *requests, *tokens });
+            work.emplace_hint(work.end(), UpstreamId { std::move(id) }, UpstreamWork { *requests, *tokens, {}, {} });
         }
         return work;
     }
 
+    // Signed integers as unsigned ones: 0, -1, 1, -2 and so on.
+    std::int64_t zigzag(std::int64_t value) { return value >= 0 ? 2 * value : -2 * value - 1; }
+    std::int64_t fromZigzag(std::int64_t value) { return value % 2 == 0 ? value / 2 : -(value / 2) - 1; }
+
+    // Rows without ids, of the same upstreams in the same order as packedWork().
+    Json packedEstimates(const std::map<UpstreamId, UpstreamWork>& work)
+    {
+        std::vector<std::uint8_t> bytes;
+        for (const auto& [id, it] : work) {
+            auto speed = encodeSpeed(it.speed);
+            for (auto n : { it.committed.tokens, it.committed.variance, zigzag(speed.logSum), speed.weight })
+                appendNumber(bytes, n);
+        }
+        return Json::binary(std::move(bytes));
+    }
+
+    // Upstreams whose rows cannot be read keep none.
+    void readEstimates(const Json& json, std::map<UpstreamId, UpstreamWork>& work)
+    {
+        const std::vector<std::uint8_t>& bytes = json.get_binary();
+        std::size_t position = 0;
+        for (auto& [id, it] : work) {
+            std::array<std::int64_t, 4> row {};
+            for (auto& field : row) {
+                auto n = readNumber(bytes, position);
+                if (!n)
+                    return;
+                field = *n;
+            }
+            it.committed = { row[0], row[1] };
+            it.speed = decodeSpeed({ fromZigzag(row[2]), row[3] });
+        }
+    }
+
     Json identitiesToJson(const std::vector<InstanceIdentity>& identities)
     {
         Json rows = Json::array();
@@ -146,7 +181,7 @@
 
 Json toJson(const FleetDigest& digest)
 {
-    return Json::array({ rowsToJson(digest.rows), identitiesToJson(digest.identities), digest.sums.instances, packedWork(digest.sums.work), evidenceToJson(digest.sums.evidence), crashesToJson(digest) });
+    return Json::array({ rowsToJson(digest.rows), identitiesToJson(digest.identities), digest.sums.instances, packedWork(digest.sums.work), evidenceToJson(digest.sums.evidence), crashesToJson(digest), packedEstimates(digest.sums.work) });
 }
 
 FleetDigest fleetDigestFrom(const Json& json)
@@ -165,6 +200,9 @@
         for (std::size_t n = 1; n < row.size(); ++n)
             crashes[row.at(n).at(0)] = countFrom(row.at(n).at(1));
     }
+    // Instances of earlier versions do not send the rest.
+    if (json.size() > 6)
+        readEstimates(json.at(6), digest.sums.work);
     return digest;
 }
 
--- a/src/core/membership/fleet_membership.cpp
+++ b/src/core/membership/fleet_membership.cpp
@@ -151,10 +151,8 @@
     }
     std::map<UpstreamId, UpstreamWork> sum;
     for (const auto* peer : livePeers(now)) {
-        for (const auto& [id, work] : peer->heartbeat.work) {
-            sum[id].requests += work.requests;
-            sum[id].waitingTokens += work.waitingTokens;
-        }
+        for (const auto& [id, work] : peer->heartbeat.work)
+            add(sum[id], work);
     }
     return sum;
 }
--- a/src/core/membership/fleet_relay.cpp
+++ b/src/core/membership/fleet_relay.cpp
@@ -1,6 +1,5 @@
 #include "core/membership/fleet_relay.h"
 
-#include "core/bounded_document.h"
 #include "core/hashing.h"
 
 #include <algorithm>
@@ -11,11 +10,8 @@
 
     void addWork(std::map<UpstreamId, UpstreamWork>& sum, const std::map<UpstreamId, UpstreamWork>& work)
     {
-        for (const auto& [id, it] : work) {
-            auto& target = sum[id];
-            target.requests = std::min(maxSum, target.requests + it.requests);
-            target.waitingTokens = std::min(maxSum, target.waitingTokens + it.waitingTokens);
-        }
+        for (const auto& [id, it] : work)
+            add(sum[id], it);
     }
 
     void addEvidence(ReleaseEvidence& sum, const ReleaseEvidence& evidence)
@@ -138,11 +134,8 @@
     auto own = std::find_if(m_sentWork.begin(), m_sentWork.end(), [&](const auto& it) { return it.sequence == m_site.ownSequence; });
     if (own == m_sentWork.end())
         return work;
-    for (const auto& [id, it] : own->work) {
-        auto& sum = work[id];
-        sum.requests = std::max<std::int64_t>(0, sum.requests - it.requests);
-        sum.waitingTokens = std::max<std::int64_t>(0, sum.waitingTokens - it.waitingTokens);
-    }
+    for (const auto& [id, it] : own->work)
+        subtract(work[id], it);
     return work;
 }
 
--- a/src/core/requests/routed_request.h
+++ b/src/core/requests/routed_request.h
@@ -37,6 +37,10 @@
     bool anyModel = false;
     std::int64_t promptTokens = 0;
     std::int64_t maxOutputTokens = 0;
+    // The caller's estimate of the output tokens.
+    std::optional<std::int64_t> outputHint;
+    // An estimate is stated that cannot be read.
+    bool isOutputHintMalformed = false;
     // In prompt order; the last part is specific to the request or its session.
     std::vector<PromptPart> promptParts;
     // Header fields that are forwarded to the upstream unchanged.
--- a/src/core/requests/upstream_response.h
+++ b/src/core/requests/upstream_response.h
@@ -9,12 +9,13 @@
 
 namespace skylarkhitch {
 
-// Load as reported by the upstream: the numbers of running and waiting requests and of its slots. Already outdated on
-// arrival.
+// Load as reported by the upstream: the numbers of running and waiting requests and of its slots, and how long work takes on its
+// machine now, in percent of the usual time, if it says so. Already outdated on arrival.
 struct ReportedLoad {
     std::int64_t running = 0;
     std::int64_t waiting = 0;
     std::int64_t slots = 0;
+    std::optional<std::int64_t> pace;
 };
 
 struct UpstreamResponse {
@@ -31,6 +32,8 @@
     // How long the upstream keeps an idle connection open; empty if not reported.
     std::optional<Seconds> keepAliveTimeout;
     std::optional<ReportedLoad> load;
+    // A load is stated that cannot be read.
+    bool isLoadMalformed = false;
     // Requests per second that the upstream takes from all instances together; empty if it states no limit.
     std::optional<double> requestLimit;
     // A limit is stated that is not a number of at least 0.
--- a/src/core/routing/upstream_balancer.cpp
+++ b/src/core/routing/upstream_balancer.cpp
@@ -1,6 +1,7 @@
 #include "core/routing/upstream_balancer.h"
 
 #include "core/hashing.h"
+#include "core/routing/model_choice.h"
 
 #include <absl/container/flat_hash_set.h>
 #include <algorithm>
@@ -26,10 +27,6 @@
         return sum;
     }
 
-    // Random jitter in prompt tokens, so that instances that see the same work choose different engines.
-    constexpr double workJitter = 200;
-    // Penalty for an engine without a free slot, as extra work.
-    constexpr double fullEnginePenalty = 20000;
     // Minimum work for a sample of the time per token, gain of the moving averages, and bounds of a sample in ms per token.
     constexpr std::int64_t minSampleWork = 1000;
     constexpr double averageGain = 0.05;
@@ -39,6 +36,20 @@
     constexpr double crossDomainLoad = 0.08;
     // Random jitter in load per slot, so that instances that see the same loads choose different upstreams.
     constexpr double loadJitter = 0.1;
+    // Shortest time that work is taken to wait until it is read, and longest time since the last heartbeats that is counted.
+    constexpr double minReadSeconds = 0.05;
+    constexpr Milliseconds maxPeerWorkAge { 2000 };
+    // Upstreams without own requests of which observations are told.
+    constexpr std::size_t maxIdleObservations = 64;
+
+    double toSeconds(Microseconds time) { return std::chrono::duration<double>(time).count(); }
+
+    EngineProcess processOf(const UpstreamEntry& it) { return { it.id, it.service, it.born }; }
+
+    RequestLength lengthOf(const std::string& route, const RoutedRequest& request)
+    {
+        return { route, request.promptTokens, request.maxOutputTokens, request.outputHint };
+    }
 
 }
 
@@ -47,7 +58,7 @@
     auto available = candidates(query, now);
     if (available.empty())
         return nullptr;
-    return query.service->engine && !query.mayCrash ? chooseEngine(query, available) : chooseLeastLoaded(query, available, now);
+    return query.service->engine && !query.mayCrash ? chooseEngine(query, available, now) : chooseLeastLoaded(query, available, now);
 }
 
 std::vector<const UpstreamEntry*> UpstreamBalancer::candidates(const UpstreamQuery& query, TimePoint now) const
@@ -62,29 +73,74 @@
     return available.empty() ? ejected : available;
 }
 
-// Chooses the engine with the least work. The engine with the affinity for the prompt's shared prefix, found by rendezvous
-// hashing, gets a credit for the tokens that it probably has cached.
-const UpstreamEntry* UpstreamBalancer::chooseEngine(const UpstreamQuery& query, const std::vector<const UpstreamEntry*>& available)
+const UpstreamEntry* UpstreamBalancer::chooseEngine(const UpstreamQuery& query, const std::vector<const UpstreamEntry*>& available, TimePoint now)
 {
-    const auto* part = lastSharedPart(*query.request);
-    auto affinityKey = part ? part->id : query.request->id.value;
-    const auto* affinityTarget = *std::max_element(available.begin(), available.end(), [&](const auto* a, const auto* b) { return hashOf(affinityKey, a->id.value) < hashOf(affinityKey, b->id.value); });
-    auto cachedCredit = static_cast<double>(sharedTokens(*query.request)) * m_settings.affinityCredit;
-    std::uniform_real_distribution<double> jitter(0, workJitter);
-    const UpstreamEntry* best = nullptr;
-    double bestWork = 0;
+    const auto& request = *query.request;
+    PlacementRequest placed;
+    placed.promptTokens = request.promptTokens;
+    placed.modelWeight = query.model.empty() ? 1 : modelWeight(*query.service->engine, query.model);
+    placed.rank = query.rank;
+    placed.timeLeft = query.timeLeft;
+    placed.millisecondsPerToken = m_millisecondsPerToken;
+    if (m_settings.usesEngineEstimates) {
+        placed.memory = query.memory;
+        placed.unreportedWork = unreportedWork(available, now);
+        placed.drawPosition = m_draws.next(request.promptTokens);
+        if (const auto* part = lastSharedPart(request))
+            placed.unreportedShare = m_partDemand.record(part->id, request.promptTokens);
+    }
+    EnginePlacementSettings settings { .workPerRequest = m_settings.workPerRequest, .cachedTokenCredit = m_settings.affinityCredit, .crossDomainPenalty = m_settings.crossDomainPenalty };
+    m_lastPlacement = placeOnEngine(engineCandidates(query, available, now), placed, settings, m_random);
+    return m_lastPlacement.entry;
+}
+
+std::vector<EngineCandidate> UpstreamBalancer::engineCandidates(const UpstreamQuery& query, const std::vector<const UpstreamEntry*>& available, TimePoint now) const
+{
+    // Without knowledge of caches, the engine that is first for the shared part in rendezvous hashing is taken to have it.
+    const auto* part = query.cachedTokens ? nullptr : lastSharedPart(*query.request);
+    const auto* affinityTarget = !part ? nullptr : *std::max_element(available.begin(), available.end(), [&](const auto* a, const auto* b) { return hashOf(part->id, a->id.value) < hashOf(part->id, b->id.value); });
+    std::vector<EngineCandidate> engines;
+    engines.reserve(available.size());
     for (const auto* it : available) {
-        auto work = static_cast<double>(workOn(it->id)) + jitter(m_random) - (part && it == affinityTarget ? cachedCredit : 0);
-        work += it->domain == query.ownDomain ? 0 : static_cast<double>(m_settings.crossDomainPenalty);
-        // Without a free slot, the request would wait until another one ends.
-        if (requestsOn(it->id) >= it->slots)
-            work += fullEnginePenalty;
-        if (!best || work < bestWork) {
-            best = it;
-            bestWork = work;
+        EngineCandidate engine;
+        engine.entry = it;
+        engine.requests = requestsOn(it->id);
+        engine.unreadWork = unreadWorkOn(it->id);
+        engine.slots = it->slots;
+        engine.crossesDomain = it->domain != query.ownDomain;
+        if (it == affinityTarget)
+            engine.cachedTokens = sharedTokens(*query.request);
+        if (query.cachedTokens) {
+            auto cached = query.cachedTokens->find(it->id);
+            engine.cachedTokens = cached == query.cachedTokens->end() ? 0 : cached->second;
         }
+        if (m_settings.usesEngineEstimates)
+            addEstimate(engine, query, now);
+        engines.push_back(engine);
     }
-    return best;
+    return engines;
+}
+
+void UpstreamBalancer::addEstimate(EngineCandidate& engine, const UpstreamQuery& query, TimePoint now) const
+{
+    engine.speed = m_speeds.speed(engine.entry->id, now);
+    engine.committed = committedOn(engine.entry->id);
+    engine.memoryTokens = query.service->engine->memoryTokens;
+}
+
+double UpstreamBalancer::unreportedWork(const std::vector<const UpstreamEntry*>& engines, TimePoint now) const
+{
+    if (m_meanPromptWork <= 0)
+        return 0;
+    double unread = 0;
+    for (const auto* it : engines) {
+        auto peers = m_peerWork.find(it->id);
+        unread += peers == m_peerWork.end() ? 0 : static_cast<double>(peers->second.waitingTokens);
+    }
+    // By Little's law, work arrives at the rate of the unread work over the time that it waits.
+    auto wait = std::max(minReadSeconds, m_meanPromptWorkSeconds / m_meanPromptWork);
+    auto age = std::min<Microseconds>(now - m_peerWorkAt, maxPeerWorkAge) + m_settings.peerWorkAge;
+    return unread * toSeconds(age) / wait;
 }
 
 const UpstreamEntry* UpstreamBalancer::chooseLeastLoaded(const UpstreamQuery& query, const std::vector<const UpstreamEntry*>& available, TimePoint now)
@@ -111,11 +167,17 @@
     return static_cast<double>(requests) / static_cast<double>(entry.slots);
 }
 
-void UpstreamBalancer::sent(const UpstreamId& id, std::int64_t promptTokens)
+MemoryCommitment UpstreamBalancer::commitment(const std::string& route, const RoutedRequest& request) const
+{
+    return m_outputs.commitment(lengthOf(route, request));
+}
+
+void UpstreamBalancer::sent(const UpstreamId& id, std::int64_t promptTokens, const MemoryCommitment& memory)
 {
     auto& own = m_states[id].own;
     ++own.requests;
     own.waitingTokens += promptTokens;
+    own.committed = own.committed + memory;
 }
 
 void UpstreamBalancer::begun(const UpstreamId& id, std::int64_t promptTokens)
@@ -123,12 +185,13 @@
     m_states[id].own.waitingTokens -= promptTokens;
 }
 
-void UpstreamBalancer::ended(const UpstreamId& id, std::int64_t promptTokens, bool promptWasRead)
+void UpstreamBalancer::ended(const UpstreamId& id, std::int64_t promptTokens, bool promptWasRead, const MemoryCommitment& memory)
 {
     auto& own = m_states[id].own;
     --own.requests;
     if (!promptWasRead)
         own.waitingTokens -= promptTokens;
+    own.committed = own.committed - memory;
 }
 
 void UpstreamBalancer::recordFirstEvent(std::int64_t work, Milliseconds firstEvent)
@@ -140,6 +203,27 @@
     m_millisecondsPerToken += averageGain * (std::clamp(millisecondsPerToken, minMillisecondsPerToken, maxMillisecondsPerToken) - m_millisecondsPerToken);
 }
 
+void UpstreamBalancer::recordFirstEvent(const UpstreamEntry& upstream, const ModelId& model, const FirstEvent& event, TimePoint now)
+{
+    auto work = event.workBefore + event.promptWork;
+    recordFirstEvent(work, toMilliseconds(event.time));
+    auto promptWork = static_cast<double>(event.promptWork);
+    m_meanPromptWork += averageGain * (promptWork - m_meanPromptWork);
+    m_meanPromptWorkSeconds += averageGain * (promptWork * toSeconds(event.time) - m_meanPromptWorkSeconds);
+    m_speeds.recordFirstEvent(processOf(upstream), model, work, event.time, now);
+}
+
+void UpstreamBalancer::recordGap(const UpstreamEntry& upstream, const ModelId& model, Microseconds gap, TimePoint now)
+{
+    auto occupancy = static_cast<double>(requestsOn(upstream.id)) / static_cast<double>(std::max<std::int64_t>(1, upstream.slots));
+    m_speeds.recordGap(processOf(upstream), model, occupancy, gap, now);
+}
+
+void UpstreamBalancer::recordOutput(const std::string& route, const RoutedRequest& request, std::int64_t tokens)
+{
+    m_outputs.record(lengthOf(route, request), tokens);
+}
+
 void UpstreamBalancer::recordPrompt(const std::string& route, std::int64_t tokens)
 {
     auto length = static_cast<double>(tokens);
@@ -169,6 +253,13 @@
     state.reportedAt = now;
 }
 
+void UpstreamBalancer::reported(const UpstreamEntry& upstream, const ReportedLoad& load, TimePoint now)
+{
+    reported(upstream.id, load, now);
+    if (load.pace)
+        m_speeds.recordPace(processOf(upstream), *load.pace, now);
+}
+
 void UpstreamBalancer::succeeded(const UpstreamId& id)
 {
     auto& state = m_states[id];
@@ -191,18 +282,39 @@
     return true;
 }
 
-void UpstreamBalancer::setPeerWork(absl::flat_hash_map<UpstreamId, UpstreamWork> work)
+void UpstreamBalancer::setPeerWork(absl::flat_hash_map<UpstreamId, UpstreamWork> work, TimePoint now)
 {
+    absl::flat_hash_map<UpstreamId, SpeedObservations> speeds;
+    for (const auto& [id, it] : work) {
+        if (it.speed.weight > 0)
+            speeds[id] = it.speed;
+    }
+    m_speeds.setPeers(std::move(speeds), now - m_settings.peerWorkAge);
     m_peerWork = std::move(work);
+    m_peerWorkAt = now;
 }
 
-std::map<UpstreamId, UpstreamWork> UpstreamBalancer::ownWork() const
+std::map<UpstreamId, UpstreamWork> UpstreamBalancer::ownWork(TimePoint now) const
 {
     std::map<UpstreamId, UpstreamWork> work;
     for (const auto& [id, it] : m_states) {
         if (it.own.requests > 0)
             work[id] = it.own;
     }
+    if (!m_settings.usesEngineEstimates)
+        return work;
+    std::vector<std::pair<double, UpstreamId>> idle;
+    auto observations = m_speeds.own(now);
+    for (const auto& [id, it] : observations) {
+        if (work.contains(id))
+            work[id].speed = it;
+        else
+            idle.emplace_back(it.weight, id);
+    }
+    auto n = std::min(idle.size(), maxIdleObservations);
+    std::partial_sort(idle.begin(), idle.begin() + static_cast<std::ptrdiff_t>(n), idle.end(), std::greater<>());
+    for (std::size_t i = 0; i < n; ++i)
+        work[idle[i].second].speed = observations[idle[i].second];
     return work;
 }
 
@@ -211,6 +323,7 @@
     absl::flat_hash_set<UpstreamId> known;
     for (const auto& it : entries)
         known.insert(it.id);
+    m_speeds.keepOnly(known);
     absl::erase_if(m_states, [&](const auto& it) { return !known.contains(it.first) && it.second.own.requests == 0; });
 }
 
@@ -233,11 +346,22 @@
 }
 
 std::int64_t UpstreamBalancer::workOn(const UpstreamId& id) const
+{
+    return unreadWorkOn(id) + requestsOn(id) * m_settings.workPerRequest;
+}
+
+MemoryCommitment UpstreamBalancer::committedOn(const UpstreamId& id) const
+{
+    auto own = m_states.find(id);
+    auto peers = m_peerWork.find(id);
+    return (own == m_states.end() ? MemoryCommitment {} : own->second.own.committed) + (peers == m_peerWork.end() ? MemoryCommitment {} : peers->second.committed);
+}
+
+std::int64_t UpstreamBalancer::unreadWorkOn(const UpstreamId& id) const
 {
     auto own = m_states.find(id);
     auto peers = m_peerWork.find(id);
-    auto tokens = (own == m_states.end() ? 0 : own->second.own.waitingTokens) + (peers == m_peerWork.end() ? 0 : peers->second.waitingTokens);
-    return tokens + requestsOn(id) * m_settings.workPerRequest;
+    return (own == m_states.end() ? 0 : own->second.own.waitingTokens) + (peers == m_peerWork.end() ? 0 : peers->second.waitingTokens);
 }
 
 }
--- a/src/core/routing/upstream_balancer.h
+++ b/src/core/routing/upstream_balancer.h
@@ -1,12 +1,15 @@
 #pragma once
 
-// Tracks the load and the failures of each upstream, and chooses an upstream for each request.
+// Tracks the load, the speed and the failures of each upstream, and chooses an upstream for each request.
 
 #include "core/membership/fleet_heartbeat.h"
 #include "core/requests/routed_request.h"
 #include "core/requests/upstream_response.h"
 #include "core/routing/routing_configuration.h"
 #include "core/routing/upstream_registry.h"
+#include "core/scheduling/engine_placement.h"
+#include "core/scheduling/engine_speed.h"
+#include "core/scheduling/shared_part_demand.h"
 
 #include <absl/container/flat_hash_map.h>
 #include <random>
@@ -29,6 +32,11 @@
     std::int64_t crossDomainPenalty = 1500;
     // Load reports of upstreams older than this are ignored.
     Milliseconds maxReportAge { 1000 };
+    // Whether engines are chosen by their estimated speed and memory, and by the work that other instances are expected to have sent
+    // since their last heartbeats. Without it, engines count as equally fast and their memory as unlimited.
+    bool usesEngineEstimates = false;
+    // Age of the work in heartbeats of other instances when it is taken in.
+    Milliseconds peerWorkAge { 250 };
 };
 
 // A request and the upstreams that it may be sent to.
@@ -42,6 +50,24 @@
     DomainId ownDomain;
     // The request may crash its upstream, so one with few other requests is chosen.
     bool mayCrash = false;
+    // The rest is used for engines only.
+    ModelId model;
+    std::int64_t rank = 0;
+    // Time until the route's target latency.
+    Milliseconds timeLeft = Milliseconds::max();
+    // See UpstreamBalancer::commitment().
+    MemoryCommitment memory;
+    // Tokens of the prompt that engines have cached; engines that are not listed have none. Null if unknown, so that the engine with
+    // the affinity for the shared part is taken to have it.
+    const absl::flat_hash_map<UpstreamId, std::int64_t>* cachedTokens = nullptr;
+};
+
+// Times and work of a first event.
+struct FirstEvent {
+    // Of the engine before the request was sent, and of the request's prompt.
+    std::int64_t workBefore = 0;
+    std::int64_t promptWork = 0;
+    Microseconds time {};
 };
 
 class UpstreamBalancer {
@@ -55,15 +81,28 @@
     // Chooses an upstream, or returns null if none is left. Ejected upstreams are chosen only if there are no others.
     const UpstreamEntry* choose(const UpstreamQuery&, TimePoint now);
 
-    // In sent(), begun() and ended(), `promptTokens` is weighted by the cost of the model, see modelWeight().
-    void sent(const UpstreamId&, std::int64_t promptTokens);
+    // Figures of the last choice among engines, for the log.
+    const Placement& lastPlacement() const { return m_lastPlacement; }
+
+    // Memory that a request of the route will need on an engine by its end.
+    MemoryCommitment commitment(const std::string& route, const RoutedRequest&) const;
+
+    // In sent(), begun() and ended(), `promptTokens` is weighted by the cost of the model, see modelWeight(). The memory is the same in
+    // sent() and ended().
+    void sent(const UpstreamId&, std::int64_t promptTokens, const MemoryCommitment& = {});
     // The first event arrived, so the engine has read the prompt.
     void begun(const UpstreamId&, std::int64_t promptTokens);
     // `promptWasRead` tells whether begun() was called for the request.
-    void ended(const UpstreamId&, std::int64_t promptTokens, bool promptWasRead);
+    void ended(const UpstreamId&, std::int64_t promptTokens, bool promptWasRead, const MemoryCommitment& = {});
 
     // Updates the time per token from the time to the first event on an engine with this much work, including the request.
     void recordFirstEvent(std::int64_t work, Milliseconds firstEvent);
+    // The same, and the estimate of the engine's speed.
+    void recordFirstEvent(const UpstreamEntry&, const ModelId&, const FirstEvent&, TimePoint now);
+    // Time between two events of a stream that the caller did not hold up.
+    void recordGap(const UpstreamEntry&, const ModelId&, Microseconds gap, TimePoint now);
+    // The number of tokens that a request generated until its regular end.
+    void recordOutput(const std::string& route, const RoutedRequest&, std::int64_t tokens);
     // Updates the mean prompt lengths of the route and of all routes.
     void recordPrompt(const std::string& route, std::int64_t tokens);
     // Estimated milliseconds that an engine takes per unit of work.
@@ -75,13 +114,17 @@
 
     // Stores the load that the upstream reported.
     void reported(const UpstreamId&, const ReportedLoad&, TimePoint now);
+    // The same, with the pace of the engine.
+    void reported(const UpstreamEntry&, const ReportedLoad&, TimePoint now);
     void succeeded(const UpstreamId&);
     // Records a failure; true if the upstream is ejected because of it. Failures during an ejection do not count.
     bool failed(const UpstreamId&, TimePoint now);
 
-    // Replaces the work of all other instances, taken from their heartbeats.
-    void setPeerWork(absl::flat_hash_map<UpstreamId, UpstreamWork>);
-    std::map<UpstreamId, UpstreamWork> ownWork() const;
+    // Replaces the work and the observations of all other instances, taken from their heartbeats.
+    void setPeerWork(absl::flat_hash_map<UpstreamId, UpstreamWork>, TimePoint now = {});
+    // The place of this instance among all instances, see EngineDraws.
+    void setInstance(std::size_t place, std::size_t instances) { m_draws.setInstance(place, instances); }
+    std::map<UpstreamId, UpstreamWork> ownWork(TimePoint now = {}) const;
     // Drops the state of upstreams that are not listed and have none of this instance's requests.
     void keepOnly(const std::vector<UpstreamEntry>&);
 
@@ -92,6 +135,10 @@
     std::int64_t requestsOn(const UpstreamId&) const;
     // Work of all instances on an upstream, in prompt tokens: prompts not yet read, and workPerRequest for each request.
     std::int64_t workOn(const UpstreamId&) const;
+    // Memory of an engine that the requests of all instances need by their end.
+    MemoryCommitment committedOn(const UpstreamId&) const;
+    // Speed of an engine relative to the mean of its service.
+    double speedOf(const UpstreamId& id, TimePoint now) const { return m_speeds.speed(id, now); }
 
 private:
     struct State {
@@ -105,7 +152,14 @@
     };
 
     std::vector<const UpstreamEntry*> candidates(const UpstreamQuery&, TimePoint now) const;
-    const UpstreamEntry* chooseEngine(const UpstreamQuery&, const std::vector<const UpstreamEntry*>&);
+    const UpstreamEntry* chooseEngine(const UpstreamQuery&, const std::vector<const UpstreamEntry*>&, TimePoint now);
+    std::vector<EngineCandidate> engineCandidates(const UpstreamQuery&, const std::vector<const UpstreamEntry*>&, TimePoint now) const;
+    // Prompt tokens on an engine that are not read yet, of all instances.
+    std::int64_t unreadWorkOn(const UpstreamId&) const;
+    // Adds what is known of the engine's speed and memory.
+    void addEstimate(EngineCandidate&, const UpstreamQuery&, TimePoint now) const;
+    // Work that other instances are expected to have sent to these engines since their heartbeats.
+    double unreportedWork(const std::vector<const UpstreamEntry*>&, TimePoint now) const;
     const UpstreamEntry* chooseLeastLoaded(const UpstreamQuery&, const std::vector<const UpstreamEntry*>&, TimePoint now);
     double loadPerSlot(const UpstreamEntry&, TimePoint now) const;
 
@@ -117,6 +171,15 @@
     absl::flat_hash_map<std::string, double> m_routePromptTokens;
     absl::flat_hash_map<UpstreamId, State> m_states;
     absl::flat_hash_map<UpstreamId, UpstreamWork> m_peerWork;
+    TimePoint m_peerWorkAt {};
+    // Moving averages over own requests, which give the mean time that a unit of work waits until it is read.
+    double m_meanPromptWork = 0;
+    double m_meanPromptWorkSeconds = 0;
+    EngineSpeeds m_speeds;
+    OutputLengths m_outputs;
+    EngineDraws m_draws;
+    SharedPartDemand m_partDemand;
+    Placement m_lastPlacement;
 };
 
 }
--- a/src/core/scheduling/engine_speed.cpp
+++ b/src/core/scheduling/engine_speed.cpp
@@ -1,6 +1,5 @@
 #include "core/scheduling/engine_speed.h"
 
-#include <absl/container/flat_hash_set.h>
 #include <algorithm>
 #include <cmath>
 
@@ -133,9 +132,8 @@
     return observations;
 }
 
-void EngineSpeeds::keepOnly(const std::vector<UpstreamId>& upstreams)
+void EngineSpeeds::keepOnly(const absl::flat_hash_set<UpstreamId>& known)
 {
-    absl::flat_hash_set<UpstreamId> known(upstreams.begin(), upstreams.end());
     absl::erase_if(m_states, [&](const auto& it) { return !known.contains(it.first); });
 }
 
--- a/src/core/scheduling/engine_speed.h
+++ b/src/core/scheduling/engine_speed.h
@@ -6,8 +6,8 @@
 #include "core/ids.h"
 
 #include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
 #include <array>
-#include <vector>
 
 namespace skylarkhitch {
 
@@ -45,7 +45,7 @@
     // Own observations that are recent enough to matter to others.
     absl::flat_hash_map<UpstreamId, SpeedObservations> own(TimePoint now) const;
     // Drops the state of all other upstreams.
-    void keepOnly(const std::vector<UpstreamId>&);
+    void keepOnly(const absl::flat_hash_set<UpstreamId>&);
 
     // The speed from all observations, between minSpeed and maxSpeed; 1 if there are none.
     double lastingSpeed(const UpstreamId&, TimePoint now) const;
--- a/src/edge/traffic_state.cpp
+++ b/src/edge/traffic_state.cpp
@@ -97,6 +97,8 @@
     for (const auto& [service, entries] : m_view->upstreams)
         all.insert(all.end(), entries.begin(), entries.end());
     m_balancer.keepOnly(all);
+    auto before = std::count_if(m_view->entries.begin(), m_view->entries.end(), [&](const auto& it) { return it.id < m_settings.instance; });
+    m_balancer.setInstance(static_cast<std::size_t>(before), m_view->entries.size());
     if (!m_limits.empty()) {
         absl::flat_hash_set<std::string> processes;
         for (const auto& it : all)
@@ -160,7 +162,7 @@
 void TrafficState::learn(PeerUpdate news)
 {
     auto now = bootNow();
-    m_balancer.setPeerWork(std::move(news.work));
+    m_balancer.setPeerWork(std::move(news.work), now);
     for (const auto& [id, crashes] : news.crashes)
         m_crashes.learn(id, crashes, now);
     m_sessions.learn(news.sessions, now);
@@ -388,7 +390,7 @@
     evaluateCrashes(now);
     m_brokenResponses.forget(now - brokenResponseRetention);
     m_stopAdmission.forget(now);
-    return { m_balancer.ownWork(), m_evidence, m_crashes.own(), { m_promptParts.news(now), m_limits.news(now) }, sessionsForPeers(now), isReady(), m_links.isLost(), m_promptParts.quarantinedCount(), m_limits.limitedCount(), false, threadCpuTime() };
+    return { m_balancer.ownWork(now), m_evidence, m_crashes.own(), { m_promptParts.news(now), m_limits.news(now) }, sessionsForPeers(now), isReady(), m_links.isLost(), m_promptParts.quarantinedCount(), m_limits.limitedCount(), false, threadCpuTime() };
 }
 
 EligibleUpstreams TrafficState::findEligibleUpstreams(const ServiceId& id, const RoutedRequest& request, TimePoint now)
--- a/test/correctness/engine_estimate_test.cpp
+++ b/test/correctness/engine_estimate_test.cpp
@@ -1,6 +1,7 @@
 // Tests the estimate of engines, their speed, memory and queued work, and the choice among them: engines of unlike speed, moments of
 // slowness, many instances that choose by the same outdated reports, prompts that exceed the memory, and senseless input.
 
+#include "core/routing/upstream_balancer.h"
 #include "core/scheduling/engine_memory.h"
 #include "core/scheduling/engine_placement.h"
 #include "core/scheduling/engine_speed.h"
@@ -205,7 +206,7 @@
     }
     SECTION("upstreams that are gone leave no state")
     {
-        fleet.instances[0].keepOnly({ { "e1" } });
+        fleet.instances[0].keepOnly({ UpstreamId { "e1" } });
         CHECK_FALSE(fleet.instances[0].own(fleet.now).contains({ "e0" }));
     }
 }
@@ -619,3 +620,130 @@
         CHECK(sends == Approx(4000 * (35000.0 / 400000) + 4000 * (1 - 35000.0 / 400000) / 20).epsilon(0.2));
     }
 }
+
+namespace {
+
+// A balancer that uses estimates, with three engines in its domain.
+struct EstimatingBalancer {
+    UpstreamBalancer balancer { 7, UpstreamBalancerSettings { .usesEngineEstimates = true } };
+    std::vector<UpstreamEntry> entries = entriesOf(3);
+    RoutedService service { { "assist" }, "/", 0, EngineProfile { 64, 100000, 1, {} } };
+    std::vector<UpstreamId> tried;
+    TimePoint now = start;
+
+    static RoutedRequest prompt(std::int64_t tokens)
+    {
+        RoutedRequest request;
+        request.id = { "r" };
+        request.promptTokens = tokens;
+        request.maxOutputTokens = 400;
+        return request;
+    }
+
+    const UpstreamEntry* choose(const RoutedRequest& request, const absl::flat_hash_map<UpstreamId, std::int64_t>* cached = nullptr)
+    {
+        UpstreamQuery query { &request, &service, {}, &tried, { "a" } };
+        query.memory = balancer.commitment("essay", request);
+        query.rank = 1;
+        query.cachedTokens = cached;
+        for (const auto& it : entries)
+            query.allowed.push_back(&it);
+        return balancer.choose(query, now);
+    }
+
+    // All engines get the same work; the first takes twice the time.
+    void learnSlowEngine()
+    {
+        for (int n = 0; n < 100; ++n) {
+            now += 50ms;
+            for (const auto& it : entries)
+                balancer.recordFirstEvent(it, large, { 0, 4000, it.id.value == "e0" ? Microseconds(400ms) : Microseconds(200ms) }, now);
+        }
+    }
+};
+
+}
+
+TEST_CASE("a balancer that uses estimates")
+{
+    EstimatingBalancer it;
+    auto prompt = EstimatingBalancer::prompt(12000);
+
+    SECTION("avoids an engine that takes twice the time, until the others have more work")
+    {
+        it.learnSlowEngine();
+        for (int n = 0; n < 20; ++n)
+            CHECK(it.choose(prompt) != &it.entries[0]);
+        it.balancer.sent({ "e1" }, 30000);
+        it.balancer.sent({ "e2" }, 30000);
+        CHECK(it.choose(prompt) == &it.entries[0]);
+    }
+    SECTION("learns the same from the heartbeat of another instance")
+    {
+        EstimatingBalancer other;
+        other.learnSlowEngine();
+        it.now = other.now;
+        auto work = other.balancer.ownWork(other.now);
+        CHECK(work.at({ "e0" }).requests == 0);
+        it.balancer.setPeerWork({ work.begin(), work.end() }, it.now);
+        for (int n = 0; n < 20; ++n)
+            CHECK(it.choose(prompt) != &it.entries[0]);
+    }
+    SECTION("counts the memory of own requests and of those of others, until they end")
+    {
+        MemoryCommitment most { 95000, 0 };
+        it.balancer.sent({ "e0" }, 0, most);
+        it.balancer.setPeerWork({ { { "e1" }, { 0, 0, most, {} } } }, it.now);
+        for (int n = 0; n < 20; ++n)
+            CHECK(it.choose(prompt) == &it.entries[2]);
+        CHECK(it.balancer.lastPlacement().withoutMemory == 2);
+        it.balancer.ended({ "e0" }, 0, true, most);
+        CHECK(it.balancer.committedOn({ "e0" }) == MemoryCommitment {});
+    }
+    SECTION("prefers the engine that is known to have the prompt cached")
+    {
+        it.balancer.sent({ "e1" }, 10000);
+        absl::flat_hash_map<UpstreamId, std::int64_t> cached { { { "e1" }, 8000 } };
+        CHECK(it.choose(prompt, &cached) == &it.entries[1]);
+        cached.clear();
+        CHECK(it.choose(prompt, &cached) != &it.entries[1]);
+    }
+    SECTION("spreads over engines when others have sent work since their heartbeats")
+    {
+        // Heartbeats of a fleet whose prompts wait for 200 ms.
+        for (const auto& engine : it.entries)
+            it.balancer.recordFirstEvent(engine, large, { 0, 4000, 200ms }, it.now);
+        it.balancer.setPeerWork({ { { "e0" }, { 5, 18000, {}, {} } }, { { "e1" }, { 5, 20000, {}, {} } }, { { "e2" }, { 5, 22000, {}, {} } } }, it.now);
+        it.now += 500ms;
+        std::map<std::string, int> chosen;
+        for (int n = 0; n < 300; ++n)
+            ++chosen[it.choose(prompt)->id.value];
+        CHECK(chosen["e2"] > 60);
+        CHECK(chosen["e0"] > chosen["e2"]);
+        CHECK(chosen["e0"] < 140);
+    }
+    SECTION("tells peers of at most 64 engines without requests")
+    {
+        auto many = entriesOf(300);
+        for (int n = 0; n < 40; ++n) {
+            for (const auto& engine : many)
+                it.balancer.recordFirstEvent(engine, large, { 0, 4000, 200ms }, it.now);
+        }
+        CHECK(it.balancer.ownWork(it.now).size() == 64);
+        it.balancer.sent({ "e299" }, 100);
+        CHECK(it.balancer.ownWork(it.now).contains({ "e299" }));
+    }
+}
+
+TEST_CASE("a balancer that does not use estimates chooses and tells as if there were none")
+{
+    EstimatingBalancer it;
+    it.balancer = UpstreamBalancer(7);
+    auto prompt = EstimatingBalancer::prompt(12000);
+    it.learnSlowEngine();
+    it.balancer.sent({ "e1" }, 400, { 1 << 20, 0 });
+    it.balancer.sent({ "e2" }, 400, { 1 << 20, 0 });
+    CHECK(it.choose(prompt) == &it.entries[0]);
+    CHECK(it.balancer.ownWork(it.now).size() == 2);
+    CHECK(it.balancer.lastPlacement().withoutMemory == 0);
+}
--- a/test/correctness/fleet_test.cpp
+++ b/test/correctness/fleet_test.cpp
@@ -122,6 +122,83 @@
     }
 }
 
+TEST_CASE("instances tell each other memory and speed of engines beside builds that do not")
+{
+    FleetHeartbeat sent;
+    sent.from = { { "edge-1" }, 9 };
+    sent.work[{ "i-1" }] = { 3, 4000, { 36000, 250000 }, { -6.5, 11.25 } };
+    sent.work[{ "i-2" }] = { 1, 50, {}, {} };
+    auto isClose = [](const SpeedObservations& a, const SpeedObservations& b) { return std::abs(a.logSum - b.logSum) < 0.006 && std::abs(a.weight - b.weight) < 0.006; };
+
+    SECTION("in a heartbeat")
+    {
+        auto decoded = decodeHeartbeat(encodeHeartbeat(sent));
+        REQUIRE(decoded);
+        CHECK(decoded->work.at({ "i-1" }).committed == MemoryCommitment { 36000, 250000 });
+        CHECK(isClose(decoded->work.at({ "i-1" }).speed, { -6.5, 11.25 }));
+        CHECK(decoded->work.at({ "i-2" }) == UpstreamWork { 1, 50, {}, {} });
+    }
+    SECTION("in a digest, whose first six elements are what other builds read")
+    {
+        FleetDigest digest;
+        digest.sums = { 2, sent.work, {} };
+        auto json = toJson(digest);
+        REQUIRE(json.size() == 7);
+        auto decoded = fleetDigestFrom(json);
+        CHECK(decoded.sums.work.at({ "i-1" }).committed == MemoryCommitment { 36000, 250000 });
+        CHECK(isClose(decoded.sums.work.at({ "i-1" }).speed, { -6.5, 11.25 }));
+        auto old = json;
+        old.erase(6);
+        auto fromOld = fleetDigestFrom(old);
+        CHECK(fromOld.sums.work.at({ "i-1" }) == UpstreamWork { 3, 4000, {}, {} });
+        SECTION("a cut row is left out")
+        {
+            auto bytes = json.at(6).get_binary();
+            bytes.resize(bytes.size() - 2);
+            json.at(6) = nlohmann::json::binary(bytes);
+            CHECK(fleetDigestFrom(json).sums.work.at({ "i-2" }) == UpstreamWork { 1, 50, {}, {} });
+            CHECK(fleetDigestFrom(json).sums.work.at({ "i-1" }).committed.tokens == 36000);
+        }
+    }
+    SECTION("a row of another build has neither, and one of ours has in front what it reads")
+    {
+        auto ours = nlohmann::json::from_cbor(encodeHeartbeat(sent));
+        auto& rows = ours.at(11);
+        REQUIRE(rows.size() == 2);
+        CHECK(rows.at(1) == nlohmann::json::array({ "i-2", 1, 50 }));
+        CHECK(rows.at(0).at(0) == "i-1");
+        CHECK(rows.at(0).at(1) == 3);
+        CHECK(rows.at(0).at(2) == 4000);
+        rows.at(0) = nlohmann::json::array({ "i-1", 3, 4000 });
+        std::string bytes;
+        nlohmann::json::to_cbor(ours, bytes);
+        CHECK(decodeHeartbeat(bytes)->work.at({ "i-1" }) == UpstreamWork { 3, 4000, {}, {} });
+    }
+    SECTION("wild figures of a peer are taken as the nearest that can be")
+    {
+        auto ours = nlohmann::json::from_cbor(encodeHeartbeat(sent));
+        ours.at(11).at(0) = nlohmann::json::array({ "i-1", 3, 4000, -5, std::uint64_t { 1 } << 63, -(std::int64_t { 1 } << 62), 50 });
+        std::string bytes;
+        nlohmann::json::to_cbor(ours, bytes);
+        auto decoded = decodeHeartbeat(bytes);
+        REQUIRE(decoded);
+        const auto& work = decoded->work.at({ "i-1" });
+        CHECK(work.committed.tokens == 0);
+        CHECK(work.committed.variance > 0);
+        CHECK(work.speed.weight == 0.5);
+        CHECK(work.speed.logSum == -1);
+    }
+    SECTION("what an instance told is taken out of a sum again")
+    {
+        auto sum = sent.work[{ "i-1" }];
+        add(sum, { 2, 100, { 500, 9 }, { 1, 2 } });
+        subtract(sum, { 2, 100, { 500, 9 }, { 1, 2 } });
+        CHECK(sum == sent.work[{ "i-1" }]);
+        subtract(sum, { 9, 9000, { 90000, 900000 }, { 1, 20 } });
+        CHECK(sum == UpstreamWork {});
+    }
+}
+
 TEST_CASE("a success whose latency is no evidence changes no mean latency")
 {
     ReleaseCounters counters;
--- a/test/correctness/platform_test.cpp
+++ b/test/correctness/platform_test.cpp
@@ -159,6 +159,44 @@
     }
 }
 
+TEST_CASE("a caller's estimate of the output length is read and forwarded as it is")
+{
+    auto decode = [](const std::string& hint) {
+        RoutedRequest request;
+        decodeRequest({ { "X-Attempt-Id", "1" }, { "X-Token-Count", "900,50" }, { "X-Length-Hint", hint } }, request);
+        return request;
+    };
+    SECTION("a number of tokens")
+    {
+        CHECK(decode("40").outputHint == 40);
+        CHECK(decode("0").outputHint == 0);
+        CHECK_FALSE(decode("40").isOutputHintMalformed);
+    }
+    SECTION("no number, a negative or an absurd one is left out and told")
+    {
+        for (const char* it : { "", "many", "-1", "4.5", "nan", "9223372036854775808", "16777217" }) {
+            CHECK_FALSE(decode(it).outputHint);
+            CHECK(decode(it).isOutputHintMalformed);
+        }
+    }
+    SECTION("no estimate is none that cannot be read")
+    {
+        RoutedRequest request;
+        decodeRequest({ { "X-Attempt-Id", "1" } }, request);
+        CHECK_FALSE(request.outputHint);
+        CHECK_FALSE(request.isOutputHintMalformed);
+    }
+    SECTION("whatever it is, the upstream gets it unchanged")
+    {
+        for (const char* it : { "40", "many", "-1" }) {
+            const auto& fields = decode(it).forwardedHeaders;
+            const auto* field = findField(fields, "X-Length-Hint");
+            REQUIRE(field);
+            CHECK(field->value == it);
+        }
+    }
+}
+
 TEST_CASE("an upstream's response is decoded")
 {
     auto response = decodeResponse(200, "OK", { { "X-Attempt-Id", "9c41" }, { "X-Server-Seal", "s" }, { "X-Server-Load", "3,1,8" }, { "X-Confidence", "40" }, { "Keep-Alive", "timeout=5, max=9" }, { "Content-Type", "text/event-stream; charset=utf-8" }, { "Set-Cookie", "a" }, { "Set-Cookie", "b" } });
@@ -301,8 +339,26 @@
         CHECK(load->running == 3);
         CHECK(load->waiting == 1);
         CHECK(load->slots == 8);
+        CHECK(load->pace == 140);
+        CHECK_FALSE(decode(200, { { "X-Server-Load", "3,1,8" } }).load->pace);
         CHECK_FALSE(decode(200, { { "X-Server-Load", "3,1" } }).load);
     }
+    SECTION("a wild pace is left out; the rest of the load counts")
+    {
+        for (const char* it : { "3,1,8,0", "3,1,8,-250", "3,1,8,9223372036854775807" }) {
+            auto load = decode(200, { { "X-Server-Load", it } }).load;
+            REQUIRE(load);
+            CHECK(load->waiting == 1);
+            CHECK_FALSE(load->pace);
+        }
+    }
+    SECTION("that its load cannot be read, which no load is not")
+    {
+        for (const char* it : { "", "3,1", "a,b,c", "1,2,3,x" })
+            CHECK(decode(200, { { "X-Server-Load", it } }).isLoadMalformed);
+        CHECK_FALSE(decode(200, { { "X-Server-Load", "3,1,8,140" } }).isLoadMalformed);
+        CHECK_FALSE(decode(200, {}).isLoadMalformed);
+    }
     SECTION("that it leaves, whatever the status")
     {
         for (int status : { 200, 421, 429, 500, 503 })
