Engines are chosen by their speed, their memory and the work that is not reported yet

Cause: engines were taken for equal, and instances did not expect each other's requests. Change: the steps of a request tell the balancer first events, gaps between events, lengths of outputs, committed memory and the reported pace (edge/engine_evidence); a choice names the model, the rank and the time to the target. An attempt's speed is that of the process that served it.

--- a/src/edge/request_context.cpp
+++ b/src/edge/request_context.cpp
@@ -25,6 +25,11 @@
 
 Milliseconds RequestContext::allowedWait() const { return Milliseconds(timeLeft() / waitDivisor); }
 
+MemoryCommitment RequestContext::commitment() const
+{
+    return admitted.service->engine ? traffic.balancer().commitment(admitted.route->name, admitted.request) : MemoryCommitment {};
+}
+
 bool RequestContext::fitsBeforeExit(TimePoint now) const
 {
     // A response that has begun would be broken off at once if it did not go on elsewhere.
--- a/src/edge/request_context.h
+++ b/src/edge/request_context.h
@@ -52,6 +52,8 @@
     Milliseconds timeLeft() const;
     // How long the caller may be made to wait before it is served or comes back.
     Milliseconds allowedWait() const;
+    // Memory that the request needs on an engine; nothing on other upstreams.
+    MemoryCommitment commitment() const;
     // Whether the request may be sent now, see TrafficState.
     bool fitsBeforeExit(TimePoint now) const;
 };
--- a/src/edge/request_forwarder.cpp
+++ b/src/edge/request_forwarder.cpp
@@ -104,7 +104,7 @@
             co_await m_outcome.respondWithError(ErrorKind::PromptPartQuarantined);
             co_return;
         }
-        const auto* upstream = chooseUpstream(m_request, now);
+        const auto* upstream = chooseUpstream(m_request, m_request.model, now);
         if (!upstream) {
             co_await m_outcome.respondWithError(m_outcome.noUpstreamError());
             co_return;
--- a/src/edge/request_hedge.cpp
+++ b/src/edge/request_hedge.cpp
@@ -76,7 +76,7 @@
     auto now = bootNow();
     if (m_request.isProbe || m_request.traffic.promptParts().quarantinedPart(m_request.parts))
         return false;
-    const auto* upstream = chooseUpstream(m_request, now);
+    const auto* upstream = chooseUpstream(m_request, model, now);
     if (!upstream)
         return false;
     m_hedge = std::make_shared<UpstreamAttempt>();
--- a/src/edge/response_relay.cpp
+++ b/src/edge/response_relay.cpp
@@ -1,5 +1,6 @@
 #include "edge/response_relay.h"
 
+#include "edge/engine_evidence.h"
 #include "edge/model_escalation.h"
 #include "edge/upstream_evidence.h"
 #include "edge/upstream_selection.h"
@@ -99,11 +100,13 @@
             attempt.firstEventAt = now;
             stopWaiting(m_request, attempt);
             traffic.balancer().begun(upstream.id, attempt.work);
-            traffic.balancer().recordFirstEvent(attempt.workBefore + attempt.work, toMilliseconds(now - attempt.sentAt));
+            recordFirstEvent(m_request, attempt, now);
             traffic.countSuccess(releaseRoute(m_request, attempt), processName(upstream), toMilliseconds(now - attempt.sentAt));
             traffic.recordSessionRelease(m_request.admitted.request, upstream.release, now);
             recordUpstreamSuccess(m_request, attempt);
-        }
+        } else if (events.events > 0)
+            recordGap(m_request, attempt, events.events, bootNow());
+        attempt.events += static_cast<std::int64_t>(events.events);
         if (isComplete)
             events.bytes += m_request.events.takeComments();
         if (head && (events.events > 0 || isComplete)) {
@@ -112,7 +115,9 @@
             co_await m_request.caller->beginBody(std::move(begun));
         }
         co_await m_request.caller->writeBody(events.bytes);
+        attempt.relayedAt = bootNow();
         if (isComplete) {
+            recordOutput(m_request, attempt);
             recordStreamServed(m_request, attempt, connection->endsWithConnection());
             releaseConnection(m_request, attempt, keepAliveTimeout, bootNow());
             m_outcome.count("none");
--- a/src/edge/traffic_state.cpp
+++ b/src/edge/traffic_state.cpp
@@ -58,7 +58,7 @@
     : m_loop(loop)
     , m_settings(std::move(settings))
     , m_metrics(metrics)
-    , m_balancer(m_settings.seed)
+    , m_balancer(m_settings.seed, { .usesEngineEstimates = true })
     , m_links(m_settings.seed)
     , m_relays(m_settings.seed)
     , m_connections(loop)
--- a/src/edge/upstream_attempt.cpp
+++ b/src/edge/upstream_attempt.cpp
@@ -94,7 +94,8 @@
         if (request.admitted.service->engine)
             traffic.balancer().recordPrompt(request.admitted.route->name, request.admitted.request.promptTokens);
         attempt.workBefore = traffic.balancer().workOn(upstream.id);
-        traffic.balancer().sent(upstream.id, attempt.work);
+        attempt.memory = request.commitment();
+        traffic.balancer().sent(upstream.id, attempt.work, attempt.memory);
         startWaiting(request, attempt);
         if (!attempt.isHedge && request.admitted.route->isRetryable())
             silence.set(silenceLimit(request, attempt));
@@ -107,7 +108,7 @@
             co_return toAttemptEnd(end);
         auto response = platform::decodeResponse(head.status, std::move(head.reason), head.fields);
         if (response.load)
-            traffic.balancer().reported(upstream.id, *response.load, bootNow());
+            traffic.balancer().reported(upstream, *response.load, bootNow());
         recordWishes(request, upstream, response);
         // A response that does not name this request may be a late response to another one. Refusals may name none.
         bool namesOther = response.answeredRequest != request.admitted.request.id && !(response.notRun && response.answeredRequest.empty());
@@ -177,7 +178,7 @@
         result = { attempt.isSilenceRecorded ? AttemptEnd::TimedOut : AttemptEnd::Dropped, false };
     else if (attempt.isWithdrawn && !result.isFinal)
         result = { AttemptEnd::Dropped, false };
-    traffic.balancer().ended(upstream.id, attempt.work, attempt.firstEventSeen);
+    traffic.balancer().ended(upstream.id, attempt.work, attempt.firstEventSeen, attempt.memory);
     request.execution.attemptEnded(result.end);
     auto connection = std::exchange(attempt.connection, nullptr);
     if (result.end != AttemptEnd::NotSent)
--- a/src/edge/upstream_attempt.h
+++ b/src/edge/upstream_attempt.h
@@ -25,11 +25,16 @@
     TimePoint sentAt {};
     // Work that the attempt adds to its upstream, in prompt tokens of the most expensive model.
     std::int64_t work = 0;
+    // Memory that the attempt needs on its engine.
+    MemoryCommitment memory;
     // Work of the upstream before the attempt.
     std::int64_t workBefore = 0;
     // The first event came, so the engine has processed the prompt.
     bool firstEventSeen = false;
     TimePoint firstEventAt {};
+    std::int64_t events = 0;
+    // When the caller had taken the last event.
+    TimePoint relayedAt {};
     // It was recorded that the upstream outlived the start of the response.
     bool hasOutlived = false;
     // The upstream's current silence was recorded as a late response.
--- a/src/edge/upstream_selection.cpp
+++ b/src/edge/upstream_selection.cpp
@@ -4,7 +4,7 @@
 
 namespace skylarkhitch {
 
-const UpstreamEntry* chooseUpstream(RequestContext& request, TimePoint now)
+const UpstreamEntry* chooseUpstream(RequestContext& request, const std::optional<ModelId>& model, TimePoint now)
 {
     auto& traffic = request.traffic;
     const auto& admitted = request.admitted;
@@ -21,7 +21,19 @@
         traffic.metrics().limitedChoice(!eligible.allowed.empty());
     if (eligible.allowed.empty() && !allowed.empty())
         request.limitedFor = traffic.timeToUnlimited(allowed, now);
-    return traffic.balancer().choose({ &admitted.request, eligible.service, eligible.allowed, &request.triedUpstreams, traffic.settings().domain, request.isProbe || traffic.promptParts().isSuspected(request.parts) }, now);
+    UpstreamQuery query {
+        .request = &admitted.request,
+        .service = eligible.service,
+        .allowed = std::move(eligible.allowed),
+        .tried = &request.triedUpstreams,
+        .ownDomain = traffic.settings().domain,
+        .mayCrash = request.isProbe || traffic.promptParts().isSuspected(request.parts),
+        .model = model.value_or(ModelId {}),
+        .rank = admitted.rank,
+        .timeLeft = admitted.route->targetLatency - toMilliseconds(now - request.received.receivedAt),
+        .memory = request.commitment(),
+    };
+    return traffic.balancer().choose(query, now);
 }
 
 bool reserveRetry(RequestContext& request, AttemptEnd end, TimePoint now)
@@ -43,7 +55,7 @@
     auto decision = decideOnRetry(end, state);
     if (decision != RetryDecision::FromBudget)
         return decision == RetryDecision::Free;
-    return chooseUpstream(request, now) && traffic.takeRetry(admitted.service->name, request.retry, now);
+    return chooseUpstream(request, request.model, now) && traffic.takeRetry(admitted.service->name, request.retry, now);
 }
 
 bool mayTryAnother(const RequestContext& request)
