Evacuation: orders for a failure domain are followed by every instance

Change: the key is a kind of document now, without contents. core/routing/domain_evacuation keeps the orders in force: an older copy of the store neither takes one back nor brings one back, and heartbeats name those that a copy lacks (a fourth element of the last field, which earlier versions ignore). The view carries which domains may be used; findEligibleUpstreams() and isHeld() leave the others out. After the withdrawal each instance uses an upstream when its turn by a hash has come, within 5 s. TrafficState::mustYield() says which ranks give way while domains are evacuated; the forwarder does not call it yet.

Measured: test_domain_evacuation (830 assertions) and test_evacuation pass, the latter six times; with the program built from the sources before, both cases of test_evacuation fail in every section. test_fleet, test_fleet_relay, test_platform, test_configuration, test_odd_entries, test_traffic_state and 14 cases of test_edge and test_restored_store pass.

--- a/src/config/edge_settings.cpp
+++ b/src/config/edge_settings.cpp
@@ -21,6 +21,7 @@
         { "log_level", &EdgeSettings::logLevel, "-", {}, false, "minimum level of log lines: debug, info, warning or error" },
         { "configuration_limit_ms", &EdgeSettings::configurationLimitMs, "ms", { 100, 60000 }, false, "time within which a new configuration must be in force; bounds how long changes of the store are collected before they are read" },
         { "drain_limit_ms", &EdgeSettings::drainLimitMs, "ms", { 100, 60000 }, false, "the same for upstreams that drain" },
+        { "evacuation_limit_ms", &EdgeSettings::evacuationLimitMs, "ms", { 100, 60000 }, false, "the same for upstreams of a failure domain that is evacuated" },
         { "cpu_cores", &EdgeSettings::cpuCores, "cores", { 0.01, 1024 }, false, "processor cores that this instance has; those with more relay for the others of their domain in a large site" },
         { "memory_limit_mb", &EdgeSettings::memoryLimitMb, "MB", { 0, 1e9 }, false, "memory above which the platform kills the process, for log lines and metrics; 0 if no limit is known" },
         { "descriptor_limit", &EdgeSettings::descriptorLimit, "descriptors", { 0, 1e9 }, false, "descriptors that the process may have open, for log lines and metrics; 0 if no limit is known" },
--- a/src/config/edge_settings.h
+++ b/src/config/edge_settings.h
@@ -31,6 +31,8 @@
     // Times within which a new configuration must be in force, and within which an upstream that drains must get nothing more.
     double configurationLimitMs = 2000;
     double drainLimitMs = 2000;
+    // Time within which the upstreams of an evacuated failure domain must get nothing more.
+    double evacuationLimitMs = 5000;
     // Part of a processor core that this instance has. Instances with more relay for the others of their domain in a large site.
     double cpuCores = 1;
     // Memory above which the platform kills the process, and descriptors that it may have open; 0 if no limit is known. They are
@@ -51,6 +53,7 @@
 
     Milliseconds configurationLimit() const { return Milliseconds(static_cast<std::int64_t>(configurationLimitMs)); }
     Milliseconds drainLimit() const { return Milliseconds(static_cast<std::int64_t>(drainLimitMs)); }
+    Milliseconds evacuationLimit() const { return Milliseconds(static_cast<std::int64_t>(evacuationLimitMs)); }
     std::int64_t capacity() const { return static_cast<std::int64_t>(100 * cpuCores); }
     std::int64_t memoryLimitBytes() const { return static_cast<std::int64_t>(memoryLimitMb * 1024 * 1024); }
     Milliseconds stopGrace() const { return inMilliseconds(stopGraceSeconds); }
--- a/src/core/membership/fleet_heartbeat.cpp
+++ b/src/core/membership/fleet_heartbeat.cpp
@@ -67,6 +67,8 @@
             if (!json.at(23).at(1).is_null())
                 heartbeat.digest = fleetDigestFrom(json.at(23).at(1));
             heartbeat.capacity = countFrom(json.at(23).at(2));
+            if (json.at(23).size() > 3)
+                heartbeat.evacuations = keptEvacuationsFrom(json.at(23).at(3));
         }
         return heartbeat;
     }
@@ -80,7 +82,7 @@
         heartbeat.ready, heartbeat.leaving, heartbeat.storeRevision, heartbeat.storeAge.count(), sinceUnreachable, workToJson(heartbeat.work), evidenceToJson(heartbeat.evidence), crashesToJson(heartbeat),
         sessionsToJson(heartbeat), heartbeat.known, heartbeat.storeReachable, toJson(heartbeat.promptParts), toJson(heartbeat.limits), toJson(heartbeat.rollouts), toJson(heartbeat.heldBack), heartbeat.configurationVersion, heartbeat.reachesUpstreams });
     if (heartbeat.readsDigests)
-        json.push_back(Json::array({ heartbeat.asksForDigest, heartbeat.digest ? toJson(*heartbeat.digest) : Json(), heartbeat.capacity }));
+        json.push_back(Json::array({ heartbeat.asksForDigest, heartbeat.digest ? toJson(*heartbeat.digest) : Json(), heartbeat.capacity, toJson(heartbeat.evacuations) }));
     std::string bytes;
     Json::to_cbor(json, bytes);
     return bytes;
--- a/src/core/membership/fleet_heartbeat.h
+++ b/src/core/membership/fleet_heartbeat.h
@@ -10,6 +10,7 @@
 #include "core/membership/fleet_counters.h"
 #include "core/membership/fleet_digest.h"
 #include "core/rollout/rollout_news.h"
+#include "core/routing/domain_evacuation.h"
 #include "core/routing/upstream_departures.h"
 
 #include <map>
@@ -71,6 +72,8 @@
     std::vector<RolloutNews> rollouts;
     // Upstreams that the store lists as ready although they had left.
     std::vector<UpstreamDeparture> heldBack;
+    // Evacuations that a copy of the store lacks. Only with readsDigests.
+    std::vector<KeptEvacuation> evacuations;
     // Some of the peer addresses that the sender knows, from which a new instance discovers its peers.
     std::vector<std::string> known;
     // Whether the sender understands digests; instances of earlier versions do not.
--- a/src/edge/control_plane.cpp
+++ b/src/edge/control_plane.cpp
@@ -131,7 +131,7 @@
 
 Milliseconds ControlPlane::watchPause() const
 {
-    auto limit = std::min(m_settings.configurationLimit(), m_settings.drainLimit());
+    auto limit = std::min({ m_settings.configurationLimit(), m_settings.drainLimit(), m_settings.evacuationLimit() });
     return Milliseconds(static_cast<std::int64_t>(watchPausePart * static_cast<double>(limit.count())));
 }
 
@@ -217,6 +217,8 @@
         return m_rollouts.orderChanged({ document.name }, *item, m_mirror.revision() > 0);
     case platform::DocumentKind::RolloutRecord:
         return m_rollouts.recordChanged({ document.name }, item);
+    case platform::DocumentKind::Evacuation:
+        return evacuationChanged({ document.name }, item);
     case platform::DocumentKind::Instance:
         return instanceChanged(key, item);
     case platform::DocumentKind::Other:
@@ -283,6 +285,26 @@
     m_listed.set(key, std::move(peer));
 }
 
+void ControlPlane::evacuationChanged(const DomainId& domain, const StoreMirror::Item* item)
+{
+    auto now = bootNow();
+    auto change = item ? m_evacuations.ordered(domain, item->revision, now) : m_evacuations.removed(domain, m_isReadingCopy, now);
+    announceEvacuation(domain, change, item ? absl::StrCat("revision ", storeRevision(item->revision)) : "store");
+}
+
+void ControlPlane::announceEvacuation(const DomainId& domain, DomainEvacuations::Change change, const std::string& source)
+{
+    using Change = DomainEvacuations::Change;
+    if (change == Change::None)
+        return;
+    constexpr const char* names[] = { "", "domain_evacuated", "evacuation_repeated", "evacuation_kept", "evacuation_outdated", "domain_returned" };
+    auto usable = m_upstreams.usable();
+    auto isInDomain = [&](const UpstreamEntry& it) { return it.domain == domain; };
+    auto isElsewhere = [&](const UpstreamEntry& it) { return !m_evacuations.availability().isEvacuated(it.domain); };
+    LogLine(LogLevel::Warning, names[static_cast<int>(change)]).with("domain", domain.value).with("source", source).with("upstreams", static_cast<std::int64_t>(std::count_if(usable.begin(), usable.end(), isInDomain))).with("usable", static_cast<std::int64_t>(std::count_if(usable.begin(), usable.end(), isElsewhere)));
+    m_viewChanged = m_viewChanged || change == Change::Evacuated || change == Change::Returned;
+}
+
 Awaitable<void> ControlPlane::receiveHeartbeats()
 {
     std::string buf(maxDatagramBytes, '\0');
@@ -320,6 +342,12 @@
         LogLine(LogLevel::Info, "upstream_held_back").with("upstream", it.id.value).with("born", it.last.born).with("peer", heartbeat->from.instance.value);
         m_viewChanged = true;
     }
+    for (const auto& it : heartbeat->evacuations) {
+        auto change = m_evacuations.learn(it, now);
+        announceEvacuation(it.domain, change, absl::StrCat("peer ", heartbeat->from.instance.value));
+        if (change == DomainEvacuations::Change::Evacuated)
+            publish(now);
+    }
     PeerNews news { std::move(heartbeat->promptParts), std::move(heartbeat->limits) };
     if (!news.empty())
         m_outputs.publishPeerNews(std::move(news));
@@ -444,6 +472,7 @@
     m_metrics.setState("configuration_version", m_configuration ? static_cast<double>(m_configuration->version) : 0);
     m_metrics.setState("live_peers", static_cast<double>(m_fleet.livePeers(bootNow()).size()));
     m_metrics.setState("upstreams", static_cast<double>(m_upstreams.size()));
+    m_metrics.setState("evacuated_domains", static_cast<double>(m_evacuations.availability().evacuated.size()));
     m_metrics.setState("links_lost", m_trafficReport.areLinksLost ? 1 : 0);
     m_metrics.setState("quarantined_parts", static_cast<double>(m_trafficReport.quarantinedParts));
     m_metrics.setState("limited_upstreams", static_cast<double>(m_trafficReport.limitedUpstreams));
@@ -474,6 +503,8 @@
     catchUpIfBehind(now);
     if (m_upstreams.removeExpired(missingMeansGoneFrom(now), now))
         m_viewChanged = true;
+    for (const auto& it : m_evacuations.expire(now))
+        announceEvacuation(it, DomainEvacuations::Change::Returned, "not_repeated");
     m_rollouts.advance({ m_fleet.siteEvidence(m_trafficReport.evidence, now), isCoordinator(now), [this](const RolloutOrder& order) { return oldReleaseIsIdle(order); } }, now);
     FleetState fleet { m_fleet.size(now), m_fleet.passesOnNews(), entries(now) };
     m_viewChanged = m_viewChanged || fleet != m_lastFleet;
@@ -521,6 +552,7 @@
     heartbeat.configurationVersion = m_configuration ? m_configuration->version : 0;
     heartbeat.rollouts = m_rollouts.news();
     heartbeat.heldBack = m_upstreams.heldBack();
+    heartbeat.evacuations = m_evacuations.kept(now);
     heartbeat.readsDigests = true;
     heartbeat.capacity = m_settings.capacity();
     auto livePeers = m_fleet.livePeers(now);
@@ -665,6 +697,7 @@
     view->configuration = m_configuration;
     for (auto& it : m_upstreams.usable())
         view->upstreams[it.service].push_back(it);
+    view->domains = m_evacuations.availability();
     view->rollouts = m_rollouts.rolloutViews();
     view->entries = entries(now);
     view->knownInstances = m_lastFleet.known > 0 ? m_lastFleet.known : m_fleet.size(now);
--- a/src/edge/control_plane.h
+++ b/src/edge/control_plane.h
@@ -76,6 +76,9 @@
     void takeConfiguration(const std::string& text, const std::string& source);
     void upstreamChanged(const std::string& id, const StoreMirror::Item*);
     void instanceChanged(const std::string& key, const StoreMirror::Item*);
+    void evacuationChanged(const DomainId&, const StoreMirror::Item*);
+    // Logs a change of an evacuation, and has the view replaced if the domain is used differently for it.
+    void announceEvacuation(const DomainId&, DomainEvacuations::Change, const std::string& source);
 
     // An urgent heartbeat is one between the regular ones: it goes to all that get any, without digests.
     void sendHeartbeat(bool isUrgent, TimePoint now);
@@ -112,6 +115,7 @@
     StoreClient m_store;
     StoreMirror m_mirror;
     UpstreamRegistry m_upstreams;
+    DomainEvacuations m_evacuations;
     RolloutController m_rollouts;
     FleetMembership m_fleet;
     ListedInstances m_listed;
--- a/src/edge/fleet_view.h
+++ b/src/edge/fleet_view.h
@@ -1,12 +1,13 @@
 #pragma once
 
 // Data that the control thread and the traffic thread exchange. The traffic thread gets an immutable view of the
-// configuration, upstreams, instances and rollouts, which is replaced as a whole, and the peers' load, crash counts and
+// configuration, upstreams, failure domains, instances and rollouts, which is replaced as a whole, and the peers' load, crash counts and
 // sessions, which it combines with its own. It sends its own in a report.
 
 #include "core/limits/service_retry_budget.h"
 #include "core/membership/fleet_heartbeat.h"
 #include "core/rollout/release_plan.h"
+#include "core/routing/domain_evacuation.h"
 #include "core/routing/routing_configuration.h"
 #include "core/routing/upstream_registry.h"
 
@@ -41,6 +42,8 @@
     RoutingConfigurationPtr configuration;
     // Upstreams that accept new work.
     std::map<ServiceId, std::vector<UpstreamEntry>> upstreams;
+    // Which failure domains these upstreams may be used in.
+    DomainAvailability domains;
     std::map<ServiceId, RolloutView> rollouts;
     std::vector<EntryInstance> entries;
     // Number of known instances, live or not, including this one.
--- a/src/edge/traffic_state.cpp
+++ b/src/edge/traffic_state.cpp
@@ -214,7 +214,7 @@
 
 bool TrafficState::isHeld(const UpstreamEntry& upstream, TimePoint now) const
 {
-    return m_endedIncarnations.contains(upstream) || (!m_pauses.empty() && m_pauses.isPaused(processName(upstream), now));
+    return m_endedIncarnations.contains(upstream) || m_view->domains.isEvacuated(upstream.domain) || (!m_pauses.empty() && m_pauses.isPaused(processName(upstream), now));
 }
 
 std::optional<Milliseconds> TrafficState::removePaused(std::vector<const UpstreamEntry*>& upstreams, TimePoint now) const
@@ -400,7 +400,7 @@
     auto rollout = m_view->rollouts.find(id);
     std::vector<const UpstreamEntry*> otherReleaseUpstreams;
     for (const auto& it : entries->second) {
-        if (m_endedIncarnations.contains(it))
+        if (m_endedIncarnations.contains(it) || m_view->domains.isEvacuated(it.domain))
             continue;
         bool isEligible = rollout == m_view->rollouts.end() || isReleaseEligible(rollout->second, it.release, request, now);
         (isEligible ? eligible.allowed : otherReleaseUpstreams).push_back(&it);
@@ -410,9 +410,37 @@
     bool mayUseOtherRelease = rollout != m_view->rollouts.end() && !rollout->second.suspended && rollout->second.stage != RolloutStage::Reverted;
     if (eligible.allowed.empty() && mayUseOtherRelease)
         eligible.allowed = std::move(otherReleaseUpstreams);
+    preferRefilled(eligible.allowed, now);
     return eligible;
 }
 
+void TrafficState::preferRefilled(std::vector<const UpstreamEntry*>& upstreams, TimePoint now) const
+{
+    if (m_view->domains.returnedAt.empty())
+        return;
+    auto isRefilled = [&](const UpstreamEntry* it) { return m_view->domains.isRefilled(it->domain, it->id, m_settings.instance, now); };
+    if (std::any_of(upstreams.begin(), upstreams.end(), isRefilled))
+        std::erase_if(upstreams, [&](const UpstreamEntry* it) { return !isRefilled(it); });
+}
+
+bool TrafficState::mustYield(const ServiceId& id, std::int64_t rank) const
+{
+    auto entries = m_view->upstreams.find(id);
+    if (entries == m_view->upstreams.end())
+        return false;
+    RemainingRoom room;
+    bool isEvacuated = false;
+    for (const auto& it : entries->second) {
+        if (m_view->domains.isEvacuated(it.domain))
+            isEvacuated = true;
+        else if (!m_endedIncarnations.contains(it)) {
+            room.slots += it.slots;
+            room.requests += m_balancer.requestsOn(it.id);
+        }
+    }
+    return isEvacuated && yieldsRoom(room, rank);
+}
+
 std::vector<RecentSession> TrafficState::sessionsForPeers(TimePoint now) const
 {
     auto isUnderWay = [](const auto& it) { return it.second.stage == RolloutStage::Canary || it.second.stage == RolloutStage::Half; };
--- a/src/edge/traffic_state.h
+++ b/src/edge/traffic_state.h
@@ -90,6 +90,9 @@
     void recordSessionRelease(const RoutedRequest&, const std::string& release, TimePoint now);
     // Upstream processes that get no more requests, since they leave or another upstream answered at their address.
     EndedIncarnations& endedIncarnations() { return m_endedIncarnations; }
+    // Whether a new request of the rank is refused, since the failure domains that are left while others are evacuated have no room
+    // for it. A request that has begun does not yield.
+    bool mustYield(const ServiceId&, std::int64_t rank) const;
     // Whether nothing may be sent to the process of the upstream, even if no other upstream is left.
     bool isHeld(const UpstreamEntry&, TimePoint now) const;
     // Removes the upstreams that want nothing for now. Returns the time until the first of them does if none is left.
@@ -167,6 +170,8 @@
     // Whether the instances of a large site may not know yet which releases serve the sessions that a rollout must not move.
     bool awaitsSessions(const RolloutView&, TimePoint now) const;
     bool isReleaseEligible(const RolloutView&, const std::string& release, const RoutedRequest&, TimePoint now) const;
+    // Removes the upstreams of returned failure domains that this instance does not send requests to yet, unless there are no others.
+    void preferRefilled(std::vector<const UpstreamEntry*>&, TimePoint now) const;
     ServiceRetryBudget& retryBudgetOf(const ServiceId&);
     // Whether this instance, of all that take callers, is the one that probes the part.
     bool probesPart(const std::string& part) const;
