Cold upstreams: the limit holds while instances learn of it at different moments

Cause: an answer without a stated limit, at an instance whose view did not show the cold time yet, ended the limit for all instances; and an instance that had just started, or a whole site, took shares before it knew their owners.

Change: UpstreamLimits keeps the cold time itself. Heartbeats carry what is left of it (a fifth element of a limit's row), answers no longer end it, and a share of it is taken a second after the instance learned of it. The upstreams of a returned domain count as cold during the refill if the service has others.

--- a/src/core/limits/upstream_limit_news.cpp
+++ b/src/core/limits/upstream_limit_news.cpp
@@ -23,8 +23,11 @@
 Json toJson(const std::vector<StatedLimit>& limits)
 {
     Json rows = Json::array();
-    for (const auto& it : limits)
+    for (const auto& it : limits) {
         rows.push_back(Json::array({ it.process, it.requestsPerSecond ? Json(*it.requestsPerSecond) : Json(), it.age.count(), ownersToJson(it.owners) }));
+        if (it.cold)
+            rows.back().push_back(Json::array({ it.cold->requestsPerSecond, it.cold->timeLeft.count() }));
+    }
     return rows;
 }
 
@@ -37,6 +40,9 @@
             limit.requestsPerSecond = clampedNumberFrom(it.at(1), {});
         for (const auto& owner : it.at(3))
             limit.owners.push_back({ static_cast<std::size_t>(countFrom(owner.at(0))), { owner.at(1) }, ageFrom(owner.at(2)) });
+        // Instances of earlier versions do not send it.
+        if (it.size() > 4)
+            limit.cold = ColdLimit { clampedNumberFrom(it.at(4).at(0), {}), ageFrom(it.at(4).at(1)) };
         limits.push_back(std::move(limit));
     }
     return limits;
--- a/src/core/limits/upstream_limit_news.h
+++ b/src/core/limits/upstream_limit_news.h
@@ -20,14 +20,23 @@
     Milliseconds age {};
 };
 
+// An upstream that has just started, or is cold again, takes so many requests per second from all instances together for so long.
+struct ColdLimit {
+    double requestsPerSecond = 0;
+    Milliseconds timeLeft {};
+
+    friend bool operator==(const ColdLimit&, const ColdLimit&) = default;
+};
+
 struct StatedLimit {
     // Identifies the upstream's process, by the id and the start time of the upstream.
     std::string process;
-    // Requests per second from all instances together; nullopt if the process stated none after it had stated one.
+    // Requests per second from all instances together, also while it is cold; nullopt if the process stated none after it had stated one.
     std::optional<double> requestsPerSecond;
     // Time since the response that stated it.
     Milliseconds age {};
     std::vector<ShareOwner> owners;
+    std::optional<ColdLimit> cold = std::nullopt;
 };
 
 nlohmann::json toJson(const std::vector<StatedLimit>&);
--- a/src/core/limits/upstream_limits.cpp
+++ b/src/core/limits/upstream_limits.cpp
@@ -36,7 +36,8 @@
 
 void UpstreamLimits::assignShares(TimePoint now)
 {
-    absl::erase_if(m_limits, [&](const auto& it) { return it.second.statedAt < now - statementRetention; });
+    endCold(now);
+    absl::erase_if(m_limits, [&](const auto& it) { return it.second.statedAt < now - statementRetention && !isCold(it.second, now); });
     for (auto& [process, limit] : m_limits)
         assign(process, limit, now);
 }
@@ -57,10 +58,11 @@
 void UpstreamLimits::assign(const std::string& process, Limit& limit, TimePoint now)
 {
     bool isLive = std::find(m_instances.begin(), m_instances.end(), m_self) != m_instances.end();
+    bool mayClaim = !isCold(limit, now) || now >= limit.coldSince + coldClaimDelay;
     for (std::size_t n = 0; n < limit.shares.size(); ++n) {
         auto& it = limit.shares[n];
         bool isOwn = it.instance == m_self && isCurrent(it, now);
-        bool isFree = !isCurrent(it, now) && isLive && rendezvousOrder(shareKey(process, n), m_instances).front() == m_self;
+        bool isFree = !isCurrent(it, now) && mayClaim && isLive && rendezvousOrder(shareKey(process, n), m_instances).front() == m_self;
         if (isFree)
             m_isUrgent = true;
         if ((isOwn && isLive) || isFree)
@@ -96,9 +98,17 @@
             return;
         known = m_limits.try_emplace(process).first;
     }
-    auto& limit = known->second;
+    known->second.stated = requestsPerSecond;
+    known->second.statedAt = statedAt;
+    update(process, known->second, now, fromPeer);
+}
+
+void UpstreamLimits::update(const std::string& process, Limit& limit, TimePoint now, bool fromPeer)
+{
+    auto requestsPerSecond = limit.stated;
+    if (isCold(limit, now))
+        requestsPerSecond = std::min(limit.stated.value_or(limit.coldRate), limit.coldRate);
     auto before = std::exchange(limit.requestsPerSecond, requestsPerSecond);
-    limit.statedAt = statedAt;
     limit.shares.resize(requestsPerSecond ? shareCount(*requestsPerSecond) : 0);
     // The owners that are known come with a peer's news.
     if (!before && !fromPeer)
@@ -107,7 +117,8 @@
     if (!isNews(before, requestsPerSecond))
         return;
     auto kind = !requestsPerSecond ? UpstreamLimitEvent::Kind::Ended : (before ? UpstreamLimitEvent::Kind::Changed : UpstreamLimitEvent::Kind::Learned);
-    m_events.push_back({ kind, process, requestsPerSecond.value_or(0), limit.ownRate, toMilliseconds(now - statedAt), fromPeer });
+    auto knownSince = std::max(limit.statedAt, limit.coldSince);
+    m_events.push_back({ kind, process, requestsPerSecond.value_or(0), limit.ownRate, toMilliseconds(now - knownSince), fromPeer });
     // Peers learn of mere changes by the next regular heartbeat.
     m_isUrgent = m_isUrgent || kind != UpstreamLimitEvent::Kind::Changed;
 }
@@ -118,6 +129,45 @@
         state(process, requestsPerSecond, now, now, false);
 }
 
+void UpstreamLimits::recordCold(const std::string& process, double requestsPerSecond, TimePoint until, TimePoint now)
+{
+    if (until > now && requestsPerSecond > 0)
+        setCold(process, requestsPerSecond, until, now, false);
+}
+
+void UpstreamLimits::setCold(const std::string& process, double requestsPerSecond, TimePoint until, TimePoint now, bool fromPeer)
+{
+    auto& limit = m_limits[process];
+    if (!isCold(limit, now))
+        limit.coldSince = now;
+    limit.coldUntil = std::max(limit.coldUntil, until);
+    limit.coldRate = requestsPerSecond;
+    update(process, limit, now, fromPeer);
+}
+
+void UpstreamLimits::learnCold(const std::string& process, const ColdLimit& cold, TimePoint now)
+{
+    auto known = m_limits.find(process);
+    auto knownUntil = known != m_limits.end() ? std::max(known->second.coldUntil, now) : now;
+    auto until = now + std::min(cold.timeLeft, maxColdTime);
+    // Each hop adds the time of its transmission. Without a tolerance, instances would prolong the time for each other.
+    if (cold.requestsPerSecond > 0 && until > knownUntil + coldTolerance)
+        setCold(process, cold.requestsPerSecond, until, now, true);
+}
+
+void UpstreamLimits::endCold(TimePoint now)
+{
+    for (auto& [process, it] : m_limits) {
+        if (it.coldUntil == TimePoint {} || isCold(it, now))
+            continue;
+        it.coldUntil = {};
+        // Every instance knows the end, so it is no news to peers.
+        bool wasUrgent = m_isUrgent;
+        update(process, it, now, false);
+        m_isUrgent = wasUrgent;
+    }
+}
+
 bool UpstreamLimits::maySend(const std::string& process, std::int64_t rank, TimePoint now) const
 {
     auto it = m_limits.find(process);
@@ -167,12 +217,15 @@
 void UpstreamLimits::learn(const std::vector<StatedLimit>& statements, TimePoint now)
 {
     for (const auto& it : statements) {
-        if (it.age > statementRetention)
+        if (it.cold)
+            learnCold(it.process, *it.cold, now);
+        if (it.age > statementRetention && !it.cold)
             continue;
         auto statedAt = now - it.age;
         auto known = m_limits.find(it.process);
         bool isNewer = known == m_limits.end() || statedAt > known->second.statedAt + ageTolerance;
-        if (isNewer)
+        // While a process is cold, the limit in force is not what it states.
+        if (isNewer && !it.cold)
             state(it.process, it.requestsPerSecond, statedAt, now, true);
         known = m_limits.find(it.process);
         if (known != m_limits.end())
@@ -198,6 +251,8 @@
         if (!it.requestsPerSecond && now - it.statedAt >= endedNewsTime)
             continue;
         StatedLimit statement { process, it.requestsPerSecond, ageOf(it.statedAt, now), {} };
+        if (isCold(it, now))
+            statement.cold = { it.coldRate, toMilliseconds(it.coldUntil - now) };
         for (std::size_t n = 0; n < it.shares.size(); ++n) {
             if (isCurrent(it.shares[n], now))
                 statement.owners.push_back({ n, it.shares[n].instance, ageOf(it.shares[n].at, now) });
@@ -206,7 +261,7 @@
     }
     if (statements.size() > maxSent) {
         auto end = statements.begin() + static_cast<std::ptrdiff_t>(maxSent);
-        std::nth_element(statements.begin(), end, statements.end(), [](const auto& a, const auto& b) { return a.age < b.age; });
+        std::nth_element(statements.begin(), end, statements.end(), [](const auto& a, const auto& b) { return a.cold.has_value() != b.cold.has_value() ? a.cold.has_value() : a.age < b.age; });
         statements.erase(end, statements.end());
     }
     return statements;
--- a/src/core/limits/upstream_limits.h
+++ b/src/core/limits/upstream_limits.h
@@ -7,6 +7,9 @@
 // owners, and each instance passes on those that it knows. A share without an owner goes to the live instance that rendezvous
 // hashing selects. If two instances with different lists of live instances take it, one gives way as soon as it learns of the
 // other. An instance starts without a saved-up request when it gets a share.
+//
+// An upstream that is cold has a limit as well, for a known time, whatever its responses state meanwhile. Instances learn of it at
+// different moments, from its entry or from each other, and wait until news of owners has reached them before they take a share.
 
 #include "core/limits/upstream_limit_news.h"
 
@@ -49,6 +52,12 @@
     // How long peers are told that a limit ended.
     static constexpr Seconds endedNewsTime { 10 };
     static constexpr std::size_t maxSent = 64;
+    // Time from when an instance learns that an upstream is cold until it takes a share of that limit.
+    static constexpr Milliseconds coldClaimDelay { 1000 };
+    // The longest time for which an upstream is taken to be cold. Upstreams are cold for some seconds.
+    static constexpr Milliseconds maxColdTime { 600000 };
+    // What is known of the end of a cold time differs by less than this.
+    static constexpr Milliseconds coldTolerance { 500 };
 
     explicit UpstreamLimits(InstanceId self)
         : m_self(std::move(self))
@@ -61,6 +70,8 @@
     void assignShares(TimePoint now);
     // A response of the process states this limit, or none.
     void recordResponse(const std::string& process, std::optional<double> requestsPerSecond, TimePoint now);
+    // The process is cold until then. Takes nothing back that is known.
+    void recordCold(const std::string& process, double requestsPerSecond, TimePoint until, TimePoint now);
     // Whether a request of this rank may be sent to the process now. The most urgent rank, 0, may use up one request in advance.
     bool maySend(const std::string& process, std::int64_t rank, TimePoint now) const;
     // A request is sent to the process.
@@ -94,8 +105,14 @@
         TimePoint at;
     };
     struct Limit {
+        // The one in force.
         std::optional<double> requestsPerSecond;
-        TimePoint statedAt;
+        // What the process stated last, and when; TimePoint {} if it stated nothing.
+        std::optional<double> stated;
+        TimePoint statedAt {};
+        double coldRate = 0;
+        // When this instance learned that the process is cold, and the end of that; TimePoint {} if it is not cold.
+        TimePoint coldSince {}, coldUntil {};
         std::vector<Owner> shares;
         // What this instance may send per second; 0 without a share.
         double ownRate = 0;
@@ -105,6 +122,13 @@
     };
 
     void state(const std::string& process, std::optional<double> requestsPerSecond, TimePoint statedAt, TimePoint now, bool fromPeer);
+    void learnCold(const std::string& process, const ColdLimit&, TimePoint now);
+    void setCold(const std::string& process, double requestsPerSecond, TimePoint until, TimePoint now, bool fromPeer);
+    static bool isCold(const Limit& limit, TimePoint now) { return limit.coldUntil > now; }
+    // Sets the limit in force from what is stated and known.
+    void update(const std::string& process, Limit&, TimePoint now, bool fromPeer);
+    // Ends the cold times that are over.
+    void endCold(TimePoint now);
     static bool isCurrent(const Owner&, TimePoint now);
     // The one that stays of two owners of the same share.
     static const Owner& strongerOwner(const std::string& shareKey, const Owner& known, const Owner& other, TimePoint now);
--- a/src/core/requests/upstream_response.h
+++ b/src/core/requests/upstream_response.h
@@ -37,6 +37,8 @@
     bool isRequestLimitMalformed = false;
     // Rejections per second, of all instances together, beyond which the upstream crashes; empty if it says nothing of the kind.
     std::optional<double> admissibleRejections;
+    // How long the upstream stays cold; 0 if it does not say.
+    Milliseconds coldFor {};
     // The upstream gets no more work.
     bool isLeaving = false;
     // How long an upstream that turned the request away wants nothing from this instance; empty if it does not say.
--- a/src/edge/traffic_state.cpp
+++ b/src/edge/traffic_state.cpp
@@ -120,28 +120,16 @@
         const auto* service = m_view->configuration ? m_view->configuration->findService(id) : nullptr;
         if (!service || service->coldRequestsPerSecond <= 0)
             continue;
+        // Upstreams of a domain that has returned may be cold although their entries do not say so yet. That is not assumed of the
+        // only upstreams.
+        const auto& domains = m_view->domains;
+        bool hasOthers = std::any_of(entries.begin(), entries.end(), [&](const auto& it) { return !domains.isEvacuated(it.domain) && !domains.refilledAt(it.domain, now); });
         for (const auto& it : entries) {
-            if (it.coldUntil <= now)
-                continue;
-            auto process = processName(it);
-            bool isNew = m_cold.insert_or_assign(process, ColdProcess { it.coldUntil, service->coldRequestsPerSecond }).second;
-            if (isNew)
-                recordLimit(process, std::nullopt, now);
+            auto refilledAt = hasOthers ? domains.refilledAt(it.domain, now) : std::nullopt;
+            m_limits.recordCold(processName(it), service->coldRequestsPerSecond, std::max(it.coldUntil, refilledAt.value_or(TimePoint {})), now);
         }
     }
-}
-
-void TrafficState::endCold(TimePoint now)
-{
-    std::vector<std::string> ended;
-    for (const auto& [process, it] : m_cold) {
-        if (it.until <= now)
-            ended.push_back(process);
-    }
-    for (const auto& it : ended) {
-        m_cold.erase(it);
-        recordLimit(it, std::nullopt, now);
-    }
+    announceLimits();
 }
 
 Awaitable<void> TrafficState::awaitConfiguration(TimePoint until)
@@ -180,9 +168,6 @@
 
 void TrafficState::recordLimit(const std::string& upstreamProcess, std::optional<double> requestsPerSecond, TimePoint now)
 {
-    auto cold = m_cold.find(upstreamProcess);
-    if (cold != m_cold.end())
-        requestsPerSecond = std::min(requestsPerSecond.value_or(cold->second.requestsPerSecond), cold->second.requestsPerSecond);
     m_limits.recordResponse(upstreamProcess, requestsPerSecond, now);
     announceLimits();
 }
@@ -190,6 +175,9 @@
 void TrafficState::recordLimit(const UpstreamEntry& upstream, const UpstreamResponse& response, TimePoint now)
 {
     auto process = processName(upstream);
+    const auto* service = m_view->configuration->findService(upstream.service);
+    if (service)
+        m_limits.recordCold(process, service->coldRequestsPerSecond, now + response.coldFor, now);
     if (!response.admissibleRejections) {
         m_brittle.erase(process);
         recordLimit(process, response.requestLimit, now);
@@ -380,7 +368,6 @@
     m_connections.closeExpired(now);
     m_sessions.forget(now);
     m_crashes.forget(now - crashRetention);
-    endCold(now);
     m_limits.assignShares(now);
     announceLimits();
     m_pauses.forget(now);
--- a/src/edge/traffic_state.h
+++ b/src/edge/traffic_state.h
@@ -178,8 +178,6 @@
     void withdrawWaiting(const std::string& part);
     // Limits the requests to the upstreams of the view that are cold.
     void limitCold(TimePoint now);
-    // Ends the limits of those that are cold no longer.
-    void endCold(TimePoint now);
     // Logs what the prompt part guard decided, withdraws the requests that this concerns, and asks for a report if peers must know of it.
     void announcePromptParts();
     // The same for limits of upstreams.
@@ -201,11 +199,6 @@
     PromptPartGuard m_promptParts;
     UpstreamLimits m_limits;
     UpstreamPauses m_pauses;
-    struct ColdProcess {
-        TimePoint until;
-        double requestsPerSecond = 0;
-    };
-    absl::flat_hash_map<std::string, ColdProcess> m_cold;
     // Processes that crash if they must reject too many requests, see limits/brittle_upstreams.h.
     absl::flat_hash_set<std::string> m_brittle;
     std::function<void()> m_onUrgentNews;
--- a/test/correctness/platform_test.cpp
+++ b/test/correctness/platform_test.cpp
@@ -319,6 +319,15 @@
         for (const auto& it : decode(200, { { "Server-Brittle", "4" } }).forwardedHeaders)
             CHECK(it.name != "Server-Brittle");
     }
+    SECTION("how long it stays cold, which is nothing for callers")
+    {
+        CHECK(decode(200, { { "X-Cold-Ms", "2500" } }).coldFor == 2500ms);
+        CHECK(decode(200, { { "X-Cold-Ms", "1e300" } }).coldFor == 600s);
+        for (const auto* it : { "0", "-1", "long", "nan", "" })
+            CHECK(decode(200, { { "X-Cold-Ms", it } }).coldFor == 0ms);
+        for (const auto& it : decode(200, { { "X-Cold-Ms", "2500" } }).forwardedHeaders)
+            CHECK(it.name != "X-Cold-Ms");
+    }
     SECTION("how long it wants nothing: seconds, fractions of them or a date, and only with a refusal")
     {
         CHECK(decode(503, { { "Retry-After", "2" } }).pause == 2000ms);
--- a/test/correctness/traffic_state_test.cpp
+++ b/test/correctness/traffic_state_test.cpp
@@ -221,6 +221,49 @@
         traffic.report();
         CHECK(allowed() == 20);
     }
+    SECTION("also at an instance that knows it from a peer only, while its answers say nothing of it")
+    {
+        TrafficState other(loop, TrafficSettings { { "edge-2" } }, metrics);
+        auto warmView = view;
+        warmView.upstreams[assist].front().coldUntil = {};
+        other.setView(std::make_shared<const FleetView>(warmView));
+        upstream.coldUntil = bootNow() + 60s;
+        traffic.setView(std::make_shared<const FleetView>(view));
+        PeerNews news;
+        news.limits = traffic.report().news.limits;
+        other.learn(news);
+        other.recordLimit("i-1/1", std::nullopt, bootNow());
+        CHECK(other.limits().isLimited("i-1/1"));
+        news.limits = other.report().news.limits;
+        traffic.learn(news);
+        CHECK(traffic.limits().isLimited("i-1/1"));
+    }
+    SECTION("also if only an answer says that it is cold again")
+    {
+        TrafficState other(loop, TrafficSettings { { "edge-2" } }, metrics);
+        upstream.coldUntil = {};
+        other.setView(std::make_shared<const FleetView>(view));
+        REQUIRE_FALSE(other.limits().isLimited("i-1/1"));
+        other.recordLimit(upstream, { .status = 200, .coldFor = 60s }, bootNow());
+        CHECK(other.limits().isLimited("i-1/1"));
+        other.recordLimit(upstream, { .status = 200 }, bootNow());
+        CHECK(other.limits().isLimited("i-1/1"));
+    }
+    SECTION("also if its domain has just returned and there is another one, whatever its entry says")
+    {
+        TrafficState other(loop, TrafficSettings { { "edge-2" } }, metrics);
+        upstream.coldUntil = {};
+        view.domains.returnedAt[upstream.domain] = bootNow() - DomainAvailability::refillTime;
+        other.setView(std::make_shared<const FleetView>(view));
+        CHECK_FALSE(other.limits().isLimited("i-1/1"));
+        view.domains.returnedAt[upstream.domain] = bootNow();
+        other.setView(std::make_shared<const FleetView>(view));
+        CHECK_FALSE(other.limits().isLimited("i-1/1"));
+        view.upstreams[assist].back().domain = { "b" };
+        other.setView(std::make_shared<const FleetView>(view));
+        CHECK(other.limits().isLimited("i-1/1"));
+        CHECK_FALSE(other.limits().isLimited("i-2/1"));
+    }
     SECTION("a service whose upstreams are never cold has no such limit")
     {
         TrafficState other(loop, TrafficSettings { { "edge-1" } }, metrics);
