--- a/src/edge/traffic_state.cpp
+++ b/src/edge/traffic_state.cpp
@@ -122,28 +122,16 @@
         const auto* service = m_view->configuration ? m_view->configuration->findService(id) : nullptr;
         if (!service || service->coldRequestsPerSecond <= 0)
             continue;
+        // Upstreams of a domain that has returned may be cold although their entries do not say so yet. That is not assumed of the
+        // only upstreams.
+        const auto& domains = m_view->domains;
+        bool hasOthers = std::any_of(entries.begin(), entries.end(), [&](const auto& it) { return !domains.isEvacuated(it.domain) && !domains.refilledAt(it.domain, now); });
         for (const auto& it : entries) {
-            if (it.coldUntil <= now)
-                continue;
-            auto process = processName(it);
-            bool isNew = m_cold.insert_or_assign(process, ColdProcess { it.coldUntil, service->coldRequestsPerSecond }).second;
-            if (isNew)
-                recordLimit(process, std::nullopt, now);
+            auto refilledAt = hasOthers ? domains.refilledAt(it.domain, now) : std::nullopt;
+            m_limits.recordCold(processName(it), service->coldRequestsPerSecond, std::max(it.coldUntil, refilledAt.value_or(TimePoint {})), now);
         }
     }
-}
-
-void TrafficState::endCold(TimePoint now)
-{
-    std::vector<std::string> ended;
-    for (const auto& [process, it] : m_cold) {
-        if (it.until <= now)
-            ended.push_back(process);
-    }
-    for (const auto& it : ended) {
-        m_cold.erase(it);
-        recordLimit(it, std::nullopt, now);
-    }
+    announceLimits();
 }
 
 Awaitable<void> TrafficState::awaitConfiguration(TimePoint until)
@@ -182,9 +170,6 @@
 
 void TrafficState::recordLimit(const std::string& upstreamProcess, std::optional<double> requestsPerSecond, TimePoint now)
 {
-    auto cold = m_cold.find(upstreamProcess);
-    if (cold != m_cold.end())
-        requestsPerSecond = std::min(requestsPerSecond.value_or(cold->second.requestsPerSecond), cold->second.requestsPerSecond);
     m_limits.recordResponse(upstreamProcess, requestsPerSecond, now);
     announceLimits();
 }
@@ -192,6 +177,9 @@
 void TrafficState::recordLimit(const UpstreamEntry& upstream, const UpstreamResponse& response, TimePoint now)
 {
     auto process = processName(upstream);
+    const auto* service = m_view->configuration->findService(upstream.service);
+    if (service)
+        m_limits.recordCold(process, service->coldRequestsPerSecond, now + response.coldFor, now);
     if (!response.admissibleRejections) {
         m_brittle.erase(process);
         recordLimit(process, response.requestLimit, now);
@@ -216,7 +204,7 @@
 
 bool TrafficState::isHeld(const UpstreamEntry& upstream, TimePoint now) const
 {
-    return m_endedIncarnations.contains(upstream) || (!m_pauses.empty() && m_pauses.isPaused(processName(upstream), now));
+    return m_endedIncarnations.contains(upstream) || m_view->domains.isEvacuated(upstream.domain) || (!m_pauses.empty() && m_pauses.isPaused(processName(upstream), now));
 }
 
 std::optional<Milliseconds> TrafficState::removePaused(std::vector<const UpstreamEntry*>& upstreams, TimePoint now) const
@@ -382,7 +370,6 @@
     m_connections.closeExpired(now);
     m_sessions.forget(now);
     m_crashes.forget(now - crashRetention);
-    endCold(now);
     m_limits.assignShares(now);
     announceLimits();
     m_pauses.forget(now);
@@ -402,7 +389,7 @@
     auto rollout = m_view->rollouts.find(id);
     std::vector<const UpstreamEntry*> otherReleaseUpstreams;
     for (const auto& it : entries->second) {
-        if (m_endedIncarnations.contains(it))
+        if (m_endedIncarnations.contains(it) || m_view->domains.isEvacuated(it.domain))
             continue;
         bool isEligible = rollout == m_view->rollouts.end() || isReleaseEligible(rollout->second, it.release, request, now);
         (isEligible ? eligible.allowed : otherReleaseUpstreams).push_back(&it);
@@ -412,9 +399,37 @@
     bool mayUseOtherRelease = rollout != m_view->rollouts.end() && !rollout->second.suspended && rollout->second.stage != RolloutStage::Reverted;
     if (eligible.allowed.empty() && mayUseOtherRelease)
         eligible.allowed = std::move(otherReleaseUpstreams);
+    preferRefilled(eligible.allowed, now);
     return eligible;
 }
 
+void TrafficState::preferRefilled(std::vector<const UpstreamEntry*>& upstreams, TimePoint now) const
+{
+    if (m_view->domains.returnedAt.empty())
+        return;
+    auto isRefilled = [&](const UpstreamEntry* it) { return m_view->domains.isRefilled(it->domain, it->id, m_settings.instance, now); };
+    if (std::any_of(upstreams.begin(), upstreams.end(), isRefilled))
+        std::erase_if(upstreams, [&](const UpstreamEntry* it) { return !isRefilled(it); });
+}
+
+bool TrafficState::mustYield(const ServiceId& id, std::int64_t rank) const
+{
+    auto entries = m_view->upstreams.find(id);
+    if (entries == m_view->upstreams.end())
+        return false;
+    RemainingRoom room;
+    bool isEvacuated = false;
+    for (const auto& it : entries->second) {
+        if (m_view->domains.isEvacuated(it.domain))
+            isEvacuated = true;
+        else if (!m_endedIncarnations.contains(it)) {
+            room.slots += it.slots;
+            room.requests += m_balancer.requestsOn(it.id);
+        }
+    }
+    return isEvacuated && yieldsRoom(room, rank);
+}
+
 std::vector<RecentSession> TrafficState::sessionsForPeers(TimePoint now) const
 {
     auto isUnderWay = [](const auto& it) { return it.second.stage == RolloutStage::Canary || it.second.stage == RolloutStage::Half; };
