Bounds for what callers make an instance hold, and limits applied to connections that wait

Change: chunk lines and trailers of a request have 16 KB (400). Connections, requests with their bodies and responses take shares of the budget of the instance; what does not fit gets 503 with Retry-After and has not run. Callers may use three quarters of descriptor_limit, two more for each request in service; beyond that the connection that has waited longest is closed. Limits of sizes are read when a request begins, deadlines are set anew when the configuration changes. After a refusal, input is discarded for 2 s or up to the longest body.

--- a/src/core/error_kind.h
+++ b/src/core/error_kind.h
@@ -60,6 +60,8 @@
     UpstreamLimitReached,
     // All upstreams for the request want nothing for a while.
     UpstreamsPaused,
+    // This instance has no memory or no descriptors left for the request.
+    InstanceExhausted,
     // An edit of the configuration is not based on the current revision.
     EditConflict,
     // No configuration is known yet.
--- a/src/core/routing/routing_configuration.h
+++ b/src/core/routing/routing_configuration.h
@@ -81,6 +81,8 @@
     std::size_t maxBodyBytes = 4194304;
     Milliseconds headerTimeout { 3000 };
     Milliseconds idleTimeout { 15000 };
+
+    bool operator==(const CallerLimits&) const = default;
 };
 
 // Owner of an API key.
--- a/src/edge/body_memory.h
+++ b/src/edge/body_memory.h
@@ -1,16 +1,17 @@
 #pragma once
 
-// Limits the memory of all response bodies and incomplete events that are buffered at the same time. Small ones are always
-// admitted, so that a few long ones do not fail all others.
+// Limits the memory of all response bodies and incomplete events that are buffered at the same time, within the memory of the
+// instance. Small ones need only the latter, so that a few long ones do not fail all others.
 
-#include <cstddef>
+#include "core/limits/instance_memory.h"
 
 namespace skylarkhitch {
 
 class BodyMemory {
 public:
-    explicit BodyMemory(std::size_t maxBytes)
+    BodyMemory(std::size_t maxBytes, std::shared_ptr<InstanceMemory> memory)
         : m_maxBytes(maxBytes)
+        , m_memory(std::move(memory))
     {
     }
 
@@ -19,17 +20,20 @@
     public:
         explicit Share(BodyMemory& memory)
             : m_memory(memory)
+            , m_share(memory.m_memory, InstanceMemory::Use::Response)
         {
         }
         ~Share() { m_memory.m_used -= m_bytes; }
         Share(const Share&) = delete;
         Share& operator=(const Share&) = delete;
 
-        // Adds bytes of the body. Returns false if the body is not small and the limit would be exceeded.
+        // Adds bytes of the body. Returns false if the body is not small and the limit would be exceeded, or the instance has no memory.
         bool add(std::size_t bytes)
         {
             if (m_bytes + bytes > maxSmallBodyBytes && m_memory.m_used + bytes > m_memory.m_maxBytes)
                 return false;
+            if (!m_share.set(m_bytes + bytes))
+                return false;
             m_bytes += bytes;
             m_memory.m_used += bytes;
             return true;
@@ -40,6 +44,7 @@
         {
             if (bytes > m_bytes)
                 return add(bytes - m_bytes);
+            m_share.hold(bytes);
             m_memory.m_used -= m_bytes - bytes;
             m_bytes = bytes;
             return true;
@@ -47,6 +52,7 @@
 
     private:
         BodyMemory& m_memory;
+        InstanceMemory::Share m_share;
         std::size_t m_bytes = 0;
     };
 
@@ -56,6 +62,7 @@
 private:
     std::size_t m_maxBytes;
     std::size_t m_used = 0;
+    std::shared_ptr<InstanceMemory> m_memory;
 };
 
 }
--- a/src/edge/caller_connection.cpp
+++ b/src/edge/caller_connection.cpp
@@ -4,6 +4,7 @@
 #include "edge/request_reader.h"
 
 #include <absl/strings/str_cat.h>
+#include <algorithm>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/status.hpp>
 
@@ -19,6 +20,12 @@
     // while the connection is being closed. Also added to the time for a request head.
     constexpr Milliseconds timeoutMargin { 2000 };
     constexpr int internalError = 500;
+    // Limits of what is read after an error response: time, and bytes beside the longest body that the limits allow.
+    constexpr Milliseconds lingerTime { 2000 };
+    constexpr std::size_t lingerMargin = std::size_t { 64 } * 1024;
+    constexpr std::size_t maxLingerBytes = std::size_t { 8 } << 20;
+    // A request that has been incomplete for this long may be closed for a small one that lacks memory.
+    constexpr Milliseconds unfinishedPatience { 3000 };
     // Time within which a caller must accept the bytes of one write.
     constexpr Milliseconds writeTimeout { 30000 };
 
@@ -33,6 +40,12 @@
         co_await connection->run();
     }
 
+    // A body and the memory that it takes, for as long as anyone uses it.
+    struct HeldBody {
+        std::string bytes;
+        InstanceMemory::Share memory;
+    };
+
     bool forbidsBody(int status) { return status == 204 || status == 304; }
 
     ConnectionEnd endFor(const boost::system::error_code& ec)
@@ -44,17 +57,54 @@
 
 std::string_view connectionEndName(ConnectionEnd end)
 {
-    constexpr std::string_view names[] = { "open", "closed_by_caller", "socket_error", "idle_timeout", "request_timeout", "write_timeout", "aborted" };
+    constexpr std::string_view names[] = { "open", "closed_by_caller", "socket_error", "idle_timeout", "request_timeout", "write_timeout", "aborted", "displaced" };
     return names[static_cast<int>(end)];
 }
 
+void ServerState::applyLimits()
+{
+    for (const auto* list : { &idle, &unfinished }) {
+        for (auto* it : *list)
+            it->applyLimits();
+    }
+}
+
+bool ServerState::displaceLongestWaiting()
+{
+    bool isIdleFirst = unfinished.empty() || (!idle.empty() && idle.front()->waitingSince() <= unfinished.front()->waitingSince());
+    auto& waiting = isIdleFirst ? idle : unfinished;
+    auto& list = waiting.empty() ? overfull : waiting;
+    if (list.empty())
+        return false;
+    list.front()->displace();
+    return true;
+}
+
+bool ServerState::displaceUnfinished(const CallerConnection& other, TimePoint since)
+{
+    auto it = std::find_if(unfinished.begin(), unfinished.end(), [&](const auto* connection) { return connection != &other; });
+    bool hasUnfinished = it != unfinished.end() && (*it)->waitingSince() <= since;
+    if (!hasUnfinished && overfull.empty())
+        return false;
+    (hasUnfinished ? *it : overfull.front())->displace();
+    return true;
+}
+
 CallerConnection::CallerConnection(EventLoop& loop, TcpSocket socket, std::shared_ptr<ServerState> server)
     : m_loop(loop)
     , m_socket(std::move(socket))
     , m_server(std::move(server))
     , m_deadline(loop, [this] { onDeadline(); })
+    , m_memory(m_server->memory, InstanceMemory::Use::Request)
 {
     ++m_server->connections;
+    m_memory.hold(InstanceMemory::connectionBytes);
+}
+
+CallerConnection::~CallerConnection()
+{
+    endWait();
+    leave();
 }
 
 Awaitable<void> CallerConnection::run()
@@ -65,6 +115,9 @@
         auto end = co_await readRequest(request);
         if (end == ReadOutcome::Closed)
             logClose();
+        if (end == ReadOutcome::Rejected)
+            co_await linger();
+        endWait();
         if (end != ReadOutcome::Request)
             break;
         m_isHeadRequest = request.method == "HEAD";
@@ -84,6 +137,7 @@
         co_await serve(std::move(request));
         --m_server->requests;
         m_isServing = false;
+        leaveList();
         m_onDisconnect = nullptr;
         if (!m_hasCompletedResponse)
             logUnanswered();
@@ -94,7 +148,7 @@
     // caller has read its response.
     m_socket.shutdown(TcpSocket::shutdown_send, ec);
     m_socket.close(ec);
-    --m_server->connections;
+    leave();
 }
 
 Awaitable<void> CallerConnection::serve(ReceivedRequest request)
@@ -127,57 +181,117 @@
     co_await respond(std::move(response));
 }
 
+void CallerConnection::beginIdle()
+{
+    m_idleSince = bootNow();
+    m_idleTime = Milliseconds(0);
+    RequestReader::skipEmptyLines(m_input);
+    m_requestStarted = !m_input.empty();
+    // An idle connection keeps no buffer.
+    if (m_input.empty())
+        std::string().swap(m_input);
+    m_memory.hold(InstanceMemory::connectionBytes + m_input.size());
+    beginWait(Wait::FirstByte);
+}
+
+void CallerConnection::endIdle()
+{
+    if (!std::exchange(m_requestStarted, true))
+        m_idleTime = toMilliseconds(bootNow() - m_idleSince);
+    RequestReader::skipEmptyLines(m_input);
+}
+
 Awaitable<CallerConnection::ReadOutcome> CallerConnection::readRequest(ReceivedRequest& request)
 {
+    beginIdle();
+    while (m_input.empty()) {
+        if (!co_await readSocket())
+            co_return ReadOutcome::Closed;
+        endIdle();
+    }
+    // The limits may have changed while the connection was idle.
     auto limits = m_server->limits();
     RequestReader reader(limits.maxHeaderBytes, limits.maxBodyBytes);
-    setReadDeadline(limits.idleTimeout + timeoutMargin);
+    m_requestMemory.emplace(m_server->memory, InstanceMemory::Use::Request);
     bool hasSentContinue = false;
-    m_idleSince = bootNow();
-    m_requestStarted = !m_input.empty();
-    Milliseconds idleTime { 0 };
-    bool hasHeadStarted = false;
-    while (reader.feed(m_input) != RequestReader::State::Done) {
-        if (reader.state() == RequestReader::State::Failed) {
+    beginWait(Wait::Head);
+    for (;;) {
+        auto state = reader.feed(m_input);
+        if (state == RequestReader::State::Failed) {
             co_await reject(reader.errorStatus());
             co_return ReadOutcome::Rejected;
         }
-        if (reader.state() == RequestReader::State::NeedsBody) {
+        if (!reserveMemory(reader)) {
+            co_await refuse("memory");
+            co_return ReadOutcome::Rejected;
+        }
+        if (state == RequestReader::State::Done)
+            break;
+        if (state == RequestReader::State::NeedsBody) {
             if (reader.expectsContinue() && !hasSentContinue && m_input.empty()) {
                 hasSentContinue = true;
                 co_await write("HTTP/1.1 100 Continue\r\n\r\n", {});
             }
-            // Set after the write, which replaces the deadline and clears it.
-            setReadDeadline(limits.idleTimeout);
-        } else if (!m_input.empty() && !hasHeadStarted) {
-            hasHeadStarted = true;
-            setReadDeadline(limits.headerTimeout + timeoutMargin);
+            // After the write, which replaces the deadline and clears it.
+            beginWait(Wait::Body);
         }
         if (!co_await readSocket())
             co_return ReadOutcome::Closed;
-        if (!std::exchange(m_requestStarted, true))
-            idleTime = toMilliseconds(bootNow() - m_idleSince);
     }
-    m_deadline.clear();
-    m_isOverdue = false;
+    if (!reserveDescriptors()) {
+        co_await refuse("descriptors");
+        co_return ReadOutcome::Rejected;
+    }
     m_keepAlive = reader.keepsAlive() && reader.isHttp11();
-    request = { reader.method(), reader.target(), reader.fields(), std::make_shared<const std::string>(reader.takeBody()), bootNow(), idleTime };
+    auto body = std::make_shared<HeldBody>(HeldBody { reader.takeBody(), std::move(*m_requestMemory) });
+    m_requestMemory.reset();
+    request = { reader.method(), reader.target(), reader.fields(), std::shared_ptr<const std::string>(body, &body->bytes), bootNow(), m_idleTime };
     co_return ReadOutcome::Request;
 }
 
+bool CallerConnection::reserveMemory(const RequestReader& reader)
+{
+    bool isSmall = InstanceMemory::requestBytes + reader.bodyBytes() <= InstanceMemory::maxSmallBytes;
+    while (!takeMemory(reader)) {
+        if (!isSmall || !m_server->displaceUnfinished(*this, bootNow() - unfinishedPatience))
+            return false;
+    }
+    return true;
+}
+
+bool CallerConnection::takeMemory(const RequestReader& reader)
+{
+    bool hasHead = reader.state() != RequestReader::State::NeedsHead;
+    return m_memory.set(InstanceMemory::connectionBytes + m_input.size()) && (!hasHead || m_requestMemory->set(InstanceMemory::requestBytes + reader.bodyBytes()));
+}
+
+bool CallerConnection::reserveDescriptors()
+{
+    endWait();
+    while (!m_server->descriptors.allows(m_server->connections, m_server->requests + 1)) {
+        if (!m_server->displaceLongestWaiting()) {
+            ++m_server->refusedForDescriptors;
+            return false;
+        }
+    }
+    return true;
+}
+
 Awaitable<bool> CallerConnection::readSocket()
 {
-    boost::system::error_code ec;
-    auto size = m_input.size();
-    m_input.resize(size + readBlockBytes);
-    auto buf = asio::buffer(m_input.data() + size, readBlockBytes);
+    boost::system::error_code ec = asio::error::would_block;
     std::size_t n = 0;
-    if (!m_isOverdue)
-        n = co_await m_socket.async_read_some(buf, asio::redirect_error(asio::use_awaitable, ec));
-    // If the process was held up, bytes that arrived in time are still unread when the deadline passes.
-    if (m_isOverdue && n == 0 && (!ec || ec == asio::error::operation_aborted))
-        n = receiveAvailable(m_socket, buf, ec);
-    m_input.resize(size + n);
+    while (n == 0 && ec == asio::error::would_block) {
+        // No buffer is held during the wait.
+        if (!m_isOverdue)
+            co_await m_socket.async_wait(TcpSocket::wait_read, asio::redirect_error(asio::use_awaitable, ec));
+        if (m_end == ConnectionEnd::Displaced)
+            co_return false;
+        // If the process was held up, bytes that arrived in time are still unread when the deadline passes.
+        n = receiveInput(ec);
+        if (m_isOverdue)
+            break;
+    }
     if (!ec)
         co_return true;
     if (ec == asio::error::would_block)
@@ -189,18 +303,117 @@
     co_return false;
 }
 
-void CallerConnection::setReadDeadline(Milliseconds fromNow)
+std::size_t CallerConnection::receiveInput(boost::system::error_code& ec)
+{
+    char buf[readBlockBytes];
+    auto n = receiveAvailable(m_socket, asio::buffer(buf), ec);
+    m_input.append(buf, n);
+    return n;
+}
+
+Awaitable<void> CallerConnection::linger()
+{
+    beginWait(Wait::Lingering);
+    boost::system::error_code ec;
+    m_socket.shutdown(TcpSocket::shutdown_send, ec);
+    auto maxBytes = std::min(m_server->limits().maxBodyBytes, maxLingerBytes) + lingerMargin;
+    m_requestMemory.reset();
+    for (std::size_t n = 0; n < maxBytes; n += m_input.size()) {
+        m_input.clear();
+        m_memory.hold(InstanceMemory::connectionBytes);
+        bool hasRead = co_await readSocket();
+        if (!hasRead || m_isOverdue)
+            co_return;
+    }
+}
+
+void CallerConnection::beginWait(Wait wait)
+{
+    if (m_end == ConnectionEnd::Displaced)
+        return;
+    m_wait = wait;
+    m_waitSince = bootNow();
+    enter(wait == Wait::FirstByte ? m_server->idle : m_server->unfinished);
+    armReadDeadline();
+}
+
+void CallerConnection::enter(std::list<CallerConnection*>& list)
+{
+    if (m_place && m_place->list == &list)
+        return;
+    leaveList();
+    m_place = Place { &list, list.insert(list.end(), this), bootNow() };
+}
+
+void CallerConnection::endWait()
+{
+    m_deadline.clear();
+    m_isOverdue = false;
+    leaveList();
+}
+
+void CallerConnection::leaveList()
+{
+    if (auto place = std::exchange(m_place, std::nullopt))
+        place->list->erase(place->it);
+}
+
+void CallerConnection::leave()
+{
+    if (std::exchange(m_isCounted, false))
+        --m_server->connections;
+}
+
+void CallerConnection::armReadDeadline()
 {
+    auto limits = m_server->limits();
+    const Milliseconds times[] = { limits.idleTimeout + timeoutMargin, limits.headerTimeout + timeoutMargin, limits.idleTimeout, lingerTime };
     m_isOverdue = false;
-    m_deadline.set(fromNow);
+    m_deadline.set(std::max(Milliseconds(0), times[static_cast<int>(m_wait)] - toMilliseconds(bootNow() - m_waitSince)));
 }
 
-Awaitable<bool> CallerConnection::reject(int status)
+void CallerConnection::applyLimits()
+{
+    if (!m_isOverdue)
+        armReadDeadline();
+}
+
+void CallerConnection::displace()
+{
+    ++m_server->displacedConnections;
+    if (m_isServing) {
+        leaveList();
+        leave();
+        handleDisconnect(ConnectionEnd::Displaced);
+        abort();
+        return;
+    }
+    m_end = ConnectionEnd::Displaced;
+    // The coroutine that reads ends only later.
+    if (m_requestMemory)
+        m_requestMemory->hold(0);
+    m_memory.hold(0);
+    endWait();
+    leave();
+    boost::system::error_code ec;
+    m_socket.close(ec);
+}
+
+Awaitable<void> CallerConnection::reject(int status)
 {
     m_keepAlive = false;
     LogLine(LogLevel::Warning, "request_malformed").with("status", status).with("bytes", static_cast<std::int64_t>(m_input.size()));
     EdgeResponse response { .status = status };
-    co_return co_await respond(std::move(response));
+    co_await respond(std::move(response));
+}
+
+Awaitable<void> CallerConnection::refuse(std::string_view resource)
+{
+    m_keepAlive = false;
+    const auto& row = errorInfo(ErrorKind::InstanceExhausted);
+    LogLine(LogLevel::Debug, "request_refused").with("error", row.name).with("resource", resource);
+    EdgeResponse response { .status = row.httpStatus, .fields = { { "Retry-After", absl::StrCat(static_cast<double>(row.retryAfter.count()) / 1000) } } };
+    co_await respond(std::move(response));
 }
 
 std::string CallerConnection::serializeHead(const EdgeResponse& response, const std::string& framing) const
@@ -233,7 +446,7 @@
 {
     if (bytes.empty())
         co_return !m_hasDisconnected;
-    co_return co_await write(absl::StrCat(absl::Hex(bytes.size()), "\r\n"), absl::StrCat(absl::string_view(bytes.data(), bytes.size()), "\r\n"));
+    co_return co_await write(absl::StrCat(absl::Hex(bytes.size()), "\r\n"), bytes, "\r\n");
 }
 
 Awaitable<bool> CallerConnection::endBody()
@@ -242,13 +455,13 @@
     co_return m_hasCompletedResponse;
 }
 
-Awaitable<bool> CallerConnection::write(std::string head, std::string_view body)
+Awaitable<bool> CallerConnection::write(std::string head, std::string_view body, std::string_view tail)
 {
     if (m_hasDisconnected)
         co_return false;
     m_deadline.set(writeTimeout);
     boost::system::error_code ec;
-    std::array<asio::const_buffer, 2> buffers { asio::buffer(head), asio::buffer(body.data(), body.size()) };
+    std::array<asio::const_buffer, 3> buffers { asio::buffer(head), asio::buffer(body.data(), body.size()), asio::buffer(tail.data(), tail.size()) };
     co_await asio::async_write(m_socket, buffers, asio::redirect_error(asio::use_awaitable, ec));
     m_deadline.clear();
     if (ec)
@@ -298,10 +511,20 @@
         callback();
 }
 
+// Nothing is taken ahead once a first block is held and there is no memory for a further one.
+bool CallerConnection::mayReadAhead() const
+{
+    return m_input.empty() || (m_input.size() < maxPipelinedBytes && m_server->memory->fits(InstanceMemory::Use::Request, readBlockBytes));
+}
+
 void CallerConnection::watchForDisconnect()
 {
-    if (m_waitingForInput || m_hasDisconnected || m_input.size() >= maxPipelinedBytes)
+    if (m_waitingForInput || m_hasDisconnected)
+        return;
+    if (!mayReadAhead()) {
+        enter(m_server->overfull);
         return;
+    }
     m_waitingForInput = true;
     m_socket.async_wait(TcpSocket::wait_read, [self = shared_from_this()](const boost::system::error_code& ec) {
         self->m_waitingForInput = false;
@@ -313,12 +536,13 @@
 // Takes what the socket has while a request is served: bytes of a pipelined request, or the end of the connection.
 void CallerConnection::onReadable()
 {
-    if (!m_isServing || m_input.size() >= maxPipelinedBytes)
+    if (!m_isServing)
         return;
-    char buf[readBlockBytes];
     boost::system::error_code ec;
-    auto n = receiveAvailable(m_socket, asio::buffer(buf), ec);
-    m_input.append(buf, n);
+    if (mayReadAhead()) {
+        receiveInput(ec);
+        m_memory.hold(InstanceMemory::connectionBytes + m_input.size());
+    }
     if (!ec || ec == asio::error::would_block) {
         watchForDisconnect();
         return;
@@ -364,17 +588,25 @@
 
 Awaitable<void> HttpListener::acceptLoop()
 {
-    // Delay after a failed accept, which is mostly due to a lack of free file descriptors.
+    // Delay after a failed accept, or while no connection may be open beside those that are being served.
     constexpr Milliseconds retryDelay { 50 };
     for (;;) {
         TcpSocket socket(m_loop);
         boost::system::error_code ec;
+        if (!makeRoom()) {
+            co_await sleepFor(m_loop, retryDelay);
+            if (!m_acceptor.is_open())
+                co_return;
+            continue;
+        }
         co_await m_acceptor.async_accept(socket, asio::redirect_error(asio::use_awaitable, ec));
         if (!m_acceptor.is_open())
             co_return;
         if (ec) {
             LogLine(LogLevel::Error, "accept_failed").with("error", ec.message());
-            co_await sleepFor(m_loop, retryDelay);
+            bool lacksDescriptors = ec == asio::error::no_descriptors;
+            if (!lacksDescriptors || !m_server->displaceLongestWaiting())
+                co_await sleepFor(m_loop, retryDelay);
             continue;
         }
         auto connection = std::make_shared<CallerConnection>(m_loop, std::move(socket), m_server);
@@ -382,4 +614,10 @@
     }
 }
 
+bool HttpListener::makeRoom()
+{
+    auto hasRoom = [this] { return m_server->descriptors.allows(m_server->connections + 1, m_server->requests) && m_server->memory->fits(InstanceMemory::Use::Request, InstanceMemory::connectionBytes); };
+    return hasRoom() || m_server->displaceLongestWaiting();
+}
+
 }
--- a/src/edge/control_plane.cpp
+++ b/src/edge/control_plane.cpp
@@ -46,11 +46,18 @@
         return areOwnValid && (!heartbeat.digest || std::all_of(heartbeat.digest->identities.begin(), heartbeat.digest->identities.end(), isValid));
     }
 
-    std::shared_ptr<ServerState> makeInternalServerState(RequestHandler handler)
+    // Peers and operators send no bodies.
+    constexpr std::size_t maxInternalBodyBytes = std::size_t { 64 } * 1024;
+    // Part of the memory for callers (1/n) that connections of peers and operators may take beside it.
+    constexpr std::size_t internalMemoryDivisor = 16;
+
+    std::shared_ptr<ServerState> makeInternalServerState(const EdgeSettings& settings, RequestHandler handler)
     {
         auto state = std::make_shared<ServerState>();
         state->handler = std::move(handler);
-        state->limits = [] { return CallerLimits {}; };
+        state->limits = [] { return CallerLimits { .maxBodyBytes = maxInternalBodyBytes }; };
+        state->memory = std::make_shared<InstanceMemory>(InstanceMemory::budgetFor(settings.memoryLimitBytes()) / internalMemoryDivisor);
+        state->descriptors = DescriptorBudget::forPlatform(static_cast<std::int64_t>(settings.descriptorLimit));
         return state;
     }
 
@@ -76,8 +83,8 @@
 
 void ControlPlane::start()
 {
-    m_peerListener = std::make_unique<HttpListener>(m_loop, m_settings.peerListen, makeInternalServerState([this](std::shared_ptr<CallerConnection> connection, ReceivedRequest request) { return servePeer(std::move(connection), std::move(request)); }));
-    m_metricsListener = std::make_unique<HttpListener>(m_loop, m_settings.metricsListen, makeInternalServerState([this](std::shared_ptr<CallerConnection> connection, ReceivedRequest request) { return serveMetrics(std::move(connection), std::move(request)); }));
+    m_peerListener = std::make_unique<HttpListener>(m_loop, m_settings.peerListen, makeInternalServerState(m_settings, [this](std::shared_ptr<CallerConnection> connection, ReceivedRequest request) { return servePeer(std::move(connection), std::move(request)); }));
+    m_metricsListener = std::make_unique<HttpListener>(m_loop, m_settings.metricsListen, makeInternalServerState(m_settings, [this](std::shared_ptr<CallerConnection> connection, ReceivedRequest request) { return serveMetrics(std::move(connection), std::move(request)); }));
     spawnRestarting(
         m_loop, [this] { return receiveHeartbeats(); }, "receive_heartbeats");
     spawnRestarting(
--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -2,6 +2,7 @@
 
 #include "adapters/log.h"
 #include "adapters/wall_clock.h"
+#include "core/limits/refusal_episode.h"
 #include "edge/control_plane.h"
 #include "edge/link_checker.h"
 #include "edge/planned_stop.h"
@@ -39,7 +40,7 @@
             : m_settings(settings)
             , m_readSettings(reader)
             , m_self { settings.instance, newIncarnationNumber() }
-            , m_traffic(m_trafficLoop, { settings.instance, settings.domain, m_self.number, settings.sessionIdleTimeout(), { settings.retryRatio, settings.retryHeadroom, settings.retryWindow() } }, m_metrics)
+            , m_traffic(m_trafficLoop, { settings.instance, settings.domain, m_self.number, settings.sessionIdleTimeout(), { settings.retryRatio, settings.retryHeadroom, settings.retryWindow() }, settings.memoryLimitBytes() }, m_metrics)
             , m_control(m_controlLoop, settings, m_self, m_metrics, outputs())
             , m_linkChecker(m_trafficLoop, m_traffic)
             , m_stop(m_trafficLoop, settings.stopGrace(), stopActions())
@@ -49,8 +50,11 @@
         int run()
         {
             m_control.start();
+            auto descriptorLimit = static_cast<std::int64_t>(m_settings.descriptorLimit);
             m_entryServer = makeServerState([this](std::shared_ptr<CallerConnection> connection, ReceivedRequest request) { return serveCaller(std::move(connection), std::move(request)); });
             m_platformServer = makeServerState([this](std::shared_ptr<CallerConnection> connection, ReceivedRequest request) { return servePlatformRequest(std::move(connection), std::move(request)); });
+            m_entryServer->descriptors = DescriptorBudget::forCallers(descriptorLimit);
+            m_platformServer->descriptors = DescriptorBudget::forPlatform(descriptorLimit);
             HttpListener entry(m_trafficLoop, m_settings.entryListen, m_entryServer);
             HttpListener ready(m_trafficLoop, m_settings.readyListen, m_platformServer);
             HttpListener directory(m_trafficLoop, m_settings.directoryListen, m_platformServer);
@@ -78,7 +82,7 @@
         ControlPlane::Outputs outputs()
         {
             return {
-                [this](FleetViewPtr view) { asio::post(m_trafficLoop, [this, view = std::move(view)] { m_traffic.setView(view); }); },
+                [this](FleetViewPtr view) { asio::post(m_trafficLoop, [this, view = std::move(view)] { setView(view); }); },
                 [this](PeerUpdate peerUpdate) { asio::post(m_trafficLoop, [this, peerUpdate = std::move(peerUpdate)]() mutable { m_traffic.learn(std::move(peerUpdate)); }); },
                 [this](PeerNews news) { asio::post(m_trafficLoop, [this, news = std::move(news)] { m_traffic.learn(news); }); },
             };
@@ -88,13 +92,52 @@
         {
             auto state = std::make_shared<ServerState>();
             state->handler = std::move(handler);
-            state->limits = [this] {
-                const auto& view = m_traffic.view();
-                return view && view->configuration ? view->configuration->limits : CallerLimits {};
-            };
+            state->limits = [this] { return limits(); };
+            state->memory = m_traffic.memory();
             return state;
         }
 
+        CallerLimits limits() const
+        {
+            const auto& view = m_traffic.view();
+            return view && view->configuration ? view->configuration->limits : CallerLimits {};
+        }
+
+        // Also applies limits that have changed to the connections that are open.
+        void setView(const FleetViewPtr& view)
+        {
+            auto earlier = limits();
+            m_traffic.setView(view);
+            if (limits() == earlier)
+                return;
+            m_entryServer->applyLimits();
+            m_platformServer->applyLimits();
+        }
+
+        // Publishes what is held for callers, and logs when requests begin to be refused, or connections closed, and when that has ended.
+        void reportExhaustion()
+        {
+            const auto& memory = *m_traffic.memory();
+            auto now = bootNow();
+            m_metrics.setState("held_memory_bytes", static_cast<double>(memory.held()));
+            m_metrics.setState("held_memory_limit_bytes", static_cast<double>(memory.budget()));
+            m_metrics.setState("memory_refusals", static_cast<double>(memory.refusals()));
+            m_metrics.setState("descriptor_refusals", static_cast<double>(m_entryServer->refusedForDescriptors));
+            m_metrics.setState("displaced_connections", static_cast<double>(m_entryServer->displacedConnections));
+            logEpisode(m_memoryRefusals.update(memory.refusals(), now), "memory", memory.refusals());
+            auto refusals = m_entryServer->refusedForDescriptors + m_entryServer->displacedConnections;
+            logEpisode(m_descriptorRefusals.update(refusals, now), "descriptors", refusals);
+        }
+
+        void logEpisode(RefusalEpisode::Change change, std::string_view resource, std::int64_t refusals) const
+        {
+            if (change == RefusalEpisode::Change::None)
+                return;
+            bool hasBegun = change == RefusalEpisode::Change::Began;
+            const auto& memory = *m_traffic.memory();
+            LogLine(hasBegun ? LogLevel::Warning : LogLevel::Info, hasBegun ? "refusals_began" : "refusals_ended").with("resource", resource).with("refusals", refusals).with("held_bytes", static_cast<std::int64_t>(memory.held())).with("held_limit_bytes", static_cast<std::int64_t>(memory.budget())).with("connections", m_entryServer->connections).with("requests", m_entryServer->requests);
+        }
+
         Awaitable<void> serveCaller(std::shared_ptr<CallerConnection> connection, ReceivedRequest request)
         {
             auto run = std::make_shared<RequestForwarder>(m_traffic, std::move(connection), std::move(request));
@@ -136,6 +179,7 @@
 
         void sendReport(bool isUrgent)
         {
+            reportExhaustion();
             auto report = m_traffic.report();
             report.isUrgent = isUrgent;
             report.callerConnections = m_entryServer->connections;
@@ -226,6 +270,8 @@
         std::shared_ptr<ServerState> m_entryServer;
         std::shared_ptr<ServerState> m_platformServer;
         HttpListener* m_entry = nullptr;
+        RefusalEpisode m_memoryRefusals;
+        RefusalEpisode m_descriptorRefusals;
         bool m_isUrgentReportPending = false;
         TimePoint m_urgentReportAt {};
     };
--- a/src/edge/request_reader.cpp
+++ b/src/edge/request_reader.cpp
@@ -16,6 +16,10 @@
     constexpr int bodyTooLarge = 413;
     constexpr int headTooLarge = 431;
     constexpr std::string_view headTerminator = "\r\n\r\n";
+    // A chunked body above the first size is taken for a long one, for which up to the second size is reserved. What is reserved but not
+    // written takes no memory.
+    constexpr std::size_t longBodyBytes = std::size_t { 64 } * 1024;
+    constexpr std::size_t maxReservedBytes = std::size_t { 8 } << 20;
 
     // Whether every line ends in CR LF, no line is folded (starts with whitespace), and no header field has whitespace before
     // its colon. An incomplete last line may only have a CR as its last byte.
@@ -46,6 +50,7 @@
 
 RequestReader::RequestReader(std::size_t maxHeadBytes, std::size_t maxBodyBytes)
     : m_maxHeadBytes(maxHeadBytes)
+    , m_maxBodyBytes(maxBodyBytes)
 {
     m_parser.eager(true);
     // The parser's own limit has 32 bits.
@@ -53,6 +58,14 @@
     m_parser.body_limit(maxBodyBytes);
 }
 
+void RequestReader::skipEmptyLines(std::string& input)
+{
+    std::size_t n = 0;
+    while (input.compare(n, 2, "\r\n") == 0)
+        n += 2;
+    input.erase(0, n);
+}
+
 RequestReader::State RequestReader::feed(std::string& input)
 {
     if (m_state == State::NeedsHead)
@@ -70,9 +83,7 @@
 
 RequestReader::State RequestReader::parseHead(std::string& input)
 {
-    // Skips empty lines before the request line.
-    while (input.size() >= 2 && input.compare(0, 2, "\r\n") == 0)
-        input.erase(0, 2);
+    skipEmptyLines(input);
     auto end = input.find(headTerminator);
     auto head = std::string_view(input).substr(0, end == std::string::npos ? input.size() : end + headTerminator.size());
     if (!hasStrictLines(head))
@@ -96,20 +107,36 @@
 
 RequestReader::State RequestReader::parseBody(std::string& input)
 {
-    while (!input.empty() && !m_parser.is_done()) {
+    std::size_t n = 1;
+    while (n > 0 && !input.empty() && !m_parser.is_done()) {
+        reserveBody();
         boost::system::error_code ec;
-        auto n = m_parser.put(boost::asio::buffer(input), ec);
+        n = m_parser.put(boost::asio::buffer(input), ec);
         input.erase(0, n);
         if (ec == http::error::body_limit)
             return fail(bodyTooLarge);
         if (ec && ec != http::error::need_more)
             return fail(badRequest);
-        if (n == 0)
-            break;
     }
     if (m_parser.is_done())
-        m_state = State::Done;
-    return m_state;
+        return m_state = State::Done;
+    // The parser takes a chunk line, or all trailers, only as a whole.
+    return input.size() > maxChunkLineBytes ? fail(badRequest) : m_state;
+}
+
+void RequestReader::reserveBody()
+{
+    auto& body = m_parser.get().body();
+    if (m_parser.chunked() && body.size() > longBodyBytes)
+        body.reserve(std::min(m_maxBodyBytes, maxReservedBytes));
+}
+
+std::size_t RequestReader::bodyBytes() const
+{
+    if (!m_parser.is_header_done())
+        return 0;
+    auto stated = m_parser.content_length();
+    return stated ? static_cast<std::size_t>(*stated) : m_parser.get().body().size();
 }
 
 bool RequestReader::hasUnambiguousFraming() const
--- a/src/edge/request_reader.h
+++ b/src/edge/request_reader.h
@@ -17,8 +17,14 @@
         Done,
         Failed };
 
+    // Longest line before a chunk, and longest trailers, in bytes.
+    static constexpr std::size_t maxChunkLineBytes = std::size_t { 16 } * 1024;
+
     RequestReader(std::size_t maxHeadBytes, std::size_t maxBodyBytes);
 
+    // Removes empty lines before a request line. Nothing of a request has arrived if the buffer is empty afterwards.
+    static void skipEmptyLines(std::string& input);
+
     // Parses from the front of the buffer and removes what was consumed.
     State feed(std::string& input);
 
@@ -32,6 +38,8 @@
     std::string method() const { return std::string(m_parser.get().method_string()); }
     std::string target() const { return std::string(m_parser.get().target()); }
     HeaderFields fields() const;
+    // Bytes of the body: the stated length, or what has arrived of a chunked one. 0 before the head is complete.
+    std::size_t bodyBytes() const;
     // Moves the body out of the reader.
     std::string takeBody() { return std::move(m_parser.get().body()); }
 
@@ -39,9 +47,12 @@
     State fail(int status);
     State parseHead(std::string& input);
     State parseBody(std::string& input);
+    // Reserves the memory of a long chunked body at once, since growing in steps needs twice its size.
+    void reserveBody();
     bool hasUnambiguousFraming() const;
 
     std::size_t m_maxHeadBytes;
+    std::size_t m_maxBodyBytes;
     State m_state = State::NeedsHead;
     int m_errorStatus = 0;
     boost::beast::http::request_parser<boost::beast::http::string_body> m_parser;
--- a/src/edge/traffic_state.h
+++ b/src/edge/traffic_state.h
@@ -44,6 +44,8 @@
     // A session is active for this long after its last request.
     Milliseconds sessionIdleTimeout { 5000 };
     ServiceRetryBudgetSettings retryBudget;
+    // Memory that the process may have; 0 if no limit is known.
+    std::int64_t memoryLimitBytes = 0;
 };
 
 class TrafficState {
@@ -155,7 +157,9 @@
     EventLoop& loop() { return m_loop; }
     UpstreamBalancer& balancer() { return m_balancer; }
     ConnectionPool& connections() { return m_connections; }
-    // Memory of the response bodies and incomplete events that are buffered.
+    // Memory of all that this instance holds for callers and upstreams.
+    const std::shared_ptr<InstanceMemory>& memory() const { return m_memory; }
+    // Memory of the response bodies and incomplete events that are buffered; a part of the former.
     BodyMemory& bodyMemory() { return m_bodyMemory; }
     CrashGuard& crashes() { return m_crashes; }
     EdgeMetrics& metrics() { return m_metrics; }
@@ -191,6 +195,7 @@
     RelayChoice m_relays;
     std::function<void()> m_onSuspectedLinks;
     ConnectionPool m_connections;
+    std::shared_ptr<InstanceMemory> m_memory;
     BodyMemory m_bodyMemory;
     CrashGuard m_crashes;
     PromptPartGuard m_promptParts;
