Tests of limits on connections that wait, of refusals, and of crowds that hold memory or descriptors

Cause: the floods show memory and descriptors of whole processes; what a single caller sees was not tested. The server of the test takes limits that change, and budgets.

--- a/test/correctness/caller_connection_test.cpp
+++ b/test/correctness/caller_connection_test.cpp
@@ -7,6 +7,7 @@
 
 #include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
+#include <absl/strings/str_replace.h>
 #include <atomic>
 #include <catch2/catch.hpp>
 #include <future>
@@ -25,12 +26,16 @@
 // A server on a loopback port with its own thread.
 class Server {
 public:
-    explicit Server(RequestHandler handler, CallerLimits limits = {})
-        : m_state(std::make_shared<ServerState>())
+    // `memory` and `descriptors` bound what the connections may take together; 0 sets no bound.
+    explicit Server(RequestHandler handler, CallerLimits limits = {}, std::size_t memory = 0, std::int64_t descriptors = 0)
+        : m_limits(limits)
+        , m_state(std::make_shared<ServerState>())
         , m_port(freePort())
     {
         m_state->handler = std::move(handler);
-        m_state->limits = [limits] { return limits; };
+        m_state->limits = [this] { return m_limits; };
+        m_state->memory = std::make_shared<InstanceMemory>(memory);
+        m_state->descriptors = DescriptorBudget(descriptors);
         m_listener = std::make_unique<HttpListener>(m_loop, absl::StrCat("127.0.0.1:", m_port), m_state);
         m_thread = std::thread([this] { runLoop(m_loop, "server"); });
     }
@@ -60,12 +65,35 @@
     // Requests that a handler is serving.
     std::int64_t requests()
     {
-        std::promise<std::int64_t> result;
-        asio::post(m_loop, [&] { result.set_value(m_state->requests); });
-        return result.get_future().get();
+        return read([](const ServerState& state) { return state.requests; });
+    }
+    std::int64_t connections()
+    {
+        return read([](const ServerState& state) { return state.connections; });
+    }
+    std::size_t heldMemory()
+    {
+        return read([](const ServerState& state) { return state.memory->held(); });
+    }
+    // Replaces the limits, as a new version of the configuration does.
+    void setLimits(const CallerLimits& limits)
+    {
+        read([&](ServerState& state) {
+            m_limits = limits;
+            state.applyLimits();
+            return true;
+        });
     }
 
 private:
+    // Calls the function on the thread of the server.
+    template <typename Function>
+    std::invoke_result_t<Function, ServerState&> read(Function function)
+    {
+        std::promise<std::invoke_result_t<Function, ServerState&>> result;
+        asio::post(m_loop, [&] { result.set_value(function(*m_state)); });
+        return result.get_future().get();
+    }
     static int freePort()
     {
         EventLoop loop;
@@ -73,6 +101,7 @@
     }
 
     EventLoop m_loop { 1 };
+    CallerLimits m_limits;
     std::shared_ptr<ServerState> m_state;
     int m_port;
     std::unique_ptr<HttpListener> m_listener;
@@ -413,3 +442,214 @@
     Server server(handler, { .maxHeaderBytes = bytes, .maxBodyBytes = bytes });
     CHECK(absl::StartsWith(server.request("/x"), "HTTP/1.1 200"));
 }
+
+namespace {
+
+Awaitable<void> respondOk(std::shared_ptr<CallerConnection> connection, ReceivedRequest)
+{
+    EdgeResponse response { .status = 200 };
+    co_await connection->respond(std::move(response));
+}
+
+std::string postBytes(std::size_t bodyBytes, std::size_t sentBytes)
+{
+    return absl::StrCat("POST /x HTTP/1.1\r\nHost: x\r\nContent-Length: ", bodyBytes, "\r\n\r\n", std::string(sentBytes, 'x'));
+}
+std::string postBytes(std::size_t bodyBytes) { return postBytes(bodyBytes, bodyBytes); }
+
+bool isRefused(const std::string& response) { return absl::StartsWith(response, "HTTP/1.1 503") && absl::StrContains(response, "Retry-After: 0.2\r\n") && absl::StrContains(response, "Connection: close"); }
+
+}
+
+// Guards against callers that are treated by limits which are no longer in force, because their connections were open before.
+TEST_CASE("new limits hold for connections that wait")
+{
+    constexpr std::size_t callers = 20;
+    constexpr CallerLimits earlier { .maxHeaderBytes = 400, .maxBodyBytes = 400, .idleTimeout = 500ms };
+    Server server(respondOk, earlier);
+    std::vector<std::unique_ptr<RawConnection>> connections;
+    for (std::size_t n = 0; n < callers; ++n) {
+        connections.push_back(server.connect());
+        connections.back()->write("GET /x HTTP/1.1\r\nHost: x\r\n\r\n");
+        REQUIRE(absl::StartsWith(connections.back()->readResponse(2s), "HTTP/1.1 200"));
+    }
+    auto limits = earlier;
+    auto countStatus = [&](const std::string& status, const std::string& request) {
+        std::size_t count = 0;
+        for (auto& it : connections) {
+            it->write(request);
+            count += absl::StartsWith(it->readResponse(2s), "HTTP/1.1 " + status) ? 1 : 0;
+        }
+        return count;
+    };
+    auto longHead = absl::StrCat("GET /x HTTP/1.1\r\nHost: x\r\nX-Filler: ", std::string(500, 'x'), "\r\n\r\n");
+    SECTION("a longer body is accepted")
+    {
+        limits.maxBodyBytes = 4000;
+        server.setLimits(limits);
+        CHECK(countStatus("200", postBytes(3000)) == callers);
+    }
+    SECTION("a body that is too long now is refused")
+    {
+        limits.maxBodyBytes = 100;
+        server.setLimits(limits);
+        CHECK(countStatus("413", postBytes(300)) == callers);
+    }
+    SECTION("a longer head is accepted")
+    {
+        limits.maxHeaderBytes = 4000;
+        server.setLimits(limits);
+        CHECK(countStatus("200", longHead) == callers);
+    }
+    SECTION("a head that is too long now is refused")
+    {
+        limits.maxHeaderBytes = 100;
+        server.setLimits(limits);
+        CHECK(countStatus("431", "GET /x HTTP/1.1\r\nHost: x\r\nX-Filler: " + std::string(100, 'x') + "\r\n\r\n") == callers);
+    }
+    // Of 20 connections that had waited across such a change, all were closed at the old limit.
+    SECTION("connections that may be idle for longer are kept for longer")
+    {
+        limits.idleTimeout = 15s;
+        server.setLimits(limits);
+        std::this_thread::sleep_for(4s);
+        CHECK(countStatus("200", "GET /x HTTP/1.1\r\nHost: x\r\n\r\n") == callers);
+    }
+    SECTION("connections that may be idle for less are closed earlier")
+    {
+        limits.idleTimeout = 15s;
+        server.setLimits(limits);
+        std::this_thread::sleep_for(100ms);
+        server.setLimits(earlier);
+        CHECK(waitUntil(5s, [&] { return server.connections() == 0; }));
+    }
+}
+
+// Guards against a refusal that is lost, because the connection was reset while the caller still sent its body.
+TEST_CASE("a refusal reaches a caller that still sends its body")
+{
+    constexpr std::size_t longBytes = std::size_t { 4 } << 20;
+    constexpr int rounds = 20;
+    constexpr std::size_t memory = std::size_t { 6 } << 20;
+    Server server(respondOk, { .maxBodyBytes = longBytes }, memory);
+    auto holder = server.connect();
+    holder->write(postBytes(longBytes, 1));
+    REQUIRE(waitUntil(2s, [&] { return server.heldMemory() > longBytes; }));
+
+    SECTION("because the instance has no memory, also if the caller reads only after it has sent all")
+    {
+        int refused = 0;
+        for (int n = 0; n < rounds; ++n) {
+            auto connection = server.connect();
+            connection->write(postBytes(longBytes));
+            refused += isRefused(connection->readResponse(2s)) ? 1 : 0;
+        }
+        CHECK(refused == rounds);
+        SECTION("and the body that was accepted first is served")
+        {
+            holder->write(std::string(longBytes - 1, 'x'));
+            CHECK(absl::StartsWith(holder->readResponse(2s), "HTTP/1.1 200"));
+        }
+        SECTION("and after the first has left, another one is accepted")
+        {
+            holder->reset();
+            REQUIRE(waitUntil(2s, [&] { return server.heldMemory() < longBytes; }));
+            auto connection = server.connect();
+            connection->write(postBytes(longBytes));
+            CHECK(absl::StartsWith(connection->readResponse(2s), "HTTP/1.1 200"));
+        }
+    }
+    SECTION("because the body is too long")
+    {
+        int refused = 0;
+        for (int n = 0; n < rounds; ++n) {
+            auto connection = server.connect();
+            connection->write(postBytes(longBytes + 1));
+            refused += absl::StartsWith(connection->readResponse(2s), "HTTP/1.1 413") ? 1 : 0;
+        }
+        CHECK(refused == rounds);
+    }
+    SECTION("before it has sent any of it")
+    {
+        auto connection = server.connect();
+        connection->write(postBytes(longBytes, 0));
+        CHECK(isRefused(connection->readResponse(2s)));
+    }
+    SECTION("and the connection of one that sends on is closed")
+    {
+        auto connection = server.connect();
+        connection->write(postBytes(longBytes, 0));
+        std::size_t sent = 0;
+        auto block = std::string(64 * 1024, 'x');
+        while (sent < 16 * longBytes && connection->write(block))
+            sent += block.size();
+        CHECK(sent < 16 * longBytes);
+    }
+    SECTION("and the connection of one that does nothing is closed")
+    {
+        auto connection = server.connect();
+        connection->write(postBytes(longBytes, 0));
+        CHECK(waitUntil(5s, [&] { return server.connections() == 1; }));
+    }
+}
+
+// Guards against a crowd with requests that stay incomplete, which keeps all others out.
+TEST_CASE("small requests are served although a crowd holds the memory")
+{
+    constexpr std::size_t memory = std::size_t { 2 } << 20;
+    constexpr std::size_t crowd = 64;
+    constexpr std::size_t bodyBytes = 60'000;
+    Server server(respondOk, {}, memory);
+    std::vector<std::unique_ptr<RawConnection>> connections;
+    SECTION("with small bodies that do not end")
+    {
+        for (std::size_t n = 0; n < crowd; ++n) {
+            connections.push_back(server.connect());
+            connections.back()->write(postBytes(bodyBytes, bodyBytes - 1));
+        }
+        REQUIRE(waitUntil(2s, [&] { return server.heldMemory() > memory / 2; }));
+        CHECK(waitUntil(10s, [&] { return absl::StartsWith(server.request("/x"), "HTTP/1.1 200"); }));
+    }
+    SECTION("with one long body that does not end")
+    {
+        auto holder = server.connect();
+        holder->write(postBytes(2 * memory, 1));
+        REQUIRE(waitUntil(2s, [&] { return server.heldMemory() > 2 * memory; }));
+        CHECK(waitUntil(10s, [&] { return absl::StartsWith(server.request("/x"), "HTTP/1.1 200"); }));
+    }
+    CHECK(server.heldMemory() < 3 * memory);
+}
+
+// Guards against idle connections that take the descriptors which requests need.
+TEST_CASE("connections beyond the descriptors take the place of those that have waited longest")
+{
+    constexpr std::int64_t descriptors = 12;
+    Server server(respondOk, {}, 0, descriptors);
+    std::vector<std::unique_ptr<RawConnection>> connections;
+    for (int n = 0; n < 3 * descriptors; ++n) {
+        connections.push_back(server.connect());
+        // Each is served, and then waits.
+        connections.back()->write("GET /x HTTP/1.1\r\nHost: x\r\n\r\n");
+        REQUIRE(absl::StartsWith(connections.back()->readResponse(2s), "HTTP/1.1 200"));
+    }
+    CHECK(server.connections() <= descriptors);
+    CHECK(connections.front()->isClosedWithin(2s));
+    connections.back()->write("GET /x HTTP/1.1\r\nHost: x\r\n\r\n");
+    CHECK(absl::StartsWith(connections.back()->readResponse(2s), "HTTP/1.1 200"));
+}
+
+TEST_CASE("chunk lines and trailers of a request are bounded")
+{
+    Server server(respondOk);
+    auto statusAfter = [&](const std::string& body) {
+        auto connection = server.connect();
+        connection->write("POST /x HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n" + body);
+        return statusOf(connection->readResponse(2s));
+    };
+    auto filler = [](std::size_t bytes) { return std::string(bytes, 'x'); };
+    CHECK(statusAfter("4;name=" + filler(8000) + "\r\nbody\r\n0\r\n\r\n") == 200);
+    CHECK(statusAfter("4\r\nbody\r\n0\r\nX-Filler: " + filler(8000) + "\r\n\r\n") == 200);
+    CHECK(statusAfter("4;name=" + filler(20000)) == 400);
+    CHECK(statusAfter("4\r\nbody\r\n0\r\nX-Filler: " + filler(20000)) == 400);
+    CHECK(statusAfter("4\r\nbody\r\n0\r\n" + absl::StrReplaceAll(filler(2000), { { "x", "X-A: 12345\r\n" } })) == 400);
+}
