--- a/src/config/edge_settings.h
+++ b/src/config/edge_settings.h
@@ -33,8 +33,8 @@
     double drainLimitMs = 2000;
     // Part of a processor core that this instance has. Instances with more relay for the others of their domain in a large site.
     double cpuCores = 1;
-    // Memory above which the platform kills the process, and descriptors that it may have open; 0 if no limit is known. They are
-    // for the log and the metrics only.
+    // Memory above which the platform kills the process, and descriptors that it may have open; 0 if no limit is known. What is held
+    // for callers follows from them.
     double memoryLimitMb = 0;
     double descriptorLimit = 0;
     // Time from SIGTERM until the platform kills the process.
