A response whose connection is lost while the request is sent is not whole

Cause: the kernel reports the loss of a connection once.

Change: the connection keeps what the write learned, and an end of the stream after a loss is Closed. A broken pipe is no loss: the peer had ended its stream in order before it refused the rest of the request. Streams and relays by way of a peer read through the same connection. An upstream that crashes with nothing unread ends its stream in order; such an end of a response without a length still cannot be told from a whole one.

RawConnection, a fake, learns to end only its own side of the stream.

--- a/src/edge/upstream_connection.cpp
+++ b/src/edge/upstream_connection.cpp
@@ -89,6 +89,7 @@
     if (body)
         buffers.push_back(asio::buffer(*body));
     auto n = co_await asio::async_write(m_socket, buffers, asio::redirect_error(asio::use_awaitable, ec));
+    m_sendError = ec;
     if (ec && n == 0)
         m_isUnusable = true;
     co_return !ec || n > 0;
@@ -102,6 +103,7 @@
         buffers.push_back(asio::buffer(*body));
     co_await asio::async_write(self->m_socket, buffers, asio::redirect_error(asio::use_awaitable, ec));
     self->m_isSending = false;
+    self->m_sendError = ec;
     // The peer may have responded nevertheless; readHead() will tell.
     if (ec)
         self->m_isUnusable = true;
@@ -202,7 +204,7 @@
         co_return TransferEnd::TimedOut;
     }
     // A response without a stated length ends with a clean close; the parser reports an error if it had a length.
-    if (ec == asio::error::eof && m_parser->got_some()) {
+    if (ec == asio::error::eof && m_parser->got_some() && !wasLostWhileSending()) {
         m_parser->put_eof(ec);
         m_isUnusable = true;
         co_return ec ? TransferEnd::Closed : TransferEnd::Ok;
@@ -210,6 +212,13 @@
     co_return TransferEnd::Closed;
 }
 
+bool UpstreamConnection::wasLostWhileSending() const
+{
+    // A broken pipe means that the peer had ended its stream in order before it refused the rest of the request. An expired deadline
+    // cancels the write as well.
+    return m_sendError && m_sendError != asio::error::broken_pipe && m_sendError != asio::error::operation_aborted;
+}
+
 void UpstreamConnection::setDeadline(Milliseconds time)
 {
     if (time > Milliseconds(0)) {
--- a/src/edge/upstream_connection.h
+++ b/src/edge/upstream_connection.h
@@ -87,6 +87,9 @@
     using Parser = boost::beast::http::response_parser<AppendedBody>;
 
     Awaitable<TransferEnd> readOrParse();
+    // Whether the connection was lost while the request was sent. An error of the socket is reported once; if the write gets it, the
+    // read sees no more than the end of the stream.
+    bool wasLostWhileSending() const;
     // Closes the connection because there is no memory for the body, and returns Malformed.
     TransferEnd rejectForMemory(bool hasLength);
     void onDeadline();
@@ -109,6 +112,7 @@
     std::string m_malformedCause;
     bool m_lacksMemory = false;
     bool m_isSending = false;
+    boost::system::error_code m_sendError;
     bool m_isUnusable = false;
 };
 
--- a/test/correctness/edge_cut_response_test.cpp
+++ b/test/correctness/edge_cut_response_test.cpp
@@ -3,9 +3,12 @@
 #include "edge/upstream_connection.h"
 #include "fakes/cut_responses.h"
 
+#include <absl/strings/str_cat.h>
 #include <catch2/catch.hpp>
+#include <thread>
 
 using namespace skylarkhitch;
+using namespace std::chrono_literals;
 using standin::Close;
 using standin::CuttingServer;
 
@@ -20,28 +23,41 @@
     bool isWhole() const { return head == TransferEnd::Ok && body == TransferEnd::Ok; }
 };
 
-Awaitable<void> exchange(EventLoop& loop, const std::string& address, Received& received)
+// More than sockets buffer, so that it is still being sent while the response is read.
+constexpr std::size_t longBodyBytes = std::size_t { 32 } << 20;
+
+// Sends a request, with a body of this size if that is not 0, and reads the response.
+Awaitable<void> exchange(EventLoop& loop, const std::string& address, std::size_t bodyBytes, Received& received)
 {
     auto connection = std::make_shared<UpstreamConnection>(loop);
     connection->setDeadline(Milliseconds(5000));
-    if (!co_await connection->open(address, Milliseconds(1000)) || !co_await connection->send("GET / HTTP/1.1\r\nHost: x\r\n\r\n", nullptr))
+    std::shared_ptr<const std::string> body;
+    std::string request = "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
+    if (bodyBytes > 0) {
+        request = absl::StrCat("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: ", bodyBytes, "\r\n\r\n");
+        body = std::make_shared<const std::string>(bodyBytes, 'x');
+    }
+    if (!co_await connection->open(address, Milliseconds(1000)))
+        co_return;
+    connection->setDeadline(Milliseconds(5000));
+    if (!co_await connection->send(request, body))
         co_return;
     ResponseHead head;
     received.head = co_await connection->readHead(head);
     received.status = head.status;
     if (received.head != TransferEnd::Ok)
         co_return;
-    auto body = co_await connection->readWholeBody(1 << 20);
-    received.body = body.end;
-    received.bytes = body.bytes;
+    auto whole = co_await connection->readWholeBody(1 << 20);
+    received.body = whole.end;
+    received.bytes = whole.bytes;
     connection->close();
 }
 
-Received receive(const std::string& address)
+Received receive(const std::string& address, std::size_t bodyBytes = 0)
 {
     EventLoop loop;
     Received received;
-    spawn(loop, exchange(loop, address, received), "exchange");
+    spawn(loop, exchange(loop, address, bodyBytes, received), "exchange");
     loop.run();
     return received;
 }
@@ -78,3 +94,48 @@
         }
     }
 }
+
+// Guards against half a response that counts as a whole one: the request is still being sent when the connection is lost, so that the
+// write learns of it, and the read sees no more than the end of the stream.
+TEST_CASE("an entry instance takes no response for a whole one whose connection is lost while the request is sent")
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n";
+    std::function<void(standin::RawConnection&)> end;
+    // Does not read the body.
+    standin::LoopbackListener upstream([&](int fd) {
+        standin::RawConnection connection(fd);
+        connection.readUntil([](const std::string& in) { return in.find("\r\n\r\n") != std::string::npos; });
+        connection.write(head + "half");
+        std::this_thread::sleep_for(200ms);
+        end(connection);
+    });
+    const auto address = absl::StrCat("127.0.0.1:", upstream.port());
+
+    SECTION("the upstream is killed")
+    {
+        end = [](auto& connection) { connection.reset(); };
+        auto received = receive(address, longBodyBytes);
+        CHECK(received.status == 200);
+        CHECK(received.bytes == "half");
+        CHECK(received.body == TransferEnd::Closed);
+    }
+    SECTION("the upstream is stopped until the connection times out")
+    {
+        end = [](auto&) { std::this_thread::sleep_for(4s); };
+        auto received = receive(address, longBodyBytes);
+        CHECK(received.status == 200);
+        CHECK(received.body == TransferEnd::Closed);
+    }
+    // A refusal may end before the request was read.
+    SECTION("but an upstream that ends its response in order has sent all of it")
+    {
+        end = [](auto& connection) {
+            connection.write(" and half");
+            connection.endWriting();
+            std::this_thread::sleep_for(300ms);
+        };
+        auto received = receive(address, longBodyBytes);
+        CHECK(received.isWhole());
+        CHECK(received.bytes == "half and half");
+    }
+}
--- a/test/correctness/request_relay_test.cpp
+++ b/test/correctness/request_relay_test.cpp
@@ -26,7 +26,7 @@
         , m_traffic(m_loop, TrafficSettings { .instance = { "edge-1" } }, m_metrics)
     {
         auto state = std::make_shared<ServerState>();
-        state->limits = [] { return CallerLimits {}; };
+        state->limits = [] { return CallerLimits { .maxBodyBytes = std::size_t { 64 } << 20 }; };
         state->handler = [this](std::shared_ptr<CallerConnection> caller, ReceivedRequest request) { return serve(std::move(caller), std::move(request)); };
         EventLoop probe;
         m_port = asio::ip::tcp::acceptor(probe, tcpEndpoint("127.0.0.1:0")).local_endpoint().port();
@@ -39,11 +39,11 @@
         m_thread.join();
     }
 
-    std::string send(const std::string& fields = {}) const
+    std::string send(const std::string& fields = {}, const std::string& body = {}) const
     {
         auto connection = RawConnection::connect(m_port);
         REQUIRE(connection);
-        connection->write(absl::StrCat("GET /a?b HTTP/1.1\r\nHost: x\r\nX-Attempt-Id: id-1\r\nX-Deadline-Ms: 9000\r\n", fields, "\r\n"));
+        connection->write(absl::StrCat(body.empty() ? "GET" : "POST", " /a?b HTTP/1.1\r\nHost: x\r\nX-Attempt-Id: id-1\r\nX-Deadline-Ms: 9000\r\n", fields, body.empty() ? "" : absl::StrCat("Content-Length: ", body.size(), "\r\n"), "\r\n", body));
         return connection->readResponse(3s);
     }
 
@@ -57,6 +57,10 @@
         auto end = co_await relay.sendTo(peer, m_terms);
         if (end == RequestRelay::End::Answered)
             co_return;
+        if (caller->hasStartedResponse()) {
+            caller->abort();
+            co_return;
+        }
         EdgeResponse response { .status = endStatus + static_cast<int>(end) };
         co_await caller->respond(std::move(response));
     }
@@ -147,3 +151,31 @@
     CHECK(std::stoi(received.field("X-Deadline-Ms")) <= 2000);
     CHECK(std::count_if(received.fields.begin(), received.fields.end(), [](const auto& it) { return it.name == "X-Model-Name" || it.name == "Last-Event-Id"; }) == 2);
 }
+
+// Guards against half a response that a caller gets as a whole one: the peer is lost while the request is still being sent to it.
+TEST_CASE("a peer that is lost while a long request is sent to it has not answered")
+{
+    // More than sockets buffer.
+    const std::string body(std::size_t { 32 } << 20, 'x');
+    std::string response;
+    LoopbackListener peer([&](int fd) {
+        RawConnection connection(fd);
+        connection.readUntil([](const std::string& in) { return absl::StrContains(in, "\r\n\r\n"); });
+        connection.write(response);
+        std::this_thread::sleep_for(200ms);
+        connection.reset();
+    });
+    Relaying relaying(absl::StrCat("127.0.0.1:", peer.port()), { .timeLeft = 3000ms });
+    SECTION("before the end of its response")
+    {
+        response = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhalf";
+        CHECK(statusOf(relaying.send({}, body)) == statusFor(RequestRelay::End::Lost));
+    }
+    SECTION("between two events of its response")
+    {
+        response = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\nid: 1\ndata: a\n\n";
+        auto received = relaying.send({}, body);
+        CHECK(absl::StrContains(received, "data: a"));
+        CHECK_FALSE(absl::EndsWith(received, "0\r\n\r\n"));
+    }
+}
--- a/test/fakes/loopback_server.cpp
+++ b/test/fakes/loopback_server.cpp
@@ -151,6 +151,8 @@
     return !m_open;
 }
 
+void RawConnection::endWriting() { ::shutdown(m_fd, SHUT_WR); }
+
 void RawConnection::reset()
 {
     linger resetOnClose { 1, 0 };
--- a/test/fakes/loopback_server.h
+++ b/test/fakes/loopback_server.h
@@ -52,6 +52,8 @@
     std::string readResponse(std::chrono::milliseconds time = std::chrono::seconds(5));
     // Returns whether the peer closes the connection within the time.
     bool isClosedWithin(std::chrono::milliseconds);
+    // Ends the stream of what this side sends (TCP FIN).
+    void endWriting();
     // Resets the connection (TCP RST).
     void reset();
     // Shuts down both directions, which ends a read in progress on another thread.
