A request that is turned away as misdirected casts doubt only where another upstream accepts it

Cause: a 421 ended the process of the upstream that sent it, for good, since another one was taken to have its address.

Change: core/routing/upstream_doubts. A response that names another upstream still ends the process; one that names the upstream that was asked shows that the request is at fault. One that names nobody casts doubt on its upstream only once another one has accepted the same request; the doubt lasts 2 s, twice as long each further time up to 30 s, and ends with the next request that the upstream accepts. At most a quarter of the upstreams (or one) is avoided, and none if no other is left. The caller of a request that nobody accepts gets 421 (misdirected_request) in place of 429. The new log line is upstream_doubted.

Measured: of 50 sound requests after one such request, 50 were refused before (test_upstream_signals on, for responses that name their upstream and for those that do not) and 0 are now; also with ten such requests between them. An address that turns all away is asked once in 50 requests.

--- a/src/core/error_kind.cpp
+++ b/src/core/error_kind.cpp
@@ -39,6 +39,7 @@
         ErrorInfo { ErrorKind::PromptPartQuarantined, "prompt_part_quarantined", 503, 0ms },
         ErrorInfo { ErrorKind::UpstreamLimitReached, "upstream_limit_reached", 429, 1000ms },
         ErrorInfo { ErrorKind::UpstreamsPaused, "upstreams_paused", 503, 1000ms },
+        ErrorInfo { ErrorKind::MisdirectedRequest, "misdirected_request", 421, 1000ms },
         ErrorInfo { ErrorKind::EditConflict, "edit_conflict", 409, 0ms },
         ErrorInfo { ErrorKind::NotConfigured, "not_configured", 503, 2000ms },
         ErrorInfo { ErrorKind::Internal, "internal", 500, 0ms },
--- a/src/core/error_kind.h
+++ b/src/core/error_kind.h
@@ -60,6 +60,8 @@
     UpstreamLimitReached,
     // All upstreams for the request want nothing for a while.
     UpstreamsPaused,
+    // No upstream that was asked has what the request asks for.
+    MisdirectedRequest,
     // An edit of the configuration is not based on the current revision.
     EditConflict,
     // No configuration is known yet.
--- a/src/core/requests/upstream_response.h
+++ b/src/core/requests/upstream_response.h
@@ -25,8 +25,10 @@
     RequestId answeredRequest;
     // The upstream guarantees that it did not start executing the request.
     bool notRun = false;
-    // The address now belongs to another upstream, which did not execute the request.
-    bool wrongInstance = false;
+    // Whoever answered is not the upstream that the request names, or does not have what it asks for, and did not execute it.
+    bool isMisdirected = false;
+    // Who answered; empty if not reported.
+    std::optional<UpstreamId> answeringUpstream;
     bool isEventStream = false;
     // How long the upstream keeps an idle connection open; empty if not reported.
     std::optional<Seconds> keepAliveTimeout;
--- a/src/core/routing/upstream_registry.h
+++ b/src/core/routing/upstream_registry.h
@@ -35,8 +35,8 @@
 // Identifies one process of an upstream, so that what is known of it does not apply to a later one.
 std::string processName(const UpstreamEntry&);
 
-// Incarnations of upstreams that must get no more work even if their entries are still present, because another upstream
-// responded at their address. Ending one also ends the earlier incarnations with the same id. Later incarnations with the same
+// Incarnations of upstreams that must get no more work even if their entries are still present, because they leave or another upstream
+// named itself at their address. Ending one also ends the earlier incarnations with the same id. Later incarnations with the same
 // id are not affected.
 class EndedIncarnations {
 public:
--- a/src/edge/request_context.h
+++ b/src/edge/request_context.h
@@ -34,6 +34,10 @@
     std::int64_t deliveredAttempts = 0;
     // Attempts in which the request ran or may have run, including those that are under way once they are sent.
     std::int64_t possibleRuns = 0;
+    // Attempts that were turned away as misdirected, unless the address turned out to be another upstream's.
+    std::int64_t misdirections = 0;
+    // The upstreams among them that did not say who they are, until another one accepts the request.
+    std::vector<UpstreamEntry> misdirectedBy;
     // Set if there are upstreams for the request, but the limits that they state leave no room for it: the time until one has.
     std::optional<Milliseconds> limitedFor;
     // Set if there are upstreams for the request, but all of them want nothing for now: the time until the first one does.
--- a/src/edge/request_outcome.cpp
+++ b/src/edge/request_outcome.cpp
@@ -108,6 +108,8 @@
         return ErrorKind::DeadlineExceeded;
     if (end == AttemptEnd::NotSent)
         return ErrorKind::NoHealthyUpstream;
+    if (end == AttemptEnd::RefusedNotRun && m_request.misdirections == m_request.deliveredAttempts)
+        return ErrorKind::MisdirectedRequest;
     if (end == AttemptEnd::RefusedNotRun)
         return m_request.pausedFor ? ErrorKind::UpstreamsPaused : ErrorKind::Overloaded;
     return ErrorKind::UpstreamFailed;
--- a/src/edge/traffic_state.cpp
+++ b/src/edge/traffic_state.cpp
@@ -384,6 +384,7 @@
     m_limits.assignShares(now);
     announceLimits();
     m_pauses.forget(now);
+    m_doubts.forget(now);
     m_promptParts.forget(now);
     evaluateCrashes(now);
     m_brokenResponses.forget(now - brokenResponseRetention);
--- a/src/edge/traffic_state.h
+++ b/src/edge/traffic_state.h
@@ -13,6 +13,7 @@
 #include "core/routing/link_monitor.h"
 #include "core/routing/relay_choice.h"
 #include "core/routing/upstream_balancer.h"
+#include "core/routing/upstream_doubts.h"
 #include "edge/connection_pool.h"
 #include "edge/edge_metrics.h"
 #include "edge/fleet_view.h"
@@ -95,6 +96,8 @@
     // Removes the upstreams that want nothing for now. Returns the time until the first of them does if none is left.
     std::optional<Milliseconds> removePaused(std::vector<const UpstreamEntry*>&, TimePoint now) const;
     UpstreamPauses& pauses() { return m_pauses; }
+    // Upstreams whose address may belong to another one.
+    UpstreamDoubts& doubts() { return m_doubts; }
 
     // Adds a request to the base of the service's retry budget.
     void requestArrived(const ServiceId&, TimePoint now);
@@ -196,6 +199,7 @@
     PromptPartGuard m_promptParts;
     UpstreamLimits m_limits;
     UpstreamPauses m_pauses;
+    UpstreamDoubts m_doubts;
     struct ColdProcess {
         TimePoint until;
         double requestsPerSecond = 0;
--- a/src/edge/upstream_attempt.cpp
+++ b/src/edge/upstream_attempt.cpp
@@ -112,9 +112,8 @@
         bool namesOther = response.answeredRequest != request.admitted.request.id && !(response.notRun && response.answeredRequest.empty());
         if (namesOther)
             co_return toAttemptEnd(connection->reject("response to another request"));
-        if (response.wrongInstance)
-            traffic.endedIncarnations().end(upstream);
-        else {
+        recordMisdirection(request, attempt, response);
+        if (!mayBeFromOther(response, upstream)) {
             traffic.recordRunning(processName(upstream), attempt.sentAt);
             recordLimit(request, upstream, response);
         }
--- a/src/edge/upstream_evidence.cpp
+++ b/src/edge/upstream_evidence.cpp
@@ -72,11 +72,39 @@
     traffic.recordAnswer(processName(upstream), attempt.sentAt);
 }
 
+bool mayBeFromOther(const UpstreamResponse& response, const UpstreamEntry& upstream)
+{
+    auto misdirection = misdirectionOf(response, upstream.id);
+    return misdirection == Misdirection::Address || misdirection == Misdirection::Unknown;
+}
+
+void recordMisdirection(RequestContext& request, const UpstreamAttempt& attempt, const UpstreamResponse& response)
+{
+    const auto& upstream = attempt.upstream;
+    auto misdirection = misdirectionOf(response, upstream.id);
+    if (misdirection == Misdirection::Address) {
+        request.traffic.endedIncarnations().end(upstream);
+        return;
+    }
+    if (misdirection != Misdirection::None)
+        ++request.misdirections;
+    if (misdirection == Misdirection::Unknown)
+        request.misdirectedBy.push_back(upstream);
+    // One that names itself has kept its address.
+    if (!response.notRun || misdirection == Misdirection::Request)
+        request.traffic.doubts().accepted(processName(upstream), attempt.sentAt);
+    if (response.notRun)
+        return;
+    for (const auto& it : std::exchange(request.misdirectedBy, {})) {
+        if (request.traffic.doubts().record(processName(it), bootNow()))
+            LogLine(LogLevel::Info, "upstream_doubted").with("id", request.id()).with("upstream", it.id.value).with("born", it.born).with("accepted_by", upstream.id.value);
+    }
+}
+
 void recordWishes(RequestContext& request, const UpstreamEntry& upstream, const UpstreamResponse& response)
 {
     auto& traffic = request.traffic;
-    // Another upstream answered, so what it says of itself does not concern this one.
-    if (response.wrongInstance)
+    if (mayBeFromOther(response, upstream))
         return;
     if (response.isLeaving && !traffic.endedIncarnations().contains(upstream)) {
         traffic.endedIncarnations().end(upstream);
--- a/src/edge/upstream_evidence.h
+++ b/src/edge/upstream_evidence.h
@@ -8,6 +8,10 @@
 
 void recordUpstreamFailure(RequestContext&, const UpstreamAttempt&, AttemptEnd);
 void recordUpstreamSuccess(RequestContext&, const UpstreamAttempt&);
+// Whether another upstream may have sent the response, so that what it says of itself does not concern this one.
+bool mayBeFromOther(const UpstreamResponse&, const UpstreamEntry&);
+// Records whether the request was turned away as misdirected, and what that shows of this upstream and those that were asked before.
+void recordMisdirection(RequestContext&, const UpstreamAttempt&, const UpstreamResponse&);
 // Records that the upstream leaves or asks for time.
 void recordWishes(RequestContext&, const UpstreamEntry&, const UpstreamResponse&);
 void recordLimit(RequestContext&, const UpstreamEntry&, const UpstreamResponse&);
--- a/src/edge/upstream_selection.cpp
+++ b/src/edge/upstream_selection.cpp
@@ -21,6 +21,7 @@
         traffic.metrics().limitedChoice(!eligible.allowed.empty());
     if (eligible.allowed.empty() && !allowed.empty())
         request.limitedFor = traffic.timeToUnlimited(allowed, now);
+    traffic.doubts().avoid(eligible.allowed, request.triedUpstreams, now);
     return traffic.balancer().choose({ &admitted.request, eligible.service, eligible.allowed, &request.triedUpstreams, traffic.settings().domain, request.isProbe || traffic.promptParts().isSuspected(request.parts) }, now);
 }
 
--- a/test/correctness/platform_test.cpp
+++ b/test/correctness/platform_test.cpp
@@ -175,7 +175,13 @@
         CHECK_FALSE(decodeResponse(503, "", {}).notRun);
         auto other = decodeResponse(421, "", { { "X-Instance-Id", "i-2" } });
         CHECK(other.notRun);
-        CHECK(other.wrongInstance);
+        CHECK(other.isMisdirected);
+        CHECK(other.answeringUpstream == UpstreamId { "i-2" });
+        auto nameless = decodeResponse(421, "", {});
+        CHECK(nameless.notRun);
+        CHECK(nameless.isMisdirected);
+        CHECK_FALSE(nameless.answeringUpstream);
+        CHECK_FALSE(decodeResponse(503, "", { { "X-Not-Executed", "1" } }).isMisdirected);
     }
     SECTION("a request limit is decoded and not forwarded")
     {
--- a/test/processes/upstream_signals_test.cpp
+++ b/test/processes/upstream_signals_test.cpp
@@ -37,6 +37,79 @@
 
 }
 
+// Guards against a caller who takes all upstreams of a service out of use by asking for something that none of them has, and against an
+// address that is asked again and again although it is another upstream's now.
+TEST_CASE("a request that is turned away as misdirected harms no other request")
+{
+    Site site;
+    EdgeInstance instance("edge-1", site.store.address());
+    REQUIRE(waitUntil(5s, [&] { return instance.isReady(); }));
+    // Whether an upstream names itself as it turns a request away.
+    bool namesItself = false;
+    auto lacksModel = [&](const ScriptedUpstream& upstream) {
+        return [&](const RawRequest& request, RawConnection& connection) {
+            HeaderFields fields { { "X-Attempt-Id", request.field("X-Attempt-Id") } };
+            bool isMisdirected = request.field("X-Model-Name") == "unknown";
+            if (isMisdirected)
+                fields.push_back({ "X-Not-Executed", "1" });
+            if (isMisdirected && namesItself)
+                fields.push_back({ "X-Instance-Id", upstream.id() });
+            return connection.write(responseBytes(isMisdirected ? 421 : 200, "hello", fields));
+        };
+    };
+    auto askForUnknown = [&](const std::string& id) { return sendRequest(instance, requestBytes("GET", "/status/x", id, "X-Model-Name: unknown\r\n")); };
+    auto countBoth = [&] { return site.first.count() + site.second.count(); };
+
+    SECTION("although no upstream has what it asks for")
+    {
+        namesItself = GENERATE(false, true);
+        site.first.setScript(lacksModel(site.first));
+        site.second.setScript(lacksModel(site.second));
+        // Earlier requests fill the retry budget.
+        REQUIRE(sendMany(instance, "before-", 30, 200) == 30);
+        auto before = countBoth();
+        auto response = askForUnknown("odd");
+        CHECK(countBoth() == before + 2);
+        CHECK(sendMany(instance, "after-", 50, 200) == 50);
+        CHECK(statusOf(response) == 421);
+        CHECK(absl::StrContains(response, "Retry-After"));
+        REQUIRE(waitUntil(2s, [&] { return !instance.linesContaining("what=request id=odd").empty(); }));
+        CHECK(absl::StrContains(instance.linesContaining("what=request id=odd")[0], "error=misdirected_request"));
+        CHECK(instance.linesContaining("upstream_doubted").empty());
+        SECTION("and such requests come all the time")
+        {
+            for (int n = 0; n < 10; ++n) {
+                askForUnknown(absl::StrCat("odd-", n));
+                CHECK(sendMany(instance, absl::StrCat("between-", n, "-"), 5, 200) == 5);
+            }
+            CHECK(instance.linesContaining("upstream_doubted").empty());
+        }
+    }
+    SECTION("but the address of an upstream that turns away what another one accepts is avoided")
+    {
+        site.first.setScript(respondWithFields(421, { { "X-Not-Executed", "1" } }));
+        CHECK(sendMany(instance, "a-", 50, 200) == 50);
+        CHECK(site.first.count() == 1);
+        CHECK(instance.linesContaining("upstream_doubted").size() == 1);
+        SECTION("until it may be asked again")
+        {
+            site.first.setScript(respondWithFields(200, {}));
+            std::this_thread::sleep_for(2100ms);
+            CHECK(sendMany(instance, "b-", 20, 200) == 20);
+            CHECK(site.first.count() > 1);
+        }
+    }
+    SECTION("and an upstream in doubt is asked if no other is left")
+    {
+        site.first.setScript(respondWithFields(421, { { "X-Not-Executed", "1" } }));
+        CHECK(sendMany(instance, "a-", 20, 200) == 20);
+        site.first.setScript(respondWithFields(200, {}));
+        site.store.remove("servers/i-2");
+        REQUIRE(waitUntil(2s, [&] { return !instance.linesContaining("upstream_removed").empty(); }));
+        CHECK(sendMany(instance, "b-", 20, 200) == 20);
+    }
+}
+
 // Guards against requests at an upstream that empties itself and whose entry in the store says nothing of it.
 TEST_CASE("an upstream that says it leaves gets nothing more")
 {
