--- a/src/core/error_kind.h
+++ b/src/core/error_kind.h
@@ -62,6 +62,8 @@
     UpstreamsPaused,
     // This instance has no memory or no descriptors left for the request.
     InstanceExhausted,
+    // No upstream that was asked has what the request asks for.
+    MisdirectedRequest,
     // An edit of the configuration is not based on the current revision.
     EditConflict,
     // No configuration is known yet.
--- a/src/edge/traffic_state.h
+++ b/src/edge/traffic_state.h
@@ -14,6 +14,7 @@
 #include "core/routing/link_monitor.h"
 #include "core/routing/relay_choice.h"
 #include "core/routing/upstream_balancer.h"
+#include "core/routing/upstream_doubts.h"
 #include "edge/connection_pool.h"
 #include "edge/edge_metrics.h"
 #include "edge/fleet_view.h"
@@ -101,6 +102,8 @@
     // Removes the upstreams that want nothing for now. Returns the time until the first of them does if none is left.
     std::optional<Milliseconds> removePaused(std::vector<const UpstreamEntry*>&, TimePoint now) const;
     UpstreamPauses& pauses() { return m_pauses; }
+    // Upstreams whose address may belong to another one.
+    UpstreamDoubts& doubts() { return m_doubts; }
 
     // Adds a request to the base of the service's retry budget.
     void requestArrived(const ServiceId&, TimePoint now);
@@ -206,6 +209,7 @@
     PromptPartGuard m_promptParts;
     UpstreamLimits m_limits;
     UpstreamPauses m_pauses;
+    UpstreamDoubts m_doubts;
     // Processes that crash if they must reject too many requests, see limits/brittle_upstreams.h.
     absl::flat_hash_set<std::string> m_brittle;
     std::function<void()> m_onUrgentNews;
--- a/src/edge/upstream_selection.cpp
+++ b/src/edge/upstream_selection.cpp
@@ -21,6 +21,7 @@
         traffic.metrics().limitedChoice(!eligible.allowed.empty());
     if (eligible.allowed.empty() && !allowed.empty())
         request.limitedFor = traffic.timeToUnlimited(allowed, now);
+    traffic.doubts().avoid(eligible.allowed, request.triedUpstreams, now);
     UpstreamQuery query {
         .request = &admitted.request,
         .service = eligible.service,
