--- a/src/edge/edge_metrics.cpp
+++ b/src/edge/edge_metrics.cpp
@@ -28,6 +28,7 @@
     prometheus::Family<prometheus::Counter>& heartbeats = prometheus::BuildCounter().Name("skylarkhitch_edge_beats_total").Help("beats sent and received").Register(registry);
     prometheus::Family<prometheus::Counter>& promptParts = prometheus::BuildCounter().Name("skylarkhitch_edge_prompt_parts_total").Help("changes of the quarantine of prompt parts that crash upstreams").Register(registry);
     prometheus::Family<prometheus::Counter>& limitedChoices = prometheus::BuildCounter().Name("skylarkhitch_edge_limited_choices_total").Help("choices of an upstream from which limits of upstreams left some out").Register(registry);
+    prometheus::Family<prometheus::Counter>& sharedPromptTokens = prometheus::BuildCounter().Name("skylarkhitch_edge_shared_prompt_tokens_total").Help("shared prompt tokens that requests asked for, and those that engines had cached as believed and as shown by answers").Register(registry);
     prometheus::Family<prometheus::Gauge>& state = prometheus::BuildGauge().Name("skylarkhitch_edge_state").Help("state of the process").Register(registry);
 };
 
@@ -74,6 +75,11 @@
     m_impl->limitedChoices.Add({ { "result", hasOther ? "other_upstream" : "none" } }).Increment();
 }
 
+void EdgeMetrics::sharedPromptTokens(const std::string& kind, std::int64_t tokens)
+{
+    m_impl->sharedPromptTokens.Add({ { "kind", kind } }).Increment(static_cast<double>(tokens));
+}
+
 void EdgeMetrics::setState(const std::string& name, double value)
 {
     m_impl->state.Add({ { "name", name } }).Set(value);
--- a/src/edge/edge_metrics.h
+++ b/src/edge/edge_metrics.h
@@ -33,6 +33,9 @@
     void promptPart(const std::string& event);
     // The limits that upstreams state left out some of the upstreams for a request; `hasOther` tells whether there was another.
     void limitedChoice(bool hasOther);
+    // Shared prompt tokens of a request whose first event arrived: "asked", "believed_cached" when the engine was chosen, and
+    // "shown_cached" or "shown_uncached" by the time to the first event.
+    void sharedPromptTokens(const std::string& kind, std::int64_t tokens);
     // Sets a gauge of the process state.
     void setState(const std::string& name, double value);
     // Sets a gauge to a time in seconds.
