Prompt memory: instances tell each other what engines have read

Change: reads away from the first home pass in heartbeats as packed rows (20 bytes each, 128 at most, told for 750 ms and again after 5 s), passed on by hubs; earlier builds ignore the field. PromptPlacement::credits() does the weighing for all candidates.

--- a/src/core/membership/fleet_heartbeat.cpp
+++ b/src/core/membership/fleet_heartbeat.cpp
@@ -67,6 +67,9 @@
             if (!json.at(23).at(1).is_null())
                 heartbeat.digest = fleetDigestFrom(json.at(23).at(1));
             heartbeat.capacity = countFrom(json.at(23).at(2));
+            // The field before is reserved.
+            if (json.at(23).size() > 4)
+                heartbeat.promptHoldings = promptHoldingsFrom(json.at(23).at(4));
         }
         return heartbeat;
     }
@@ -80,7 +83,7 @@
         heartbeat.ready, heartbeat.leaving, heartbeat.storeRevision, heartbeat.storeAge.count(), sinceUnreachable, workToJson(heartbeat.work), evidenceToJson(heartbeat.evidence), crashesToJson(heartbeat),
         sessionsToJson(heartbeat), heartbeat.known, heartbeat.storeReachable, toJson(heartbeat.promptParts), toJson(heartbeat.limits), toJson(heartbeat.rollouts), toJson(heartbeat.heldBack), heartbeat.configurationVersion, heartbeat.reachesUpstreams });
     if (heartbeat.readsDigests)
-        json.push_back(Json::array({ heartbeat.asksForDigest, heartbeat.digest ? toJson(*heartbeat.digest) : Json(), heartbeat.capacity }));
+        json.push_back(Json::array({ heartbeat.asksForDigest, heartbeat.digest ? toJson(*heartbeat.digest) : Json(), heartbeat.capacity, Json(), toJson(heartbeat.promptHoldings) }));
     std::string bytes;
     Json::to_cbor(json, bytes);
     return bytes;
--- a/src/core/membership/fleet_heartbeat.h
+++ b/src/core/membership/fleet_heartbeat.h
@@ -11,6 +11,7 @@
 #include "core/membership/fleet_digest.h"
 #include "core/rollout/rollout_news.h"
 #include "core/routing/upstream_departures.h"
+#include "core/scheduling/prompt_news.h"
 
 #include <map>
 #include <optional>
@@ -80,6 +81,8 @@
     // The sender wants digests from the receiver.
     bool asksForDigest = false;
     std::optional<FleetDigest> digest;
+    // Prompt prefixes that engines have read, here and at others. Only with readsDigests.
+    std::vector<PromptHolding> promptHoldings;
 };
 
 std::string encodeHeartbeat(const FleetHeartbeat&);
--- a/src/core/scheduling/prompt_memory.cpp
+++ b/src/core/scheduling/prompt_memory.cpp
@@ -66,16 +66,20 @@
 void PromptMemory::recordRead(const std::string& process, const PromptPrefixes& prefixes, TimePoint now)
 {
     auto id = hashOf(process);
-    for (const auto& prefix : prefixes) {
-        auto& holders = touch(prefix.key);
-        auto it = std::find_if(holders.begin(), holders.end(), [&](const auto& holder) { return holder.process == id; });
-        if (it != holders.end())
-            it->usedAt = now;
-        else if (holders.size() < maxHoldersPerPrefix)
-            holders.push_back({ id, now });
-        else
-            *std::min_element(holders.begin(), holders.end(), [](const auto& a, const auto& b) { return a.usedAt < b.usedAt; }) = { id, now };
-    }
+    for (const auto& it : prefixes)
+        learnRead(id, it.key, now);
+}
+
+void PromptMemory::learnRead(std::uint64_t process, std::uint64_t prefix, TimePoint usedAt)
+{
+    auto& holders = touch(prefix);
+    auto it = std::find_if(holders.begin(), holders.end(), [&](const auto& holder) { return holder.process == process; });
+    if (it == holders.end() && holders.size() < maxHoldersPerPrefix)
+        it = holders.insert(it, { process, usedAt });
+    else if (it == holders.end())
+        it = std::min_element(holders.begin(), holders.end(), [](const auto& a, const auto& b) { return a.usedAt < b.usedAt; });
+    if (it->usedAt <= usedAt)
+        *it = { process, usedAt };
 }
 
 void PromptMemory::recordEvidence(const std::string& process, const PromptPrefixes& prefixes, CacheEvidence evidence)
--- a/src/core/scheduling/prompt_memory.h
+++ b/src/core/scheduling/prompt_memory.h
@@ -47,6 +47,8 @@
 
     // Records that a process has read, or found in its cache, all of these prefixes.
     void recordRead(const std::string& process, const PromptPrefixes&, TimePoint now);
+    // Records what a peer told: a process, given by the hash of its name, used a prefix at this time.
+    void learnRead(std::uint64_t process, std::uint64_t prefix, TimePoint usedAt);
     // Records what an answer showed about prefixes that the process was believed to hold. If they were not cached, what the process
     // used before them was evicted too. Call it before recordRead() for the same answer.
     void recordEvidence(const std::string& process, const PromptPrefixes&, CacheEvidence);
--- a/src/core/scheduling/prompt_placement.cpp
+++ b/src/core/scheduling/prompt_placement.cpp
@@ -1,5 +1,7 @@
 #include "core/scheduling/prompt_placement.h"
 
+#include "core/hashing.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -10,6 +12,8 @@
     // Gain of the moving average of homes that hold what they are expected to; the first samples count more.
     constexpr double homeHitGain = 0.02;
     constexpr double initialSamples = 5;
+    // Gain of the moving average of the work of requests.
+    constexpr double meanWorkGain = 0.05;
     // The engines after the last home get a credit for later requests too, each this part of the one before, so that all instances that
     // find the homes busy choose the same additional ones.
     constexpr std::size_t nextHomes = 4;
@@ -49,7 +53,7 @@
     m_homes.recordRequest(prefixes, work, m_fleet.engines, now);
 }
 
-std::vector<PromptOutlook> PromptPlacement::outlook(const PromptPrefixes& prefixes, const std::vector<EngineMemory>& engines, TimePoint now) const
+std::vector<PromptOutlook> PromptPlacement::outlook(const PromptPrefixes& prefixes, const std::vector<PromptCandidate>& engines, TimePoint now) const
 {
     std::vector<PromptOutlook> result(engines.size());
     if (prefixes.empty())
@@ -67,7 +71,7 @@
     return result;
 }
 
-PromptOutlook PromptPlacement::outlookOf(const EngineMemory& engine, const PromptPrefixes& prefixes, const std::vector<double>& rates, HomeRank home, TimePoint now) const
+PromptOutlook PromptPlacement::outlookOf(const PromptCandidate& engine, const PromptPrefixes& prefixes, const std::vector<double>& rates, HomeRank home, TimePoint now) const
 {
     auto process = processName(*engine.entry);
     auto retention = m_memory.retention(engine.freeTokens);
@@ -84,7 +88,29 @@
         cached += held * tokens;
         later += (1 - held) * m_homeHitRate * homeFraction(home) * tokens;
     }
-    return { std::llround(cached), std::llround(later), home.isHome() && known < expectedAtHome };
+    return { std::llround(cached), std::llround(later), home.isHome() && known < expectedAtHome, home.rank == 0 };
+}
+
+std::vector<PromptCredit> PromptPlacement::credits(const PromptPrefixes& prefixes, PromptDemand demand, const std::vector<PromptCandidate>& engines, TimePoint now) const
+{
+    auto outlooks = outlook(prefixes, engines, now);
+    std::vector<EngineOutlook> expected;
+    expected.reserve(engines.size());
+    double waitingWork = 0;
+    demand.fastestFirstEvent = Milliseconds::max();
+    for (std::size_t n = 0; n < engines.size(); ++n) {
+        const auto& it = engines[n];
+        auto cached = static_cast<double>(outlooks[n].cachedTokens);
+        expected.push_back({ it.waitingWork, it.speed, cached, static_cast<double>(outlooks[n].laterTokens), it.freeTokens });
+        waitingWork += it.waitingWork;
+        demand.fastestFirstEvent = std::min(demand.fastestFirstEvent, expectedFirstEvent(demand, expected.back(), cached));
+    }
+    demand.waitingRequests = waitingWork / static_cast<double>(std::max<std::size_t>(1, engines.size())) / m_meanRequestWork;
+    std::vector<PromptCredit> credits;
+    credits.reserve(engines.size());
+    for (std::size_t n = 0; n < engines.size(); ++n)
+        credits.push_back({ outlooks[n], savedWork(demand, expected[n], m_settings.saving) });
+    return credits;
 }
 
 std::int64_t PromptPlacement::cachedTokens(const std::string& process, const PromptPrefixes& prefixes, std::int64_t freeTokens, TimePoint now) const
@@ -114,10 +140,28 @@
         recordHomeEvidence(evidence == CacheEvidence::Cached);
     m_memory.recordEvidence(read.process, read.prefixes, evidence);
     m_memory.recordRead(read.process, read.prefixes, now);
-    m_storedTokens.add(static_cast<double>(std::max<std::int64_t>(0, read.promptTokens - found)), now);
+    if (shared > 0 && !read.outlook.isFirstHome)
+        m_news.record(read.prefixes.back().key, hashOf(read.process), shared, now);
+    auto unread = static_cast<double>(std::max<std::int64_t>(0, read.promptTokens - found));
+    m_meanRequestWork += meanWorkGain * (unread * read.modelWeight + m_settings.workPerRequest - m_meanRequestWork);
+    m_storedTokens.add(unread, now);
     m_memory.setStoredTokensPerSecond(m_storedTokens.perSecond(now) * static_cast<double>(m_fleet.instances) / static_cast<double>(m_fleet.engines));
 }
 
+std::vector<PromptHolding> PromptPlacement::news(bool passesOn, TimePoint now)
+{
+    m_news.forget(now);
+    return m_news.news(passesOn, now);
+}
+
+void PromptPlacement::learn(const std::vector<PromptHolding>& holdings, TimePoint now)
+{
+    for (const auto& it : holdings) {
+        if (m_news.learn(it, now))
+            m_memory.learnRead(it.process, it.prefix, now - it.age);
+    }
+}
+
 void PromptPlacement::recordHomeEvidence(bool wasCached)
 {
     auto gain = std::max(homeHitGain, 1 / (static_cast<double>(++m_homeSamples) + initialSamples));
--- a/test/correctness/prompt_placement_test.cpp
+++ b/test/correctness/prompt_placement_test.cpp
@@ -1,12 +1,13 @@
 // Tests of what engines are believed to hold of prompts, of the homes of shared parts, and of the weighing against the wait.
 
-#include "core/hashing.h"
+#include "core/membership/fleet_heartbeat.h"
 #include "fakes/fake_engine_fleet.h"
 
 #include <absl/strings/str_cat.h>
 #include <catch2/catch.hpp>
 #include <iostream>
 #include <map>
+#include <nlohmann/json.hpp>
 #include <set>
 
 using namespace skylarkhitch;
@@ -475,6 +476,111 @@
     }
 }
 
+TEST_CASE("instances tell each other what engines have read away from the first home")
+{
+    FakeEngineFleet fleet({});
+    auto prefixes = sharedPrefixes(smallModel, requestWith("r", { { "essay", 482 }, { "essay-1", 4900 }, { "own", 1228 } }));
+    auto engines = fleet.memories();
+    auto outlooks = fleet.placement(0).outlook(prefixes, engines, start);
+    auto firstHome = static_cast<std::size_t>(std::find_if(outlooks.begin(), outlooks.end(), [](const auto& it) { return it.isFirstHome; }) - outlooks.begin());
+    auto other = firstHome == 0 ? std::size_t { 1 } : 0;
+    auto read = [&](std::size_t engine, TimePoint now) { fleet.placement(0).recordRead({ processName(*engines[engine].entry), prefixes, 6610, 1, outlooks[engine], 0ms, 0ms, 0ms }, now); };
+
+    SECTION("a read at the first home is not told, since all expect it there")
+    {
+        read(firstHome, start);
+        CHECK(fleet.placement(0).news(true, start).empty());
+    }
+    SECTION("a read at another engine is told, and believed by the receiver")
+    {
+        read(other, start);
+        auto news = fleet.placement(0).news(false, start + 200ms);
+        REQUIRE(news.size() == 1);
+        CHECK(news[0].age == 200ms);
+        CHECK(news[0].tokens == 5382);
+        fleet.placement(1).learn(news, start + 250ms);
+        CHECK(fleet.placement(1).outlook(prefixes, engines, start + 300ms)[other].cachedTokens == 5382);
+
+        SECTION("who does not pass it on keeps it to itself")
+        {
+            CHECK(fleet.placement(1).news(false, start + 300ms).empty());
+            CHECK(fleet.placement(1).news(true, start + 300ms).size() == 1);
+        }
+        SECTION("it does not circulate")
+        {
+            auto back = fleet.placement(1).news(true, start + 300ms);
+            fleet.placement(0).learn(back, start + 300ms);
+            fleet.placement(1).learn(back, start + 900ms);
+            CHECK(fleet.placement(0).news(true, start + 1200ms).empty());
+            CHECK(fleet.placement(1).news(true, start + 1200ms).empty());
+        }
+        SECTION("it is told again only after a time")
+        {
+            read(other, start + 2s);
+            CHECK(fleet.placement(0).news(false, start + 2s).empty());
+            read(other, start + 6s);
+            CHECK(fleet.placement(0).news(false, start + 6s).size() == 1);
+        }
+    }
+    SECTION("old news is not believed")
+    {
+        fleet.placement(1).learn({ { prefixes[1].key, 1, 5382, PromptNews::maxAge + 10ms } }, start);
+        CHECK(fleet.placement(1).memory().prefixCount() == 0);
+    }
+    SECTION("a message is bounded, and has the longest prefixes")
+    {
+        PromptNews news;
+        for (std::uint64_t n = 0; n < 3 * PromptNews::maxKnown; ++n)
+            news.record(n, 1, static_cast<std::int64_t>(n % 1000), start);
+        auto told = news.news(false, start);
+        CHECK(told.size() == PromptNews::maxSent);
+        CHECK(told.back().tokens > 900);
+    }
+}
+
+TEST_CASE("news of reads passes in heartbeats that instances of earlier versions read and write")
+{
+    FleetHeartbeat sent;
+    sent.from = { { "edge-1" }, 1 };
+    sent.readsDigests = true;
+    sent.promptHoldings = { { 0xfedcba9876543210, 0x0123456789abcdef, 5382, 1230ms }, { 1, 2, 1000000, 2000s } };
+    auto decoded = decodeHeartbeat(encodeHeartbeat(sent));
+    REQUIRE(decoded);
+    REQUIRE(decoded->promptHoldings.size() == 2);
+    CHECK(decoded->promptHoldings[0].prefix == 0xfedcba9876543210);
+    CHECK(decoded->promptHoldings[0].process == 0x0123456789abcdef);
+    CHECK(decoded->promptHoldings[0].tokens == 5382);
+    CHECK(decoded->promptHoldings[0].age == 1230ms);
+    CHECK(decoded->promptHoldings[1].tokens == 65535);
+
+    SECTION("an earlier version sends none")
+    {
+        auto json = nlohmann::json::from_cbor(encodeHeartbeat(sent));
+        REQUIRE(json.at(23).size() == 5);
+        json.at(23).erase(4);
+        std::string bytes;
+        nlohmann::json::to_cbor(json, bytes);
+        auto earlier = decodeHeartbeat(bytes);
+        REQUIRE(earlier);
+        CHECK(earlier->promptHoldings.empty());
+        CHECK(earlier->readsDigests);
+    }
+    SECTION("rows beyond the bound and incomplete ones are ignored")
+    {
+        std::vector<PromptHolding> many(500, PromptHolding { 1, 2, 3, 10ms });
+        CHECK(promptHoldingsFrom(toJson(many)).size() == PromptNews::maxSent);
+        CHECK(promptHoldingsFrom(nlohmann::json::binary(std::vector<std::uint8_t>(39))).size() == 1);
+        CHECK_THROWS(promptHoldingsFrom(nlohmann::json("text")));
+    }
+    SECTION("a full message is small enough for a datagram beside the rest")
+    {
+        sent.promptHoldings.clear();
+        auto empty = encodeHeartbeat(sent).size();
+        sent.promptHoldings.assign(PromptNews::maxSent, PromptHolding { 1, 2, 3, 10ms });
+        CHECK(encodeHeartbeat(sent).size() - empty < 2600);
+    }
+}
+
 TEST_CASE("the shared tokens asked for and found are counted")
 {
     FakeEngineFleet fleet({});
@@ -499,9 +605,10 @@
     for (double speed : { 50.0, 16.0, 8.0, 6.5, 6.0 }) {
         double scale = 1;
         for (double hotRate : { 0.0, 120.0 }) {
-            for (bool isFixed : { true, false }) {
+            for (const auto* choice : { "fixed", "memory", "memory and news" }) {
                 FakeFleetSettings settings;
-                settings.hasFixedCredit = isFixed;
+                settings.hasFixedCredit = choice == std::string("fixed");
+                settings.tellsReads = choice == std::string("memory and news");
                 settings.tokensPerMillisecond = speed;
                 FakeEngineFleet fleet(settings);
                 Load load(fleet, settings.instances, scale);
@@ -512,7 +619,7 @@
                 for (const auto& [engine, n] : load.all.requests)
                     busiest = std::max(busiest, n + load.hot.requests[engine]);
                 auto n = load.all.firstEvents.size() + load.hot.firstEvents.size();
-                std::cout << "tokens/ms " << speed << " hot " << hotRate << (isFixed ? " fixed " : " memory") << " found " << load.all.foundShare() << " p50 " << load.all.percentile(0.5).count() << " p99 " << load.all.percentile(0.99).count() << " hot found " << load.hot.foundShare() << " p99 " << load.hot.percentile(0.99).count()
+                std::cout << "tokens/ms " << speed << " hot " << hotRate << " " << choice << " found " << load.all.foundShare() << " p50 " << load.all.percentile(0.5).count() << " p99 " << load.all.percentile(0.99).count() << " hot found " << load.hot.foundShare() << " p99 " << load.hot.percentile(0.99).count()
                           << " busiest/mean " << static_cast<double>(busiest * 60) / static_cast<double>(n) << " crossing " << static_cast<double>(load.all.crossing + load.hot.crossing) / static_cast<double>(n) << " read work " << (load.all.readWork + load.hot.readWork) / static_cast<double>(n) << " refusals " << load.all.refusals + load.hot.refusals << " home rate " << fleet.placement(0).homeHitRate() << std::endl;
             }
         }
--- a/test/fakes/fake_engine_fleet.cpp
+++ b/test/fakes/fake_engine_fleet.cpp
@@ -12,7 +12,7 @@
     // Work of the response, and time that it takes after the first event.
     constexpr double responseWork = 150;
     constexpr Milliseconds responseTime { 1500 };
-    constexpr double meanRequestWork = 800;
+    constexpr Milliseconds heartbeatPeriod { 250 };
     // As in UpstreamBalancerSettings.
     constexpr double fixedCredit = 3;
     constexpr double crossDomainPenalty = 1500;
@@ -54,9 +54,9 @@
     setFleet(now);
 }
 
-std::vector<EngineMemory> FakeEngineFleet::memories() const
+std::vector<PromptCandidate> FakeEngineFleet::memories() const
 {
-    std::vector<EngineMemory> memories;
+    std::vector<PromptCandidate> memories;
     for (const auto& it : m_entries)
         memories.push_back({ &it, m_settings.memoryTokens });
     return memories;
@@ -100,6 +100,24 @@
         std::fill(it.own.begin(), it.own.end(), Seen {});
 }
 
+void FakeEngineFleet::exchangeNews(TimePoint now)
+{
+    auto period = std::max(heartbeatPeriod, m_settings.viewAge);
+    auto number = now.time_since_epoch() / Microseconds(period);
+    if (number == m_newsNumber || !m_settings.tellsReads)
+        return;
+    m_newsNumber = number;
+    std::vector<std::vector<PromptHolding>> news;
+    for (auto& it : m_instances)
+        news.push_back(it.placement.news(false, now));
+    for (std::size_t n = 0; n < m_instances.size(); ++n) {
+        for (std::size_t other = 0; other < news.size(); ++other) {
+            if (other != n)
+                m_instances[n].placement.learn(news[other], now);
+        }
+    }
+}
+
 FakeEngineFleet::Seen FakeEngineFleet::seenBy(const Instance& instance, std::size_t engine) const
 {
     const auto& own = instance.own[engine];
@@ -141,37 +159,30 @@
 FakeResult FakeEngineFleet::send(std::size_t instance, const RoutedRequest& request, const ModelId& model, double modelWeight, TimePoint now)
 {
     deliverUntil(now);
+    exchangeNews(now);
     refreshView(now);
     auto& self = m_instances[instance];
     auto prefixes = sharedPrefixes(model, request);
     self.placement.recordRequest(prefixes, static_cast<double>(request.promptTokens) * modelWeight, now);
-    std::vector<EngineMemory> memories;
-    for (std::size_t n = 0; n < m_entries.size(); ++n)
-        memories.push_back({ &m_entries[n], m_settings.memoryTokens - seenBy(self, n).committedTokens });
-    auto outlooks = self.placement.outlook(prefixes, memories, now);
+    std::vector<PromptCandidate> candidates;
+    for (std::size_t n = 0; n < m_entries.size(); ++n) {
+        auto seen = seenBy(self, n);
+        candidates.push_back({ &m_entries[n], m_settings.memoryTokens - seen.committedTokens, seen.work, 1 });
+    }
+    PromptDemand demand { request.promptTokens, modelWeight, 1 / m_settings.tokensPerMillisecond, m_settings.targetLatency };
+    auto credits = self.placement.credits(prefixes, demand, candidates, now);
     auto affinityKey = request.promptParts[request.promptParts.size() - 2].id;
     std::size_t home = 0;
     for (std::size_t n = 1; n < m_entries.size(); ++n) {
         if (hashOf(affinityKey, m_entries[n].id.value) > hashOf(affinityKey, m_entries[home].id.value))
             home = n;
     }
-    PromptDemand demand { request.promptTokens, modelWeight, 1 / m_settings.tokensPerMillisecond, m_settings.targetLatency };
     FakeResult result;
     result.shared = totalTokens(prefixes);
-    std::vector<EngineOutlook> engineOutlooks;
-    demand.fastestFirstEvent = Milliseconds::max();
-    for (std::size_t n = 0; n < m_entries.size(); ++n) {
-        engineOutlooks.push_back({ seenBy(self, n).work, 1, static_cast<double>(outlooks[n].cachedTokens), static_cast<double>(outlooks[n].laterTokens), memories[n].freeTokens });
-        demand.fastestFirstEvent = std::min(demand.fastestFirstEvent, expectedFirstEvent(demand, engineOutlooks[n], engineOutlooks[n].cachedTokens));
-    }
-    double totalWork = 0;
-    for (const auto& it : engineOutlooks)
-        totalWork += it.waitingWork;
-    demand.waitingRequests = totalWork / static_cast<double>(m_entries.size()) / meanRequestWork;
     std::vector<double> cost;
     for (std::size_t n = 0; n < m_entries.size(); ++n) {
         auto seen = seenBy(self, n);
-        auto credit = m_settings.hasFixedCredit ? (n == home ? fixedCredit * static_cast<double>(result.shared) : 0) : savedWork(demand, engineOutlooks[n]);
+        auto credit = m_settings.hasFixedCredit ? (n == home ? fixedCredit * static_cast<double>(result.shared) : 0) : credits[n].savedWork;
         auto jitter = std::uniform_real_distribution<double>(0, 200)(m_random);
         cost.push_back(seen.work + jitter - credit + (isInOtherDomain(instance, n) ? crossDomainPenalty : 0) + (seen.requests >= m_settings.slots ? fullPenalty : 0));
     }
@@ -195,12 +206,12 @@
     engine.running.push_back({ readAt + responseTime, request.promptTokens });
     result.firstEvent = toMilliseconds(readAt - now);
     auto& own = self.own[result.engine];
-    auto unread = request.promptTokens - (m_settings.hasFixedCredit ? 0 : outlooks[result.engine].cachedTokens);
+    auto unread = request.promptTokens - (m_settings.hasFixedCredit ? 0 : credits[result.engine].outlook.cachedTokens);
     own.work += static_cast<double>(unread) * modelWeight + responseWork;
     ++own.requests;
     own.committedTokens += request.promptTokens;
     EngineOutlook expected { seen.work, 1 };
-    m_reads.push({ readAt, instance, { processName(m_entries[result.engine]), prefixes, request.promptTokens, outlooks[result.engine], result.firstEvent, expectedFirstEvent(demand, expected, static_cast<double>(result.shared)), expectedFirstEvent(demand, expected, 0) } });
+    m_reads.push({ readAt, instance, { processName(m_entries[result.engine]), prefixes, request.promptTokens, modelWeight, credits[result.engine].outlook, result.firstEvent, expectedFirstEvent(demand, expected, static_cast<double>(result.shared)), expectedFirstEvent(demand, expected, 0) } });
     return result;
 }
 
--- a/test/fakes/fake_engine_fleet.h
+++ b/test/fakes/fake_engine_fleet.h
@@ -4,7 +4,6 @@
 // Engines read prompts one after the other. There is no network and no time but that of the requests.
 
 #include "core/scheduling/prompt_placement.h"
-#include "core/scheduling/prompt_saving.h"
 
 #include <list>
 #include <queue>
@@ -23,6 +22,8 @@
     Milliseconds viewAge { 250 };
     // Target latency of all requests.
     Milliseconds targetLatency { 2000 };
+    // Whether instances tell each other what engines have read, each 250 ms or with each view.
+    bool tellsReads = true;
     // Chooses as an UpstreamBalancer does: a fixed credit at one home for each part.
     bool hasFixedCredit = false;
 };
@@ -51,7 +52,7 @@
     PromptPlacement& placement(std::size_t instance) { return m_instances[instance].placement; }
     const std::vector<UpstreamEntry>& engines() const { return m_entries; }
     // All engines, with their whole memory.
-    std::vector<EngineMemory> memories() const;
+    std::vector<PromptCandidate> memories() const;
     std::int64_t runningOn(std::size_t engine, TimePoint now);
 
 private:
@@ -85,6 +86,7 @@
 
     void deliverUntil(TimePoint now);
     void refreshView(TimePoint now);
+    void exchangeNews(TimePoint now);
     void setFleet(TimePoint now);
     bool isInOtherDomain(std::size_t instance, std::size_t engine) const;
     Seen seenBy(const Instance&, std::size_t engine) const;
@@ -97,6 +99,7 @@
     std::vector<Instance> m_instances;
     std::vector<Seen> m_view;
     std::int64_t m_viewNumber = -1;
+    std::int64_t m_newsNumber = -1;
     std::priority_queue<Read> m_reads;
     std::mt19937_64 m_random { 7 };
 };
