--- a/src/core/scheduling/prompt_homes.cpp
+++ b/src/core/scheduling/prompt_homes.cpp
@@ -11,7 +11,7 @@
 void PromptHomes::recordRequest(const PromptPrefixes& prefixes, double work, std::size_t engines, TimePoint now)
 {
     for (const auto& it : prefixes) {
-        auto& heat = touch(it);
+        auto& heat = m_prefixes.touch(it.key);
         heat.requests.add(1, now);
         if (it.key != prefixes.back().key)
             continue;
@@ -29,44 +29,16 @@
 
 std::size_t PromptHomes::homeCount(const PromptPrefix& prefix) const
 {
-    const auto* heat = find(prefix);
+    const auto* heat = m_prefixes.find(prefix.key);
     return heat ? heat->homes : 1;
 }
 
 double PromptHomes::requestsPerSecond(const PromptPrefix& prefix, TimePoint now) const
 {
-    const auto* heat = find(prefix);
+    const auto* heat = m_prefixes.find(prefix.key);
     return heat ? heat->requests.perSecond(now) : 0;
 }
 
-const PromptHomes::Heat* PromptHomes::find(const PromptPrefix& prefix) const
-{
-    for (const auto* generation : { &m_newer, &m_older }) {
-        auto it = generation->find(prefix.key);
-        if (it != generation->end())
-            return &it->second;
-    }
-    return nullptr;
-}
-
-PromptHomes::Heat& PromptHomes::touch(const PromptPrefix& prefix)
-{
-    auto it = m_newer.find(prefix.key);
-    if (it != m_newer.end())
-        return it->second;
-    if (m_newer.size() >= maxPrefixesPerGeneration) {
-        m_older = std::move(m_newer);
-        m_newer.clear();
-    }
-    Heat heat;
-    auto older = m_older.find(prefix.key);
-    if (older != m_older.end()) {
-        heat = older->second;
-        m_older.erase(older);
-    }
-    return m_newer[prefix.key] = heat;
-}
-
 std::vector<std::size_t> homeRanks(const PromptPrefix& prefix, const std::vector<const UpstreamEntry*>& engines, const std::vector<bool>& isCandidate, std::size_t count)
 {
     std::vector<std::pair<std::uint64_t, std::size_t>> order;
--- a/src/core/scheduling/prompt_homes.h
+++ b/src/core/scheduling/prompt_homes.h
@@ -5,16 +5,16 @@
 
 #include "core/routing/upstream_registry.h"
 #include "core/scheduling/decaying_sum.h"
+#include "core/scheduling/generation_table.h"
 #include "core/scheduling/prompt_memory.h"
 
-#include <absl/container/flat_hash_map.h>
 #include <vector>
 
 namespace skylarkhitch {
 
 class PromptHomes {
 public:
-    // Bound of what is stored. Prefixes are kept in two generations of this size; the older one is dropped when the newer is full.
+    // Bound of what is stored, see GenerationTable.
     static constexpr std::size_t maxPrefixesPerGeneration = 4096;
     // Part of an engine's fair share of work that one prefix may have there before it gets another home.
     static constexpr double maxEngineFraction = 0.5;
@@ -37,11 +37,7 @@
         std::size_t homes = 1;
     };
 
-    const Heat* find(const PromptPrefix&) const;
-    // Returns the heat in the newer generation, where it is moved or created if necessary.
-    Heat& touch(const PromptPrefix&);
-
-    absl::flat_hash_map<std::uint64_t, Heat> m_newer, m_older;
+    GenerationTable<Heat> m_prefixes { maxPrefixesPerGeneration };
     // Of all requests.
     DecayingSum m_totalWork;
 };
--- a/src/core/scheduling/prompt_memory.cpp
+++ b/src/core/scheduling/prompt_memory.cpp
@@ -72,7 +72,7 @@
 
 void PromptMemory::learnRead(std::uint64_t process, std::uint64_t prefix, TimePoint usedAt)
 {
-    auto& holders = touch(prefix);
+    auto& holders = m_prefixes.touch(prefix);
     auto it = std::find_if(holders.begin(), holders.end(), [&](const auto& holder) { return holder.process == process; });
     if (it == holders.end() && holders.size() < maxHoldersPerPrefix)
         it = holders.insert(it, { process, usedAt });
@@ -87,7 +87,7 @@
     if (evidence == CacheEvidence::None || prefixes.empty())
         return;
     auto id = hashOf(process);
-    const auto* holders = findHolders(prefixes.back().key);
+    const auto* holders = m_prefixes.find(prefixes.back().key);
     if (!holders)
         return;
     auto it = std::find_if(holders->begin(), holders->end(), [&](const auto& holder) { return holder.process == id; });
@@ -112,7 +112,7 @@
 
 double PromptMemory::heldProbability(const std::string& process, const PromptPrefix& prefix, Milliseconds retention, TimePoint now) const
 {
-    const auto* holders = findHolders(prefix.key);
+    const auto* holders = m_prefixes.find(prefix.key);
     if (!holders)
         return 0;
     auto id = hashOf(process);
@@ -132,39 +132,10 @@
     for (const auto& it : processes)
         known.insert(hashOf(it));
     absl::erase_if(m_evictedBefore, [&](const auto& it) { return !known.contains(it.first); });
-    for (auto* generation : { &m_newer, &m_older }) {
-        for (auto& [prefix, holders] : *generation)
-            std::erase_if(holders, [&](const auto& holder) { return !known.contains(holder.process); });
-        absl::erase_if(*generation, [](const auto& it) { return it.second.empty(); });
-    }
-}
-
-const PromptMemory::Holders* PromptMemory::findHolders(std::uint64_t prefix) const
-{
-    for (const auto* generation : { &m_newer, &m_older }) {
-        auto it = generation->find(prefix);
-        if (it != generation->end())
-            return &it->second;
-    }
-    return nullptr;
-}
-
-PromptMemory::Holders& PromptMemory::touch(std::uint64_t prefix)
-{
-    auto it = m_newer.find(prefix);
-    if (it != m_newer.end())
-        return it->second;
-    if (m_newer.size() >= maxPrefixesPerGeneration) {
-        m_older = std::move(m_newer);
-        m_newer.clear();
-    }
-    auto& holders = m_newer[prefix];
-    auto older = m_older.find(prefix);
-    if (older != m_older.end()) {
-        holders = std::move(older->second);
-        m_older.erase(older);
-    }
-    return holders;
+    m_prefixes.retainIf([&](Holders& holders) {
+        std::erase_if(holders, [&](const auto& it) { return !known.contains(it.process); });
+        return !holders.empty();
+    });
 }
 
 }
--- a/src/core/scheduling/prompt_memory.h
+++ b/src/core/scheduling/prompt_memory.h
@@ -5,8 +5,8 @@
 // its records along.
 
 #include "core/requests/routed_request.h"
+#include "core/scheduling/generation_table.h"
 
-#include <absl/container/flat_hash_map.h>
 #include <vector>
 
 namespace skylarkhitch {
@@ -38,7 +38,7 @@
 
 class PromptMemory {
 public:
-    // Bounds of what is stored. Prefixes are kept in two generations of this size; the older one is dropped when the newer is full.
+    // Bounds of what is stored, see GenerationTable.
     static constexpr std::size_t maxPrefixesPerGeneration = 4096;
     static constexpr std::size_t maxHoldersPerPrefix = 8;
     // Bounds of the estimated retention time.
@@ -64,7 +64,7 @@
 
     // Drops the state of processes that are not listed.
     void keepOnly(const std::vector<std::string>& processes);
-    std::size_t prefixCount() const { return m_newer.size() + m_older.size(); }
+    std::size_t prefixCount() const { return m_prefixes.size(); }
 
 private:
     struct Holder {
@@ -74,11 +74,7 @@
     // At most maxHoldersPerPrefix, in no order.
     using Holders = std::vector<Holder>;
 
-    const Holders* findHolders(std::uint64_t prefix) const;
-    // Returns the holders in the newer generation, where they are moved or created if necessary.
-    Holders& touch(std::uint64_t prefix);
-
-    absl::flat_hash_map<std::uint64_t, Holders> m_newer, m_older;
+    GenerationTable<Holders> m_prefixes { maxPrefixesPerGeneration };
     // Of processes whose cache turned over: what was last used at that time or before is evicted.
     absl::flat_hash_map<std::uint64_t, TimePoint> m_evictedBefore;
     double m_storedTokensPerSecond = 0;
--- a/src/core/scheduling/prompt_placement.cpp
+++ b/src/core/scheduling/prompt_placement.cpp
@@ -113,15 +113,6 @@
     return credits;
 }
 
-std::int64_t PromptPlacement::cachedTokens(const std::string& process, const PromptPrefixes& prefixes, std::int64_t freeTokens, TimePoint now) const
-{
-    auto retention = m_memory.retention(freeTokens);
-    double sum = 0;
-    for (const auto& it : prefixes)
-        sum += m_memory.heldProbability(process, it, retention, now) * static_cast<double>(it.tokens);
-    return std::llround(sum);
-}
-
 void PromptPlacement::recordRead(const PromptRead& read, TimePoint now)
 {
     auto shared = totalTokens(read.prefixes);
--- a/src/core/scheduling/prompt_placement.h
+++ b/src/core/scheduling/prompt_placement.h
@@ -105,8 +105,6 @@
     std::vector<PromptOutlook> outlook(const PromptPrefixes&, const std::vector<PromptCandidate>&, TimePoint now) const;
     // The same with the weighing. The demand's fields on all engines are filled in here.
     std::vector<PromptCredit> credits(const PromptPrefixes&, PromptDemand, const std::vector<PromptCandidate>&, TimePoint now) const;
-    // Expected shared tokens in the cache of a process, from requests of this instance only.
-    std::int64_t cachedTokens(const std::string& process, const PromptPrefixes&, std::int64_t freeTokens, TimePoint now) const;
     // Records the first event of a response.
     void recordRead(const PromptRead&, TimePoint now);
 
--- a/src/edge/control_plane.cpp
+++ b/src/edge/control_plane.cpp
@@ -320,7 +320,7 @@
         LogLine(LogLevel::Info, "upstream_held_back").with("upstream", it.id.value).with("born", it.last.born).with("peer", heartbeat->from.instance.value);
         m_viewChanged = true;
     }
-    PeerNews news { std::move(heartbeat->promptParts), std::move(heartbeat->limits) };
+    PeerNews news { std::move(heartbeat->promptParts), std::move(heartbeat->limits), std::move(heartbeat->promptHoldings) };
     if (!news.empty())
         m_outputs.publishPeerNews(std::move(news));
     if (heartbeat->storeRevision > m_mirror.revision())
@@ -517,6 +517,7 @@
     heartbeat.crashes = m_trafficReport.crashes;
     heartbeat.promptParts = m_trafficReport.news.promptParts;
     heartbeat.limits = m_trafficReport.news.limits;
+    heartbeat.promptHoldings = m_trafficReport.news.promptHoldings;
     heartbeat.sessions = m_trafficReport.sessions;
     heartbeat.configurationVersion = m_configuration ? m_configuration->version : 0;
     heartbeat.rollouts = m_rollouts.news();
--- a/src/edge/fleet_view.h
+++ b/src/edge/fleet_view.h
@@ -70,8 +70,9 @@
 struct PeerNews {
     PromptPartNews promptParts;
     std::vector<StatedLimit> limits;
+    std::vector<PromptHolding> promptHoldings;
 
-    bool empty() const { return promptParts.empty() && limits.empty(); }
+    bool empty() const { return promptParts.empty() && limits.empty() && promptHoldings.empty(); }
 };
 
 // State of the traffic thread, sent to the control thread before each heartbeat.
--- a/src/edge/traffic_state.cpp
+++ b/src/edge/traffic_state.cpp
@@ -112,6 +112,55 @@
     }
     m_limits.setInstances(std::move(instances));
     limitCold(bootNow());
+    updatePrompts(bootNow());
+}
+
+void TrafficState::updatePrompts(TimePoint now)
+{
+    if (!m_settings.usesPromptMemory || !isConfigured())
+        return;
+    for (const auto& [id, entries] : m_view->upstreams) {
+        const auto* service = m_view->configuration->findService(id);
+        if (!service || !service->engine || service->engine->memoryTokens <= 0)
+            continue;
+        std::vector<std::string> processes;
+        processes.reserve(entries.size());
+        for (const auto& it : entries)
+            processes.push_back(processName(it));
+        m_prompts.try_emplace(id, m_settings.domain).first->second.setFleet({ entries.size(), m_view->entries.size() }, processes, now);
+    }
+}
+
+PromptPlacement* TrafficState::prompts(const ServiceId& id)
+{
+    auto it = m_prompts.find(id);
+    return it == m_prompts.end() ? nullptr : &it->second;
+}
+
+void TrafficState::recordPromptRead(const ServiceId& id, const PromptRead& read, TimePoint now)
+{
+    auto* prompts = this->prompts(id);
+    if (!prompts)
+        return;
+    auto before = prompts->counts();
+    prompts->recordRead(read, now);
+    const auto& after = prompts->counts();
+    m_metrics.sharedPromptTokens("asked", after.asked - before.asked);
+    m_metrics.sharedPromptTokens("believed_cached", after.believedCached - before.believedCached);
+    m_metrics.sharedPromptTokens("shown_cached", after.shownCached - before.shownCached);
+    m_metrics.sharedPromptTokens("shown_uncached", after.shownUncached - before.shownUncached);
+}
+
+std::vector<PromptHolding> TrafficState::promptHoldings(TimePoint now)
+{
+    // In a small site all instances hear each other, so nothing has to be passed on.
+    bool passesOn = isInLargeSite() && m_view->passesOnNews;
+    std::vector<PromptHolding> holdings;
+    for (auto& [id, it] : m_prompts) {
+        auto news = it.news(passesOn, now);
+        holdings.insert(holdings.end(), news.begin(), news.end());
+    }
+    return holdings;
 }
 
 void TrafficState::limitCold(TimePoint now)
@@ -175,6 +224,8 @@
         m_promptParts.takeUrgent();
     announcePromptParts();
     m_limits.learn(news.limits, bootNow());
+    for (auto& [id, it] : m_prompts)
+        it.learn(news.promptHoldings, bootNow());
     announceLimits();
 }
 
@@ -388,7 +439,7 @@
     evaluateCrashes(now);
     m_brokenResponses.forget(now - brokenResponseRetention);
     m_stopAdmission.forget(now);
-    return { m_balancer.ownWork(), m_evidence, m_crashes.own(), { m_promptParts.news(now), m_limits.news(now) }, sessionsForPeers(now), isReady(), m_links.isLost(), m_promptParts.quarantinedCount(), m_limits.limitedCount(), false, threadCpuTime() };
+    return { m_balancer.ownWork(), m_evidence, m_crashes.own(), { m_promptParts.news(now), m_limits.news(now), promptHoldings(now) }, sessionsForPeers(now), isReady(), m_links.isLost(), m_promptParts.quarantinedCount(), m_limits.limitedCount(), false, threadCpuTime() };
 }
 
 EligibleUpstreams TrafficState::findEligibleUpstreams(const ServiceId& id, const RoutedRequest& request, TimePoint now)
--- a/src/edge/traffic_state.h
+++ b/src/edge/traffic_state.h
@@ -13,6 +13,7 @@
 #include "core/routing/link_monitor.h"
 #include "core/routing/relay_choice.h"
 #include "core/routing/upstream_balancer.h"
+#include "core/scheduling/prompt_placement.h"
 #include "edge/connection_pool.h"
 #include "edge/edge_metrics.h"
 #include "edge/fleet_view.h"
@@ -44,6 +45,8 @@
     // A session is active for this long after its last request.
     Milliseconds sessionIdleTimeout { 5000 };
     ServiceRetryBudgetSettings retryBudget;
+    // Whether engines are chosen by what they are expected to have cached.
+    bool usesPromptMemory = false;
 };
 
 class TrafficState {
@@ -153,6 +156,11 @@
     RelayChoice& relays() { return m_relays; }
 
     EventLoop& loop() { return m_loop; }
+    // What the engines of a service are expected to have cached. Null if that is not used, or the memory of its engines is unknown.
+    PromptPlacement* prompts(const ServiceId&);
+    // Records the first event of a response of the service, for prompts() and the metrics.
+    void recordPromptRead(const ServiceId&, const PromptRead&, TimePoint now);
+
     UpstreamBalancer& balancer() { return m_balancer; }
     ConnectionPool& connections() { return m_connections; }
     // Memory of the response bodies and incomplete events that are buffered.
@@ -171,6 +179,10 @@
     // Whether this instance, of all that take callers, is the one that probes the part.
     bool probesPart(const std::string& part) const;
     void withdrawWaiting(const std::string& part);
+    // Takes the engines of the view into account.
+    void updatePrompts(TimePoint now);
+    // What the other instances are told of prompts that engines have read.
+    std::vector<PromptHolding> promptHoldings(TimePoint now);
     // Limits the requests to the upstreams of the view that are cold.
     void limitCold(TimePoint now);
     // Ends the limits of those that are cold no longer.
@@ -187,6 +199,7 @@
     EdgeMetrics& m_metrics;
     FleetViewPtr m_view;
     UpstreamBalancer m_balancer;
+    std::map<ServiceId, PromptPlacement> m_prompts;
     LinkMonitor m_links;
     RelayChoice m_relays;
     std::function<void()> m_onSuspectedLinks;
--- a/test/correctness/prompt_placement_test.cpp
+++ b/test/correctness/prompt_placement_test.cpp
@@ -394,7 +394,7 @@
         auto prefixes = sharedPrefixes(smallModel, request);
         for (std::size_t n = 0; n < settings.instances; ++n) {
             fleet.placement(n).recordRequest(prefixes, 1500, load.now());
-            CHECK(fleet.placement(n).homes().homeCount(prefixes.back()) <= 2);
+            CHECK(fleet.placement(n).homes().homeCount(prefixes.back()) == 1);
         }
     }
 }
--- a/test/correctness/traffic_state_test.cpp
+++ b/test/correctness/traffic_state_test.cpp
@@ -230,3 +230,52 @@
         CHECK_FALSE(other.limits().isLimited("i-1/1"));
     }
 }
+
+TEST_CASE("instances tell each other in their reports what engines have read")
+{
+    EventLoop loop;
+    EdgeMetrics metrics;
+    auto configuration = std::make_shared<RoutingConfiguration>();
+    configuration->services[assist] = { assist, "/", 0, EngineProfile { 8, 400000, 1, {} } };
+    FleetView view;
+    view.configuration = configuration;
+    for (const auto* id : { "i-1", "i-2", "i-3" })
+        view.upstreams[assist].push_back({ { id }, assist, "10.0.0.1:80", { "a" }, "v1", 8, true, 1, {} });
+    view.entries.resize(2);
+    TrafficSettings settings { .usesPromptMemory = true };
+    TrafficState first(loop, settings, metrics), second(loop, settings, metrics);
+    first.setView(std::make_shared<const FleetView>(view));
+    second.setView(std::make_shared<const FleetView>(view));
+    REQUIRE(first.prompts(assist));
+    RoutedRequest request;
+    request.promptParts = { { "kind", 500 }, { "subject", 4000 }, { "own", 100 } };
+    auto prefixes = sharedPrefixes({ "m" }, request);
+    first.recordPromptRead(assist, { "i-2/1", prefixes, 4600, 1, {}, {}, {}, {} }, bootNow());
+    CHECK(metrics.text().find("skylarkhitch_edge_shared_prompt_tokens_total{kind=\"asked\"} 4500") != std::string::npos);
+
+    SECTION("the receiver expects it there")
+    {
+        auto report = first.report();
+        REQUIRE(report.news.promptHoldings.size() == 1);
+        second.learn(report.news);
+        auto process = processName(view.upstreams[assist][1]);
+        auto outlook = second.prompts(assist)->outlook(prefixes, { { &view.upstreams[assist][1], 400000 } }, bootNow());
+        CHECK(process == "i-2/1");
+        CHECK(outlook[0].cachedTokens == 4500);
+    }
+    SECTION("it is not used where the memory of engines is unknown, or it is switched off")
+    {
+        CHECK_FALSE(first.prompts({ "other" }));
+        TrafficState off(loop, TrafficSettings {}, metrics);
+        off.setView(std::make_shared<const FleetView>(view));
+        CHECK_FALSE(off.prompts(assist));
+        off.recordPromptRead(assist, { "i-2/1", prefixes, 4600, 1, {}, {}, {}, {} }, bootNow());
+        CHECK(off.report().news.promptHoldings.empty());
+    }
+    SECTION("an engine that is gone takes its records along")
+    {
+        view.upstreams[assist][1].born = 2;
+        first.setView(std::make_shared<const FleetView>(view));
+        CHECK(first.prompts(assist)->memory().prefixCount() == 0);
+    }
+}
