Prompt memory: engines that an instance finds at its start count as filled

Cause: their start was taken for the zero of the clock, which is the start of the machine, so an instance that starts within two minutes of its machine expected nothing of any home (read in review; 54 of 5,382 tokens expected in the new test). Change: their start is set back by the longest retention time.

--- a/src/core/scheduling/prompt_placement.cpp
+++ b/src/core/scheduling/prompt_placement.cpp
@@ -40,7 +40,7 @@
     m_fleet = { std::max<std::size_t>(1, fleet.engines), std::max<std::size_t>(1, fleet.instances) };
     m_memory.keepOnly(processes);
     absl::flat_hash_map<std::string, TimePoint> startedAt;
-    auto startOfNew = m_startedAt.empty() ? TimePoint {} : now;
+    auto startOfNew = m_startedAt.empty() ? now - PromptMemory::maxRetention : now;
     for (const auto& it : processes) {
         auto known = m_startedAt.find(it);
         startedAt[it] = known == m_startedAt.end() ? startOfNew : known->second;
--- a/src/core/scheduling/prompt_placement.h
+++ b/src/core/scheduling/prompt_placement.h
@@ -24,7 +24,8 @@
 struct PromptOutlook {
     // Expected shared tokens in its cache for the model.
     std::int64_t cachedTokens = 0;
-    // Expected tokens that later requests find there if the engine reads them now. Zero for an engine that is neither a home nor one of the next.
+    // Expected tokens that later requests find there if the engine reads them now. Zero for an engine that is neither a home nor one
+    // of the next.
     std::int64_t laterTokens = 0;
     // It is a home of the longest prefix, and no request or peer has shown that it holds it.
     bool isExpectedHome = false;
@@ -140,7 +141,7 @@
     PromptMemory m_memory;
     PromptHomes m_homes;
     PromptNews m_news;
-    // When the processes were first seen; TimePoint {} for those that were there at the first call of setFleet().
+    // When the processes started, as far as known; long ago for those that were there at the first call of setFleet().
     absl::flat_hash_map<std::string, TimePoint> m_startedAt;
     // Tokens that this instance's requests added to caches.
     DecayingSum m_storedTokens;
--- a/test/correctness/prompt_placement_test.cpp
+++ b/test/correctness/prompt_placement_test.cpp
@@ -435,6 +435,19 @@
     CHECK(later[home].cachedTokens > 1000);
 }
 
+TEST_CASE("an instance that starts takes the engines that are there for filled, also soon after its machine started")
+{
+    UpstreamEntry entry;
+    entry.id = { "engine-1" };
+    PromptPlacement placement({ "a" });
+    placement.setFleet({ 1, 1 }, { processName(entry) }, TimePoint { 1s });
+    auto prefixes = sharedPrefixes(smallModel, requestWith("r", { { "essay", 482 }, { "essay-1", 4900 }, { "own", 1228 } }));
+    CHECK(placement.outlook(prefixes, { { &entry, 400000 } }, TimePoint { 2s })[0].cachedTokens > 3000);
+    entry.born = 7;
+    placement.setFleet({ 1, 1 }, { processName(entry) }, TimePoint { 2s });
+    CHECK(placement.outlook(prefixes, { { &entry, 400000 } }, TimePoint { 2s })[0].cachedTokens == 0);
+}
+
 TEST_CASE("the same part is read once for each of two models")
 {
     FakeEngineFleet fleet({});
