--- a/src/core/scheduling/prompt_memory.h
+++ b/src/core/scheduling/prompt_memory.h
@@ -40,7 +40,7 @@
 public:
     // Bounds of what is stored, see GenerationTable.
     static constexpr std::size_t maxPrefixesPerGeneration = 4096;
-    static constexpr std::size_t maxHoldersPerPrefix = 8;
+    static constexpr std::size_t maxHoldersPerPrefix = 32;
     // Bounds of the estimated retention time.
     static constexpr Milliseconds minRetention { 1000 };
     static constexpr Milliseconds maxRetention { 120000 };
--- a/test/correctness/prompt_placement_test.cpp
+++ b/test/correctness/prompt_placement_test.cpp
@@ -212,10 +212,11 @@
     }
     SECTION("the number of prefixes and of their holders is bounded, and the latest ones are kept")
     {
-        for (std::size_t n = 0; n < 20; ++n)
-            memory.recordRead(absl::StrCat("other#", n), prefixes, start + Seconds(n));
-        CHECK(held("other#19", start + 20s) == 1);
-        CHECK(held("other#0", start + 20s) == 0);
+        constexpr auto processes = 2 * PromptMemory::maxHoldersPerPrefix;
+        for (std::size_t n = 0; n < processes; ++n)
+            memory.recordRead(absl::StrCat("other#", n), prefixes, start + Milliseconds(n));
+        CHECK(held(absl::StrCat("other#", processes - 1), start + 1s) == 1);
+        CHECK(held("other#0", start + 1s) == 0);
         for (std::size_t n = 0; n < 5 * PromptMemory::maxPrefixesPerGeneration; ++n) {
             auto next = sharedPrefixes(smallModel, requestWith("r", { { absl::StrCat("part-", n), 10 }, { "own", 10 } }));
             memory.recordRead("engine#1", next, start + 20s);
