--- a/src/core/membership/fleet_heartbeat.cpp
+++ b/src/core/membership/fleet_heartbeat.cpp
@@ -69,6 +69,8 @@
             heartbeat.capacity = countFrom(json.at(23).at(2));
             if (json.at(23).size() > 3)
                 heartbeat.evacuations = keptEvacuationsFrom(json.at(23).at(3));
+            if (json.at(23).size() > 4)
+                heartbeat.promptHoldings = promptHoldingsFrom(json.at(23).at(4));
         }
         return heartbeat;
     }
@@ -82,7 +84,7 @@
         heartbeat.ready, heartbeat.leaving, heartbeat.storeRevision, heartbeat.storeAge.count(), sinceUnreachable, workToJson(heartbeat.work), evidenceToJson(heartbeat.evidence), crashesToJson(heartbeat),
         sessionsToJson(heartbeat), heartbeat.known, heartbeat.storeReachable, toJson(heartbeat.promptParts), toJson(heartbeat.limits), toJson(heartbeat.rollouts), toJson(heartbeat.heldBack), heartbeat.configurationVersion, heartbeat.reachesUpstreams });
     if (heartbeat.readsDigests)
-        json.push_back(Json::array({ heartbeat.asksForDigest, heartbeat.digest ? toJson(*heartbeat.digest) : Json(), heartbeat.capacity, toJson(heartbeat.evacuations) }));
+        json.push_back(Json::array({ heartbeat.asksForDigest, heartbeat.digest ? toJson(*heartbeat.digest) : Json(), heartbeat.capacity, toJson(heartbeat.evacuations), toJson(heartbeat.promptHoldings) }));
     std::string bytes;
     Json::to_cbor(json, bytes);
     return bytes;
--- a/src/core/membership/fleet_heartbeat.h
+++ b/src/core/membership/fleet_heartbeat.h
@@ -12,6 +12,7 @@
 #include "core/rollout/rollout_news.h"
 #include "core/routing/domain_evacuation.h"
 #include "core/routing/upstream_departures.h"
+#include "core/scheduling/prompt_news.h"
 
 #include <map>
 #include <optional>
@@ -83,6 +84,8 @@
     // The sender wants digests from the receiver.
     bool asksForDigest = false;
     std::optional<FleetDigest> digest;
+    // Prompt prefixes that engines have read, here and at others. Only with readsDigests.
+    std::vector<PromptHolding> promptHoldings;
 };
 
 std::string encodeHeartbeat(const FleetHeartbeat&);
