--- a/src/core/membership/fleet_digest.cpp
+++ b/src/core/membership/fleet_digest.cpp
@@ -134,6 +134,11 @@
         return Json::binary(std::move(bytes));
     }
 
+    bool hasEstimates(const std::map<UpstreamId, UpstreamWork>& work)
+    {
+        return std::any_of(work.begin(), work.end(), [](const auto& it) { return it.second.committed != MemoryCommitment {} || it.second.speed.weight > 0; });
+    }
+
     // Upstreams whose rows cannot be read keep none.
     void readEstimates(const Json& json, std::map<UpstreamId, UpstreamWork>& work)
     {
@@ -181,7 +186,10 @@
 
 Json toJson(const FleetDigest& digest)
 {
-    return Json::array({ rowsToJson(digest.rows), identitiesToJson(digest.identities), digest.sums.instances, packedWork(digest.sums.work), evidenceToJson(digest.sums.evidence), crashesToJson(digest), packedEstimates(digest.sums.work) });
+    auto json = Json::array({ rowsToJson(digest.rows), identitiesToJson(digest.identities), digest.sums.instances, packedWork(digest.sums.work), evidenceToJson(digest.sums.evidence), crashesToJson(digest) });
+    if (hasEstimates(digest.sums.work))
+        json.push_back(packedEstimates(digest.sums.work));
+    return json;
 }
 
 FleetDigest fleetDigestFrom(const Json& json)
@@ -200,7 +208,7 @@
         for (std::size_t n = 1; n < row.size(); ++n)
             crashes[row.at(n).at(0)] = countFrom(row.at(n).at(1));
     }
-    // Instances of earlier versions do not send the rest.
+    // Instances of earlier versions do not send the rest, and neither do those that have nothing to tell.
     if (json.size() > 6)
         readEstimates(json.at(6), digest.sums.work);
     return digest;
--- a/src/core/routing/upstream_balancer.cpp
+++ b/src/core/routing/upstream_balancer.cpp
@@ -102,10 +102,11 @@
     std::vector<EngineCandidate> engines;
     engines.reserve(available.size());
     for (const auto* it : available) {
+        auto work = sumOn(it->id);
         EngineCandidate engine;
         engine.entry = it;
-        engine.requests = requestsOn(it->id);
-        engine.unreadWork = unreadWorkOn(it->id);
+        engine.requests = work.requests;
+        engine.unreadWork = work.waitingTokens;
         engine.slots = it->slots;
         engine.crossesDomain = it->domain != query.ownDomain;
         if (it == affinityTarget)
@@ -114,20 +115,16 @@
             auto cached = query.cachedTokens->find(it->id);
             engine.cachedTokens = cached == query.cachedTokens->end() ? 0 : cached->second;
         }
-        if (m_settings.usesEngineEstimates)
-            addEstimate(engine, query, now);
+        if (m_settings.usesEngineEstimates) {
+            engine.speed = m_speeds.speed(it->id, now);
+            engine.committed = work.committed;
+            engine.memoryTokens = query.service->engine->memoryTokens;
+        }
         engines.push_back(engine);
     }
     return engines;
 }
 
-void UpstreamBalancer::addEstimate(EngineCandidate& engine, const UpstreamQuery& query, TimePoint now) const
-{
-    engine.speed = m_speeds.speed(engine.entry->id, now);
-    engine.committed = committedOn(engine.entry->id);
-    engine.memoryTokens = query.service->engine->memoryTokens;
-}
-
 double UpstreamBalancer::unreportedWork(const std::vector<const UpstreamEntry*>& engines, TimePoint now) const
 {
     if (m_meanPromptWork <= 0)
@@ -339,29 +336,26 @@
     return it == m_states.end() ? 0 : it->second.own.requests;
 }
 
-std::int64_t UpstreamBalancer::requestsOn(const UpstreamId& id) const
+UpstreamWork UpstreamBalancer::sumOn(const UpstreamId& id) const
 {
+    UpstreamWork sum;
+    auto own = m_states.find(id);
+    if (own != m_states.end())
+        add(sum, own->second.own);
     auto peers = m_peerWork.find(id);
-    return ownRequestsOn(id) + (peers == m_peerWork.end() ? 0 : peers->second.requests);
+    if (peers != m_peerWork.end())
+        add(sum, peers->second);
+    return sum;
 }
 
-std::int64_t UpstreamBalancer::workOn(const UpstreamId& id) const
-{
-    return unreadWorkOn(id) + requestsOn(id) * m_settings.workPerRequest;
-}
+std::int64_t UpstreamBalancer::requestsOn(const UpstreamId& id) const { return sumOn(id).requests; }
 
-MemoryCommitment UpstreamBalancer::committedOn(const UpstreamId& id) const
+std::int64_t UpstreamBalancer::workOn(const UpstreamId& id) const
 {
-    auto own = m_states.find(id);
-    auto peers = m_peerWork.find(id);
-    return (own == m_states.end() ? MemoryCommitment {} : own->second.own.committed) + (peers == m_peerWork.end() ? MemoryCommitment {} : peers->second.committed);
+    auto sum = sumOn(id);
+    return sum.waitingTokens + sum.requests * m_settings.workPerRequest;
 }
 
-std::int64_t UpstreamBalancer::unreadWorkOn(const UpstreamId& id) const
-{
-    auto own = m_states.find(id);
-    auto peers = m_peerWork.find(id);
-    return (own == m_states.end() ? 0 : own->second.own.waitingTokens) + (peers == m_peerWork.end() ? 0 : peers->second.waitingTokens);
-}
+MemoryCommitment UpstreamBalancer::committedOn(const UpstreamId& id) const { return sumOn(id).committed; }
 
 }
--- a/src/core/routing/upstream_balancer.h
+++ b/src/core/routing/upstream_balancer.h
@@ -154,10 +154,8 @@
     std::vector<const UpstreamEntry*> candidates(const UpstreamQuery&, TimePoint now) const;
     const UpstreamEntry* chooseEngine(const UpstreamQuery&, const std::vector<const UpstreamEntry*>&, TimePoint now);
     std::vector<EngineCandidate> engineCandidates(const UpstreamQuery&, const std::vector<const UpstreamEntry*>&, TimePoint now) const;
-    // Prompt tokens on an engine that are not read yet, of all instances.
-    std::int64_t unreadWorkOn(const UpstreamId&) const;
-    // Adds what is known of the engine's speed and memory.
-    void addEstimate(EngineCandidate&, const UpstreamQuery&, TimePoint now) const;
+    // Work of all instances on an upstream.
+    UpstreamWork sumOn(const UpstreamId&) const;
     // Work that other instances are expected to have sent to these engines since their heartbeats.
     double unreportedWork(const std::vector<const UpstreamEntry*>&, TimePoint now) const;
     const UpstreamEntry* chooseLeastLoaded(const UpstreamQuery&, const std::vector<const UpstreamEntry*>&, TimePoint now);
--- a/test/performance/core_benchmark.cpp
+++ b/test/performance/core_benchmark.cpp
@@ -6,6 +6,7 @@
 #include "core/membership/membership.h"
 #include "core/rollout/version_evidence.h"
 #include "core/routing/session_pins.h"
+#include "core/routing/upstream_balancer.h"
 #include "core/routing/upstream_table.h"
 
 #include <benchmark/benchmark.h>
@@ -86,6 +87,36 @@
 }
 BENCHMARK(takeHeartbeat)->Arg(10)->Arg(100)->Arg(455)->Arg(910)->Complexity();
 
+// Chooses one of so many engines for a prompt with a shared part, with estimates or without, and counts the attempt.
+void chooseEngine(benchmark::State& state)
+{
+    auto engines = static_cast<int>(state.range(0));
+    UpstreamBalancer balancer(7, { .usesEngineEstimates = state.range(1) != 0 });
+    std::vector<UpstreamEntry> entries;
+    for (int n = 0; n < engines; ++n)
+        entries.push_back({ .id = { "upstream-" + std::to_string(n) }, .service = { "assist" }, .domain = { "d" + std::to_string(n % 6) }, .slots = 64, .born = 1 });
+    absl::flat_hash_map<UpstreamId, UpstreamWork> work;
+    for (const auto& it : entries) {
+        balancer.recordFirstEvent(it, { "large" }, { 20000, 4000, Milliseconds(300) }, start);
+        work[it.id] = { 3, 24000, { 60000, 90000 }, { -2, 12 } };
+    }
+    balancer.setPeerWork(work, start);
+    RoutedService service { { "assist" }, "/", 0, EngineProfile { 64, 400000, 1, {} } };
+    RoutedRequest request;
+    request.promptTokens = 12000;
+    request.promptParts = { { "shared", 5000 }, { "own", 7000 } };
+    std::vector<UpstreamId> tried;
+    UpstreamQuery query { &request, &service, {}, &tried, { "d0" } };
+    for (const auto& it : entries)
+        query.allowed.push_back(&it);
+    for (auto _ : state) {
+        const auto* it = balancer.choose(query, start + Milliseconds(100));
+        balancer.sent(it->id, 12000);
+        balancer.ended(it->id, 12000, false);
+    }
+}
+BENCHMARK(chooseEngine)->ArgsProduct({ { 10, 60, 910 }, { 0, 1 } });
+
 FleetHeartbeat makeFleetHeartbeat(int instance, int upstreams, std::uint64_t sequence)
 {
     FleetHeartbeat it;
@@ -99,6 +130,17 @@
     return it;
 }
 
+// The same with what an instance that uses estimates tells of each upstream.
+FleetHeartbeat makeEstimatingHeartbeat(int instance, int upstreams, std::uint64_t sequence)
+{
+    auto it = makeFleetHeartbeat(instance, upstreams, sequence);
+    for (auto& [id, work] : it.work) {
+        work.committed = { 12400, 60000 };
+        work.speed = { -0.35, 0.82 };
+    }
+    return it;
+}
+
 // One heartbeat of an instance of a large site: encoded, decoded and taken in by a hub that knows the given number of peers.
 void takeFleetHeartbeat(benchmark::State& state)
 {
@@ -117,6 +159,21 @@
 }
 BENCHMARK(takeFleetHeartbeat)->ArgsProduct({ { 24, 60, 300 }, { 4, 40, 245 } });
 
+// The same with estimates.
+void takeEstimatingHeartbeat(benchmark::State& state)
+{
+    FleetMembership hub({ { "hub" }, 1 }, { "d0" }, "10.0.0.1:70");
+    std::uint64_t sequence = 1;
+    std::size_t bytes = 0;
+    for (auto _ : state) {
+        auto encoded = encodeHeartbeat(makeEstimatingHeartbeat(0, static_cast<int>(state.range(0)), ++sequence));
+        bytes = encoded.size();
+        hub.onHeartbeat(*decodeHeartbeat(encoded), start);
+    }
+    state.counters["bytes"] = static_cast<double>(bytes);
+}
+BENCHMARK(takeEstimatingHeartbeat)->Arg(4)->Arg(40)->Arg(245);
+
 // One digest of the whole site: made and encoded by a hub, decoded and taken in by an instance of its domain.
 void takeDigest(benchmark::State& state)
 {
