Engine speeds: weigh gaps above first events; test 88 balancers in a closed loop

Cause: with balancers that learn from their own requests, engines at 0.55 and 1.2 were estimated at a ratio of 0.77 (0.46 is right): the time to a first event says little of the speed while the queue ahead is not known. Before any first event of its own, an instance also took the unreported work for none, and all chose the fastest engine. Change: first events weigh by the square of the prompt's own share of the work, and a quarter of that; the prior weighs less; a default for the time that work waits.

--- a/src/core/routing/upstream_balancer.cpp
+++ b/src/core/routing/upstream_balancer.cpp
@@ -127,15 +127,13 @@
 
 double UpstreamBalancer::unreportedWork(const std::vector<const UpstreamEntry*>& engines, TimePoint now) const
 {
-    if (m_meanPromptWork <= 0)
-        return 0;
     double unread = 0;
     for (const auto* it : engines) {
         auto peers = m_peerWork.find(it->id);
         unread += peers == m_peerWork.end() ? 0 : static_cast<double>(peers->second.waitingTokens);
     }
     // By Little's law, work arrives at the rate of the unread work over the time that it waits.
-    auto wait = std::max(minReadSeconds, m_meanPromptWorkSeconds / m_meanPromptWork);
+    auto wait = std::max(minReadSeconds, m_meanPromptWorkSeconds / std::max(1.0, m_meanPromptWork));
     auto age = std::min<Microseconds>(now - m_peerWorkAt, maxPeerWorkAge) + m_settings.peerWorkAge;
     return unread * toSeconds(age) / wait;
 }
@@ -207,7 +205,7 @@
     auto promptWork = static_cast<double>(event.promptWork);
     m_meanPromptWork += averageGain * (promptWork - m_meanPromptWork);
     m_meanPromptWorkSeconds += averageGain * (promptWork * toSeconds(event.time) - m_meanPromptWorkSeconds);
-    m_speeds.recordFirstEvent(processOf(upstream), model, work, event.time, now);
+    m_speeds.recordFirstEvent(processOf(upstream), model, event, now);
 }
 
 void UpstreamBalancer::recordGap(const UpstreamEntry& upstream, const ModelId& model, Microseconds gap, TimePoint now)
--- a/src/core/routing/upstream_balancer.h
+++ b/src/core/routing/upstream_balancer.h
@@ -62,14 +62,6 @@
     const absl::flat_hash_map<UpstreamId, std::int64_t>* cachedTokens = nullptr;
 };
 
-// Times and work of a first event.
-struct FirstEvent {
-    // Of the engine before the request was sent, and of the request's prompt.
-    std::int64_t workBefore = 0;
-    std::int64_t promptWork = 0;
-    Microseconds time {};
-};
-
 class UpstreamBalancer {
 public:
     explicit UpstreamBalancer(std::uint64_t seed, UpstreamBalancerSettings settings = {})
@@ -171,8 +163,8 @@
     absl::flat_hash_map<UpstreamId, UpstreamWork> m_peerWork;
     TimePoint m_peerWorkAt {};
     // Moving averages over own requests, which give the mean time that a unit of work waits until it is read.
-    double m_meanPromptWork = 0;
-    double m_meanPromptWorkSeconds = 0;
+    double m_meanPromptWork = 2000;
+    double m_meanPromptWorkSeconds = 600;
     EngineSpeeds m_speeds;
     OutputLengths m_outputs;
     EngineDraws m_draws;
--- a/src/core/scheduling/engine_speed.cpp
+++ b/src/core/scheduling/engine_speed.cpp
@@ -8,21 +8,23 @@
 namespace {
 
     // Weight of a speed of 1 that is assumed without observations.
-    constexpr double priorWeight = 2;
+    constexpr double priorWeight = 0.5;
     // Observations fade by 1/e in this time, and proportionally faster if they weigh more than fullWeight.
     constexpr Milliseconds fadeTime { 8000 };
-    constexpr double fullWeight = 24;
-    // Many gaps are seen for each first event, and those of one stream resemble each other.
+    constexpr double fullWeight = 8;
+    // Many gaps are seen for each first event, and those of one stream resemble each other. Queues that are not known well make the time
+    // to the first event say less of the speed than gaps do.
     constexpr double gapWeight = 0.1;
+    constexpr double firstEventWeight = 0.25;
     // A sample differs from the estimate by at most a factor of two, so that single outliers have little effect.
     constexpr double maxLogDeviation = 0.7;
-    // Samples from which an expectation is used, and the minimum gain of its moving average.
-    constexpr double minExpectationSamples = 4;
+    // Weight of the samples from which an expectation is used, and the minimum gain of its moving average.
+    constexpr double minExpectationSamples = 1;
     constexpr double expectationGain = 0.02;
     // With less work, the time to the first event is mostly network latency.
     constexpr std::int64_t minWork = 1000;
     // Observations that weigh less are not sent to peers.
-    constexpr double minSentWeight = 0.1;
+    constexpr double minSentWeight = 0.05;
     // Services and models with expectations of their own, since callers may name models. All others of a service share one.
     constexpr std::size_t maxExpectations = 256;
     // A reported pace fades by 1/e in this time, since paces change many times a second.
@@ -50,14 +52,18 @@
 
 }
 
-void EngineSpeeds::recordFirstEvent(const EngineProcess& engine, const ModelId& model, std::int64_t work, Microseconds time, TimePoint now)
+void EngineSpeeds::recordFirstEvent(const EngineProcess& engine, const ModelId& model, const FirstEvent& event, TimePoint now)
 {
-    if (work < minWork || time <= Microseconds(0))
+    auto work = event.workBefore + event.promptWork;
+    if (event.workBefore < 0 || event.promptWork <= 0 || work < minWork || event.time <= Microseconds(0))
         return;
     // Levels of work, each four times the one before.
     auto level = static_cast<std::size_t>(std::log2(static_cast<double>(work) / minWork) / 2);
     auto& expectation = expectationsOf(engine, model).firstEvent[std::min(level, loadLevels - 1)];
-    record(engine, expectation, logOf(time) - std::log(static_cast<double>(work)), 1, now);
+    // Only the request's own share of the work is certain; the rest may have been read since, and other work may have come.
+    // The variance of a sample grows with the square of that rest.
+    auto certain = static_cast<double>(event.promptWork) / static_cast<double>(work);
+    record(engine, expectation, logOf(event.time) - std::log(static_cast<double>(work)), firstEventWeight * certain * certain, now);
 }
 
 void EngineSpeeds::recordGap(const EngineProcess& engine, const ModelId& model, double occupancy, Microseconds gap, TimePoint now)
--- a/src/core/scheduling/engine_speed.h
+++ b/src/core/scheduling/engine_speed.h
@@ -27,14 +27,22 @@
     std::int64_t born = 0;
 };
 
+// Work and time of a first event. Work is in prompt tokens of the most expensive model.
+struct FirstEvent {
+    // Of the engine before the request was sent, as far as known then.
+    std::int64_t workBefore = 0;
+    // Of the request's prompt.
+    std::int64_t promptWork = 0;
+    // From sending the request.
+    Microseconds time {};
+};
+
 class EngineSpeeds {
 public:
     static constexpr double minSpeed = 0.2;
     static constexpr double maxSpeed = 3;
 
-    // The first event arrived this long after the request was sent. `work` is that on the engine then, in prompt tokens weighted by
-    // the model, the request's own prompt included.
-    void recordFirstEvent(const EngineProcess&, const ModelId&, std::int64_t work, Microseconds time, TimePoint now);
+    void recordFirstEvent(const EngineProcess&, const ModelId&, const FirstEvent&, TimePoint now);
     // Time between two events of a stream, while the engine ran about this share of the requests that it can run at once.
     void recordGap(const EngineProcess&, const ModelId&, double occupancy, Microseconds gap, TimePoint now);
     // Time that work takes on the engine's machine now, in percent of the usual time.
@@ -51,7 +59,7 @@
     double lastingSpeed(const UpstreamId&, TimePoint now) const;
     // The same with the reported pace of this moment.
     double speed(const UpstreamId&, TimePoint now) const;
-    // Weight of all observations of the engine: the number of first events that they are worth.
+    // Weight of all observations of the engine; a gap weighs a tenth.
     double weight(const UpstreamId&, TimePoint now) const;
 
 private:
--- a/test/correctness/engine_estimate_test.cpp
+++ b/test/correctness/engine_estimate_test.cpp
@@ -10,6 +10,7 @@
 #include <cmath>
 #include <deque>
 #include <iostream>
+#include <numeric>
 
 using namespace skylarkhitch;
 using namespace std::chrono_literals;
@@ -43,7 +44,7 @@
     void observe(std::size_t n, double speed)
     {
         auto time = Microseconds(static_cast<std::int64_t>(100000 / speed));
-        instances[random() % instances.size()].recordFirstEvent(process(n), large, 2000, time, now);
+        instances[random() % instances.size()].recordFirstEvent(process(n), large, { 0, 2000, time }, now);
     }
 
     void exchange()
@@ -109,9 +110,9 @@
         for (int n = 0; n < 100; ++n) {
             pair.now += 100ms;
             auto slow = Microseconds(200000), fast = Microseconds(100000);
-            pair.instances[0].recordFirstEvent(process(0), large, 2000, slow, pair.now);
-            pair.instances[1].recordFirstEvent(process(0), large, 2000, slow, pair.now);
-            pair.instances[1].recordFirstEvent(process(1), large, 2000, fast, pair.now);
+            pair.instances[0].recordFirstEvent(process(0), large, { 0, 2000, slow }, pair.now);
+            pair.instances[1].recordFirstEvent(process(0), large, { 0, 2000, slow }, pair.now);
+            pair.instances[1].recordFirstEvent(process(1), large, { 0, 2000, fast }, pair.now);
             pair.exchange();
         }
         CHECK(pair.speed(1) / pair.speed(0) > 1.5);
@@ -152,8 +153,8 @@
         auto now = start;
         for (int n = 0; n < 200; ++n) {
             now += 20ms;
-            speeds.recordFirstEvent(process(0), { "small" }, 2000, 20ms, now);
-            speeds.recordFirstEvent(process(1), large, 2000, 200ms, now);
+            speeds.recordFirstEvent(process(0), { "small" }, { 0, 2000, 20ms }, now);
+            speeds.recordFirstEvent(process(1), large, { 0, 2000, 200ms }, now);
         }
         CHECK(speeds.speed({ "e0" }, now) == Approx(1).epsilon(0.05));
         CHECK(speeds.speed({ "e1" }, now) == Approx(1).epsilon(0.05));
@@ -201,7 +202,7 @@
         instance.recordPace(process(0, 2), 100, fleet.now);
         CHECK(instance.speed({ "e0" }, fleet.now) == 1);
         for (int n = 0; n < 50; ++n)
-            instance.recordFirstEvent(process(0, 1), large, 2000, 900ms, fleet.now);
+            instance.recordFirstEvent(process(0, 1), large, { 0, 2000, 900ms }, fleet.now);
         CHECK(instance.speed({ "e0" }, fleet.now) == 1);
     }
     SECTION("upstreams that are gone leave no state")
@@ -217,9 +218,9 @@
     UpstreamId id { "e0" };
     SECTION("times and loads that cannot be")
     {
-        speeds.recordFirstEvent(process(0), large, 2000, -5ms, start);
-        speeds.recordFirstEvent(process(0), large, -2000, 5ms, start);
-        speeds.recordFirstEvent(process(0), large, 0, 5ms, start);
+        speeds.recordFirstEvent(process(0), large, { 0, 2000, -5ms }, start);
+        speeds.recordFirstEvent(process(0), large, { 0, -2000, 5ms }, start);
+        speeds.recordFirstEvent(process(0), large, { 0, 0, 5ms }, start);
         speeds.recordGap(process(0), large, std::nan(""), 5ms, start);
         speeds.recordGap(process(0), large, -4, 0ms, start);
         CHECK(speeds.weight(id, start) == 0);
@@ -243,7 +244,7 @@
     SECTION("model names without end do not grow the state of speeds without end, and known models keep theirs")
     {
         for (int n = 0; n < 5000; ++n)
-            speeds.recordFirstEvent(process(0), { std::to_string(n) }, 2000, 100ms, start);
+            speeds.recordFirstEvent(process(0), { std::to_string(n) }, { 0, 2000, 100ms }, start);
         CHECK(speeds.speed(id, start) == Approx(1).epsilon(0.05));
     }
 }
@@ -747,3 +748,152 @@
     CHECK(it.balancer.ownWork(it.now).size() == 2);
     CHECK(it.balancer.lastPlacement().withoutMemory == 0);
 }
+
+namespace {
+
+// Instances with balancers of their own, which learn all they know from their own requests and from the others' heartbeats. Engines
+// read one prompt after the other and generate ten events for each.
+struct BalancerFleet {
+    static constexpr std::size_t instanceCount = 88;
+    static constexpr std::size_t engineCount = 60;
+    static constexpr double tokensPerSecond = 20000;
+    static constexpr Milliseconds step { 10 };
+
+    struct Prompt {
+        std::size_t instance = 0;
+        std::int64_t tokens = 0;
+        std::int64_t workBefore = 0;
+        double unread = 0;
+        TimePoint sentAt {};
+    };
+
+    Milliseconds age;
+    std::vector<UpstreamBalancer> balancers;
+    std::vector<UpstreamEntry> entries = entriesOf(engineCount);
+    RoutedService service { { "assist" }, "/", 0, EngineProfile { 64, 400000, 1, {} } };
+    std::vector<UpstreamId> tried;
+    std::vector<std::deque<Prompt>> engines = std::vector<std::deque<Prompt>>(engineCount);
+    std::vector<double> total = std::vector<double>(engineCount);
+    std::vector<double> waits;
+    std::mt19937_64 random { 11 };
+    TimePoint now = start;
+
+    BalancerFleet(Milliseconds viewAge, bool usesEstimates)
+        : age(viewAge)
+    {
+        for (std::size_t n = 0; n < instanceCount; ++n) {
+            balancers.emplace_back(n + 1, UpstreamBalancerSettings { .usesEngineEstimates = usesEstimates, .peerWorkAge = 0ms });
+            balancers.back().setInstance(n, instanceCount);
+        }
+    }
+
+    static double speedOf(std::size_t engine) { return engine % 3 == 0 ? 0.55 : 1.2; }
+
+    void run(Milliseconds time, double requestsPerSecond)
+    {
+        std::poisson_distribution<int> arrivals(requestsPerSecond * static_cast<double>(step.count()) / 1000);
+        for (auto end = now + time; now < end; now += step) {
+            if ((now - start) % age < step)
+                exchange();
+            for (int n = arrivals(random); n > 0; --n)
+                send();
+            for (std::size_t n = 0; n < engineCount; ++n)
+                read(n);
+        }
+    }
+
+    void exchange()
+    {
+        std::vector<std::map<UpstreamId, UpstreamWork>> own;
+        std::map<UpstreamId, UpstreamWork> sum;
+        for (const auto& it : balancers) {
+            own.push_back(it.ownWork(now));
+            for (const auto& [id, work] : own.back())
+                add(sum[id], work);
+        }
+        for (std::size_t n = 0; n < instanceCount; ++n) {
+            auto peers = sum;
+            for (const auto& [id, work] : own[n])
+                subtract(peers[id], work);
+            balancers[n].setPeerWork({ peers.begin(), peers.end() }, now);
+        }
+    }
+
+    void send()
+    {
+        static constexpr std::int64_t lengths[] = { 12000, 800, 2400 };
+        auto instance = random() % instanceCount;
+        auto& balancer = balancers[instance];
+        auto request = EstimatingBalancer::prompt(lengths[random() % 3]);
+        UpstreamQuery query { &request, &service, {}, &tried, { "a" } };
+        for (const auto& it : entries)
+            query.allowed.push_back(&it);
+        const auto* chosen = balancer.choose(query, now);
+        auto n = static_cast<std::size_t>(chosen - entries.data());
+        engines[n].push_back({ instance, request.promptTokens, balancer.workOn(chosen->id), static_cast<double>(request.promptTokens), now });
+        balancer.sent(chosen->id, request.promptTokens);
+        total[n] += static_cast<double>(request.promptTokens);
+    }
+
+    void read(std::size_t n)
+    {
+        auto tokens = speedOf(n) * tokensPerSecond * static_cast<double>(step.count()) / 1000;
+        while (tokens > 0 && !engines[n].empty()) {
+            auto& prompt = engines[n].front();
+            auto part = std::min(tokens, prompt.unread);
+            tokens -= part;
+            prompt.unread -= part;
+            if (prompt.unread > 0)
+                return;
+            auto& balancer = balancers[prompt.instance];
+            balancer.begun(entries[n].id, prompt.tokens);
+            balancer.ended(entries[n].id, prompt.tokens, true);
+            balancer.recordFirstEvent(entries[n], large, { prompt.workBefore, prompt.tokens, now - prompt.sentAt }, now);
+            for (int event = 0; event < 10; ++event)
+                balancer.recordGap(entries[n], large, Microseconds(static_cast<std::int64_t>(static_cast<double>(20000 + random() % 20000) / speedOf(n))), now);
+            waits.push_back(std::chrono::duration<double>(now - prompt.sentAt).count());
+            engines[n].pop_front();
+        }
+    }
+
+    double busiestOverMean() const
+    {
+        double busiest = 0, sum = 0, speeds = 0;
+        for (std::size_t n = 0; n < engineCount; ++n) {
+            busiest = std::max(busiest, total[n] / speedOf(n));
+            sum += total[n];
+            speeds += speedOf(n);
+        }
+        return busiest / (sum / speeds);
+    }
+
+    // Mean estimate of the slow engines over that of the fast ones.
+    double estimatedRatio() const
+    {
+        double slow = 0, fast = 0;
+        for (std::size_t n = 0; n < engineCount; ++n)
+            (n % 3 == 0 ? slow : fast) += balancers[0].speedOf(entries[n].id, now) / (n % 3 == 0 ? 1 : 2);
+        return slow / fast;
+    }
+
+    double meanWait() const { return std::accumulate(waits.begin(), waits.end(), 0.0) / static_cast<double>(waits.size()); }
+};
+
+}
+
+TEST_CASE("88 instances that learn speeds and unreported work from each other's heartbeats")
+{
+    auto requestsPerSecond = 0.8 * 60 * (0.55 + 2 * 1.2) / 3 * 20000 / (15200.0 / 3);
+    auto age = GENERATE(250ms, 1000ms);
+    BalancerFleet fleet(age, true), unaware(age, false);
+    for (auto* it : { &fleet, &unaware }) {
+        it->run(20s, requestsPerSecond);
+        it->waits.clear();
+        it->total.assign(BalancerFleet::engineCount, 0);
+        it->run(40s, requestsPerSecond);
+    }
+    std::cout << "heartbeats of up to " << age.count() << " ms: busiest over mean " << fleet.busiestOverMean() << ", estimated ratio of speeds " << fleet.estimatedRatio() << ", mean wait " << fleet.meanWait() << " s; without estimates " << unaware.busiestOverMean() << ", " << unaware.meanWait() << " s\n";
+    CHECK(fleet.busiestOverMean() <= 1.3);
+    CHECK(fleet.estimatedRatio() == Approx(0.55 / 1.2).epsilon(0.25));
+    CHECK(fleet.meanWait() < unaware.meanWait());
+}
