--- a/src/core/routing/upstream_balancer.h
+++ b/src/core/routing/upstream_balancer.h
@@ -62,14 +62,6 @@
     const absl::flat_hash_map<UpstreamId, std::int64_t>* cachedTokens = nullptr;
 };
 
-// Times and work of a first event.
-struct FirstEvent {
-    // Of the engine before the request was sent, and of the request's prompt.
-    std::int64_t workBefore = 0;
-    std::int64_t promptWork = 0;
-    Microseconds time {};
-};
-
 class UpstreamBalancer {
 public:
     explicit UpstreamBalancer(std::uint64_t seed, UpstreamBalancerSettings settings = {})
@@ -154,10 +146,8 @@
     std::vector<const UpstreamEntry*> candidates(const UpstreamQuery&, TimePoint now) const;
     const UpstreamEntry* chooseEngine(const UpstreamQuery&, const std::vector<const UpstreamEntry*>&, TimePoint now);
     std::vector<EngineCandidate> engineCandidates(const UpstreamQuery&, const std::vector<const UpstreamEntry*>&, TimePoint now) const;
-    // Prompt tokens on an engine that are not read yet, of all instances.
-    std::int64_t unreadWorkOn(const UpstreamId&) const;
-    // Adds what is known of the engine's speed and memory.
-    void addEstimate(EngineCandidate&, const UpstreamQuery&, TimePoint now) const;
+    // Work of all instances on an upstream.
+    UpstreamWork sumOn(const UpstreamId&) const;
     // Work that other instances are expected to have sent to these engines since their heartbeats.
     double unreportedWork(const std::vector<const UpstreamEntry*>&, TimePoint now) const;
     const UpstreamEntry* chooseLeastLoaded(const std::vector<const UpstreamEntry*>&, TimePoint now) const;
@@ -174,8 +164,8 @@
     absl::flat_hash_map<UpstreamId, UpstreamWork> m_peerWork;
     TimePoint m_peerWorkAt {};
     // Moving averages over own requests, which give the mean time that a unit of work waits until it is read.
-    double m_meanPromptWork = 0;
-    double m_meanPromptWorkSeconds = 0;
+    double m_meanPromptWork = 2000;
+    double m_meanPromptWorkSeconds = 600;
     EngineSpeeds m_speeds;
     OutputLengths m_outputs;
     EngineDraws m_draws;
