Long prompts of the most urgent rank are held back no sooner than their wait demands

Cause: the part of the pressure that all prompts share took all the work for work ahead, while engines admit by rank. Measured: test_routing, the new section failed before (required confidence 0).

--- a/src/core/routing/model_choice.cpp
+++ b/src/core/routing/model_choice.cpp
@@ -18,7 +18,7 @@
     auto prompt = static_cast<double>(load.promptTokens);
     auto workAhead = load.work * (rank == 0 ? settings.urgentWorkFraction : 1);
     auto ownPressure = (workAhead + prompt) * load.millisecondsPerToken / static_cast<double>(std::max<std::int64_t>(1, left.count()));
-    auto wait = load.work * load.millisecondsPerToken / static_cast<double>(settings.sharedWaitTarget.count());
+    auto wait = workAhead * load.millisecondsPerToken / static_cast<double>(settings.sharedWaitTarget.count());
     auto sharedPressure = wait * std::min(settings.maxPromptRatio, load.promptRatio);
     auto spareCapacity = (settings.saturatedPressure - std::max(ownPressure, sharedPressure)) / (settings.saturatedPressure - settings.idlePressure);
     return settings.idleConfidence * std::clamp(spareCapacity, 0.0, 1.0);
--- a/test/correctness/routing_test.cpp
+++ b/test/correctness/routing_test.cpp
@@ -472,6 +472,12 @@
         EngineLoad shortPrompt { 18000, 800, 0.2, 0.05 };
         CHECK(requiredConfidence(longPrompt, 2, 6000ms) < requiredConfidence(shortPrompt, 0, 1000ms));
     }
+    SECTION("long prompts of the most urgent rank are held back no sooner than their wait demands")
+    {
+        EngineLoad longPrompt { 18000, 12000, 2.5, 0.05 };
+        CHECK(requiredConfidence(longPrompt, 0, 6000ms) > requiredConfidence(longPrompt, 1, 6000ms));
+        CHECK(requiredConfidence(longPrompt, 0, 6000ms) > 0.4);
+    }
     SECTION("a request without remaining time accepts any response")
     {
         CHECK(requiredConfidence(idle, 0, -5ms) == 0);
