--- a/src/edge/caller_connection.cpp
+++ b/src/edge/caller_connection.cpp
@@ -384,6 +384,9 @@
     if (m_isServing) {
         leaveList();
         leave();
+        // The request itself ends only later.
+        std::string().swap(m_input);
+        m_memory.hold(0);
         handleDisconnect(ConnectionEnd::Displaced);
         abort();
         return;
@@ -429,7 +432,9 @@
 {
     m_keepAlive = m_keepAlive && !m_server->closing;
     m_hasStartedResponse = true;
-    auto framing = forbidsBody(response.status) ? std::string() : absl::StrCat("Content-Length: ", response.body.size(), "\r\n");
+    // The length that a GET request would get is not known for a HEAD request.
+    bool hasNoLength = forbidsBody(response.status) || (m_isHeadRequest && response.body.empty());
+    auto framing = hasNoLength ? std::string() : absl::StrCat("Content-Length: ", response.body.size(), "\r\n");
     auto body = m_isHeadRequest ? std::string_view() : std::string_view(response.body);
     m_hasCompletedResponse = co_await write(serializeHead(response, framing), body);
     co_return m_hasCompletedResponse;
--- a/src/edge/upstream_connection.cpp
+++ b/src/edge/upstream_connection.cpp
@@ -77,6 +77,7 @@
 Awaitable<bool> UpstreamConnection::send(std::string head, std::shared_ptr<const std::string> body)
 {
     auto self = shared_from_this();
+    m_isHeadRequest = head.starts_with("HEAD ");
     auto sharedHead = std::make_shared<const std::string>(std::move(head));
     auto size = sharedHead->size() + (body ? body->size() : 0);
     if (size > maxForegroundRequestBytes) {
@@ -116,6 +117,8 @@
         m_parser->eager(true);
         m_parser->header_limit(maxResponseHeadBytes);
         m_parser->body_limit(maxResponseBodyBytes);
+        // The response to a HEAD request has no body, whatever its Content-Length.
+        m_parser->skip(m_isHeadRequest);
         while (!m_parser->is_header_done()) {
             if (m_parsedBytes > maxResponseHeadBytes)
                 co_return reject("head too long");
--- a/src/edge/upstream_connection.h
+++ b/src/edge/upstream_connection.h
@@ -109,6 +109,7 @@
     std::string m_malformedCause;
     bool m_lacksMemory = false;
     bool m_isSending = false;
+    bool m_isHeadRequest = false;
     bool m_isUnusable = false;
 };
 
--- a/test/correctness/caller_connection_test.cpp
+++ b/test/correctness/caller_connection_test.cpp
@@ -653,3 +653,36 @@
     CHECK(statusAfter("4\r\nbody\r\n0\r\nX-Filler: " + filler(20000)) == 400);
     CHECK(statusAfter("4\r\nbody\r\n0\r\n" + absl::StrReplaceAll(filler(2000), { { "x", "X-A: 12345\r\n" } })) == 400);
 }
+
+// Guards against HEAD requests that wait for a body until their time limit, since the response states its length.
+TEST_CASE("a HEAD request is answered without waiting for a body")
+{
+    const ServiceId service { "files" };
+    LoopbackServer upstream([&](const RawRequest& request, RawConnection& connection) {
+        return connection.write(absl::StrCat("HTTP/1.1 200 OK\r\nX-Attempt-Id: ", request.field("X-Attempt-Id"), "\r\nContent-Length: 500\r\n\r\n"));
+    });
+    auto configuration = std::make_shared<RoutingConfiguration>();
+    configuration->services[service] = { service, "/", 0, {} };
+    configuration->routes.push_back({ .name = "files", .host = "x", .prefix = "/", .kind = RouteKind::Idempotent, .timeout = 10s, .split = { { service, 1 } } });
+    FleetView view;
+    view.configuration = configuration;
+    view.upstreams[service] = { { { "i-1" }, service, upstream.address(), { "a" }, "v1", 8, true, 1, {} } };
+    TrafficState* traffic = nullptr;
+    Server server([&](std::shared_ptr<CallerConnection> connection, ReceivedRequest request) -> Awaitable<void> {
+        auto forwarder = std::make_shared<RequestForwarder>(*traffic, std::move(connection), std::move(request));
+        co_await forwarder->run();
+    });
+    EdgeMetrics metrics;
+    TrafficState state(server.loop(), TrafficSettings {}, metrics);
+    state.setView(std::make_shared<const FleetView>(view));
+    traffic = &state;
+    auto connection = server.connect();
+    for (int n = 0; n < 2; ++n) {
+        connection->write(absl::StrCat("HEAD /x HTTP/1.1\r\nHost: x\r\nX-Attempt-Id: id-", n, "\r\n\r\n"));
+        auto response = connection->readResponse(3s);
+        CHECK(absl::StartsWith(response, "HTTP/1.1 200"));
+        CHECK(absl::EndsWith(response, "\r\n\r\n"));
+    }
+    CHECK(waitUntil(2s, [&] { return server.requests() == 0; }));
+    server.stop();
+}
--- a/test/correctness/instance_memory_test.cpp
+++ b/test/correctness/instance_memory_test.cpp
@@ -155,6 +155,11 @@
         CHECK(idle < limit * 4 / 5);
         CHECK(3 * served < limit * 4 / 5);
     }
+    SECTION("requests of the platform and of peers open none")
+    {
+        CHECK(DescriptorBudget::forPlatform(4100).allows(250, 250));
+        CHECK_FALSE(DescriptorBudget::forPlatform(4100).allows(300, 0));
+    }
     SECTION("a limit that is too low still lets a caller be served")
     {
         CHECK(DescriptorBudget::forCallers(6).allows(1, 1));
