Budget: room for the long bodies of calm callers

Change: 28 MB are left to the process, long requests may fill 74% of the rest, small ones 86%, long responses 95%.

--- a/src/core/limits/instance_memory.cpp
+++ b/src/core/limits/instance_memory.cpp
@@ -9,16 +9,16 @@
 
     // Left to the process itself: code, configuration, copy of the store, and what the allocator cannot return. On a small machine at
     // most three quarters of the memory.
-    constexpr std::int64_t processBytes = std::int64_t { 32 } << 20;
+    constexpr std::int64_t processBytes = std::int64_t { 28 } << 20;
     constexpr std::int64_t largestProcessPart = 3;
     constexpr std::int64_t smallestProcessPart = 1;
     constexpr std::int64_t processPartDivisor = 4;
 
-    // Parts of the budget, in eighths.
-    constexpr std::size_t longRequestEighths = 5;
-    constexpr std::size_t smallRequestEighths = 6;
-    constexpr std::size_t longResponseEighths = 7;
-    constexpr std::size_t smallResponseEighths = 8;
+    // Parts of the budget, in percent.
+    constexpr std::size_t longRequestPercent = 74;
+    constexpr std::size_t smallRequestPercent = 86;
+    constexpr std::size_t longResponsePercent = 95;
+    constexpr std::size_t smallResponsePercent = 100;
 
 }
 
@@ -78,10 +78,10 @@
 
 std::size_t InstanceMemory::limitFor(Use use, std::size_t bytes) const
 {
-    constexpr std::array requestEighths { smallRequestEighths, longRequestEighths };
-    constexpr std::array responseEighths { smallResponseEighths, longResponseEighths };
-    const auto& eighths = use == Use::Request ? requestEighths : responseEighths;
-    return m_budget / 8 * eighths[isLong(bytes) ? 1 : 0];
+    constexpr std::array requestPercents { smallRequestPercent, longRequestPercent };
+    constexpr std::array responsePercents { smallResponsePercent, longResponsePercent };
+    const auto& percents = use == Use::Request ? requestPercents : responsePercents;
+    return m_budget / 100 * percents[isLong(bytes) ? 1 : 0];
 }
 
 void InstanceMemory::replace(Use use, std::size_t from, std::size_t to)
