--- a/src/edge/upstream_connection.h
+++ b/src/edge/upstream_connection.h
@@ -113,6 +113,7 @@
     bool m_lacksMemory = false;
     bool m_isSending = false;
     boost::system::error_code m_sendError;
+    bool m_isHeadRequest = false;
     bool m_isUnusable = false;
 };
 
