Evacuation: links are judged by upstreams outside evacuated domains

Cause: link checks still chose upstreams of an evacuated domain. Operators may have switched them off, and an instance that reaches only them serves nobody but did not pass its requests to peers.

Change: TrafficState::beginLinkChecks() leaves them out; LinkChecker calls it. Cold times are looked at before the name of a process is built.

--- a/src/edge/link_checker.cpp
+++ b/src/edge/link_checker.cpp
@@ -13,7 +13,7 @@
 {
     if (!m_traffic.view())
         return;
-    for (auto& it : m_traffic.links().beginRound(m_traffic.view()->upstreams, bootNow()))
+    for (auto& it : m_traffic.beginLinkChecks(bootNow()))
         spawn(m_loop, check(std::move(it)), "check_link");
 }
 
--- a/src/edge/traffic_state.cpp
+++ b/src/edge/traffic_state.cpp
@@ -126,7 +126,9 @@
         bool hasOthers = std::any_of(entries.begin(), entries.end(), [&](const auto& it) { return !domains.isEvacuated(it.domain) && !domains.refilledAt(it.domain, now); });
         for (const auto& it : entries) {
             auto refilledAt = hasOthers ? domains.refilledAt(it.domain, now) : std::nullopt;
-            m_limits.recordCold(processName(it), service->coldRequestsPerSecond, std::max(it.coldUntil, refilledAt.value_or(TimePoint {})), now);
+            auto coldUntil = std::max(it.coldUntil, refilledAt.value_or(TimePoint {}));
+            if (coldUntil > now)
+                m_limits.recordCold(processName(it), service->coldRequestsPerSecond, coldUntil, now);
         }
     }
     announceLimits();
@@ -318,6 +320,17 @@
         m_onSuspectedLinks();
 }
 
+std::vector<UpstreamEntry> TrafficState::beginLinkChecks(TimePoint now)
+{
+    if (m_view->domains.evacuated.empty())
+        return m_links.beginRound(m_view->upstreams, now);
+    // Operators may have switched off an evacuated domain, and reaching it is of no use to requests.
+    auto upstreams = m_view->upstreams;
+    for (auto& [id, entries] : upstreams)
+        std::erase_if(entries, [&](const auto& it) { return m_view->domains.isEvacuated(it.domain); });
+    return m_links.beginRound(upstreams, now);
+}
+
 void TrafficState::recordLinkCheck(bool isReached)
 {
     m_links.checkEnded(isReached, bootNow());
--- a/src/edge/traffic_state.h
+++ b/src/edge/traffic_state.h
@@ -147,6 +147,8 @@
     // Records that one was not established, or that a response is late. Counts against the upstream, and a late response against
     // its release, once another upstream is reached.
     void recordSilence(SilentUpstream);
+    // Returns the upstreams to check now; recordLinkCheck() takes the result of each.
+    std::vector<UpstreamEntry> beginLinkChecks(TimePoint now);
     void recordLinkCheck(bool isReached);
     // Whether an attempt that was sent then ended because of this instance's own links. Counts as evidence for later ones.
     bool isOwnLoss(const UpstreamId&, AttemptEnd, TimePoint sentAt, TimePoint now);
--- a/test/correctness/domain_evacuation_test.cpp
+++ b/test/correctness/domain_evacuation_test.cpp
@@ -300,6 +300,15 @@
         CHECK(traffic.isHeld(inNorth, bootNow()));
         CHECK_FALSE(traffic.isHeld(inSouth, bootNow()));
     }
+    SECTION("and the instance's links are judged by the others")
+    {
+        traffic.recordSilence({ { "i-2" }, { "id" }, {} });
+        auto checked = traffic.beginLinkChecks(bootNow());
+        REQUIRE(checked.size() == 1);
+        CHECK(checked[0].id.value == "i-2");
+        traffic.recordLinkCheck(false);
+        CHECK(traffic.links().isLost());
+    }
     SECTION("a release whose upstreams are all there gives way to the other one")
     {
         view.upstreams[assist][0].release = "v2";
