A stream that may run once is not sent again to a larger model

Cause: an answer of low confidence was replaced by a larger model's whatever the route allowed.

Change: escalateModel() asks mayTryAnother(), as a hedge for silence does: the route allows to send the request again, an attempt is left, and the answer is expected before the exit.

Measured: the new section of test_edge, "a low-confidence response stays if the stream may not be resumed", failed on (two runs, and the answer of the larger model) and passes. ctest of edge_streams and silent_upstream_an_answer passes.

--- a/src/edge/model_escalation.cpp
+++ b/src/edge/model_escalation.cpp
@@ -2,6 +2,7 @@
 
 #include "adapters/log.h"
 #include "core/routing/model_choice.h"
+#include "edge/upstream_selection.h"
 
 namespace skylarkhitch {
 
@@ -15,7 +16,7 @@
 {
     auto& traffic = request.traffic;
     const auto& response = *attempt.response;
-    if (!request.model || !response.confidence || request.caller->hasStartedResponse() || request.events.last() || request.possibleRuns >= request.admitted.route->maxAttempts || !request.fitsBeforeExit(bootNow()))
+    if (!request.model || !response.confidence || request.caller->hasStartedResponse() || request.events.last() || !mayTryAnother(request))
         co_return false;
     const auto* larger = largerModel(*request.admitted.route, *request.model);
     if (!larger)
--- a/src/edge/model_escalation.h
+++ b/src/edge/model_escalation.h
@@ -6,7 +6,8 @@
 
 namespace skylarkhitch {
 
-// Asks a larger model if the confidence of the one that has begun a response is too low. Returns whether that has taken over.
+// Asks a larger model if the confidence of the one that has begun a response is too low, and the request may run again. Returns
+// whether that has taken over.
 Awaitable<bool> escalateModel(RequestContext&, RequestHedge&, UpstreamAttempt&);
 
 }
--- a/test/processes/edge_test.cpp
+++ b/test/processes/edge_test.cpp
@@ -598,6 +598,19 @@
         CHECK(instance.linesContaining("what=low_confidence_answer id=id-1 model=small confidence_percent=5").size() == 1);
         CHECK(absl::StrContains(instance.linesContaining("what=request id=id-1")[0], "model=large"));
     }
+    // Guards against a second run of a stream that may run once.
+    SECTION("a low-confidence response stays if the stream may not be resumed, since it runs already")
+    {
+        auto configuration = nlohmann::json::parse(sampleConfiguration(5));
+        for (auto& it : configuration["routes"])
+            it["streamResume"] = false;
+        site.store.put("op/config", configuration.dump());
+        REQUIRE(waitUntil(3s, [&] { return !instance.linesContaining("configuration version=5").empty(); }));
+        site.setEngineScripts(streamEvents(3, 20ms, { .confidence = 5 }));
+        auto response = draft("id-1");
+        CHECK(absl::StrContains(response, "piece 3 of small"));
+        CHECK(site.receivedWithId("id-1") == 1);
+    }
     SECTION("a stream that breaks in the middle of an event is resumed on another upstream without missing or duplicate events")
     {
         std::atomic<int> sends = 0;
