One crash of an upstream counts once, however many instances saw it

Cause: instances told each other how many crashes they had seen of a request, and the numbers were added up. Besides, each report of a peer kept an instance's own crashes alive, so two instances that had seen one each refused the request for as long as both ran.

An instance's own crashes end after their time, whatever peers report. Instances of the build before are still heard; they do not count the crashes of this one's.

--- a/src/core/limits/crash_guard.cpp
+++ b/src/core/limits/crash_guard.cpp
@@ -1,63 +1,77 @@
 #include "core/limits/crash_guard.h"
 
-#include <algorithm>
+#include "core/hashing.h"
+
+#include <absl/strings/str_cat.h>
 
 namespace skylarkhitch {
 
+namespace {
+
+    // Separates the fingerprint and the upstream in the keys of heartbeats.
+    constexpr const char* separator = "@";
+
+    // A hash keeps heartbeats short.
+    std::string nameInHeartbeats(const UpstreamId& upstream) { return absl::StrCat(absl::Hex(hashOf(upstream.value))); }
+
+}
+
 void CrashGuard::recordCrash(const std::string& fingerprint, const UpstreamId& upstream, TimePoint now)
 {
-    auto& counts = m_counts[fingerprint];
-    counts.at = now;
-    auto& suspectedCrashes = m_suspectedCrashes[upstream];
-    auto known = std::find_if(suspectedCrashes.begin(), suspectedCrashes.end(), [&](const SuspectedCrash& it) { return it.fingerprint == fingerprint; });
-    if (known != suspectedCrashes.end()) {
-        known->at = now;
-        return;
-    }
-    ++counts.own;
-    suspectedCrashes.push_back({ fingerprint, now });
+    m_crashes[fingerprint].own[nameInHeartbeats(upstream)] = now;
+    m_fingerprints[upstream].insert(fingerprint);
 }
 
 void CrashGuard::recordAlive(const UpstreamId& upstream, TimePoint askedAt)
 {
-    auto it = m_suspectedCrashes.find(upstream);
-    if (it == m_suspectedCrashes.end())
+    auto fingerprints = m_fingerprints.find(upstream);
+    if (fingerprints == m_fingerprints.end())
         return;
-    std::erase_if(it->second, [&](const SuspectedCrash& suspected) {
-        if (askedAt <= suspected.at)
+    auto name = nameInHeartbeats(upstream);
+    absl::erase_if(fingerprints->second, [&](const std::string& fingerprint) {
+        auto crashes = m_crashes.find(fingerprint);
+        if (crashes == m_crashes.end())
+            return true;
+        auto own = crashes->second.own.find(name);
+        if (own != crashes->second.own.end() && askedAt <= own->second)
             return false;
-        auto counts = m_counts.find(suspected.fingerprint);
-        if (counts != m_counts.end())
-            counts->second.own = std::max<std::int64_t>(0, counts->second.own - 1);
+        crashes->second.own.erase(name);
         return true;
     });
-    if (it->second.empty())
-        m_suspectedCrashes.erase(it);
+    if (fingerprints->second.empty())
+        m_fingerprints.erase(fingerprints);
 }
 
 void CrashGuard::learn(const InstanceId& from, const std::map<std::string, std::int64_t>& crashes, TimePoint now)
 {
-    // A fingerprint that is missing from the peer's counts has been withdrawn by the peer.
-    for (auto& [fingerprint, counts] : m_counts) {
-        if (!crashes.contains(fingerprint))
-            counts.peers.erase(from);
-    }
-    for (const auto& [fingerprint, n] : crashes) {
-        auto& counts = m_counts[fingerprint];
-        counts.peers[from] = n;
-        counts.at = std::max(counts.at, now);
+    // What is missing was withdrawn by the peer.
+    for (auto& [fingerprint, known] : m_crashes)
+        known.peers.erase(from);
+    for (const auto& [key, n] : crashes) {
+        auto end = key.find(separator);
+        auto& peer = m_crashes[key.substr(0, end)].peers[from];
+        peer.at = now;
+        if (end == std::string::npos)
+            peer.unnamed += n;
+        else
+            peer.upstreams.insert(key.substr(end + 1));
     }
 }
 
 std::int64_t CrashGuard::crashCount(const std::string& fingerprint) const
 {
-    auto it = m_counts.find(fingerprint);
-    if (it == m_counts.end())
+    auto it = m_crashes.find(fingerprint);
+    if (it == m_crashes.end())
         return 0;
-    auto sum = it->second.own;
-    for (const auto& [id, n] : it->second.peers)
-        sum += n;
-    return sum;
+    absl::flat_hash_set<std::string> upstreams;
+    for (const auto& [name, at] : it->second.own)
+        upstreams.insert(name);
+    std::int64_t unnamed = 0;
+    for (const auto& [id, peer] : it->second.peers) {
+        upstreams.insert(peer.upstreams.begin(), peer.upstreams.end());
+        unnamed += peer.unnamed;
+    }
+    return static_cast<std::int64_t>(upstreams.size()) + unnamed;
 }
 
 bool CrashGuard::refuses(const std::string& fingerprint) const
@@ -67,20 +81,34 @@
 
 std::map<std::string, std::int64_t> CrashGuard::own() const
 {
-    std::map<std::string, std::int64_t> ownCounts;
-    for (const auto& [fingerprint, counts] : m_counts) {
-        if (counts.own > 0)
-            ownCounts[fingerprint] = counts.own;
+    std::map<std::string, std::int64_t> crashes;
+    for (const auto& [fingerprint, it] : m_crashes) {
+        for (const auto& [name, at] : it.own)
+            crashes[absl::StrCat(fingerprint, separator, name)] = 1;
     }
-    return ownCounts;
+    return crashes;
+}
+
+std::map<std::string, std::int64_t> CrashGuard::ownCounts() const
+{
+    std::map<std::string, std::int64_t> counts;
+    for (const auto& [fingerprint, it] : m_crashes) {
+        if (!it.own.empty())
+            counts[fingerprint] = static_cast<std::int64_t>(it.own.size());
+    }
+    return counts;
 }
 
 void CrashGuard::forget(TimePoint olderThan)
 {
-    absl::erase_if(m_counts, [&](const auto& it) { return it.second.at < olderThan; });
-    for (auto& [upstream, suspectedCrashes] : m_suspectedCrashes)
-        std::erase_if(suspectedCrashes, [&](const SuspectedCrash& it) { return it.at < olderThan; });
-    absl::erase_if(m_suspectedCrashes, [](const auto& it) { return it.second.empty(); });
+    for (auto& [fingerprint, it] : m_crashes) {
+        absl::erase_if(it.own, [&](const auto& own) { return own.second < olderThan; });
+        std::erase_if(it.peers, [&](const auto& peer) { return peer.second.at < olderThan; });
+    }
+    absl::erase_if(m_crashes, [](const auto& it) { return it.second.own.empty() && it.second.peers.empty(); });
+    for (auto& [upstream, fingerprints] : m_fingerprints)
+        absl::erase_if(fingerprints, [&](const std::string& it) { return !m_crashes.contains(it); });
+    absl::erase_if(m_fingerprints, [](const auto& it) { return it.second.empty(); });
 }
 
 }
--- a/src/core/router.cpp
+++ b/src/core/router.cpp
@@ -240,7 +240,7 @@
     Heartbeat heartbeat { .domain = m_settings.domain, .entryAddress = m_settings.entryAddress, .revision = m_configManager.revision(), .leaving = m_draining, .storeReachable = m_store.reachable(), .sequence = ++m_sequence };
     heartbeat.upstreams = m_upstreams.own();
     heartbeat.versions = m_evidence.own();
-    heartbeat.crashes = m_crashGuard.own();
+    heartbeat.crashes = m_crashGuard.ownCounts();
     if (m_configManager.current())
         heartbeat.demands = m_dispatcher.updateAnnouncedDemands();
     for (const auto& it : m_membership.peers())
--- a/test/correctness/routing_test.cpp
+++ b/test/correctness/routing_test.cpp
@@ -510,6 +510,47 @@
         CHECK_FALSE(guard.refuses("f"));
         CHECK(guard.crashCount("g") == 0);
     }
+    // Guards against refusals of sound requests that are alike: two instances had one each at the upstream, and one crash of that counted
+    // as two.
+    SECTION("one crash that several instances saw counts once")
+    {
+        CrashGuard other;
+        other.recordCrash("f", { "u1/1" }, start);
+        guard.learn({ "edge-2" }, other.own(), start);
+        guard.learn({ "edge-3" }, other.own(), start);
+        CHECK(guard.crashCount("f") == 1);
+        CHECK_FALSE(guard.refuses("f"));
+        SECTION("and two crashes that two instances saw count as two")
+        {
+            other.recordCrash("f", { "u2/1" }, start);
+            guard.learn({ "edge-2" }, other.own(), start);
+            CHECK(guard.crashCount("f") == 2);
+            CHECK(guard.refuses("f"));
+        }
+        SECTION("also if each of them saw one, and for an instance that saw none")
+        {
+            CrashGuard second, third;
+            second.recordCrash("f", { "u2/1" }, start);
+            third.learn({ "edge-1" }, guard.own(), start);
+            third.learn({ "edge-2" }, second.own(), start);
+            CHECK(third.refuses("f"));
+        }
+    }
+    // Guards against a request that is refused for as long as two instances tell each other of its crashes.
+    SECTION("crashes that peers go on reporting are dropped in time")
+    {
+        CrashGuard other;
+        other.recordCrash("f", { "u2/1" }, start);
+        auto now = start;
+        for (int n = 0; n < 600; ++n, now += 250ms) {
+            guard.learn({ "edge-2" }, other.own(), now);
+            other.learn({ "edge-1" }, guard.own(), now);
+            guard.forget(now - 120s);
+            other.forget(now - 120s);
+        }
+        CHECK_FALSE(guard.refuses("f"));
+        CHECK(guard.own().empty());
+    }
     SECTION("crashes that a peer no longer reports are removed")
     {
         guard.learn({ "edge-2" }, { { "f", 1 } }, start);
