Crashes in heartbeats name their process by 16 bits of its hash

Cause: 64 bits would nearly double the bytes of each crash in heartbeats and digests, which have to fit into a datagram of 64 KB and have no other bound. Names are compared only among the crashes on one request, so a mistake in 65,536 pairs lets one more crash pass.

The bytes were not measured.

--- a/src/core/limits/crash_guard.cpp
+++ b/src/core/limits/crash_guard.cpp
@@ -11,8 +11,8 @@
     // Separates the fingerprint and the upstream in the keys of heartbeats.
     constexpr const char* separator = "@";
 
-    // A hash keeps heartbeats short.
-    std::string nameInHeartbeats(const UpstreamId& upstream) { return absl::StrCat(absl::Hex(hashOf(upstream.value))); }
+    // Bits of a hash, since all crashes have to fit into a datagram. Only crashes on the same request are told apart.
+    std::string nameInHeartbeats(const UpstreamId& upstream) { return absl::StrCat(absl::Hex(hashOf(upstream.value) & 0xffff)); }
 
 }
 
