--- a/src/edge/request_forwarder.cpp
+++ b/src/edge/request_forwarder.cpp
@@ -104,6 +104,12 @@
             co_await m_outcome.respondWithError(ErrorKind::PromptPartQuarantined);
             co_return;
         }
+        // Once it was sent, a refusal could not say that it has not run.
+        bool isFresh = m_request.possibleRuns == 0 && !m_request.caller->hasStartedResponse();
+        if (isFresh && m_request.traffic.mustYield(m_request.admitted.service->name, m_request.admitted.rank)) {
+            co_await m_outcome.respondWithError(ErrorKind::Overloaded);
+            co_return;
+        }
         const auto* upstream = chooseUpstream(m_request, m_request.model, now);
         if (!upstream) {
             co_await m_outcome.respondWithError(m_outcome.noUpstreamError());
