Engines are chosen by what they are expected to hold of a prompt

Cause: the prompt memory was not called on the way of a request; the engine with the affinity for the shared part was taken to have it. Change: the choice records the request once for each model and passes the credits of the allowed engines to the balancer (UpstreamQuery:: promptCredits, beside cachedTokens, which a test of the balancer uses). An attempt keeps what was expected of its engine: its work is that of the tokens not expected in the cache, and the first event is recorded against the times expected at sending. The memory of an engine is weighed by the placement alone. Off unless TrafficSettings::usesPromptMemory is set.

--- a/src/core/routing/upstream_balancer.cpp
+++ b/src/core/routing/upstream_balancer.cpp
@@ -52,6 +52,7 @@
 
 const UpstreamEntry* UpstreamBalancer::choose(const UpstreamQuery& query, TimePoint now)
 {
+    m_lastPlacement = {};
     auto available = candidates(query, now);
     if (available.empty())
         return nullptr;
@@ -96,7 +97,7 @@
 std::vector<EngineCandidate> UpstreamBalancer::engineCandidates(const UpstreamQuery& query, const std::vector<const UpstreamEntry*>& available, TimePoint now) const
 {
     // Without knowledge of caches, the engine that is first for the shared part in rendezvous hashing is taken to have it.
-    const auto* part = query.cachedTokens ? nullptr : lastSharedPart(*query.request);
+    const auto* part = query.cachedTokens || query.promptCredits ? nullptr : lastSharedPart(*query.request);
     const auto* affinityTarget = !part ? nullptr : *std::max_element(available.begin(), available.end(), [&](const auto* a, const auto* b) { return hashOf(part->id, a->id.value) < hashOf(part->id, b->id.value); });
     std::vector<EngineCandidate> engines;
     engines.reserve(available.size());
@@ -110,7 +111,12 @@
         engine.crossesDomain = it->domain != query.ownDomain;
         if (it == affinityTarget)
             engine.cachedTokens = sharedTokens(*query.request);
-        if (query.cachedTokens) {
+        if (query.promptCredits) {
+            auto credit = query.promptCredits->find(it->id);
+            bool isKnown = credit != query.promptCredits->end();
+            engine.cachedTokens = isKnown ? credit->second.outlook.cachedTokens : 0;
+            engine.savedWork = isKnown ? credit->second.savedWork : 0;
+        } else if (query.cachedTokens) {
             auto cached = query.cachedTokens->find(it->id);
             engine.cachedTokens = cached == query.cachedTokens->end() ? 0 : cached->second;
         }
--- a/src/core/routing/upstream_balancer.h
+++ b/src/core/routing/upstream_balancer.h
@@ -9,6 +9,7 @@
 #include "core/routing/upstream_registry.h"
 #include "core/scheduling/engine_placement.h"
 #include "core/scheduling/engine_speed.h"
+#include "core/scheduling/prompt_placement.h"
 #include "core/scheduling/shared_part_demand.h"
 
 #include <absl/container/flat_hash_map.h>
@@ -60,6 +61,8 @@
     // Tokens of the prompt that engines have cached; engines that are not listed have none. Null if unknown, so that the engine with
     // the affinity for the shared part is taken to have it.
     const absl::flat_hash_map<UpstreamId, std::int64_t>* cachedTokens = nullptr;
+    // The same with the work that the caches are worth. Used instead of cachedTokens if set.
+    const PromptCredits* promptCredits = nullptr;
 };
 
 class UpstreamBalancer {
@@ -73,7 +76,7 @@
     // Chooses an upstream, or returns null if none is left. Ejected upstreams are chosen only if there are no others.
     const UpstreamEntry* choose(const UpstreamQuery&, TimePoint now);
 
-    // Figures of the last choice among engines, for the log.
+    // Figures of the last choice, for the log; without an entry if it was not made by the work of engines.
     const Placement& lastPlacement() const { return m_lastPlacement; }
 
     // Memory that a request of the route will need on an engine by its end.
--- a/src/core/scheduling/engine_placement.cpp
+++ b/src/core/scheduling/engine_placement.cpp
@@ -47,7 +47,8 @@
             // The time to read the own prompt differs by speed only; the credit stands for the cached part of it.
             auto prompt = static_cast<double>(request.promptTokens) * request.modelWeight * (1 / it.speed - 1);
             auto penalty = it.crossesDomain ? static_cast<double>(settings.crossDomainPenalty) : 0;
-            costs.push_back({ &it, reportedWait(it, settings) + prompt + jitter(random) + penalty, static_cast<double>(it.cachedTokens) * settings.cachedTokenCredit });
+            auto credit = it.savedWork.value_or(static_cast<double>(it.cachedTokens) * settings.cachedTokenCredit);
+            costs.push_back({ &it, reportedWait(it, settings) + prompt + jitter(random) + penalty, credit });
         }
         return costs;
     }
--- a/src/core/scheduling/engine_placement.h
+++ b/src/core/scheduling/engine_placement.h
@@ -37,6 +37,8 @@
     std::int64_t memoryTokens = 0;
     // Tokens of the prompt that the engine has cached, or is likely to have.
     std::int64_t cachedTokens = 0;
+    // Work that its cache is worth, see savedWork(); cachedTokenCredit for each cached token if not set.
+    std::optional<double> savedWork;
     bool crossesDomain = false;
 };
 
--- a/src/core/scheduling/prompt_placement.h
+++ b/src/core/scheduling/prompt_placement.h
@@ -65,6 +65,7 @@
     PromptOutlook outlook;
     double savedWork = 0;
 };
+using PromptCredits = absl::flat_hash_map<UpstreamId, PromptCredit>;
 
 // The first event of a response.
 struct PromptRead {
--- a/src/edge/engine_evidence.cpp
+++ b/src/edge/engine_evidence.cpp
@@ -13,6 +13,11 @@
     FirstEvent event { attempt.workBefore, attempt.work, std::chrono::duration_cast<Microseconds>(now - attempt.sentAt) };
     if (hasEngine(request))
         request.traffic.balancer().recordFirstEvent(attempt.upstream, attempt.model.value_or(ModelId {}), event, now);
+    if (!attempt.prompt)
+        return;
+    auto read = *attempt.prompt;
+    read.firstEvent = toMilliseconds(now - attempt.sentAt);
+    request.traffic.recordPromptRead(request.admitted.service->name, read, now);
 }
 
 void recordGap(const RequestContext& request, const UpstreamAttempt& attempt, std::size_t events, TimePoint now)
--- a/src/edge/request_context.h
+++ b/src/edge/request_context.h
@@ -29,6 +29,10 @@
     // The model to ask, where the router chooses it.
     std::optional<ModelId> model;
     std::vector<UpstreamId> triedUpstreams;
+    // What the upstream that was chosen last is expected to hold of the prompt, if the service has a prompt memory.
+    std::optional<PromptRead> chosenPrompt;
+    // Models with which the prompt memory has recorded the request.
+    std::vector<ModelId> recordedModels;
     // Peers by way of which the request was sent.
     std::set<InstanceId> triedPeers;
     // Attempts that reached an upstream, whether it ran the request or not.
--- a/src/edge/request_forwarder.cpp
+++ b/src/edge/request_forwarder.cpp
@@ -112,6 +112,7 @@
         auto attempt = std::make_shared<UpstreamAttempt>();
         attempt->upstream = *upstream;
         attempt->model = m_request.model;
+        attempt->prompt = m_request.chosenPrompt;
         auto result = co_await makeAttempt(attempt);
         // The upstream of a hedge may have taken the request over, or may still do so.
         while (!result.isFinal && m_hedge.isOpen() && !m_request.caller->hasDisconnected()) {
--- a/src/edge/request_hedge.cpp
+++ b/src/edge/request_hedge.cpp
@@ -82,6 +82,7 @@
     m_hedge = std::make_shared<UpstreamAttempt>();
     m_hedge->upstream = *upstream;
     m_hedge->model = model;
+    m_hedge->prompt = m_request.chosenPrompt;
     m_hedge->isHedge = true;
     LogLine(LogLevel::Info, "hedge_started").with("id", m_request.id()).with("upstream", upstream->id.value).with("current", m_current->upstream.id.value).with("current_ms", toMilliseconds(now - m_current->sentAt).count()).with("begun", m_request.caller->hasStartedResponse() ? "yes" : "no").with("ms_left", m_request.timeLeft().count());
     spawn(m_request.traffic.loop(), run(m_owner.lock(), m_hedge), "hedge");
--- a/src/edge/traffic_state.cpp
+++ b/src/edge/traffic_state.cpp
@@ -130,7 +130,10 @@
         processes.reserve(entries.size());
         for (const auto& it : entries)
             processes.push_back(processName(it));
-        m_prompts.try_emplace(id, m_settings.domain).first->second.setFleet({ entries.size(), m_view->entries.size() }, processes, now);
+        // The choice of an engine already leaves out those without memory for the request.
+        PromptPlacementSettings settings;
+        settings.saving.displacedWork = 0;
+        m_prompts.try_emplace(id, m_settings.domain, settings).first->second.setFleet({ entries.size(), m_view->entries.size() }, processes, now);
     }
 }
 
--- a/src/edge/upstream_attempt.cpp
+++ b/src/edge/upstream_attempt.cpp
@@ -3,6 +3,7 @@
 #include "adapters/log.h"
 #include "core/routing/model_choice.h"
 #include "core/scheduling/silence_limit.h"
+#include "edge/prompt_expectation.h"
 #include "edge/upstream_evidence.h"
 #include "platform/request_codec.h"
 
@@ -89,6 +90,10 @@
         request.retry.sent();
         attempt.sentAt = bootNow();
         attempt.work = static_cast<std::int64_t>(static_cast<double>(request.admitted.request.promptTokens) * costWeight(request, attempt));
+        if (attempt.prompt) {
+            attempt.work = unreadWork(*attempt.prompt);
+            setExpectedTimes(traffic, upstream, *attempt.prompt, attempt.sentAt);
+        }
         request.execution.attemptSent();
         ++request.possibleRuns;
         if (request.admitted.service->engine)
--- a/src/edge/upstream_attempt.h
+++ b/src/edge/upstream_attempt.h
@@ -25,6 +25,8 @@
     TimePoint sentAt {};
     // Work that the attempt adds to its upstream, in prompt tokens of the most expensive model.
     std::int64_t work = 0;
+    // What the engine is expected to hold of the prompt, if the service has a prompt memory. The times are set at sending.
+    std::optional<PromptRead> prompt;
     // Memory that the attempt needs on its engine.
     MemoryCommitment memory;
     // Work of the upstream before the attempt.
--- a/test/correctness/traffic_state_test.cpp
+++ b/test/correctness/traffic_state_test.cpp
@@ -1,6 +1,7 @@
 // Tests which releases the shared state of an instance's requests allows during a rollout.
 
 #include "core/hashing.h"
+#include "edge/prompt_expectation.h"
 #include "edge/traffic_state.h"
 
 #include <absl/strings/str_cat.h>
@@ -322,3 +323,79 @@
         CHECK(first.prompts(assist)->memory().prefixCount() == 0);
     }
 }
+
+TEST_CASE("a prompt goes to the engine that has just read its shared part")
+{
+    EventLoop loop;
+    EdgeMetrics metrics;
+    auto configuration = std::make_shared<RoutingConfiguration>();
+    configuration->services[assist] = { assist, "/", 0, EngineProfile { 8, 400000, 1, {} } };
+    const auto& service = configuration->services[assist];
+    FleetView view;
+    view.configuration = configuration;
+    for (const auto* id : { "i-1", "i-2", "i-3", "i-4" })
+        view.upstreams[assist].push_back({ { id }, assist, "10.0.0.1:80", { "a" }, "v1", 8, true, 1, {} });
+    view.entries.resize(1);
+    const auto& engines = view.upstreams[assist];
+    std::vector<const UpstreamEntry*> allowed;
+    for (const auto& it : engines)
+        allowed.push_back(&it);
+    TrafficState traffic(loop, { .domain = { "a" }, .usesPromptMemory = true }, metrics);
+    traffic.setView(std::make_shared<const FleetView>(view));
+    RoutedRequest request;
+    request.promptParts = { { "kind", 500 }, { "subject", 4000 }, { "own", 100 } };
+    request.promptTokens = 4600;
+    auto prefixes = sharedPrefixes({ "m" }, request);
+    auto now = bootNow();
+    auto demand = promptDemand(traffic, request.promptTokens, 1, 10s);
+    auto creditsNow = [&] { return promptCredits(traffic, service, prefixes, demand, allowed, now); };
+    std::vector<UpstreamId> tried;
+    auto choose = [&](const PromptCredits& credits) {
+        UpstreamQuery query { &request, &service, allowed, &tried, { "a" } };
+        query.timeLeft = 10s;
+        query.promptCredits = &credits;
+        return traffic.balancer().choose(query, now);
+    };
+    // Records that the engine has read the prompt.
+    auto read = [&](const UpstreamEntry& engine) {
+        PromptRead it { processName(engine), prefixes, request.promptTokens, 1, {}, {}, {}, {} };
+        setExpectedTimes(traffic, engine, it, now);
+        it.firstEvent = it.expectedIfUncached;
+        traffic.recordPromptRead(assist, it, now);
+    };
+
+    for (const auto& engine : engines) {
+        SECTION("after " + engine.id.value + " has read it")
+        {
+            read(engine);
+            auto credits = creditsNow();
+            CHECK(credits[engine.id].outlook.cachedTokens == 4500);
+            for (int n = 0; n < 20; ++n)
+                CHECK(choose(credits)->id == engine.id);
+            CHECK(traffic.balancer().lastPlacement().cachedTokens == 4500);
+            PromptRead next { processName(engine), prefixes, request.promptTokens, 1, credits[engine.id].outlook, {}, {}, {} };
+            CHECK(unreadWork(next) == 100);
+        }
+    }
+    SECTION("unless so much waits there that another engine reads it sooner")
+    {
+        read(engines[1]);
+        for (int n = 0; n < 8; ++n)
+            traffic.balancer().sent({ "i-2" }, 20000);
+        CHECK(choose(creditsNow())->id.value != "i-2");
+    }
+    SECTION("the expected times differ by the shared tokens, and count the work that waits")
+    {
+        traffic.balancer().sent({ "i-3" }, 10000);
+        PromptRead it { "i-3/1", prefixes, 4600, 1, {}, {}, {}, {} };
+        setExpectedTimes(traffic, engines[2], it, now);
+        CHECK(it.expectedIfUncached - it.expectedIfCached == 225ms);
+        CHECK(it.expectedIfCached >= 500ms);
+    }
+    SECTION("without the memory of prompts, no engine is preferred for its records")
+    {
+        TrafficState off(loop, TrafficSettings {}, metrics);
+        off.setView(std::make_shared<const FleetView>(view));
+        CHECK(promptCredits(off, service, prefixes, demand, allowed, now).empty());
+    }
+}
