Setting prompt_memory, off by default

Change: prompt_memory: true of the edge map switches it on for services whose engines state their memory.

--- a/src/config/edge_settings.cpp
+++ b/src/config/edge_settings.cpp
@@ -31,6 +31,7 @@
         { "repeat_ratio", &EdgeSettings::retryRatio, "-", { 0, 10 }, false, "retries allowed per request of a service; every send after the first counts, including one to a larger model" },
         { "repeat_window_s", &EdgeSettings::retryWindowSeconds, "s", seconds, false, "sliding window over which requests and retries of a service are counted" },
         { "repeat_headroom", &EdgeSettings::retryHeadroom, "sends", { 0, 1e6 }, false, "additional retries allowed per service and window, over all instances together" },
+        { "prompt_memory", &EdgeSettings::promptMemory, "-", {}, false, "whether engines that state their memory are chosen by what they are expected to have cached of a prompt" },
     };
 
 }
--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -40,7 +40,7 @@
             : m_settings(settings)
             , m_readSettings(reader)
             , m_self { settings.instance, newIncarnationNumber() }
-            , m_traffic(m_trafficLoop, { settings.instance, settings.domain, m_self.number, settings.sessionIdleTimeout(), { settings.retryRatio, settings.retryHeadroom, settings.retryWindow() }, settings.memoryLimitBytes() }, m_metrics)
+            , m_traffic(m_trafficLoop, { settings.instance, settings.domain, m_self.number, settings.sessionIdleTimeout(), { settings.retryRatio, settings.retryHeadroom, settings.retryWindow() }, settings.memoryLimitBytes(), settings.promptMemory }, m_metrics)
             , m_control(m_controlLoop, settings, m_self, m_metrics, outputs())
             , m_linkChecker(m_trafficLoop, m_traffic)
             , m_stop(m_trafficLoop, settings.stopGrace(), stopActions())
