Warnings about reported loads and output hints that cannot be read

Cause: isLoadMalformed and isOutputHintMalformed were set and nothing said so. Measured: builds without warnings; ctest -R configuration, edge_an_entry_instance and edge_streams pass once each. No test provokes the lines.

--- a/src/edge/request_forwarder.cpp
+++ b/src/edge/request_forwarder.cpp
@@ -143,8 +143,11 @@
 
 void RequestForwarder::countArrival()
 {
-    if (!std::exchange(m_isArrivalCounted, true))
-        m_request.traffic.requestArrived(m_request.admitted.service->name, m_request.received.receivedAt);
+    if (std::exchange(m_isArrivalCounted, true))
+        return;
+    m_request.traffic.requestArrived(m_request.admitted.service->name, m_request.received.receivedAt);
+    if (m_request.admitted.request.isOutputHintMalformed)
+        LogLine(LogLevel::Warning, "output_hint_malformed").with("id", m_request.id()).with("team", m_request.admitted.team ? m_request.admitted.team->value : "");
 }
 
 bool RequestForwarder::mayBeSent(TimePoint now)
--- a/src/edge/upstream_evidence.cpp
+++ b/src/edge/upstream_evidence.cpp
@@ -118,6 +118,8 @@
 
 void recordLimit(RequestContext& request, const UpstreamEntry& upstream, const UpstreamResponse& response)
 {
+    if (response.isLoadMalformed)
+        LogLine(LogLevel::Warning, "upstream_load_malformed").with("id", request.id()).with("upstream", upstream.id.value);
     // What cannot be read neither states a limit nor ends one.
     if (response.isRequestLimitMalformed)
         LogLine(LogLevel::Warning, "upstream_limit_malformed").with("id", request.id()).with("upstream", upstream.id.value);
