--- a/src/edge/request_forwarder.cpp
+++ b/src/edge/request_forwarder.cpp
@@ -118,6 +118,7 @@
         auto attempt = std::make_shared<UpstreamAttempt>();
         attempt->upstream = *upstream;
         attempt->model = m_request.model;
+        attempt->prompt = m_request.chosenPrompt;
         auto result = co_await makeAttempt(attempt);
         // The upstream of a hedge may have taken the request over, or may still do so.
         while (!result.isFinal && m_hedge.isOpen() && !m_request.caller->hasDisconnected()) {
@@ -148,8 +149,11 @@
 
 void RequestForwarder::countArrival()
 {
-    if (!std::exchange(m_isArrivalCounted, true))
-        m_request.traffic.requestArrived(m_request.admitted.service->name, m_request.received.receivedAt);
+    if (std::exchange(m_isArrivalCounted, true))
+        return;
+    m_request.traffic.requestArrived(m_request.admitted.service->name, m_request.received.receivedAt);
+    if (m_request.admitted.request.isOutputHintMalformed)
+        LogLine(LogLevel::Warning, "output_hint_malformed").with("id", m_request.id()).with("team", m_request.admitted.team ? m_request.admitted.team->value : "");
 }
 
 bool RequestForwarder::mayBeSent(TimePoint now)
