--- a/src/core/scheduling/prompt_placement.cpp
+++ b/src/core/scheduling/prompt_placement.cpp
@@ -108,8 +108,10 @@
     demand.waitingRequests = waitingWork / static_cast<double>(std::max<std::size_t>(1, engines.size())) / m_meanRequestWork;
     std::vector<PromptCredit> credits;
     credits.reserve(engines.size());
-    for (std::size_t n = 0; n < engines.size(); ++n)
-        credits.push_back({ outlooks[n], savedWork(demand, expected[n], m_settings.saving) });
+    for (std::size_t n = 0; n < engines.size(); ++n) {
+        auto preference = outlooks[n].isFirstHome ? m_settings.firstHomePreference : 0;
+        credits.push_back({ outlooks[n], savedWork(demand, expected[n], m_settings.saving) + preference });
+    }
     return credits;
 }
 
--- a/src/core/scheduling/prompt_placement.h
+++ b/src/core/scheduling/prompt_placement.h
@@ -17,6 +17,8 @@
     std::int64_t minCrossDomainTokens = 750;
     // Work of generating the response to one request.
     double workPerRequest = 150;
+    // Work by which the first home is preferred to engines that hold as much, so that copies that retries leave elsewhere are evicted.
+    double firstHomePreference = 250;
     PromptSavingSettings saving;
 };
 
--- a/test/correctness/traffic_state_test.cpp
+++ b/test/correctness/traffic_state_test.cpp
@@ -377,6 +377,14 @@
             CHECK(unreadWork(next) == 100);
         }
     }
+    SECTION("the first home gets it if all engines hold it")
+    {
+        for (const auto& engine : engines)
+            read(engine);
+        auto credits = creditsNow();
+        for (int n = 0; n < 20; ++n)
+            CHECK(credits[choose(credits)->id].outlook.isFirstHome);
+    }
     SECTION("unless so much waits there that another engine reads it sooner")
     {
         read(engines[1]);
