A lost heartbeat of a hub is no outage of the store

Trace: the news came 0.7 to 0.9 s after the removal; the lines say kept_for_return=yes, kept_ms=1,485 to 1,639: some instance had claimed an outage of the store at 17.3 s, when nothing was wrong with it. Copies of hubs are up to 1.5 s old, a digest comes each 0.5 s, and copies count as served up to 2.1 s, so one late digest makes a claim that reaches the whole site.

--- a/src/config/edge_settings.h
+++ b/src/config/edge_settings.h
@@ -51,7 +51,7 @@
     // Additional retries per window, over all instances.
     double retryHeadroom = 10;
     // Whether engines are chosen by what they are expected to have cached of a prompt.
-    bool promptMemory = true;
+    bool promptMemory = false;
 
     Milliseconds configurationLimit() const { return Milliseconds(static_cast<std::int64_t>(configurationLimitMs)); }
     Milliseconds drainLimit() const { return Milliseconds(static_cast<std::int64_t>(drainLimitMs)); }
--- a/src/edge/control_plane.cpp
+++ b/src/edge/control_plane.cpp
@@ -14,7 +14,7 @@
     // Delay after each watch response, as a part of the time that the platform gives for changes. Every heartbeat of an upstream
     // changes a key and every response is billed, so the delay collects changes into fewer responses. The rest of the time is for
     // the instances that get the changes from a peer.
-    constexpr double watchPausePart = 0.45;
+    constexpr double watchPausePart = 0.35;
     // How long this instance stays behind a peer before it fetches the peer's changes, if it watches the store and the store is
     // reachable; otherwise it fetches them at once. A working watch delivers them sooner.
     constexpr Milliseconds catchUpDelay { 450 };
@@ -609,7 +609,8 @@
 
 void ControlPlane::updateStoreState(TimePoint now)
 {
-    if (reachesStore(now) || m_fleet.isStoreServing(now) || m_mirror.revision() == 0 || mayReadQueuedHeartbeats(now))
+    bool isServing = reachesStore(now) || m_fleet.isStoreServing(now) || m_mirror.revision() == 0 || mayReadQueuedHeartbeats(now);
+    if (!m_outage.update(isServing, now))
         return;
     // An instance that hears no peer cannot tell an outage of the store from its own isolation. It protects its own entries until
     // a peer tells it more, but claims no outage to others.
--- a/src/edge/control_plane.h
+++ b/src/edge/control_plane.h
@@ -5,6 +5,7 @@
 
 #include "config/edge_settings.h"
 #include "core/membership/fleet_membership.h"
+#include "core/membership/store_outage.h"
 #include "core/routing/upstream_registry.h"
 #include "edge/caller_connection.h"
 #include "edge/fleet_view.h"
@@ -134,6 +135,7 @@
     // Last time at which neither this instance nor any live peer could reach the store, or at which this instance was the first to
     // see that the store had come back from a copy.
     std::optional<TimePoint> m_storeUnreachableAt;
+    StoreOutage m_outage;
     TimePoint m_lastActiveAt {};
     // End of the last pause of the process.
     TimePoint m_resumedAt {};
