Speeds and lengths are learned from whole streams; the soak evacuates a failure domain

Cause: a stream that went on at another upstream counted as a short output of its route, and the soak knew nothing of evacuation.

--- a/src/edge/engine_evidence.cpp
+++ b/src/edge/engine_evidence.cpp
@@ -28,7 +28,7 @@
 
 void recordOutput(const RequestContext& request, const UpstreamAttempt& attempt)
 {
-    if (hasEngine(request))
+    if (hasEngine(request) && !attempt.isContinuation)
         request.traffic.balancer().recordOutput(request.admitted.route->name, request.admitted.request, attempt.events * request.admitted.service->engine->tokensPerEvent);
 }
 
--- a/src/edge/engine_evidence.h
+++ b/src/edge/engine_evidence.h
@@ -11,7 +11,7 @@
 void recordFirstEvent(const RequestContext&, const UpstreamAttempt&, TimePoint now);
 // So many further events arrived together. Nothing is recorded if there is more than one, since those waited somewhere.
 void recordGap(const RequestContext&, const UpstreamAttempt&, std::size_t events, TimePoint now);
-// The stream is complete.
+// The stream is complete. Nothing is recorded of one that began elsewhere.
 void recordOutput(const RequestContext&, const UpstreamAttempt&);
 
 }
--- a/src/edge/response_relay.cpp
+++ b/src/edge/response_relay.cpp
@@ -75,6 +75,7 @@
     BodyMemory::Share memory(traffic.bodyMemory());
     // If the stream resumes at another upstream, the caller already has the head of the first one.
     auto head = m_request.caller->hasStartedResponse() ? std::nullopt : std::optional(toCallerResponse(std::move(*attempt.response)));
+    attempt.isContinuation = !head || m_request.admitted.request.lastEvent;
     for (;;) {
         auto piece = co_await connection->readBody();
         if (m_request.caller->hasDisconnected())
--- a/src/edge/upstream_attempt.h
+++ b/src/edge/upstream_attempt.h
@@ -35,6 +35,8 @@
     bool firstEventSeen = false;
     TimePoint firstEventAt {};
     std::int64_t events = 0;
+    // It goes on with a stream whose beginning the caller has.
+    bool isContinuation = false;
     // When the caller had taken the last event.
     TimePoint relayedAt {};
     // It was recorded that the upstream outlived the start of the response.
--- a/test/soak/soak_site.cpp
+++ b/test/soak/soak_site.cpp
@@ -69,6 +69,10 @@
     // An upstream's entry with other fields than those that name its service and failure domain.
     std::string oddUpstream(const std::string& fields) { return absl::StrCat(R"({"backend":"orders","zone":"halle-a",)", fields, "}"); }
 
+    // The failure domain that is evacuated, and the order for it.
+    constexpr const char* smallDomain = "halle-b";
+    constexpr const char* evacuationKey = "op/evacuate/halle-b";
+
     struct OddEntry {
         const char* key;
         std::string value;
@@ -113,9 +117,9 @@
 {
     putConfiguration("key-1");
     for (const auto* id : { "i-1", "i-2", "i-3" })
-        addUpstream(id, "orders");
+        addUpstream(id, "orders", id == std::string("i-3") ? smallDomain : "halle-a");
     for (const auto* id : { "i-4", "i-5", "i-6" })
-        addUpstream(id, "assist");
+        addUpstream(id, "assist", id == std::string("i-6") ? smallDomain : "halle-a");
     std::string seeds;
     auto storePort = std::atoi(store.address().substr(store.address().rfind(':') + 1).c_str());
     for (std::size_t n = 0; n < instanceCount; ++n) {
@@ -127,9 +131,9 @@
 
 SoakSite::~SoakSite() { stopCallers(); }
 
-void SoakSite::addUpstream(const std::string& id, const std::string& service)
+void SoakSite::addUpstream(const std::string& id, const std::string& service, const std::string& domain)
 {
-    Upstream upstream { service, nullptr, nullptr, std::make_shared<std::atomic<std::int64_t>>(1) };
+    Upstream upstream { service, domain, nullptr, nullptr, std::make_shared<std::atomic<std::int64_t>>(1) };
     upstream.server = std::make_unique<ScriptedUpstream>(id, makeScript(id, service == "assist", upstream.incarnation));
     upstream.proxy = std::make_unique<FaultProxy>(upstream.server->port());
     registerUpstream(upstream);
@@ -141,6 +145,7 @@
     auto registration = nlohmann::json::parse(upstream.server->registration(upstream.service, state));
     registration["address"] = upstream.proxy->address();
     registration["born"] = upstream.incarnation->load();
+    registration["zone"] = upstream.domain;
     store.put("servers/" + upstream.server->id(), registration.dump());
 }
 
@@ -157,6 +162,10 @@
     store.put("op/config", document.dump());
 }
 
+void SoakSite::evacuateDomain() { store.put(evacuationKey, "{}"); }
+
+void SoakSite::takeDomainBack() { store.remove(evacuationKey); }
+
 std::size_t SoakSite::oddEntryKinds() { return oddEntries().size(); }
 
 void SoakSite::putOddEntry(std::size_t kind) { store.put(oddEntries()[kind].key, oddEntries()[kind].value); }
--- a/test/soak/soak_site.h
+++ b/test/soak/soak_site.h
@@ -32,6 +32,7 @@
 
     struct Upstream {
         std::string service;
+        std::string domain;
         std::unique_ptr<standin::ScriptedUpstream> server;
         std::unique_ptr<standin::FaultProxy> proxy;
         // Incremented when the upstream counts as restarted; this breaks off the long requests of the process before.
@@ -43,6 +44,9 @@
     // Writes or removes an entry as another writer would that knows nothing of its meaning: `kind` selects the key and the content from
     // a table of oddEntryKinds() rows. It describes no upstream or instance that could be used.
     void putOddEntry(std::size_t kind);
+    // Orders that nothing be sent to the upstreams of the smaller failure domain, and withdraws the order.
+    void evacuateDomain();
+    void takeDomainBack();
     void removeOddEntry(std::size_t kind);
     static std::size_t oddEntryKinds();
     // Stores a new version of the configuration that accepts only this API key, with which later requests are sent.
@@ -72,7 +76,7 @@
     std::vector<std::unique_ptr<EdgeInstance>> instances;
 
 private:
-    void addUpstream(const std::string& id, const std::string& service);
+    void addUpstream(const std::string& id, const std::string& service, const std::string& domain);
     // What an upstream does with one request: `draw`, from 0 to 1, selects its fault; `work` is the time until the response is complete
     // and `silence` a part of it without any byte. isRunning is false once the process has ended.
     struct Run {
--- a/test/soak/soak_test.cpp
+++ b/test/soak/soak_test.cpp
@@ -65,6 +65,7 @@
         : m_site(site)
         , m_choices(seed)
         , m_addedChoices(~seed)
+        , m_orderChoices(seed * 31)
     {
     }
 
@@ -82,6 +83,8 @@
             auto generators = addedOperations();
             (this->*generators[m_addedChoices.pick(0, generators.size() - 1)])(steps);
         }
+        if (m_orderChoices.pick(0, 2) == 0)
+            evacuateDomain(steps);
         runSteps(std::move(steps), startedAt);
         if (isPlannedOnly) {
             restartStopped();
@@ -273,6 +276,14 @@
             steps.push_back({ pickDelay(roundDuration), [this] { m_site.putConfiguration("key-1"); } });
     }
 
+    // Evacuates the smaller failure domain and takes it back, within a round.
+    void evacuateDomain(Steps& steps)
+    {
+        auto at = m_orderChoices.pickDelay(roundDuration / 2);
+        steps.push_back({ at, [this] { m_site.evacuateDomain(); } });
+        steps.push_back({ at + m_orderChoices.pickDelay(roundDuration / 2), [this] { m_site.takeDomainBack(); } });
+    }
+
     void drainUpstream(Steps& steps)
     {
         auto& upstream = m_site.upstreams[pick(0, m_site.upstreams.size() - 1)];
@@ -363,6 +374,8 @@
 
     SoakSite& m_site;
     Choices m_choices, m_addedChoices;
+    // Of operators' orders.
+    Choices m_orderChoices;
     std::vector<EdgeInstance*> m_stopped;
     std::set<EdgeInstance*> m_stoppedAfterStart;
     std::set<EdgeInstance*> m_paused;
