A session stays on its release from the end of its responses on

Cause: the release of a session was remembered from the first event of a response on. Change: the release is recorded again when an attempt ends whose first event came.

--- a/src/edge/upstream_attempt.cpp
+++ b/src/edge/upstream_attempt.cpp
@@ -177,6 +177,9 @@
     if (!attempt.isSent)
         return;
     const auto& upstream = attempt.upstream;
+    // A session lasts from the end of a response, which may come long after its first event.
+    if (attempt.firstEventSeen)
+        traffic.recordSessionRelease(request.admitted.request, upstream.release, bootNow());
     bool mayHaveRun = result.end != AttemptEnd::NotSent && result.end != AttemptEnd::RefusedNotRun;
     if (attempt.isSuperseded && mayHaveRun)
         result = { attempt.isSilenceRecorded ? AttemptEnd::TimedOut : AttemptEnd::Dropped, false };
--- a/test/processes/edge_test.cpp
+++ b/test/processes/edge_test.cpp
@@ -874,6 +874,37 @@
     }
 }
 
+// Guards against a session that moves to the new release in the canary stage since its last response began too long ago.
+TEST_CASE("a session stays on its release for its time after the end of a long response")
+{
+    Site site;
+    ScriptedUpstream current("i-8", streamEvents(25, 100ms));
+    ScriptedUpstream target("i-9", streamEvents(3, 5ms));
+    for (const auto* it : { &site.engine, &site.otherEngine })
+        site.store.remove("servers/" + it->id());
+    site.store.put("servers/i-8", current.registration("assist"));
+    EdgeInstance instance("edge-1", site.store.address());
+    instance.addSetting("session_s: 1");
+    instance.restart();
+    REQUIRE(waitUntil(5s, [&] { return instance.isReady(); }));
+    int n = 0;
+    while (unitHash("rollout", absl::StrCat("session-", n)) >= 0.05)
+        ++n;
+    auto bytes = [&](const std::string& id) {
+        return requestBytes("POST", "/draft/x", id, absl::StrCat("Session: session-", n, "\r\nX-Model-Name: *\r\nX-Token-Count: 10,5\r\n"), "p", 8s);
+    };
+    auto caller = RawConnection::connect(instance.port());
+    caller->write(bytes("id-1"));
+    CHECK(waitUntil(2s, [&] { return current.count() == 1; }));
+    site.store.put("servers/i-9", target.registration("assist", "ready", "v2"));
+    site.store.put("op/rollout/assist", R"({"backend":"assist","target":"v2","durationS":30})");
+    CHECK(waitUntil(3s, [&] { return !instance.linesContaining("stage=canary").empty(); }));
+    REQUIRE(statusOf(caller->readResponse()) == 200);
+    CHECK(statusOf(sendRequest(instance, bytes("id-2"))) == 200);
+    CHECK(current.count() == 2);
+    CHECK(target.count() == 0);
+}
+
 // Guards against a slow release being taken for a good one because its callers leave: only the responses that were fast enough
 // were counted.
 TEST_CASE("a release whose callers leave before its slow responses is reverted")
