Review: sound requests share the quarantine of the part that crashes engines

Cause: all parts that three crashes have in common are quarantined together, and only a probe after 30 s can clear a sound one. Change: case 8.

--- a/review/standins-2/crashing_site.h
+++ b/review/standins-2/crashing_site.h
@@ -78,7 +78,7 @@
     CrashableUpstream m_upstream;
 };
 
-// Three instances, nine engines, and 24 callers of sound requests.
+// Three instances, nine engines, and callers of sound requests.
 class CrashingSite {
 public:
     static constexpr int instanceCount = 3, engineCount = 9;
@@ -86,14 +86,16 @@
     explicit CrashingSite(Record&);
     ~CrashingSite();
 
-    // Starts the instances and the callers. Returns false if the instances do not become ready.
-    bool start(const std::string& sharedParts);
+    // Starts the instances and the callers of sound requests. Returns false if the instances do not become ready.
+    bool start(const std::string& sharedParts, int callers = 24);
     // Sends a request of a caller and records the status of its answer if it has the part.
     std::string send(const std::string& route, const std::string& id, const std::string& parts);
     void sendFatal(const std::string& route, const std::string& parts);
     // Ends the callers, and judges. Rule BUDGET: later than contactMs (3000) after the fifth crash, at most three requests with the part
     // reach the engines.
     int finish();
+    // Ends the callers, and returns the times of the crashes; nullopt if an instance has ended by itself.
+    std::optional<std::vector<Clock::time_point>> finishAndListCrashes();
     int nextId() { return ++m_ids; }
 
 private:
