--- a/review/standins-2/case_new_project.cpp
+++ b/review/standins-2/case_new_project.cpp
@@ -57,7 +57,7 @@
     record.line("the caller's requests on the new document");
     auto sendFatal = [&] {
         if (hasTrouble())
-            site.sendFatal("letter", absl::StrCat("f00d:300,", documentPart, ":300,", fatalPart, ":100,e", site.nextId(), ":1000"));
+            site.sendFatal("draft", absl::StrCat("f00d:300,", documentPart, ":300,", fatalPart, ":100,e", site.nextId(), ":1000"));
     };
     for (int n = 0; n < firstFatal; ++n) {
         sendFatal();
