Retries: a withdrawn request that may have run is not sent again

Cause: the guard against prompt parts withdraws requests that wait for their first event. Their attempts end as Dropped, and serve() went on after Dropped without asking decideOnRetry(), so neither the route nor what the upstream may have done was looked at. Change: all ends of an attempt go through decideOnRetry(), which denies a further attempt after Dropped where the route allows one run only. That a sound request is withdrawn at all is another fault and stays for now.

--- a/src/edge/request_forwarder.cpp
+++ b/src/edge/request_forwarder.cpp
@@ -136,8 +136,6 @@
             m_request.isAnswered = result.end == AttemptEnd::Completed;
             co_return;
         }
-        if (result.end == AttemptEnd::Dropped)
-            continue;
         bool willRetry = result.retryTaken || reserveRetry(m_request, result.end, bootNow());
         m_outcome.logFailedAttempt(*m_hedge.current(), result.end, willRetry);
         if (!willRetry) {
--- a/src/edge/request_outcome.cpp
+++ b/src/edge/request_outcome.cpp
@@ -21,7 +21,7 @@
 
 void RequestOutcome::logFailedAttempt(const UpstreamAttempt& attempt, AttemptEnd end, bool isRetried) const
 {
-    if (end == AttemptEnd::Dropped)
+    if (end == AttemptEnd::Dropped && !attempt.isWithdrawn)
         return;
     LogLine(LogLevel::Info, "attempt_failed").with("id", m_request.id()).with("upstream", attempt.upstream.id.value).with("end", attemptEndName(end)).with("workload_before", attempt.workBefore).with("attempts_left", m_request.admitted.route->maxAttempts - m_request.possibleRuns).with("ms_left", m_request.timeLeft().count()).with("retried", isRetried ? "yes" : "no");
 }
@@ -106,6 +106,8 @@
         return ErrorKind::InstanceDraining;
     if (m_request.timeLeft() < minUsefulTime)
         return ErrorKind::DeadlineExceeded;
+    if (end == AttemptEnd::Dropped && m_request.traffic.promptParts().quarantinedPart(m_request.parts))
+        return ErrorKind::PromptPartQuarantined;
     if (end == AttemptEnd::NotSent)
         return ErrorKind::NoHealthyUpstream;
     if (end == AttemptEnd::RefusedNotRun && m_request.misdirections == m_request.deliveredAttempts)
--- a/test/correctness/retry_decision_test.cpp
+++ b/test/correctness/retry_decision_test.cpp
@@ -46,7 +46,7 @@
     }
     SECTION("the request may have run")
     {
-        auto end = GENERATE(AttemptEnd::UpstreamError, AttemptEnd::Cut, AttemptEnd::TimedOut, AttemptEnd::Malformed);
+        auto end = GENERATE(AttemptEnd::UpstreamError, AttemptEnd::Cut, AttemptEnd::TimedOut, AttemptEnd::Malformed, AttemptEnd::Dropped);
         state.possibleRuns = 1;
         CHECK(decideOnRetry(end, state) == RetryDecision::FromBudget);
         SECTION("calls that may run once are not repeated")
--- a/test/processes/crashing_part_test.cpp
+++ b/test/processes/crashing_part_test.cpp
@@ -6,6 +6,7 @@
 #include <absl/strings/str_cat.h>
 #include <catch2/catch.hpp>
 #include <deque>
+#include <nlohmann/json.hpp>
 #include <thread>
 
 using namespace skylarkhitch;
@@ -109,7 +110,7 @@
     std::string send(const EdgeInstance& instance, const std::string& id, const std::string& parts)
     {
         auto headers = absl::StrCat("X-Model-Name: *\r\nX-Token-Count: 900,50\r\nX-Prefix-Hash: ", parts, "\r\n");
-        return sendAndRead(instance, requestBytes("POST", absl::StrCat("/draft/", id), id, headers, "prompt " + id));
+        return sendAndRead(instance, requestBytes("POST", absl::StrCat("/draft/", id), id, headers, "prompt " + id, 20s));
     }
 
     void callSound(const EdgeInstance& instance, std::size_t caller, Clock::time_point end)
@@ -182,6 +183,72 @@
     store.cutWatches();
 }
 
+// Guards against a request that runs twice, since it is withdrawn from a sound engine and then sent to another one.
+TEST_CASE("a withdrawn request that may run once is not sent again")
+{
+    FleetStore store;
+    auto configuration = nlohmann::json::parse(sampleConfiguration(3));
+    for (auto& it : configuration["routes"])
+        it["streamResume"] = false, it["timeoutMs"] = 20000;
+    store.put("op/config", configuration.dump());
+    std::atomic<int> crashedEngines = 0;
+    auto slowScript = [](const RawRequest& request, RawConnection& connection) {
+        return !connection.isClosedWithin(8s) && streamEvents(3, 10ms)(request, connection);
+    };
+    auto crashingScript = [&](int order) {
+        return [&, order](const RawRequest&, RawConnection& connection) {
+            while (crashedEngines < order && !connection.isClosedWithin(5ms)) { }
+            connection.reset();
+            return false;
+        };
+    };
+    std::deque<ScriptedUpstream> engines;
+    engines.emplace_back("i-0", slowScript);
+    engines.emplace_back("i-1", crashingScript(1));
+    engines.emplace_back("i-2", crashingScript(2));
+    engines.emplace_back("i-3", crashingScript(3));
+    engines.emplace_back("i-4", crashingScript(3));
+    engines.emplace_back("i-5", slowScript);
+    EdgeInstance instance("edge-1", store.address());
+    auto setState = [&](const ScriptedUpstream& engine, const std::string& state, int born) {
+        store.put("servers/" + engine.id(), engine.registration("assist", state, "v1", born));
+        auto seen = absl::StrCat("what=upstream upstream=", engine.id());
+        REQUIRE(waitUntil(5s, [&] {
+            auto lines = instance.linesContaining(seen);
+            return !lines.empty() && absl::StrContains(lines.back(), state == "ready" ? "takes_work=yes" : "takes_work=no");
+        }));
+        std::this_thread::sleep_for(50ms);
+    };
+    // The engine that is the only one to take work gets the request.
+    auto sendTo = [&](ScriptedUpstream& engine, const std::string& id, const std::string& parts) {
+        setState(engine, "ready", 1);
+        auto connection = RawConnection::connect(instance.port());
+        auto headers = absl::StrCat("X-Model-Name: *\r\nX-Token-Count: 900,50\r\nX-Prefix-Hash: ", parts, ",e", id, ":400\r\n");
+        connection->write(requestBytes("POST", "/draft/" + id, id, headers, "prompt " + id, 20s));
+        REQUIRE(waitUntil(2s, [&] { return engine.count() == 1; }));
+        setState(engine, "draining", 1);
+        return connection;
+    };
+
+    auto sound = sendTo(engines[0], "sound", "50a4d:100");
+    for (int n = 1; n <= 2; ++n) {
+        auto connection = sendTo(engines[n], absl::StrCat("both-", n), "50a4d:100,dead0:100");
+        crashedEngines = n;
+        CHECK(statusOf(connection->readResponse(1s)) == 502);
+    }
+    // Two engines crash together, of which one has a request without the sound part.
+    auto both = sendTo(engines[3], "both-3", "50a4d:100,dead0:100");
+    auto fatal = sendTo(engines[4], "fatal", "dead0:100");
+    setState(engines[5], "ready", 1);
+    REQUIRE(sound->isOpen());
+    crashedEngines = 3;
+    CHECK(statusOf(both->readResponse(1s)) == 502);
+    CHECK(statusOf(fatal->readResponse(1s)) == 502);
+    INFO(sound->readResponse(8s));
+    CHECK(engines[0].count() + engines[5].count() == 1);
+    store.cutWatches();
+}
+
 // Guards against requests that have nothing in common but a prompt part, and crash one engine after the other by way of all instances.
 TEST_CASE("a prompt part that crashes engines is refused by all instances, and other requests are served")
 {
