Prompt parts: suspects of the same crashes are quarantined together

Cause: parts that were in the same crashes were held guilty one by one, although the crashes show only that one of them is fatal; and a withdrawal followed each event instead of the state after all of them. Change: such parts are quarantined as a set. A request with all of them is refused; of the requests with some of them one at a time is sent as a trial, told to the peers, in turns of 100 ms. A sound answer clears its parts, a crash quarantines them, and trials that crash become rare. Requests that wait for a trial get 503 prompt_part_suspected with Retry-After.

--- a/src/core/error_kind.cpp
+++ b/src/core/error_kind.cpp
@@ -37,6 +37,7 @@
         ErrorInfo { ErrorKind::RequestCrashesUpstreams, "request_crashes_upstreams", 422, 600000ms },
         ErrorInfo { ErrorKind::RequestQuarantined, "request_quarantined", 503, 0ms },
         ErrorInfo { ErrorKind::PromptPartQuarantined, "prompt_part_quarantined", 503, 0ms },
+        ErrorInfo { ErrorKind::PromptPartSuspected, "prompt_part_suspected", 503, 1000ms },
         ErrorInfo { ErrorKind::UpstreamLimitReached, "upstream_limit_reached", 429, 1000ms },
         ErrorInfo { ErrorKind::UpstreamsPaused, "upstreams_paused", 503, 1000ms },
         ErrorInfo { ErrorKind::InstanceExhausted, "instance_exhausted", 503, 200ms },
--- a/src/core/error_kind.h
+++ b/src/core/error_kind.h
@@ -56,6 +56,8 @@
     RequestQuarantined,
     // Upstreams crashed on a part of the prompt, so that it is refused.
     PromptPartQuarantined,
+    // A part of the prompt may have crashed upstreams. That is being found out with another request.
+    PromptPartSuspected,
     // The request limits that the upstreams state leave no room for the request.
     UpstreamLimitReached,
     // All upstreams for the request want nothing for a while.
--- a/src/core/limits/prompt_part_guard.cpp
+++ b/src/core/limits/prompt_part_guard.cpp
@@ -3,7 +3,10 @@
 #include "core/hashing.h"
 
 #include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
 #include <algorithm>
+#include <bitset>
+#include <numeric>
 
 namespace skylarkhitch {
 
@@ -19,6 +22,16 @@
     constexpr std::size_t maxRequestsPerCrash = 2;
     constexpr std::size_t maxPartsPerRequest = 64;
     constexpr std::size_t maxPartBytes = 32;
+    // So many more crashes with one part than with another speak for the one. A single one may have any other cause.
+    constexpr std::size_t decidingCrashes = 2;
+    // How often peers are told other suspects of crashes that have more than can be told at a time.
+    constexpr Milliseconds suspectNewsPeriod { 250 };
+
+    using CrashBits = std::bitset<PromptPartGuard::maxCrashes + 1>;
+
+    bool isProperSubset(const CrashBits& a, const CrashBits& b) { return a != b && (a & ~b).none(); }
+
+    std::string nameOf(const std::set<std::string>& parts) { return absl::StrJoin(parts, ","); }
 
     // Keeps the elements that come first in the order.
     template <typename Element, typename Order>
@@ -99,62 +112,157 @@
 {
     auto& servedAt = m_servedAt.try_emplace(part, at).first->second;
     servedAt = std::max(servedAt, at);
-    auto quarantine = m_quarantined.find(part);
-    if (quarantine == m_quarantined.end())
+    release(part, at);
+}
+
+void PromptPartGuard::release(const std::string& part, TimePoint servedAt)
+{
+    std::vector<Quarantines::node_type> released;
+    for (auto it = m_quarantined.begin(); it != m_quarantined.end();) {
+        // A part that was served before its quarantine needs more crashes, which may not have been known here or at the peer.
+        bool isWrong = it->first.contains(part) && (it->second.since < servedAt || it->second.crashes < static_cast<std::int64_t>(crashesOfServedPart));
+        auto next = std::next(it);
+        if (isWrong)
+            released.push_back(m_quarantined.extract(it));
+        it = next;
+    }
+    if (released.empty())
         return;
-    // A part that was served before its quarantine needs more crashes, which may not have been known here or at the peer.
-    if (quarantine->second.since < at || quarantine->second.crashes < static_cast<std::int64_t>(crashesOfServedPart))
-        release(part);
+    m_events.push_back({ PromptPartEvent::Kind::Released, part, released.front().mapped().crashes, {} });
+    m_isUrgent = true;
+    for (auto& it : released) {
+        it.key().erase(part);
+        it.mapped().lastTrialAt.reset();
+        if (!it.key().empty())
+            m_quarantined.insert(std::move(it));
+    }
+}
+
+PromptPartGuard::Concerned PromptPartGuard::findConcerned(const std::vector<std::string>& parts)
+{
+    Concerned concerned;
+    if (m_quarantined.empty())
+        return concerned;
+    absl::flat_hash_set<std::string_view> present(parts.begin(), parts.end());
+    for (auto& it : m_quarantined) {
+        auto count = std::count_if(it.first.begin(), it.first.end(), [&](const auto& part) { return present.contains(part); });
+        if (count == std::ssize(it.first))
+            concerned.complete.push_back(&it);
+        else if (count > 0)
+            concerned.partial.push_back(&it);
+    }
+    return concerned;
 }
 
 PromptPartGuard::Verdict PromptPartGuard::decide(const std::vector<std::string>& parts, bool mayProbe, TimePoint now)
 {
-    const auto* part = quarantinedPart(parts);
-    if (!part)
+    return decide(
+        parts, [mayProbe](const auto&) { return mayProbe ? std::optional<std::size_t>(0) : std::nullopt; }, now);
+}
+
+PromptPartGuard::Verdict PromptPartGuard::decide(const std::vector<std::string>& parts, const ProbeRank& rank, TimePoint now)
+{
+    auto concerned = findConcerned(parts);
+    if (concerned.complete.empty() && concerned.partial.empty())
         return Verdict::Allowed;
-    auto& quarantine = m_quarantined.at(*part);
-    quarantine.lastRequestAt = now;
-    auto delay = firstProbeDelay;
-    for (std::int64_t n = 0; n < quarantine.probes && delay < quarantineRetention; ++n)
+    for (auto* it : concerned.complete)
+        it->second.lastRequestAt = now;
+    auto verdict = Verdict::Probe;
+    for (const auto* it : concerned.partial) {
+        if (!mayBeginTrial(*it, rank, now))
+            verdict = rank(nameOf(it->first)) ? Verdict::Deferred : Verdict::Refused;
+    }
+    if (!concerned.complete.empty() && (verdict != Verdict::Probe || !mayProbe(concerned.complete, rank, now)))
+        verdict = Verdict::Refused;
+    if (verdict == Verdict::Probe)
+        recordProbed(concerned, now);
+    return verdict;
+}
+
+bool PromptPartGuard::mayBeginTrial(const Quarantines::value_type& it, const ProbeRank& rankOf, TimePoint now) const
+{
+    const auto& quarantine = it.second;
+    auto rank = rankOf(nameOf(it.first));
+    if (!rank)
+        return false;
+    auto delay = trialTime;
+    if (quarantine.trialCrashes > maxQuickTrialCrashes)
+        delay = firstProbeDelay;
+    for (auto n = maxQuickTrialCrashes + 1; n < quarantine.trialCrashes && delay < quarantineRetention; ++n)
         delay *= probeDelayFactor;
-    if (!mayProbe || now < std::max(quarantine.since, quarantine.lastProbeAt) + delay)
-        return Verdict::Refused;
-    ++quarantine.probes;
-    quarantine.lastProbeAt = now;
+    auto dueAt = quarantine.lastTrialAt ? *quarantine.lastTrialAt + delay : quarantine.since;
+    return now >= dueAt + std::min(maxTrialWait, Milliseconds(static_cast<std::int64_t>(*rank) * trialTurn));
+}
+
+bool PromptPartGuard::mayProbe(const std::vector<Quarantines::value_type*>& quarantines, const ProbeRank& rank, TimePoint now) const
+{
+    return std::all_of(quarantines.begin(), quarantines.end(), [&](const auto* it) {
+        const auto& quarantine = it->second;
+        auto delay = firstProbeDelay;
+        for (std::int64_t n = 0; n < quarantine.probes && delay < quarantineRetention; ++n)
+            delay *= probeDelayFactor;
+        // A request with the parts of one quarantine tells more than one with those of several.
+        if (quarantines.size() > 1)
+            delay += firstProbeDelay;
+        return rank(nameOf(it->first)) == std::size_t { 0 } && now >= std::max(quarantine.since, quarantine.lastProbeAt) + delay;
+    });
+}
+
+void PromptPartGuard::recordProbed(const Concerned& concerned, TimePoint now)
+{
+    for (auto* it : concerned.complete) {
+        ++it->second.probes;
+        it->second.lastProbeAt = now;
+    }
+    for (auto* it : concerned.partial)
+        it->second.lastTrialAt = now;
+    const auto& named = *(concerned.complete.empty() ? concerned.partial : concerned.complete).front();
     m_isUrgent = true;
-    m_events.push_back({ PromptPartEvent::Kind::Probed, *part, quarantine.crashes, {} });
-    return Verdict::Probe;
+    m_events.push_back({ PromptPartEvent::Kind::Probed, nameOf(named.first), named.second.crashes, {} });
 }
 
 const std::string* PromptPartGuard::quarantinedPart(const std::vector<std::string>& parts) const
 {
-    if (m_quarantined.empty())
-        return nullptr;
-    auto it = std::find_if(parts.begin(), parts.end(), [&](const auto& part) { return m_quarantined.contains(part); });
-    return it == parts.end() ? nullptr : &*it;
+    for (const auto& [set, quarantine] : m_quarantined) {
+        bool isComplete = std::all_of(set.begin(), set.end(), [&](const auto& it) { return std::find(parts.begin(), parts.end(), it) != parts.end(); });
+        if (isComplete)
+            return &*set.begin();
+    }
+    return nullptr;
+}
+
+bool PromptPartGuard::isHeldBack(const std::vector<std::string>& parts) const
+{
+    return std::any_of(m_quarantined.begin(), m_quarantined.end(), [&](const auto& quarantine) {
+        return std::any_of(parts.begin(), parts.end(), [&](const auto& it) { return quarantine.first.contains(it); });
+    });
 }
 
 std::int64_t PromptPartGuard::crashesOf(const std::string& part) const
 {
-    auto it = m_quarantined.find(part);
-    return it == m_quarantined.end() ? 0 : it->second.crashes;
+    std::int64_t crashes = 0;
+    for (const auto& [set, quarantine] : m_quarantined)
+        crashes = std::max(crashes, set.contains(part) ? quarantine.crashes : 0);
+    return crashes;
 }
 
 bool PromptPartGuard::isSuspected(const std::vector<std::string>& parts) const
 {
     if (m_crashes.empty())
         return false;
-    return std::any_of(parts.begin(), parts.end(), [&](const auto& it) { return !m_servedAt.contains(it) && !crashesWith(it).empty(); });
+    auto crashes = unexplainedCrashes();
+    return std::any_of(parts.begin(), parts.end(), [&](const auto& it) { return !m_servedAt.contains(it) && !crashesWith(it, crashes).empty(); });
 }
 
 bool PromptPartGuard::isRetryUnsafe(const std::vector<std::string>& parts) const
 {
+    if (isHeldBack(parts))
+        return true;
+    auto unexplained = unexplainedCrashes();
     return std::any_of(parts.begin(), parts.end(), [&](const auto& part) {
-        if (m_quarantined.contains(part))
-            return true;
         if (m_servedAt.contains(part))
             return false;
-        auto crashes = crashesWith(part);
+        auto crashes = crashesWith(part, unexplained);
         return countCauses(crashes) > 1 || std::any_of(crashes.begin(), crashes.end(), [](const auto* it) { return isConfirmed(it->second); });
     });
 }
@@ -167,7 +275,9 @@
 
 bool PromptPartGuard::isExplained(const Crash& crash) const
 {
-    return !m_quarantined.empty() && std::any_of(crash.parts.begin(), crash.parts.end(), [&](const auto& it) { return m_quarantined.contains(it); });
+    return std::any_of(m_quarantined.begin(), m_quarantined.end(), [&](const auto& quarantine) {
+        return std::all_of(quarantine.first.begin(), quarantine.first.end(), [&](const auto& it) { return crash.parts.contains(it); });
+    });
 }
 
 bool PromptPartGuard::wasServedSince(const std::string& part, TimePoint time) const
@@ -176,17 +286,26 @@
     return it != m_servedAt.end() && it->second > time;
 }
 
-std::vector<const PromptPartGuard::Crashes::value_type*> PromptPartGuard::crashesWith(const std::string& part) const
+PromptPartGuard::CrashPointers PromptPartGuard::unexplainedCrashes() const
 {
-    std::vector<const Crashes::value_type*> crashes;
+    CrashPointers crashes;
     for (const auto& it : m_crashes) {
-        if (isCrash(it.second) && it.second.parts.contains(part) && !wasServedSince(part, it.second.at) && !isExplained(it.second))
+        if (isCrash(it.second) && !isExplained(it.second))
             crashes.push_back(&it);
     }
     return crashes;
 }
 
-std::size_t PromptPartGuard::countCauses(const std::vector<const Crashes::value_type*>& crashes)
+PromptPartGuard::CrashPointers PromptPartGuard::crashesWith(const std::string& part, const CrashPointers& crashes) const
+{
+    CrashPointers found;
+    std::copy_if(crashes.begin(), crashes.end(), std::back_inserter(found), [&](const auto* it) {
+        return it->second.parts.contains(part) && !wasServedSince(part, it->second.at);
+    });
+    return found;
+}
+
+std::size_t PromptPartGuard::countCauses(const CrashPointers& crashes)
 {
     std::multiset<TimePoint> times;
     for (const auto* it : crashes)
@@ -202,107 +321,149 @@
     return causes;
 }
 
-bool PromptPartGuard::isOnlySuspect(const std::string& part, const std::vector<const Crashes::value_type*>& crashes) const
-{
-    const auto& others = crashes.front()->second.parts;
-    return std::none_of(others.begin(), others.end(), [&](const auto& other) {
-        return other != part && !m_servedAt.contains(other) && std::all_of(crashes.begin(), crashes.end(), [&](const auto* it) { return it->second.parts.contains(other); });
-    });
-}
-
 void PromptPartGuard::evaluate(TimePoint now)
 {
     std::vector<std::string> processes;
     std::erase_if(m_unevaluated, [&](const auto& it) {
         auto crash = m_crashes.find(it);
-        if (crash != m_crashes.end() && now < crash->second.at + evaluationDelay)
+        if (crash == m_crashes.end())
+            return true;
+        bool isIncomplete = crash->second.parts.size() < crash->second.toldSuspects;
+        if (now < crash->second.at + (isIncomplete ? completionTime : evaluationDelay))
             return false;
         processes.push_back(it);
         return true;
     });
     if (processes.empty())
         return;
-    for (const auto& it : findCrashingParts(processes))
+    for (const auto& it : processes)
+        narrow(m_crashes.at(it), now);
+    for (const auto& it : findCrashingSets(processes))
         quarantine(it, now);
     releaseExplained(now);
 }
 
-std::vector<std::string> PromptPartGuard::findCrashingParts(const std::vector<std::string>& processes) const
+void PromptPartGuard::narrow(const Crash& crash, TimePoint now)
 {
-    std::set<std::string> suspects;
-    for (const auto& it : processes) {
-        auto crash = m_crashes.find(it);
-        if (crash != m_crashes.end() && isCrash(crash->second) && !isExplained(crash->second))
-            suspects.insert(crash->second.parts.begin(), crash->second.parts.end());
+    if (!isCrash(crash) || crash.parts.size() < crash.toldSuspects || isExplained(crash))
+        return;
+    std::map<PartSet, std::int64_t> narrowed;
+    for (auto& [set, quarantine] : m_quarantined) {
+        PartSet common;
+        for (const auto& it : set) {
+            if (crash.parts.contains(it) && !wasServedSince(it, crash.at))
+                common.insert(it);
+        }
+        if (!common.empty())
+            narrowed[std::move(common)] = ++quarantine.trialCrashes;
+    }
+    for (const auto& [set, trialCrashes] : narrowed) {
+        quarantine(set, now);
+        auto& added = m_quarantined.at(set);
+        added.lastTrialAt = now;
+        added.trialCrashes = trialCrashes;
+    }
+}
+
+std::vector<PromptPartGuard::PartSet> PromptPartGuard::findCrashingSets(const std::vector<std::string>& processes) const
+{
+    auto crashes = unexplainedCrashes();
+    absl::flat_hash_set<std::string_view> suspects;
+    for (const auto* it : crashes) {
+        if (std::find(processes.begin(), processes.end(), it->first) != processes.end())
+            suspects.insert(it->second.parts.begin(), it->second.parts.end());
     }
-    std::vector<std::string> crashing;
-    std::size_t mostCauses = 0;
+    // Parts that the same crashes have in common cannot be told apart, except that one may have been served before.
+    struct Group {
+        CrashBits crashes;
+        std::size_t causes = 0;
+        PartSet parts;
+    };
+    std::map<std::pair<std::string, bool>, Group> groups;
     for (const auto& it : suspects) {
-        auto crashes = crashesWith(it);
-        auto causes = countCauses(crashes);
-        auto needed = crashesOfSuspect;
-        if (m_servedAt.contains(it))
-            needed = crashesOfServedPart;
-        else if (causes >= crashesOfOnlySuspect && isOnlySuspect(it, crashes))
-            needed = crashesOfOnlySuspect;
-        if (causes < needed || causes < mostCauses)
+        std::string part(it);
+        CrashBits bits;
+        for (std::size_t n = 0; n < crashes.size(); ++n)
+            bits[n] = crashes[n]->second.parts.contains(part) && !wasServedSince(part, crashes[n]->second.at);
+        if (bits.none())
             continue;
-        if (causes > mostCauses)
+        auto& group = groups[{ bits.to_string(), m_servedAt.contains(part) }];
+        if (group.parts.empty())
+            group = { bits, countCauses(crashesWith(part, crashes)), {} };
+        group.parts.insert(std::move(part));
+    }
+    std::vector<const Group*> crashing;
+    for (const auto& [key, group] : groups) {
+        bool wasServed = key.second;
+        bool isOnlySuspect = group.parts.size() == 1 && std::none_of(groups.begin(), groups.end(), [&bits = group.crashes](const auto& it) {
+            return !it.first.second && isProperSubset(bits, it.second.crashes);
+        });
+        auto needed = wasServed ? crashesOfServedPart : isOnlySuspect ? crashesOfOnlySuspect
+                                                                      : crashesOfSuspect;
+        auto mostCauses = crashing.empty() ? 0 : crashing.front()->causes;
+        if (group.causes < needed || group.causes < mostCauses)
+            continue;
+        if (group.causes > mostCauses)
             crashing.clear();
-        mostCauses = causes;
-        crashing.push_back(it);
+        crashing.push_back(&group);
+    }
+    std::vector<PartSet> sets;
+    for (const auto* it : crashing) {
+        bool isExplained = std::any_of(crashing.begin(), crashing.end(), [it](const auto* other) { return isProperSubset(it->crashes, other->crashes); });
+        if (!isExplained)
+            sets.push_back(it->parts);
     }
-    return crashing;
+    return sets;
 }
 
-void PromptPartGuard::quarantine(const std::string& part, TimePoint now)
+void PromptPartGuard::quarantine(const PartSet& set, TimePoint now)
 {
-    PromptPartEvent event { PromptPartEvent::Kind::Quarantined, part, 0, {} };
+    PromptPartEvent event { PromptPartEvent::Kind::Quarantined, nameOf(set), 0, {} };
     for (const auto& [process, crash] : m_crashes) {
-        if (isCrash(crash) && crash.parts.contains(part))
+        if (isCrash(crash) && std::all_of(set.begin(), set.end(), [&parts = crash.parts](const auto& it) { return parts.contains(it); }))
             event.processes.push_back(process);
     }
     event.crashes = static_cast<std::int64_t>(event.processes.size());
-    m_quarantined[part] = { .since = now, .lastRequestAt = now, .crashes = event.crashes };
+    m_quarantined[set] = { .since = now, .lastRequestAt = now, .crashes = event.crashes, .lastTrialAt = {} };
     m_events.push_back(std::move(event));
     m_isUrgent = true;
 }
 
 bool PromptPartGuard::isExplainedBy(const std::string& part, const std::string& other) const
 {
-    std::size_t ofPart = 0, ofBoth = 0, ofOther = 0;
-    for (const auto& [process, crash] : m_crashes) {
-        if (!isCrash(crash))
+    CrashPointers ofPart, ofOther;
+    bool hasOther = true;
+    for (const auto& it : m_crashes) {
+        if (!isCrash(it.second))
+            continue;
+        if (it.second.parts.contains(other))
+            ofOther.push_back(&it);
+        if (!it.second.parts.contains(part))
             continue;
-        bool hasPart = crash.parts.contains(part), hasOther = crash.parts.contains(other);
-        ofPart += hasPart ? 1 : 0;
-        ofOther += hasOther ? 1 : 0;
-        ofBoth += hasPart && hasOther ? 1 : 0;
+        ofPart.push_back(&it);
+        hasOther = hasOther && it.second.parts.contains(other);
     }
-    return ofPart > 0 && ofPart == ofBoth && ofOther > ofPart;
+    return !ofPart.empty() && hasOther && countCauses(ofOther) >= countCauses(ofPart) + decidingCrashes;
 }
 
 void PromptPartGuard::releaseExplained(TimePoint now)
 {
-    std::vector<std::string> quarantined, explained;
-    for (const auto& [part, it] : m_quarantined)
-        quarantined.push_back(part);
-    for (const auto& part : quarantined) {
-        if (std::any_of(quarantined.begin(), quarantined.end(), [&](const auto& other) { return isExplainedBy(part, other); }))
-            explained.push_back(part);
+    // The other part is known to crash upstreams if it is in quarantine by itself.
+    std::vector<std::string> explained;
+    for (const auto& [set, quarantine] : m_quarantined) {
+        for (const auto& part : set) {
+            bool isExplained = std::any_of(m_quarantined.begin(), m_quarantined.end(), [&](const auto& other) {
+                return other.first.size() == 1 && *other.first.begin() != part && isExplainedBy(part, *other.first.begin());
+            });
+            if (isExplained)
+                explained.push_back(part);
+        }
     }
     // Counts as served, so that peers release the part too.
     for (const auto& it : explained)
         markServed(it, now);
 }
 
-void PromptPartGuard::release(const std::string& part)
-{
-    m_events.push_back({ PromptPartEvent::Kind::Released, part, crashesOf(part), {} });
-    m_quarantined.erase(part);
-    m_isUrgent = true;
-}
-
 void PromptPartGuard::learn(const PromptPartNews& news, TimePoint now)
 {
     for (const auto& it : news.served) {
@@ -326,6 +487,7 @@
     if (isOld)
         return;
     auto& crash = crashOf(news.process, at);
+    crash.toldSuspects = news.allParts;
     auto knownCount = crash.parts.size() + crash.requests.size();
     for (const auto& it : news.parts)
         addPart(crash, it);
@@ -342,13 +504,18 @@
     m_unevaluated.insert(news.process);
 }
 
-void PromptPartGuard::learnQuarantine(const QuarantinedPart& news, TimePoint now)
+void PromptPartGuard::learnQuarantine(const QuarantinedParts& news, TimePoint now)
 {
     auto since = now - news.age, lastRequestAt = now - news.idle;
-    bool isPremature = m_servedAt.contains(news.part) && news.crashes < static_cast<std::int64_t>(crashesOfServedPart);
-    if (isPremature || wasServedSince(news.part, since) || lastRequestAt < now - quarantineRetention)
+    PartSet set;
+    for (const auto& it : news.parts) {
+        bool isPremature = m_servedAt.contains(it) && news.crashes < static_cast<std::int64_t>(crashesOfServedPart);
+        if (!isPremature && !wasServedSince(it, since))
+            set.insert(it);
+    }
+    if (set.empty() || lastRequestAt < now - quarantineRetention)
         return;
-    auto [it, isNew] = m_quarantined.try_emplace(news.part, Quarantine { .since = since, .lastRequestAt = lastRequestAt });
+    auto [it, isNew] = m_quarantined.try_emplace(set, Quarantine { .since = since, .lastRequestAt = lastRequestAt, .lastTrialAt = {} });
     auto& known = it->second;
     known.since = std::min(known.since, since);
     if (lastRequestAt > known.lastRequestAt + ageTolerance)
@@ -358,45 +525,85 @@
         known.probes = news.probes;
         known.lastProbeAt = now - news.probeAge;
     }
+    bool areSameParts = set.size() == news.parts.size();
+    if (areSameParts && news.trialAge && (!known.lastTrialAt || now - *news.trialAge > *known.lastTrialAt + ageTolerance)) {
+        known.lastTrialAt = now - *news.trialAge;
+        m_isUrgent = true;
+    }
+    known.trialCrashes = std::max(known.trialCrashes, news.trialCrashes);
     if (!isNew)
         return;
     m_isUrgent = true;
-    m_events.push_back({ PromptPartEvent::Kind::Quarantined, news.part, news.crashes, {} });
+    m_events.push_back({ PromptPartEvent::Kind::Quarantined, nameOf(set), news.crashes, {} });
 }
 
 PromptPartNews PromptPartGuard::news(TimePoint now) const
 {
     PromptPartNews news;
-    std::vector<const Crashes::value_type*> crashes;
-    std::set<std::string> parts;
+    tellCrashes(news, now);
+    tellQuarantines(news, now);
+    return news;
+}
+
+void PromptPartGuard::tellCrashes(PromptPartNews& news, TimePoint now) const
+{
+    CrashPointers told;
+    absl::flat_hash_map<std::string_view, std::size_t> crashCounts;
     for (const auto& it : m_crashes) {
-        parts.insert(it.second.parts.begin(), it.second.parts.end());
         bool isSettled = !isCrash(it.second) || isExplained(it.second);
+        for (const auto& part : it.second.parts)
+            crashCounts[part] += isSettled ? 0 : 1;
         if (!isSettled || now - it.second.at < settledCrashNewsTime)
-            crashes.push_back(&it);
+            told.push_back(&it);
     }
-    keepFirst(crashes, maxSentCrashes, [](const auto* a, const auto* b) { return a->second.at > b->second.at; });
-    for (const auto* it : crashes) {
+    keepFirst(told, maxSentCrashes, [](const auto* a, const auto* b) { return a->second.at > b->second.at; });
+    auto room = maxSentParts / std::max(std::size_t { 1 }, told.size());
+    for (const auto* it : told) {
         SuspectedCrash crash { it->first, ageOf(it->second.at, now), std::nullopt, {}, { it->second.requests.begin(), it->second.requests.end() } };
         if (it->second.runningAt)
             crash.runningAge = ageOf(*it->second.runningAt, now);
         bool isCrashExplained = isExplained(it->second);
         for (const auto& part : it->second.parts) {
-            if (isCrashExplained ? m_quarantined.contains(part) : !wasServedSince(part, it->second.at))
+            bool isInQuarantine = isCrashExplained && std::any_of(m_quarantined.begin(), m_quarantined.end(), [&](const auto& quarantine) { return quarantine.first.contains(part); });
+            if (isCrashExplained ? isInQuarantine : !wasServedSince(part, it->second.at))
                 crash.parts.push_back(part);
         }
-        keepFirst(crash.parts, maxSentPartsPerCrash, [&](const auto& a, const auto& b) { return crashesWith(a).size() > crashesWith(b).size(); });
+        if (crash.parts.size() > room) {
+            crash.allParts = crash.parts.size();
+            // Those in the most crashes come first, and never served ones before others; the rest in turn, a new lot each time.
+            auto rankOf = [&](const auto& part) { return std::pair(!m_servedAt.contains(part), crashCounts.at(part)); };
+            std::sort(crash.parts.begin(), crash.parts.end(), [&](const auto& a, const auto& b) { return std::pair(rankOf(b), a) < std::pair(rankOf(a), b); });
+            auto first = std::find_if(crash.parts.begin(), crash.parts.end(), [&, last = rankOf(crash.parts[room - 1])](const auto& part) { return rankOf(part) == last; });
+            auto turns = static_cast<std::size_t>(now.time_since_epoch() / suspectNewsPeriod) * (room - static_cast<std::size_t>(first - crash.parts.begin()));
+            std::rotate(first, first + static_cast<std::ptrdiff_t>(turns % static_cast<std::size_t>(crash.parts.end() - first)), crash.parts.end());
+            crash.parts.resize(room);
+        }
         news.crashes.push_back(std::move(crash));
     }
-    for (const auto& it : parts) {
-        if (auto served = m_servedAt.find(it); served != m_servedAt.end())
-            news.served.push_back({ it, ageOf(served->second, now) });
+    for (const auto& [part, count] : crashCounts) {
+        if (auto served = m_servedAt.find(std::string(part)); served != m_servedAt.end())
+            news.served.push_back({ served->first, ageOf(served->second, now) });
     }
     keepFirst(news.served, maxSentServedParts, [](const auto& a, const auto& b) { return a.age < b.age; });
-    for (const auto& [part, it] : m_quarantined)
-        news.quarantined.push_back({ part, ageOf(it.since, now), ageOf(it.lastRequestAt, now), it.crashes, it.probes, ageOf(it.lastProbeAt, now) });
-    keepFirst(news.quarantined, maxSentQuarantined, [](const auto& a, const auto& b) { return a.idle < b.idle; });
-    return news;
+}
+
+void PromptPartGuard::tellQuarantines(PromptPartNews& news, TimePoint now) const
+{
+    std::vector<QuarantinedParts> quarantined;
+    for (const auto& [set, it] : m_quarantined) {
+        QuarantinedParts told { { set.begin(), set.end() }, ageOf(it.since, now), ageOf(it.lastRequestAt, now), it.crashes, it.probes, ageOf(it.lastProbeAt, now), std::nullopt, it.trialCrashes };
+        if (it.lastTrialAt)
+            told.trialAge = ageOf(*it.lastTrialAt, now);
+        quarantined.push_back(std::move(told));
+    }
+    keepFirst(quarantined, maxSentQuarantined, [](const auto& a, const auto& b) { return a.idle < b.idle; });
+    // Peers find a set that does not fit by the crashes.
+    std::size_t setParts = 0;
+    for (auto& it : quarantined) {
+        if (it.parts.size() > 1 && (setParts += it.parts.size()) > maxSentSetParts)
+            continue;
+        news.quarantined.push_back(std::move(it));
+    }
 }
 
 bool PromptPartGuard::takeUrgent() { return std::exchange(m_isUrgent, false); }
@@ -407,10 +614,10 @@
 {
     absl::erase_if(m_crashes, [&](const auto& it) { return it.second.at < now - evidenceRetention; });
     absl::erase_if(m_servedAt, [&](const auto& it) { return it.second < now - evidenceRetention; });
-    absl::erase_if(m_quarantined, [&](const auto& it) {
+    std::erase_if(m_quarantined, [&](const auto& it) {
         if (it.second.lastRequestAt >= now - quarantineRetention)
             return false;
-        m_events.push_back({ PromptPartEvent::Kind::Released, it.first, it.second.crashes, {} });
+        m_events.push_back({ PromptPartEvent::Kind::Released, nameOf(it.first), it.second.crashes, {} });
         return true;
     });
 }
@@ -426,10 +633,13 @@
         auto limit = times.begin() + static_cast<std::ptrdiff_t>(times.size() - keep);
         std::nth_element(times.begin(), limit, times.end());
         auto before = entries.size();
-        absl::erase_if(entries, [&](const auto& it) { return timeOf(it.second) < *limit; });
+        erase_if(entries, [&](const auto& it) { return timeOf(it.second) < *limit; });
         m_dropped += static_cast<std::int64_t>(before - entries.size());
     };
     dropOldest(m_crashes, maxCrashes, maxCrashes, [](const Crash& it) { return it.at; });
+    auto countParts = [&] { return std::accumulate(m_crashes.begin(), m_crashes.end(), std::size_t { 0 }, [](std::size_t sum, const auto& it) { return sum + it.second.parts.size(); }); };
+    while (m_crashes.size() > 1 && countParts() > maxParts)
+        dropOldest(m_crashes, m_crashes.size() - 1, m_crashes.size() - 1, [](const Crash& it) { return it.at; });
     dropOldest(m_servedAt, maxServedParts, maxServedParts / 2, [](TimePoint it) { return it; });
     dropOldest(m_quarantined, maxQuarantined, maxQuarantined, [](const Quarantine& it) { return it.lastRequestAt; });
 }
--- a/src/core/limits/prompt_part_news.h
+++ b/src/core/limits/prompt_part_news.h
@@ -25,6 +25,8 @@
     std::vector<std::string> parts;
     // Hashes of the ids of requests that lost their connection, two at most.
     std::vector<std::uint64_t> requests;
+    // Number of parts, if there are more of them than are told at a time; else 0.
+    std::size_t allParts = 0;
 };
 
 // A part with which an upstream completed a response, or outlived the start of one.
@@ -33,10 +35,10 @@
     Milliseconds age {};
 };
 
-// A part that is refused.
-struct QuarantinedPart {
-    std::string part;
-    // Time since the quarantine began, and since a request with the part last arrived.
+// Parts of which at least one crashes upstreams. Requests with all of them are refused.
+struct QuarantinedParts {
+    std::vector<std::string> parts;
+    // Time since the quarantine began, and since a request with all parts last arrived.
     Milliseconds age {};
     Milliseconds idle {};
     // Number of crashes that led to the quarantine.
@@ -44,12 +46,16 @@
     // Requests that were sent nevertheless, to find out whether the part still crashes upstreams, and time since the last one.
     std::int64_t probes = 0;
     Milliseconds probeAge {};
+    // Time since a request with some of the parts was last sent, to find out which of them crash upstreams; nullopt if none was.
+    // Number of crashes of such requests. Both are told only if there are several parts.
+    std::optional<Milliseconds> trialAge;
+    std::int64_t trialCrashes = 0;
 };
 
 struct PromptPartNews {
     std::vector<SuspectedCrash> crashes;
     std::vector<ServedPart> served;
-    std::vector<QuarantinedPart> quarantined;
+    std::vector<QuarantinedParts> quarantined;
 
     bool empty() const { return crashes.empty() && served.empty() && quarantined.empty(); }
 };
--- a/src/edge/request_forwarder.cpp
+++ b/src/edge/request_forwarder.cpp
@@ -100,8 +100,8 @@
             co_return;
         }
         countArrival();
-        if (!mayBeSent(now)) {
-            co_await m_outcome.respondWithError(ErrorKind::PromptPartQuarantined);
+        if (auto error = checkParts(now); error != ErrorKind::None) {
+            co_await m_outcome.respondWithError(error);
             co_return;
         }
         // Once it was sent, a refusal could not say that it has not run.
@@ -154,11 +154,18 @@
         LogLine(LogLevel::Warning, "output_hint_malformed").with("id", m_request.id()).with("team", m_request.admitted.team ? m_request.admitted.team->value : "");
 }
 
-bool RequestForwarder::mayBeSent(TimePoint now)
+ErrorKind RequestForwarder::checkParts(TimePoint now)
 {
-    auto verdict = m_request.traffic.decideOnParts(m_request.parts, now);
-    m_request.isProbe = verdict == PromptPartGuard::Verdict::Probe;
-    return verdict != PromptPartGuard::Verdict::Refused;
+    using Verdict = PromptPartGuard::Verdict;
+    bool mayHaveRun = m_request.possibleRuns > 0;
+    // An upstream that had no room for a probe has told nothing of its parts.
+    if (m_request.isProbe && !mayHaveRun)
+        return ErrorKind::None;
+    auto verdict = m_request.traffic.decideOnParts(m_request.parts, mayHaveRun, now);
+    m_request.isProbe = verdict == Verdict::Probe;
+    if (verdict == Verdict::Deferred)
+        return ErrorKind::PromptPartSuspected;
+    return verdict == Verdict::Refused ? ErrorKind::PromptPartQuarantined : ErrorKind::None;
 }
 
 Awaitable<AttemptResult> RequestForwarder::makeAttempt(std::shared_ptr<UpstreamAttempt> attempt)
--- a/src/edge/request_forwarder.h
+++ b/src/edge/request_forwarder.h
@@ -26,8 +26,8 @@
     Awaitable<void> serve();
     // Adds the request to the base of the service's retry budget, once.
     void countArrival();
-    // Whether the request may be sent although a part of its prompt may crash upstreams.
-    bool mayBeSent(TimePoint now);
+    // Returns why the request must not be sent, since parts of its prompt may crash upstreams, or None.
+    ErrorKind checkParts(TimePoint now);
     // Makes one attempt, or goes on with one that has begun, and records its outcome in the state shared by all requests.
     Awaitable<AttemptResult> makeAttempt(std::shared_ptr<UpstreamAttempt>);
 
--- a/src/edge/request_hedge.cpp
+++ b/src/edge/request_hedge.cpp
@@ -74,7 +74,7 @@
 bool RequestHedge::start(const std::optional<ModelId>& model)
 {
     auto now = bootNow();
-    if (m_request.isProbe || m_request.traffic.promptParts().quarantinedPart(m_request.parts))
+    if (m_request.isProbe || m_request.traffic.promptParts().isHeldBack(m_request.parts))
         return false;
     const auto* upstream = chooseUpstream(m_request, model, now);
     if (!upstream)
--- a/src/edge/traffic_state.cpp
+++ b/src/edge/traffic_state.cpp
@@ -297,24 +297,24 @@
         m_onUrgentNews();
 }
 
-PromptPartGuard::Verdict TrafficState::decideOnParts(const std::vector<std::string>& parts, TimePoint now)
+PromptPartGuard::Verdict TrafficState::decideOnParts(const std::vector<std::string>& parts, bool mayHaveRun, TimePoint now)
 {
-    const auto* part = m_promptParts.quarantinedPart(parts);
-    if (!part)
-        return PromptPartGuard::Verdict::Allowed;
-    auto verdict = m_promptParts.decide(parts, probesPart(*part), now);
+    auto rank = [&](const std::string& name) { return mayHaveRun ? std::nullopt : probeRank(name); };
+    auto verdict = m_promptParts.decide(parts, rank, now);
     announcePromptParts();
     return verdict;
 }
 
-bool TrafficState::probesPart(const std::string& part) const
+std::optional<std::size_t> TrafficState::probeRank(const std::string& parts) const
 {
     std::vector<InstanceId> instances;
     for (const auto& it : m_view->entries) {
         if (it.reachesUpstreams)
             instances.push_back(it.id);
     }
-    return !instances.empty() && rendezvousOrder(part, instances).front() == m_settings.instance;
+    auto order = rendezvousOrder(parts, instances);
+    auto own = std::find(order.begin(), order.end(), m_settings.instance);
+    return own == order.end() ? std::nullopt : std::optional(static_cast<std::size_t>(own - order.begin()));
 }
 
 void TrafficState::recordLostRequest(const LostRequest& request, TimePoint now)
@@ -342,24 +342,26 @@
     announcePromptParts();
 }
 
-void TrafficState::withdrawWaiting(const std::string& part)
+void TrafficState::withdrawRefused()
 {
     for (auto& it : m_waiting) {
-        if (std::find(it.parts.begin(), it.parts.end(), part) != it.parts.end())
+        if (m_promptParts.quarantinedPart(it.parts))
             it.withdraw();
     }
 }
 
 void TrafficState::announcePromptParts()
 {
-    for (auto& it : m_promptParts.takeEvents()) {
+    auto events = m_promptParts.takeEvents();
+    for (auto& it : events) {
         auto source = it.processes.empty() ? "peer" : "own";
         it.processes.resize(std::min(it.processes.size(), maxLoggedProcesses));
-        LogLine(LogLevel::Warning, eventName(it.kind)).with("part", it.part).with("crashes", it.crashes).with("source", source).with("processes", absl::StrJoin(it.processes, ","));
+        LogLine(LogLevel::Warning, eventName(it.kind)).with("part", it.parts).with("crashes", it.crashes).with("source", source).with("processes", absl::StrJoin(it.processes, ","));
         m_metrics.promptPart(eventName(it.kind));
-        if (it.kind == PromptPartEvent::Kind::Quarantined)
-            withdrawWaiting(it.part);
     }
+    // Only the state after all events counts: one may end what another began.
+    if (!events.empty())
+        withdrawRefused();
     if (m_promptParts.takeUrgent() && m_onUrgentNews)
         m_onUrgentNews();
 }
--- a/src/edge/traffic_state.h
+++ b/src/edge/traffic_state.h
@@ -126,13 +126,13 @@
     // then as failures of their release, and the waiting time of requests abandoned before then as latency.
     void recordAnswer(const std::string& upstreamProcess, TimePoint sentAt);
 
-    // Decides whether a request with these prompt parts may be sent.
-    PromptPartGuard::Verdict decideOnParts(const std::vector<std::string>& parts, TimePoint now);
+    // Decides whether a request with these prompt parts may be sent. One that may have run must not be a probe.
+    PromptPartGuard::Verdict decideOnParts(const std::vector<std::string>& parts, bool mayHaveRun, TimePoint now);
     // Records events of the prompt part guard, see there.
     void recordLostRequest(const LostRequest&, TimePoint now);
     void recordRunning(const std::string& upstreamProcess, TimePoint runningAt);
     void recordServedParts(const std::vector<std::string>& parts, TimePoint now);
-    // Withdraws the request if one of its parts is put into quarantine before removeWaiting() is called.
+    // Withdraws the request if a quarantine refuses it before removeWaiting() is called.
     UnansweredRequests::iterator addWaiting(UnansweredRequest request) { return m_waiting.insert(m_waiting.end(), std::move(request)); }
     void removeWaiting(UnansweredRequests::iterator it) { m_waiting.erase(it); }
     // Evaluates the crashes whose evidence is complete.
@@ -192,9 +192,10 @@
     // Removes the upstreams of returned failure domains that this instance does not send requests to yet, unless there are no others.
     void preferRefilled(std::vector<const UpstreamEntry*>&, TimePoint now) const;
     ServiceRetryBudget& retryBudgetOf(const ServiceId&);
-    // Whether this instance, of all that take callers, is the one that probes the part.
-    bool probesPart(const std::string& part) const;
-    void withdrawWaiting(const std::string& part);
+    // The place of this instance among those that reach upstreams in probing a quarantine with these parts; nullopt if it is none.
+    std::optional<std::size_t> probeRank(const std::string& parts) const;
+    // Withdraws the requests that quarantines refuse now.
+    void withdrawRefused();
     // Takes the engines of the view into account.
     void updatePrompts(TimePoint now);
     // What the other instances are told of prompts that engines have read.
--- a/src/edge/upstream_attempt.cpp
+++ b/src/edge/upstream_attempt.cpp
@@ -82,7 +82,7 @@
             traffic.recordConnected(bootNow());
         // While the connection was opened, the caller may have left or got its response from the other attempt, the part may have been
         // quarantined, or the upstream may have said that it wants nothing more, or the time until the exit may have become too short.
-        if (request.caller->hasDisconnected() || attempt.isSuperseded || (!request.isProbe && traffic.promptParts().quarantinedPart(request.parts)) || traffic.isHeld(upstream, bootNow()) || !request.fitsBeforeExit(bootNow())) {
+        if (request.caller->hasDisconnected() || attempt.isSuperseded || (!request.isProbe && traffic.promptParts().isHeldBack(request.parts)) || traffic.isHeld(upstream, bootNow()) || !request.fitsBeforeExit(bootNow())) {
             connection->close();
             co_return AttemptEnd::NotSent;
         }
--- a/test/correctness/fleet_test.cpp
+++ b/test/correctness/fleet_test.cpp
@@ -41,7 +41,7 @@
     sent.work[{ "i-1" }] = { 3, 4000 };
     sent.evidence[{ { "assist" }, "v2", "cards", { "small" } }] = { 7, 1, 900ms, { 7, 33.5, 161.25 }, 2 };
     sent.crashes["f00d"] = 2;
-    sent.promptParts.quarantined = { { "dead", 900ms, 10ms, 3, 1, 400ms } };
+    sent.promptParts.quarantined = { { { "dead" }, 900ms, 10ms, 3, 1, 400ms }, { { "bad", "doc" }, 90ms, 10ms, 3, 0, 0ms, 20ms, 1 } };
     sent.limits = { { "i-1/7", 2.5, 40ms }, { "i-2/7", std::nullopt, 10ms } };
     sent.sessions = { { 77, "v2", 300ms } };
     sent.known = { "10.0.0.2:70" };
@@ -60,8 +60,11 @@
     CHECK(decoded->work.at({ "i-1" }).waitingTokens == 4000);
     CHECK(decoded->evidence == sent.evidence);
     CHECK(decoded->crashes == sent.crashes);
-    REQUIRE(decoded->promptParts.quarantined.size() == 1);
-    CHECK(decoded->promptParts.quarantined[0].part == "dead");
+    REQUIRE(decoded->promptParts.quarantined.size() == 2);
+    CHECK(decoded->promptParts.quarantined[0].parts == std::vector<std::string> { "dead" });
+    CHECK(decoded->promptParts.quarantined[1].parts == std::vector<std::string> { "bad", "doc" });
+    CHECK(decoded->promptParts.quarantined[1].trialAge == 20ms);
+    CHECK(decoded->promptParts.quarantined[1].trialCrashes == 1);
     CHECK(decoded->promptParts.quarantined[0].probeAge == 400ms);
     REQUIRE(decoded->limits.size() == 2);
     CHECK(decoded->limits[0].requestsPerSecond == 2.5);
--- a/test/correctness/prompt_part_guard_test.cpp
+++ b/test/correctness/prompt_part_guard_test.cpp
@@ -303,6 +303,84 @@
     }
 }
 
+// Guards against a sound document that is refused since the only requests with it so far crashed upstreams by another part.
+TEST_CASE("parts that were in the same crashes are told apart by single requests")
+{
+    PromptPartGuard guard, peer;
+    for (int n = 0; n < 3; ++n)
+        crash(guard, absl::StrCat("i-", n), { { "doc", "bad" } }, start + n * 1s);
+    auto now = start + 3s;
+    guard.evaluate(now);
+    REQUIRE(guard.decide({ "doc", "bad" }, true, now) == Verdict::Refused);
+    peer.learn(guard.news(now), now);
+    REQUIRE(peer.decide({ "bad", "doc" }, true, now) == Verdict::Refused);
+    auto second = [](const auto&) { return std::optional<std::size_t>(1); };
+
+    SECTION("one request with some of the parts is sent, and the others wait for its end")
+    {
+        CHECK(guard.decide({ "doc" }, true, now) == Verdict::Probe);
+        CHECK(guard.decide({ "doc" }, true, now + 10ms) == Verdict::Deferred);
+        CHECK(guard.decide({ "bad" }, true, now + 10ms) == Verdict::Deferred);
+        CHECK(guard.isHeldBack({ "doc" }));
+        CHECK_FALSE(guard.isHeldBack({ "other" }));
+        SECTION("at all instances")
+        {
+            CHECK(guard.takeUrgent());
+            peer.learn(guard.news(now + 10ms), now + 10ms);
+            CHECK(peer.decide({ "doc" }, true, now + 1s) == Verdict::Deferred);
+        }
+        SECTION("or until its end is overdue")
+        {
+            CHECK(guard.decide({ "doc" }, true, now + PromptPartGuard::trialTime) == Verdict::Probe);
+        }
+        SECTION("its response clears its parts for good, and the other part is quarantined")
+        {
+            guard.recordServed({ "doc" }, now + 300ms);
+            CHECK(guard.decide({ "doc" }, true, now + 300ms) == Verdict::Allowed);
+            CHECK(guard.decide({ "bad" }, true, now + 300ms) == Verdict::Refused);
+            CHECK(guard.decide({ "doc", "bad" }, true, now + 300ms) == Verdict::Refused);
+            exchange(guard, peer, now + 310ms);
+            CHECK(peer.decide({ "doc" }, true, now + 310ms) == Verdict::Allowed);
+            CHECK(peer.decide({ "bad" }, true, now + 310ms) == Verdict::Refused);
+        }
+        SECTION("its crash quarantines its parts, and the other part is told apart soon")
+        {
+            crash(guard, "i-3", { { "bad" } }, now + 300ms);
+            CHECK(isRefused(guard, "bad", now + 300ms));
+            CHECK(guard.crashesOf("bad") == 4);
+            CHECK(guard.decide({ "doc" }, true, now + 1s) == Verdict::Deferred);
+            CHECK(guard.decide({ "doc" }, true, now + 4s) == Verdict::Probe);
+            guard.recordServed({ "doc" }, now + 5s);
+            CHECK(guard.decide({ "doc" }, true, now + 5s) == Verdict::Allowed);
+            CHECK(isRefused(guard, "bad", now + 5s));
+        }
+    }
+    SECTION("instances begin in turn, so that the first has told the others")
+    {
+        CHECK(peer.decide({ "doc" }, second, now + 50ms) == Verdict::Deferred);
+        CHECK(peer.decide({ "doc" }, second, now + 200ms) == Verdict::Probe);
+    }
+    SECTION("trials that crash upstreams become rare")
+    {
+        PromptPartGuard many;
+        for (int n = 0; n < 3; ++n)
+            crash(many, absl::StrCat("i-", n), { { "a", "b", "c", "d" } }, start + n * 1s);
+        auto time = start + 3s;
+        std::vector<TimePoint> crashes;
+        many.evaluate(time);
+        for (int step = 0; step < 200; ++step, time += 100ms) {
+            for (const auto& it : std::vector<Parts> { { "a", "b", "c" }, { "a", "b" }, { "a" } }) {
+                if (many.decide(it, true, time) != Verdict::Probe)
+                    continue;
+                crashes.push_back(time);
+                crash(many, absl::StrCat("i-late-", crashes.size()), { it }, time);
+                many.evaluate(time + PromptPartGuard::evaluationDelay);
+            }
+        }
+        CHECK(crashes.size() <= 3);
+    }
+}
+
 TEST_CASE("news of crashes stays small, and survives encoding")
 {
     PromptPartGuard guard, peer;
--- a/test/correctness/traffic_state_test.cpp
+++ b/test/correctness/traffic_state_test.cpp
@@ -407,3 +407,35 @@
         CHECK(promptCredits(off, service, prefixes, demand, allowed, now).empty());
     }
 }
+
+// Guards against sound requests that are withdrawn for a quarantine that does not refuse them.
+TEST_CASE("a quarantine withdraws the waiting requests that it refuses, and no others")
+{
+    EventLoop loop;
+    EdgeMetrics metrics;
+    TrafficState traffic(loop, TrafficSettings {}, metrics);
+    traffic.setView(std::make_shared<const FleetView>(canaryView(true, bootNow())));
+    std::vector<std::string> withdrawn;
+    for (const std::vector<std::string>& parts : { std::vector<std::string> { "sound" }, { "fatal" }, { "sound", "fatal" } })
+        traffic.addWaiting({ parts, [&withdrawn, parts] { withdrawn.push_back(parts.back()); } });
+    auto now = bootNow();
+    auto lose = [&](int process, const std::vector<std::string>& parts, Milliseconds ago) {
+        traffic.recordLostRequest({ absl::StrCat("i-", process), { absl::StrCat("id-", process) }, parts, now - ago - 1s }, now - ago);
+    };
+    SECTION("two parts are in the same crashes, and one of them in a crash more")
+    {
+        lose(1, { "sound", "fatal" }, 2000ms);
+        lose(2, { "sound", "fatal" }, 1000ms);
+        lose(3, { "sound", "fatal" }, 60ms);
+        lose(4, { "fatal" }, 50ms);
+        traffic.evaluateCrashes(now);
+        CHECK(withdrawn == std::vector<std::string> { "fatal", "fatal" });
+    }
+    SECTION("two parts are in the same crashes")
+    {
+        for (int n = 1; n <= 3; ++n)
+            lose(n, { "sound", "fatal" }, 4000ms - n * 1000ms);
+        traffic.evaluateCrashes(now);
+        CHECK(withdrawn == std::vector<std::string> { "fatal" });
+    }
+}
--- a/test/processes/crashing_part_test.cpp
+++ b/test/processes/crashing_part_test.cpp
@@ -244,7 +244,9 @@
     crashedEngines = 3;
     CHECK(statusOf(both->readResponse(1s)) == 502);
     CHECK(statusOf(fatal->readResponse(1s)) == 502);
-    INFO(sound->readResponse(8s));
+    auto response = sound->readResponse(8s);
+    CHECK(statusOf(response) == 200);
+    CHECK(absl::EndsWith(response, "0\r\n\r\n"));
     CHECK(engines[0].count() + engines[5].count() == 1);
     store.cutWatches();
 }
