Prompt parts: all parts of a prompt are suspects, however long it is

Cause: the guard kept the first 32 parts of what a crash cut off, and the first 64 of a request. A bound on memory was one on places. Change: all parts count; the memory of all crashes together is bounded.

--- a/src/core/limits/prompt_part_guard.cpp
+++ b/src/core/limits/prompt_part_guard.cpp
@@ -20,7 +20,6 @@
     // telling it each other.
     constexpr Milliseconds ageTolerance { 100 };
     constexpr std::size_t maxRequestsPerCrash = 2;
-    constexpr std::size_t maxPartsPerRequest = 64;
     constexpr std::size_t maxPartBytes = 32;
     // So many more crashes with one part than with another speak for the one. A single one may have any other cause.
     constexpr std::size_t decidingCrashes = 2;
@@ -50,7 +49,8 @@
 std::vector<std::string> sharedParts(const RoutedRequest& request)
 {
     std::vector<std::string> parts;
-    for (std::size_t n = 0; n < std::min(maxPartsPerRequest, sharedPartCount(request)); ++n) {
+    parts.reserve(sharedPartCount(request));
+    for (std::size_t n = 0; n < sharedPartCount(request); ++n) {
         const auto& id = request.promptParts[n].id;
         parts.push_back(id.size() <= maxPartBytes ? id : absl::StrCat(absl::Hex(hashOf(id))));
     }
--- a/src/core/limits/prompt_part_guard.h
+++ b/src/core/limits/prompt_part_guard.h
@@ -80,7 +80,7 @@
     // Bounds of what is stored, and of what is sent to peers. The bound on the parts of a crash is above what the head of a request
     // can hold. The oldest crashes are dropped, and peers are told in turn of suspects that are too many for one message.
     static constexpr std::size_t maxCrashes = 64;
-    static constexpr std::size_t maxPartsPerCrash = 32;
+    static constexpr std::size_t maxPartsPerCrash = 8192;
     static constexpr std::size_t maxParts = 32768;
     static constexpr std::size_t maxServedParts = 8192;
     static constexpr std::size_t maxQuarantined = 64;
--- a/test/correctness/prompt_part_guard_test.cpp
+++ b/test/correctness/prompt_part_guard_test.cpp
@@ -381,6 +381,77 @@
     }
 }
 
+// Guards against a part that is never found, since it stands behind many others of a long prompt.
+TEST_CASE("a part that crashes upstreams is found in a prompt of any length")
+{
+    constexpr int length = 100;
+    auto prompt = [](bool isFatal) {
+        Parts parts;
+        for (int n = 0; n < length; ++n)
+            parts.push_back(isFatal && n == length - 4 ? "bad" : absl::StrCat("turn-", n));
+        return parts;
+    };
+    SECTION("a request tells all its parts but the last")
+    {
+        RoutedRequest request;
+        for (const auto& it : prompt(true))
+            request.promptParts.push_back({ it, 20 });
+        CHECK(sharedParts(request).size() == length - 1);
+    }
+    SECTION("the others were served before")
+    {
+        PromptPartGuard guard;
+        guard.recordServed(prompt(false), start - 1s);
+        crash(guard, "i-1", { prompt(true) }, start);
+        crash(guard, "i-2", { prompt(true) }, start + 1s);
+        guard.evaluate(start + 2s);
+        CHECK(guard.decide(prompt(true), false, start + 2s) == Verdict::Refused);
+        CHECK(guard.decide(prompt(false), false, start + 2s) == Verdict::Allowed);
+    }
+    SECTION("several instances lose a request each, and tell each other of its parts in turn")
+    {
+        std::vector<PromptPartGuard> site(3);
+        for (std::size_t n = 0; n < site.size(); ++n)
+            crash(site[n], absl::StrCat("i-", n), { prompt(true) }, start + 100ms * static_cast<int>(n));
+        auto now = start + 300ms;
+        for (; now < start + 3s; now += 250ms) {
+            std::vector<PromptPartNews> sent;
+            for (auto& it : site) {
+                it.evaluate(now);
+                sent.push_back(it.news(now));
+            }
+            for (auto& it : site) {
+                for (const auto& news : sent)
+                    it.learn(news, now);
+            }
+        }
+        for (auto& it : site) {
+            CHECK(it.decide(prompt(true), false, now) == Verdict::Refused);
+            CHECK(it.decide({ "other" }, false, now) == Verdict::Allowed);
+        }
+        SECTION("the sound prompt is served again after one request")
+        {
+            CHECK(site[0].decide(prompt(false), true, now) == Verdict::Probe);
+            site[0].recordServed(prompt(false), now + 1s);
+            CHECK(site[0].decide(prompt(false), true, now + 1s) == Verdict::Allowed);
+            CHECK(site[0].decide({ "bad" }, true, now + 1s) == Verdict::Refused);
+        }
+    }
+    SECTION("many crashes with the longest prompts take little memory")
+    {
+        PromptPartGuard guard;
+        for (int n = 0; n < 20; ++n) {
+            Parts parts;
+            for (int m = 0; m < 5000; ++m)
+                parts.push_back(absl::StrCat(n, "-", m));
+            crash(guard, absl::StrCat("i-", n), { parts }, start + n * 1s);
+        }
+        CHECK(guard.crashCount() * 5000 <= PromptPartGuard::maxParts);
+        CHECK(guard.dropped() > 0);
+        CHECK(guard.isSuspected({ "19-4999" }));
+    }
+}
+
 TEST_CASE("news of crashes stays small, and survives encoding")
 {
     PromptPartGuard guard, peer;
