Responses: a head that HTTP does not have is no answer

Callers saw: a status 000, 001 or 099 of an upstream in trouble ended as 504 at the deadline, also where the call may be repeated; 600 and 999 were passed on. Through src/daemon, lines whose field name holds a blank or a control byte were taken for fields. Cause: readHead() took any status below 200 for an informational one and any other for an answer; libcurl passes on any line of a head. Change: statuses outside 100 to 599, and 101, which no request of ours asks for, are malformed; the lines that libcurl passes on must name a token. Evidence: the new test cases in test_edge_cut_response and test_cut_response fail on the code before for each of these statuses (and for each name with libcurl; the edge's parser rejected names), the new section in test_edge with 504 and 600 for 502. They pass now.

--- a/src/adapters/http_client.cpp
+++ b/src/adapters/http_client.cpp
@@ -2,6 +2,7 @@
 
 #include "adapters/callback_guard.h"
 #include "core/check.h"
+#include "core/requests/response_syntax.h"
 
 #include <absl/strings/ascii.h>
 #include <atomic>
@@ -19,8 +20,6 @@
     constexpr int pollTimeoutMs = 500;
     // Limit of a body that is collected for onEnd; a call whose body exceeds it ends with Cut.
     constexpr std::size_t maxBodyBytes = 64 << 20;
-    // Responses with a lower status are interim ones, which a final one follows.
-    constexpr long firstFinalStatus = 200;
 
     struct CurlDeleter {
         void operator()(CURL* easy) const { curl_easy_cleanup(easy); }
@@ -50,12 +49,17 @@
         return transfer.sends > 1 && !transfer.call.mayResend ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
     }
 
+    int statusOf(const Transfer& transfer)
+    {
+        long status = 0;
+        curl_easy_getinfo(transfer.easy.get(), CURLINFO_RESPONSE_CODE, &status);
+        return static_cast<int>(status);
+    }
+
     std::size_t receiveBody(Transfer& transfer, const char* data, std::size_t size)
     {
         if (transfer.callbacks.onData) {
-            long status = 0;
-            curl_easy_getinfo(transfer.easy.get(), CURLINFO_RESPONSE_CODE, &status);
-            transfer.callbacks.onData(static_cast<int>(status), { data, size });
+            transfer.callbacks.onData(statusOf(transfer), { data, size });
             return size;
         }
         if (transfer.result.body.size() + size > maxBodyBytes)
@@ -72,30 +76,38 @@
         return taken;
     }
 
-    // libcurl passes complete lines: those of interim responses, of the final one, and of its trailers.
-    void receiveHeadLine(Transfer& transfer, const std::string& line)
+    // libcurl passes complete lines: those of interim responses, of the final one, and of its trailers. Returns false for a line that
+    // no response has, which libcurl may allow.
+    bool receiveHeadLine(Transfer& transfer, const std::string& line)
     {
-        if (transfer.headEnded)
-            return;
         if (line == "\r\n" || line == "\n") {
-            long status = 0;
-            curl_easy_getinfo(transfer.easy.get(), CURLINFO_RESPONSE_CODE, &status);
-            transfer.headEnded = status >= firstFinalStatus;
+            transfer.headEnded = transfer.headEnded || statusOf(transfer) >= firstFinalStatus;
             if (!transfer.headEnded)
                 transfer.result.headers.clear();
-            return;
+            return true;
         }
+        bool isStatusLine = !transfer.headEnded && line.starts_with("HTTP/");
+        if (isStatusLine)
+            return isResponseStatus(statusOf(transfer));
+        bool isFolded = line.starts_with(' ') || line.starts_with('\t');
+        if (isFolded)
+            return true;
         auto colon = line.find(':');
-        if (colon != std::string::npos) {
-            auto value = line.substr(colon + 1);
-            absl::StripAsciiWhitespace(&value);
+        if (colon == std::string::npos || !isFieldName(std::string_view(line).substr(0, colon)))
+            return false;
+        auto value = line.substr(colon + 1);
+        absl::StripAsciiWhitespace(&value);
+        if (!transfer.headEnded)
             transfer.result.headers[absl::AsciiStrToLower(line.substr(0, colon))] = value;
-        }
+        return true;
     }
 
+    // A callback that takes less than all bytes ends the transfer.
     std::size_t onHeader(char* data, std::size_t, std::size_t size, void* userData)
     {
-        return runGuarded("http_client_head", [&] { receiveHeadLine(*static_cast<Transfer*>(userData), std::string(data, size)); }) ? size : 0;
+        bool isValid = false;
+        runGuarded("http_client_head", [&] { isValid = receiveHeadLine(*static_cast<Transfer*>(userData), std::string(data, size)); });
+        return isValid ? size : 0;
     }
 
     // A failed reconnect does not mean that the request was not sent: it may have been sent on an earlier connection. NotSent
@@ -247,9 +259,7 @@
             auto code = message->data.result;
             Transfer* transfer = nullptr;
             curl_easy_getinfo(easy, CURLINFO_PRIVATE, &transfer);
-            long status = 0;
-            curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
-            transfer->result.status = static_cast<int>(status);
+            transfer->result.status = statusOf(*transfer);
             transfer->result.end = httpEndFor(*transfer, code);
             curl_multi_remove_handle(m_multi, easy);
             auto owned = std::move(m_transfers[transfer->id]);
--- a/src/edge/upstream_connection.cpp
+++ b/src/edge/upstream_connection.cpp
@@ -1,5 +1,7 @@
 #include "edge/upstream_connection.h"
 
+#include "core/requests/response_syntax.h"
+
 #include <boost/asio/write.hpp>
 #include <sys/socket.h>
 
@@ -128,8 +130,11 @@
             if (end != TransferEnd::Ok)
                 co_return end;
         }
+        auto status = static_cast<int>(m_parser->get().result_int());
+        if (!isResponseStatus(status))
+            co_return reject("invalid status");
         // Skips informational (1xx) responses.
-        if (m_parser->get().result_int() >= 200)
+        if (status >= firstFinalStatus)
             break;
     }
     const auto& message = m_parser->get();
--- a/src/edge/upstream_connection.h
+++ b/src/edge/upstream_connection.h
@@ -51,7 +51,8 @@
     // Sends a request. Returns false if no byte was sent. A large request is sent in the background while the response is read;
     // the result is then true even if sending fails later.
     Awaitable<bool> send(std::string head, std::shared_ptr<const std::string> body);
-    // Reads the head of the final response and skips informational (1xx) ones. Their length is limited together.
+    // Reads the head of the final response and skips informational (1xx) ones. Their length is limited together. A status that is
+    // none of HTTP is malformed.
     Awaitable<TransferEnd> readHead(ResponseHead&);
     // Waits for the next part of the body.
     Awaitable<BodyPiece> readBody();
--- a/test/correctness/cut_response_test.cpp
+++ b/test/correctness/cut_response_test.cpp
@@ -5,6 +5,7 @@
 #include "adapters/http_upstream_client.h"
 #include "fakes/cut_responses.h"
 
+#include <absl/strings/str_cat.h>
 #include <catch2/catch.hpp>
 #include <future>
 
@@ -75,6 +76,40 @@
     }
 }
 
+// Guards against an answer of a service in trouble that is passed on.
+TEST_CASE("a response with a status or a field that HTTP does not have is no complete one")
+{
+    CuttingServer server;
+    HttpClient client;
+    HttpCall call { .address = server.address(), .path = "/", .timeout = Milliseconds(2000), .freshConnection = true, .mayResend = false };
+    auto receiveHead = [&](const std::string& start, const std::string& field) {
+        server.answerWith(absl::StrCat(start, "\r\nX-Build: 7\r\n", field, "Content-Length: 2\r\n\r\nok"), Close::Orderly);
+        return send(client, call);
+    };
+    SECTION("statuses")
+    {
+        for (const auto* status : { "000", "001", "099", "101", "600", "999" }) {
+            CAPTURE(status);
+            CHECK(receiveHead(absl::StrCat("HTTP/1.1 ", status, " X"), "").end == HttpEnd::Cut);
+        }
+        CHECK(receiveHead("HTTP/1.1 000 X\r\n\r\nHTTP/1.1 200 OK", "").end == HttpEnd::Cut);
+        for (const auto* status : { "200", "299", "404", "599" }) {
+            CAPTURE(status);
+            CHECK(receiveHead(absl::StrCat("HTTP/1.1 ", status, " X"), "").end == HttpEnd::Complete);
+        }
+        CHECK(receiveHead("HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK", "").end == HttpEnd::Complete);
+    }
+    SECTION("names of fields")
+    {
+        for (const auto& field : { std::string("X A: 1\r\n"), std::string("X\tA: 1\r\n"), std::string("X\x01: 1\r\n"), std::string("X\0: 1\r\n", 7), std::string("X\x7f: 1\r\n"), std::string("X\xe4: 1\r\n"), std::string("X : 1\r\n"), std::string(": 1\r\n"), std::string("X\r\n") }) {
+            CAPTURE(field);
+            CHECK(receiveHead("HTTP/1.1 200 OK", field).end == HttpEnd::Cut);
+            CHECK(receiveHead(absl::StrCat("HTTP/1.1 103 Early Hints\r\n", field, "\r\nHTTP/1.1 200 OK"), "").end == HttpEnd::Cut);
+        }
+        CHECK(receiveHead("HTTP/1.1 200 OK", "X-A!#$%&'*+.^_`|~: 1\r\n").end == HttpEnd::Complete);
+    }
+}
+
 // Guards against a refusal that is read from the fields of another part: X-Not-Run in an interim response or in a trailer.
 TEST_CASE("the fields of a response are those of its final head")
 {
--- a/test/correctness/edge_cut_response_test.cpp
+++ b/test/correctness/edge_cut_response_test.cpp
@@ -139,3 +139,35 @@
         CHECK(received.bytes == "half and half");
     }
 }
+
+// Guards against an answer of an upstream in trouble that is passed on, or waited for until the deadline.
+TEST_CASE("an entry instance takes no response with a status or a field for an answer that HTTP does not have")
+{
+    CuttingServer server;
+    auto receiveHead = [&](const std::string& start, const std::string& field) {
+        server.answerWith(absl::StrCat(start, "\r\nX-Build: 7\r\n", field, "Content-Length: 2\r\n\r\nok"), Close::Orderly);
+        return receive(server.address());
+    };
+    SECTION("statuses")
+    {
+        for (const auto* status : { "000", "001", "099", "101", "600", "999" }) {
+            CAPTURE(status);
+            CHECK(receiveHead(absl::StrCat("HTTP/1.1 ", status, " X"), "").head == TransferEnd::Malformed);
+        }
+        CHECK(receiveHead("HTTP/1.1 000 X\r\n\r\nHTTP/1.1 200 OK", "").head == TransferEnd::Malformed);
+        for (const auto* status : { "200", "299", "404", "599" }) {
+            CAPTURE(status);
+            CHECK(receiveHead(absl::StrCat("HTTP/1.1 ", status, " X"), "").isWhole());
+        }
+        CHECK(receiveHead("HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK", "").isWhole());
+    }
+    SECTION("names of fields")
+    {
+        for (const auto& field : { std::string("X A: 1\r\n"), std::string("X\tA: 1\r\n"), std::string("X\x01: 1\r\n"), std::string("X\0: 1\r\n", 7), std::string("X\x7f: 1\r\n"), std::string("X\xe4: 1\r\n"), std::string("X : 1\r\n"), std::string(": 1\r\n"), std::string("X\r\n") }) {
+            CAPTURE(field);
+            CHECK(receiveHead("HTTP/1.1 200 OK", field).head == TransferEnd::Malformed);
+            CHECK(receiveHead(absl::StrCat("HTTP/1.1 103 Early Hints\r\n", field, "\r\nHTTP/1.1 200 OK"), "").head == TransferEnd::Malformed);
+        }
+        CHECK(receiveHead("HTTP/1.1 200 OK", "X-A!#$%&'*+.^_`|~: 1\r\n").isWhole());
+    }
+}
--- a/test/processes/edge_test.cpp
+++ b/test/processes/edge_test.cpp
@@ -7,6 +7,7 @@
 
 #include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
+#include <absl/strings/str_format.h>
 #include <absl/strings/str_split.h>
 #include <atomic>
 #include <catch2/catch.hpp>
@@ -435,6 +436,24 @@
         CHECK((statusOf(response) == 503 || statusOf(response) == 429));
         CHECK(absl::StrContains(response, "Retry-After: "));
     }
+    SECTION("a status that HTTP does not have is no answer, and the outcome is unknown at once")
+    {
+        auto status = GENERATE(0, 99, 600);
+        site.setScripts([status](const RawRequest& request, RawConnection& connection) {
+            auto id = absl::StrCat("X-Attempt-Id: ", request.field("X-Attempt-Id"), "\r\n");
+            return connection.write(absl::StrFormat("HTTP/1.1 %03d Odd\r\n%sContent-Length: 4\r\n\r\nodd!", status, id));
+        });
+        auto response = book();
+        CHECK(statusOf(response) == 502);
+        CHECK_FALSE(absl::StrContains(response, "odd!"));
+        CHECK(site.received() == 1);
+        SECTION("a call that may be repeated is sent to another upstream")
+        {
+            site.second.setScript(respondWith("fine"));
+            for (int n = 0; n < 4; ++n)
+                CHECK(absl::EndsWith(sendRequest(instance, requestBytes("GET", "/status/x", absl::StrCat("id-get-", n))), "fine"));
+        }
+    }
     SECTION("a response with the id of another request is not forwarded")
     {
         site.setScripts([](const RawRequest&, RawConnection& connection) {
