Responses: the end of the stream completes none while the request is unread

Cause: a process that dies with an empty receive buffer ends its stream in order, and the reset follows the next bytes of the request. A response without a length was complete at that end unless the write had failed with something other than a broken pipe; a write that still waited was not asked about, and libcurl does not ask either. Change: such a response that is no refusal is complete only if the upstream has received the whole request: it was written, and the peer's kernel has acknowledged it, as it has with the end of its stream. With libcurl it must have been written. The section "but an upstream that ends its response in order has sent all of it" asked for the opposite with a 200, although its reason speaks of refusals. It is replaced by four: a refusal and a response with a length are whole, a 200 without one is cut, and one whose upstream has read the request is whole.

--- a/src/adapters/http_client.cpp
+++ b/src/adapters/http_client.cpp
@@ -110,11 +110,23 @@
         return isValid ? size : 0;
     }
 
+    // Whether the connection ended before all of the request was sent, and the response has no other end than that. Only a refusal is
+    // complete then.
+    bool isCutByEnd(const Transfer& transfer)
+    {
+        const auto& headers = transfer.result.headers;
+        auto status = statusOf(transfer);
+        bool endsWithConnection = !headers.contains("content-length") && !headers.contains("transfer-encoding") && status != 204 && status != 304;
+        curl_off_t sent = 0;
+        curl_easy_getinfo(transfer.easy.get(), CURLINFO_SIZE_UPLOAD_T, &sent);
+        return transfer.call.body && endsWithConnection && !isErrorStatus(status) && sent < static_cast<curl_off_t>(transfer.call.body->size());
+    }
+
     // A failed reconnect does not mean that the request was not sent: it may have been sent on an earlier connection. NotSent
     // is therefore derived from the number of sends and not from the error code.
     HttpEnd httpEndFor(const Transfer& transfer, CURLcode code)
     {
-        if (code == CURLE_OK && transfer.headEnded)
+        if (code == CURLE_OK && transfer.headEnded && !isCutByEnd(transfer))
             return HttpEnd::Complete;
         if (transfer.sends == 0)
             return HttpEnd::NotSent;
--- a/src/core/requests/response_syntax.h
+++ b/src/core/requests/response_syntax.h
@@ -14,6 +14,9 @@
 // which no request to an upstream does.
 constexpr bool isResponseStatus(int status) { return status >= 100 && status <= 599 && status != 101; }
 
+// Whether the status refuses the request or tells that it failed. Such a response may be complete before the request was read.
+constexpr bool isErrorStatus(int status) { return status >= 400; }
+
 // Whether the text is a token, as names of fields are.
 inline bool isFieldName(std::string_view text)
 {
--- a/src/edge/upstream_connection.cpp
+++ b/src/edge/upstream_connection.cpp
@@ -3,6 +3,8 @@
 #include "core/requests/response_syntax.h"
 
 #include <boost/asio/write.hpp>
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 namespace skylarkhitch {
@@ -212,7 +214,7 @@
         co_return TransferEnd::TimedOut;
     }
     // A response without a stated length ends with a clean close; the parser reports an error if it had a length.
-    if (ec == asio::error::eof && m_parser->got_some() && !wasLostWhileSending()) {
+    if (ec == asio::error::eof && m_parser->got_some() && !isCutByEnd()) {
         m_parser->put_eof(ec);
         m_isUnusable = true;
         co_return ec ? TransferEnd::Closed : TransferEnd::Ok;
@@ -220,13 +222,26 @@
     co_return TransferEnd::Closed;
 }
 
-bool UpstreamConnection::wasLostWhileSending() const
+bool UpstreamConnection::isCutByEnd()
 {
+    if (!m_parser->is_header_done() || !m_parser->need_eof())
+        return false;
+    if (!isErrorStatus(static_cast<int>(m_parser->get().result_int())))
+        return !isRequestDelivered();
     // A broken pipe means that the peer had ended its stream in order before it refused the rest of the request. An expired deadline
     // cancels the write as well.
     return m_sendError && m_sendError != asio::error::broken_pipe && m_sendError != asio::error::operation_aborted;
 }
 
+bool UpstreamConnection::isRequestDelivered()
+{
+    if (m_isSending || m_sendError)
+        return false;
+    // The segment that ends the peer's stream acknowledges all that the peer has received.
+    int unacknowledged = 0;
+    return ::ioctl(m_socket.native_handle(), SIOCOUTQ, &unacknowledged) != 0 || unacknowledged == 0;
+}
+
 void UpstreamConnection::setDeadline(Milliseconds time)
 {
     if (time > Milliseconds(0)) {
--- a/src/edge/upstream_connection.h
+++ b/src/edge/upstream_connection.h
@@ -88,9 +88,12 @@
     using Parser = boost::beast::http::response_parser<AppendedBody>;
 
     Awaitable<TransferEnd> readOrParse();
-    // Whether the connection was lost while the request was sent. An error of the socket is reported once; if the write gets it, the
-    // read sees no more than the end of the stream.
-    bool wasLostWhileSending() const;
+    // Whether the end of the stream cuts a response without a stated length rather than completing it. An upstream in trouble may
+    // end its stream before it has read the request; only a refusal is complete then. An error of the socket is reported once; if the
+    // write gets it, the read sees no more than the end of the stream.
+    bool isCutByEnd();
+    // Whether the peer has received the whole request.
+    bool isRequestDelivered();
     // Closes the connection because there is no memory for the body, and returns Malformed.
     TransferEnd rejectForMemory(bool hasLength);
     void onDeadline();
--- a/test/correctness/cut_response_test.cpp
+++ b/test/correctness/cut_response_test.cpp
@@ -8,6 +8,7 @@
 #include <absl/strings/str_cat.h>
 #include <catch2/catch.hpp>
 #include <future>
+#include <thread>
 
 using namespace skylarkhitch;
 using standin::Close;
@@ -110,6 +111,44 @@
     }
 }
 
+// Guards against half a response that counts as a whole one: a service in trouble answers while the request is still being sent.
+TEST_CASE("a response whose connection ends while the request is sent is no complete one")
+{
+    // More than sockets buffer.
+    constexpr std::size_t longBodyBytes = std::size_t { 32 } << 20;
+    std::string head = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n";
+    bool readsAll = false, resets = false;
+    standin::LoopbackListener service([&](int fd) {
+        standin::RawConnection connection(fd);
+        connection.readUntil([](const std::string& in) { return in.find("\r\n\r\n") != std::string::npos; });
+        connection.write(head + "half");
+        if (readsAll)
+            connection.readUntil([&](const std::string& in) { return in.size() > longBodyBytes; }, std::chrono::seconds(10));
+        if (!resets)
+            connection.endWriting();
+        std::this_thread::sleep_for(std::chrono::milliseconds(300));
+        connection.reset();
+    });
+    HttpClient client;
+    HttpCall call { .method = "POST", .address = absl::StrCat("127.0.0.1:", service.port()), .path = "/", .body = std::make_shared<const std::string>(longBodyBytes, 'x'), .timeout = Milliseconds(5000), .freshConnection = true, .mayResend = false };
+    SECTION("the service resets the connection")
+    {
+        resets = true;
+        CHECK(send(client, call).end == HttpEnd::Cut);
+    }
+    SECTION("the service ends its stream, and resets the connection later")
+    {
+        CHECK(send(client, call).end == HttpEnd::Cut);
+    }
+    SECTION("a service that has read the request ends its response in order")
+    {
+        readsAll = true;
+        auto result = send(client, call);
+        CHECK(result.end == HttpEnd::Complete);
+        CHECK(result.body == "half");
+    }
+}
+
 // Guards against a refusal that is read from the fields of another part: X-Not-Run in an interim response or in a trailer.
 TEST_CASE("the fields of a response are those of its final head")
 {
--- a/test/correctness/edge_cut_response_test.cpp
+++ b/test/correctness/edge_cut_response_test.cpp
@@ -95,13 +95,13 @@
     }
 }
 
-// Guards against half a response that counts as a whole one: the request is still being sent when the connection is lost, so that the
-// write learns of it, and the read sees no more than the end of the stream.
-TEST_CASE("an entry instance takes no response for a whole one whose connection is lost while the request is sent")
+// Guards against half a response that counts as a whole one: an upstream in trouble answers while the request is still being sent, and
+// its connection ends before it has read all of it.
+TEST_CASE("an entry instance takes no response for a whole one whose connection ends while the request is sent")
 {
-    const std::string head = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n";
+    std::string head = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n";
     std::function<void(standin::RawConnection&)> end;
-    // Does not read the body.
+    // Reads no more of the request than its head, unless `end` does.
     standin::LoopbackListener upstream([&](int fd) {
         standin::RawConnection connection(fd);
         connection.readUntil([](const std::string& in) { return in.find("\r\n\r\n") != std::string::npos; });
@@ -110,6 +110,11 @@
         end(connection);
     });
     const auto address = absl::StrCat("127.0.0.1:", upstream.port());
+    auto endStream = [](auto& connection) {
+        connection.write(" and half");
+        connection.endWriting();
+        std::this_thread::sleep_for(300ms);
+    };
 
     SECTION("the upstream is killed")
     {
@@ -126,13 +131,37 @@
         CHECK(received.status == 200);
         CHECK(received.body == TransferEnd::Closed);
     }
-    // A refusal may end before the request was read.
-    SECTION("but an upstream that ends its response in order has sent all of it")
+    SECTION("the upstream ends its stream, and resets the connection later")
+    {
+        end = [&](auto& connection) {
+            endStream(connection);
+            connection.reset();
+        };
+        auto received = receive(address, longBodyBytes);
+        CHECK(received.status == 200);
+        CHECK(received.body == TransferEnd::Closed);
+    }
+    SECTION("a refusal is whole, since it may end before the request was read")
+    {
+        head = GENERATE("HTTP/1.1 413 Too Large\r\nConnection: close\r\n\r\n", "HTTP/1.1 500 Error\r\nConnection: close\r\n\r\n");
+        end = endStream;
+        auto received = receive(address, longBodyBytes);
+        CHECK(received.isWhole());
+        CHECK(received.bytes == "half and half");
+    }
+    SECTION("a response with a length is whole")
+    {
+        head = "HTTP/1.1 200 OK\r\nContent-Length: 13\r\n\r\n";
+        end = endStream;
+        auto received = receive(address, longBodyBytes);
+        CHECK(received.isWhole());
+        CHECK(received.bytes == "half and half");
+    }
+    SECTION("an upstream that has read the request ends its response in order")
     {
-        end = [](auto& connection) {
-            connection.write(" and half");
-            connection.endWriting();
-            std::this_thread::sleep_for(300ms);
+        end = [&](auto& connection) {
+            connection.readUntil([&](const std::string& in) { return in.size() > longBodyBytes; }, 10s);
+            endStream(connection);
         };
         auto received = receive(address, longBodyBytes);
         CHECK(received.isWhole());
