--- a/test/correctness/odd_entries_test.cpp
+++ b/test/correctness/odd_entries_test.cpp
@@ -356,7 +356,7 @@
         heartbeat.sinceStoreUnreachable = Milliseconds(highest);
         heartbeat.promptParts.crashes = { { "i-1/5", Milliseconds(highest), Milliseconds(lowest), { "dead" }, { 7 } } };
         heartbeat.promptParts.served = { { "dead", Milliseconds(highest) } };
-        heartbeat.promptParts.quarantined = { { "dead", Milliseconds(highest), Milliseconds(lowest), highest, lowest, Milliseconds(highest) } };
+        heartbeat.promptParts.quarantined = { { { "dead" }, Milliseconds(highest), Milliseconds(lowest), highest, lowest, Milliseconds(highest) } };
         heartbeat.limits = { { "i-1/5", 1e300, Milliseconds(highest), { { 3, { "edge-2" }, Milliseconds(lowest) } } } };
         heartbeat.rollouts = { { { "s" }, "v2", highest, RolloutStage::Half, TimePoint { Microseconds(lowest) } } };
         heartbeat.heldBack = { { { "i-3" }, { highest, lowest, highest }, true } };
