Lost links: a response is given up only if its upstream is silent

Cause: the small model's answer was uncertain, so a larger one was asked, whose connection did not open in 300 ms. As the links then counted as lost, hedgeOrWait() let the current attempt expire, although its upstream went on sending; it takes any failed hedge for the silence of the current attempt. Change: while the links are lost, an attempt is given up only if a silence of its upstream has been recorded; no further hedge is begun then, and no larger model is asked.

--- a/src/edge/model_escalation.cpp
+++ b/src/edge/model_escalation.cpp
@@ -16,7 +16,7 @@
 {
     auto& traffic = request.traffic;
     const auto& response = *attempt.response;
-    if (!request.model || !response.confidence || request.caller->hasStartedResponse() || request.events.last() || !mayTryAnother(request))
+    if (!request.model || !response.confidence || traffic.links().isLost() || request.caller->hasStartedResponse() || request.events.last() || !mayTryAnother(request))
         co_return false;
     const auto* larger = largerModel(*request.admitted.route, *request.model);
     if (!larger)
--- a/src/edge/request_hedge.cpp
+++ b/src/edge/request_hedge.cpp
@@ -59,13 +59,16 @@
         m_current->connection->expire();
         return;
     }
-    if (!reserveRetry(m_request, last, bootNow()) || !start(model))
+    // While the links are lost, no other upstream can be asked.
+    bool isLost = m_request.traffic.links().isLost();
+    if (isLost || !reserveRetry(m_request, last, bootNow()) || !start(model))
         m_silence.set(silenceLimit(m_request, *m_current));
 }
 
 bool RequestHedge::mustLeaveUpstream()
 {
-    if (!m_request.traffic.links().isLost())
+    // An upstream that still responds is reached, whatever new connections show.
+    if (!m_request.traffic.links().isLost() || !m_current->isSilenceRecorded)
         return false;
     // A stream that has begun would be reset if there were no peer to go on with it.
     return !m_request.caller->hasStartedResponse() || (!m_request.admitted.request.isRelayed && m_request.traffic.chooseRelay(m_request.triedPeers));
--- a/src/edge/request_hedge.h
+++ b/src/edge/request_hedge.h
@@ -41,7 +41,7 @@
     void onSilence();
     // Asks another upstream to take over, after this end of the last one. If none may be asked, the current attempt goes on.
     void hedgeOrWait(AttemptEnd, const std::optional<ModelId>&);
-    // Whether the current attempt cannot be served any more, since this instance has lost its links to the upstreams.
+    // Whether the current attempt is to be given up, since its upstream is silent and this instance has lost its links to all of them.
     bool mustLeaveUpstream();
     Awaitable<void> run(std::shared_ptr<void> owner, std::shared_ptr<UpstreamAttempt>);
     // Whether the response that the attempt has begun can serve the request.
--- a/test/processes/lost_links_test.cpp
+++ b/test/processes/lost_links_test.cpp
@@ -1,6 +1,7 @@
 // Tests entry instances as real processes of which some have lost their links to all upstreams, but not to callers, store and
 // peers.
 
+#include "core/membership/fleet_heartbeat.h"
 #include "fakes/loopback_listener.h"
 #include "processes/edge_site.h"
 
@@ -8,6 +9,7 @@
 #include <absl/strings/str_cat.h>
 #include <catch2/catch.hpp>
 #include <sys/socket.h>
+#include <thread>
 #include <unistd.h>
 
 using namespace skylarkhitch;
@@ -69,14 +71,67 @@
     explicit CutSite(Cut cut)
     {
         cutStore.put("op/config", sampleConfiguration(3));
-        for (auto [upstream, service] : { std::pair(&first, "orders"), std::pair(&second, "orders"), std::pair(&engine, "assist"), std::pair(&otherEngine, "assist") }) {
+        for (std::size_t n = 0; n < upstreams().size(); ++n)
             links.push_back(std::make_unique<LostLink>(cut));
+        cutLinks();
+    }
+    ~CutSite() { cutStore.cutWatches(); }
+
+    std::vector<std::pair<ScriptedUpstream*, const char*>> upstreams() { return { { &first, "orders" }, { &second, "orders" }, { &engine, "assist" }, { &otherEngine, "assist" } }; }
+    // New connections of instances that use the store reach no upstream, while those that are open stay so.
+    void cutLinks()
+    {
+        std::size_t n = 0;
+        for (auto [upstream, service] : upstreams()) {
             auto registration = nlohmann::json::parse(upstream->registration(service));
-            registration["address"] = links.back()->address();
+            registration["address"] = links[n++]->address();
             cutStore.put("servers/" + upstream->id(), registration.dump());
         }
     }
-    ~CutSite() { cutStore.cutWatches(); }
+    void restoreLinks()
+    {
+        for (auto [upstream, service] : upstreams())
+            cutStore.put("servers/" + upstream->id(), upstream->registration(service));
+    }
+};
+
+// Heartbeats of a peer that reaches the upstreams, and that nobody reaches: the way to it is lost, too.
+class UnreachablePeer {
+public:
+    explicit UnreachablePeer(const EdgeInstance& receiver)
+        : m_thread([this, port = std::stoi(receiver.peerAddress().substr(receiver.peerAddress().find(':') + 1))] { run(port); })
+    {
+    }
+    ~UnreachablePeer()
+    {
+        m_isOver = true;
+        m_thread.join();
+    }
+    UnreachablePeer(const UnreachablePeer&) = delete;
+    UnreachablePeer& operator=(const UnreachablePeer&) = delete;
+
+private:
+    void run(int port)
+    {
+        auto receiver = loopbackAddress(port);
+        int socket = ::socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
+        FleetHeartbeat heartbeat;
+        heartbeat.from = { { "edge-9" }, 1 };
+        heartbeat.domain = { "halle-a" };
+        heartbeat.addresses = { m_link.address(), m_link.address() };
+        heartbeat.ready = true;
+        while (!m_isOver) {
+            ++heartbeat.sequence;
+            auto bytes = encodeHeartbeat(heartbeat);
+            ::sendto(socket, bytes.data(), bytes.size(), 0, reinterpret_cast<const sockaddr*>(&receiver), sizeof(receiver));
+            std::this_thread::sleep_for(100ms);
+        }
+        ::close(socket);
+    }
+
+    LostLink m_link { Cut::Silent };
+    std::atomic<bool> m_isOver = false;
+    std::thread m_thread;
 };
 
 std::string entryAddress(const EdgeInstance& instance) { return absl::StrCat("127.0.0.1:", instance.port()); }
@@ -139,8 +194,7 @@
     }
     SECTION("when it reaches them again, it serves its callers itself")
     {
-        for (auto [upstream, service] : { std::pair(&site.first, "orders"), std::pair(&site.second, "orders"), std::pair(&site.engine, "assist"), std::pair(&site.otherEngine, "assist") })
-            site.cutStore.put("servers/" + upstream->id(), upstream->registration(service));
+        site.restoreLinks();
         CHECK(waitUntil(3s, [&] { return !lost.linesContaining("what=links_regained").empty(); }));
         CHECK(statusOf(sendRequest(lost, requestBytes("GET", "/status/x", "id-own"))) == 200);
         CHECK(lost.linesContaining("what=request_relayed").empty());
@@ -198,6 +252,46 @@
     }
 }
 
+// Guards against responses that are given up although their upstream goes on, since nothing else is reached.
+TEST_CASE("a response that an upstream has begun outlives lost links")
+{
+    CutSite site(Cut::Silent);
+    site.restoreLinks();
+    std::atomic<bool> mayGoOn = false;
+    EdgeInstance lost("edge-1", site.cutStore.address());
+    UnreachablePeer peer(lost);
+    REQUIRE(waitUntil(5s, [&] { return lost.isReady(); }));
+    auto caller = RawConnection::connect(lost.port());
+    auto send = [&] {
+        caller->write(requestBytes("POST", "/draft/x", "s-1", "X-Model-Name: *\r\nX-Token-Count: 10,5\r\n", "p", 20s));
+        REQUIRE(waitUntil(2s, [&] { return site.receivedWithId("s-1") == 1; }));
+    };
+    auto configuration = nlohmann::json::parse(sampleConfiguration(4));
+    for (auto& it : configuration["routes"])
+        it["timeoutMs"] = 20000;
+    site.cutStore.put("op/config", configuration.dump());
+    REQUIRE(waitUntil(5s, [&] { return !lost.linesContaining("what=configuration version=4").empty(); }));
+    auto cutLinks = [&] {
+        site.cutLinks();
+        REQUIRE(waitUntil(5s, [&] { return !lost.linesContaining("what=links_lost").empty(); }));
+    };
+
+    SECTION("the small model's answer is uncertain, and no larger one can be asked")
+    {
+        site.setEngineScripts([&](const RawRequest& request, RawConnection& connection) {
+            waitUntil(10s, [&] { return mayGoOn.load(); });
+            return streamEvents(10, 100ms, { .confidence = 5 })(request, connection);
+        });
+        send();
+        cutLinks();
+        mayGoOn = true;
+        auto response = caller->readResponse();
+        CHECK(statusOf(response) == 200);
+        CHECK(absl::EndsWith(response, "0\r\n\r\n"));
+        CHECK(site.receivedWithId("s-1") == 1);
+    }
+}
+
 // Guards against callers who wait for upstreams that nobody reaches, and against requests that go round between instances.
 TEST_CASE("if no instance reaches the upstreams, requests are refused at once and have not run")
 {
