Lost links: a response that has begun waits for them to come back

Cause: PeerFallback asked three peers for 200 ms each, and then ended the request for good. A caller that has the beginning of a response cannot go elsewhere with it, unlike one that is refused. Change: such a request asks the peers again each 250 ms, and goes on by itself once the links are back, until its time is over. Requests without a response are refused at once, as before.

--- a/src/edge/peer_fallback.cpp
+++ b/src/edge/peer_fallback.cpp
@@ -9,17 +9,40 @@
 
     // Peers that a request is sent to in turn while they cannot be reached.
     constexpr std::size_t maxRelays = 3;
+    // Pause before they are asked again.
+    constexpr Milliseconds relayPause { 250 };
 
 }
 
-Awaitable<void> PeerFallback::serve()
+Awaitable<bool> PeerFallback::serve()
+{
+    while (!co_await askPeers()) {
+        bool mayWait = m_request.caller->hasStartedResponse() && m_request.timeLeft() >= minUsefulTime && m_request.fitsBeforeExit(bootNow());
+        if (!mayWait) {
+            co_await m_outcome.respondWithError(m_request.timeLeft() < minUsefulTime ? ErrorKind::DeadlineExceeded : ErrorKind::NoHealthyUpstream);
+            co_return true;
+        }
+        co_await sleepFor(m_request.traffic.loop(), std::min(relayPause, m_request.timeLeft()));
+        if (m_request.caller->hasDisconnected()) {
+            m_outcome.log("caller_left", 0);
+            co_return true;
+        }
+        if (!m_request.traffic.links().isLost())
+            co_return false;
+    }
+    co_return true;
+}
+
+Awaitable<bool> PeerFallback::askPeers()
 {
     auto& traffic = m_request.traffic;
+    std::set<InstanceId> asked;
     // A request that came from a peer does not go to another one, so that none goes round.
-    while (!m_request.admitted.request.isRelayed && m_request.triedPeers.size() < maxRelays && m_request.timeLeft() >= minUsefulTime && m_request.fitsBeforeExit(bootNow())) {
-        auto peer = traffic.chooseRelay(m_request.triedPeers);
+    while (!m_request.admitted.request.isRelayed && asked.size() < maxRelays && m_request.timeLeft() >= minUsefulTime && m_request.fitsBeforeExit(bootNow())) {
+        auto peer = traffic.chooseRelay(asked);
         if (!peer)
             break;
+        asked.insert(peer->id);
         m_request.triedPeers.insert(peer->id);
         LogLine(LogLevel::Info, "request_relayed").with("id", m_request.id()).with("peer", peer->id.value).with("cause", "links_lost").with("ms_left", m_request.timeLeft().count()).with("relays", static_cast<std::int64_t>(m_request.triedPeers.size()));
         m_relay.emplace(traffic, m_request.caller, m_request.received, m_request.events);
@@ -33,7 +56,7 @@
             m_outcome.log(m_request.caller->hasDisconnected() ? "caller_left" : m_relay->status() < 500 ? "none"
                                                                                                         : "upstream_error",
                 m_relay->status());
-            co_return;
+            co_return true;
         }
         bool mayAskAnother = end == RequestRelay::End::NotSent || (end == RequestRelay::End::Refused && m_relay->status() == errorInfo(ErrorKind::NoHealthyUpstream).httpStatus);
         if (mayAskAnother)
@@ -44,9 +67,9 @@
         }
         auto error = end == RequestRelay::End::TimedOut ? ErrorKind::DeadlineExceeded : ErrorKind::UpstreamFailed;
         co_await m_outcome.respondWithError(traffic.isExiting(bootNow()) ? ErrorKind::InstanceDraining : error);
-        co_return;
+        co_return true;
     }
-    co_await m_outcome.respondWithError(m_request.timeLeft() < minUsefulTime ? ErrorKind::DeadlineExceeded : ErrorKind::NoHealthyUpstream);
+    co_return false;
 }
 
 void PeerFallback::close()
--- a/src/edge/peer_fallback.h
+++ b/src/edge/peer_fallback.h
@@ -15,12 +15,17 @@
     {
     }
 
-    // Sends the request by way of a peer, or another one while they cannot be reached, until the request is finished.
-    Awaitable<void> serve();
+    // Sends the request by way of a peer, or another one while they cannot be reached. A response that has begun is not given up as
+    // long as its caller waits: if no peer is reached, they are asked again, until the links are back. Returns false if they are, and
+    // true if the request is finished.
+    Awaitable<bool> serve();
     // Ends the request, since its caller has left.
     void close();
 
 private:
+    // Asks the peers in turn, each once. Returns true if the request is finished.
+    Awaitable<bool> askPeers();
+
     RequestContext& m_request;
     RequestOutcome& m_outcome;
     std::optional<RequestRelay> m_relay;
--- a/src/edge/request_forwarder.cpp
+++ b/src/edge/request_forwarder.cpp
@@ -96,8 +96,9 @@
             m_request.traffic.stopAdmission().began(m_request.admitted.route->name, now);
         }
         if (m_request.traffic.links().isLost()) {
-            co_await m_peers.serve();
-            co_return;
+            if (co_await m_peers.serve())
+                co_return;
+            continue;
         }
         countArrival();
         if (auto error = checkParts(now); error != ErrorKind::None) {
--- a/test/processes/lost_links_test.cpp
+++ b/test/processes/lost_links_test.cpp
@@ -290,6 +290,30 @@
         CHECK(absl::EndsWith(response, "0\r\n\r\n"));
         CHECK(site.receivedWithId("s-1") == 1);
     }
+    SECTION("its upstream falls silent, no peer is reached, and the links come back")
+    {
+        site.setEngineScripts([&](const RawRequest& request, RawConnection& connection) {
+            if (mayGoOn)
+                return streamEvents(6, 10ms)(request, connection);
+            streamEvents(3, 10ms, { .isRunning = [n = std::make_shared<int>(0), &connection] {
+                if (++*n == 3)
+                    connection.isClosedWithin(10s);
+                return *n < 3;
+            } })(request, connection);
+            return false;
+        });
+        send();
+        REQUIRE(caller->readUntil([](const std::string& in) { return absl::StrContains(in, "id: 2"); }));
+        cutLinks();
+        REQUIRE(waitUntil(8s, [&] { return !lost.linesContaining("what=request_relayed").empty(); }));
+        std::this_thread::sleep_for(1s);
+        mayGoOn = true;
+        site.restoreLinks();
+        auto response = caller->readResponse(8s);
+        CHECK(absl::StrContains(response, "id: 6"));
+        CHECK(absl::EndsWith(response, "0\r\n\r\n"));
+        CHECK(site.receivedWithId("s-1") == 2);
+    }
 }
 
 // Guards against callers who wait for upstreams that nobody reaches, and against requests that go round between instances.
