Peers: changes and configurations are passed on compressed

Cause: each peer fetches the whole configuration, some 240 KB with 1,200 routes. The few instances that follow the store pass it on to dozens of peers, over links of 10 Mbit/s, which are full for seconds then. New connections to upstreams do not open in time, so the links count as lost. Change: a peer that accepts it gets the document in zlib's form, compressed once for all of them; a line and a metric count the bytes. Builds of before neither ask for it nor get it.

--- a/src/edge/control_plane.cpp
+++ b/src/edge/control_plane.cpp
@@ -389,14 +389,14 @@
     try {
         if (co_await connection->open(peerAddress, catchUpTimeout)) {
             connection->setDeadline(catchUpTimeout);
-            auto head = absl::StrCat("GET ", target, " HTTP/1.1\r\nHost: ", peerAddress, "\r\nConnection: close\r\n\r\n");
+            auto head = absl::StrCat("GET ", target, " HTTP/1.1\r\nHost: ", peerAddress, "\r\nAccept-Encoding: ", PeerDocuments::encoding, "\r\nConnection: close\r\n\r\n");
             ResponseHead response;
             bool isSent = co_await connection->send(head, nullptr);
             if (isSent && co_await connection->readHead(response) == TransferEnd::Ok && response.status == 200) {
                 BodyTimes times { catchUpTimeout, maxMirrorTime };
                 auto body = co_await connection->readWholeBody(maxMirrorBytes, times);
                 if (body.end == TransferEnd::Ok)
-                    result = std::move(body.bytes);
+                    result = PeerDocuments::decode(response.fields, std::move(body.bytes), maxMirrorBytes);
             }
         }
     } catch (const std::exception& e) {
@@ -466,12 +466,26 @@
     bool isMirror = request.target.rfind(prefix, 0) == 0 && absl::SimpleAtoi(request.target.substr(prefix.size()), &after);
     EdgeResponse response { .status = 404 };
     if (isMirror && m_mirror.revision() > 0)
-        response = { .status = 200, .body = encodeUpdate(m_mirror.changesSince(after)) };
+        response = peerResponse(request, m_changes, m_mirror.revision(), [&] { return encodeUpdate(m_mirror.changesSince(after)); });
     else if (request.target == configurationPath && m_configuration)
-        response = { .status = 200, .body = m_configurationText };
+        response = peerResponse(request, m_configurations, m_configuration->version, [&] { return m_configurationText; });
     co_await connection->respond(std::move(response));
 }
 
+EdgeResponse ControlPlane::peerResponse(const ReceivedRequest& request, PeerDocuments& documents, std::int64_t version, const std::function<std::string()>& make)
+{
+    EdgeResponse response { .status = 200 };
+    if (PeerDocuments::mayCompress(request.fields)) {
+        response.fields.push_back({ "Content-Encoding", PeerDocuments::encoding });
+        response.body = documents.compressed(request.target, version, make);
+    } else
+        response.body = make();
+    auto bytes = static_cast<std::int64_t>(response.body.size());
+    LogLine(LogLevel::Info, "passed_on").with("target", request.target).with("version", version).with("bytes", bytes);
+    m_metrics.passedOn(bytes);
+    return response;
+}
+
 Awaitable<void> ControlPlane::serveMetrics(std::shared_ptr<CallerConnection> connection, ReceivedRequest)
 {
     m_process.publish();
--- a/src/edge/control_plane.h
+++ b/src/edge/control_plane.h
@@ -9,6 +9,7 @@
 #include "core/routing/upstream_registry.h"
 #include "edge/caller_connection.h"
 #include "edge/fleet_view.h"
+#include "edge/peer_documents.h"
 #include "edge/process_state.h"
 #include "edge/rollout_controller.h"
 #include "edge/store_client.h"
@@ -58,6 +59,8 @@
     Awaitable<void> catchUpFromPeer(std::string peerAddress, std::string name);
     Awaitable<void> takeConfigurationFromPeer(std::string peerAddress, std::string name);
     Awaitable<void> servePeer(std::shared_ptr<CallerConnection>, ReceivedRequest);
+    // The response to a peer that fetches this version of a document.
+    EdgeResponse peerResponse(const ReceivedRequest&, PeerDocuments&, std::int64_t version, const std::function<std::string()>& make);
     Awaitable<void> serveMetrics(std::shared_ptr<CallerConnection>, ReceivedRequest);
 
     // Time between two calls of the store's watch.
@@ -127,6 +130,9 @@
     RoutingConfigurationPtr m_configuration;
     // The document of the configuration, for peers.
     std::string m_configurationText;
+    PeerDocuments m_configurations;
+    // Changes of the store, for peers.
+    PeerDocuments m_changes;
     bool m_fetchingConfiguration = false;
     TrafficReport m_trafficReport;
     std::uint64_t m_sequence = 0;
--- a/src/edge/edge_metrics.cpp
+++ b/src/edge/edge_metrics.cpp
@@ -26,6 +26,7 @@
     prometheus::Family<prometheus::Counter>& attempts = prometheus::BuildCounter().Name("skylarkhitch_edge_attempts_total").Help("sends to upstreams by how they ended").Register(registry);
     prometheus::Family<prometheus::Counter>& storeCalls = prometheus::BuildCounter().Name("skylarkhitch_edge_store_calls_total").Help("calls to the platform's store; status 0 is no answer").Register(registry);
     prometheus::Family<prometheus::Counter>& heartbeats = prometheus::BuildCounter().Name("skylarkhitch_edge_beats_total").Help("beats sent and received").Register(registry);
+    prometheus::Family<prometheus::Counter>& passedOn = prometheus::BuildCounter().Name("skylarkhitch_edge_passed_on_bytes_total").Help("bytes of changes and configurations that peers fetched").Register(registry);
     prometheus::Family<prometheus::Counter>& promptParts = prometheus::BuildCounter().Name("skylarkhitch_edge_prompt_parts_total").Help("changes of the quarantine of prompt parts that crash upstreams").Register(registry);
     prometheus::Family<prometheus::Counter>& limitedChoices = prometheus::BuildCounter().Name("skylarkhitch_edge_limited_choices_total").Help("choices of an upstream from which limits of upstreams left some out").Register(registry);
     prometheus::Family<prometheus::Counter>& sharedPromptTokens = prometheus::BuildCounter().Name("skylarkhitch_edge_shared_prompt_tokens_total").Help("shared prompt tokens that requests asked for, and those that engines had cached as believed and as shown by answers").Register(registry);
@@ -65,6 +66,11 @@
     m_impl->heartbeats.Add({ { "direction", direction } }).Increment();
 }
 
+void EdgeMetrics::passedOn(std::int64_t bytes)
+{
+    m_impl->passedOn.Add({}).Increment(static_cast<double>(bytes));
+}
+
 void EdgeMetrics::promptPart(const std::string& event)
 {
     m_impl->promptParts.Add({ { "event", event } }).Increment();
--- a/src/edge/edge_metrics.h
+++ b/src/edge/edge_metrics.h
@@ -29,6 +29,8 @@
     void storeCall(const std::string& call, int status);
     // direction is "sent", "not_sent" or "received".
     void heartbeat(const std::string& direction);
+    // A peer fetched changes of the store or the configuration, in so many bytes.
+    void passedOn(std::int64_t bytes);
     // A change of the quarantine of prompt parts: "part_quarantined", "part_released" or "part_probed".
     void promptPart(const std::string& event);
     // The limits that upstreams state left out some of the upstreams for a request; `hasOther` tells whether there was another.
--- a/test/processes/edge_test.cpp
+++ b/test/processes/edge_test.cpp
@@ -1,5 +1,6 @@
 // Tests entry instances as real processes on loopback, with a fake platform store and scripted upstreams.
 
+#include "adapters/compression.h"
 #include "core/hashing.h"
 #include "core/membership/fleet_heartbeat.h"
 #include "edge/event_loop.h"
@@ -1170,3 +1171,48 @@
     CHECK(instance.linesContaining("what=resource_").empty());
     CHECK(unlimited.linesContaining("what=resource_").empty());
 }
+
+// Guards against instances whose links are full of the configuration that they pass on, so that they reach nothing else.
+TEST_CASE("a change is passed on in few bytes, however many routes the configuration has")
+{
+    // An instance that passes a change on to twelve peers within the time for it must not use more than half of a link of 10 Mbit/s.
+    constexpr std::size_t linkBytesPerSecond = 10'000'000 / 8, peers = 12, changeSeconds = 2;
+    constexpr std::size_t maxBytes = linkBytesPerSecond * changeSeconds / 2 / peers;
+    Site site;
+    EdgeInstance instance("edge-1", site.store.address());
+    REQUIRE(waitUntil(5s, [&] { return instance.isReady(); }));
+    auto configuration = nlohmann::json::parse(sampleConfiguration(4));
+    for (int n = 0; n < 1196; ++n) {
+        auto route = configuration["routes"][0];
+        route["name"] = absl::StrCat("more-", n);
+        route["prefix"] = absl::StrCat("/more/", n, "/");
+        configuration["routes"].push_back(route);
+    }
+    site.store.put("op/config", configuration.dump());
+    REQUIRE(waitUntil(5s, [&] { return !instance.linesContaining("what=configuration version=4").empty(); }));
+
+    for (const std::string target : { "/mirror?after=0", "/configuration" }) {
+        auto fetch = [&](const std::string& fields) {
+            auto address = instance.peerAddress();
+            auto connection = RawConnection::connect(std::stoi(address.substr(address.find(':') + 1)));
+            REQUIRE(connection);
+            connection->write(absl::StrCat("GET ", target, " HTTP/1.1\r\nHost: x\r\n", fields, "\r\n"));
+            return connection->readResponse();
+        };
+        auto bodyOf = [](const std::string& response) { return response.substr(response.find("\r\n\r\n") + 4); };
+        auto compressed = fetch("Accept-Encoding: deflate\r\n"), plain = fetch("");
+        CHECK(absl::StrContains(compressed, "Content-Encoding: deflate\r\n"));
+        CHECK(bodyOf(compressed).size() < maxBytes);
+        CHECK(bodyOf(plain).size() > 2 * maxBytes);
+        CHECK(decompress(bodyOf(compressed), std::size_t { 8 } << 20) == bodyOf(plain));
+    }
+    CHECK_FALSE(instance.linesContaining("what=passed_on target=/configuration version=4 bytes=").empty());
+    CHECK(absl::StrContains(instance.metrics(), "skylarkhitch_edge_passed_on_bytes_total "));
+
+    SECTION("a peer that the store turns away takes it over")
+    {
+        site.store.setSecondFault(StoreFault::Busy);
+        EdgeInstance other("edge-2", site.store.secondAddress(), instance.peerAddress());
+        CHECK(waitUntil(5s, [&] { return !other.linesContaining("what=configuration version=4").empty(); }));
+    }
+}
--- a/tools/setup.sh
+++ b/tools/setup.sh
@@ -5,7 +5,7 @@
 preset=${1:-release}
 packages=(g++ cmake ninja-build pkg-config clang-format clang-tidy curl libabsl-dev libnghttp2-dev prometheus-cpp-dev libmicrohttpd-dev
     libcurl4-openssl-dev libpopt-dev libboost-log-dev catch2 libyaml-cpp-dev nlohmann-json3-dev librapidcheck-dev libxxhash-dev
-    libbenchmark-dev libssl-dev)
+    libbenchmark-dev libssl-dev zlib1g-dev)
 missing=()
 for package in "${packages[@]}"; do
     dpkg-query -W -f='${Status}' "$package" 2>/dev/null | grep -q 'ok installed' || missing+=("$package")
