Lost links: a link that is full of what this instance sends is not lost

Cause: the link monitor gives a check 200 ms. The link of an instance that passes a change on to dozens of peers is full for longer, and the packets that open a connection wait behind that. Evidence: the new test case in test_link_monitor.

--- a/src/config/edge_settings.cpp
+++ b/src/config/edge_settings.cpp
@@ -25,6 +25,7 @@
         { "cpu_cores", &EdgeSettings::cpuCores, "cores", { 0.01, 1024 }, false, "processor cores that this instance has; those with more relay for the others of their domain in a large site" },
         { "memory_limit_mb", &EdgeSettings::memoryLimitMb, "MB", { 0, 1e9 }, false, "memory above which the platform kills the process; bounds what is held for callers and upstreams (see OPERATIONS.md); 0 if no limit is known, and then nothing is bounded" },
         { "descriptor_limit", &EdgeSettings::descriptorLimit, "descriptors", { 0, 1e9 }, false, "descriptors that the process may have open; bounds the connections of callers (see OPERATIONS.md); 0 if no limit is known, and then nothing is bounded" },
+        { "link_mbps", &EdgeSettings::linkMbps, "Mbit/s", { 0, 1e6 }, false, "rate of the link of this instance; while what it passes on to peers fills the link, connections that do not open do not show that the link is lost; 0 if the rate is not known" },
         { "stop_grace_s", &EdgeSettings::stopGraceSeconds, "s", seconds, false, "time from SIGTERM until the platform kills the process" },
         { "session_s", &EdgeSettings::sessionSeconds, "s", seconds, false, "idle time after which the next request of a session may use another release" },
         { "entry_keep_s", &EdgeSettings::entryKeepSeconds, "s", { 1, 60 }, false, "how long callers may cache the entry addresses that they were given" },
--- a/src/config/edge_settings.h
+++ b/src/config/edge_settings.h
@@ -39,6 +39,8 @@
     // for callers follows from them.
     double memoryLimitMb = 0;
     double descriptorLimit = 0;
+    // Rate of the link of this instance in Mbit/s; 0 if it is not known.
+    double linkMbps = 0;
     // Time from SIGTERM until the platform kills the process.
     double stopGraceSeconds = 8;
     // Idle time after which the next request of a session may use another release.
--- a/src/core/routing/link_monitor.cpp
+++ b/src/core/routing/link_monitor.cpp
@@ -75,7 +75,7 @@
         }
     }
     if (!chosen.empty())
-        m_round = Round { chosen.size() };
+        m_round = Round { chosen.size(), now };
     return chosen;
 }
 
@@ -99,6 +99,9 @@
         // Connections of requests that were established during the round count as well.
         if (round.reached > 0 || (now - m_connectedAt < m_settings.checkPeriod && !m_isSuspected))
             return;
+        bool mayBeFull = round.beganAt < m_fullUntil && now - m_connectedAt < m_settings.maxFullTime;
+        if (mayBeFull)
+            return;
         m_events.push_back({ true, round.checks, round.reached, toMilliseconds(now - m_connectedAt) });
         m_lostAt = now;
         m_goodRounds = 0;
--- a/src/core/routing/link_monitor.h
+++ b/src/core/routing/link_monitor.h
@@ -2,7 +2,7 @@
 
 // Tells an instance's own lost links from upstreams that are down. As long as connections are established, its links are
 // whole. If one fails, or none was made for a while, a few upstreams of different services and failure domains are checked
-// together; if none of them is reached, the links are lost. Failures to connect, and responses that are late, count against
+// together; if none of them is reached, the links are lost, unless they may just be full of what this instance sends itself. Failures to connect, and responses that are late, count against
 // their upstreams only once another one was reached.
 
 #include "core/membership/fleet_heartbeat.h"
@@ -21,6 +21,8 @@
     std::size_t checksPerRound = 4;
     // Consecutive rounds that reach at least half of their upstreams before lost links count as regained.
     int roundsToRegain = 2;
+    // Rounds that began while the link was full of what this instance sends do not decide until this long after the last connection.
+    Milliseconds maxFullTime { 1500 };
     // Connections to this many upstreams that end within this time were lost by this instance's own links.
     std::size_t upstreamsLostTogether = 3;
     Milliseconds togetherTime { 100 };
@@ -62,6 +64,8 @@
 
     // A request's connection to an upstream was established.
     void connected(TimePoint now);
+    // The link is full of what this instance sends until then, see LinkLoad.
+    void setFullUntil(TimePoint time) { m_fullUntil = time; }
     // A request's connection was not established, or its response is late.
     void heardNothing(SilentUpstream);
     // An established connection to an upstream was lost. Returns true if others were lost together with it, so that the upstream
@@ -83,6 +87,7 @@
 private:
     struct Round {
         std::size_t checks = 0;
+        TimePoint beganAt {};
         std::size_t ended = 0;
         std::size_t reached = 0;
     };
@@ -97,6 +102,7 @@
     TimePoint m_regainedAt {};
     std::optional<Round> m_round;
     TimePoint m_roundEndedAt {};
+    TimePoint m_fullUntil {};
     int m_goodRounds = 0;
     bool m_isSuspected = false;
     std::vector<SilentUpstream> m_failures;
--- a/src/edge/control_plane.cpp
+++ b/src/edge/control_plane.cpp
@@ -74,6 +74,7 @@
     , m_mirror(contained(&ControlPlane::itemChanged), { platform::isRenewal, contained(&ControlPlane::itemRenewed) })
     , m_rollouts(loop, m_store, [this] { m_viewChanged = true; })
     , m_fleet(m_self, settings.domain, settings.peerListen, settings.capacity())
+    , m_linkLoad(settings.linkMbps)
     , m_heartbeatSocket(loop, udpEndpoint(settings.peerListen))
     , m_random(m_self.number)
 {
@@ -483,6 +484,8 @@
     auto bytes = static_cast<std::int64_t>(response.body.size());
     LogLine(LogLevel::Info, "passed_on").with("target", request.target).with("version", version).with("bytes", bytes);
     m_metrics.passedOn(bytes);
+    m_linkLoad.sent(response.body.size(), bootNow());
+    m_outputs.publishLinkFull(m_linkLoad.fullUntil());
     return response;
 }
 
--- a/src/edge/control_plane.h
+++ b/src/edge/control_plane.h
@@ -6,6 +6,7 @@
 #include "config/edge_settings.h"
 #include "core/membership/fleet_membership.h"
 #include "core/membership/store_outage.h"
+#include "core/routing/link_load.h"
 #include "core/routing/upstream_registry.h"
 #include "edge/caller_connection.h"
 #include "edge/fleet_view.h"
@@ -26,6 +27,8 @@
         std::function<void(PeerUpdate)> publishPeerUpdate;
         // Called for each heartbeat that has such news.
         std::function<void(PeerNews)> publishPeerNews;
+        // Called when the link of this instance is full until then, see LinkLoad.
+        std::function<void(TimePoint)> publishLinkFull;
     };
 
     ControlPlane(EventLoop&, const EdgeSettings&, Incarnation, EdgeMetrics&, Outputs);
@@ -133,6 +136,7 @@
     PeerDocuments m_configurations;
     // Changes of the store, for peers.
     PeerDocuments m_changes;
+    LinkLoad m_linkLoad;
     bool m_fetchingConfiguration = false;
     TrafficReport m_trafficReport;
     std::uint64_t m_sequence = 0;
--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -85,6 +85,7 @@
                 [this](FleetViewPtr view) { asio::post(m_trafficLoop, [this, view = std::move(view)] { setView(view); }); },
                 [this](PeerUpdate peerUpdate) { asio::post(m_trafficLoop, [this, peerUpdate = std::move(peerUpdate)]() mutable { m_traffic.learn(std::move(peerUpdate)); }); },
                 [this](PeerNews news) { asio::post(m_trafficLoop, [this, news = std::move(news)] { m_traffic.learn(news); }); },
+                [this](TimePoint fullUntil) { asio::post(m_trafficLoop, [this, fullUntil] { m_traffic.links().setFullUntil(fullUntil); }); },
             };
         }
 
--- a/test/correctness/link_monitor_test.cpp
+++ b/test/correctness/link_monitor_test.cpp
@@ -1,5 +1,6 @@
 // Tests how an instance tells its own lost links from upstreams that are down, and to which peers it sends requests then.
 
+#include "core/routing/link_load.h"
 #include "core/routing/link_monitor.h"
 #include "core/routing/relay_choice.h"
 
@@ -121,6 +122,50 @@
     }
 }
 
+// Guards against an instance that passes a large change on to many peers and takes its link, which is full of it, for a lost one.
+TEST_CASE("a link that is full of what the instance sends is not taken for a lost one")
+{
+    LinkMonitor monitor(1);
+    auto all = upstreams(2, 3);
+    monitor.connected(start);
+    // Ten peers fetch 100 KB each over 10 Mbit/s.
+    LinkLoad load(10);
+    for (int n = 0; n < 10; ++n)
+        load.sent(100'000, start + 300ms);
+    CHECK(load.fullUntil() == start + 1100ms);
+    monitor.setFullUntil(load.fullUntil());
+
+    SECTION("rounds that begin meanwhile do not decide, and connections show that it is whole")
+    {
+        CHECK(runRound(monitor, all, start + 400ms, nobody) == 4);
+        CHECK(runRound(monitor, all, start + 900ms, nobody) == 4);
+        CHECK_FALSE(monitor.isLost());
+        runRound(monitor, all, start + 1300ms, everybody);
+        CHECK_FALSE(monitor.isLost());
+    }
+    SECTION("the round after that decides")
+    {
+        runRound(monitor, all, start + 900ms, nobody);
+        runRound(monitor, all, start + 1400ms, nobody);
+        CHECK(monitor.isLost());
+    }
+    SECTION("an instance that goes on passing changes on finds out in time")
+    {
+        monitor.setFullUntil(start + 10s);
+        for (auto now = start + 400ms; now < start + 2s && !monitor.isLost(); now += 450ms)
+            runRound(monitor, all, now, nobody);
+        CHECK(monitor.isLost());
+    }
+    SECTION("the rate is not known: nothing counts as full")
+    {
+        LinkLoad unknown(0);
+        unknown.sent(10'000'000, start + 300ms);
+        monitor.setFullUntil(unknown.fullUntil());
+        runRound(monitor, all, start + 400ms, nobody);
+        CHECK(monitor.isLost());
+    }
+}
+
 TEST_CASE("links count as regained after two good rounds, so that a link that comes and goes does not switch each time")
 {
     LinkMonitor monitor(1);
