Limits: a limit outlasts a time in which the upstream's entry is missing

Cause: setView() dropped what a process had stated as soon as its entry was missing, although the process was only cut off from the store. Change: the limit, and the rejections that the upstream bears, are dropped when another process of the upstream is listed, or when the statement is 120 s old, as before.

--- a/src/edge/traffic_state.cpp
+++ b/src/edge/traffic_state.cpp
@@ -100,13 +100,7 @@
     m_balancer.keepOnly(all);
     auto before = std::count_if(m_view->entries.begin(), m_view->entries.end(), [&](const auto& it) { return it.id < m_settings.instance; });
     m_balancer.setInstance(static_cast<std::size_t>(before), m_view->entries.size());
-    if (!m_limits.empty()) {
-        absl::flat_hash_set<std::string> processes;
-        for (const auto& it : all)
-            processes.insert(processName(it));
-        m_limits.keepOnly([&](const std::string& it) { return processes.contains(it); });
-        absl::erase_if(m_brittle, [&](const std::string& it) { return !processes.contains(it); });
-    }
+    forgetReplacedLimits(all);
     // Instances without links to the upstreams send no requests, so they own no shares.
     std::vector<InstanceId> instances;
     for (const auto& it : m_view->entries) {
@@ -118,6 +112,22 @@
     updatePrompts(bootNow());
 }
 
+void TrafficState::forgetReplacedLimits(const std::vector<UpstreamEntry>& listed)
+{
+    if (m_limits.empty())
+        return;
+    absl::flat_hash_set<std::string> processes;
+    absl::flat_hash_set<std::string> ids;
+    for (const auto& it : listed) {
+        processes.insert(processName(it));
+        ids.insert(it.id.value);
+    }
+    // A process whose entry is missing may be cut off from the store only, and come back with its limit. Limits expire by themselves.
+    auto isReplaced = [&](const std::string& process) { return !processes.contains(process) && ids.contains(process.substr(0, process.rfind('/'))); };
+    m_limits.keepOnly([&](const std::string& it) { return !isReplaced(it); });
+    absl::erase_if(m_brittle, [&](const std::string& it) { return !m_limits.isLimited(it); });
+}
+
 void TrafficState::updatePrompts(TimePoint now)
 {
     if (!m_settings.usesPromptMemory || !isConfigured())
--- a/src/edge/traffic_state.h
+++ b/src/edge/traffic_state.h
@@ -196,6 +196,8 @@
     std::optional<std::size_t> probeRank(const std::string& parts) const;
     // Withdraws the requests that quarantines refuse now.
     void withdrawRefused();
+    // Drops the limits of processes that another process of the same upstream has replaced.
+    void forgetReplacedLimits(const std::vector<UpstreamEntry>& listed);
     // Takes the engines of the view into account.
     void updatePrompts(TimePoint now);
     // What the other instances are told of prompts that engines have read.
--- a/test/correctness/traffic_state_test.cpp
+++ b/test/correctness/traffic_state_test.cpp
@@ -275,6 +275,47 @@
     }
 }
 
+// Guards against an upstream in need that gets its usual load again, since it was cut off from the store for some seconds.
+TEST_CASE("the limit of an upstream outlasts a time in which its entry is missing")
+{
+    EventLoop loop;
+    EdgeMetrics metrics;
+    TrafficState traffic(loop, TrafficSettings { { "edge-1" } }, metrics);
+    auto view = canaryView(true, bootNow());
+    view.rollouts.clear();
+    view.entries.push_back({ { "edge-1" }, { "a" }, "10.0.0.9:80" });
+    traffic.setView(std::make_shared<const FleetView>(view));
+    auto upstream = view.upstreams[assist].front();
+    bool isBrittle = GENERATE(false, true);
+    UpstreamResponse response { .status = 200, .requestLimit = 0.5 };
+    if (isBrittle)
+        response.admissibleRejections = 1;
+    traffic.recordLimit(upstream, response, bootNow());
+    REQUIRE(traffic.limits().isLimited("i-1/1"));
+    auto without = view;
+    without.upstreams[assist].erase(without.upstreams[assist].begin());
+    traffic.setView(std::make_shared<const FleetView>(without));
+
+    SECTION("the same process is back")
+    {
+        traffic.setView(std::make_shared<const FleetView>(view));
+        CHECK(traffic.limits().isLimited("i-1/1"));
+        traffic.limits().sent("i-1/1", bootNow());
+        traffic.limits().sent("i-1/1", bootNow());
+        auto allowed = traffic.findEligibleUpstreams(assist, {}, bootNow()).allowed;
+        REQUIRE(allowed.size() == 2);
+        traffic.removeLimited(allowed, 1, bootNow());
+        CHECK(allowed.size() == 1);
+    }
+    SECTION("another process of the upstream has no limit, and its predecessor is forgotten")
+    {
+        view.upstreams[assist].front().born = 2;
+        traffic.setView(std::make_shared<const FleetView>(view));
+        CHECK_FALSE(traffic.limits().isLimited("i-1/2"));
+        CHECK_FALSE(traffic.limits().isLimited("i-1/1"));
+    }
+}
+
 TEST_CASE("instances tell each other in their reports what engines have read")
 {
     EventLoop loop;
