Store outage: claims of instances in a cut count neither here nor there

Cause: an instance that hears any peer may claim an outage of the store. Change: an instance disregards what others claim of a time in which the store served it, and claims an outage only if it has heard at least half of the peers of the last minute for a second. Lines tell of claims and suspicions.

--- a/src/core/limits/prompt_part_guard.cpp
+++ b/src/core/limits/prompt_part_guard.cpp
@@ -628,6 +628,7 @@
         if (entries.size() <= max)
             return;
         std::vector<TimePoint> times;
+        times.reserve(entries.size());
         for (const auto& it : entries)
             times.push_back(timeOf(it.second));
         auto limit = times.begin() + static_cast<std::ptrdiff_t>(times.size() - keep);
--- a/src/core/membership/fleet_membership.cpp
+++ b/src/core/membership/fleet_membership.cpp
@@ -356,10 +356,12 @@
     return std::any_of(live.begin(), live.end(), [&](const auto* it) { return reachesStore(*it, now) || (!isFullMesh() && hasRecentCopy(*it)); });
 }
 
-bool FleetMembership::hearsPeers(TimePoint now) const
+bool FleetMembership::hearsMostPeers(TimePoint now) const
 {
     auto live = livePeers(now);
-    return std::any_of(live.begin(), live.end(), [&](const auto* it) { return isFullMesh() || now - it->lastHeardAt <= relayedLifetime; });
+    bool hearsAny = std::any_of(live.begin(), live.end(), [&](const auto* it) { return isFullMesh() || now - it->lastHeardAt <= relayedLifetime; });
+    auto recent = std::count_if(m_peers.begin(), m_peers.end(), [&](const auto& it) { return !it.second.heartbeat.leaving && now - it.second.lastHeartbeatAt <= recentPeerTime; });
+    return hearsAny && 2 * std::ssize(live) >= recent;
 }
 
 const FleetPeer* FleetMembership::peerAheadOf(std::int64_t storeRevision, TimePoint now) const
--- a/src/core/membership/fleet_membership.h
+++ b/src/core/membership/fleet_membership.h
@@ -52,6 +52,8 @@
     // twice a second, and the hub tells the domain twice a second. What hubs of other domains tell is passed on in parts.
     static constexpr Milliseconds relayedLifetime { 2100 };
     static constexpr Milliseconds relayedLifetimeElsewhere { 4600 };
+    // Peers that were live within this time are missed.
+    static constexpr Milliseconds recentPeerTime { 60000 };
     // Peers that were not live for longer are not told to others.
     static constexpr Milliseconds relayedRetention { 10000 };
     // Number of instances in a domain that follow the store, that is, read its changes as they occur. The other instances
@@ -129,8 +131,9 @@
     // Whether the store serves anyone, as far as the live peers know. An instance of a large site hears only its hubs, and these may
     // be turned away by a store that serves others; their copy is recent then.
     bool isStoreServing(TimePoint now) const;
-    // Whether heartbeats arrive here, not only news of peers in those of others.
-    bool hearsPeers(TimePoint now) const;
+    // Whether heartbeats arrive here, not only news of peers in those of others, and at least half of the peers that were live lately
+    // still are. Else this instance, perhaps with some others, may be cut off from the rest.
+    bool hearsMostPeers(TimePoint now) const;
     // Returns the live peer with the highest mirror revision above the given one, or null if there is none. A peer of the
     // own domain comes before all others.
     const FleetPeer* peerAheadOf(std::int64_t storeRevision, TimePoint now) const;
--- a/src/edge/control_plane.cpp
+++ b/src/edge/control_plane.cpp
@@ -30,6 +30,8 @@
     // The same for an instance that does not follow the store. In a large site its hubs tell whether the store is reachable.
     constexpr Milliseconds idleLeaseRenewalPeriod { 2500 };
     constexpr Milliseconds largeSiteLeaseRenewalPeriod { 10000 };
+    // An outage that is seen again after this long is another one.
+    constexpr Milliseconds outageLogPause { 3000 };
     // Number of peer addresses in each heartbeat. A new instance learns of all peers within a few heartbeats.
     constexpr std::size_t maxKnownPeers = 4;
     constexpr std::size_t maxDatagramBytes = std::size_t { 64 } * 1024;
@@ -448,6 +450,7 @@
     m_isReadingCopy = m_mirror.revision() > 0 && eraOf(update.revision) > eraOf(m_mirror.revision());
     if (m_isReadingCopy) {
         bool isFirst = !m_fleet.peerAheadOf(revisionInEra(0, eraOf(update.revision)), bootNow());
+        m_outage.restart(bootNow());
         LogLine(LogLevel::Warning, "store_restored").with("era", eraOf(update.revision)).with("revision", storeRevision(update.revision)).with("seen_before", isFirst ? "no" : "yes");
         // Entries that are missing from the copy are written again, as after an outage. Peers that saw the return before tell when.
         if (isFirst)
@@ -510,6 +513,7 @@
 {
     if (m_lastActiveAt != TimePoint {} && now - m_lastActiveAt > minPause) {
         m_resumedAt = now;
+        m_outage.restart(now);
         LogLine(LogLevel::Warning, "resumed").with("paused_ms", toMilliseconds(now - m_lastActiveAt).count());
     }
     m_lastActiveAt = now;
@@ -627,20 +631,26 @@
 void ControlPlane::updateStoreState(TimePoint now)
 {
     bool isServing = reachesStore(now) || m_fleet.isStoreServing(now) || m_mirror.revision() == 0 || mayReadQueuedHeartbeats(now);
+    // An instance that hears few peers cannot tell an outage of the store from its own isolation. It protects its own entries until
+    // a peer tells it more, but claims no outage to others.
+    bool mayClaim = m_outage.mayClaim(m_fleet.hearsMostPeers(now), now) || m_fleet.peers().empty();
     if (!m_outage.update(isServing, now))
         return;
-    // An instance that hears no peer cannot tell an outage of the store from its own isolation. It protects its own entries until
-    // a peer tells it more, but claims no outage to others.
-    bool isIsolated = !m_fleet.hearsPeers(now) && !m_fleet.peers().empty();
-    (isIsolated ? m_isolatedAt : m_storeUnreachableAt) = now;
+    auto& outageAt = mayClaim ? m_storeUnreachableAt : m_isolatedAt;
+    if (!outageAt || now - *outageAt > outageLogPause)
+        LogLine(LogLevel::Warning, mayClaim ? "store_outage_claimed" : "store_outage_suspected").with("live_peers", static_cast<std::int64_t>(m_fleet.livePeers(now).size())).with("known_peers", static_cast<std::int64_t>(m_fleet.peers().size()));
+    outageAt = now;
 }
 
 std::optional<TimePoint> ControlPlane::lastOutageAt(TimePoint now) const
 {
     auto last = m_storeUnreachableAt;
     for (const auto* it : m_fleet.livePeers(now)) {
-        if (it->heartbeat.sinceStoreUnreachable)
-            last = std::max(last, std::optional(it->lastHeardAt - *it->heartbeat.sinceStoreUnreachable));
+        if (!it->heartbeat.sinceStoreUnreachable)
+            continue;
+        auto at = it->lastHeardAt - *it->heartbeat.sinceStoreUnreachable;
+        if (!m_outage.refutes(at))
+            last = std::max(last, std::optional(at));
     }
     return last;
 }
--- a/src/edge/control_plane.h
+++ b/src/edge/control_plane.h
@@ -101,7 +101,7 @@
     void fetchLaterConfiguration(TimePoint now);
     void updateStoreState(TimePoint now);
     // Last time at which the store was unreachable from here and all peers, or had come back from a copy, as far as this instance
-    // and its live peers know.
+    // and its live peers know. What peers claim of a time in which the store served this instance does not count.
     std::optional<TimePoint> lastOutageAt(TimePoint now) const;
     // From when an entry that is missing from this copy of the store means that the upstream is gone: some time after the last outage.
     // Before that, the entry may have expired in the outage.
@@ -149,7 +149,7 @@
     TimePoint m_lastActiveAt {};
     // End of the last pause of the process.
     TimePoint m_resumedAt {};
-    // Last time at which this instance reached neither the store nor any peer, until it hears from a peer that reaches the store.
+    // Last time at which this instance reached neither the store nor most of its peers, until it hears from one that reaches the store.
     std::optional<TimePoint> m_isolatedAt;
     // Since when a peer's copy of the store has been ahead of this one.
     std::optional<TimePoint> m_behindSince;
--- a/test/correctness/fleet_relay_test.cpp
+++ b/test/correctness/fleet_relay_test.cpp
@@ -487,10 +487,10 @@
         site.setLink([&](const std::string&, const std::string& to) { return to != name; });
         site.run(2500ms);
         CHECK_FALSE(site.membership(name).livePeers(site.now()).empty());
-        CHECK_FALSE(site.membership(name).hearsPeers(site.now()));
+        CHECK_FALSE(site.membership(name).hearsMostPeers(site.now()));
         site.setLink({});
         site.run(1s);
-        CHECK(site.membership(name).hearsPeers(site.now()));
+        CHECK(site.membership(name).hearsMostPeers(site.now()));
     }
 }
 
--- a/test/correctness/fleet_test.cpp
+++ b/test/correctness/fleet_test.cpp
@@ -617,3 +617,44 @@
         CHECK(stream.last() == 4);
     }
 }
+
+// Guards against an outage of the store that a few instances claim which are cut off from all others, together with the store.
+TEST_CASE("instances that are cut off together do not take each other for the site")
+{
+    FleetMembership membership({ { "edge-0" }, 1 }, { "a" }, "10.0.0.0:70");
+    TimePoint now { 1000s };
+    std::uint64_t sequence = 0;
+    auto hear = [&](int first, int last) {
+        ++sequence;
+        for (int n = first; n <= last; ++n) {
+            FleetHeartbeat heartbeat;
+            heartbeat.from = { { absl::StrCat("edge-", n) }, 1 };
+            heartbeat.domain = { "a" };
+            heartbeat.addresses = { absl::StrCat("10.0.0.", n, ":80"), absl::StrCat("10.0.0.", n, ":70") };
+            heartbeat.sequence = sequence;
+            heartbeat.readsDigests = true;
+            membership.onHeartbeat(heartbeat, now);
+        }
+    };
+    CHECK_FALSE(membership.hearsMostPeers(now));
+    hear(1, 7);
+    CHECK(membership.hearsMostPeers(now));
+    SECTION("two of seven are heard")
+    {
+        now += 5s;
+        hear(1, 2);
+        CHECK_FALSE(membership.hearsMostPeers(now));
+    }
+    SECTION("four of seven are heard, as after the loss of a domain")
+    {
+        now += 5s;
+        hear(1, 4);
+        CHECK(membership.hearsMostPeers(now));
+    }
+    SECTION("the others have been gone for more than a minute")
+    {
+        now += 61s;
+        hear(1, 2);
+        CHECK(membership.hearsMostPeers(now));
+    }
+}
--- a/test/correctness/store_outage_test.cpp
+++ b/test/correctness/store_outage_test.cpp
@@ -22,6 +22,36 @@
             CHECK_FALSE(outage.update(true, now + 750ms));
         }
     }
+    SECTION("an instance that returns from a cut claims none until it has heard its peers for a while")
+    {
+        CHECK_FALSE(outage.mayClaim(true, now));
+        CHECK(outage.mayClaim(true, now + 1s));
+        CHECK_FALSE(outage.mayClaim(false, now + 2s));
+        CHECK_FALSE(outage.mayClaim(true, now + 5s));
+        CHECK_FALSE(outage.mayClaim(true, now + 5900ms));
+        CHECK(outage.mayClaim(true, now + 6s));
+    }
+    SECTION("an outage that others claim of a time in which it served is none")
+    {
+        CHECK(outage.update(true, now + 10s) == false);
+        CHECK(outage.refutes(now + 9s));
+        CHECK_FALSE(outage.refutes(now));
+        SECTION("unless this instance was paused then, or the store has come back from a copy")
+        {
+            outage.restart(now + 9s);
+            CHECK_FALSE(outage.refutes(now + 9s));
+            CHECK_FALSE(outage.refutes(now + 8s));
+            CHECK(outage.refutes(now + 10s));
+        }
+        SECTION("and one that it saw itself is")
+        {
+            outage.update(false, now + 11s);
+            CHECK_FALSE(outage.refutes(now + 12s));
+            outage.update(true, now + 15s);
+            CHECK_FALSE(outage.refutes(now + 14900ms));
+            CHECK_FALSE(outage.refutes(now + 15200ms));
+        }
+    }
     SECTION("an outage is noticed, and lasts until the store serves")
     {
         CHECK_FALSE(outage.update(false, now));
--- a/test/processes/edge_test.cpp
+++ b/test/processes/edge_test.cpp
@@ -1172,6 +1172,35 @@
     CHECK(unlimited.linesContaining("what=resource_").empty());
 }
 
+// Guards against instances that keep upstreams which have left, since others took their own cut for an outage of the store.
+TEST_CASE("an outage that a peer claims of a time in which the store served is none")
+{
+    Site site;
+    EdgeInstance instance("edge-1", site.store.address());
+    REQUIRE(waitUntil(5s, [&] { return instance.isReady(); }));
+    std::atomic<bool> isOver = false;
+    std::thread claims([&] {
+        EventLoop loop;
+        asio::ip::udp::socket socket(loop, asio::ip::udp::v4());
+        FleetHeartbeat heartbeat;
+        heartbeat.from = { { "edge-9" }, 1 };
+        heartbeat.domain = { "halle-a" };
+        heartbeat.addresses = { "127.0.0.1:1", "127.0.0.1:1" };
+        heartbeat.sinceStoreUnreachable = Milliseconds(0);
+        while (!isOver) {
+            ++heartbeat.sequence;
+            socket.send_to(asio::buffer(encodeHeartbeat(heartbeat)), udpEndpoint(instance.peerAddress()));
+            std::this_thread::sleep_for(100ms);
+        }
+    });
+    std::this_thread::sleep_for(1500ms);
+    site.store.remove("servers/i-1");
+    CHECK(waitUntil(3s, [&] { return !instance.linesContaining("what=upstream_removed upstream=i-1").empty(); }));
+    CHECK_FALSE(instance.linesContaining("what=upstream_removed upstream=i-1 kept_for_return=no").empty());
+    isOver = true;
+    claims.join();
+}
+
 // Guards against instances whose links are full of the configuration that they pass on, so that they reach nothing else.
 TEST_CASE("a change is passed on in few bytes, however many routes the configuration has")
 {
