Prompt parts: bounds on crashes hold for any times and any news

Cause: the crashes of a peer's news were evaluated before their number was limited, with a set of bits of the size of that limit; and the oldest crashes were dropped by comparing times, which drops none of those of one moment, so that the bound on parts was no end of the loop. Change: marks of any number of crashes; limits before the evaluation; the oldest crash goes by itself. Probes ask for the instance's rank only when they are due. Evidence: a section of test_prompt_part_guard with 200 crashes in one message and ten of one moment; all of its cases pass.

--- a/src/core/limits/prompt_part_guard.cpp
+++ b/src/core/limits/prompt_part_guard.cpp
@@ -5,7 +5,6 @@
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_join.h>
 #include <algorithm>
-#include <bitset>
 #include <numeric>
 
 namespace skylarkhitch {
@@ -26,9 +25,13 @@
     // How often peers are told other suspects of crashes that have more than can be told at a time.
     constexpr Milliseconds suspectNewsPeriod { 250 };
 
-    using CrashBits = std::bitset<PromptPartGuard::maxCrashes + 1>;
+    // For each of some crashes, whether a part is its suspect.
+    using CrashMarks = std::vector<bool>;
 
-    bool isProperSubset(const CrashBits& a, const CrashBits& b) { return a != b && (a & ~b).none(); }
+    bool isProperSubset(const CrashMarks& a, const CrashMarks& b)
+    {
+        return a != b && std::equal(a.begin(), a.end(), b.begin(), b.end(), [](bool isInA, bool isInB) { return !isInA || isInB; });
+    }
 
     std::string nameOf(const std::set<std::string>& parts) { return absl::StrJoin(parts, ","); }
 
@@ -204,7 +207,7 @@
         // A request with the parts of one quarantine tells more than one with those of several.
         if (quarantines.size() > 1)
             delay += firstProbeDelay;
-        return rank(nameOf(it->first)) == std::size_t { 0 } && now >= std::max(quarantine.since, quarantine.lastProbeAt) + delay;
+        return now >= std::max(quarantine.since, quarantine.lastProbeAt) + delay && rank(nameOf(it->first)) == std::size_t { 0 };
     });
 }
 
@@ -375,43 +378,44 @@
     }
     // Parts that the same crashes have in common cannot be told apart, except that one may have been served before.
     struct Group {
-        CrashBits crashes;
         std::size_t causes = 0;
         PartSet parts;
     };
-    std::map<std::pair<std::string, bool>, Group> groups;
+    std::map<std::pair<CrashMarks, bool>, Group> groups;
     for (const auto& it : suspects) {
         std::string part(it);
-        CrashBits bits;
-        for (std::size_t n = 0; n < crashes.size(); ++n)
-            bits[n] = crashes[n]->second.parts.contains(part) && !wasServedSince(part, crashes[n]->second.at);
-        if (bits.none())
+        CrashMarks marks;
+        for (const auto* crash : crashes)
+            marks.push_back(crash->second.parts.contains(part) && !wasServedSince(part, crash->second.at));
+        if (std::find(marks.begin(), marks.end(), true) == marks.end())
             continue;
-        auto& group = groups[{ bits.to_string(), m_servedAt.contains(part) }];
+        auto& group = groups[{ std::move(marks), m_servedAt.contains(part) }];
         if (group.parts.empty())
-            group = { bits, countCauses(crashesWith(part, crashes)), {} };
+            group.causes = countCauses(crashesWith(part, crashes));
         group.parts.insert(std::move(part));
     }
-    std::vector<const Group*> crashing;
-    for (const auto& [key, group] : groups) {
-        bool wasServed = key.second;
-        bool isOnlySuspect = group.parts.size() == 1 && std::none_of(groups.begin(), groups.end(), [&bits = group.crashes](const auto& it) {
-            return !it.first.second && isProperSubset(bits, it.second.crashes);
+    std::vector<const decltype(groups)::value_type*> crashing;
+    for (const auto& it : groups) {
+        const auto& [marks, wasServed] = it.first;
+        const auto& group = it.second;
+        bool isOnlySuspect = group.parts.size() == 1 && std::none_of(groups.begin(), groups.end(), [&marks = marks](const auto& other) {
+            return !other.first.second && isProperSubset(marks, other.first.first);
         });
-        auto needed = wasServed ? crashesOfServedPart : isOnlySuspect ? crashesOfOnlySuspect
-                                                                      : crashesOfSuspect;
-        auto mostCauses = crashing.empty() ? 0 : crashing.front()->causes;
+        auto needed = isOnlySuspect ? crashesOfOnlySuspect : crashesOfSuspect;
+        if (wasServed)
+            needed = crashesOfServedPart;
+        auto mostCauses = crashing.empty() ? 0 : crashing.front()->second.causes;
         if (group.causes < needed || group.causes < mostCauses)
             continue;
         if (group.causes > mostCauses)
             crashing.clear();
-        crashing.push_back(&group);
+        crashing.push_back(&it);
     }
     std::vector<PartSet> sets;
     for (const auto* it : crashing) {
-        bool isExplained = std::any_of(crashing.begin(), crashing.end(), [it](const auto* other) { return isProperSubset(it->crashes, other->crashes); });
+        bool isExplained = std::any_of(crashing.begin(), crashing.end(), [it](const auto* other) { return isProperSubset(it->first.first, other->first.first); });
         if (!isExplained)
-            sets.push_back(it->parts);
+            sets.push_back(it->second.parts);
     }
     return sets;
 }
@@ -475,8 +479,8 @@
         learnQuarantine(it, now);
     for (const auto& it : news.crashes)
         learnCrash(it, now);
-    evaluate(now);
     limitSizes();
+    evaluate(now);
 }
 
 void PromptPartGuard::learnCrash(const SuspectedCrash& news, TimePoint now)
@@ -638,9 +642,13 @@
         m_dropped += static_cast<std::int64_t>(before - entries.size());
     };
     dropOldest(m_crashes, maxCrashes, maxCrashes, [](const Crash& it) { return it.at; });
-    auto countParts = [&] { return std::accumulate(m_crashes.begin(), m_crashes.end(), std::size_t { 0 }, [](std::size_t sum, const auto& it) { return sum + it.second.parts.size(); }); };
-    while (m_crashes.size() > 1 && countParts() > maxParts)
-        dropOldest(m_crashes, m_crashes.size() - 1, m_crashes.size() - 1, [](const Crash& it) { return it.at; });
+    auto parts = std::accumulate(m_crashes.begin(), m_crashes.end(), std::size_t { 0 }, [](std::size_t sum, const auto& it) { return sum + it.second.parts.size(); });
+    while (m_crashes.size() > 1 && parts > maxParts) {
+        auto oldest = std::min_element(m_crashes.begin(), m_crashes.end(), [](const auto& a, const auto& b) { return a.second.at < b.second.at; });
+        parts -= oldest->second.parts.size();
+        m_crashes.erase(oldest);
+        ++m_dropped;
+    }
     dropOldest(m_servedAt, maxServedParts, maxServedParts / 2, [](TimePoint it) { return it; });
     dropOldest(m_quarantined, maxQuarantined, maxQuarantined, [](const Quarantine& it) { return it.lastRequestAt; });
 }
--- a/test/correctness/prompt_part_guard_test.cpp
+++ b/test/correctness/prompt_part_guard_test.cpp
@@ -449,6 +449,17 @@
         CHECK(guard.crashCount() * 5000 <= PromptPartGuard::maxParts);
         CHECK(guard.dropped() > 0);
         CHECK(guard.isSuspected({ "19-4999" }));
+        SECTION("also if they were lost at the same moment, and peers tell of many others")
+        {
+            PromptPartNews news;
+            for (int n = 0; n < 200; ++n)
+                news.crashes.push_back({ absl::StrCat("j-", n), 10ms, std::nullopt, { "common", absl::StrCat("own-", n) }, {} });
+            guard.learn(news, start + 30s);
+            for (int n = 0; n < 10; ++n)
+                crash(guard, absl::StrCat("k-", n), { Parts(1, absl::StrCat(std::string(20, 'p'), n)) }, start + 31s);
+            guard.evaluate(start + 32s);
+            CHECK_FALSE(isRefused(guard, "common", start + 32s));
+        }
     }
 }
 
