--- a/src/core/limits/prompt_part_guard.cpp
+++ b/src/core/limits/prompt_part_guard.cpp
@@ -141,20 +141,20 @@
     }
 }
 
-PromptPartGuard::Concerned PromptPartGuard::findConcerned(const std::vector<std::string>& parts)
+PromptPartGuard::Matches PromptPartGuard::findMatches(const std::vector<std::string>& parts)
 {
-    Concerned concerned;
+    Matches matches;
     if (m_quarantined.empty())
-        return concerned;
+        return matches;
     absl::flat_hash_set<std::string_view> present(parts.begin(), parts.end());
     for (auto& it : m_quarantined) {
         auto count = std::count_if(it.first.begin(), it.first.end(), [&](const auto& part) { return present.contains(part); });
         if (count == std::ssize(it.first))
-            concerned.complete.push_back(&it);
+            matches.complete.push_back(&it);
         else if (count > 0)
-            concerned.partial.push_back(&it);
+            matches.partial.push_back(&it);
     }
-    return concerned;
+    return matches;
 }
 
 PromptPartGuard::Verdict PromptPartGuard::decide(const std::vector<std::string>& parts, bool mayProbe, TimePoint now)
@@ -165,24 +165,24 @@
 
 PromptPartGuard::Verdict PromptPartGuard::decide(const std::vector<std::string>& parts, const ProbeRank& rank, TimePoint now)
 {
-    auto concerned = findConcerned(parts);
-    if (concerned.complete.empty() && concerned.partial.empty())
+    auto matches = findMatches(parts);
+    if (matches.complete.empty() && matches.partial.empty())
         return Verdict::Allowed;
-    for (auto* it : concerned.complete)
+    for (auto* it : matches.complete)
         it->second.lastRequestAt = now;
     auto verdict = Verdict::Probe;
-    for (const auto* it : concerned.partial) {
-        if (!mayBeginTrial(*it, rank, now))
+    for (const auto* it : matches.partial) {
+        if (!isTrialDue(*it, rank, now))
             verdict = rank(nameOf(it->first)) ? Verdict::Deferred : Verdict::Refused;
     }
-    if (!concerned.complete.empty() && (verdict != Verdict::Probe || !mayProbe(concerned.complete, rank, now)))
+    if (!matches.complete.empty() && (verdict != Verdict::Probe || !isProbeDue(matches.complete, rank, now)))
         verdict = Verdict::Refused;
     if (verdict == Verdict::Probe)
-        recordProbed(concerned, now);
+        recordProbed(matches, now);
     return verdict;
 }
 
-bool PromptPartGuard::mayBeginTrial(const Quarantines::value_type& it, const ProbeRank& rankOf, TimePoint now) const
+bool PromptPartGuard::isTrialDue(const Quarantines::value_type& it, const ProbeRank& rankOf, TimePoint now) const
 {
     const auto& quarantine = it.second;
     auto rank = rankOf(nameOf(it.first));
@@ -197,7 +197,7 @@
     return now >= dueAt + std::min(maxTrialWait, Milliseconds(static_cast<std::int64_t>(*rank) * trialTurn));
 }
 
-bool PromptPartGuard::mayProbe(const std::vector<Quarantines::value_type*>& quarantines, const ProbeRank& rank, TimePoint now) const
+bool PromptPartGuard::isProbeDue(const std::vector<Quarantines::value_type*>& quarantines, const ProbeRank& rank, TimePoint now) const
 {
     return std::all_of(quarantines.begin(), quarantines.end(), [&](const auto* it) {
         const auto& quarantine = it->second;
@@ -211,15 +211,15 @@
     });
 }
 
-void PromptPartGuard::recordProbed(const Concerned& concerned, TimePoint now)
+void PromptPartGuard::recordProbed(const Matches& matches, TimePoint now)
 {
-    for (auto* it : concerned.complete) {
+    for (auto* it : matches.complete) {
         ++it->second.probes;
         it->second.lastProbeAt = now;
     }
-    for (auto* it : concerned.partial)
+    for (auto* it : matches.partial)
         it->second.lastTrialAt = now;
-    const auto& named = *(concerned.complete.empty() ? concerned.partial : concerned.complete).front();
+    const auto& named = *(matches.complete.empty() ? matches.partial : matches.complete).front();
     m_isUrgent = true;
     m_events.push_back({ PromptPartEvent::Kind::Probed, nameOf(named.first), named.second.crashes, {} });
 }
--- a/src/core/limits/prompt_part_guard.h
+++ b/src/core/limits/prompt_part_guard.h
@@ -168,8 +168,8 @@
     // At least one of the parts crashes upstreams.
     using PartSet = std::set<std::string>;
     using Quarantines = std::map<PartSet, Quarantine>;
-    // Quarantines that concern a request.
-    struct Concerned {
+    // The quarantines of parts that a request has.
+    struct Matches {
         // The request has all parts of these, and some parts of those.
         std::vector<Quarantines::value_type*> complete, partial;
     };
@@ -195,10 +195,10 @@
     // Clears parts in quarantine if another one there was in all of their crashes, and in several more.
     void releaseExplained(TimePoint now);
     bool isExplainedBy(const std::string& part, const std::string& other) const;
-    Concerned findConcerned(const std::vector<std::string>& parts);
-    bool mayBeginTrial(const Quarantines::value_type&, const ProbeRank&, TimePoint now) const;
-    bool mayProbe(const std::vector<Quarantines::value_type*>&, const ProbeRank&, TimePoint now) const;
-    void recordProbed(const Concerned&, TimePoint now);
+    Matches findMatches(const std::vector<std::string>& parts);
+    bool isTrialDue(const Quarantines::value_type&, const ProbeRank&, TimePoint now) const;
+    bool isProbeDue(const std::vector<Quarantines::value_type*>&, const ProbeRank&, TimePoint now) const;
+    void recordProbed(const Matches&, TimePoint now);
     // Takes a part that was served out of the quarantines that this shows to be wrong about it.
     void release(const std::string& part, TimePoint servedAt);
     void markServed(const std::string& part, TimePoint at);
--- a/test/correctness/cut_response_test.cpp
+++ b/test/correctness/cut_response_test.cpp
@@ -89,12 +89,12 @@
     };
     SECTION("statuses")
     {
-        for (const auto* status : { "000", "001", "099", "101", "600", "999" }) {
+        for (const auto& status : standin::invalidStatuses()) {
             CAPTURE(status);
             CHECK(receiveHead(absl::StrCat("HTTP/1.1 ", status, " X"), "").end == HttpEnd::Cut);
         }
         CHECK(receiveHead("HTTP/1.1 000 X\r\n\r\nHTTP/1.1 200 OK", "").end == HttpEnd::Cut);
-        for (const auto* status : { "200", "299", "404", "599" }) {
+        for (const auto& status : standin::validStatuses()) {
             CAPTURE(status);
             CHECK(receiveHead(absl::StrCat("HTTP/1.1 ", status, " X"), "").end == HttpEnd::Complete);
         }
@@ -102,12 +102,12 @@
     }
     SECTION("names of fields")
     {
-        for (const auto& field : { std::string("X A: 1\r\n"), std::string("X\tA: 1\r\n"), std::string("X\x01: 1\r\n"), std::string("X\0: 1\r\n", 7), std::string("X\x7f: 1\r\n"), std::string("X\xe4: 1\r\n"), std::string("X : 1\r\n"), std::string(": 1\r\n"), std::string("X\r\n") }) {
+        for (const auto& field : standin::invalidFieldLines()) {
             CAPTURE(field);
             CHECK(receiveHead("HTTP/1.1 200 OK", field).end == HttpEnd::Cut);
             CHECK(receiveHead(absl::StrCat("HTTP/1.1 103 Early Hints\r\n", field, "\r\nHTTP/1.1 200 OK"), "").end == HttpEnd::Cut);
         }
-        CHECK(receiveHead("HTTP/1.1 200 OK", "X-A!#$%&'*+.^_`|~: 1\r\n").end == HttpEnd::Complete);
+        CHECK(receiveHead("HTTP/1.1 200 OK", standin::validFieldLine).end == HttpEnd::Complete);
     }
 }
 
--- a/test/correctness/edge_cut_response_test.cpp
+++ b/test/correctness/edge_cut_response_test.cpp
@@ -179,12 +179,12 @@
     };
     SECTION("statuses")
     {
-        for (const auto* status : { "000", "001", "099", "101", "600", "999" }) {
+        for (const auto& status : standin::invalidStatuses()) {
             CAPTURE(status);
             CHECK(receiveHead(absl::StrCat("HTTP/1.1 ", status, " X"), "").head == TransferEnd::Malformed);
         }
         CHECK(receiveHead("HTTP/1.1 000 X\r\n\r\nHTTP/1.1 200 OK", "").head == TransferEnd::Malformed);
-        for (const auto* status : { "200", "299", "404", "599" }) {
+        for (const auto& status : standin::validStatuses()) {
             CAPTURE(status);
             CHECK(receiveHead(absl::StrCat("HTTP/1.1 ", status, " X"), "").isWhole());
         }
@@ -192,11 +192,11 @@
     }
     SECTION("names of fields")
     {
-        for (const auto& field : { std::string("X A: 1\r\n"), std::string("X\tA: 1\r\n"), std::string("X\x01: 1\r\n"), std::string("X\0: 1\r\n", 7), std::string("X\x7f: 1\r\n"), std::string("X\xe4: 1\r\n"), std::string("X : 1\r\n"), std::string(": 1\r\n"), std::string("X\r\n") }) {
+        for (const auto& field : standin::invalidFieldLines()) {
             CAPTURE(field);
             CHECK(receiveHead("HTTP/1.1 200 OK", field).head == TransferEnd::Malformed);
             CHECK(receiveHead(absl::StrCat("HTTP/1.1 103 Early Hints\r\n", field, "\r\nHTTP/1.1 200 OK"), "").head == TransferEnd::Malformed);
         }
-        CHECK(receiveHead("HTTP/1.1 200 OK", "X-A!#$%&'*+.^_`|~: 1\r\n").isWhole());
+        CHECK(receiveHead("HTTP/1.1 200 OK", standin::validFieldLine).isWhole());
     }
 }
--- a/test/fakes/cut_responses.cpp
+++ b/test/fakes/cut_responses.cpp
@@ -24,6 +24,24 @@
     return responses;
 }
 
+const std::vector<std::string>& invalidStatuses()
+{
+    static const std::vector<std::string> statuses { "000", "001", "099", "101", "600", "999" };
+    return statuses;
+}
+
+const std::vector<std::string>& validStatuses()
+{
+    static const std::vector<std::string> statuses { "200", "299", "404", "599" };
+    return statuses;
+}
+
+const std::vector<std::string>& invalidFieldLines()
+{
+    static const std::vector<std::string> lines { "X A: 1\r\n", "X\tA: 1\r\n", "X\x01: 1\r\n", std::string("X\0: 1\r\n", 7), "X\x7f: 1\r\n", "X\xe4: 1\r\n", "X : 1\r\n", ": 1\r\n", "X\r\n" };
+    return lines;
+}
+
 std::size_t headLength(const std::string& bytes)
 {
     std::size_t end = 0;
--- a/test/fakes/cut_responses.h
+++ b/test/fakes/cut_responses.h
@@ -23,6 +23,12 @@
 // Number of bytes up to the end of the head of the final response.
 std::size_t headLength(const std::string& bytes);
 
+// Statuses and lines of a head that no response of HTTP has, and some that are allowed.
+const std::vector<std::string>& invalidStatuses();
+const std::vector<std::string>& validStatuses();
+const std::vector<std::string>& invalidFieldLines();
+constexpr const char* validFieldLine = "X-A!#$%&'*+.^_`|~: 1\r\n";
+
 enum class Close { Orderly,
     Reset };
 
