--- a/review/standins-3/failed_bookings.cpp
+++ b/review/standins-3/failed_bookings.cpp
@@ -1,4 +1,4 @@
-// Bookings (non_idempotent) through three entry instances to four workers, one of which fails for some seconds a part of what it runs: it begins to work
+// Bookings (non_idempotent) through three entry instances to six workers, one of which fails for some seconds a part of what it runs: it begins to work
 // and answers 503 without X-Not-Executed. Checks that no booking that has run is answered with a status that means "not run".
 
 #include "site.h"
@@ -12,7 +12,7 @@
 
 namespace {
 
-constexpr int bookings = 100, workerCount = 4;
+constexpr int bookings = 100, workerCount = 6;
 constexpr auto bookingPeriod = 40ms, workTime = 15ms;
 // Of the requests of the failing worker, as in `srv_grey` of the site.
 constexpr int failedPercent = 45;
--- a/review/standins-3/relayed_bookings.cpp
+++ b/review/standins-3/relayed_bookings.cpp
@@ -1,5 +1,5 @@
 // Bookings (non_idempotent) at an entry instance that is cut off from all workers for some seconds, while two other instances reach
-// them. One of four workers fails a part of what it runs: it begins to work and answers 503 without X-Not-Executed. Checks that no
+// them. One of six workers fails a part of what it runs: it begins to work and answers 503 without X-Not-Executed. Checks that no
 // booking runs more than once.
 
 #include "fakes/fault_proxy.h"
@@ -14,7 +14,7 @@
 
 namespace {
 
-constexpr int bookings = 60, workerCount = 4;
+constexpr int bookings = 60, workerCount = 6;
 constexpr std::chrono::milliseconds bookingPeriod = 50ms, workTime = 15ms;
 // As in `srv_grey` of the site.
 constexpr int failedPercent = 45;
