A failure that an upstream does not state as not run is withheld from callers who take it for that

Callers saw a booking that an upstream had begun to work on answered with the upstream's 503, 429 or 408, which promise that it has not run; they sent it again.

Cause: ResponseRelay::relayBuffered() passed any final status on, for every route. Of an upstream's response only X-Not-Executed (or 421) states that a request did not run; impliesNotRun() says only what callers take a status for. A 429 or 408 counted as a success as well.

Why it works: UpstreamResponse now tells the two apart. isTrueForCaller() decides whether the status may reach the caller of a request that may run once; otherwise the instance answers 502 of its own, which promises nothing, and logs response_withheld. isFailure() is the one test of what is no success, for hedges too. Requests that may run several times get the last failure unchanged, as before.

--- a/src/core/requests/execution_tracker.h
+++ b/src/core/requests/execution_tracker.h
@@ -7,7 +7,8 @@
 
 namespace skylarkhitch {
 
-// Whether callers take a status to mean that the request was not run.
+// Whether callers take a status to mean that the request was not run. It says nothing of whether an upstream that responds with it has
+// run the request: only UpstreamResponse::notRun does.
 constexpr bool impliesNotRun(int status) { return status == 408 || status == 421 || status == 429 || status == 503; }
 
 // Tracks the attempts of one request.
--- a/src/core/requests/upstream_response.h
+++ b/src/core/requests/upstream_response.h
@@ -3,6 +3,7 @@
 // Status and metadata of an upstream's response, decoded from its wire format.
 
 #include "core/ids.h"
+#include "core/requests/execution_tracker.h"
 #include "core/requests/header_field.h"
 
 #include <optional>
@@ -24,7 +25,7 @@
     std::string reason;
     // Id of the request that the response belongs to; empty if not reported.
     RequestId answeredRequest;
-    // The upstream guarantees that it did not start executing the request.
+    // The upstream guarantees that it did not start executing the request. The status alone guarantees nothing.
     bool notRun = false;
     // Whoever answered is not the upstream that the request names, or does not have what it asks for, and did not execute it.
     bool isMisdirected = false;
@@ -54,6 +55,12 @@
     std::optional<double> confidence;
     // Header fields that are forwarded to the caller, in their original order.
     HeaderFields forwardedHeaders;
+
+    // Whether the upstream failed the request or turned it away, whether it ran it or not.
+    bool isFailure() const { return status >= 500 || impliesNotRun(status); }
+    // Whether the response may be passed on to a caller who takes some statuses for a promise: such a status is true of a request that
+    // an upstream may have run only if the request may run again.
+    bool isTrueForCaller(bool mayRunAgain) const { return mayRunAgain || !impliesNotRun(status); }
 };
 
 }
--- a/src/edge/request_hedge.cpp
+++ b/src/edge/request_hedge.cpp
@@ -138,7 +138,7 @@
     // The caller already has the head of an event stream, so only the rest of one can follow.
     if (m_request.caller->hasStartedResponse())
         return attempt.response->isEventStream && attempt.response->status < 300;
-    return attempt.response->status < 500;
+    return !attempt.response->isFailure();
 }
 
 Awaitable<void> RequestHedge::awaitResponse()
--- a/src/edge/response_relay.cpp
+++ b/src/edge/response_relay.cpp
@@ -1,5 +1,6 @@
 #include "edge/response_relay.h"
 
+#include "adapters/log.h"
 #include "edge/engine_evidence.h"
 #include "edge/model_escalation.h"
 #include "edge/upstream_evidence.h"
@@ -38,7 +39,7 @@
     m_hedge.silence().clear();
     auto now = bootNow();
     releaseConnection(m_request, attempt, response.keepAliveTimeout, now);
-    bool isGood = response.status < 500;
+    bool isGood = !response.isFailure();
     if (isGood) {
         traffic.countSuccess(releaseRoute(m_request, attempt), processName(upstream), toMilliseconds(now - attempt.sentAt));
         recordUpstreamSuccess(m_request, attempt);
@@ -52,9 +53,14 @@
     if (m_request.caller->hasStartedResponse())
         co_return AttemptResult { AttemptEnd::UpstreamError, false };
     bool awaitsHedge = !isGood && m_hedge.isOpen();
-    if (awaitsHedge || (!isGood && reserveRetry(m_request, AttemptEnd::UpstreamError, now))) {
-        m_outcome.saveError(toCallerResponse(std::move(response), std::move(body.bytes)));
-        co_return AttemptResult { AttemptEnd::UpstreamError, false, !awaitsHedge };
+    bool isRetried = !isGood && !awaitsHedge && reserveRetry(m_request, AttemptEnd::UpstreamError, now);
+    bool isWithheld = !response.isTrueForCaller(m_request.admitted.route->isRetryable());
+    if (isWithheld)
+        LogLine(LogLevel::Warning, "response_withheld").with("id", m_request.id()).with("upstream", upstream.id.value).with("status", response.status).with("cause", "may_have_run");
+    if (awaitsHedge || isRetried || isWithheld) {
+        if (!isWithheld)
+            m_outcome.saveError(toCallerResponse(std::move(response), std::move(body.bytes)));
+        co_return AttemptResult { AttemptEnd::UpstreamError, false, isRetried };
     }
     m_hedge.drop();
     auto status = response.status;
--- a/test/processes/upstream_signals_test.cpp
+++ b/test/processes/upstream_signals_test.cpp
@@ -287,6 +287,54 @@
     }
 }
 
+// Guards against callers who send a booking again that an upstream has run, since its failure bears a status that promises "not run".
+TEST_CASE("a failure that an upstream does not state as not run is never answered as not run")
+{
+    Site site;
+    auto configuration = nlohmann::json::parse(sampleConfiguration(5));
+    for (auto& it : configuration["routes"])
+        it["streamResume"] = false;
+    site.store.put("op/config", configuration.dump());
+    EdgeInstance instance("edge-1", site.store.address());
+    REQUIRE(waitUntil(5s, [&] { return instance.isReady(); }));
+    auto status = GENERATE(503, 429, 408);
+    CAPTURE(status);
+    auto fail = respondWithFields(status, { { "X-Server-Seal", "the upstream's" }, { "Retry-After", "1" } });
+    site.setScripts(fail);
+    site.setEngineScripts(fail);
+
+    SECTION("where a request may run once, its outcome is unknown to the caller")
+    {
+        const std::pair<const char*, const char*> calls[] = { { "/booking/x", "" }, { "/draft/x", "X-Model-Name: *\r\nX-Token-Count: 10,5\r\n" } };
+        for (const auto& [target, fields] : calls) {
+            CAPTURE(target);
+            auto id = absl::StrCat("once", target);
+            auto response = sendRequest(instance, requestBytes("POST", target, id, fields, "body"));
+            CHECK(statusOf(response) == 502);
+            CHECK_FALSE(absl::StrContains(response, "Retry-After"));
+            CHECK_FALSE(absl::StrContains(response, "X-Server-Seal"));
+            CHECK_FALSE(absl::StrContains(response, "hello"));
+            CHECK(site.receivedWithId(id) == 1);
+            CHECK(waitUntil(1s, [&] { return !instance.linesContaining(absl::StrCat("what=response_withheld id=", id)).empty(); }));
+            REQUIRE(waitUntil(1s, [&] { return !instance.linesContaining(absl::StrCat("what=request id=", id)).empty(); }));
+            CHECK(absl::StrContains(instance.linesContaining(absl::StrCat("what=request id=", id))[0], "ran=maybe"));
+        }
+    }
+    SECTION("where several runs are allowed, the caller gets the upstream's answer unchanged")
+    {
+        auto response = sendRequest(instance, requestBytes("GET", "/status/x", "several"));
+        CHECK(statusOf(response) == status);
+        CHECK(absl::StrContains(response, "X-Server-Seal: the upstream's"));
+        CHECK(absl::EndsWith(response, "hello"));
+    }
+    SECTION("and a refusal that the upstream states stays one")
+    {
+        site.setScripts(respondWithFields(status, { { "X-Not-Executed", "1" } }));
+        auto refused = statusOf(sendRequest(instance, requestBytes("POST", "/booking/x", "refused", {}, "body")));
+        CHECK((refused == 429 || refused == 503));
+    }
+}
+
 // Guards against callers that find an error's text in the middle of their stream, or an end after it.
 TEST_CASE("a stream that broke off does not end with the error of the upstream that was asked next")
 {
