A peer's last withdrawal of a crash is learned, and a process that ended withdraws nothing

Callers saw a sound request refused for two minutes at every instance but the one that had lost two connections with it and found both upstreams running since.

Cause: FleetMembership::heardCrashes() leaves out peers without crashes, so CrashGuard::learn() was not called when the last one was withdrawn. It was called with the crashes of a peer's next process, though, which withdrew those of the process before.

Why it works: crashes are kept by process. A peer that is heard directly and tells of none withdraws its own; what former processes told stays until it is forgotten. In large sites the withdrawal of instances known by hubs only still ends with the retention.

--- a/src/core/limits/crash_guard.cpp
+++ b/src/core/limits/crash_guard.cpp
@@ -42,7 +42,7 @@
         m_fingerprints.erase(fingerprints);
 }
 
-void CrashGuard::learn(const InstanceId& from, const std::map<std::string, std::int64_t>& crashes, TimePoint now)
+void CrashGuard::learn(const Incarnation& from, const std::map<std::string, std::int64_t>& crashes, TimePoint now)
 {
     // What is missing was withdrawn by the peer.
     for (auto& [fingerprint, known] : m_crashes)
--- a/src/core/limits/crash_guard.h
+++ b/src/core/limits/crash_guard.h
@@ -25,8 +25,9 @@
     // Records that the upstream responded to a request or probe sent at this time, which rules out a crash for any connection
     // lost before then: these no longer count.
     void recordAlive(const UpstreamId&, TimePoint askedAt);
-    // Replaces the crashes received from a peer, in the form of own().
-    void learn(const InstanceId& from, const std::map<std::string, std::int64_t>& crashes, TimePoint);
+    // Replaces the crashes received from a process of a peer, in the form of own(). Those of its former processes stay until they are
+    // forgotten: a process that ended withdraws nothing.
+    void learn(const Incarnation& from, const std::map<std::string, std::int64_t>& crashes, TimePoint);
 
     bool refuses(const std::string& fingerprint) const;
     std::int64_t crashCount(const std::string& fingerprint) const;
@@ -48,7 +49,7 @@
     struct Crashes {
         // When each upstream crashed, by its name in heartbeats.
         absl::flat_hash_map<std::string, TimePoint> own;
-        std::map<InstanceId, PeerCrashes> peers;
+        std::map<Incarnation, PeerCrashes> peers;
     };
     absl::flat_hash_map<std::string, Crashes> m_crashes;
     // Fingerprints of the requests that each upstream may have crashed on.
--- a/src/core/membership/fleet_membership.cpp
+++ b/src/core/membership/fleet_membership.cpp
@@ -177,13 +177,31 @@
 {
     CrashCounts crashes;
     for (const auto& [id, it] : m_peers) {
-        bool isHeard = it.lastHeardAt != TimePoint {} && isLive(it, now) && (isFullMesh() || now - it.lastHeardAt <= relayedCrashTime);
-        if (isHeard && !it.heartbeat.crashes.empty())
+        if (isHeard(it, now) && !it.heartbeat.crashes.empty())
             crashes[id] = it.heartbeat.crashes;
     }
     return crashes;
 }
 
+bool FleetMembership::isHeard(const FleetPeer& peer, TimePoint now) const
+{
+    return peer.lastHeardAt != TimePoint {} && isLive(peer, now) && (isFullMesh() || now - peer.lastHeardAt <= relayedCrashTime);
+}
+
+std::map<Incarnation, CrashCounts::mapped_type> FleetMembership::crashesByProcess(TimePoint now) const
+{
+    std::map<Incarnation, CrashCounts::mapped_type> crashes;
+    for (const auto& [id, it] : m_peers) {
+        if (isHeard(it, now))
+            crashes[it.heartbeat.from] = it.heartbeat.crashes;
+    }
+    for (const auto& [id, told] : peerCrashes(now)) {
+        auto peer = m_peers.find(id);
+        crashes.try_emplace(peer == m_peers.end() ? Incarnation { id } : peer->second.heartbeat.from, told);
+    }
+    return crashes;
+}
+
 CrashCounts FleetMembership::peerCrashes(TimePoint now) const
 {
     auto crashes = heardCrashes(now);
--- a/src/core/membership/fleet_membership.h
+++ b/src/core/membership/fleet_membership.h
@@ -111,6 +111,8 @@
     ReleaseEvidence siteEvidence(const ReleaseEvidence& own, TimePoint now) const;
     // Crash counts of the peers, by request fingerprint.
     CrashCounts peerCrashes(TimePoint now) const;
+    // The same by process, with those that are heard directly and have none, which withdraws what they told before.
+    std::map<Incarnation, CrashCounts::mapped_type> crashesByProcess(TimePoint now) const;
     bool isHub() const { return m_relay.isHub(); }
     // Whether peers learn from this instance what it learns from others.
     bool passesOnNews() const { return isFullMesh() || isHub(); }
@@ -159,6 +161,8 @@
     // Takes in the part of a heartbeat that concerns relaying.
     void learnRelayed(const FleetHeartbeat&, TimePoint now);
     void learn(const FleetDigest&, bool isOwnDomain, TimePoint now);
+    // Whether what the peer last said of crashes is recent. Heartbeats come from it, not only news of it in those of others.
+    bool isHeard(const FleetPeer&, TimePoint now) const;
     // Crash counts of the peers heard directly.
     CrashCounts heardCrashes(TimePoint now) const;
     void learnIdentity(const InstanceIdentity&, TimePoint now);
--- a/src/core/router.cpp
+++ b/src/core/router.cpp
@@ -203,7 +203,7 @@
     }
     m_dispatcher.invalidateSlotQuotas();
     m_evidence.learn(from, heartbeat.versions, now, out);
-    m_crashGuard.learn(from.instance, heartbeat.crashes, now);
+    m_crashGuard.learn(from, heartbeat.crashes, now);
     m_configManager.onPeerRevision(from.instance, heartbeat.revision, now, out);
 }
 
--- a/src/edge/control_plane.cpp
+++ b/src/edge/control_plane.cpp
@@ -697,7 +697,7 @@
     PeerUpdate peerUpdate;
     auto work = m_fleet.peerWork(now);
     peerUpdate.work = { work.begin(), work.end() };
-    peerUpdate.crashes = m_fleet.peerCrashes(now);
+    peerUpdate.crashes = m_fleet.crashesByProcess(now);
     for (const auto* peer : m_fleet.livePeers(now)) {
         for (auto it : peer->heartbeat.sessions) {
             it.age += toMilliseconds(now - peer->lastHeardAt);
--- a/src/edge/fleet_view.h
+++ b/src/edge/fleet_view.h
@@ -65,7 +65,7 @@
     // Sums over the peers.
     absl::flat_hash_map<UpstreamId, UpstreamWork> work;
     // Crash counts of each peer, by request fingerprint.
-    std::map<InstanceId, std::map<std::string, std::int64_t>> crashes;
+    std::map<Incarnation, std::map<std::string, std::int64_t>> crashes;
     std::vector<RecentSession> sessions;
 };
 
--- a/src/edge/traffic_state.cpp
+++ b/src/edge/traffic_state.cpp
@@ -216,8 +216,8 @@
 {
     auto now = bootNow();
     m_balancer.setPeerWork(std::move(news.work), now);
-    for (const auto& [id, crashes] : news.crashes)
-        m_crashes.learn(id, crashes, now);
+    for (const auto& [process, crashes] : news.crashes)
+        m_crashes.learn(process, crashes, now);
     m_sessions.learn(news.sessions, now);
 }
 
--- a/test/correctness/fleet_test.cpp
+++ b/test/correctness/fleet_test.cpp
@@ -88,6 +88,32 @@
     SECTION("a message of another type is rejected") { CHECK_FALSE(decodeHeartbeat("\x83\x01\x02\x03")); }
 }
 
+// Guards against requests that are refused although the peer that held a crash against them found the upstream running.
+TEST_CASE("a peer that tells of no crashes withdraws what it told before")
+{
+    FleetMembership fleet({ { "edge-1" }, 1 }, { "a" }, "edge-1:70");
+    auto told = heartbeat("edge-2", 7, 1);
+    told.crashes["f00d"] = 1;
+    REQUIRE(fleet.onHeartbeat(told, start));
+    CHECK(fleet.crashesByProcess(start).at({ { "edge-2" }, 7 }).contains("f00d"));
+
+    SECTION("the process itself")
+    {
+        REQUIRE(fleet.onHeartbeat(heartbeat("edge-2", 7, 2), start + 500ms));
+        CHECK(fleet.crashesByProcess(start + 500ms).at({ { "edge-2" }, 7 }).empty());
+        CHECK(fleet.peerCrashes(start + 500ms).empty());
+    }
+    SECTION("a later process of the peer says nothing of it")
+    {
+        REQUIRE(fleet.onHeartbeat(heartbeat("edge-2", 8, 1), start + 500ms));
+        CHECK_FALSE(fleet.crashesByProcess(start + 500ms).contains({ { "edge-2" }, 7 }));
+    }
+    SECTION("and neither does a peer that is silent")
+    {
+        CHECK(fleet.crashesByProcess(start + 1h).empty());
+    }
+}
+
 // Guards against machines that are replaced one after the other and do not understand each other's heartbeats.
 TEST_CASE("heartbeats of the build b7be96e are read, and it finds in ours all that it reads")
 {
--- a/test/correctness/routing_test.cpp
+++ b/test/correctness/routing_test.cpp
@@ -564,6 +564,18 @@
         guard.learn({ "edge-2" }, {}, start + 1s);
         CHECK_FALSE(guard.refuses("f"));
     }
+    // Guards against a request that crashes upstreams again, since an instance that knew it was started again.
+    SECTION("crashes of a peer's process that ended stay for a while")
+    {
+        guard.learn({ { "edge-2" }, 1 }, { { "f", 1 } }, start);
+        guard.learn({ { "edge-2" }, 2 }, { { "g", 1 } }, start + 1s);
+        CHECK(guard.refuses("f"));
+        guard.learn({ { "edge-2" }, 2 }, {}, start + 2s);
+        CHECK(guard.refuses("f"));
+        CHECK(guard.crashCount("g") == 0);
+        guard.forget(start + 3s);
+        CHECK_FALSE(guard.refuses("f"));
+    }
 }
 
 TEST_CASE("retries stay within the budget of the site")
--- a/test/processes/crashing_part_test.cpp
+++ b/test/processes/crashing_part_test.cpp
@@ -23,6 +23,8 @@
 constexpr std::size_t crashesToCount = 5;
 constexpr std::size_t maxFatalRequests = 3;
 constexpr auto engineRestartTime = 1500ms;
+// Time in which instances that are ready have heard from each other.
+constexpr auto heartbeatTime = 1000ms;
 
 // Sends a request over a new connection and returns the response, or what there was of it. May be called on any thread.
 std::string sendAndRead(const EdgeInstance& instance, const std::string& bytes)
@@ -274,3 +276,59 @@
     CHECK(after.sent >= 20);
     CHECK(after.share() >= before.share() / 2);
 }
+
+namespace {
+
+// Two instances, and upstreams without models that reset connections when they get the fatal booking.
+class CrashingBookings {
+public:
+    CrashingBookings()
+    {
+        m_site.setScripts([](const RawRequest& request, RawConnection& connection) {
+            if (request.path() != "/booking/fatal")
+                return respondWith("hello")(request, connection);
+            connection.reset();
+            return false;
+        });
+        m_instances.emplace_back("edge-1", m_site.store.address());
+        m_instances.emplace_back("edge-2", m_site.store.address(), m_instances.front().peerAddress());
+        awaitReady();
+        std::this_thread::sleep_for(heartbeatTime);
+    }
+
+    int book(const std::string& name, std::size_t instance) { return statusOf(sendRequest(m_instances[instance], requestBytes("POST", "/booking/" + name, name, {}, "body"))); }
+    // Sends the fatal booking to one instance until it is refused, by the other one, too.
+    void crashUpstreams()
+    {
+        REQUIRE(waitUntil(3s, [&] { return book("fatal", 0) == 503; }));
+        std::this_thread::sleep_for(heartbeatTime);
+        REQUIRE(book("fatal", 1) == 503);
+    }
+    // Both upstreams are found running after all.
+    void answerAgain()
+    {
+        m_site.setScripts(respondWith("hello"));
+        REQUIRE(waitUntil(5s, [&] { return book("other", 0) == 200 && m_site.first.received().back().path() == "/booking/other" && m_site.second.received().back().path() == "/booking/other"; }));
+    }
+
+private:
+    void awaitReady()
+    {
+        for (auto& it : m_instances)
+            REQUIRE(waitUntil(5s, [&] { return it.isReady(); }));
+    }
+
+    Site m_site;
+    std::deque<EdgeInstance> m_instances;
+};
+
+}
+
+// Guards against requests that one instance goes on to refuse for minutes, although the upstreams that were lost were found running.
+TEST_CASE("a request whose upstreams did not crash after all is served by all instances again")
+{
+    CrashingBookings bookings;
+    bookings.crashUpstreams();
+    bookings.answerAgain();
+    CHECK(waitUntil(3s, [&] { return bookings.book("fatal", 0) == 200 && bookings.book("fatal", 1) == 200; }));
+}
