Quarantines are kept in the platform's store

Upstreams saw a booking that crashes whoever runs it again after each kill of all instances, and two more of them crashed each time; the same with a prompt part in quarantine.

Cause: crashes and quarantines were in the memory of the instances only, which tell each other. When all end at once, none can tell.

Why it works: each quarantine is a record in the store under a lease of its time to live, written once by the instance that writes roll-outs, when the limit is reached by what all together know, and removed when it ends early. A new process has it with its first copy of the store, before it is ready, so the number of kills does not matter. Records are bounded in number, size and rate; what is not kept is logged and counted; no request waits for a write. Odd entries are left out with a line.

--- a/src/core/limits/crash_guard.cpp
+++ b/src/core/limits/crash_guard.cpp
@@ -76,7 +76,22 @@
 
 bool CrashGuard::refuses(const std::string& fingerprint) const
 {
-    return crashCount(fingerprint) >= crashLimit;
+    return m_recorded.contains(fingerprint) || crashCount(fingerprint) >= crashLimit;
+}
+
+bool CrashGuard::isOnlyRecorded(const std::string& fingerprint) const
+{
+    return m_recorded.contains(fingerprint) && crashCount(fingerprint) < crashLimit;
+}
+
+std::map<std::string, std::int64_t> CrashGuard::refused() const
+{
+    std::map<std::string, std::int64_t> refused;
+    for (const auto& it : m_crashes) {
+        if (auto n = crashCount(it.first); n >= crashLimit)
+            refused[it.first] = n;
+    }
+    return refused;
 }
 
 std::map<std::string, std::int64_t> CrashGuard::own() const
--- a/src/core/limits/crash_guard.h
+++ b/src/core/limits/crash_guard.h
@@ -3,7 +3,7 @@
 // Tracks requests suspected of crashing upstreams, by request fingerprint. A request whose upstream crashed during an
 // attempt may run once more. After a second crash every instance refuses it for a while, including when the caller sends
 // it again to another instance. Requests that are alike have the same fingerprint, so several instances may lose one each in the same
-// crash; it counts once.
+// crash; it counts once. What instances that have all ended knew comes back from the platform's store, see QuarantineRecords.
 
 #include "core/ids.h"
 
@@ -18,6 +18,8 @@
 public:
     // Crash count, over all instances, at which a request is refused.
     static constexpr std::int64_t crashLimit = 2;
+    // Crashes are kept for as long as a caller may resend the request that caused them.
+    static constexpr Seconds retention { 120 };
 
     // Records that the connection to the upstream was lost during the request. Each upstream counts once per request. Callers may pass
     // an id of the upstream process, so that a response after a restart does not withdraw the crash.
@@ -29,7 +31,14 @@
     // forgotten: a process that ended withdraws nothing.
     void learn(const Incarnation& from, const std::map<std::string, std::int64_t>& crashes, TimePoint);
 
+    // Replaces the requests that are refused because the store names them, whatever crashes are known.
+    void setRecorded(absl::flat_hash_set<std::string> fingerprints) { m_recorded = std::move(fingerprints); }
+
     bool refuses(const std::string& fingerprint) const;
+    // Whether the request is refused only because the store names it.
+    bool isOnlyRecorded(const std::string& fingerprint) const;
+    // The requests that are refused because of crashes that are known here, with their crash counts.
+    std::map<std::string, std::int64_t> refused() const;
     std::int64_t crashCount(const std::string& fingerprint) const;
     // This instance's crashes, for its heartbeats. A key names the fingerprint and the upstream; one that names the fingerprint only
     // counts crashes of unknown upstreams.
@@ -52,6 +61,7 @@
         std::map<Incarnation, PeerCrashes> peers;
     };
     absl::flat_hash_map<std::string, Crashes> m_crashes;
+    absl::flat_hash_set<std::string> m_recorded;
     // Fingerprints of the requests that each upstream may have crashed on.
     absl::flat_hash_map<UpstreamId, absl::flat_hash_set<std::string>> m_fingerprints;
 };
--- a/src/core/limits/prompt_part_guard.cpp
+++ b/src/core/limits/prompt_part_guard.cpp
@@ -591,7 +591,7 @@
     keepFirst(news.served, maxSentServedParts, [](const auto& a, const auto& b) { return a.age < b.age; });
 }
 
-void PromptPartGuard::tellQuarantines(PromptPartNews& news, TimePoint now) const
+std::vector<QuarantinedParts> PromptPartGuard::quarantines(TimePoint now) const
 {
     std::vector<QuarantinedParts> quarantined;
     for (const auto& [set, it] : m_quarantined) {
@@ -600,6 +600,12 @@
             told.trialAge = ageOf(*it.lastTrialAt, now);
         quarantined.push_back(std::move(told));
     }
+    return quarantined;
+}
+
+void PromptPartGuard::tellQuarantines(PromptPartNews& news, TimePoint now) const
+{
+    auto quarantined = quarantines(now);
     keepFirst(quarantined, maxSentQuarantined, [](const auto& a, const auto& b) { return a.idle < b.idle; });
     // Peers find a set that does not fit by the crashes.
     std::size_t setParts = 0;
--- a/src/core/limits/prompt_part_guard.h
+++ b/src/core/limits/prompt_part_guard.h
@@ -131,6 +131,8 @@
     void evaluate(TimePoint now);
     // What peers have to know.
     PromptPartNews news(TimePoint now) const;
+    // All quarantines.
+    std::vector<QuarantinedParts> quarantines(TimePoint now) const;
     // Returns and resets whether something happened that peers must know at once.
     bool takeUrgent();
     // Returns and removes the changes since the last call.
--- a/src/edge/control_plane.cpp
+++ b/src/edge/control_plane.cpp
@@ -75,6 +75,7 @@
     , m_store(loop, settings.store, metrics)
     , m_mirror(contained(&ControlPlane::itemChanged), { platform::isRenewal, contained(&ControlPlane::itemRenewed) })
     , m_rollouts(loop, m_store, [this] { m_viewChanged = true; })
+    , m_quarantines(loop, m_store, metrics, [this](QuarantinedParts parts) { m_outputs.publishPeerNews({ { .quarantined = { std::move(parts) } }, {}, {} }); })
     , m_fleet(m_self, settings.domain, settings.peerListen, settings.capacity())
     , m_linkLoad(settings.linkMbps)
     , m_heartbeatSocket(loop, udpEndpoint(settings.peerListen))
@@ -231,6 +232,8 @@
         return evacuationChanged({ document.name }, item);
     case platform::DocumentKind::Instance:
         return instanceChanged(key, item);
+    case platform::DocumentKind::Quarantine:
+        return m_quarantines.recordChanged(document.name, item);
     case platform::DocumentKind::Other:
         return;
     }
@@ -358,6 +361,11 @@
         if (change == DomainEvacuations::Change::Evacuated)
             publish(now);
     }
+    // What all know together must be in the store soon, in case all are killed.
+    if (!heartbeat->crashes.empty()) {
+        m_quarantines.learnCrashes(heartbeat->from, heartbeat->crashes, now);
+        keepQuarantines(now);
+    }
     PeerNews news { std::move(heartbeat->promptParts), std::move(heartbeat->limits), std::move(heartbeat->promptHoldings) };
     if (!news.empty())
         m_outputs.publishPeerNews(std::move(news));
@@ -460,6 +468,7 @@
     std::move(ended).Invoke();
     if (m_listed.takeChanged())
         m_fleet.setListedPeers(m_listed.peers());
+    m_viewChanged = m_quarantines.updateRequests(bootNow()) || m_viewChanged;
     publish(bootNow());
 }
 
@@ -501,7 +510,8 @@
     m_metrics.setState("upstreams", static_cast<double>(m_upstreams.size()));
     m_metrics.setState("evacuated_domains", static_cast<double>(m_evacuations.availability().evacuated.size()));
     m_metrics.setState("links_lost", m_trafficReport.areLinksLost ? 1 : 0);
-    m_metrics.setState("quarantined_parts", static_cast<double>(m_trafficReport.quarantinedParts));
+    m_metrics.setState("quarantined_parts", static_cast<double>(m_trafficReport.quarantinedParts.size()));
+    m_quarantines.publishMetrics();
     m_metrics.setState("limited_upstreams", static_cast<double>(m_trafficReport.limitedUpstreams));
     EdgeResponse response { .fields = { { "Content-Type", "text/plain; version=0.0.4" } }, .body = m_metrics.text() };
     co_await connection->respond(std::move(response));
@@ -528,6 +538,11 @@
     m_process.update(m_trafficReport.cpuTime, m_trafficReport.callerConnections, now);
     updateStoreState(now);
     sendHeartbeat(m_trafficReport.isUrgent, now);
+    m_quarantines.setParts(m_trafficReport.quarantinedParts, now);
+    m_quarantines.learnCrashes(m_self, m_trafficReport.crashes, now);
+    for (const auto& [process, crashes] : m_fleet.crashesByProcess(now))
+        m_quarantines.learnCrashes(process, crashes, now);
+    keepQuarantines(now);
     catchUpIfBehind(now);
     if (m_upstreams.removeExpired(missingMeansGoneFrom(now), now))
         m_viewChanged = true;
@@ -541,6 +556,12 @@
     publish(now);
 }
 
+void ControlPlane::keepQuarantines(TimePoint now)
+{
+    m_quarantines.advance(isCoordinator(now), now);
+    m_viewChanged = m_quarantines.updateRequests(now) || m_viewChanged;
+}
+
 void ControlPlane::leave()
 {
     m_leaving = true;
@@ -736,6 +757,7 @@
     view->domains = m_evacuations.availability();
     view->rollouts = m_rollouts.rolloutViews();
     view->entries = entries(now);
+    view->refusedRequests = m_quarantines.requests();
     view->knownInstances = m_lastFleet.known > 0 ? m_lastFleet.known : m_fleet.size(now);
     view->isFullMesh = m_fleet.isFullMesh();
     view->passesOnNews = m_fleet.passesOnNews();
--- a/src/edge/control_plane.h
+++ b/src/edge/control_plane.h
@@ -12,6 +12,7 @@
 #include "edge/fleet_view.h"
 #include "edge/peer_documents.h"
 #include "edge/process_state.h"
+#include "edge/quarantine_keeper.h"
 #include "edge/rollout_controller.h"
 #include "edge/store_client.h"
 
@@ -97,6 +98,8 @@
     void noticePause(TimePoint now);
     // Whether the heartbeats that are read may be those that arrived during a pause.
     bool mayReadQueuedHeartbeats(TimePoint now) const;
+    // Brings the quarantines in the store up to date.
+    void keepQuarantines(TimePoint now);
     void catchUpIfBehind(TimePoint now);
     void fetchLaterConfiguration(TimePoint now);
     void updateStoreState(TimePoint now);
@@ -124,6 +127,7 @@
     UpstreamRegistry m_upstreams;
     DomainEvacuations m_evacuations;
     RolloutController m_rollouts;
+    QuarantineKeeper m_quarantines;
     FleetMembership m_fleet;
     ListedInstances m_listed;
     asio::ip::udp::socket m_heartbeatSocket;
--- a/src/edge/fleet_view.h
+++ b/src/edge/fleet_view.h
@@ -46,6 +46,8 @@
     DomainAvailability domains;
     std::map<ServiceId, RolloutView> rollouts;
     std::vector<EntryInstance> entries;
+    // Fingerprints of requests that are refused because the store names them as crashing upstreams.
+    std::set<std::string> refusedRequests;
     // Number of known instances, live or not, including this one.
     std::size_t knownInstances = 1;
     // Whether each instance sends each heartbeat to all others.
@@ -90,7 +92,7 @@
     bool ready = false;
     // The instance has lost its links to the upstreams.
     bool areLinksLost = false;
-    std::size_t quarantinedParts = 0;
+    std::vector<QuarantinedParts> quarantinedParts;
     std::size_t limitedUpstreams = 0;
     // It was sent early, since it has news that must take effect at once.
     bool isUrgent = false;
--- a/src/edge/request_outcome.cpp
+++ b/src/edge/request_outcome.cpp
@@ -57,7 +57,7 @@
     if (const auto* part = traffic.promptParts().quarantinedPart(m_request.parts))
         line.with("part", *part).with("crashes", traffic.promptParts().crashesOf(*part));
     if (error == errorInfo(ErrorKind::RequestQuarantined).name)
-        line.with("fingerprint", m_request.admitted.fingerprint).with("crashes", traffic.crashes().crashCount(m_request.admitted.fingerprint));
+        line.with("fingerprint", m_request.admitted.fingerprint).with("crashes", traffic.crashes().crashCount(m_request.admitted.fingerprint)).with("known_from", traffic.crashes().isOnlyRecorded(m_request.admitted.fingerprint) ? "store" : "crashes");
     if (m_request.admitted.configuration)
         line.with("configuration", m_request.admitted.configuration->version).with("view_age_ms", toMilliseconds(now - m_request.view->upToDateAt).count());
 }
--- a/src/edge/traffic_state.cpp
+++ b/src/edge/traffic_state.cpp
@@ -13,9 +13,6 @@
 
 namespace {
 
-    // Crashes are kept for as long as a caller may resend the request that caused them.
-    constexpr Seconds crashRetention { 120 };
-
     // Time after process start in which requests wait for the first configuration. Copying the store takes about 30 ms; an
     // instance that the store alone rejects gets the copy from a peer within three heartbeats.
     constexpr Milliseconds startupWait { 1000 };
@@ -108,6 +105,7 @@
             instances.push_back(it.id);
     }
     m_limits.setInstances(std::move(instances));
+    m_crashes.setRecorded({ m_view->refusedRequests.begin(), m_view->refusedRequests.end() });
     limitCold(bootNow());
     updatePrompts(bootNow());
 }
@@ -449,7 +447,7 @@
     ++m_reports;
     m_connections.closeExpired(now);
     m_sessions.forget(now);
-    m_crashes.forget(now - crashRetention);
+    m_crashes.forget(now - CrashGuard::retention);
     m_limits.assignShares(now);
     announceLimits();
     m_pauses.forget(now);
@@ -458,7 +456,7 @@
     evaluateCrashes(now);
     m_brokenResponses.forget(now - brokenResponseRetention);
     m_stopAdmission.forget(now);
-    return { m_balancer.ownWork(now), m_evidence, m_crashes.own(), { m_promptParts.news(now), m_limits.news(now), promptHoldings(now) }, sessionsForPeers(now), isReady(), m_links.isLost(), m_promptParts.quarantinedCount(), m_limits.limitedCount(), false, threadCpuTime() };
+    return { m_balancer.ownWork(now), m_evidence, m_crashes.own(), { m_promptParts.news(now), m_limits.news(now), promptHoldings(now) }, sessionsForPeers(now), isReady(), m_links.isLost(), m_promptParts.quarantines(now), m_limits.limitedCount(), false, threadCpuTime() };
 }
 
 EligibleUpstreams TrafficState::findEligibleUpstreams(const ServiceId& id, const RoutedRequest& request, TimePoint now)
--- a/test/fakes/fleet_standin.cpp
+++ b/test/fakes/fleet_standin.cpp
@@ -217,6 +217,8 @@
         absl::Base64Unescape(it.at("value").get<std::string>(), &value);
         write(it.at("key"), value);
     }
+    for (const auto& it : transaction.value("remove", Json::array()))
+        write(it, std::nullopt);
     return responseBytes(200, Json { { "revision", m_revision } }.dump());
 }
 
--- a/test/processes/crashing_part_test.cpp
+++ b/test/processes/crashing_part_test.cpp
@@ -7,6 +7,7 @@
 #include <catch2/catch.hpp>
 #include <deque>
 #include <nlohmann/json.hpp>
+#include <numeric>
 #include <thread>
 
 using namespace skylarkhitch;
@@ -102,6 +103,21 @@
     }
 
     std::deque<EdgeInstance>& instances() { return m_instances; }
+    // Number of lines of all instances that contain the text.
+    std::size_t lines(const std::string& text) const
+    {
+        return std::accumulate(m_instances.begin(), m_instances.end(), std::size_t { 0 }, [&](std::size_t n, const auto& it) { return n + it.linesContaining(text).size(); });
+    }
+    // Kills all instances at once, and starts them again.
+    void killAll()
+    {
+        for (auto& it : m_instances)
+            it.kill();
+        for (auto& it : m_instances)
+            it.restart();
+        for (auto& it : m_instances)
+            REQUIRE(waitUntil(5s, [&] { return it.isReady(); }));
+    }
     std::vector<std::string> fatalResponses()
     {
         std::lock_guard lock(m_mutex);
@@ -277,6 +293,28 @@
     CHECK(after.share() >= before.share() / 2);
 }
 
+// Guards against quarantines that only the memory of the instances holds: each kill of all of them costs engines again.
+TEST_CASE("a prompt part is still refused after all instances were killed at once")
+{
+    CrashingSite site;
+    site.run(5s, true);
+    auto crashesBefore = site.collect(&CrashingEngine::crashes).size();
+    REQUIRE(crashesBefore >= 2);
+    CHECK(site.lines("what=quarantine_recorded name=parts/") == 1);
+    for (int kill = 0; kill < 2; ++kill) {
+        site.killAll();
+        auto from = Clock::now();
+        site.run(3s, true);
+        auto requests = site.collect(&CrashingEngine::fatalRequests);
+        CHECK(std::count_if(requests.begin(), requests.end(), [&](auto it) { return it >= from; }) == 0);
+        auto served = site.served(from, Clock::now());
+        INFO("served " << served.served << " of " << served.sent);
+        CHECK(served.sent >= 20);
+        CHECK(served.share() >= 0.5);
+    }
+    CHECK(site.collect(&CrashingEngine::crashes).size() == crashesBefore);
+}
+
 namespace {
 
 // Two instances, and upstreams without models that reset connections when they get the fatal booking.
@@ -310,6 +348,24 @@
         m_site.setScripts(respondWith("hello"));
         REQUIRE(waitUntil(5s, [&] { return book("other", 0) == 200 && m_site.first.received().back().path() == "/booking/other" && m_site.second.received().back().path() == "/booking/other"; }));
     }
+    // Both upstreams are other processes now, so nothing speaks against the crashes.
+    void restartUpstreams()
+    {
+        for (auto* it : { &m_site.first, &m_site.second })
+            m_site.store.put("servers/" + it->id(), it->registration("orders", "ready", "v1", 2));
+    }
+    // Kills all instances at once, and starts them again.
+    void killAll()
+    {
+        for (auto& it : m_instances)
+            it.kill();
+        for (auto& it : m_instances)
+            it.restart();
+        awaitReady();
+    }
+    std::size_t fatalRequests() { return m_site.receivedWithId("fatal"); }
+    // Number of lines of all instances that contain the text.
+    std::size_t lines(const std::string& text) const { return m_instances[0].linesContaining(text).size() + m_instances[1].linesContaining(text).size(); }
 
 private:
     void awaitReady()
@@ -332,3 +388,31 @@
     bookings.answerAgain();
     CHECK(waitUntil(3s, [&] { return bookings.book("fatal", 0) == 200 && bookings.book("fatal", 1) == 200; }));
 }
+
+// Guards against requests whose crashes only the memory of the instances holds: each kill of all of them costs upstreams again.
+TEST_CASE("a request that crashes upstreams is still refused after all instances were killed at once")
+{
+    CrashingBookings bookings;
+    bookings.crashUpstreams();
+    auto requests = bookings.fatalRequests();
+    CHECK(waitUntil(2s, [&] { return bookings.lines("what=quarantine_recorded name=request/") == 1; }));
+
+    SECTION("as often as they are killed, while others are served")
+    {
+        bookings.restartUpstreams();
+        for (int kill = 0; kill < 2; ++kill) {
+            bookings.killAll();
+            for (std::size_t n = 0; n < 8; ++n)
+                CHECK(bookings.book("fatal", n % 2) == 503);
+            CHECK(bookings.book("sound", 1) == 200);
+        }
+        CHECK(bookings.fatalRequests() == requests);
+    }
+    SECTION("until the upstreams that were lost are found running")
+    {
+        bookings.answerAgain();
+        CHECK(waitUntil(2s, [&] { return bookings.lines("what=quarantine_record_removed name=request/") == 1; }));
+        bookings.killAll();
+        CHECK(bookings.book("fatal", 0) == 200);
+    }
+}
