A connection is closed at a refusal that may be an earlier one, written once more

Upstreams saw a stream at work at two of them: the first had written an earlier refusal, which names no request, again on a kept connection, and ran the request; the stream went on elsewhere, and the first was not told to stop for 850 ms.

Cause: a refusal without an id is taken for the answer to the last request, and its connection went back to the pool.

Why it works: an upstream drops what it runs when the connection is closed, so at most one goes on. New connections, and refusals that name the request, are kept as before.

--- a/src/edge/upstream_attempt.cpp
+++ b/src/edge/upstream_attempt.cpp
@@ -31,6 +31,14 @@
             connection->close();
     }
 
+    // Ends an attempt whose refusal may be that of an earlier request on the connection, written once more while the upstream runs this
+    // one. An upstream drops what it runs when the connection is closed.
+    void closeUnattributed(const RequestContext& request, const UpstreamAttempt& attempt)
+    {
+        LogLine(LogLevel::Debug, "refusal_unattributed").with("id", request.id()).with("upstream", attempt.upstream.id.value);
+        attempt.connection->close();
+    }
+
     // Work of a prompt token on the attempt's model, relative to the most expensive model; 1 if the router chose none.
     double costWeight(const RequestContext& request, const UpstreamAttempt& attempt)
     {
@@ -125,7 +133,10 @@
             recordLimit(request, upstream, response);
         }
         if (response.notRun) {
-            spawn(traffic.loop(), recycleRefused(traffic.connections(), upstream, connection, response.keepAliveTimeout), "recycle_refused");
+            if (isReused && response.answeredRequest.empty())
+                closeUnattributed(request, attempt);
+            else
+                spawn(traffic.loop(), recycleRefused(traffic.connections(), upstream, connection, response.keepAliveTimeout), "recycle_refused");
             attempt.connection = nullptr;
             co_return AttemptEnd::RefusedNotRun;
         }
--- a/test/processes/upstream_signals_test.cpp
+++ b/test/processes/upstream_signals_test.cpp
@@ -262,6 +262,26 @@
         CHECK(statusOf(sendRequest(instance, requestBytes("GET", "/status/x", "second"))) == 502);
         CHECK(waitUntil(1s, [&] { return !instance.linesContaining("cause=\"response to another request\"").empty(); }));
     }
+    SECTION("and if it names no request, the upstream is made to drop what it may run before another one begins with it")
+    {
+        auto repeats = std::make_shared<std::atomic<int>>(0), dropped = std::make_shared<std::atomic<int>>(0);
+        site.engine.setScript([=](const RawRequest&, RawConnection& connection) {
+            // Each connection has a thread of its own.
+            thread_local int requests = 0;
+            bool isFirst = ++requests == 1;
+            bool isOpen = connection.write(responseBytes(503, "", { { "X-Not-Executed", "1" }, { "Keep-Alive", "timeout=5" } }));
+            if (isFirst)
+                return isOpen;
+            ++*repeats;
+            *dropped += connection.isClosedWithin(400ms) ? 1 : 0;
+            return false;
+        });
+        site.otherEngine.setScript(streamEvents(2, 2ms));
+        for (int n = 0; n < 40 && *repeats < 3; ++n)
+            CHECK(statusOf(sendRequest(instance, requestBytes("POST", "/draft/x", absl::StrCat("unnamed-", n), "X-Model-Name: *\r\nX-Token-Count: 10,5\r\n", "p"))) == 200);
+        REQUIRE(*repeats >= 3);
+        CHECK(waitUntil(1s, [&] { return *dropped == *repeats; }));
+    }
     SECTION("where a stream cannot be resumed, each request has a connection of its own")
     {
         auto configuration = nlohmann::json::parse(sampleConfiguration(5));
