--- a/src/edge/quarantine_keeper.cpp
+++ b/src/edge/quarantine_keeper.cpp
@@ -54,7 +54,6 @@
 {
     m_parts = std::move(parts);
     m_partsAt = now;
-    m_crashes.forget(now - CrashGuard::retention);
 }
 
 std::vector<QuarantineRecord> QuarantineKeeper::held(TimePoint now) const
@@ -74,6 +73,7 @@
 
 void QuarantineKeeper::advance(bool isWriter, TimePoint now)
 {
+    m_crashes.forget(now - CrashGuard::retention);
     m_records.hold(held(now), now);
     if (!isWriter || m_isWriting || !m_store.isReachable())
         return;
